--- /dev/null
+++ b/coordination/kv/kvtest/kvtest.go
@@ -0,0 +1,323 @@
+// Package kvtest provides an in-memory key-value service with faults, for
+// tests of what is built on package kv. It runs under testing/synctest.
+package kvtest
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"wisteriaspool/coordination/kv"
+)
+
+// Faults are the ways in which the next calls go wrong.
+type Faults struct {
+	Down      bool          // refuse every call, without effect
+	Delay     time.Duration // wait this long before each call takes effect
+	LoseReply func(op, key string) bool
+	LoseCall  func(op, key string) bool
+	DropWatch bool // deliver no watch batches; lifting it marks a gap
+}
+
+var (
+	errDown = errors.New("kvtest: service is down")
+	errLost = errors.New("kvtest: no answer")
+)
+
+// Store is a fake of the platform's service. The zero value is not usable;
+// call New.
+type Store struct {
+	mu       sync.Mutex
+	faults   Faults
+	revision kv.Revision
+	pairs    map[string]kv.Pair
+	leases   map[kv.Lease]lease
+	next     kv.Lease
+	watches  map[*watch]struct{}
+	calls    map[string]int
+}
+
+type lease struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+type watch struct {
+	prefix  string
+	pending []kv.Event
+	gap     bool
+	wake    chan struct{}
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{
+		pairs:   make(map[string]kv.Pair),
+		leases:  make(map[kv.Lease]lease),
+		watches: make(map[*watch]struct{}),
+		calls:   make(map[string]int),
+	}
+}
+
+// SetFaults replaces the faults in force.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for w := range s.watches {
+		if s.faults.DropWatch && !f.DropWatch {
+			w.gap = true
+			w.notify()
+		}
+	}
+	s.faults = f
+}
+
+// Calls returns how many calls of op (get, list, cas, delete, grant,
+// keepalive, watch) reached the service.
+func (s *Store) Calls(op string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[op]
+}
+
+// begin applies the faults that come before a call's effect.
+func (s *Store) begin(ctx context.Context, op, key string) (kv.Result, bool) {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	if f.Delay > 0 {
+		select {
+		case <-time.After(f.Delay):
+		case <-ctx.Done():
+			return kv.Result{Status: kv.Unknown, Err: ctx.Err()}, false
+		}
+	}
+	if f.Down {
+		return kv.Result{Status: kv.Unavailable, Err: errDown}, false
+	}
+	if f.LoseCall != nil && f.LoseCall(op, key) {
+		return kv.Result{Status: kv.Unknown, Err: errLost}, false
+	}
+	return kv.Result{}, true
+}
+
+// end applies the faults that come after a call's effect. Callers hold s.mu.
+func (s *Store) end(op, key string, res kv.Result) kv.Result {
+	if s.faults.LoseReply != nil && s.faults.LoseReply(op, key) {
+		return kv.Result{Status: kv.Unknown, Err: errLost}
+	}
+	return res
+}
+
+// expire removes what lapsed leases held. Callers hold s.mu.
+func (s *Store) expire() {
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.Before(l.until) {
+			continue
+		}
+		delete(s.leases, id)
+		for key, p := range s.pairs {
+			if p.Lease == id {
+				s.remove(key)
+			}
+		}
+	}
+}
+
+func (s *Store) remove(key string) {
+	s.revision++
+	p := s.pairs[key]
+	delete(s.pairs, key)
+	s.publish(kv.Event{Pair: kv.Pair{Key: key, Revision: s.revision, Lease: p.Lease}, Deleted: true})
+}
+
+func (s *Store) publish(e kv.Event) {
+	if s.faults.DropWatch {
+		return
+	}
+	for w := range s.watches {
+		if strings.HasPrefix(e.Pair.Key, w.prefix) {
+			w.pending = append(w.pending, e)
+			w.notify()
+		}
+	}
+}
+
+func (w *watch) notify() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Get implements kv.Store.
+func (s *Store) Get(ctx context.Context, key string) kv.Result {
+	if res, ok := s.begin(ctx, "get", key); !ok {
+		return res
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["get"]++
+	s.expire()
+	res := kv.Result{Status: kv.Applied, Revision: s.revision}
+	if p, ok := s.pairs[key]; ok {
+		res.Pairs = []kv.Pair{p}
+	}
+	return s.end("get", key, res)
+}
+
+// List implements kv.Store.
+func (s *Store) List(ctx context.Context, prefix string) kv.Result {
+	if res, ok := s.begin(ctx, "list", prefix); !ok {
+		return res
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["list"]++
+	s.expire()
+	res := kv.Result{Status: kv.Applied, Revision: s.revision}
+	for key, p := range s.pairs {
+		if strings.HasPrefix(key, prefix) {
+			res.Pairs = append(res.Pairs, p)
+		}
+	}
+	sort.Slice(res.Pairs, func(i, j int) bool { return res.Pairs[i].Key < res.Pairs[j].Key })
+	return s.end("list", prefix, res)
+}
+
+// CompareAndSwap implements kv.Store.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, value []byte, expect kv.Revision, id kv.Lease) kv.Result {
+	if res, ok := s.begin(ctx, "cas", key); !ok {
+		return res
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["cas"]++
+	s.expire()
+	old, exists := s.pairs[key]
+	if old.Revision != expect {
+		res := kv.Result{Status: kv.Conflict, Revision: s.revision}
+		if exists {
+			res.Pairs = []kv.Pair{old}
+		}
+		return s.end("cas", key, res)
+	}
+	if _, live := s.leases[id]; id != 0 && !live {
+		return kv.Result{Status: kv.Unavailable, Err: errors.New("kvtest: no such lease")}
+	}
+	s.revision++
+	p := kv.Pair{Key: key, Value: append([]byte(nil), value...), Revision: s.revision, Lease: id}
+	s.pairs[key] = p
+	s.publish(kv.Event{Pair: p})
+	return s.end("cas", key, kv.Result{Status: kv.Applied, Revision: s.revision})
+}
+
+// Delete implements kv.Store.
+func (s *Store) Delete(ctx context.Context, key string, expect kv.Revision) kv.Result {
+	if res, ok := s.begin(ctx, "delete", key); !ok {
+		return res
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["delete"]++
+	s.expire()
+	old, exists := s.pairs[key]
+	if !exists || old.Revision != expect {
+		return s.end("delete", key, kv.Result{Status: kv.Conflict, Revision: s.revision, Pairs: []kv.Pair{old}})
+	}
+	s.remove(key)
+	return s.end("delete", key, kv.Result{Status: kv.Applied, Revision: s.revision})
+}
+
+// Grant implements kv.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (kv.Lease, kv.Result) {
+	if res, ok := s.begin(ctx, "grant", ""); !ok {
+		return 0, res
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["grant"]++
+	s.next++
+	s.leases[s.next] = lease{ttl: ttl, until: time.Now().Add(ttl)}
+	res := s.end("grant", "", kv.Result{Status: kv.Applied, Revision: s.revision})
+	if res.Status != kv.Applied {
+		return 0, res
+	}
+	return s.next, res
+}
+
+// KeepAlive implements kv.Store.
+func (s *Store) KeepAlive(ctx context.Context, id kv.Lease) kv.Result {
+	if res, ok := s.begin(ctx, "keepalive", ""); !ok {
+		return res
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["keepalive"]++
+	s.expire()
+	l, ok := s.leases[id]
+	if !ok {
+		return s.end("keepalive", "", kv.Result{Status: kv.Conflict, Revision: s.revision})
+	}
+	l.until = time.Now().Add(l.ttl)
+	s.leases[id] = l
+	return s.end("keepalive", "", kv.Result{Status: kv.Applied, Revision: s.revision})
+}
+
+// Watch implements kv.Store. It reports changes from now on, and a gap at the
+// start if from is older than the present revision.
+func (s *Store) Watch(ctx context.Context, prefix string, from kv.Revision) (<-chan kv.Batch, kv.Result) {
+	if res, ok := s.begin(ctx, "watch", prefix); !ok {
+		return nil, res
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["watch"]++
+	w := &watch{prefix: prefix, wake: make(chan struct{}, 1), gap: from < s.revision}
+	w.notify()
+	s.watches[w] = struct{}{}
+	out := make(chan kv.Batch)
+	go s.run(ctx, w, out)
+	return out, kv.Result{Status: kv.Applied, Revision: s.revision}
+}
+
+// run delivers the batches of one watch until ctx ends.
+func (s *Store) run(ctx context.Context, w *watch, out chan<- kv.Batch) {
+	defer close(out)
+	defer s.forget(w)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.wake:
+		}
+		b, ok := s.take(w)
+		if !ok {
+			continue
+		}
+		select {
+		case out <- b:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Store) forget(w *watch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.watches, w)
+}
+
+func (s *Store) take(w *watch) (kv.Batch, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := kv.Batch{Events: w.pending, Revision: s.revision, Gap: w.gap}
+	w.pending = nil
+	w.gap = false
+	return b, b.Gap || len(b.Events) > 0
+}
--- /dev/null
+++ b/coordination/kv/kvtest/kvtest_test.go
@@ -0,0 +1,39 @@
+package kvtest_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/kv/kvtest"
+)
+
+// The service applies a write and its answer is lost on the way back. The
+// writer must not be told that nothing was written.
+func TestLostReplyIsUnknown(t *testing.T) {
+	s := kvtest.New()
+	ctx := context.Background()
+	s.SetFaults(kvtest.Faults{LoseReply: func(op, _ string) bool { return op == "cas" }})
+	res := s.CompareAndSwap(ctx, "a", []byte("1"), 0, 0)
+	assert.Equal(t, res.Status, kv.Unknown)
+	s.SetFaults(kvtest.Faults{})
+	res = s.Get(ctx, "a")
+	assert.Equal(t, res.Status, kv.Applied)
+	assert.Equal(t, string(res.Pairs[0].Value), "1")
+}
+
+func TestLeaseLapses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := kvtest.New()
+		ctx := t.Context()
+		id, _ := s.Grant(ctx, time.Second)
+		s.CompareAndSwap(ctx, "a", nil, 0, id)
+		time.Sleep(time.Second)
+		assert.Equal(t, len(s.Get(ctx, "a").Pairs), 0)
+		assert.Equal(t, s.KeepAlive(ctx, id).Status, kv.Conflict)
+	})
+}
