--- /dev/null
+++ b/standin/engine/answer.go
@@ -0,0 +1,130 @@
+package engine
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	minNatural  = 8    // tokens of the shortest answer without max_tokens
+	spanNatural = 57   // natural lengths vary over so many tokens
+	maxAnswer   = 4096 // tokens of any answer
+	syllables   = 5    // of one token
+)
+
+// Message is one message of a conversation.
+type Message struct {
+	Role    string  `json:"role"`
+	Content Content `json:"content"`
+}
+
+// Content is the text of a message. In JSON it is a string or a list of parts.
+type Content string
+
+// UnmarshalJSON reads a string, null, or a list of parts with text.
+func (c *Content) UnmarshalJSON(data []byte) error {
+	var text *string
+	if err := json.Unmarshal(data, &text); err == nil {
+		if text != nil {
+			*c = Content(*text)
+		}
+		return nil
+	}
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return fmt.Errorf("engine: content is neither a text nor a list of parts")
+	}
+	for _, part := range parts {
+		*c += Content(part.Text)
+	}
+	return nil
+}
+
+// Request is the body of a chat completion, as far as the engine reads it.
+type Request struct {
+	Model                string    `json:"model"`
+	Messages             []Message `json:"messages"`
+	Stream               bool      `json:"stream"`
+	MaxTokens            int       `json:"max_tokens,omitempty"`
+	MaxCompletionTokens  int       `json:"max_completion_tokens,omitempty"`
+	ContinueFinalMessage bool      `json:"continue_final_message,omitempty"`
+}
+
+// limit returns the most new tokens that the request asks for, or zero.
+func (r Request) limit() int {
+	if r.MaxCompletionTokens > 0 {
+		return r.MaxCompletionTokens
+	}
+	return r.MaxTokens
+}
+
+// conversation returns the messages without a partial answer to continue, and
+// the tokens of that partial answer.
+func (r Request) conversation() ([]Message, []string) {
+	last := len(r.Messages) - 1
+	if !r.ContinueFinalMessage || last < 0 || r.Messages[last].Role != "assistant" {
+		return r.Messages, nil
+	}
+	return r.Messages[:last], strings.Fields(string(r.Messages[last].Content))
+}
+
+// Answer returns the whole answer that every engine gives to messages, where
+// maxTokens is zero for the natural length. Each token is a word with a
+// trailing space.
+func Answer(messages []Message, maxTokens int) string {
+	return strings.Join(AnswerTokens(messages, maxTokens), "")
+}
+
+// AnswerTokens returns the tokens of Answer.
+func AnswerTokens(messages []Message, maxTokens int) []string {
+	hash := conversationHash(messages)
+	tokens := make([]string, answerLength(hash, 0, maxTokens))
+	for i := range tokens {
+		tokens[i] = tokenAt(hash, i)
+	}
+	return tokens
+}
+
+// answerLength returns the length of the whole answer, of which had tokens
+// were there already: exactly maxTokens new ones, or the natural length.
+func answerLength(hash uint64, had, maxTokens int) int {
+	if maxTokens > 0 {
+		return min(had+maxTokens, maxAnswer)
+	}
+	return max(had, minNatural+int(hash%spanNatural))
+}
+
+// conversationHash depends on the roles and words of messages only.
+func conversationHash(messages []Message) uint64 {
+	d := xxhash.New()
+	for _, m := range messages {
+		_, _ = d.WriteString(m.Role + "\x00")
+		for _, word := range strings.Fields(string(m.Content)) {
+			_, _ = d.WriteString(word + " ")
+		}
+		_, _ = d.WriteString("\x01")
+	}
+	return d.Sum64()
+}
+
+// tokenAt returns the token at index i, counted from 0, of the answer to the
+// conversation with that hash.
+func tokenAt(hash uint64, i int) string {
+	const consonants, vowels = "bdfgklmnprstvzhj", "aeio"
+	var seed [16]byte
+	binary.LittleEndian.PutUint64(seed[:8], hash)
+	binary.LittleEndian.PutUint64(seed[8:], uint64(i))
+	bits := xxhash.Sum64(seed[:])
+	word := make([]byte, 0, 2*syllables+1)
+	for range syllables {
+		word = append(word, consonants[bits%16], vowels[bits/16%4])
+		bits /= 64
+	}
+	return string(append(word, ' '))
+}
--- /dev/null
+++ b/standin/engine/crash.go
@@ -0,0 +1,50 @@
+package engine
+
+import (
+	"strings"
+	"time"
+)
+
+// isPoison tells whether a's prompt crashes the engine that runs it.
+func (e *Engine) isPoison(a *attempt) bool {
+	for _, m := range a.request.Messages {
+		if strings.Contains(string(m.Content), e.opts.Poison) {
+			return true
+		}
+	}
+	return false
+}
+
+// Crash ends the present life at once: connections drop, attempts and cache
+// are lost, and a new incarnation answers after the restart time.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashLocked()
+}
+
+func (e *Engine) crashLocked() {
+	now := time.Now()
+	e.stats.Crashes++
+	e.deadUntil = now.Add(e.restartLocked())
+	e.incarnation = max(e.incarnation+1, uint64(e.deadUntil.UnixMilli()))
+	close(e.died)
+	e.died = make(chan struct{})
+	e.attempts = make(map[string]*attempt)
+	e.waiting, e.running = nil, nil
+	e.cache = newCache(e.opts.CacheBlocks)
+	e.events, e.eventTimes, e.eventSeq = nil, nil, 0
+	e.orders = orderBook{}
+	e.sampleLocked()
+	e.checkIdleLocked()
+	if e.opts.OnCrash != nil {
+		e.opts.OnCrash()
+	}
+}
+
+func (e *Engine) restartLocked() time.Duration {
+	if e.faults.RestartMillis > 0 {
+		return time.Duration(e.faults.RestartMillis) * time.Millisecond
+	}
+	return e.opts.Restart
+}
--- /dev/null
+++ b/standin/engine/handlers.go
@@ -0,0 +1,269 @@
+package engine
+
+import (
+	"container/heap"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+const (
+	maxBody   = 4 << 20  // bytes of one request
+	maxImport = 64 << 20 // bytes of one KV import
+)
+
+func (e *Engine) routes() {
+	e.mux.HandleFunc("POST /v1/chat/completions", e.handleChat)
+	e.mux.HandleFunc("POST /v1/attempts/{id}/cancel", e.handleCancel)
+	e.mux.HandleFunc("GET /v1/attempts/{id}/stream", e.handleResume)
+	e.mux.HandleFunc("GET /v1/load", e.handleLoad)
+	e.mux.HandleFunc("GET /v1/cache-events", e.handleCacheEvents)
+	e.mux.HandleFunc("POST /v1/kv/export", e.handleExport)
+	e.mux.HandleFunc("POST /v1/kv/import", e.handleImport)
+	e.mux.HandleFunc("POST /v1/orders", e.handleOrder)
+	e.mux.HandleFunc("GET /v1/orders", e.handleOrders)
+}
+
+// ServeHTTP answers one call. It panics with http.ErrAbortHandler to break a
+// connection when a fault says so, and while the engine is dead.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/admin/faults":
+		e.handleFaults(w, r)
+		return
+	case "/admin/stats":
+		e.handleStats(w, r)
+		return
+	case "/admin/leave":
+		e.Leave()
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	e.thaw(r.Context().Done())
+	if e.dead() {
+		panic(http.ErrAbortHandler)
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+func (e *Engine) dead() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Now().Before(e.deadUntil)
+}
+
+// life returns the channel that is closed when the present life ends.
+func (e *Engine) life() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.died
+}
+
+func (e *Engine) handleChat(w http.ResponseWriter, r *http.Request) {
+	died := e.life()
+	var req Request
+	// The body is read to its end, since net/http notices only then that the
+	// caller has gone.
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err == nil {
+		err = json.Unmarshal(data, &req)
+	}
+	if err != nil || len(req.Messages) == 0 {
+		writeNotRun(w, http.StatusBadRequest, "malformed", "a chat completion is JSON with messages")
+		return
+	}
+	a := newAttempt(r, req)
+	if !e.accept(w, a) {
+		return
+	}
+	e.serve(w, r, a, reader{died: died, after: a.had, stream: req.Stream})
+}
+
+// newAttempt reads the headers and measures the prompt.
+func newAttempt(r *http.Request, req Request) *attempt {
+	id := r.Header.Get("X-Attempt-Id")
+	if id == "" {
+		id = uuid.NewString()
+	}
+	priority, _ := strconv.Atoi(r.Header.Get("X-Priority"))
+	messages, partial := req.conversation()
+	hash := conversationHash(messages)
+	return &attempt{
+		id:       id,
+		chat:     r.Header.Get("X-Chat-Id"),
+		priority: priority,
+		request:  req,
+		hash:     hash,
+		prompt:   words(req.Messages),
+		had:      len(partial),
+		total:    answerLength(hash, len(partial), req.limit()),
+		readers:  1,
+		changed:  make(chan struct{}),
+	}
+}
+
+// accept queues a, or answers with a refusal.
+func (e *Engine) accept(w http.ResponseWriter, a *attempt) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.arrivals++
+	a.seq = e.arrivals
+	e.stats.Arrivals++
+	e.stats.LastArrival = time.Now()
+	if e.leaving {
+		e.stats.ArrivalsLeaving++
+		e.stats.Refused++
+		w.Header().Set("X-State", "leaving")
+		writeNotRun(w, http.StatusServiceUnavailable, "stopping", "the engine is leaving")
+		return false
+	}
+	if e.attempts[a.id] != nil {
+		e.stats.Duplicates++
+		writeError(w, http.StatusConflict, "conflict", "an attempt with this id is live")
+		return false
+	}
+	full := e.opts.MaxWaiting > 0 && len(e.waiting) >= e.opts.MaxWaiting
+	if full || e.refusesLocked() {
+		e.stats.Refused++
+		writeNotRun(w, http.StatusServiceUnavailable, "overloaded", "the engine takes no more requests")
+		return false
+	}
+	e.stats.Accepted++
+	e.countContinuedLocked(a)
+	e.attempts[a.id] = a
+	heap.Push(&e.waiting, a)
+	e.sampleLocked()
+	e.signal()
+	return true
+}
+
+// countContinuedLocked checks a partial answer against our own.
+func (e *Engine) countContinuedLocked(a *attempt) {
+	if a.had == 0 {
+		return
+	}
+	e.stats.Continued++
+	_, partial := a.request.conversation()
+	for i, word := range partial {
+		if word+" " != tokenAt(a.hash, i) {
+			e.stats.WrongContinued++
+			return
+		}
+	}
+}
+
+func (e *Engine) handleCancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	a := e.attempts[r.PathValue("id")]
+	generated := 0
+	if a != nil {
+		generated = a.generated
+		e.endLocked(a, cancelled)
+	}
+	e.mu.Unlock()
+	if a == nil {
+		writeError(w, http.StatusNotFound, "unknown-attempt", "no attempt with this id")
+		return
+	}
+	writeJSON(w, http.StatusOK, Cancelled{Generated: generated})
+}
+
+// Cancelled is the answer to a cancel call.
+type Cancelled struct {
+	Generated int `json:"generated"`
+}
+
+func (e *Engine) handleResume(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.Atoi(r.FormValue("after"))
+	if err != nil || after < 0 {
+		writeError(w, http.StatusBadRequest, "malformed", "after is the offset of the last token read")
+		return
+	}
+	e.mu.Lock()
+	died := e.died
+	a := e.attempts[r.PathValue("id")]
+	if a != nil {
+		a.readers++
+		e.stats.Resumed++
+	}
+	e.mu.Unlock()
+	if a == nil {
+		writeError(w, http.StatusNotFound, "unknown-attempt", "no attempt with this id")
+		return
+	}
+	e.serve(w, r, a, reader{died: died, after: max(after, a.had), stream: true})
+}
+
+// leaveReader counts one reader less. An attempt without a reader is
+// cancelled, and forgotten, after a while.
+func (e *Engine) leaveReader(a *attempt) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a.readers--
+	if a.readers == 0 && e.attempts[a.id] == a {
+		e.expireLocked(a)
+	}
+	e.checkIdleLocked()
+}
+
+// expireLocked gives a without a reader its last time.
+func (e *Engine) expireLocked(a *attempt) {
+	a.unread++
+	unread := a.unread
+	time.AfterFunc(e.opts.KeepUnread, func() { e.expire(a, unread) })
+}
+
+func (e *Engine) expire(a *attempt, unread int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.attempts[a.id] != a || a.readers > 0 || a.unread != unread {
+		return
+	}
+	if !a.ended() {
+		e.endLocked(a, cancelled)
+	}
+	delete(e.attempts, a.id)
+}
+
+// writeNotRun refuses with the engine's word that nothing was run.
+func writeNotRun(w http.ResponseWriter, status int, code, message string) {
+	w.Header().Set("X-Outcome", "not-run")
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
+	writeError(w, status, code, message)
+}
+
+// errorBody is the body of an error.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+func writeError(w http.ResponseWriter, status int, code, message string) {
+	writeJSON(w, status, errorBody{Error: errorDetail{Code: code, Message: message}})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the caller has gone if it fails
+}
+
+// text returns the tokens of a from offset from up to offset to.
+func (a *attempt) text(from, to int) string {
+	var b strings.Builder
+	for i := from; i < to; i++ {
+		b.WriteString(tokenAt(a.hash, i))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/standin/platform/handlers.go
@@ -0,0 +1,198 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+func (s *Server) handleRange(w http.ResponseWriter, r *http.Request) {
+	var req rangeRequest
+	s.answer(w, r, call{kind: rangeCall}, &req, func() (any, *statusError) {
+		return s.store.rangeKeys(req)
+	})
+}
+
+func (s *Server) handlePut(w http.ResponseWriter, r *http.Request) {
+	var req putRequest
+	s.answer(w, r, call{kind: putCall, write: true}, &req, func() (any, *statusError) {
+		return s.store.put(req)
+	})
+}
+
+func (s *Server) handleDelete(w http.ResponseWriter, r *http.Request) {
+	var req deleteRequest
+	s.answer(w, r, call{kind: deleteCall, write: true}, &req, func() (any, *statusError) {
+		return s.store.deleteRange(req)
+	})
+}
+
+func (s *Server) handleTxn(w http.ResponseWriter, r *http.Request) {
+	var req txnRequest
+	s.answer(w, r, call{kind: txnCall, write: true}, &req, func() (any, *statusError) {
+		return s.store.txn(req)
+	})
+}
+
+func (s *Server) handleGrant(w http.ResponseWriter, r *http.Request) {
+	var req leaseRequest
+	s.answer(w, r, call{kind: grantCall, write: true}, &req, func() (any, *statusError) {
+		return s.store.grant(req)
+	})
+}
+
+func (s *Server) handleKeepAlive(w http.ResponseWriter, r *http.Request) {
+	var req leaseRequest
+	s.answer(w, r, call{kind: keepAliveCall, write: true}, &req, func() (any, *statusError) {
+		return s.store.keepAlive(req), nil
+	})
+}
+
+func (s *Server) handleRevoke(w http.ResponseWriter, r *http.Request) {
+	var req leaseRequest
+	s.answer(w, r, call{kind: revokeCall, write: true}, &req, func() (any, *statusError) {
+		return s.store.revoke(req)
+	})
+}
+
+func (s *Server) handleList(w http.ResponseWriter, r *http.Request) {
+	s.count(listCall)
+	faults, _ := s.faults.get()
+	if faults.ListOutage {
+		writeRefusal(w, refusal(codeUnavailable, "the list of instances is down"))
+		return
+	}
+	if !s.sleep(r.Context(), time.Duration(faults.SlowMillis)*time.Millisecond) {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, s.directory.list(time.Duration(faults.ListLagMillis)*time.Millisecond))
+}
+
+func (s *Server) handleRegister(w http.ResponseWriter, r *http.Request) {
+	var entry Instance
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&entry)
+	if err != nil || entry.ID == "" {
+		writeRefusal(w, refusal(codeInvalidArgument, "an instance is JSON with an id"))
+		return
+	}
+	s.Register(entry)
+	writeJSON(w, http.StatusOK, entry)
+}
+
+func (s *Server) handleRemove(w http.ResponseWriter, r *http.Request) {
+	s.Remove(r.PathValue("id"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) handleFaults(w http.ResponseWriter, r *http.Request) {
+	var data json.RawMessage
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&data); err != nil {
+		writeRefusal(w, refusal(codeInvalidArgument, err.Error()))
+		return
+	}
+	next, err := s.faults.merge(data)
+	if err != nil {
+		writeRefusal(w, refusal(codeInvalidArgument, err.Error()))
+		return
+	}
+	if err := s.SetFaults(next); err != nil {
+		writeRefusal(w, refusal(codeInvalidArgument, err.Error()))
+		return
+	}
+	s.handleShowFaults(w, r)
+}
+
+func (s *Server) handleShowFaults(w http.ResponseWriter, _ *http.Request) {
+	faults, _ := s.faults.get()
+	writeJSON(w, http.StatusOK, faults)
+}
+
+func (s *Server) handleCalls(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Calls())
+}
+
+// Register adds or replaces an entry of the list of instances.
+func (s *Server) Register(entry Instance) {
+	if entry.State == "" {
+		entry.State = Live
+	}
+	s.directory.update(func(m map[string]Instance) { m[entry.ID] = entry })
+}
+
+// Remove takes an entry off the list of instances.
+func (s *Server) Remove(id string) {
+	s.directory.update(func(m map[string]Instance) { delete(m, id) })
+}
+
+// Instances returns the list without its lag.
+func (s *Server) Instances() []Instance { return s.directory.list(0).Instances }
+
+// SetFaults replaces the lasting faults and makes the others happen.
+func (s *Server) SetFaults(f Faults) error {
+	s.faults.set(f)
+	if f.Restore != nil {
+		if err := s.store.restore(f.Restore.Key, f.Restore.Revision); err != nil {
+			return err
+		}
+	}
+	if f.Compact {
+		s.store.compact()
+	}
+	if f.DropWatches {
+		s.mu.Lock()
+		close(s.dropped)
+		s.dropped = make(chan struct{})
+		s.mu.Unlock()
+	}
+	return nil
+}
+
+// Faults returns the lasting faults.
+func (s *Server) Faults() Faults {
+	f, _ := s.faults.get()
+	return f
+}
+
+// Put writes a key past caps and faults, as an operator with direct access
+// does. It returns the new revision.
+func (s *Server) Put(key string, value []byte) (int64, error) {
+	res, err := s.store.put(putRequest{Key: []byte(key), Value: value})
+	if err != nil {
+		return 0, err
+	}
+	return int64(res.Header.Revision), nil
+}
+
+// Get reads the keys that start with prefix past caps and faults, in order.
+func (s *Server) Get(prefix string) []KeyValue {
+	end := slices.Clone([]byte(prefix))
+	for len(end) > 0 && end[len(end)-1] == 0xff {
+		end = end[:len(end)-1]
+	}
+	if len(end) == 0 {
+		end = []byte{0, 0}
+	}
+	end[len(end)-1]++
+	res, err := s.store.rangeKeys(rangeRequest{Key: []byte(prefix), RangeEnd: end})
+	if err != nil {
+		return nil
+	}
+	return res.KVs
+}
+
+// watchEvents turns events of the history into those of a watch.
+func watchEvents(events []event, withPrev bool) []watchEvent {
+	return lo.Map(events, func(e event, _ int) watchEvent {
+		out := watchEvent{KV: &e.kv}
+		if e.deleted {
+			out.Type = "DELETE"
+		}
+		if withPrev {
+			out.PrevKV = e.prev
+		}
+		return out
+	})
+}
--- /dev/null
+++ b/standin/platform/leases.go
@@ -0,0 +1,75 @@
+package platform
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// grant makes a lease, with an id of the server's choice if req.ID is zero.
+func (s *store) grant(req leaseRequest) (*leaseResponse, *statusError) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if req.TTL <= 0 {
+		return nil, refusal(codeInvalidArgument, "etcdserver: too small lease TTL")
+	}
+	id := req.ID
+	if id == 0 {
+		s.lastLease++
+		id = firstLease + s.lastLease
+	}
+	if s.leases[id] != nil {
+		return nil, refusal(codeAlreadyExists, "etcdserver: lease already exists")
+	}
+	l := &lease{id: id, ttl: time.Duration(req.TTL) * time.Second, keys: make(map[string]bool)}
+	l.timer = time.AfterFunc(l.ttl, func() { s.lapse(l) })
+	s.leases[id] = l
+	return &leaseResponse{Header: s.headerLocked(), ID: id, TTL: req.TTL}, nil
+}
+
+// keepAlive renews a lease. A lease that is gone is answered with no TTL.
+func (s *store) keepAlive(req leaseRequest) *keepAliveResponse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	res := leaseResponse{Header: s.headerLocked(), ID: req.ID}
+	if l := s.leases[req.ID]; l != nil {
+		l.timer.Reset(l.ttl)
+		res.TTL = Int64(l.ttl / time.Second)
+	}
+	return &keepAliveResponse{Result: res}
+}
+
+// revoke ends a lease at once.
+func (s *store) revoke(req leaseRequest) (*leaseResponse, *statusError) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[req.ID]
+	if l == nil {
+		return nil, refusal(codeNotFound, "etcdserver: requested lease not found")
+	}
+	l.timer.Stop()
+	s.endLocked(l)
+	return &leaseResponse{Header: s.headerLocked()}, nil
+}
+
+// lapse ends a lease that nobody renewed in time.
+func (s *store) lapse(l *lease) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[l.id] == l {
+		s.endLocked(l)
+	}
+}
+
+// endLocked deletes the lease's keys at one revision.
+func (s *store) endLocked(l *lease) {
+	delete(s.leases, l.id)
+	if len(l.keys) == 0 {
+		return
+	}
+	s.revision++
+	for _, key := range lo.Keys(l.keys) {
+		s.removeLocked(s.current[key])
+	}
+	s.announceLocked()
+}
--- /dev/null
+++ b/standin/platform/messages.go
@@ -0,0 +1,249 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Int64 is a 64-bit integer in protobuf's JSON mapping: written as a string,
+// read from a string or a number.
+type Int64 int64
+
+// MarshalJSON writes n as a string.
+func (n Int64) MarshalJSON() ([]byte, error) {
+	return strconv.AppendQuote(nil, strconv.FormatInt(int64(n), 10)), nil
+}
+
+// UnmarshalJSON reads a string or a number.
+func (n *Int64) UnmarshalJSON(data []byte) error {
+	v, err := strconv.ParseInt(strings.Trim(string(data), `"`), 10, 64)
+	if err != nil {
+		return fmt.Errorf("platform: not a 64-bit integer: %s", data)
+	}
+	*n = Int64(v)
+	return nil
+}
+
+// KeyValue is mvccpb.KeyValue: one version of a key.
+type KeyValue struct {
+	Key            []byte `json:"key,omitempty"`
+	CreateRevision Int64  `json:"create_revision,omitempty"`
+	ModRevision    Int64  `json:"mod_revision,omitempty"`
+	Version        Int64  `json:"version,omitempty"`
+	Value          []byte `json:"value,omitempty"`
+	Lease          Int64  `json:"lease,omitempty"`
+}
+
+// header is etcdserverpb.ResponseHeader.
+type header struct {
+	ClusterID Int64 `json:"cluster_id"`
+	MemberID  Int64 `json:"member_id"`
+	Revision  Int64 `json:"revision"`
+	RaftTerm  Int64 `json:"raft_term"`
+}
+
+type rangeRequest struct {
+	Key       []byte `json:"key"`
+	RangeEnd  []byte `json:"range_end"`
+	Limit     Int64  `json:"limit"`
+	Revision  Int64  `json:"revision"`
+	KeysOnly  bool   `json:"keys_only"`
+	CountOnly bool   `json:"count_only"`
+}
+
+type rangeResponse struct {
+	Header *header    `json:"header,omitempty"`
+	KVs    []KeyValue `json:"kvs,omitempty"`
+	More   bool       `json:"more,omitempty"`
+	Count  Int64      `json:"count,omitempty"`
+}
+
+type putRequest struct {
+	Key    []byte `json:"key"`
+	Value  []byte `json:"value"`
+	Lease  Int64  `json:"lease"`
+	PrevKV bool   `json:"prev_kv"`
+}
+
+type putResponse struct {
+	Header *header   `json:"header,omitempty"`
+	PrevKV *KeyValue `json:"prev_kv,omitempty"`
+}
+
+type deleteRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end"`
+	PrevKV   bool   `json:"prev_kv"`
+}
+
+type deleteResponse struct {
+	Header  *header    `json:"header,omitempty"`
+	Deleted Int64      `json:"deleted,omitempty"`
+	PrevKVs []KeyValue `json:"prev_kvs,omitempty"`
+}
+
+// compare is etcdserverpb.Compare. An absent result means EQUAL and an absent
+// target means VERSION, as in protobuf's JSON mapping.
+type compare struct {
+	Result         string `json:"result"`
+	Target         string `json:"target"`
+	Key            []byte `json:"key"`
+	Version        Int64  `json:"version"`
+	CreateRevision Int64  `json:"create_revision"`
+	ModRevision    Int64  `json:"mod_revision"`
+	Value          []byte `json:"value"`
+	Lease          Int64  `json:"lease"`
+}
+
+type operation struct {
+	Range  *rangeRequest  `json:"request_range"`
+	Put    *putRequest    `json:"request_put"`
+	Delete *deleteRequest `json:"request_delete_range"`
+}
+
+type operationResponse struct {
+	Range  *rangeResponse  `json:"response_range,omitempty"`
+	Put    *putResponse    `json:"response_put,omitempty"`
+	Delete *deleteResponse `json:"response_delete_range,omitempty"`
+}
+
+type txnRequest struct {
+	Compare []compare   `json:"compare"`
+	Success []operation `json:"success"`
+	Failure []operation `json:"failure"`
+}
+
+type txnResponse struct {
+	Header    *header             `json:"header"`
+	Succeeded bool                `json:"succeeded,omitempty"`
+	Responses []operationResponse `json:"responses,omitempty"`
+}
+
+type leaseRequest struct {
+	ID  Int64 `json:"ID"`
+	TTL Int64 `json:"TTL"`
+}
+
+type leaseResponse struct {
+	Header *header `json:"header"`
+	ID     Int64   `json:"ID,omitempty"`
+	TTL    Int64   `json:"TTL,omitempty"`
+}
+
+type keepAliveResponse struct {
+	Result leaseResponse `json:"result"`
+}
+
+type watchRequest struct {
+	Create *watchCreate `json:"create_request"`
+}
+
+type watchCreate struct {
+	Key           []byte `json:"key"`
+	RangeEnd      []byte `json:"range_end"`
+	StartRevision Int64  `json:"start_revision"`
+	PrevKV        bool   `json:"prev_kv"`
+}
+
+type watchResponse struct {
+	Result watchResult `json:"result"`
+}
+
+type watchResult struct {
+	Header          *header      `json:"header"`
+	WatchID         Int64        `json:"watch_id,omitempty"`
+	Created         bool         `json:"created,omitempty"`
+	Canceled        bool         `json:"canceled,omitempty"`
+	CompactRevision Int64        `json:"compact_revision,omitempty"`
+	CancelReason    string       `json:"cancel_reason,omitempty"`
+	Events          []watchEvent `json:"events,omitempty"`
+}
+
+// watchEvent is mvccpb.Event. Type is absent for a put, which is the enum's
+// zero value.
+type watchEvent struct {
+	Type   string    `json:"type,omitempty"`
+	KV     *KeyValue `json:"kv"`
+	PrevKV *KeyValue `json:"prev_kv,omitempty"`
+}
+
+// code is a gRPC status code.
+type code int
+
+const (
+	codeInvalidArgument   code = 3
+	codeNotFound          code = 5
+	codeAlreadyExists     code = 6
+	codeResourceExhausted code = 8
+	codeOutOfRange        code = 11
+	codeUnavailable       code = 14
+)
+
+// statusError is the body of a refused call.
+type statusError struct {
+	Text    string `json:"error"`
+	Code    code   `json:"code"`
+	Message string `json:"message"`
+}
+
+func refusal(c code, message string) *statusError {
+	return &statusError{Text: message, Code: c, Message: message}
+}
+
+// Error returns the message.
+func (e *statusError) Error() string { return "platform: " + e.Message }
+
+// decode reads a request of the gateway, which takes both the names of the
+// proto file and their camelCase forms.
+func decode(data []byte, v any) error {
+	if len(data) == 0 {
+		return nil
+	}
+	var tree any
+	if err := json.Unmarshal(data, &tree); err != nil {
+		return fmt.Errorf("platform: %w", err)
+	}
+	plain, err := json.Marshal(protoNames(tree))
+	if err != nil {
+		return fmt.Errorf("platform: %w", err)
+	}
+	if err := json.Unmarshal(plain, v); err != nil {
+		return fmt.Errorf("platform: %w", err)
+	}
+	return nil
+}
+
+// protoNames turns the names of all objects in tree into those of the proto
+// file.
+func protoNames(tree any) any {
+	switch t := tree.(type) {
+	case map[string]any:
+		out := make(map[string]any, len(t))
+		for name, v := range t {
+			out[protoName(name)] = protoNames(v)
+		}
+		return out
+	case []any:
+		for i := range t {
+			t[i] = protoNames(t[i])
+		}
+	}
+	return tree
+}
+
+func protoName(name string) string {
+	if name == strings.ToUpper(name) {
+		return name // ID and TTL
+	}
+	var b strings.Builder
+	for _, r := range name {
+		if r >= 'A' && r <= 'Z' {
+			b.WriteByte('_')
+			r += 'a' - 'A'
+		}
+		b.WriteRune(r)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/standin/platform/txn.go
@@ -0,0 +1,202 @@
+package platform
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+)
+
+// rangeKeys runs a read of its own.
+func (s *store) rangeKeys(req rangeRequest) (*rangeResponse, *statusError) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	res, err := s.rangeLocked(req)
+	if err != nil {
+		return nil, err
+	}
+	res.Header = s.headerLocked()
+	return res, nil
+}
+
+func (s *store) rangeLocked(req rangeRequest) (*rangeResponse, *statusError) {
+	kvs, err := s.readLocked(req.Key, req.RangeEnd, req.Revision)
+	if err != nil {
+		return nil, err
+	}
+	res := &rangeResponse{Count: Int64(len(kvs))}
+	if req.CountOnly {
+		return res, nil
+	}
+	if req.Limit > 0 && len(kvs) > int(req.Limit) {
+		kvs, res.More = kvs[:req.Limit], true
+	}
+	if req.KeysOnly {
+		for i := range kvs {
+			kvs[i].Value = nil
+		}
+	}
+	res.KVs = kvs
+	return res, nil
+}
+
+// readLocked returns the keys of [key, end) as of revision, zero being now.
+func (s *store) readLocked(key, end []byte, revision Int64) ([]KeyValue, *statusError) {
+	if revision > s.revision {
+		return nil, refusal(codeOutOfRange, "etcdserver: mvcc: required revision is a future revision")
+	}
+	if revision > 0 && revision < s.compacted {
+		return nil, refusal(codeOutOfRange, "etcdserver: mvcc: required revision has been compacted")
+	}
+	if revision > 0 && revision < s.revision {
+		return s.readBackLocked(key, end, revision), nil
+	}
+	from, to := s.spanLocked(key, end)
+	kvs := make([]KeyValue, 0, to-from)
+	for _, k := range s.sorted[from:to] {
+		kvs = append(kvs, s.current[k])
+	}
+	return kvs, nil
+}
+
+// readBackLocked undoes the history from its end down to revision.
+func (s *store) readBackLocked(key, end []byte, revision Int64) []KeyValue {
+	at := make(map[string]KeyValue)
+	from, to := s.spanLocked(key, end)
+	for _, k := range s.sorted[from:to] {
+		at[k] = s.current[k]
+	}
+	for _, e := range slices.Backward(s.events) {
+		if e.kv.ModRevision <= revision {
+			break
+		}
+		if !inRange(e.kv.Key, key, end) {
+			continue
+		}
+		delete(at, string(e.kv.Key))
+		if e.prev != nil {
+			at[string(e.kv.Key)] = *e.prev
+		}
+	}
+	kvs := make([]KeyValue, 0, len(at))
+	for _, kv := range at {
+		kvs = append(kvs, kv)
+	}
+	slices.SortFunc(kvs, func(a, b KeyValue) int { return bytes.Compare(a.Key, b.Key) })
+	return kvs
+}
+
+// txn compares and then runs one of the two lists of operations, at one
+// revision.
+func (s *store) txn(req txnRequest) (*txnResponse, *statusError) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	res := &txnResponse{Succeeded: true}
+	for _, c := range req.Compare {
+		holds, err := s.holdsLocked(c)
+		if err != nil {
+			return nil, err
+		}
+		res.Succeeded = res.Succeeded && holds
+	}
+	operations := req.Failure
+	if res.Succeeded {
+		operations = req.Success
+	}
+	if err := s.checkLocked(operations); err != nil {
+		return nil, err
+	}
+	if s.writesLocked(operations) {
+		s.revision++
+	}
+	for _, op := range operations {
+		res.Responses = append(res.Responses, s.runLocked(op))
+	}
+	res.Header = s.headerLocked()
+	s.announceLocked()
+	return res, nil
+}
+
+// holdsLocked tells whether the comparison holds. A key that does not exist
+// has zero for each number.
+func (s *store) holdsLocked(c compare) (bool, *statusError) {
+	kv := s.current[string(c.Key)]
+	var order int
+	switch c.Target {
+	case "", "VERSION":
+		order = cmp.Compare(kv.Version, c.Version)
+	case "CREATE":
+		order = cmp.Compare(kv.CreateRevision, c.CreateRevision)
+	case "MOD":
+		order = cmp.Compare(kv.ModRevision, c.ModRevision)
+	case "VALUE":
+		order = bytes.Compare(kv.Value, c.Value)
+	case "LEASE":
+		order = cmp.Compare(kv.Lease, c.Lease)
+	default:
+		return false, refusal(codeInvalidArgument, "etcdserver: unknown compare target "+c.Target)
+	}
+	switch c.Result {
+	case "", "EQUAL":
+		return order == 0, nil
+	case "GREATER":
+		return order > 0, nil
+	case "LESS":
+		return order < 0, nil
+	case "NOT_EQUAL":
+		return order != 0, nil
+	}
+	return false, refusal(codeInvalidArgument, "etcdserver: unknown compare result "+c.Result)
+}
+
+// checkLocked refuses operations that could fail half-way, before the first
+// takes effect.
+func (s *store) checkLocked(operations []operation) *statusError {
+	for _, op := range operations {
+		if op.Put != nil {
+			if err := s.checkPutLocked(*op.Put); err != nil {
+				return err
+			}
+		}
+		if op.Range != nil && op.Range.Revision != 0 {
+			if _, err := s.readLocked(nil, nil, op.Range.Revision); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (s *store) writesLocked(operations []operation) bool {
+	return slices.ContainsFunc(operations, func(op operation) bool {
+		return op.Put != nil || op.Delete != nil && s.hasLocked(op.Delete.Key, op.Delete.RangeEnd)
+	})
+}
+
+func (s *store) runLocked(op operation) operationResponse {
+	switch {
+	case op.Put != nil:
+		return operationResponse{Put: s.putLocked(*op.Put)}
+	case op.Delete != nil:
+		return operationResponse{Delete: s.deleteLocked(*op.Delete)}
+	case op.Range != nil:
+		res, _ := s.rangeLocked(*op.Range)
+		return operationResponse{Range: res}
+	}
+	return operationResponse{}
+}
+
+// restore writes the value that key had at revision as a new version, as an
+// operator does who puts back a backup.
+func (s *store) restore(key string, revision Int64) *statusError {
+	s.mu.Lock()
+	kvs, err := s.readLocked([]byte(key), nil, revision)
+	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if len(kvs) == 0 {
+		return refusal(codeNotFound, "no value of "+key+" at that revision")
+	}
+	_, err = s.put(putRequest{Key: []byte(key), Value: kvs[0].Value})
+	return err
+}
