Add callers that make load, a network of pipes, and tests of the stand-ins

The platform's hang left a call pending that took effect after its caller had gone: the body had not been read to its end, and net/http notices a closed connection only then. The load maker has no tests yet.

--- /dev/null
+++ b/standin/caller/caller.go
@@ -0,0 +1,249 @@
+// Package caller stands in for callers: it makes a seeded open-loop load of
+// chats that return after pauses, and of actions, and checks that every answer
+// is whole and its own.
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"wisteriaspool/standin/engine"
+)
+
+// Options configure a load. Routers, Duration and Rate are required.
+type Options struct {
+	Routers  []string // base URLs, used in turn while they are ready
+	Team     string   // empty means "demo"
+	Model    string   // empty means "m"
+	Duration time.Duration
+	Requests int    // at most so many turns of chats; 0 means no limit
+	Seed     uint64 // of all arrivals, pauses and texts
+
+	Rate     float64       // new chats a second, over all accounts
+	Accounts int           // client accounts; 0 means 10
+	Surging  int           // accounts that surge in the middle third of the time
+	Surge    float64       // times their rate; 0 means 10
+	Turns    int           // mean turns of a chat; 0 means 4
+	Pause    time.Duration // mean pause before a chat returns; 0 means 2s
+
+	SystemWords int           // shared by an account's chats; 0 means 32
+	FirstWords  int           // of a chat's first message; 0 means 96
+	TurnWords   int           // of the later messages; 0 means 24
+	MaxTokens   int           // of an answer; 0 means its natural length
+	Whole       float64       // share of turns without a stream
+	Timeout     time.Duration // of one turn, reconnects included; 0 means 60s
+	Retries     int           // of a turn that was refused as not run
+
+	Service    string   // plain service of the actions; empty means "order-desk"
+	Action     string   // empty means "confirm"
+	ActionRate float64  // actions a second, each sent through two routers at once
+	Services   []string // base URLs of stand-in services, read at the end to check the actions
+	Engines    []string // base URLs of stand-in engines, read at the end to measure skew
+	Bound      float64  // times the mean load that an engine may carry; 0 means 1.25
+
+	HTTP *http.Client // nil means one of its own
+}
+
+func (o *Options) setDefaults() error {
+	if len(o.Routers) == 0 || o.Duration <= 0 || o.Rate < 0 || o.Rate+o.ActionRate <= 0 {
+		return errors.New("caller: routers, a duration and a rate are required")
+	}
+	setText(&o.Team, "demo")
+	setText(&o.Model, "m")
+	setText(&o.Service, "order-desk")
+	setText(&o.Action, "confirm")
+	setNumber(&o.Accounts, 10)
+	setNumber(&o.Turns, 4)
+	setNumber(&o.SystemWords, 32)
+	setNumber(&o.FirstWords, 96)
+	setNumber(&o.TurnWords, 24)
+	setDuration(&o.Pause, 2*time.Second)
+	setDuration(&o.Timeout, time.Minute)
+	setFactor(&o.Surge, 10)
+	setFactor(&o.Bound, 1.25)
+	if o.HTTP == nil {
+		o.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	}
+	return nil
+}
+
+func setText(v *string, d string) {
+	if *v == "" {
+		*v = d
+	}
+}
+
+func setNumber(v *int, d int) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+func setFactor(v *float64, d float64) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+func setDuration(v *time.Duration, d time.Duration) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// load is one run of a load.
+type load struct {
+	opts     Options
+	balancer *balancer
+	record   *record
+	start    time.Time
+	stop     time.Time // no turn starts later
+
+	mu       sync.Mutex
+	started  int // turns
+	chats    int
+	actions  map[string]toldAction // by key
+	inFlight sync.WaitGroup
+}
+
+// Run makes the load and returns what came of it. It ends when the time or the
+// requests are used up and everything in flight has ended.
+func Run(ctx context.Context, opts Options) (Report, error) {
+	if err := opts.setDefaults(); err != nil {
+		return Report{}, err
+	}
+	now := time.Now()
+	l := &load{
+		opts: opts, record: newRecord(), start: now, stop: now.Add(opts.Duration),
+		actions: make(map[string]toldAction),
+	}
+	balancer, cleanup := newBalancer(opts)
+	defer cleanup()
+	l.balancer = balancer
+	for n := range opts.Accounts {
+		l.inFlight.Add(1)
+		go newAccount(l, n).run(ctx)
+	}
+	if opts.ActionRate > 0 {
+		l.inFlight.Add(1)
+		go (&actions{load: l, random: source(opts.Seed, actionStream)}).run(ctx)
+	}
+	l.inFlight.Wait()
+	report := l.record.report(time.Since(l.start))
+	l.checkActions(ctx, &report)
+	l.measureSkew(ctx, &report)
+	return report, ctx.Err()
+}
+
+// takeTurn reserves one turn, while time and requests last.
+func (l *load) takeTurn(ctx context.Context) bool {
+	if ctx.Err() != nil || !time.Now().Before(l.stop) {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.opts.Requests > 0 && l.started >= l.opts.Requests {
+		return false
+	}
+	l.started++
+	return true
+}
+
+func (l *load) nextChat() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.chats++
+	return l.chats
+}
+
+// wait sleeps until at. It is false if the load is over before.
+func (l *load) wait(ctx context.Context, at time.Time) bool {
+	if at.After(l.stop) {
+		return false
+	}
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// The streams of random numbers that a seed gives; accounts and chats count up
+// from theirs.
+const (
+	actionStream  = 1
+	accountStream = 1 << 16
+	chatStream    = 1 << 32
+)
+
+func source(seed, stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
+
+// exponential draws a duration with the given mean.
+func exponential(random *rand.Rand, mean time.Duration) time.Duration {
+	return time.Duration(random.ExpFloat64() * float64(mean))
+}
+
+// account is a client account, whose chats arrive at random times.
+type account struct {
+	load   *load
+	name   string
+	random *rand.Rand
+	surges bool
+	system engine.Message
+}
+
+func newAccount(l *load, n int) *account {
+	a := &account{
+		load:   l,
+		name:   fmt.Sprintf("account-%d", n+1),
+		random: source(l.opts.Seed, accountStream+uint64(n)),
+		surges: n < l.opts.Surging,
+	}
+	a.system = engine.Message{Role: "system", Content: text(a.random, l.opts.SystemWords)}
+	return a
+}
+
+// run starts chats at the account's rate, whatever becomes of the earlier ones.
+func (a *account) run(ctx context.Context) {
+	defer a.load.inFlight.Done()
+	if a.load.opts.Rate <= 0 {
+		return
+	}
+	at := a.load.start
+	for {
+		at = at.Add(a.interval(at))
+		if !a.load.wait(ctx, at) {
+			return
+		}
+		n := a.load.nextChat()
+		a.load.inFlight.Add(1)
+		go newChat(a, n, at).run(ctx)
+	}
+}
+
+// interval draws the time to the next chat.
+func (a *account) interval(at time.Time) time.Duration {
+	rate := a.load.opts.Rate / float64(a.load.opts.Accounts)
+	third := a.load.opts.Duration / 3
+	if since := at.Sub(a.load.start); a.surges && since > third && since < 2*third {
+		rate *= a.load.opts.Surge
+	}
+	return exponential(a.random, time.Duration(float64(time.Second)/rate))
+}
+
+// text draws n words.
+func text(random *rand.Rand, n int) engine.Content {
+	out := make([]byte, 0, 8*n)
+	for range n {
+		out = fmt.Appendf(out, "w%05x ", random.IntN(1<<20))
+	}
+	return engine.Content(out)
+}
--- /dev/null
+++ b/standin/caller/chat.go
@@ -0,0 +1,319 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"wisteriaspool/standin/engine"
+)
+
+// chat is a conversation that returns after pauses.
+type chat struct {
+	load     *load
+	account  *account
+	id       string
+	random   *rand.Rand
+	messages []engine.Message
+	turns    int
+	hint     string
+	next     time.Time // when the next turn is due
+}
+
+func newChat(a *account, n int, at time.Time) *chat {
+	random := source(a.load.opts.Seed, chatStream+uint64(n))
+	return &chat{
+		load:     a.load,
+		account:  a,
+		id:       fmt.Sprintf("chat-%d-%d", a.load.opts.Seed, n),
+		random:   random,
+		messages: []engine.Message{a.system},
+		turns:    1 + random.IntN(2*a.load.opts.Turns-1),
+		next:     at,
+	}
+}
+
+// run goes through the chat's turns. It gives up after one that failed.
+func (c *chat) run(ctx context.Context) {
+	defer c.load.inFlight.Done()
+	for n := range c.turns {
+		if !c.load.wait(ctx, c.next) || !c.load.takeTurn(ctx) {
+			return
+		}
+		words := c.load.opts.TurnWords
+		if n == 0 {
+			words = c.load.opts.FirstWords
+		}
+		c.messages = append(c.messages, engine.Message{Role: "user", Content: text(c.random, words)})
+		t := newTurn(c, n > 0)
+		t.run(ctx)
+		c.load.record.turn(t)
+		if t.outcome != ran {
+			return
+		}
+		c.hint = t.hint
+		c.messages = append(c.messages, engine.Message{Role: "assistant", Content: engine.Content(t.text)})
+		c.next = time.Now().Add(exponential(c.random, c.load.opts.Pause))
+	}
+}
+
+// outcome is what a caller was told.
+type outcome string
+
+const (
+	ran     outcome = "ran"
+	notRun  outcome = "not-run"
+	unknown outcome = "unknown"
+)
+
+// fault is what is wrong with an answer.
+type fault int
+
+const (
+	sound   fault = iota
+	wrong         // not the answer to this request, or offsets out of order
+	partial       // said to be whole, but ended early
+)
+
+// turn is one request of a chat, with all its reconnects.
+type turn struct {
+	chat      *chat
+	returning bool
+	stream    bool
+	body      []byte
+	expected  string
+	due       time.Time
+
+	attempt  string // that the router named
+	offset   int    // of the last token
+	text     string
+	hint     string
+	outcome  outcome
+	fault    fault
+	code     string // of the last error
+	usage    engine.Usage
+	first    time.Duration   // from due to the first token
+	gaps     []time.Duration // between tokens
+	lastAt   time.Time
+	resumes  int // reconnects that went on with the stream
+	resent   int // requests sent again, after a refusal or before anything came
+	refusals []refusal
+}
+
+// refusal is an answer that refused a request.
+type refusal struct {
+	status     int
+	retryAfter time.Duration
+	hasRetry   bool
+}
+
+// body is a chat completion as it is sent.
+type body struct {
+	engine.Request
+	StreamOptions *streamOptions `json:"stream_options,omitempty"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+func newTurn(c *chat, returning bool) *turn {
+	opts := c.load.opts
+	t := &turn{
+		chat: c, returning: returning, due: c.next,
+		stream:   c.random.Float64() >= opts.Whole,
+		expected: engine.Answer(c.messages, opts.MaxTokens),
+	}
+	req := body{Request: engine.Request{
+		Model: opts.Model, Messages: c.messages, Stream: t.stream, MaxTokens: opts.MaxTokens,
+	}}
+	if t.stream {
+		req.StreamOptions = &streamOptions{IncludeUsage: true}
+	}
+	data, err := json.Marshal(req)
+	if err != nil {
+		panic("caller: " + err.Error())
+	}
+	t.body = data
+	return t
+}
+
+// verdict tells how one connection ended.
+type verdict int
+
+const (
+	settled verdict = iota // there is an outcome
+	broken                 // the connection broke
+	refused                // refused as not run
+	held                   // a reconnect was refused: the answer may come later
+)
+
+// The pause before a reconnect doubles between these two.
+const (
+	leastPause = 50 * time.Millisecond
+	mostPause  = 2 * time.Second
+)
+
+// run asks, and reconnects through other routers, until there is an outcome or
+// the time is used up.
+func (t *turn) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, t.chat.load.opts.Timeout)
+	defer cancel()
+	retries := t.chat.load.opts.Retries
+	pause := leastPause
+	for ctx.Err() == nil {
+		switch t.connect(ctx) {
+		case settled:
+			t.check()
+			return
+		case refused:
+			if retries == 0 {
+				t.outcome = notRun
+				return
+			}
+			retries--
+			t.resent++
+			t.wait(ctx, t.lastRetryAfter())
+		case held:
+			t.wait(ctx, max(pause, t.lastRetryAfter()))
+			pause = min(2*pause, mostPause)
+		case broken:
+			t.noteBroken()
+			t.wait(ctx, pause)
+			pause = min(2*pause, mostPause)
+		}
+	}
+	t.outcome = unknown
+}
+
+// noteBroken counts a reconnect.
+func (t *turn) noteBroken() {
+	if t.stream && t.attempt != "" {
+		t.resumes++
+		return
+	}
+	t.resent++
+}
+
+func (t *turn) lastRetryAfter() time.Duration { return t.refusals[len(t.refusals)-1].retryAfter }
+
+// wait waits for d, and up to half as long again so that callers don't come at
+// once.
+func (t *turn) wait(ctx context.Context, d time.Duration) {
+	d = max(d, leastPause)
+	timer := time.NewTimer(d + time.Duration(t.chat.random.Int64N(int64(d)/2)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// connect makes one connection.
+func (t *turn) connect(ctx context.Context) verdict {
+	router := t.chat.load.balancer.next()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, router+"/v1/chat/completions", bytes.NewReader(t.body))
+	if err != nil {
+		panic("caller: " + err.Error())
+	}
+	t.setHeaders(req.Header)
+	res, err := t.chat.load.opts.HTTP.Do(req)
+	if err != nil {
+		t.chat.load.balancer.failed(router)
+		return broken
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return t.readRefusal(res)
+	}
+	if id := res.Header.Get("X-Attempt-Id"); id != "" {
+		t.attempt = id
+	}
+	if !t.stream {
+		return t.readWhole(res)
+	}
+	return t.readStream(res.Body)
+}
+
+func (t *turn) setHeaders(h http.Header) {
+	h.Set("Content-Type", "application/json")
+	h.Set("X-Team", t.chat.load.opts.Team)
+	h.Set("X-Client-Account", t.chat.account.name)
+	h.Set("X-Chat-Id", t.chat.id)
+	if t.chat.hint != "" {
+		h.Set("X-Route-Hint", t.chat.hint)
+	}
+	if t.stream && t.attempt != "" {
+		h.Set("Last-Event-ID", t.attempt+"."+strconv.Itoa(t.offset))
+	}
+}
+
+// readRefusal reads an answer that is not 200.
+func (t *turn) readRefusal(res *http.Response) verdict {
+	var e struct {
+		Error struct {
+			Code    string  `json:"code"`
+			Outcome outcome `json:"outcome"`
+		} `json:"error"`
+	}
+	_ = json.NewDecoder(io.LimitReader(res.Body, maxEvent)).Decode(&e) // of another form: no code
+	t.code = e.Error.Code
+	seconds, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+	t.refusals = append(t.refusals, refusal{
+		status: res.StatusCode, hasRetry: err == nil,
+		retryAfter: time.Duration(seconds * float64(time.Second)),
+	})
+	told := outcome(res.Header.Get("X-Outcome"))
+	if told == "" {
+		told = e.Error.Outcome
+	}
+	if told == notRun && t.attempt != "" {
+		return held // what was not run is the reconnect
+	}
+	if told == notRun {
+		return refused
+	}
+	t.outcome = unknown
+	return settled
+}
+
+// readWhole reads an answer without a stream.
+func (t *turn) readWhole(res *http.Response) verdict {
+	var answer struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+		Usage engine.Usage `json:"usage"`
+	}
+	if err := json.NewDecoder(res.Body).Decode(&answer); err != nil || len(answer.Choices) == 0 {
+		return broken
+	}
+	t.text = answer.Choices[0].Message.Content
+	t.usage = answer.Usage
+	t.outcome = outcome(res.Header.Get("X-Outcome"))
+	t.hint = res.Header.Get("X-Route-Hint")
+	t.first = time.Since(t.due)
+	return settled
+}
+
+// check compares the answer with the one that every engine gives.
+func (t *turn) check() {
+	switch {
+	case t.fault != sound || t.outcome != ran:
+		return
+	case t.text == t.expected:
+		return
+	case len(t.text) < len(t.expected) && t.expected[:len(t.text)] == t.text:
+		t.fault = partial
+	default:
+		t.fault = wrong
+	}
+}
--- /dev/null
+++ b/standin/caller/report.go
@@ -0,0 +1,239 @@
+package caller
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is what came of a load. Wrong, Partial, Doubled, FalseNotRun and
+// FalseRan must be zero.
+type Report struct {
+	Seconds   float64      `json:"seconds"`
+	Requests  int          `json:"requests"`  // turns of chats
+	Returning int          `json:"returning"` // of them, turns after the first
+	Ran       int          `json:"ran"`
+	NotRun    int          `json:"not_run"`
+	Unknown   int          `json:"unknown"`
+	Wrong     int          `json:"wrong"`
+	Partial   int          `json:"partial"`
+	Resumes   int          `json:"resumes"`
+	Resent    int          `json:"resent"`
+	Refusals  Refusals     `json:"refusals"`
+	Codes     CodeCounts   `json:"codes"` // last error code of turns that did not run
+	Tokens    int          `json:"tokens"`
+	Reuse     Reuse        `json:"reuse"`
+	First     Quantiles    `json:"first_token"`
+	Gap       Quantiles    `json:"per_token"`
+	Actions   ActionReport `json:"actions"`
+	Skew      *Skew        `json:"skew,omitempty"`
+	Unchecked []string     `json:"unchecked,omitempty"` // checks that could not be made
+}
+
+// CodeCounts counts error codes.
+type CodeCounts map[string]int
+
+// Refusals counts answers that refused a request.
+type Refusals struct {
+	WithRetryAfter    int `json:"with_retry_after"`
+	WithoutRetryAfter int `json:"without_retry_after"`
+}
+
+func (r *Refusals) add(x refusal) {
+	if x.hasRetry {
+		r.WithRetryAfter++
+	} else {
+		r.WithoutRetryAfter++
+	}
+}
+
+// Reuse counts the prompt tokens of returning chats, and those that the engine
+// had in its cache.
+type Reuse struct {
+	PromptTokens int     `json:"prompt_tokens"`
+	CachedTokens int     `json:"cached_tokens"`
+	Ratio        float64 `json:"ratio"`
+}
+
+// Quantiles are latencies in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50_ms"`
+	P95 float64 `json:"p95_ms"`
+	P99 float64 `json:"p99_ms"`
+	Max float64 `json:"max_ms"`
+}
+
+// ActionReport counts actions, each of which went through two routers.
+type ActionReport struct {
+	Sent        int        `json:"sent"`
+	Ran         int        `json:"ran"`     // by the word of one router
+	NotRun      int        `json:"not_run"` // by the word of both
+	Unknown     int        `json:"unknown"` // neither
+	Differing   int        `json:"differing"`
+	Checked     int        `json:"checked"`       // against the services
+	Doubled     int        `json:"doubled"`       // ran more than once
+	FalseNotRun int        `json:"false_not_run"` // ran, though the caller was told not
+	FalseRan    int        `json:"false_ran"`     // never ran, though the caller was told so
+	Refusals    Refusals   `json:"refusals"`
+	Codes       CodeCounts `json:"codes"`
+}
+
+// Failures returns the number of broken promises that the report shows.
+func (r Report) Failures() int {
+	a := r.Actions
+	return r.Wrong + r.Partial + a.Differing + a.Doubled + a.FalseNotRun + a.FalseRan
+}
+
+// The histograms hold microseconds up to ten minutes, to three digits.
+const (
+	maxLatency = int64(10 * time.Minute / time.Microsecond)
+	digits     = 3
+)
+
+// record collects what comes of a load while it runs.
+type record struct {
+	mu    sync.Mutex
+	sum   Report
+	first *hdrhistogram.Histogram
+	gap   *hdrhistogram.Histogram
+}
+
+func newRecord() *record {
+	return &record{
+		sum:   Report{Codes: CodeCounts{}, Actions: ActionReport{Codes: CodeCounts{}}},
+		first: hdrhistogram.New(1, maxLatency, digits),
+		gap:   hdrhistogram.New(1, maxLatency, digits),
+	}
+}
+
+func (r *record) turn(t *turn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := &r.sum
+	s.Requests++
+	s.Resumes += t.resumes
+	s.Resent += t.resent
+	for _, x := range t.refusals {
+		s.Refusals.add(x)
+	}
+	switch t.fault {
+	case wrong:
+		s.Wrong++
+	case partial:
+		s.Partial++
+	}
+	if t.returning {
+		s.Returning++
+	}
+	switch t.outcome {
+	case ran:
+		s.Ran++
+		r.ranLocked(t)
+		return
+	case notRun:
+		s.NotRun++
+	default:
+		s.Unknown++
+	}
+	s.Codes[t.code]++
+}
+
+func (r *record) ranLocked(t *turn) {
+	r.sum.Tokens += t.offset
+	if t.returning {
+		r.sum.Reuse.PromptTokens += t.usage.PromptTokens
+		r.sum.Reuse.CachedTokens += t.usage.PromptDetails.CachedTokens
+	}
+	if !t.stream {
+		return
+	}
+	note(r.first, t.first)
+	for _, gap := range t.gaps {
+		note(r.gap, gap)
+	}
+}
+
+// note records d, or the histogram's end if it is longer.
+func note(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 0), maxLatency)) // in range
+}
+
+func (r *record) action(a *action) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := &r.sum.Actions
+	s.Sent++
+	switch told := a.told(); {
+	case told.ran:
+		s.Ran++
+	case told.notRun:
+		s.NotRun++
+	default:
+		s.Unknown++
+	}
+	if a.differs() {
+		s.Differing++
+	}
+	for _, answer := range a.answers {
+		if answer.refusal != nil {
+			s.Refusals.add(*answer.refusal)
+			s.Codes[answer.code]++
+		}
+	}
+}
+
+func (r *record) report(elapsed time.Duration) Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.sum
+	out.Seconds = elapsed.Seconds()
+	if out.Reuse.PromptTokens > 0 {
+		out.Reuse.Ratio = float64(out.Reuse.CachedTokens) / float64(out.Reuse.PromptTokens)
+	}
+	out.First, out.Gap = quantiles(r.first), quantiles(r.gap)
+	return out
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Quantiles{P50: at(50), P95: at(95), P99: at(99), Max: float64(h.Max()) / 1000}
+}
+
+// WriteText writes the report as a table.
+func (r Report) WriteText(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	row := func(name, format string, args ...any) {
+		fmt.Fprintf(t, "%s\t%s\n", name, fmt.Sprintf(format, args...))
+	}
+	row("requests", "%d in %.1f s (%d returning)", r.Requests, r.Seconds, r.Returning)
+	row("outcomes", "%d ran, %d not run, %d unknown", r.Ran, r.NotRun, r.Unknown)
+	row("wrong answers", "%d", r.Wrong)
+	row("partial answers", "%d", r.Partial)
+	row("cache reuse", "%.3f (%d of %d prompt tokens of returning chats)", r.Reuse.Ratio, r.Reuse.CachedTokens, r.Reuse.PromptTokens)
+	row("first token", "%s", r.First)
+	row("per token", "%s", r.Gap)
+	row("resumes", "%d, resent %d", r.Resumes, r.Resent)
+	row("refusals", "%d with Retry-After, %d without", r.Refusals.WithRetryAfter, r.Refusals.WithoutRetryAfter)
+	if a := r.Actions; a.Sent > 0 {
+		row("actions", "%d sent through two routers each: %d ran, %d not run, %d unknown", a.Sent, a.Ran, a.NotRun, a.Unknown)
+		row("actions checked", "%d: %d doubled, %d falsely not run, %d falsely ran, %d differing answers", a.Checked, a.Doubled, a.FalseNotRun, a.FalseRan, a.Differing)
+		row("action refusals", "%d with Retry-After, %d without", a.Refusals.WithRetryAfter, a.Refusals.WithoutRetryAfter)
+	}
+	if s := r.Skew; s != nil {
+		row("load skew", "max/mean p50 %.2f, p99 %.2f, worst %.2f", s.P50, s.P99, s.Worst)
+		row("over the bound", "%d of %d samples, above ceil(%.2f x mean)", s.Over, s.Samples, s.Bound)
+	}
+	for _, reason := range r.Unchecked {
+		row("not checked", "%s", reason)
+	}
+	return t.Flush()
+}
+
+// String shows q as a table does.
+func (q Quantiles) String() string {
+	return fmt.Sprintf("p50 %.1f ms, p95 %.1f ms, p99 %.1f ms, max %.1f ms", q.P50, q.P95, q.P99, q.Max)
+}
--- a/standin/engine/attempt.go
+++ b/standin/engine/attempt.go
@@ -34,6 +34,7 @@
 	phase   phase
 	readyAt time.Time     // end of the prefill
 	readers int           // connections that read the answer
+	read    bool          // a reader got the whole answer
 	unread  int           // counts the times that the last reader left
 	changed chan struct{} // closed at the next change
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -288,8 +288,9 @@
 	return e.leaving
 }
 
-// Drain waits after Leave until every accepted attempt has ended and no
-// connection reads an answer any more.
+// Drain waits after Leave until every accepted attempt has ended and has been
+// read to its end. An attempt whose reader lost its connection is waited for as
+// long as the engine keeps it.
 func (e *Engine) Drain(ctx context.Context) error {
 	select {
 	case <-e.idle:
@@ -306,7 +307,7 @@
 		return
 	}
 	for _, a := range e.attempts {
-		if a.readers > 0 {
+		if a.readers > 0 || a.phase == finished && !a.read {
 			return
 		}
 	}
--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,453 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/standin/pipe"
+)
+
+// site is two engines with a client, on a network of pipes.
+type site struct {
+	t      *testing.T
+	client *http.Client
+	one    *Engine // at http://one
+	two    *Engine // at http://two
+}
+
+// inBubble runs f with two engines under the paused clock.
+func inBubble(t *testing.T, opts Options, f func(s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		network := &pipe.Network{}
+		one, endOne := New(opts)
+		two, endTwo := New(opts)
+		stopOne := network.Serve("one:80", one)
+		stopTwo := network.Serve("two:80", two)
+		transport := network.Transport()
+		f(&site{t: t, client: &http.Client{Transport: transport}, one: one, two: two})
+		endOne()
+		endTwo()
+		transport.CloseIdleConnections()
+		stopOne()
+		stopTwo()
+	})
+}
+
+// answer is a stream as far as it was read.
+type answer struct {
+	status int
+	header http.Header
+	ids    []string
+	text   string
+	usage  Usage
+	done   bool
+}
+
+// ask sends a request as attempt id and reads its answer to the end.
+func (s *site) ask(engine, id string, req Request, header ...string) answer {
+	s.t.Helper()
+	body, err := json.Marshal(req)
+	assert.NilError(s.t, err)
+	r, err := http.NewRequest(http.MethodPost, engine+"/v1/chat/completions", bytes.NewReader(body))
+	assert.NilError(s.t, err)
+	r.Header.Set("X-Attempt-Id", id)
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return s.read(r)
+}
+
+func (s *site) resume(engine, id string, after int) answer {
+	s.t.Helper()
+	r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("%s/v1/attempts/%s/stream?after=%d", engine, id, after), nil)
+	assert.NilError(s.t, err)
+	return s.read(r)
+}
+
+// read sends r. A connection that broke before an answer has status zero.
+func (s *site) read(r *http.Request) answer {
+	s.t.Helper()
+	res, err := s.client.Do(r)
+	if err != nil {
+		return answer{}
+	}
+	defer res.Body.Close()
+	out := answer{status: res.StatusCode, header: res.Header}
+	lines := bufio.NewScanner(res.Body)
+	for lines.Scan() {
+		if id, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			out.ids = append(out.ids, id)
+		}
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case !ok:
+		case data == "[DONE]":
+			out.done = true
+		default:
+			out.add(s.t, data)
+		}
+	}
+	return out
+}
+
+func (a *answer) add(t *testing.T, data string) {
+	t.Helper()
+	var c chunk
+	assert.NilError(t, json.Unmarshal([]byte(data), &c))
+	a.text += c.Choices[0].Delta.Content
+	if c.Usage != nil {
+		a.usage = *c.Usage
+	}
+}
+
+// question is a streamed request of n words that differ by name.
+func question(name string, n, maxTokens int) Request {
+	text := strings.Repeat(name+" ", n)
+	return Request{Stream: true, MaxTokens: maxTokens, Messages: []Message{{Role: "user", Content: Content(text)}}}
+}
+
+func TestAnswerIsWholeAndItsOwn(t *testing.T) {
+	inBubble(t, Options{}, func(s *site) {
+		req := question("a", 40, 20)
+		got := s.ask("http://one", "x", req)
+		assert.Equal(s.t, got.text, Answer(req.Messages, 20))
+		assert.Check(s.t, got.done)
+		assert.Equal(s.t, len(got.ids), 20)
+		for i, id := range got.ids {
+			assert.Equal(s.t, id, "x."+strconv.Itoa(i+1))
+		}
+		assert.DeepEqual(s.t, got.usage, Usage{PromptTokens: 40, CompletionTokens: 20, TotalTokens: 60})
+		other := s.ask("http://two", "y", question("b", 40, 20))
+		assert.Check(s.t, other.text != got.text)
+	})
+}
+
+// An engine dies in the middle of an answer and another one continues it. The
+// user must not see a seam: nothing missing, nothing twice.
+func TestContinuationJoins(t *testing.T) {
+	for _, maxTokens := range []int{0, 30} {
+		req := question("a", 40, maxTokens)
+		tokens := AnswerTokens(req.Messages, maxTokens)
+		for _, had := range []int{1, len(tokens) / 2, len(tokens) - 1} {
+			inBubble(t, Options{}, func(s *site) {
+				rest := req
+				rest.ContinueFinalMessage = true
+				rest.Messages = append(req.Messages[:1:1], Message{
+					Role: "assistant", Content: Content(strings.Join(tokens[:had], "")),
+				})
+				if maxTokens > 0 {
+					rest.MaxTokens -= had
+				}
+				got := s.ask("http://two", "y", rest)
+				assert.Equal(s.t, got.text, strings.Join(tokens[had:], ""))
+				assert.Equal(s.t, got.ids[0], "y."+strconv.Itoa(had+1))
+				assert.Equal(s.t, s.two.Stats().WrongContinued, 0)
+			})
+		}
+	}
+}
+
+// The connection breaks but the attempt lives on. Its reader comes back for the
+// rest, and nothing is generated twice, so nobody is billed twice.
+func TestResumeAfterACut(t *testing.T) {
+	inBubble(t, Options{}, func(s *site) {
+		s.one.SetFaults(Faults{CutStreams: 1, CutAfter: 5})
+		req := question("a", 40, 20)
+		first := s.ask("http://one", "x", req)
+		assert.Equal(s.t, len(first.ids), 5)
+		assert.Check(s.t, !first.done)
+
+		time.Sleep(9 * time.Second)
+		rest := s.resume("http://one", "x", 5)
+		assert.Check(s.t, rest.done)
+		assert.Equal(s.t, rest.ids[0], "x.6")
+		assert.Equal(s.t, first.text+rest.text, Answer(req.Messages, 20))
+		assert.Equal(s.t, s.one.Stats().GeneratedTokens, 20)
+	})
+}
+
+// Nobody comes back for an answer. The engine stops generating after a while,
+// so that the user is not billed for what nobody reads.
+func TestUnreadAttemptIsCancelled(t *testing.T) {
+	inBubble(t, Options{Step: time.Second}, func(s *site) {
+		s.one.SetFaults(Faults{CutStreams: 1, CutAfter: 2})
+		s.ask("http://one", "x", question("a", 16, 100))
+		time.Sleep(20 * time.Second)
+		stats := s.one.Stats()
+		assert.Equal(s.t, stats.Cancelled, 1)
+		assert.Check(s.t, stats.GeneratedTokens <= 13, "generated %d", stats.GeneratedTokens)
+		assert.Equal(s.t, s.resume("http://one", "x", 2).status, http.StatusNotFound)
+	})
+}
+
+func TestCancelStopsGenerating(t *testing.T) {
+	inBubble(t, Options{}, func(s *site) {
+		done := make(chan answer)
+		go func() { done <- s.ask("http://one", "x", question("a", 16, 100)) }()
+		time.Sleep(105 * time.Millisecond)
+		var told Cancelled
+		assert.Equal(s.t, s.post("http://one/v1/attempts/x/cancel", "", &told), http.StatusOK)
+		assert.Check(s.t, !(<-done).done)
+		time.Sleep(time.Second)
+		assert.Check(s.t, told.Generated > 0)
+		assert.Equal(s.t, s.one.Stats().GeneratedTokens, told.Generated)
+		assert.Equal(s.t, s.post("http://one/v1/attempts/none/cancel", "", &told), http.StatusNotFound)
+	})
+}
+
+// post sends a body and reads the answer into v, which may be nil.
+func (s *site) post(url, body string, v any) int {
+	s.t.Helper()
+	res, err := s.client.Post(url, "application/json", strings.NewReader(body))
+	assert.NilError(s.t, err)
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	assert.NilError(s.t, err)
+	if v != nil {
+		assert.NilError(s.t, json.Unmarshal(data, v))
+	}
+	return res.StatusCode
+}
+
+// A router sends the same attempt again because it lost the answer. Running it
+// twice would bill the user twice.
+func TestLiveAttemptIsRefusedTwice(t *testing.T) {
+	inBubble(t, Options{}, func(s *site) {
+		done := make(chan answer)
+		go func() { done <- s.ask("http://one", "x", question("a", 16, 10)) }()
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(s.t, s.ask("http://one", "x", question("a", 16, 10)).status, http.StatusConflict)
+		assert.Check(s.t, (<-done).done)
+		assert.Equal(s.t, s.one.Stats().GeneratedTokens, 10)
+	})
+}
+
+// A chat returns. Where it was served before, its prompt is found in the cache
+// and the first token comes sooner; elsewhere all of it is computed again.
+func TestReturningChatIsWarm(t *testing.T) {
+	inBubble(t, Options{}, func(s *site) {
+		req := question("a", 160, 32)
+		first := s.ask("http://one", "x", req, "X-Chat-Id", "c")
+		assert.Equal(s.t, first.usage.PromptDetails.CachedTokens, 0)
+		again := req
+		again.Messages = append(req.Messages[:1:1],
+			Message{Role: "assistant", Content: Content(first.text)},
+			Message{Role: "user", Content: "and now"})
+		warm := s.ask("http://one", "y", again, "X-Chat-Id", "c")
+		assert.Equal(s.t, warm.usage.PromptTokens, 194)
+		assert.Equal(s.t, warm.usage.PromptDetails.CachedTokens, 192)
+		cold := s.ask("http://two", "z", again, "X-Chat-Id", "c")
+		assert.Equal(s.t, cold.usage.PromptDetails.CachedTokens, 0)
+	})
+}
+
+func TestExportWarmsAnotherEngine(t *testing.T) {
+	inBubble(t, Options{}, func(s *site) {
+		req := question("a", 160, 16)
+		s.ask("http://one", "x", req, "X-Chat-Id", "c")
+		assert.Equal(s.t, s.post("http://one/v1/kv/export", `{"chat":"none"}`, nil), http.StatusNotFound)
+		res, err := s.client.Post("http://one/v1/kv/export", "application/json", strings.NewReader(`{"chat":"c"}`))
+		assert.NilError(s.t, err)
+		kv, err := io.ReadAll(res.Body)
+		assert.NilError(s.t, err)
+		assert.Equal(s.t, s.post("http://two/v1/kv/import", string(kv), nil), http.StatusNoContent)
+		got := s.ask("http://two", "y", req, "X-Chat-Id", "c")
+		assert.Equal(s.t, got.usage.PromptDetails.CachedTokens, 160)
+		assert.Equal(s.t, s.post("http://two/v1/kv/import", string(kv[:20]), nil), http.StatusBadRequest)
+	})
+}
+
+// Other chats push a chat out of the limited cache. Its events tell so, late
+// and with gaps.
+func TestCacheIsLimited(t *testing.T) {
+	inBubble(t, Options{CacheBlocks: 12, EventDelay: time.Second}, func(s *site) {
+		s.ask("http://one", "x", question("a", 160, 1), "X-Chat-Id", "a")
+		s.ask("http://one", "y", question("b", 192, 1), "X-Chat-Id", "b")
+		got := s.ask("http://one", "z", question("a", 160, 1), "X-Chat-Id", "a")
+		assert.Equal(s.t, got.usage.PromptDetails.CachedTokens, 0)
+		assert.Equal(s.t, len(s.events(0).Events), 0)
+		time.Sleep(time.Second)
+		events := s.events(0)
+		assert.Check(s.t, contains(events.Events, "a", "evicted"))
+		assert.Check(s.t, contains(events.Events, "b", "stored"))
+		assert.Equal(s.t, len(s.events(events.Next).Events), 0)
+	})
+}
+
+func (s *site) events(since int) CacheEvents {
+	s.t.Helper()
+	res, err := s.client.Get("http://one/v1/cache-events?since=" + strconv.Itoa(since))
+	assert.NilError(s.t, err)
+	defer res.Body.Close()
+	var out CacheEvents
+	assert.NilError(s.t, json.NewDecoder(res.Body).Decode(&out))
+	return out
+}
+
+func contains(events []CacheEvent, chat, kind string) bool {
+	for _, e := range events {
+		if e.Chat == chat && e.Kind == kind {
+			return true
+		}
+	}
+	return false
+}
+
+// One request crashes the engine that runs it. All other answers break off, and
+// the engine comes back empty, as another incarnation.
+func TestPoisonCrashesTheEngine(t *testing.T) {
+	inBubble(t, Options{}, func(s *site) {
+		innocent := make(chan answer)
+		go func() { innocent <- s.ask("http://one", "x", question("a", 16, 100)) }()
+		time.Sleep(100 * time.Millisecond)
+		before := s.one.Incarnation()
+		assert.Equal(s.t, s.ask("http://one", "p", question("POISON", 1, 1)).done, false)
+		cut := <-innocent
+		assert.Check(s.t, len(cut.ids) > 0 && !cut.done)
+		assert.Equal(s.t, s.ask("http://one", "y", question("a", 16, 1)).status, 0)
+
+		time.Sleep(time.Second)
+		got := s.ask("http://one", "z", question("a", 16, 1))
+		assert.Check(s.t, got.done)
+		assert.Equal(s.t, got.usage.PromptDetails.CachedTokens, 0)
+		assert.Check(s.t, s.one.Incarnation() > before)
+		assert.Equal(s.t, s.one.Stats().Crashes, 1)
+		assert.Equal(s.t, s.resume("http://one", "x", 0).status, http.StatusNotFound)
+	})
+}
+
+// An engine is stopped on purpose. What it runs ends as usual; what comes new
+// is refused by its own word, so that a router may send it elsewhere.
+func TestLeavingCutsOffNothing(t *testing.T) {
+	inBubble(t, Options{Capacity: 1}, func(s *site) {
+		first, second := make(chan answer), make(chan answer)
+		go func() { first <- s.ask("http://one", "x", question("a", 16, 50)) }()
+		go func() { second <- s.ask("http://one", "y", question("b", 16, 50)) }()
+		time.Sleep(100 * time.Millisecond)
+		s.one.Leave()
+		refused := s.ask("http://one", "z", question("c", 16, 50))
+		assert.Equal(s.t, refused.status, http.StatusServiceUnavailable)
+		assert.Equal(s.t, refused.header.Get("X-Outcome"), "not-run")
+		assert.Equal(s.t, refused.header.Get("X-State"), "leaving")
+		drained := make(chan error)
+		go func() { drained <- s.one.Drain(s.t.Context()) }()
+		assert.Check(s.t, (<-first).done)
+		assert.Check(s.t, (<-second).done)
+		assert.NilError(s.t, <-drained)
+	})
+}
+
+// A frozen engine neither reads nor writes, and goes on afterwards as if
+// nothing had been.
+func TestFreeze(t *testing.T) {
+	inBubble(t, Options{}, func(s *site) {
+		done := make(chan answer)
+		start := time.Now()
+		go func() { done <- s.ask("http://one", "x", question("a", 16, 10)) }()
+		time.Sleep(50 * time.Millisecond)
+		s.one.SetFaults(Faults{FreezeMillis: 5000})
+		got := <-done
+		assert.Check(s.t, got.done)
+		assert.Equal(s.t, got.text, Answer(question("a", 16, 10).Messages, 10))
+		assert.Check(s.t, time.Since(start) > 5*time.Second)
+	})
+}
+
+// Higher priority goes first when requests wait.
+func TestPriorityOfWaiting(t *testing.T) {
+	inBubble(t, Options{Capacity: 1}, func(s *site) {
+		order := make(chan string, 3)
+		send := func(id, priority string) {
+			s.ask("http://one", id, question(id, 16, 20), "X-Priority", priority)
+			order <- id
+		}
+		go send("running", "0")
+		time.Sleep(50 * time.Millisecond)
+		go send("low", "0")
+		time.Sleep(50 * time.Millisecond)
+		go send("high", "5")
+		assert.Equal(s.t, <-order, "running")
+		assert.Equal(s.t, <-order, "high")
+		assert.Equal(s.t, <-order, "low")
+		stats := s.one.Stats()
+		assert.Equal(s.t, stats.PeakRunning, 1)
+		assert.Equal(s.t, stats.PeakLoad, 3)
+	})
+}
+
+// Chunks come twice, swapped, or from another attempt. A reader that takes them
+// as they come shows its user a wrong answer, so the stand-in must send them.
+func TestDisorderedChunks(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		faults Faults
+		ids    string
+	}{
+		{"twice", Faults{Duplicates: 1}, "x.1 x.1 x.2 x.2 x.3 x.3"},
+		{"swapped", Faults{Swaps: 1}, "x.2 x.1 x.3"},
+		{"strays", Faults{Strays: 1}, "stray-x.1 x.1 stray-x.2 x.2 stray-x.3 x.3"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, Options{}, func(s *site) {
+				s.one.SetFaults(test.faults)
+				got := s.ask("http://one", "x", question("a", 16, 3))
+				assert.Equal(s.t, strings.Join(got.ids, " "), test.ids)
+			})
+		})
+	}
+}
+
+func TestLoadLags(t *testing.T) {
+	inBubble(t, Options{LoadLag: time.Second, Step: time.Second}, func(s *site) {
+		time.Sleep(2 * time.Second)
+		done := make(chan answer)
+		go func() { done <- s.ask("http://one", "x", question("a", 16, 10)) }()
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(s.t, s.load().Running, 0)
+		time.Sleep(time.Second)
+		assert.Equal(s.t, s.load().Running, 1)
+		<-done
+	})
+}
+
+func (s *site) load() Load {
+	s.t.Helper()
+	res, err := s.client.Get("http://one/v1/load")
+	assert.NilError(s.t, err)
+	defer res.Body.Close()
+	var out Load
+	assert.NilError(s.t, json.NewDecoder(res.Body).Decode(&out))
+	return out
+}
+
+// An old holder of the order lease wakes up and sends an order. An engine that
+// checks fencing numbers refuses it; one that ignores them takes it.
+func TestFencing(t *testing.T) {
+	for _, ignore := range []bool{false, true} {
+		inBubble(t, Options{IgnoreFencing: ignore}, func(s *site) {
+			order := func(n int) int {
+				return s.post("http://one/v1/orders", fmt.Sprintf(`{"fencing":%d,"kind":"set-version","name":"m","version":"v%d"}`, n, n), nil)
+			}
+			assert.Equal(s.t, order(2), http.StatusOK)
+			want := http.StatusConflict
+			if ignore {
+				want = http.StatusOK
+			}
+			assert.Equal(s.t, order(1), want)
+			assert.Equal(s.t, order(2), http.StatusOK)
+			assert.Equal(s.t, s.post("http://one/v1/orders", `{"fencing":9,"kind":"dance"}`, nil), http.StatusBadRequest)
+		})
+	}
+}
--- a/standin/engine/handlers.go
+++ b/standin/engine/handlers.go
@@ -199,6 +199,13 @@
 	e.serve(w, r, a, reader{died: died, after: max(after, a.had), stream: true})
 }
 
+// markRead notes that a reader got the whole answer.
+func (e *Engine) markRead(a *attempt) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a.read = true
+}
+
 // leaveReader counts one reader less. An attempt without a reader is
 // cancelled, and forgotten, after a while.
 func (e *Engine) leaveReader(a *attempt) {
@@ -228,6 +235,7 @@
 		e.endLocked(a, cancelled)
 	}
 	delete(e.attempts, a.id)
+	e.checkIdleLocked()
 }
 
 // writeNotRun refuses with the engine's word that nothing was run.
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -72,6 +72,7 @@
 		}
 		if s.phase == finished {
 			out.finish(s.usage)
+			e.markRead(a)
 			return
 		}
 	}
@@ -146,6 +147,7 @@
 		})
 		body.Usage = &s.usage
 		writeJSON(w, http.StatusOK, body)
+		e.markRead(a)
 		return
 	}
 }
--- a/standin/main.go
+++ b/standin/main.go
@@ -19,6 +19,7 @@
 	subcommands.Register(&platformCommand{}, "")
 	subcommands.Register(&engineCommand{}, "")
 	subcommands.Register(&serviceCommand{}, "")
+	subcommands.Register(&loadCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -109,10 +109,12 @@
 // answer runs one call of the key-value service under the faults and caps.
 // req is filled from the body before run is called.
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, c call, req any, run func() (any, *statusError)) {
+	// The body is read to its end first, since net/http notices only then that
+	// the caller has gone.
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if !s.admit(w, r, c) {
 		return
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err == nil {
 		err = decode(data, req)
 	}
--- a/standin/platform/txn.go
+++ b/standin/platform/txn.go
@@ -175,11 +175,19 @@
 func (s *store) runLocked(op operation) operationResponse {
 	switch {
 	case op.Put != nil:
-		return operationResponse{Put: s.putLocked(*op.Put)}
+		res := s.putLocked(*op.Put)
+		res.Header = s.headerLocked()
+		return operationResponse{Put: res}
 	case op.Delete != nil:
-		return operationResponse{Delete: s.deleteLocked(*op.Delete)}
+		res := s.deleteLocked(*op.Delete)
+		res.Header = s.headerLocked()
+		return operationResponse{Delete: res}
 	case op.Range != nil:
-		res, _ := s.rangeLocked(*op.Range)
+		res, err := s.rangeLocked(*op.Range)
+		if err != nil {
+			panic(err.Error()) // checkLocked has tried this revision
+		}
+		res.Header = s.headerLocked()
 		return operationResponse{Range: res}
 	}
 	return operationResponse{}
--- a/standin/platform/watch.go
+++ b/standin/platform/watch.go
@@ -8,11 +8,11 @@
 
 // handleWatch streams the events of one watch as JSON messages, one a line.
 func (s *Server) handleWatch(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if !s.admit(w, r, call{kind: watchCall}) {
 		return
 	}
 	var req watchRequest
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err == nil {
 		err = decode(data, &req)
 	}
--- /dev/null
+++ b/standin/service/service_test.go
@@ -0,0 +1,114 @@
+package service
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/standin/pipe"
+)
+
+// inBubble runs f with a service and a client under the paused clock.
+func inBubble(t *testing.T, opts Options, f func(t *testing.T, s *Service, client *http.Client)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		network := &pipe.Network{}
+		s, cleanup := New(opts)
+		stop := network.Serve("desk:80", s)
+		transport := network.Transport()
+		f(t, s, &http.Client{Transport: transport})
+		cleanup()
+		transport.CloseIdleConnections()
+		stop()
+	})
+}
+
+func confirm(client *http.Client, id string) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://desk/actions/confirm", strings.NewReader(`{"key":"k"}`))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("X-Request-Id", id)
+	return client.Do(req)
+}
+
+// The service fails before or after it ran an action. Its caller cannot tell
+// the two cuts apart, but the record of arrivals must.
+func TestFaultsAreCountedTruly(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		faults Faults
+		status int // zero if the connection breaks
+		fate   Fate
+		count  Count
+	}{
+		{"sound", Faults{}, http.StatusOK, Ran, Count{1, 1}},
+		{"cut before", Faults{CutBeforeNext: 1}, 0, CutBefore, Count{1, 0}},
+		{"cut after", Faults{CutAfterNext: 1}, 0, CutAfter, Count{1, 1}},
+		{"all cut after", Faults{CutAfter: 1}, 0, CutAfter, Count{1, 1}},
+		{"refused", Faults{RefuseNext: 1}, http.StatusServiceUnavailable, Refused, Count{1, 0}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, Options{Time: time.Second}, func(t *testing.T, s *Service, client *http.Client) {
+				s.SetFaults(test.faults)
+				res, err := confirm(client, "r1")
+				status := 0
+				if err == nil {
+					status = res.StatusCode
+					res.Body.Close()
+				}
+				assert.Equal(t, status, test.status)
+				seen := s.Arrivals()
+				assert.Equal(t, seen.Arrivals[0].Fate, test.fate)
+				assert.Equal(t, seen.ByKey["k"], test.count)
+				assert.Equal(t, seen.ByRequest["r1"], test.count)
+			})
+		})
+	}
+}
+
+// Two runs of the same action give different receipts, so that a caller who
+// gets equal ones knows that there was one run.
+func TestReceiptsDiffer(t *testing.T) {
+	inBubble(t, Options{ID: "s1"}, func(t *testing.T, s *Service, client *http.Client) {
+		var receipts [2]Receipt
+		for i := range receipts {
+			res, err := confirm(client, "r1")
+			assert.NilError(t, err)
+			assert.NilError(t, json.NewDecoder(res.Body).Decode(&receipts[i]))
+			res.Body.Close()
+		}
+		assert.Check(t, receipts[0] != receipts[1])
+		assert.Equal(t, s.Arrivals().ByKey["k"], Count{2, 2})
+	})
+}
+
+// A frozen service answers late, and a planned stop waits for what runs.
+func TestFreezeAndDrain(t *testing.T) {
+	inBubble(t, Options{}, func(t *testing.T, s *Service, client *http.Client) {
+		s.SetFaults(Faults{FreezeMillis: 5000})
+		done := make(chan error)
+		start := time.Now()
+		go func() {
+			res, err := confirm(client, "r1")
+			if err == nil {
+				res.Body.Close()
+			}
+			done <- err
+		}()
+		time.Sleep(time.Second)
+		s.Leave()
+		res, err := confirm(client, "r2")
+		assert.NilError(t, err)
+		res.Body.Close()
+		assert.Equal(t, res.Header.Get("X-Outcome"), "not-run")
+		assert.NilError(t, s.Drain(t.Context()))
+		assert.Check(t, time.Since(start) >= 5*time.Second)
+		assert.NilError(t, <-done)
+	})
+}
