Test the load maker against routers that misbehave

The checkers are shown missing, foreign, doubled and cut-off tokens, doubled actions, and false outcomes.

--- a/standin/caller/action.go
+++ b/standin/caller/action.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/google/uuid"
 
@@ -25,7 +24,7 @@
 
 func (a *actions) run(ctx context.Context) {
 	defer a.load.inFlight.Done()
-	mean := time.Duration(float64(time.Second) / a.load.opts.ActionRate)
+	mean := perSecond(a.load.opts.ActionRate)
 	at := a.load.start
 	for {
 		at = at.Add(exponential(a.random, mean))
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -219,7 +219,7 @@
 	}
 	at := a.load.start
 	for {
-		at = at.Add(a.interval(at))
+		at = a.arrival(at)
 		if !a.load.wait(ctx, at) {
 			return
 		}
@@ -229,14 +229,32 @@
 	}
 }
 
-// interval draws the time to the next chat.
-func (a *account) interval(at time.Time) time.Duration {
-	rate := a.load.opts.Rate / float64(a.load.opts.Accounts)
-	third := a.load.opts.Duration / 3
-	if since := at.Sub(a.load.start); a.surges && since > third && since < 2*third {
-		rate *= a.load.opts.Surge
+// arrival draws the time of the first chat after at. An account that surges
+// draws at its highest rate, and outside the surge drops its share of them.
+func (a *account) arrival(at time.Time) time.Time {
+	opts := a.load.opts
+	rate := opts.Rate / float64(opts.Accounts)
+	if !a.surges {
+		return at.Add(exponential(a.random, perSecond(rate)))
 	}
-	return exponential(a.random, time.Duration(float64(time.Second)/rate))
+	for {
+		at = at.Add(exponential(a.random, perSecond(rate*opts.Surge)))
+		if a.load.inSurge(at) || a.random.Float64()*opts.Surge < 1 {
+			return at
+		}
+	}
+}
+
+// inSurge tells whether at lies in the middle third of the load.
+func (l *load) inSurge(at time.Time) bool {
+	third := l.opts.Duration / 3
+	since := at.Sub(l.start)
+	return since > third && since < 2*third
+}
+
+// perSecond returns the mean time between events of a rate.
+func perSecond(rate float64) time.Duration {
+	return time.Duration(float64(time.Second) / rate)
 }
 
 // text draws n words.
--- /dev/null
+++ b/standin/caller/caller_test.go
@@ -0,0 +1,340 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"wisteriaspool/standin/engine"
+	"wisteriaspool/standin/pipe"
+	"wisteriaspool/standin/service"
+)
+
+// passer is as little of a router as callers need: it passes chats to one
+// engine and actions to one service, and keeps nothing.
+type passer struct {
+	client  *http.Client
+	attempt atomic.Int64
+	name    string
+	// alter changes what one event of a stream says, when set. It returns false
+	// to break the connection.
+	alter func(event string) (string, bool)
+	// told replaces the outcome of actions, when set.
+	told   string
+	refuse atomic.Int64 // chats to refuse as not run
+	down   atomic.Bool
+}
+
+func (p *passer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case p.down.Load():
+		panic(http.ErrAbortHandler)
+	case r.URL.Path == "/readyz":
+	case strings.HasPrefix(r.URL.Path, "/v1/services/"):
+		p.passAction(w, r)
+	case p.refuse.Add(-1) >= 0:
+		w.Header().Set("Retry-After", "1")
+		w.Header().Set("X-Outcome", "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		p.passChat(w, r)
+	}
+}
+
+func (p *passer) passAction(w http.ResponseWriter, r *http.Request) {
+	res, err := p.client.Post("http://desk/actions/confirm", "application/json", r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer res.Body.Close()
+	w.Header().Set("X-Outcome", res.Header.Get("X-Outcome"))
+	if p.told != "" {
+		w.Header().Set("X-Outcome", p.told)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_, _ = io.Copy(w, res.Body)
+}
+
+func (p *passer) passChat(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	req, _ := http.NewRequestWithContext(r.Context(), http.MethodPost, "http://engine/v1/chat/completions", bytes.NewReader(body))
+	req.Header.Set("X-Attempt-Id", fmt.Sprintf("%s-%d", p.name, p.attempt.Add(1)))
+	req.Header.Set("X-Chat-Id", r.Header.Get("X-Chat-Id"))
+	if last := r.Header.Get("Last-Event-ID"); last != "" {
+		id, after, _ := strings.Cut(last, ".")
+		req, _ = http.NewRequestWithContext(r.Context(), http.MethodGet, "http://engine/v1/attempts/"+id+"/stream?after="+after, nil)
+	}
+	res, err := p.client.Do(req)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer res.Body.Close()
+	w.Header().Set("X-Attempt-Id", res.Header.Get("X-Attempt-Id"))
+	w.Header().Set("X-Outcome", "ran")
+	w.WriteHeader(res.StatusCode)
+	_ = http.NewResponseController(w).Flush()
+	p.passEvents(w, res.Body)
+}
+
+func (p *passer) passEvents(w http.ResponseWriter, r io.Reader) {
+	flusher := http.NewResponseController(w)
+	events := newSSEReader(r)
+	for {
+		e, ok := events.next()
+		if !ok || p.down.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		text := "data: " + e.data + "\n\n"
+		if e.id != "" {
+			text = "id: " + e.id + "\n" + text
+		}
+		if e.data == "[DONE]" {
+			text = `event: outcome` + "\n" + `data: {"outcome":"ran","route_hint":"h"}` + "\n\n" + text
+		}
+		if p.alter != nil {
+			text, ok = p.alter(text)
+		}
+		if !ok {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, text)
+		_ = flusher.Flush()
+	}
+}
+
+// site is two passers before one engine and one service, with the options of a
+// small load on them.
+type site struct {
+	routers [2]*passer
+	engine  *engine.Engine
+	service *service.Service
+	opts    Options
+}
+
+// inBubble runs f with a site under the paused clock.
+func inBubble(t *testing.T, f func(t *testing.T, s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		network := &pipe.Network{}
+		transport := network.Transport()
+		client := &http.Client{Transport: transport}
+		e, endEngine := engine.New(engine.Options{})
+		desk, endDesk := service.New(service.Options{})
+		s := &site{engine: e, service: desk, opts: Options{
+			Routers: []string{"http://r0", "http://r1"}, Duration: 10 * time.Second, Rate: 3, Seed: 7,
+			ActionRate: 1, Engines: []string{"http://engine"}, Services: []string{"http://desk"}, HTTP: client,
+		}}
+		stops := []func(){network.Serve("engine:80", e), network.Serve("desk:80", desk)}
+		for i := range s.routers {
+			s.routers[i] = &passer{client: client, name: fmt.Sprintf("r%d", i)}
+			stops = append(stops, network.Serve(fmt.Sprintf("r%d:80", i), s.routers[i]))
+		}
+		defer func() {
+			endEngine()
+			endDesk()
+			transport.CloseIdleConnections()
+			for _, stop := range stops {
+				stop()
+			}
+		}()
+		f(t, s)
+	})
+}
+
+func (s *site) run(t *testing.T) Report {
+	t.Helper()
+	r, err := Run(t.Context(), s.opts)
+	assert.NilError(t, err)
+	assert.Check(t, r.Requests > 20, "only %d requests", r.Requests)
+	assert.Equal(t, r.Ran+r.NotRun+r.Unknown, r.Requests)
+	assert.Equal(t, len(r.Unchecked), 0)
+	return r
+}
+
+func TestSoundLoad(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		s.opts.ActionRate = 0
+		r := s.run(t)
+		assert.Equal(t, r.Failures(), 0)
+		assert.Equal(t, r.Ran, r.Requests)
+		assert.Equal(t, r.Resumes+r.Resent, 0)
+		assert.Check(t, r.Returning > 0)
+		assert.Check(t, r.Reuse.Ratio > 0.5 && r.Reuse.Ratio < 1, "reuse %v", r.Reuse)
+		assert.Equal(t, s.engine.Stats().GeneratedTokens, r.Tokens)
+		assert.Check(t, r.First.P50 > 0 && r.First.P50 <= r.First.P99)
+		assert.Equal(t, r.Skew.Worst, 1.0) // there is one engine
+	})
+}
+
+func TestLoadRepeatsWithItsSeed(t *testing.T) {
+	var tables [2]string
+	for i := range tables {
+		inBubble(t, func(t *testing.T, s *site) {
+			s.opts.ActionRate = 0
+			r := s.run(t)
+			tables[i] = fmt.Sprint(r.Requests, r.Returning, r.Tokens, r.Reuse.PromptTokens)
+		})
+	}
+	assert.Equal(t, tables[0], tables[1])
+}
+
+// A router gives users answers that are not theirs, or not whole. The load is
+// worth nothing if it does not notice.
+func TestBadAnswersAreNoticed(t *testing.T) {
+	drop := func(event string) (string, bool) {
+		if strings.Contains(event, ".3\n") {
+			return "", true
+		}
+		return event, true
+	}
+	swapWord := func(event string) (string, bool) {
+		return strings.Replace(event, `"content":"b`, `"content":"x`, 1), true
+	}
+	twice := func(event string) (string, bool) {
+		if strings.Contains(event, ".3\n") {
+			return event + event, true
+		}
+		return event, true
+	}
+	endEarly := func(event string) (string, bool) {
+		if strings.Contains(event, ".3\n") {
+			return event + "event: outcome\ndata: {\"outcome\":\"ran\"}\n\ndata: [DONE]\n\n", true
+		}
+		return event, true
+	}
+	for _, test := range []struct {
+		name    string
+		alter   func(string) (string, bool)
+		partial bool
+	}{
+		{"a token is missing", drop, false},
+		{"a token is another's", swapWord, false},
+		{"a token comes twice", twice, false},
+		{"the answer ends early", endEarly, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, s *site) {
+				s.routers[0].alter = test.alter
+				r := s.run(t)
+				assert.Equal(t, r.Partial > 0, test.partial)
+				assert.Equal(t, r.Wrong > 0, !test.partial)
+				assert.Check(t, r.Failures() > 0)
+			})
+		})
+	}
+}
+
+// A router dies under its callers. They come back through the other one with
+// the last event that they saw, and get the rest, generated once.
+func TestCallersResumeElsewhere(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		s.opts.ActionRate = 0
+		timer := time.AfterFunc(5*time.Second, func() { s.routers[0].down.Store(true) })
+		defer timer.Stop()
+		r := s.run(t)
+		assert.Check(t, r.Resumes > 0)
+		assert.Equal(t, r.Failures(), 0)
+		assert.Equal(t, r.Ran, r.Requests)
+		assert.Equal(t, s.engine.Stats().GeneratedTokens, r.Tokens)
+	})
+}
+
+// A router refuses chats as not run. Callers come back when it told them to,
+// and those who may not are counted as not run.
+func TestRefusedTurns(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		s.routers[0].refuse.Store(4)
+		s.opts.Retries, s.opts.ActionRate = 1, 0
+		r := s.run(t)
+		assert.Equal(t, r.Refusals, Refusals{WithRetryAfter: 4})
+		assert.Equal(t, r.Resent+r.NotRun, 4)
+		assert.Check(t, r.Resent > 0)
+		assert.Equal(t, r.Failures(), 0)
+	})
+}
+
+// Both routers pass on an action that must run at most once: the label gets its
+// pressing twice. Or they say that it was not run, though it was.
+func TestBadActionsAreNoticed(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		r := s.run(t)
+		assert.Check(t, r.Actions.Sent > 0)
+		assert.Equal(t, r.Actions.Doubled, r.Actions.Sent)
+		assert.Equal(t, r.Actions.Differing, r.Actions.Sent)
+	})
+	inBubble(t, func(t *testing.T, s *site) {
+		s.routers[0].told, s.routers[1].told = "not-run", "not-run"
+		s.service.SetFaults(service.Faults{})
+		s.opts.Services = []string{"http://desk"}
+		r := s.run(t)
+		assert.Equal(t, r.Actions.NotRun, r.Actions.Sent)
+		assert.Equal(t, r.Actions.Doubled+r.Actions.FalseNotRun, r.Actions.Sent)
+	})
+	inBubble(t, func(t *testing.T, s *site) {
+		s.service.SetFaults(service.Faults{Refuse: 1})
+		s.routers[0].told, s.routers[1].told = "ran", "ran"
+		r := s.run(t)
+		assert.Equal(t, r.Actions.FalseRan, r.Actions.Sent)
+	})
+}
+
+// Some accounts surge in the middle of the load, and the others must not be
+// slowed in their own arrivals.
+func TestSurge(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		s.opts.ActionRate = 0
+		calm := s.run(t)
+		s.opts.Surging, s.opts.Seed = 3, 7
+		surge := s.run(t)
+		assert.Check(t, surge.Requests > calm.Requests*3/2, "%d after %d", surge.Requests, calm.Requests)
+	})
+}
+
+func TestRequestsAreBounded(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		s.opts.Requests, s.opts.ActionRate = 21, 0
+		assert.Equal(t, s.run(t).Requests, 21)
+	})
+}
+
+func TestRunNeedsRouters(t *testing.T) {
+	_, err := Run(context.Background(), Options{Duration: time.Second, Rate: 1})
+	assert.ErrorContains(t, err, "routers")
+}
+
+func TestSkewOf(t *testing.T) {
+	start := time.Unix(0, 0)
+	at := func(ms, running int) engine.Sample {
+		return engine.Sample{At: start.Add(time.Duration(ms) * time.Millisecond), Running: running}
+	}
+	histories := [][]engine.Sample{
+		{at(0, 2), at(40, 6)},
+		{at(0, 2)},
+	}
+	got := SkewOf(histories, start, start.Add(80*time.Millisecond), 1.25)
+	assert.DeepEqual(t, *got, Skew{Samples: 4, P50: 1.5, P99: 1.5, Worst: 1.5, Bound: 1.25, Over: 2})
+}
+
+func TestReportAsText(t *testing.T) {
+	r := Report{
+		Seconds: 10, Requests: 100, Returning: 70, Ran: 97, NotRun: 2, Unknown: 1, Resumes: 4, Resent: 2,
+		Refusals: Refusals{WithRetryAfter: 4}, Reuse: Reuse{PromptTokens: 1000, CachedTokens: 750, Ratio: 0.75},
+		First: Quantiles{10, 20, 30, 40}, Gap: Quantiles{1, 2, 3, 4.5},
+		Actions:   ActionReport{Sent: 10, Ran: 9, Unknown: 1, Checked: 10},
+		Skew:      &Skew{Samples: 500, P50: 1.1, P99: 1.6, Worst: 2, Bound: 1.25},
+		Unchecked: []string{"no engine answers"},
+	}
+	var out bytes.Buffer
+	assert.NilError(t, r.WriteText(&out))
+	golden.Assert(t, out.String(), "report.txt")
+}
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -36,12 +36,14 @@
 		stopOne := network.Serve("one:80", one)
 		stopTwo := network.Serve("two:80", two)
 		transport := network.Transport()
+		defer func() {
+			endOne()
+			endTwo()
+			transport.CloseIdleConnections()
+			stopOne()
+			stopTwo()
+		}()
 		f(&site{t: t, client: &http.Client{Transport: transport}, one: one, two: two})
-		endOne()
-		endTwo()
-		transport.CloseIdleConnections()
-		stopOne()
-		stopTwo()
 	})
 }
 
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -21,10 +21,12 @@
 		s, cleanup := New(opts)
 		stop := network.Serve("desk:80", s)
 		transport := network.Transport()
+		defer func() {
+			cleanup()
+			transport.CloseIdleConnections()
+			stop()
+		}()
 		f(t, s, &http.Client{Transport: transport})
-		cleanup()
-		transport.CloseIdleConnections()
-		stop()
 	})
 }
 
