--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -206,6 +206,9 @@
 		}
 		return event, true
 	}
+	misnumber := func(event string) (string, bool) {
+		return strings.Replace(event, ".3\n", ".9\n", 1), true
+	}
 	endEarly := func(event string) (string, bool) {
 		if strings.Contains(event, ".3\n") {
 			return event + "event: outcome\ndata: {\"outcome\":\"ran\"}\n\ndata: [DONE]\n\n", true
@@ -220,6 +223,7 @@
 		{"a token is missing", drop, false},
 		{"a token is another's", swapWord, false},
 		{"a token comes twice", twice, false},
+		{"an offset jumps", misnumber, false},
 		{"the answer ends early", endEarly, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -71,6 +71,25 @@
 	return s.read(r)
 }
 
+// asking is a request that a goroutine of its own makes.
+type asking struct {
+	site   *site
+	engine string
+	id     string
+	req    Request
+	header []string
+	got    chan answer
+}
+
+func (a *asking) run() { a.got <- a.site.ask(a.engine, a.id, a.req, a.header...) }
+
+// askLater asks without waiting for the answer.
+func (s *site) askLater(engine, id string, req Request, header ...string) <-chan answer {
+	a := &asking{site: s, engine: engine, id: id, req: req, header: header, got: make(chan answer, 1)}
+	go a.run()
+	return a.got
+}
+
 func (s *site) resume(engine, id string, after int) answer {
 	s.t.Helper()
 	r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("%s/v1/attempts/%s/stream?after=%d", engine, id, after), nil)
@@ -196,8 +215,7 @@
 
 func TestCancelStopsGenerating(t *testing.T) {
 	inBubble(t, Options{}, func(s *site) {
-		done := make(chan answer)
-		go func() { done <- s.ask("http://one", "x", question("a", 16, 100)) }()
+		done := s.askLater("http://one", "x", question("a", 16, 100))
 		time.Sleep(105 * time.Millisecond)
 		var told Cancelled
 		assert.Equal(s.t, s.post("http://one/v1/attempts/x/cancel", "", &told), http.StatusOK)
@@ -227,8 +245,7 @@
 // twice would bill the user twice.
 func TestLiveAttemptIsRefusedTwice(t *testing.T) {
 	inBubble(t, Options{}, func(s *site) {
-		done := make(chan answer)
-		go func() { done <- s.ask("http://one", "x", question("a", 16, 10)) }()
+		done := s.askLater("http://one", "x", question("a", 16, 10))
 		time.Sleep(50 * time.Millisecond)
 		assert.Equal(s.t, s.ask("http://one", "x", question("a", 16, 10)).status, http.StatusConflict)
 		assert.Check(s.t, (<-done).done)
@@ -311,8 +328,7 @@
 // the engine comes back empty, as another incarnation.
 func TestPoisonCrashesTheEngine(t *testing.T) {
 	inBubble(t, Options{}, func(s *site) {
-		innocent := make(chan answer)
-		go func() { innocent <- s.ask("http://one", "x", question("a", 16, 100)) }()
+		innocent := s.askLater("http://one", "x", question("a", 16, 100))
 		time.Sleep(100 * time.Millisecond)
 		before := s.one.Incarnation()
 		assert.Equal(s.t, s.ask("http://one", "p", question("POISON", 1, 1)).done, false)
@@ -334,20 +350,34 @@
 // is refused by its own word, so that a router may send it elsewhere.
 func TestLeavingCutsOffNothing(t *testing.T) {
 	inBubble(t, Options{Capacity: 1}, func(s *site) {
-		first, second := make(chan answer), make(chan answer)
-		go func() { first <- s.ask("http://one", "x", question("a", 16, 50)) }()
-		go func() { second <- s.ask("http://one", "y", question("b", 16, 50)) }()
+		first := s.askLater("http://one", "x", question("a", 16, 50))
+		second := s.askLater("http://one", "y", question("b", 16, 50))
 		time.Sleep(100 * time.Millisecond)
 		s.one.Leave()
 		refused := s.ask("http://one", "z", question("c", 16, 50))
 		assert.Equal(s.t, refused.status, http.StatusServiceUnavailable)
 		assert.Equal(s.t, refused.header.Get("X-Outcome"), "not-run")
 		assert.Equal(s.t, refused.header.Get("X-State"), "leaving")
-		drained := make(chan error)
-		go func() { drained <- s.one.Drain(s.t.Context()) }()
+		assert.NilError(s.t, s.one.Drain(s.t.Context()))
 		assert.Check(s.t, (<-first).done)
 		assert.Check(s.t, (<-second).done)
-		assert.NilError(s.t, <-drained)
+	})
+}
+
+// An engine is stopped while a reader has lost its connection. It waits for the
+// reader to come back, or the user would lose an answer that was paid for.
+func TestDrainWaitsForAReaderToComeBack(t *testing.T) {
+	inBubble(t, Options{}, func(s *site) {
+		s.one.SetFaults(Faults{CutStreams: 1, CutAfter: 5})
+		s.ask("http://one", "x", question("a", 16, 50))
+		s.one.Leave()
+		start := time.Now()
+		rest := make(chan answer, 1)
+		timer := time.AfterFunc(4*time.Second, func() { rest <- s.resume("http://one", "x", 5) })
+		defer timer.Stop()
+		assert.NilError(s.t, s.one.Drain(s.t.Context()))
+		assert.Check(s.t, time.Since(start) >= 4*time.Second)
+		assert.Check(s.t, (<-rest).done)
 	})
 }
 
@@ -355,9 +385,8 @@
 // nothing had been.
 func TestFreeze(t *testing.T) {
 	inBubble(t, Options{}, func(s *site) {
-		done := make(chan answer)
 		start := time.Now()
-		go func() { done <- s.ask("http://one", "x", question("a", 16, 10)) }()
+		done := s.askLater("http://one", "x", question("a", 16, 10))
 		time.Sleep(50 * time.Millisecond)
 		s.one.SetFaults(Faults{FreezeMillis: 5000})
 		got := <-done
@@ -370,19 +399,19 @@
 // Higher priority goes first when requests wait.
 func TestPriorityOfWaiting(t *testing.T) {
 	inBubble(t, Options{Capacity: 1}, func(s *site) {
-		order := make(chan string, 3)
-		send := func(id, priority string) {
-			s.ask("http://one", id, question(id, 16, 20), "X-Priority", priority)
-			order <- id
-		}
-		go send("running", "0")
+		running := s.askLater("http://one", "running", question("a", 16, 20))
 		time.Sleep(50 * time.Millisecond)
-		go send("low", "0")
+		low := s.askLater("http://one", "low", question("b", 16, 20))
 		time.Sleep(50 * time.Millisecond)
-		go send("high", "5")
-		assert.Equal(s.t, <-order, "running")
-		assert.Equal(s.t, <-order, "high")
-		assert.Equal(s.t, <-order, "low")
+		high := s.askLater("http://one", "high", question("c", 16, 20), "X-Priority", "5")
+		<-running
+		assert.Check(s.t, (<-high).done)
+		select {
+		case <-low:
+			s.t.Error("the lower priority was not last")
+		default:
+		}
+		assert.Check(s.t, (<-low).done)
 		stats := s.one.Stats()
 		assert.Equal(s.t, stats.PeakRunning, 1)
 		assert.Equal(s.t, stats.PeakLoad, 3)
@@ -414,8 +443,7 @@
 func TestLoadLags(t *testing.T) {
 	inBubble(t, Options{LoadLag: time.Second, Step: time.Second}, func(s *site) {
 		time.Sleep(2 * time.Second)
-		done := make(chan answer)
-		go func() { done <- s.ask("http://one", "x", question("a", 16, 10)) }()
+		done := s.askLater("http://one", "x", question("a", 16, 10))
 		time.Sleep(500 * time.Millisecond)
 		assert.Equal(s.t, s.load().Running, 0)
 		time.Sleep(time.Second)
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -337,14 +337,15 @@
 	})
 }
 
-// The platform hangs: a call waits without effect, and a caller that gives up
-// meanwhile has written nothing.
+// The platform hangs: a call waits without effect, and a caller that is gone
+// before it goes on has written nothing.
 func TestHang(t *testing.T) {
 	inBubble(t, Options{}, func(t *testing.T, s *site) {
 		assert.NilError(t, s.SetFaults(Faults{Hang: true}))
 		s.client.Timeout = time.Second
 		_, err := s.cas("k", "v", 0)
 		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		synctest.Wait() // until the platform has noticed
 		assert.NilError(t, s.SetFaults(Faults{}))
 		time.Sleep(time.Second)
 		assert.Equal(t, len(s.Get("k")), 0)
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -170,6 +170,9 @@
 		}
 		select {
 		case <-changed:
+			if ctx.Err() != nil {
+				return false
+			}
 		case <-ctx.Done():
 			return false
 		case <-s.closed:
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -39,6 +39,20 @@
 	return client.Do(req)
 }
 
+// confirming is a call that a goroutine of its own makes.
+type confirming struct {
+	client *http.Client
+	done   chan error
+}
+
+func (c *confirming) run() {
+	res, err := confirm(c.client, "r1")
+	if err == nil {
+		res.Body.Close()
+	}
+	c.done <- err
+}
+
 // The service fails before or after it ran an action. Its caller cannot tell
 // the two cuts apart, but the record of arrivals must.
 func TestFaultsAreCountedTruly(t *testing.T) {
@@ -94,15 +108,9 @@
 func TestFreezeAndDrain(t *testing.T) {
 	inBubble(t, Options{}, func(t *testing.T, s *Service, client *http.Client) {
 		s.SetFaults(Faults{FreezeMillis: 5000})
-		done := make(chan error)
 		start := time.Now()
-		go func() {
-			res, err := confirm(client, "r1")
-			if err == nil {
-				res.Body.Close()
-			}
-			done <- err
-		}()
+		first := &confirming{client: client, done: make(chan error, 1)}
+		go first.run()
 		time.Sleep(time.Second)
 		s.Leave()
 		res, err := confirm(client, "r2")
@@ -111,6 +119,6 @@
 		assert.Equal(t, res.Header.Get("X-Outcome"), "not-run")
 		assert.NilError(t, s.Drain(t.Context()))
 		assert.Check(t, time.Since(start) >= 5*time.Second)
-		assert.NilError(t, <-done)
+		assert.NilError(t, <-first.done)
 	})
 }
