wisteriarouter/platform: client of the key-value service and instance list

Speaks etcd v3's JSON gateway with net/http. Writes are Unavailable only if no connection was made or the error comes before a proposal; UNAVAILABLE (14) and errors of proxies stay Unknown. Bodies cannot be rewound and redirects are refused, so the transport never sends a write twice; reads go on to the next endpoint. Watches resume behind the last revision; a compaction is a gap.

--- /dev/null
+++ b/wisteriarouter/platform/call.go
@@ -0,0 +1,140 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"wisteriaspool/coordination/kv"
+)
+
+// maxAnswer bounds the bytes read of one answer.
+const maxAnswer = 64 << 20
+
+const contentType = "application/json"
+
+func newTransport(dialTimeout time.Duration) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     time.Minute,
+	}
+}
+
+// refuseRedirect keeps a redirected write from being sent a second time.
+func refuseRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+// opaqueBody hides from net/http that a body could be rewound. A rewindable
+// body may be sent again by the transport after the connection broke: the
+// service would then apply one write twice, and the second answer, a conflict,
+// would deny the first.
+type opaqueBody struct{ io.Reader }
+
+// call sends in to path and decodes the answer into out. It goes on to the
+// next endpoint if no connection could be made, or after any broken call if
+// the call only reads.
+func (c *Client) call(ctx context.Context, op Op, path string, in, out any) (res kv.Result) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	body, err := json.Marshal(in)
+	if err != nil {
+		panic(fmt.Sprintf("platform: encoding a %s: %v", op, err))
+	}
+	first := c.current.Load()
+	n := uint32(len(c.endpoints))
+	for i := range n {
+		at := (first + i) % n
+		c.current.Store(at)
+		res = c.try(ctx, op, c.endpoints[at]+path, body, out)
+		if !triesNext(op, res.Status) || ctx.Err() != nil {
+			break
+		}
+	}
+	c.prefer(res.Status)
+	return res
+}
+
+// prefer moves on to the next endpoint after one that gave no answer: one that
+// takes connections but hangs would else spoil every write.
+func (c *Client) prefer(status kv.Status) {
+	if status == kv.Unknown {
+		c.current.Store((c.current.Load() + 1) % uint32(len(c.endpoints)))
+	}
+}
+
+// triesNext tells whether another endpoint may be asked after status.
+func triesNext(op Op, status kv.Status) bool {
+	switch status {
+	case kv.Unavailable:
+		return true
+	case kv.Unknown:
+		return op == OpGet || op == OpList
+	default:
+		return false
+	}
+}
+
+// try makes one call of one endpoint.
+func (c *Client) try(ctx context.Context, op Op, url string, body []byte, out any) kv.Result {
+	start := time.Now()
+	res := c.exchange(ctx, url, body, out)
+	c.observe(op, res.Status, start)
+	return res
+}
+
+func (c *Client) exchange(ctx context.Context, url string, body []byte, out any) kv.Result {
+	resp, res := c.send(ctx, url, body)
+	if res.Status != kv.Applied {
+		return res
+	}
+	defer closeAnswer(resp)
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(out); err != nil {
+		return kv.Result{Status: kv.Unknown, Err: fmt.Errorf("platform: answer cut off: %w", err)}
+	}
+	return res
+}
+
+// send posts body. Its result is Applied if the answer's status is 200, and
+// only then is the response open.
+func (c *Client) send(ctx context.Context, url string, body []byte) (*http.Response, kv.Result) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, opaqueBody{bytes.NewReader(body)})
+	if err != nil {
+		return nil, kv.Result{Status: kv.Unavailable, Err: err}
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", contentType)
+	resp, err := c.hc.Do(req)
+	if err != nil {
+		return nil, kv.Result{Status: withoutAnswer(connected.Load()), Err: err}
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer closeAnswer(resp)
+		return nil, refusedAnswer(resp)
+	}
+	return resp, kv.Result{Status: kv.Applied}
+}
+
+// closeAnswer reads what little is left, so that the connection can be used
+// again.
+func closeAnswer(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, 4<<10)
+	_ = resp.Body.Close()
+}
+
+func (c *Client) observe(op Op, status kv.Status, start time.Time) {
+	if c.cfg.OnCall != nil {
+		c.cfg.OnCall(op, status, time.Since(start))
+	}
+}
--- /dev/null
+++ b/wisteriarouter/platform/instances.go
@@ -0,0 +1,89 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/kv"
+)
+
+// Kind tells what an instance of the list is.
+type Kind string
+
+// The kinds of instances.
+const (
+	Engine       Kind = "engine"
+	PlainService Kind = "service"
+	Router       Kind = "router"
+)
+
+// State tells whether an instance of the list takes new work.
+type State string
+
+// The states of instances. Any other state is to be taken as Leaving.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Entry is one instance in the platform's list, which lags.
+type Entry struct {
+	ID          coordination.Endpoint    `json:"id"`
+	Address     string                   `json:"address"` // host:port
+	Zone        coordination.Zone        `json:"zone"`
+	Kind        Kind                     `json:"kind"`
+	Pool        coordination.Pool        `json:"pool"`
+	State       State                    `json:"state"`
+	Incarnation coordination.Incarnation `json:"incarnation"`
+	Capacity    int                      `json:"capacity"` // requests at a time; zero if unknown
+}
+
+type instanceList struct {
+	Instances []Entry `json:"instances"`
+}
+
+const instancesPath = "/v1/instances"
+
+// Instances reads the list of instances. Entries without id or address, which
+// nobody can reach, are left out.
+func (c *Client) Instances(ctx context.Context) ([]Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	start := time.Now()
+	list, err := c.readInstances(ctx)
+	if err != nil {
+		c.observe(OpInstances, kv.Unavailable, start)
+		return nil, fmt.Errorf("platform: reading the list of instances: %w", err)
+	}
+	c.observe(OpInstances, kv.Applied, start)
+	entries := make([]Entry, 0, len(list.Instances))
+	for _, e := range list.Instances {
+		if e.ID != "" && e.Address != "" {
+			entries = append(entries, e)
+		}
+	}
+	return entries, nil
+}
+
+func (c *Client) readInstances(ctx context.Context) (instanceList, error) {
+	var list instanceList
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.instances+instancesPath, nil)
+	if err != nil {
+		return list, err
+	}
+	resp, err := c.hc.Do(req)
+	if err != nil {
+		return list, err
+	}
+	defer closeAnswer(resp)
+	if resp.StatusCode != http.StatusOK {
+		return list, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&list)
+	return list, err
+}
--- /dev/null
+++ b/wisteriarouter/platform/wire.go
@@ -0,0 +1,128 @@
+package platform
+
+import (
+	"wisteriaspool/coordination/kv"
+)
+
+// The messages of the JSON gateway, as far as the fleet uses them. The gateway
+// writes 64-bit integers as strings, bytes in base64, and leaves out zeroes.
+
+type header struct {
+	Revision int64 `json:"revision,string"`
+}
+
+type keyValue struct {
+	Key         []byte `json:"key"`
+	Value       []byte `json:"value"`
+	ModRevision int64  `json:"mod_revision,string"`
+	Lease       int64  `json:"lease,string"`
+}
+
+func (p keyValue) pair() kv.Pair {
+	return kv.Pair{
+		Key:      string(p.Key),
+		Value:    p.Value,
+		Revision: kv.Revision(p.ModRevision),
+		Lease:    kv.Lease(p.Lease),
+	}
+}
+
+type rangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+type rangeResponse struct {
+	Header header     `json:"header"`
+	Kvs    []keyValue `json:"kvs"`
+}
+
+func (r rangeResponse) pairs() []kv.Pair {
+	var pairs []kv.Pair
+	for _, p := range r.Kvs {
+		pairs = append(pairs, p.pair())
+	}
+	return pairs
+}
+
+type putRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease int64  `json:"lease,string,omitempty"`
+}
+
+type compare struct {
+	Key         []byte `json:"key"`
+	Target      string `json:"target"`
+	Result      string `json:"result"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+type requestOp struct {
+	Put    *putRequest   `json:"request_put,omitempty"`
+	Range  *rangeRequest `json:"request_range,omitempty"`
+	Delete *rangeRequest `json:"request_delete_range,omitempty"`
+}
+
+type txnRequest struct {
+	Compare []compare   `json:"compare"`
+	Success []requestOp `json:"success"`
+	Failure []requestOp `json:"failure"`
+}
+
+type deleteResponse struct {
+	Deleted int64 `json:"deleted,string"`
+}
+
+type responseOp struct {
+	Range  *rangeResponse  `json:"response_range"`
+	Delete *deleteResponse `json:"response_delete_range"`
+}
+
+type txnResponse struct {
+	Header    header       `json:"header"`
+	Succeeded bool         `json:"succeeded"`
+	Responses []responseOp `json:"responses"`
+}
+
+type leaseRequest struct {
+	ID  int64 `json:"ID,string,omitempty"`
+	TTL int64 `json:"TTL,string,omitempty"`
+}
+
+type leaseResponse struct {
+	Header header `json:"header"`
+	ID     int64  `json:"ID,string"`
+	TTL    int64  `json:"TTL,string"`
+}
+
+type keepAliveResponse struct {
+	Result leaseResponse `json:"result"`
+}
+
+type watchCreate struct {
+	Key           []byte `json:"key"`
+	RangeEnd      []byte `json:"range_end"`
+	StartRevision int64  `json:"start_revision,string,omitempty"`
+}
+
+type watchRequest struct {
+	Create watchCreate `json:"create_request"`
+}
+
+type watchEvent struct {
+	Type string   `json:"type"` // empty means PUT
+	KV   keyValue `json:"kv"`
+}
+
+type watchResult struct {
+	Header          header       `json:"header"`
+	Created         bool         `json:"created"`
+	Canceled        bool         `json:"canceled"`
+	CompactRevision int64        `json:"compact_revision,string"`
+	Events          []watchEvent `json:"events"`
+}
+
+type watchResponse struct {
+	Result *watchResult `json:"result"`
+}
