coordination/execution: actions run at most once

A record is created in the platform's service before an action is sent; its creator alone may send it, and nobody ever takes the record over. Creates without an answer are sent again under the same nonce and revision; what may stand undispatched is abandoned by its holder.

--- /dev/null
+++ b/coordination/execution/fleet_test.go
@@ -0,0 +1,364 @@
+package execution_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"time"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/execution"
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/kv/kvtest"
+	"wisteriaspool/coordination/outcome"
+)
+
+// rates are the chances, in percent, with which things go wrong.
+type rates struct {
+	loseCall, loseReply, landLate, slow int // of calls to the platform
+	refuse, decline, loseAnswer         int // of calls to the service
+	freeze, kill                        int // of a router, at each of its steps
+	outage                              int // of the platform, every ten seconds
+}
+
+// planted is a fault that a checker has to find.
+type planted int
+
+const (
+	noFault planted = iota
+	takeOver
+	retryAfterCut
+	denyAfterSending
+)
+
+// chance draws from one seeded source, for several goroutines.
+type chance struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func newChance(seed, stream uint64) *chance {
+	return &chance{rng: rand.New(rand.NewPCG(seed, stream))}
+}
+
+func (c *chance) percent(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rng.IntN(100) < n
+}
+
+func (c *chance) duration(most time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Duration(c.rng.Int64N(int64(most)))
+}
+
+func (c *chance) intN(n int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rng.IntN(n)
+}
+
+// fleet is some routers before one platform and one service.
+type fleet struct {
+	seed    uint64
+	rates   rates
+	planted planted
+	store   *kvtest.Store
+	history *history
+	work    sync.WaitGroup // calls, also of callers that went away, and late writes
+
+	mu      sync.Mutex
+	routers []*router
+	all     []*router // those that died, too
+}
+
+// router is one router. Each of its calls to the platform and to the service
+// goes through step, where it may be frozen or killed.
+type router struct {
+	fleet   *fleet
+	chance  *chance
+	ledger  *execution.Ledger
+	cleanup func()
+
+	mu     sync.Mutex
+	frozen time.Time // until then
+	dead   bool
+}
+
+const retention = 10 * time.Minute
+
+func newFleet(seed uint64, n int, r rates, p planted) *fleet {
+	f := &fleet{seed: seed, rates: r, planted: p, store: kvtest.New(), history: newHistory()}
+	f.routers = make([]*router, n)
+	for i := range f.routers {
+		f.start(i)
+	}
+	return f
+}
+
+// start puts a new router in place i.
+func (f *fleet) start(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	born := uint64(len(f.all))
+	r := &router{fleet: f, chance: newChance(f.seed, born)}
+	r.ledger, r.cleanup = execution.New(execution.Config{
+		Store:       r,
+		Holder:      coordination.Instance(fmt.Sprint("r", i)),
+		Incarnation: coordination.Incarnation(born),
+		Retention:   retention,
+		ClockSkew:   5 * time.Second,
+	})
+	f.routers[i] = r
+	f.all = append(f.all, r)
+}
+
+func (f *fleet) router(i int) *router {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.routers[i]
+}
+
+// stop waits until frozen routers have woken and late writes have landed, and
+// ends all background work.
+func (f *fleet) stop() {
+	f.work.Wait()
+	for _, r := range f.all {
+		r.cleanup()
+	}
+}
+
+// step is where the router may be frozen, as by SIGSTOP, or killed. What a
+// killed router was doing just ends.
+func (r *router) step() {
+	if r.chance.percent(r.fleet.rates.freeze) {
+		r.mu.Lock()
+		r.frozen = time.Now().Add(r.chance.duration(retention * 3 / 2))
+		r.mu.Unlock()
+	}
+	r.mu.Lock()
+	if r.chance.percent(r.fleet.rates.kill) {
+		r.dead = true
+	}
+	r.mu.Unlock()
+	for {
+		r.mu.Lock()
+		left, dead := time.Until(r.frozen), r.dead
+		r.mu.Unlock()
+		if dead {
+			runtime.Goexit()
+		}
+		if left <= 0 {
+			return
+		}
+		time.Sleep(left)
+	}
+}
+
+func (r *router) isDead() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dead
+}
+
+// CompareAndSwap implements execution.Store with faults.
+func (r *router) CompareAndSwap(ctx context.Context, key string, value []byte, expect kv.Revision, lease kv.Lease) kv.Result {
+	r.step()
+	defer r.step()
+	c, rates := r.chance, r.fleet.rates
+	lost := kv.Result{Status: kv.Unknown}
+	if c.percent(rates.slow) {
+		time.Sleep(c.duration(900 * time.Millisecond))
+	}
+	switch {
+	case c.percent(rates.loseCall):
+		return lost
+	case c.percent(rates.landLate):
+		w := &lateWrite{store: r.fleet.store, key: key, value: value, expect: expect, lease: lease, after: c.duration(time.Minute)}
+		r.fleet.work.Add(1)
+		go w.run(&r.fleet.work)
+		return lost
+	}
+	res := r.fleet.store.CompareAndSwap(context.WithoutCancel(ctx), key, value, expect, lease)
+	if c.percent(rates.loseReply) {
+		return lost
+	}
+	return res
+}
+
+// Grant implements execution.Store with faults.
+func (r *router) Grant(ctx context.Context, ttl time.Duration) (kv.Lease, kv.Result) {
+	r.step()
+	defer r.step()
+	id, res := r.fleet.store.Grant(ctx, ttl)
+	if r.chance.percent(r.fleet.rates.loseReply) {
+		return 0, kv.Result{Status: kv.Unknown}
+	}
+	return id, res
+}
+
+// lateWrite is a write that its sender has given up on, and that reaches the
+// service after all.
+type lateWrite struct {
+	store  *kvtest.Store
+	key    string
+	value  []byte
+	expect kv.Revision
+	lease  kv.Lease
+	after  time.Duration
+}
+
+func (w *lateWrite) run(work *sync.WaitGroup) {
+	defer work.Done()
+	time.Sleep(w.after)
+	w.store.CompareAndSwap(context.Background(), w.key, w.value, w.expect, w.lease)
+}
+
+// exchange is one call of a caller through one router. It implements
+// execution.Sender.
+type exchange struct {
+	router *router
+	key    string
+	id     callID
+	issued time.Time
+	out    output
+	done   chan struct{}
+}
+
+// run makes the call. If its router dies, the caller is left with unknown.
+func (x *exchange) run() {
+	defer x.router.fleet.work.Done()
+	defer close(x.done)
+	x.router.step()
+	res := x.router.ledger.Run(context.Background(), x.request(), x)
+	if x.router.fleet.planted == takeOver && x.seize(res) {
+		res = x.router.ledger.Run(context.Background(), x.request(), x)
+	}
+	x.router.step()
+	x.out.outcome = res.Outcome
+	if res.Outcome == outcome.Ran {
+		_, _ = fmt.Sscan(string(res.Answer.Body), &x.out.answer)
+	}
+}
+
+func (x *exchange) request() execution.Request {
+	return execution.Request{Team: "team", Key: execution.Key(x.key), IssuedAt: x.issued, Timeout: 10 * time.Second}
+}
+
+// Send implements execution.Sender: it is the service, and the way to it.
+func (x *exchange) Send(context.Context) execution.Result {
+	r, rates := x.router, x.router.fleet.rates
+	r.step() // frozen between the last check and the sending
+	switch {
+	case r.chance.percent(rates.refuse), r.chance.percent(rates.decline):
+		return execution.Result{Outcome: outcome.NotRun, Refusal: &outcome.Refusal{Outcome: outcome.NotRun}}
+	}
+	r.fleet.history.arrive(x.key, x.id)
+	time.Sleep(r.chance.duration(200 * time.Millisecond))
+	if r.chance.percent(rates.loseAnswer) {
+		return x.cutOff()
+	}
+	r.step()
+	return execution.Result{Outcome: outcome.Ran, Answer: &execution.Answer{Status: 200, Body: fmt.Append(nil, int(x.id))}}
+}
+
+// cutOff is what becomes of a call whose connection broke after it was sent.
+func (x *exchange) cutOff() execution.Result {
+	switch x.router.fleet.planted {
+	case retryAfterCut:
+		return x.Send(context.Background())
+	case denyAfterSending:
+		return execution.Result{Outcome: outcome.NotRun, Refusal: &outcome.Refusal{Outcome: outcome.NotRun}}
+	}
+	return execution.Result{Outcome: outcome.Unknown, Refusal: &outcome.Refusal{}}
+}
+
+// seize does what a design with timeouts would do: it frees the key of a
+// holder that is silent past its deadline.
+func (x *exchange) seize(res execution.Result) bool {
+	if res.Refusal == nil || res.Refusal.Code != outcome.InProgress {
+		return false
+	}
+	store := x.router.fleet.store
+	path := execution.Prefix + "team/" + x.key
+	got := store.Get(context.Background(), path)
+	if len(got.Pairs) == 0 {
+		return false
+	}
+	record, err := execution.DecodeRecord(got.Pairs[0].Value)
+	if err != nil || time.Now().UnixMilli() < int64(record.Deadline) {
+		return false
+	}
+	return store.Delete(context.Background(), path, got.Pairs[0].Revision).Status == kv.Applied
+}
+
+// caller repeats one key through one router after the other.
+type caller struct {
+	fleet  *fleet
+	id     int
+	key    string
+	issued time.Time
+	chance *chance
+	tries  int
+}
+
+func (c *caller) run(done *sync.WaitGroup) {
+	defer done.Done()
+	for range c.tries {
+		c.call()
+		pause := 5 * time.Second
+		if c.chance.percent(20) {
+			pause = retention
+		}
+		time.Sleep(c.chance.duration(pause))
+	}
+}
+
+// call makes one call. A caller whose router does not answer goes away after a
+// while, as callers do, and counts the outcome as unknown.
+func (c *caller) call() {
+	place, id := c.fleet.history.begin(c.id, c.key)
+	x := &exchange{
+		router: c.fleet.router(c.chance.intN(len(c.fleet.routers))),
+		key:    c.key,
+		id:     id,
+		issued: c.issued,
+		done:   make(chan struct{}),
+	}
+	c.fleet.work.Add(1)
+	go x.run()
+	select {
+	case <-x.done:
+		c.fleet.history.end(place, x.out)
+	case <-time.After(30 * time.Second):
+		c.fleet.history.end(place, output{})
+	}
+}
+
+// weather makes outages of the platform, and replaces dead routers.
+type weather struct {
+	fleet  *fleet
+	chance *chance
+	ended  chan struct{}
+}
+
+func (w *weather) run() {
+	defer w.fleet.work.Done()
+	for {
+		select {
+		case <-w.ended:
+			w.fleet.store.SetFaults(kvtest.Faults{})
+			return
+		case <-time.After(10 * time.Second):
+		}
+		w.fleet.store.SetFaults(kvtest.Faults{Down: w.chance.percent(w.fleet.rates.outage)})
+		for i := range w.fleet.routers {
+			if w.fleet.router(i).isDead() {
+				w.fleet.start(i)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/coordination/execution/ledger.go
@@ -0,0 +1,284 @@
+package execution
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/outcome"
+)
+
+// callsPerAction is what Begin takes from the budget up front: one call to
+// create the record and one to finish it. Taking the second one late would
+// leave begun actions without a call to record their end.
+const callsPerAction = 2
+
+// Ledger creates and settles the execution records of one router. It is safe
+// for concurrent use.
+type Ledger struct {
+	cfg    Config
+	leases leases
+	gate   gate
+	ctx    context.Context
+	work   sync.WaitGroup
+
+	mu   sync.Mutex
+	open int           // records being created, held, or being settled
+	idle chan struct{} // closed when open falls to zero; nil if nobody waits
+}
+
+// New returns a ledger, and a function that ends its background work. What it
+// had not settled by then stays pending in the service until it expires; Drain
+// waits for it.
+func New(cfg Config) (*Ledger, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Ledger{cfg: cfg.withDefaults(), ctx: ctx}
+	return l, func() {
+		cancel()
+		l.work.Wait()
+	}
+}
+
+// Open returns how many records this router holds open.
+func (l *Ledger) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
+// Drain waits until no record is open, or ctx ends, and tells which it was.
+func (l *Ledger) Drain(ctx context.Context) bool {
+	l.mu.Lock()
+	if l.open == 0 {
+		l.mu.Unlock()
+		return true
+	}
+	if l.idle == nil {
+		l.idle = make(chan struct{})
+	}
+	idle := l.idle
+	l.mu.Unlock()
+	select {
+	case <-idle:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (l *Ledger) acquire() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open >= l.cfg.MaxOpen {
+		return false
+	}
+	l.open++
+	return true
+}
+
+func (l *Ledger) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open--
+	if l.open == 0 && l.idle != nil {
+		close(l.idle)
+		l.idle = nil
+	}
+}
+
+func (l *Ledger) allow(n int) bool {
+	return l.cfg.Budget == nil || l.cfg.Budget.Allow(n)
+}
+
+// Begin decides whether req may be run by this router. On Execute the caller
+// owns the token, and has to end it with Finish or Abandon.
+func (l *Ledger) Begin(ctx context.Context, req Request) Decision {
+	start := time.Now()
+	if d, ok := l.admit(req, start); !ok {
+		return d
+	}
+	if !l.acquire() {
+		return refused(outcome.Overloaded, "too many actions are open on this router", time.Second)
+	}
+	d, kept := l.claim(ctx, req, start)
+	if !kept {
+		l.release()
+	}
+	return d
+}
+
+// admit checks the key before any call to the platform.
+func (l *Ledger) admit(req Request, now time.Time) (Decision, bool) {
+	if req.Key == "" || len(req.Key) > MaxKey || req.Team == "" {
+		return refused(outcome.Malformed, "the idempotency key must have 1 to 255 bytes", 0), false
+	}
+	retention := l.cfg.Retention
+	if req.Retention > 0 {
+		retention = min(retention, req.Retention)
+	}
+	age := now.Round(0).Sub(req.IssuedAt.Round(0))
+	if age < -l.cfg.ClockSkew {
+		return fromFuture(-age), false
+	}
+	if age > retention-l.cfg.ClockSkew {
+		return expired(retention), false
+	}
+	return Decision{}, true
+}
+
+// claim tries to own the record of req. It tells whether the slot taken for it
+// is still needed, by the token or by work in the background.
+func (l *Ledger) claim(ctx context.Context, req Request, start time.Time) (Decision, bool) {
+	if !l.gate.enter() {
+		return unreachable(kv.Unavailable), false
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.cfg.CreateWait)
+	defer cancel()
+	lease, res := l.lease(ctx)
+	if res.Status != kv.Applied {
+		return unreachable(res.Status), false
+	}
+	if !l.allow(callsPerAction) {
+		return unreachable(kv.Throttled), false
+	}
+	c := &claim{path: req.path(), record: l.newRecord(req, start), lease: lease, start: start}
+	d := l.create(ctx, c)
+	if d.Verdict == Execute {
+		return d, true
+	}
+	if c.doubt {
+		// The record may stand, or land later, as pending. Only we know that
+		// it will never be dispatched, so we free the key. A create that lands
+		// after that finds another revision than it expects.
+		l.settle(c.path, c.record.abandoned(), c.expect, c.lease)
+		return d, true
+	}
+	return d, false
+}
+
+func (l *Ledger) newRecord(req Request, start time.Time) Record {
+	return Record{
+		Version:     recordVersion,
+		State:       Pending,
+		Nonce:       newNonce(),
+		Fingerprint: req.Fingerprint,
+		Holder:      l.cfg.Holder,
+		Incarnation: l.cfg.Incarnation,
+		Created:     toUnixMilli(start),
+		Deadline:    toUnixMilli(start.Add(l.cfg.DispatchLimit + req.Timeout)),
+	}
+}
+
+// create sends the pending record until it is known whose record stands, or
+// the tries are spent. Sending it again after a lost answer is safe: the same
+// expected revision lets it land once at most, and the nonce in what stands
+// tells whether the first one did.
+func (l *Ledger) create(ctx context.Context, c *claim) Decision {
+	value := c.record.encode()
+	status := kv.Unavailable
+	for try := range l.cfg.CreateTries {
+		if try > 0 && !l.mayRetry(ctx, status, try) {
+			break
+		}
+		res := l.swap(c.path, value, c.expect, c.lease)
+		status = res.Status
+		switch status {
+		case kv.Applied:
+			return l.execute(c, res.Revision)
+		case kv.Conflict:
+			c.doubt = false
+			if d, over := l.judge(c, res.Pairs); over {
+				return d
+			}
+			continue
+		case kv.Unknown:
+			c.doubt = true
+			l.cfg.Observe(CreateUnanswered)
+		case kv.Unavailable:
+			l.leases.drop(c.lease)
+		}
+		if !c.doubt {
+			break // certainly nothing stands
+		}
+	}
+	return unreachable(status)
+}
+
+// mayRetry waits before another try, unless the last one found a free key, and
+// tells whether it may be made.
+func (l *Ledger) mayRetry(ctx context.Context, last kv.Status, try int) bool {
+	if last != kv.Conflict && !pause(ctx, backoff(try-1)) {
+		return false
+	}
+	return l.allow(1)
+}
+
+// swap makes one call. It does not end with the caller's context: cut short, a
+// write would only be in doubt, and callers that hang up would look like a
+// service that does not answer.
+func (l *Ledger) swap(path string, value []byte, expect kv.Revision, lease kv.Lease) kv.Result {
+	ctx, cancel := context.WithTimeout(l.ctx, l.cfg.CallTimeout)
+	defer cancel()
+	res := l.cfg.Store.CompareAndSwap(ctx, path, value, expect, lease)
+	l.gate.note(res.Status)
+	return res
+}
+
+func (l *Ledger) execute(c *claim, revision kv.Revision) Decision {
+	c.doubt = false
+	return Decision{
+		Verdict: Execute,
+		Token:   &Token{claim: *c, revision: revision, limit: l.cfg.DispatchLimit},
+	}
+}
+
+// judge decides by what stands under the key. It is not over if the claim is
+// to be made again, on top of an abandoned record or of none.
+func (l *Ledger) judge(c *claim, standing []kv.Pair) (Decision, bool) {
+	if len(standing) == 0 {
+		c.expect = 0
+		return Decision{}, false
+	}
+	p := standing[0]
+	r, err := DecodeRecord(p.Value)
+	switch {
+	case err != nil:
+		return unreadable(), true
+	case r.Nonce == c.record.Nonce:
+		return l.execute(c, p.Revision), true
+	case r.Fingerprint != c.record.Fingerprint:
+		return keyReused(), true
+	case r.State == Pending:
+		return inProgress(r), true
+	case r.State == Finished:
+		return Decision{Verdict: Done, Record: r}, true
+	}
+	// Abandoned: its holder has said that it never dispatched and never will.
+	// Of all who build on this revision the service lets one through.
+	c.expect = p.Revision
+	return Decision{}, false
+}
+
+// Waits between tries double from the first to the longest.
+const (
+	firstBackoff   = 50 * time.Millisecond
+	longestBackoff = 5 * time.Second
+)
+
+// backoff returns the wait after the given try, from zero, with jitter.
+func backoff(try int) time.Duration {
+	d := min(firstBackoff<<min(try, 10), longestBackoff)
+	return d/2 + rand.N(d/2)
+}
+
+// pause waits for d, and tells whether ctx lasted.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/coordination/execution/refusal.go
@@ -0,0 +1,119 @@
+package execution
+
+import (
+	"fmt"
+	"time"
+
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/outcome"
+)
+
+// When to come back after the refusals of a Ledger.
+const (
+	retryPlatform = 2 * time.Second
+	retryRate     = time.Second
+	retryProgress = time.Second
+	retrySilent   = 30 * time.Second
+	retryNever    = time.Hour // another try with this key cannot succeed
+)
+
+func refused(code outcome.Code, message string, after time.Duration) Decision {
+	return Decision{Verdict: Refused, Refusal: &outcome.Refusal{
+		Code: code, Message: message, Outcome: outcome.NotRun, RetryAfter: after,
+	}}
+}
+
+// unreachable refuses an action whose record could not be created. It is not
+// run, even if its create landed: the creator alone could dispatch it, and
+// does not.
+func unreachable(s kv.Status) Decision {
+	if s == kv.Throttled {
+		return refused(outcome.Overloaded, "the rate of actions is at its limit; repeat with the same key", retryRate)
+	}
+	return refused(outcome.PlatformUnavailable, "the action could not be put on record; repeat with the same key", retryPlatform)
+}
+
+// expired refuses a key whose record may be gone. What became of an earlier
+// try with it cannot be told any more, so the outcome is unknown.
+func expired(retention time.Duration) Decision {
+	return Decision{Verdict: Expired, Refusal: &outcome.Refusal{
+		Code:       outcome.KeyExpired,
+		Message:    fmt.Sprintf("the idempotency key is older than %v; find out whether an earlier try ran before using a new key", retention),
+		Outcome:    outcome.Unknown,
+		RetryAfter: retryNever,
+	}}
+}
+
+func fromFuture(ahead time.Duration) Decision {
+	return Decision{Verdict: FromFuture, Refusal: &outcome.Refusal{
+		Code:       outcome.Malformed,
+		Message:    "the idempotency key was issued in the future; check the clock",
+		Outcome:    outcome.NotRun,
+		RetryAfter: ahead,
+	}}
+}
+
+func keyReused() Decision {
+	return Decision{Verdict: KeyReused, Refusal: &outcome.Refusal{
+		Code:       outcome.Conflict,
+		Message:    "the idempotency key belongs to another request",
+		Outcome:    outcome.NotRun,
+		RetryAfter: retryNever,
+	}}
+}
+
+// unreadable refuses to build on a record that a newer version wrote.
+func unreadable() Decision {
+	return Decision{Verdict: Refused, Refusal: &outcome.Refusal{
+		Code:       outcome.Conflict,
+		Message:    "the record of this idempotency key cannot be read",
+		Outcome:    outcome.Unknown,
+		RetryAfter: retrySilent,
+	}}
+}
+
+// inProgress refuses a repeat while the holder has not reported. The action
+// may be running, so its outcome is unknown.
+func inProgress(r Record) Decision {
+	refusal := &outcome.Refusal{
+		Code:       outcome.InProgress,
+		Message:    "an earlier try with this key is being run; repeat to get its answer",
+		Outcome:    outcome.Unknown,
+		RetryAfter: retryProgress,
+	}
+	if toUnixMilli(time.Now()) > r.Deadline {
+		refusal.Message = fmt.Sprintf("an earlier try with this key has not been reported by router %s; it may have run", r.Holder)
+		refusal.RetryAfter = retrySilent
+	}
+	return Decision{Verdict: InProgress, Record: r, Refusal: refusal}
+}
+
+// tooLate refuses an action whose holder was frozen before it could dispatch.
+func tooLate() *outcome.Refusal {
+	return &outcome.Refusal{
+		Code:       outcome.Deadline,
+		Message:    "the router was too slow to send the action; repeat with the same key",
+		Outcome:    outcome.NotRun,
+		RetryAfter: retryRate,
+	}
+}
+
+// answerNotKept tells a repeat that the action ran, without its answer.
+func answerNotKept() *outcome.Refusal {
+	return &outcome.Refusal{
+		Code:       outcome.Conflict,
+		Message:    "the action ran; its answer was too large to keep",
+		Outcome:    outcome.Ran,
+		RetryAfter: retryNever,
+	}
+}
+
+// lostAnswer tells what is known of an action whose answer was lost.
+func lostAnswer() *outcome.Refusal {
+	return &outcome.Refusal{
+		Code:       outcome.EndpointLost,
+		Message:    "the action was sent and its answer was lost; it may have run and is not sent again",
+		Outcome:    outcome.Unknown,
+		RetryAfter: retryNever,
+	}
+}
--- /dev/null
+++ b/coordination/execution/safety_test.go
@@ -0,0 +1,108 @@
+package execution_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+)
+
+// weathers are ways in which things go wrong, singly and all together.
+var weathers = []struct {
+	name  string
+	rates rates
+}{
+	{"lost answers", rates{loseCall: 5, loseReply: 15, landLate: 10, slow: 10, loseAnswer: 5}},
+	{"freezes", rates{freeze: 3, loseReply: 3}},
+	{"kills", rates{kill: 2, loseReply: 3}},
+	{"outages", rates{outage: 40, refuse: 10, decline: 10, landLate: 3}},
+	{"all together", rates{
+		loseCall: 5, loseReply: 10, landLate: 5, slow: 10,
+		refuse: 10, decline: 5, loseAnswer: 10, freeze: 1, kill: 1, outage: 20,
+	}},
+}
+
+const (
+	fleetRouters  = 3
+	fleetKeys     = 4
+	callersPerKey = 4
+	triesPerCall  = 8
+)
+
+// simulate runs callers against a fleet and returns what happened.
+func simulate(t *testing.T, seed uint64, r rates, p planted) *history {
+	var h *history
+	synctest.Test(t, func(*testing.T) {
+		f := newFleet(seed, fleetRouters, r, p)
+		w := &weather{fleet: f, chance: newChance(seed, 1<<32), ended: make(chan struct{})}
+		f.work.Add(1)
+		go w.run()
+		var callers sync.WaitGroup
+		for i := range fleetKeys * callersPerKey {
+			callers.Add(1)
+			c := &caller{
+				fleet: f, id: i, key: fmt.Sprint("key-", i%fleetKeys), issued: time.Now(),
+				chance: newChance(seed, 1<<33+uint64(i)), tries: triesPerCall,
+			}
+			go c.run(&callers)
+		}
+		callers.Wait()
+		close(w.ended)
+		time.Sleep(2 * retention) // records expire
+		f.stop()
+		h = f.history
+	})
+	return h
+}
+
+// Callers send the same orders through several routers at once and again
+// later, while the platform loses answers, applies writes long after their
+// sender gave up, and is down; routers freeze past every deadline and wake, or
+// die; and the service cuts connections. An order that ran twice, or that ran
+// although its caller was told not-run, is what no user may ever see.
+func TestAtMostOnceInFoulWeather(t *testing.T) {
+	const seeds = 60
+	for _, tt := range weathers {
+		t.Run(tt.name, func(t *testing.T) {
+			var sum tally
+			for seed := range uint64(seeds) {
+				h := simulate(t, seed, tt.rates, noFault)
+				assert.Assert(t, porcupine.CheckOperations(model, h.ops), "seed %d", seed)
+				sum.add(h.tally())
+			}
+			t.Logf("%d histories: %+v", seeds, sum)
+			assert.Assert(t, sum.ran > 0 && sum.arrivals <= seeds*fleetKeys, "%+v", sum)
+		})
+	}
+}
+
+// The checker must see the faults that the design is there to prevent, or its
+// silence means nothing.
+func TestCheckerFindsPlantedFaults(t *testing.T) {
+	const seeds = 20
+	tests := []struct {
+		name  string
+		fault planted
+		rates rates
+	}{
+		{"take-over of a silent holder's record", takeOver, rates{freeze: 4}},
+		{"retry after a cut connection", retryAfterCut, rates{loseAnswer: 50}},
+		{"not-run after bytes were sent", denyAfterSending, rates{loseAnswer: 50}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			found := 0
+			for seed := range uint64(seeds) {
+				if !porcupine.CheckOperations(model, simulate(t, seed, tt.rates, tt.fault).ops) {
+					found++
+				}
+			}
+			t.Logf("found in %d of %d histories", found, seeds)
+			assert.Assert(t, found > 0)
+		})
+	}
+}
--- /dev/null
+++ b/coordination/execution/settlement.go
@@ -0,0 +1,128 @@
+package execution
+
+import (
+	"context"
+	"time"
+
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/outcome"
+)
+
+// Finish records the end of a dispatched action, for repeats to find. It
+// returns once the record stands, or after FinishWait or with ctx, and tells
+// whether it stands; if not, tries go on in the background for as long as the
+// record lives. The caller's own answer need not wait for more.
+func (l *Ledger) Finish(ctx context.Context, t *Token, o outcome.Outcome, a *Answer) bool {
+	t.settle()
+	r := t.claim.record.finished(o, a, l.cfg.KeepLimit)
+	s := l.settle(t.claim.path, r, t.revision, t.claim.lease)
+	return l.await(ctx, s)
+}
+
+// Abandon records that the action was not and will not be dispatched by this
+// token, which frees its key for a repeat. It waits as Finish does.
+func (l *Ledger) Abandon(ctx context.Context, t *Token) bool {
+	t.settle()
+	s := l.settle(t.claim.path, t.claim.record.abandoned(), t.revision, t.claim.lease)
+	return l.await(ctx, s)
+}
+
+func (l *Ledger) await(ctx context.Context, s *settlement) bool {
+	timer := time.NewTimer(l.cfg.FinishWait)
+	defer timer.Stop()
+	select {
+	case <-s.ended:
+		return s.stands
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	l.cfg.Observe(SettlementDelayed)
+	return false
+}
+
+// settlement writes the last state of a record that this router holds. It
+// keeps the record's lease: a write without one would make the record stay for
+// ever.
+type settlement struct {
+	ledger *Ledger
+	path   string
+	record Record
+	expect kv.Revision
+	lease  kv.Lease
+	ended  chan struct{}
+	stands bool // valid once ended is closed
+}
+
+// settle starts a settlement, which owns one slot until it ends.
+func (l *Ledger) settle(path string, r Record, expect kv.Revision, lease kv.Lease) *settlement {
+	s := &settlement{ledger: l, path: path, record: r, expect: expect, lease: lease, ended: make(chan struct{})}
+	l.work.Add(1)
+	go s.run()
+	return s
+}
+
+// run tries until the record stands, is found to be gone, or has outlived its
+// lease.
+func (s *settlement) run() {
+	l := s.ledger
+	defer l.work.Done()
+	defer l.release()
+	defer close(s.ended)
+	value := s.record.encode()
+	start := time.Now()
+	for try := 0; elapsed(start) < l.cfg.life(); try++ {
+		if try > 0 && !pause(l.ctx, backoff(try)) {
+			break
+		}
+		// Begin has paid for the first try.
+		if try > 0 && !l.allow(1) {
+			continue
+		}
+		res := l.swap(s.path, value, s.expect, s.lease)
+		if s.over(res) {
+			return
+		}
+	}
+	l.cfg.Observe(SettlementGivenUp)
+}
+
+// over tells whether res ends the settlement, and reports how.
+func (s *settlement) over(res kv.Result) bool {
+	switch res.Status {
+	case kv.Applied:
+		s.report()
+		return true
+	case kv.Conflict:
+		return s.meets(res.Pairs)
+	default:
+		return false
+	}
+}
+
+// meets judges what stands instead of the expected revision.
+func (s *settlement) meets(standing []kv.Pair) bool {
+	if len(standing) > 0 {
+		r, err := DecodeRecord(standing[0].Value)
+		if err == nil && r.Nonce == s.record.Nonce {
+			if r.State == s.record.State {
+				s.report() // the answer to an earlier try was lost
+				return true
+			}
+			s.expect = standing[0].Revision // a create that landed late
+			return false
+		}
+	}
+	if s.record.State == Finished {
+		s.ledger.cfg.Observe(RecordLost)
+	}
+	return true
+}
+
+func (s *settlement) report() {
+	s.stands = true
+	if s.record.State == Finished {
+		s.ledger.cfg.Observe(RecordFinished)
+		return
+	}
+	s.ledger.cfg.Observe(RecordAbandoned)
+}
