--- /dev/null
+++ b/coordination/execution/ledger_test.go
@@ -0,0 +1,380 @@
+package execution_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination/execution"
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/kv/kvtest"
+	"wisteriaspool/coordination/outcome"
+)
+
+// newLedger returns a ledger over store with short times.
+func newLedger(t *testing.T, store execution.Store, change func(*execution.Config)) *execution.Ledger {
+	t.Helper()
+	cfg := execution.Config{
+		Store:     store,
+		Holder:    "r1",
+		Retention: retention,
+		ClockSkew: 5 * time.Second,
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	l, cleanup := execution.New(cfg)
+	t.Cleanup(cleanup)
+	return l
+}
+
+// order returns a request of now under key.
+func order(key execution.Key) execution.Request {
+	return execution.Request{
+		Team: "solco", Key: key, IssuedAt: time.Now(), Timeout: 5 * time.Second,
+		Fingerprint: execution.FingerprintOf([]byte("book"), []byte("slot 7")),
+	}
+}
+
+// sender answers every action, and counts.
+type sender struct {
+	sent   int
+	answer string
+	result *execution.Result // instead of the answer
+}
+
+func (s *sender) Send(context.Context) execution.Result {
+	s.sent++
+	if s.result != nil {
+		return *s.result
+	}
+	return execution.Result{Outcome: outcome.Ran, Answer: &execution.Answer{Status: 201, Body: []byte(s.answer)}}
+}
+
+func TestRepeatGetsSameAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvtest.New()
+		s := &sender{answer: "booked"}
+		first := newLedger(t, store, nil).Run(t.Context(), order("k"), s)
+		assert.Equal(t, first.Outcome, outcome.Ran)
+		second := newLedger(t, store, nil).Run(t.Context(), order("k"), s)
+		assert.Equal(t, second.Outcome, outcome.Ran)
+		assert.Assert(t, second.Repeated)
+		assert.DeepEqual(t, second.Answer, first.Answer)
+		assert.Equal(t, s.sent, 1)
+	})
+}
+
+func TestVerdicts(t *testing.T) {
+	other := order("k")
+	other.Fingerprint = execution.FingerprintOf([]byte("book"), []byte("slot 8"))
+	tests := []struct {
+		name    string
+		change  func(*execution.Request)
+		verdict execution.Verdict
+		code    outcome.Code
+		outcome outcome.Outcome
+	}{
+		{"same key while it is held", func(*execution.Request) {}, execution.InProgress, outcome.InProgress, outcome.Unknown},
+		{"same key, other request", func(r *execution.Request) { r.Fingerprint = other.Fingerprint }, execution.KeyReused, outcome.Conflict, outcome.NotRun},
+		{"no key", func(r *execution.Request) { r.Key = "" }, execution.Refused, outcome.Malformed, outcome.NotRun},
+		{"old key", func(r *execution.Request) { r.IssuedAt = r.IssuedAt.Add(-retention) }, execution.Expired, outcome.KeyExpired, outcome.Unknown},
+		{"older than the team keeps", func(r *execution.Request) {
+			r.IssuedAt, r.Retention = r.IssuedAt.Add(-2*time.Minute), time.Minute
+		}, execution.Expired, outcome.KeyExpired, outcome.Unknown},
+		{"key of tomorrow", func(r *execution.Request) { r.IssuedAt = r.IssuedAt.Add(time.Hour) }, execution.FromFuture, outcome.Malformed, outcome.NotRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLedger(t, kvtest.New(), nil)
+				held := l.Begin(t.Context(), order("k"))
+				assert.Equal(t, held.Verdict, execution.Execute)
+				req := order("k")
+				tt.change(&req)
+				d := l.Begin(t.Context(), req)
+				assert.Equal(t, d.Verdict, tt.verdict)
+				assert.Equal(t, d.Refusal.Code, tt.code)
+				assert.Equal(t, d.Refusal.Outcome, tt.outcome)
+				assert.Assert(t, d.Refusal.RetryAfterSeconds() > 0)
+				assert.Equal(t, l.Open(), 1)
+			})
+		})
+	}
+}
+
+// The create takes effect, but its answer is lost. The router must find its
+// own record, run the action, and not tell its caller to try elsewhere while
+// the key is taken.
+func TestLostCreateAnswerIsReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvtest.New()
+		lost := false
+		store.SetFaults(kvtest.Faults{LoseReply: func(op, _ string) bool {
+			first := op == "cas" && !lost
+			lost = lost || first
+			return first
+		}})
+		s := &sender{}
+		res := newLedger(t, store, nil).Run(t.Context(), order("k"), s)
+		assert.Equal(t, res.Outcome, outcome.Ran)
+		assert.Equal(t, s.sent, 1)
+		assert.Equal(t, store.Calls("cas"), 3)
+	})
+}
+
+// No create is ever answered, so the caller is told not-run, yet a record
+// stands. The holder frees the key as soon as the platform answers again;
+// until then a repeat could neither run nor learn anything.
+func TestUnansweredCreateIsAbandoned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvtest.New()
+		store.SetFaults(kvtest.Faults{LoseReply: func(op, _ string) bool { return op == "cas" }})
+		l := newLedger(t, store, nil)
+		s := &sender{}
+		res := l.Run(t.Context(), order("k"), s)
+		assert.Equal(t, res.Outcome, outcome.NotRun)
+		assert.Equal(t, res.Refusal.Code, outcome.PlatformUnavailable)
+		assert.Equal(t, s.sent, 0)
+		store.SetFaults(kvtest.Faults{})
+		assert.Assert(t, l.Drain(t.Context()))
+		res = newLedger(t, store, nil).Run(t.Context(), order("k"), s)
+		assert.Equal(t, res.Outcome, outcome.Ran)
+		assert.Equal(t, s.sent, 1)
+	})
+}
+
+// The platform is down for minutes. Callers are to be told at once that their
+// orders were not run and when to come back, and the routers must not meet the
+// returning service with a call for each order of the outage.
+func TestOutageRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvtest.New()
+		l := newLedger(t, store, nil)
+		s := &sender{}
+		assert.Equal(t, l.Run(t.Context(), order("warm"), s).Outcome, outcome.Ran)
+		store.SetFaults(kvtest.Faults{LoseCall: func(string, string) bool { return true }})
+		for range 10 {
+			l.Run(t.Context(), order("k"), s)
+		}
+		start := time.Now()
+		for range 100 {
+			res := l.Run(t.Context(), order("k"), s)
+			assert.Equal(t, res.Outcome, outcome.NotRun)
+			assert.Equal(t, res.Refusal.Code, outcome.PlatformUnavailable)
+			assert.Assert(t, res.Refusal.RetryAfter > 0)
+		}
+		assert.Equal(t, time.Since(start), time.Duration(0))
+		assert.Equal(t, s.sent, 1)
+		store.SetFaults(kvtest.Faults{})
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, l.Run(t.Context(), order("k"), s).Outcome, outcome.Ran)
+	})
+}
+
+// A router is stopped by SIGSTOP after its record was created, for longer than
+// any lease. Awake again it must not rely on a record that may be long gone.
+func TestFrozenHolderDoesNotDispatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedger(t, kvtest.New(), nil)
+		d := l.Begin(t.Context(), order("k"))
+		time.Sleep(execution.DefaultDispatchLimit + time.Nanosecond)
+		assert.Assert(t, !d.Token.Dispatch())
+		assert.Assert(t, l.Abandon(t.Context(), d.Token))
+		assert.Equal(t, l.Open(), 0)
+	})
+}
+
+func TestTokenDispatchesOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedger(t, kvtest.New(), nil)
+		token := l.Begin(t.Context(), order("k")).Token
+		assert.Assert(t, token.Dispatch())
+		assert.Assert(t, !token.Dispatch())
+		l.Finish(t.Context(), token, outcome.Ran, nil)
+		assert.Assert(t, !token.Dispatch())
+		defer func() { assert.Equal(t, recover(), "execution: token settled twice") }()
+		l.Abandon(t.Context(), token)
+	})
+}
+
+// The platform goes down between the dispatch of an order and its end. The
+// caller gets the answer all the same, and a repeat gets it, too, once the
+// platform is back.
+func TestFinishOutlastsOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvtest.New()
+		l := newLedger(t, store, nil)
+		token := l.Begin(t.Context(), order("k")).Token
+		assert.Assert(t, token.Dispatch())
+		store.SetFaults(kvtest.Faults{Down: true})
+		start := time.Now()
+		assert.Assert(t, !l.Finish(t.Context(), token, outcome.Ran, &execution.Answer{Status: 200, Body: []byte("booked")}))
+		assert.Equal(t, time.Since(start), execution.DefaultFinishWait)
+		time.Sleep(5 * time.Minute)
+		store.SetFaults(kvtest.Faults{})
+		assert.Assert(t, l.Drain(t.Context()))
+		res := newLedger(t, store, nil).Run(t.Context(), order("k"), &sender{})
+		assert.Equal(t, string(res.Answer.Body), "booked")
+	})
+}
+
+// A key's record must stand for as long as any router accepts the key: were it
+// gone a moment earlier, a late repeat would run the order again. The holder's
+// lease is nearly as old as it may be when the record is created.
+func TestRecordOutlivesKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvtest.New()
+		l := newLedger(t, store, nil)
+		s := &sender{}
+		l.Run(t.Context(), order("first"), s)
+		time.Sleep(retention/4 - time.Second)
+		req := order("k")
+		req.IssuedAt = req.IssuedAt.Add(5 * time.Second) // a caller whose clock is ahead
+		assert.Equal(t, l.Run(t.Context(), req, s).Outcome, outcome.Ran)
+		assert.Equal(t, store.Calls("grant"), 1)
+		for range retention / time.Second {
+			time.Sleep(time.Second)
+			res := l.Run(t.Context(), req, s)
+			assert.Assert(t, res.Repeated || res.Refusal.Code == outcome.KeyExpired)
+		}
+		assert.Equal(t, s.sent, 2)
+		time.Sleep(retention)
+		assert.Equal(t, len(store.List(t.Context(), execution.Prefix).Pairs), 0)
+		assert.Equal(t, store.Calls("delete"), 0)
+	})
+}
+
+// lapsing is a service that has lost its leases, as after a restore.
+type lapsing struct {
+	*kvtest.Store
+	lost bool
+}
+
+func (s *lapsing) CompareAndSwap(ctx context.Context, key string, value []byte, expect kv.Revision, lease kv.Lease) kv.Result {
+	if s.lost && lease == 1 {
+		return kv.Result{Status: kv.Unavailable}
+	}
+	return s.Store.CompareAndSwap(ctx, key, value, expect, lease)
+}
+
+// The service no longer knows the lease that a router attaches its records to.
+// If the router kept it, all orders would be refused for hours.
+func TestLostLeaseIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &lapsing{Store: kvtest.New()}
+		l := newLedger(t, store, nil)
+		s := &sender{}
+		assert.Equal(t, l.Run(t.Context(), order("a"), s).Outcome, outcome.Ran)
+		store.lost = true
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, l.Run(t.Context(), order("b"), s).Outcome, outcome.NotRun)
+		assert.Equal(t, l.Run(t.Context(), order("b"), s).Outcome, outcome.Ran)
+		assert.Equal(t, store.Calls("grant"), 2)
+	})
+}
+
+// The service's answer is larger than what is kept. A repeat must still learn
+// that the order ran.
+func TestLargeAnswerIsNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedger(t, kvtest.New(), func(c *execution.Config) { c.KeepLimit = 4 })
+		s := &sender{answer: "booked"}
+		assert.Equal(t, string(l.Run(t.Context(), order("k"), s).Answer.Body), "booked")
+		res := l.Run(t.Context(), order("k"), s)
+		assert.Equal(t, res.Outcome, outcome.Ran)
+		assert.Assert(t, res.Answer == nil)
+		assert.Equal(t, res.Refusal.Outcome, outcome.Ran)
+		assert.Equal(t, s.sent, 1)
+	})
+}
+
+// The connection to the service broke after the order was sent. Nobody will
+// ever know, and a repeat must be told so rather than be run.
+func TestUnknownEndIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedger(t, kvtest.New(), nil)
+		s := &sender{result: &execution.Result{Outcome: outcome.Unknown, Refusal: &outcome.Refusal{}}}
+		assert.Equal(t, l.Run(t.Context(), order("k"), s).Outcome, outcome.Unknown)
+		res := l.Run(t.Context(), order("k"), s)
+		assert.Equal(t, res.Outcome, outcome.Unknown)
+		assert.Equal(t, res.Refusal.Code, outcome.EndpointLost)
+		assert.Equal(t, s.sent, 1)
+	})
+}
+
+type panicking struct{}
+
+func (panicking) Send(context.Context) execution.Result { panic("boom") }
+
+// A fault in the sending code strikes when the order may be out already.
+func TestPanicWhileSendingIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedger(t, kvtest.New(), nil)
+		func() {
+			defer func() { assert.Equal(t, recover(), "boom") }()
+			l.Run(t.Context(), order("k"), panicking{})
+		}()
+		assert.Equal(t, l.Run(t.Context(), order("k"), &sender{}).Outcome, outcome.Unknown)
+		assert.Equal(t, l.Open(), 0)
+	})
+}
+
+func TestOpenRecordsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedger(t, kvtest.New(), func(c *execution.Config) { c.MaxOpen = 1 })
+		held := l.Begin(t.Context(), order("a"))
+		assert.Equal(t, held.Verdict, execution.Execute)
+		d := l.Begin(t.Context(), order("b"))
+		assert.Equal(t, d.Refusal.Code, outcome.Overloaded)
+		l.Abandon(t.Context(), held.Token)
+		assert.Equal(t, l.Begin(t.Context(), order("b")).Verdict, execution.Execute)
+	})
+}
+
+type allowance struct{ left int }
+
+func (a *allowance) Allow(n int) bool {
+	if n > a.left {
+		return false
+	}
+	a.left -= n
+	return true
+}
+
+func TestBudgetRefusesBeforeCalling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := kvtest.New()
+		l := newLedger(t, store, func(c *execution.Config) { c.Budget = &allowance{left: 3} })
+		s := &sender{}
+		assert.Equal(t, l.Run(t.Context(), order("a"), s).Outcome, outcome.Ran)
+		res := l.Run(t.Context(), order("b"), s)
+		assert.Equal(t, res.Outcome, outcome.NotRun)
+		assert.Equal(t, res.Refusal.Code, outcome.Overloaded)
+		assert.Equal(t, store.Calls("cas"), 2)
+	})
+}
+
+func TestKeyIssuedAt(t *testing.T) {
+	now := time.Now()
+	id, err := uuid.NewV7()
+	assert.NilError(t, err)
+	issued, ok := execution.Key(id.String()).IssuedAt()
+	assert.Assert(t, ok)
+	assert.Assert(t, issued.Sub(now).Abs() < time.Minute)
+	for _, k := range []execution.Key{"", "order-17", execution.Key(uuid.NewString())} {
+		_, ok := k.IssuedAt()
+		assert.Assert(t, !ok)
+	}
+}
+
+func TestDecodeRecordRefusesForeign(t *testing.T) {
+	for _, b := range []string{"", "{}", "\xa0", "\xa1\x01\x02"} {
+		_, err := execution.DecodeRecord([]byte(b))
+		assert.ErrorContains(t, err, "execution: ")
+	}
+}
