coordination/settings/schema: read INI against a declared table

The INI library tells no lines, and an operator needs them with every fault. A scanner finds the lines and passes on only what it understands, so that library and scanner cannot read a line differently. One table gives forms, units, defaults, bounds and the reference page.

--- /dev/null
+++ b/coordination/settings/schema/reference.go
@@ -0,0 +1,52 @@
+package schema
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Markdown returns the reference of all sections and keys for operators. Each
+// section is a heading of the given level.
+func (s Schema) Markdown(level int) string {
+	var b strings.Builder
+	for _, sec := range s {
+		fmt.Fprintf(&b, "%s `[%s]`\n\n%s\n\n", strings.Repeat("#", level), sec.title("name"), sec.Doc)
+		b.WriteString("| key | form | unit | default | bounds | meaning |\n")
+		b.WriteString("| --- | --- | --- | --- | --- | --- |\n")
+		for _, k := range sec.Keys {
+			fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %s |\n",
+				k.Name, k.Kind, dash(k.Unit), k.fallbackText(), dash(k.bounds()), k.Doc)
+		}
+		b.WriteString("\n")
+	}
+	return strings.TrimRight(b.String(), "\n") + "\n"
+}
+
+func (k Key) fallbackText() string {
+	if k.Required {
+		return "required"
+	}
+	if k.Default == "" {
+		return "empty"
+	}
+	return "`" + k.Default + "`"
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// String returns the short name of k in the reference.
+func (k Kind) String() string {
+	names := [...]string{
+		"text", "name", "names", "integer", "number", "duration", "size",
+		"boolean", "address", "addresses", "URL",
+	}
+	if k < 0 || int(k) >= len(names) {
+		return "unknown"
+	}
+	return names[k]
+}
--- /dev/null
+++ b/coordination/settings/schema/scan.go
@@ -0,0 +1,173 @@
+package schema
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/samber/lo"
+)
+
+// header matches a section header with its optional name, quoted or not.
+var header = regexp.MustCompile(`^\[\s*([A-Za-z][A-Za-z0-9-]*)(?:\s+(?:"([^"\]]*)"|([^"\]\s]+)))?\s*\]\s*(?:[;#].*)?$`)
+
+var (
+	validName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._@:/-]{0,127}$`)
+	validKey  = regexp.MustCompile(`^[a-z][a-z0-9-]*$`)
+)
+
+// ValidName reports whether s may name a model, an account and the like: a
+// letter or digit, then up to 127 letters, digits or any of . _ @ : / -
+func ValidName(s string) bool { return validName.MatchString(s) }
+
+// place is where a section or one of its keys is written.
+type place struct {
+	section Section
+	name    string
+	title   string // as in model "chat"
+	line    int
+	keys    map[string]int
+}
+
+// scanner finds the lines of sections and keys, which the INI library does not
+// tell. It passes on only lines that it understands and the table knows, so
+// that the library cannot read a line in another way than the scanner did.
+type scanner struct {
+	schema   Schema
+	file     string
+	problems []Problem
+	places   map[string]*place
+	order    []*place
+	current  *place
+	inside   bool // some header came before, even if it was refused
+	clean    strings.Builder
+}
+
+// scan returns the lines of text that follow the table.
+func (s *scanner) scan(text []byte) string {
+	s.places = make(map[string]*place)
+	body := strings.TrimPrefix(string(text), "\ufeff")
+	for i, line := range strings.Split(body, "\n") {
+		kept := s.line(i+1, strings.TrimSpace(line))
+		s.clean.WriteString(kept)
+		s.clean.WriteByte('\n')
+	}
+	return s.clean.String()
+}
+
+// line returns what the library should read in place of the line n.
+func (s *scanner) line(n int, line string) string {
+	switch {
+	case !utf8.ValidString(line) || strings.ContainsRune(line, 0):
+		s.report(n, "", "the line is not UTF-8 text")
+		return ""
+	case line == "" || line[0] == ';' || line[0] == '#':
+		return ""
+	case line[0] == '[':
+		return s.header(n, line)
+	default:
+		return s.key(n, line)
+	}
+}
+
+func (s *scanner) header(n int, line string) string {
+	s.current = nil
+	s.inside = true
+	m := header.FindStringSubmatch(line)
+	if m == nil {
+		s.report(n, "", `%s is no section header; write [section] or [section "name"]`, line)
+		return ""
+	}
+	name := m[2] + m[3]
+	sec, ok := s.schema.section(m[1])
+	if !ok {
+		s.problem(n, m[1], "", "unknown section; known are "+s.schema.titles())
+		return ""
+	}
+	p := &place{section: sec, name: name, title: sec.title(name), line: n, keys: make(map[string]int)}
+	if !s.fits(p) {
+		return ""
+	}
+	s.places[p.title] = p
+	s.order = append(s.order, p)
+	s.current = p
+	return "[" + p.title + "]"
+}
+
+// fits reports whether the section at p may stand there.
+func (s *scanner) fits(p *place) bool {
+	earlier, twice := s.places[p.title]
+	switch {
+	case p.section.Named && p.name == "":
+		s.problem(p.line, p.section.Name, "", fmt.Sprintf(`the section needs a name: [%s "name"]`, p.section.Name))
+	case p.section.Named && !ValidName(p.name):
+		s.problem(p.line, p.title, "", fmt.Sprintf("%q is no name; letters, digits and . _ @ : / - are allowed, at most 128", p.name))
+	case !p.section.Named && p.name != "":
+		s.problem(p.line, p.section.Name, "", fmt.Sprintf("the section takes no name; write [%s]", p.section.Name))
+	case twice:
+		s.problem(p.line, p.title, "", fmt.Sprintf("the section stands already at line %d; write its keys there", earlier.line))
+	default:
+		return true
+	}
+	return false
+}
+
+func (s *scanner) key(n int, line string) string {
+	key, value, found := strings.Cut(line, "=")
+	key, value = strings.TrimSpace(key), strings.TrimSpace(value)
+	if !s.inside {
+		s.report(n, "", "%q stands before any section; sections are %s", key, s.schema.titles())
+		return ""
+	}
+	if s.current == nil {
+		return "" // under a refused header: one problem is enough
+	}
+	p := s.current
+	if !found {
+		s.report(n, "", "%q is neither a section nor a key; write key = value", line)
+		return ""
+	}
+	if _, known := p.section.key(key); !known || !validKey.MatchString(key) {
+		s.problem(n, p.title, key, "unknown key; known are "+p.section.names())
+		return ""
+	}
+	if earlier, twice := p.keys[key]; twice {
+		s.problem(n, p.title, key, fmt.Sprintf("the key stands already at line %d", earlier))
+		return ""
+	}
+	if strings.HasPrefix(value, `"""`) || strings.HasPrefix(value, "`") {
+		s.problem(n, p.title, key, "a value stands on one line, plain or in double quotes")
+		return ""
+	}
+	p.keys[key] = n
+	return line
+}
+
+func (s *scanner) report(n int, key, format string, args ...any) {
+	title := ""
+	if s.current != nil {
+		title = s.current.title
+	}
+	s.problem(n, title, key, fmt.Sprintf(format, args...))
+}
+
+func (s *scanner) problem(n int, section, key, message string) {
+	s.problems = append(s.problems, Problem{File: s.file, Line: n, Section: section, Key: key, Message: message})
+}
+
+// title returns the section's header without its brackets.
+func (s Section) title(name string) string {
+	if !s.Named {
+		return s.Name
+	}
+	return fmt.Sprintf("%s %q", s.Name, name)
+}
+
+func (s Section) names() string {
+	return strings.Join(lo.Map(s.Keys, func(k Key, _ int) string { return k.Name }), ", ")
+}
+
+func (s Schema) titles() string {
+	return strings.Join(lo.Map(s, func(sec Section, _ int) string { return "[" + sec.title("name") + "]" }), ", ")
+}
--- /dev/null
+++ b/coordination/settings/schema/value.go
@@ -0,0 +1,199 @@
+package schema
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// value is what a key was found to hold.
+type value struct {
+	text   string
+	list   []string
+	whole  int64   // integers, bytes, nanoseconds
+	number float64 // whole as a number too, for bounds
+	truth  bool
+	line   int // zero for a default
+}
+
+// sizes are the units of a Size, longest suffix first.
+var sizes = []struct {
+	unit  string
+	bytes int64
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"B", 1}}
+
+// forms says for each kind what an operator should have written.
+var forms = map[Kind]string{
+	Text:      "text on one line",
+	Name:      "a name of letters, digits and . _ @ : / -",
+	Names:     "names separated by commas",
+	Integer:   "a whole number without a unit",
+	Number:    "a decimal number without a unit",
+	Duration:  "a duration with a unit, as in 250ms, 30s or 24h",
+	Size:      "a whole number with B, KiB, MiB or GiB, as in 64KiB",
+	Boolean:   "true or false",
+	Address:   "host:port, as in 10.0.0.7:8080",
+	Addresses: "host:port pairs separated by commas",
+	URL:       "an absolute URL, as in http://10.0.0.9:2379",
+}
+
+var errForm = errors.New("schema: wrong form")
+
+// read returns the value that text has for k, or an error if it has none.
+func (k Key) read(text string) (value, error) {
+	v, err := k.Kind.read(text)
+	if err != nil {
+		return value{}, fmt.Errorf("%q is not right; write %s", text, k.expected())
+	}
+	if !k.inBounds(v) {
+		return value{}, fmt.Errorf("%s is out of bounds; write %s", text, k.expected())
+	}
+	return v, nil
+}
+
+// expected says what would be right for k.
+func (k Key) expected() string {
+	s := forms[k.Kind]
+	if k.Unit != "" {
+		s += " (" + k.Unit + ")"
+	}
+	if b := k.bounds(); b != "" {
+		s += ", " + b
+	}
+	return s
+}
+
+func (k Key) bounds() string {
+	switch {
+	case k.Min != "" && k.Max != "":
+		return "from " + k.Min + " to " + k.Max
+	case k.Min != "":
+		return "at least " + k.Min
+	case k.Max != "":
+		return "at most " + k.Max
+	default:
+		return ""
+	}
+}
+
+func (k Key) inBounds(v value) bool {
+	if k.Min != "" && v.number < k.bound(k.Min) {
+		return false
+	}
+	return k.Max == "" || v.number <= k.bound(k.Max)
+}
+
+// bound reads a bound of the table. A wrong table is a fault of the program.
+func (k Key) bound(text string) float64 {
+	v, err := k.Kind.read(text)
+	if err != nil {
+		panic(fmt.Sprintf("schema: key %s has the bound %q", k.Name, text))
+	}
+	return v.number
+}
+
+func (k Kind) read(text string) (value, error) {
+	v := value{text: text}
+	var err error
+	switch k {
+	case Text:
+	case Name:
+		err = check(ValidName(text))
+	case Names:
+		v.list = split(text)
+		err = check(lo.EveryBy(v.list, ValidName))
+	case Integer:
+		v.whole, err = strconv.ParseInt(text, 10, 64)
+		v.number = float64(v.whole)
+	case Number:
+		v.number, err = readNumber(text)
+	case Duration:
+		v.whole, err = readDuration(text)
+		v.number = float64(v.whole)
+	case Size:
+		v.whole, err = readSize(text)
+		v.number = float64(v.whole)
+	case Boolean:
+		v.truth = text == "true"
+		err = check(v.truth || text == "false")
+	case Address:
+		err = check(validAddress(text))
+	case Addresses:
+		v.list = split(text)
+		err = check(lo.EveryBy(v.list, validAddress))
+	case URL:
+		err = check(validURL(text))
+	}
+	return v, err
+}
+
+func check(ok bool) error {
+	if ok {
+		return nil
+	}
+	return errForm
+}
+
+// readNumber leaves out what ParseFloat accepts beyond plain decimal numbers:
+// NaN passes every bound, since it compares false with all.
+func readNumber(text string) (float64, error) {
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) || strings.ContainsAny(text, "xX_") {
+		return 0, errForm
+	}
+	return f, nil
+}
+
+// readDuration refuses a bare 0, which ParseDuration takes without a unit.
+func readDuration(text string) (int64, error) {
+	d, err := time.ParseDuration(text)
+	if err != nil || !strings.ContainsAny(text, "hmsuµ") {
+		return 0, errForm
+	}
+	return int64(d), nil
+}
+
+func readSize(text string) (int64, error) {
+	for _, s := range sizes {
+		digits, found := strings.CutSuffix(text, s.unit)
+		if !found {
+			continue
+		}
+		n, err := strconv.ParseInt(digits, 10, 64)
+		if err != nil || n < 0 || n > math.MaxInt64/s.bytes {
+			return 0, errForm
+		}
+		return n * s.bytes, nil
+	}
+	return 0, errForm
+}
+
+func validAddress(text string) bool {
+	_, port, err := net.SplitHostPort(text)
+	if err != nil {
+		return false
+	}
+	_, err = strconv.ParseUint(port, 10, 16)
+	return err == nil
+}
+
+func validURL(text string) bool {
+	u, err := url.Parse(text)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
+
+// split returns the parts of a list without the spaces around them; an empty
+// text is an empty list.
+func split(text string) []string {
+	if strings.TrimSpace(text) == "" {
+		return nil
+	}
+	return lo.Map(strings.Split(text, ","), func(s string, _ int) string { return strings.TrimSpace(s) })
+}
