--- /dev/null
+++ b/wisteriarouter/caller/adopt.go
@@ -0,0 +1,65 @@
+package caller
+
+import (
+	"context"
+	"errors"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/wisteriarouter/engine"
+	"wisteriaspool/wisteriarouter/event"
+)
+
+// adopt goes on with an attempt that another router began and lost, and
+// reports whether the request is over. Without it a router's death would make
+// its callers ask again, and the model would run twice.
+func (a *answer) adopt(ctx context.Context) bool {
+	id := *a.chat.resume
+	e, _, err := engine.ParseAttempt(id.Attempt)
+	if err != nil {
+		a.giveUp(ctx, refuse(outcome.Malformed, err.Error()))
+		return true
+	}
+	a.offset = id.Offset
+	a.text.WriteString(a.chat.partial)
+	a.evidence.Begin(id.Attempt)
+	place, ok := a.Placer.Adopt(ctx, a.chat.want(nil), e)
+	if !ok {
+		return a.adoptFailed(ctx)
+	}
+	at := &attempt{id: id.Attempt, place: place}
+	at.stream, err = a.Engines.Resume(ctx, place.Address, id.Attempt, id.Offset)
+	if err != nil {
+		place.Release()
+		if !errors.Is(err, engine.ErrGone) && ctx.Err() == nil {
+			a.cancel(ctx, at)
+		}
+		return a.adoptFailed(ctx)
+	}
+	a.Metrics.adopted.Inc()
+	a.Log.Emit(event.StreamResumed, event.F("endpoint", e), event.F("offset", id.Offset), event.F("adopted", true))
+	return a.settle(ctx, at, adopted{}, a.follow(ctx, at))
+}
+
+// adoptFailed decides what becomes of a stream whose attempt is gone. With the
+// text that the caller has, or with none delivered, another endpoint can go
+// on. Otherwise nobody can complete the answer without a gap, and the caller
+// is told so at once.
+func (a *answer) adoptFailed(ctx context.Context) bool {
+	if a.offset == 0 || a.chat.partial != "" {
+		return false
+	}
+	a.giveUp(ctx, &outcome.Refusal{
+		Code:       outcome.EndpointLost,
+		Message:    "the attempt is gone; send the text received so far as \"partial\" to go on elsewhere",
+		RetryAfter: retryAfterLoss,
+	})
+	return true
+}
+
+// adopted is the pass of an attempt that had its leave from another router.
+type adopted struct{}
+
+func (adopted) Done(bool) {}
+
+func (adopted) Died(coordination.Endpoint, coordination.Incarnation) {}
--- /dev/null
+++ b/wisteriarouter/caller/answer.go
@@ -0,0 +1,316 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"time"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/wisteriarouter/engine"
+	"wisteriaspool/wisteriarouter/event"
+)
+
+// maxAttempts bounds the attempts of one request beside the retry budget,
+// which is a share of all requests.
+const maxAttempts = 6
+
+// retryAfterLoss is when a caller is told to come back after its endpoints
+// were lost.
+const retryAfterLoss = 2 * time.Second
+
+// resumePauses are the waits before each try to resume a broken stream on its
+// own endpoint. A cut connection comes back at once; a process that died does
+// not come back within them, and the answer goes on elsewhere.
+var resumePauses = []time.Duration{0, 50 * time.Millisecond, 150 * time.Millisecond}
+
+// answer follows one chat request through its attempts.
+type answer struct {
+	*Server
+	chat     *chat
+	sink     sink
+	evidence outcome.Evidence
+	text     strings.Builder // delivered to the sink
+	offset   int             // tokens delivered
+	exclude  []coordination.Endpoint
+	last     coordination.Endpoint
+}
+
+// end tells how one attempt ended.
+type end int
+
+const (
+	finished   end = iota // the answer is whole
+	callerGone            // nobody reads any more
+	declined              // the endpoint did not run it
+	lost                  // the stream broke and could not be resumed
+	died                  // so did its endpoint
+	foreign               // the endpoint sent what does not belong to it
+)
+
+// attempt is one try at one endpoint.
+type attempt struct {
+	id     coordination.Attempt
+	place  Place
+	stream *engine.Stream
+}
+
+func (a *answer) run(ctx context.Context) {
+	if a.chat.resume != nil && a.adopt(ctx) {
+		return
+	}
+	for n := 0; n < maxAttempts; n++ {
+		if n > 0 && !a.Retries.Allow() {
+			a.Log.Emit(event.RetryBudgetSpent, event.F("team", a.chat.team))
+			break
+		}
+		if a.try(ctx) {
+			return
+		}
+	}
+	a.giveUp(ctx, &outcome.Refusal{
+		Code:       outcome.EndpointLost,
+		Message:    "the endpoints that ran the request were lost",
+		RetryAfter: retryAfterLoss,
+	})
+}
+
+// try makes one attempt and reports whether the request is over.
+func (a *answer) try(ctx context.Context) bool {
+	pass, refusal := a.Suspects.Enter(ctx, a.chat.fingerprint)
+	if refusal != nil {
+		a.giveUp(ctx, refusal)
+		return true
+	}
+	place, refusal := a.Placer.Place(ctx, a.chat.want(a.exclude))
+	if refusal != nil {
+		pass.Done(false)
+		a.giveUp(ctx, refusal)
+		return true
+	}
+	at := &attempt{id: engine.NewAttempt(place.Endpoint, a.chat.binding), place: place}
+	how := a.start(ctx, at)
+	if how == finished {
+		how = a.follow(ctx, at)
+	}
+	return a.settle(ctx, at, pass, how)
+}
+
+// start sends the attempt. It returns finished when the stream stands.
+func (a *answer) start(ctx context.Context, at *attempt) end {
+	raw, err := a.chat.body.forEngine(a.text.String())
+	if err != nil {
+		return declined
+	}
+	a.evidence.Begin(at.id)
+	a.last = at.place.Endpoint
+	at.stream, err = a.Engines.Start(ctx, at.place.Address, engine.Request{
+		Attempt:  at.id,
+		Chat:     a.chat.id,
+		Priority: a.chat.plan.Priority,
+		Body:     raw,
+		Offset:   a.offset,
+	})
+	if err == nil {
+		a.evidence.Written(at.id)
+		return finished
+	}
+	return a.startFailed(ctx, at, err)
+}
+
+func (a *answer) startFailed(ctx context.Context, at *attempt, err error) end {
+	var failure *engine.StartError
+	if !errors.As(err, &failure) {
+		a.evidence.Written(at.id)
+		return lost
+	}
+	switch {
+	case failure.NotRun && failure.Status != 0:
+		a.evidence.Declined(at.id)
+		return declined
+	case failure.NotRun:
+		a.evidence.NothingSent(at.id)
+	default:
+		a.evidence.Written(at.id)
+	}
+	if ctx.Err() != nil {
+		return callerGone
+	}
+	if failure.NotRun {
+		return declined
+	}
+	return lost
+}
+
+// follow passes the stream on until the answer is whole or cannot go on here.
+func (a *answer) follow(ctx context.Context, at *attempt) end {
+	for {
+		err := a.copy(at)
+		at.stream.Close()
+		switch {
+		case err == nil:
+			return finished
+		case ctx.Err() != nil, errors.Is(err, errSink):
+			return callerGone
+		case errors.Is(err, engine.ErrForeign):
+			a.Log.Emit(event.StreamForeign, event.F("endpoint", at.place.Endpoint), event.F("attempt", at.id))
+			return foreign
+		}
+		if !a.resume(ctx, at) {
+			return lost
+		}
+		a.Metrics.resumed.Inc()
+		a.Log.Emit(event.StreamResumed, event.F("endpoint", at.place.Endpoint), event.F("offset", a.offset))
+	}
+}
+
+// copy passes chunks to the sink. It returns nil behind a whole answer.
+func (a *answer) copy(at *attempt) error {
+	whole := false
+	for {
+		c, err := at.stream.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			if whole {
+				return nil
+			}
+			return err
+		}
+		whole = whole || c.Finish != ""
+		if a.offset == 0 && c.Offset > 0 {
+			a.Metrics.firstToken.Observe(time.Since(a.chat.arrived).Seconds())
+		}
+		if err := a.sink.chunk(at.id, c); err != nil {
+			return err
+		}
+		a.Metrics.delivered.Add(float64(max(0, c.Offset-a.offset)))
+		a.offset = c.Offset
+		a.text.WriteString(c.Text)
+		a.Metrics.used(c.Usage)
+	}
+}
+
+// resume opens the rest of a broken stream on the same endpoint. What was
+// generated is paid for, so that another endpoint is the second choice.
+func (a *answer) resume(ctx context.Context, at *attempt) bool {
+	for _, pause := range resumePauses {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(pause):
+		}
+		stream, err := a.Engines.Resume(ctx, at.place.Address, at.id, a.offset)
+		if err == nil {
+			at.stream = stream
+			return true
+		}
+		if errors.Is(err, engine.ErrGone) {
+			return false
+		}
+	}
+	return false
+}
+
+// settle draws the consequences of an attempt's end and reports whether the
+// request is over.
+func (a *answer) settle(ctx context.Context, at *attempt, pass Pass, how end) bool {
+	if how == lost && a.isDead(ctx, at) {
+		how = died
+	}
+	defer at.place.Release()
+	switch how {
+	case finished:
+		pass.Done(true)
+		a.evidence.Answered(at.id)
+		a.finish(at)
+		return true
+	case callerGone:
+		pass.Done(false)
+		a.cancel(ctx, at)
+		a.Metrics.ended("chat", a.evidence.Outcome(), "caller-gone")
+		a.Log.Emit(event.ConnectionDropped, event.F("attempt", at.id))
+		return true
+	case died:
+		pass.Died(at.place.Endpoint, at.place.Incarnation)
+		a.Log.Emit(event.EndpointLost, event.F("endpoint", at.place.Endpoint), event.F("attempt", at.id))
+	case lost, foreign:
+		pass.Done(false)
+		a.cancel(ctx, at)
+	default:
+		pass.Done(false)
+	}
+	a.exclude = append(a.exclude, at.place.Endpoint)
+	if a.offset > 0 {
+		a.Metrics.continued.Inc()
+		a.Log.Emit(event.StreamContinued, event.F("endpoint", at.place.Endpoint), event.F("offset", a.offset))
+	}
+	return false
+}
+
+// isDead reports whether the attempt's endpoint cannot be reached or has been
+// restarted since, rather than only its connection cut.
+func (a *answer) isDead(ctx context.Context, at *attempt) bool {
+	l, err := a.Engines.Load(ctx, at.place.Address)
+	if err != nil {
+		return ctx.Err() == nil
+	}
+	return at.place.Incarnation != 0 && l.Incarnation != at.place.Incarnation
+}
+
+func (a *answer) finish(at *attempt) {
+	a.sink.finish(at.id, closing{Outcome: outcome.Ran, Hint: string(at.place.Endpoint)})
+	a.Metrics.ended("chat", outcome.Ran, "")
+}
+
+// giveUp sends the final refusal at once. Its outcome is what the evidence
+// allows, whatever the refusal claims.
+func (a *answer) giveUp(ctx context.Context, r *outcome.Refusal) {
+	final := *r
+	final.Outcome = a.evidence.Outcome()
+	a.Metrics.ended("chat", final.Outcome, string(final.Code))
+	a.Log.Emit(event.RequestRefused, event.F("code", final.Code), event.F("team", a.chat.team), event.F("account", a.chat.account))
+	if ctx.Err() == nil {
+		a.sink.refuse(&final)
+	}
+}
+
+// cancel stops an attempt that nobody reads. It goes on beside the request,
+// for an endpoint that is frozen may answer only later.
+func (a *answer) cancel(ctx context.Context, at *attempt) {
+	c := &cancellation{Server: a.Server, id: at.id, address: at.place.Address, delivered: a.offset}
+	go c.run(context.WithoutCancel(ctx))
+}
+
+// cancellation tries to cancel one attempt for a while.
+type cancellation struct {
+	*Server
+	id        coordination.Attempt
+	address   string
+	delivered int
+}
+
+// cancelPause is the wait between tries.
+const cancelPause = 500 * time.Millisecond
+
+func (c *cancellation) run(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, c.Limits.CancelFor)
+	defer stop()
+	for {
+		generated, err := c.Engines.Cancel(ctx, c.address, c.id)
+		if err == nil || errors.Is(err, engine.ErrGone) {
+			c.Metrics.cancelled.Inc()
+			c.Metrics.wasted.Add(float64(max(0, generated-c.delivered)))
+			return
+		}
+		select {
+		case <-ctx.Done():
+			c.Log.Emit(event.CancelFailed, event.F("attempt", c.id), event.F("error", err))
+			return
+		case <-time.After(cancelPause):
+		}
+	}
+}
--- /dev/null
+++ b/wisteriarouter/caller/api.go
@@ -0,0 +1,109 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+
+	"wisteriaspool/coordination/outcome"
+)
+
+// chatInput is a chat request as huma reads it.
+type chatInput struct {
+	chatHeaders
+	Body    chatBody
+	RawBody []byte
+}
+
+// Register adds the callers' operations to api, which has to be one of the
+// humago adapter.
+func (s *Server) Register(api huma.API) {
+	huma.Register(api, huma.Operation{
+		OperationID:  "create-chat-completion",
+		Method:       http.MethodPost,
+		Path:         "/v1/chat/completions",
+		Summary:      "Answer a chat",
+		Description:  "OpenAI-compatible. The answer carries its outcome and a route hint; see docs/PROTOCOLS.md.",
+		Tags:         []string{"callers"},
+		MaxBodyBytes: s.Limits.BodyBytes,
+	}, s.createChat)
+	huma.Register(api, huma.Operation{
+		OperationID:  "run-action",
+		Method:       http.MethodPost,
+		Path:         "/v1/services/{service}/{action}",
+		Summary:      "Run an action of a plain service",
+		Description:  "An action that the settings mark as non-idempotent needs an Idempotency-Key and runs at most once.",
+		Tags:         []string{"callers"},
+		MaxBodyBytes: s.Limits.BodyBytes,
+	}, s.runAction)
+}
+
+func (s *Server) createChat(_ context.Context, in *chatInput) (*huma.StreamResponse, error) {
+	if r := s.refuseWhenStopping(); r != nil {
+		return s.refused("chat", r), nil
+	}
+	c, r := s.newChat(in.chatHeaders, in.Body, in.RawBody)
+	if r != nil {
+		return s.refused("chat", r), nil
+	}
+	return &huma.StreamResponse{Body: func(ctx huma.Context) {
+		_, w := humago.Unwrap(ctx)
+		out := newWriter(w, s.Limits.WriteTimeout)
+		if c.stream {
+			s.serve(ctx.Context(), c, &streamSink{writer: out})
+			return
+		}
+		s.serve(ctx.Context(), c, &wholeSink{writer: out, model: in.Body.Model})
+	}}, nil
+}
+
+// refused answers a request that never went anywhere.
+func (s *Server) refused(kind string, r *outcome.Refusal) *huma.StreamResponse {
+	s.Metrics.ended(kind, r.Outcome, string(r.Code))
+	return &huma.StreamResponse{Body: func(ctx huma.Context) {
+		_, w := humago.Unwrap(ctx)
+		newWriter(w, s.Limits.WriteTimeout).refuse(r)
+	}}
+}
+
+// Fault is the error of a request that the HTTP layer refused before any
+// handler saw it, in the form of every other refusal.
+type Fault struct {
+	refusal outcome.Refusal
+}
+
+// Error implements error.
+func (f *Fault) Error() string { return f.refusal.Error() }
+
+// GetStatus implements huma.StatusError.
+func (f *Fault) GetStatus() int { return f.refusal.Code.HTTPStatus() }
+
+// MarshalJSON implements json.Marshaler.
+func (f *Fault) MarshalJSON() ([]byte, error) { return json.Marshal(f.refusal.Envelope()) }
+
+// ContentType implements huma.ContentTypeFilter.
+func (f *Fault) ContentType(string) string { return "application/json" }
+
+// GetHeaders implements huma.HeadersError.
+func (f *Fault) GetHeaders() http.Header {
+	h := http.Header{}
+	h.Set(outcome.Header, f.refusal.Outcome.String())
+	h.Set(headerRetryAfter, "5")
+	return h
+}
+
+// NewFault makes the error of a request that huma refuses. It is meant for
+// huma.NewError.
+func NewFault(status int, message string, errs ...error) huma.StatusError {
+	code := outcome.Malformed
+	if status == http.StatusRequestEntityTooLarge {
+		code = outcome.TooLarge
+	}
+	for _, err := range errs {
+		message += "; " + err.Error()
+	}
+	return &Fault{refusal: *refuse(code, message)}
+}
--- /dev/null
+++ b/wisteriarouter/caller/caller.go
@@ -0,0 +1,122 @@
+// Package caller serves callers: it checks their requests, follows each one
+// through its attempts at endpoints, and tells what became of it.
+package caller
+
+import (
+	"context"
+	"time"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/wisteriarouter/engine"
+	"wisteriaspool/wisteriarouter/event"
+)
+
+// Plan is what the settings in force say about one chat request.
+type Plan struct {
+	Pool        coordination.Pool
+	Priority    coordination.Priority
+	StartWithin time.Duration // limit for the start of the answer; zero for none
+}
+
+// Teams tells what the settings in force say.
+type Teams interface {
+	// PlanChat returns the plan for a chat request, or a refusal.
+	PlanChat(team coordination.Team, account coordination.Account, model coordination.Model, want coordination.Priority) (Plan, *outcome.Refusal)
+}
+
+// Want describes the place that an attempt needs.
+type Want struct {
+	Team        coordination.Team
+	Account     coordination.Account
+	Pool        coordination.Pool
+	Chat        coordination.Chat
+	Hint        coordination.Endpoint
+	Priority    coordination.Priority
+	Deadline    time.Time // latest start; zero for none
+	Exclude     []coordination.Endpoint
+	Fingerprint uint64 // of the conversation
+}
+
+// Place is a granted place at an endpoint. Release gives it back once.
+type Place struct {
+	Endpoint    coordination.Endpoint
+	Incarnation coordination.Incarnation
+	Address     string
+	Release     func()
+}
+
+// Placer grants places.
+type Placer interface {
+	// Place returns a place for an attempt, or the final refusal.
+	Place(ctx context.Context, w Want) (Place, *outcome.Refusal)
+	// Adopt returns the place of an attempt that already runs at e.
+	Adopt(ctx context.Context, w Want, e coordination.Endpoint) (Place, bool)
+}
+
+// Engines are the calls to model engines that an answer needs.
+type Engines interface {
+	Start(ctx context.Context, address string, req engine.Request) (*engine.Stream, error)
+	Resume(ctx context.Context, address string, id coordination.Attempt, after int) (*engine.Stream, error)
+	Cancel(ctx context.Context, address string, id coordination.Attempt) (int, error)
+	Load(ctx context.Context, address string) (engine.Load, error)
+}
+
+// Suspects keeps apart the requests whose endpoints died.
+type Suspects interface {
+	// Enter lets one attempt of a request go on, or refuses the request.
+	Enter(ctx context.Context, fingerprint uint64) (Pass, *outcome.Refusal)
+}
+
+// Pass is one attempt's leave to run. Exactly one of its methods is called.
+type Pass interface {
+	// Done tells that the attempt ended and its endpoint did not die.
+	Done(finished bool)
+	// Died tells that the endpoint died while the attempt ran there.
+	Died(e coordination.Endpoint, n coordination.Incarnation)
+}
+
+// Retries limits second attempts to a share of the requests.
+type Retries interface {
+	// Request counts a first attempt.
+	Request()
+	// Allow reports whether one more attempt may be made, and counts it.
+	Allow() bool
+}
+
+// Limits are the limits of one router towards callers and endpoints.
+type Limits struct {
+	BodyBytes    int64         // largest body of a request
+	WriteTimeout time.Duration // longest wait for a caller to take an event
+	CancelFor    time.Duration // how long a cancel is tried
+}
+
+// Server answers callers.
+type Server struct {
+	Teams    Teams
+	Placer   Placer
+	Engines  Engines
+	Suspects Suspects
+	Retries  Retries
+	Actions  Actions
+	Limits   Limits
+	Log      event.Log
+	Metrics  *Metrics
+	Stopping func() bool // reports whether new requests are refused
+}
+
+// retryAfterStop is when a caller is told to come back to a router that
+// stops: the balancer has another one by then.
+const retryAfterStop = time.Second
+
+func (s *Server) refuseWhenStopping() *outcome.Refusal {
+	if s.Stopping == nil || !s.Stopping() {
+		return nil
+	}
+	return &outcome.Refusal{
+		Code:       outcome.Stopping,
+		Message:    "this router is stopping; send the request again",
+		Outcome:    outcome.NotRun,
+		RetryAfter: retryAfterStop,
+	}
+}
--- /dev/null
+++ b/wisteriarouter/caller/chat.go
@@ -0,0 +1,216 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/wisteriarouter/engine"
+)
+
+// chatHeaders are the headers of a chat request.
+type chatHeaders struct {
+	Team        string `header:"X-Team" doc:"Team whose settings serve the request. Required."`
+	Account     string `header:"X-Client-Account" doc:"Client account. Required."`
+	Chat        string `header:"X-Chat-Id" doc:"Conversation, which may return."`
+	Hint        string `header:"X-Route-Hint" doc:"Hint of the chat's last answer."`
+	Priority    int    `header:"X-Priority" doc:"Higher goes first; capped by the team's settings."`
+	DeadlineMs  int    `header:"X-Deadline-Ms" minimum:"0" doc:"Milliseconds in which the answer must start."`
+	LastEventID string `header:"Last-Event-ID" doc:"Continue the stream behind this event."`
+}
+
+// chatMessage is one message of a conversation.
+type chatMessage struct {
+	Role    string   `json:"role" minLength:"1"`
+	Content any      `json:"content,omitempty"`
+	_       struct{} `json:"-" additionalProperties:"true"`
+}
+
+// chatBody is the part of an OpenAI-compatible body that a router reads. All
+// other fields go to the engine as they are.
+type chatBody struct {
+	Model    string        `json:"model" minLength:"1" doc:"Model, without version."`
+	Messages []chatMessage `json:"messages" minItems:"1"`
+	Stream   bool          `json:"stream,omitempty" doc:"Answer with server-sent events."`
+	Partial  string        `json:"partial,omitempty" doc:"With Last-Event-ID: the text that has arrived so far, so that the answer can go on if its endpoint is lost, too."`
+	_        struct{}      `json:"-" additionalProperties:"true"`
+}
+
+// chat is one checked chat request.
+type chat struct {
+	team        coordination.Team
+	account     coordination.Account
+	id          coordination.Chat
+	hint        coordination.Endpoint
+	plan        Plan
+	deadline    time.Time
+	stream      bool
+	partial     string
+	resume      *engine.EventID
+	body        body
+	binding     engine.Fingerprint
+	fingerprint uint64
+	arrived     time.Time
+}
+
+// body is a caller's JSON object with its fields as they came.
+type body map[string]json.RawMessage
+
+// parseBody reads raw and takes out what only routers understand.
+func parseBody(raw []byte) (body, error) {
+	var b body
+	if err := json.Unmarshal(raw, &b); err != nil {
+		return nil, fmt.Errorf("caller: body: %w", err)
+	}
+	delete(b, "partial")
+	return b, nil
+}
+
+// forEngine returns the body that an engine gets: streaming, and going on
+// behind text when the answer has begun.
+func (b body) forEngine(text string) ([]byte, error) {
+	out := make(body, len(b)+3)
+	for k, v := range b {
+		out[k] = v
+	}
+	out["stream"] = json.RawMessage("true")
+	out["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	if text != "" {
+		messages, err := b.withPartial(text)
+		if err != nil {
+			return nil, err
+		}
+		out["messages"] = messages
+		out["continue_final_message"] = json.RawMessage("true")
+		out["add_generation_prompt"] = json.RawMessage("false")
+	}
+	return json.Marshal(out)
+}
+
+// withPartial returns the messages with the answer so far behind them.
+func (b body) withPartial(text string) (json.RawMessage, error) {
+	var messages []json.RawMessage
+	if err := json.Unmarshal(b["messages"], &messages); err != nil {
+		return nil, err
+	}
+	last, err := json.Marshal(chatMessage{Role: "assistant", Content: text})
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(append(messages, last))
+}
+
+// newChat checks a request. Whatever is wrong with it is refused before
+// anything reaches an endpoint.
+func (s *Server) newChat(h chatHeaders, in chatBody, raw []byte) (*chat, *outcome.Refusal) {
+	if h.Team == "" {
+		return nil, refuse(outcome.UnknownTeam, "the X-Team header is missing")
+	}
+	if h.Account == "" {
+		return nil, refuse(outcome.MissingAccount, "the X-Client-Account header is missing")
+	}
+	b, err := parseBody(raw)
+	if err != nil {
+		return nil, refuse(outcome.Malformed, err.Error())
+	}
+	c := &chat{
+		team:    coordination.Team(h.Team),
+		account: coordination.Account(h.Account),
+		id:      coordination.Chat(h.Chat),
+		hint:    coordination.Endpoint(h.Hint),
+		stream:  in.Stream,
+		partial: in.Partial,
+		body:    b,
+		arrived: time.Now(),
+	}
+	var refusal *outcome.Refusal
+	c.plan, refusal = s.Teams.PlanChat(c.team, c.account, coordination.Model(in.Model), coordination.Priority(h.Priority))
+	if refusal != nil {
+		return nil, refusal
+	}
+	c.setDeadline(h.DeadlineMs)
+	c.bind(in.Model)
+	return c, c.setResume(h.LastEventID)
+}
+
+func (c *chat) setDeadline(ms int) {
+	within := c.plan.StartWithin
+	if asked := time.Duration(ms) * time.Millisecond; asked > 0 && (within == 0 || asked < within) {
+		within = asked
+	}
+	if within > 0 {
+		c.deadline = c.arrived.Add(within)
+	}
+}
+
+// bindingBytes is how much of a digest stands in an attempt's id.
+const bindingBytes = 12
+
+// bind works out what the request is known by: the binding ties an attempt to
+// team, account and body; the fingerprint is that of the conversation alone,
+// so that it stays the same through whichever account a crashing one comes.
+func (c *chat) bind(model string) {
+	h := sha256.New()
+	fmt.Fprintf(h, "%q %q %q ", c.team, c.account, model)
+	h.Write(c.body["messages"])
+	c.binding = engine.Fingerprint(hex.EncodeToString(h.Sum(nil)[:bindingBytes]))
+	c.fingerprint = xxhash.Sum64(c.body["messages"])
+}
+
+// setResume reads Last-Event-ID. An id that was made for another request is
+// refused: it would deliver an answer to somebody else.
+func (c *chat) setResume(last string) *outcome.Refusal {
+	if last == "" {
+		return nil
+	}
+	id, err := engine.ParseEventID(last)
+	if err != nil {
+		return refuse(outcome.Malformed, "Last-Event-ID: "+err.Error())
+	}
+	_, binding, err := engine.ParseAttempt(id.Attempt)
+	if err != nil || binding != c.binding {
+		return refuse(outcome.Malformed, "Last-Event-ID belongs to another request; send the same body, team and account")
+	}
+	c.resume = &id
+	return nil
+}
+
+func (c *chat) want(exclude []coordination.Endpoint) Want {
+	return Want{
+		Team:        c.team,
+		Account:     c.account,
+		Pool:        c.plan.Pool,
+		Chat:        c.id,
+		Hint:        c.hint,
+		Priority:    c.plan.Priority,
+		Deadline:    c.deadline,
+		Exclude:     exclude,
+		Fingerprint: c.fingerprint,
+	}
+}
+
+// refuse returns the refusal of a request that was never sent anywhere and
+// that makes no sense to repeat soon as it is.
+func refuse(code outcome.Code, message string) *outcome.Refusal {
+	return &outcome.Refusal{Code: code, Message: message, Outcome: outcome.NotRun, RetryAfter: retryAfterFault}
+}
+
+// retryAfterFault is when a caller whose request is at fault may come back:
+// after settings may have changed.
+const retryAfterFault = 5 * time.Second
+
+// serve follows one chat request to its end and writes it to sink.
+func (s *Server) serve(ctx context.Context, c *chat, sink sink) {
+	s.Metrics.inFlight.Inc()
+	defer s.Metrics.inFlight.Dec()
+	s.Retries.Request()
+	a := &answer{Server: s, chat: c, sink: sink}
+	a.run(ctx)
+}
--- /dev/null
+++ b/wisteriarouter/caller/sink.go
@@ -0,0 +1,196 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/wisteriarouter/engine"
+)
+
+// Names of the answer headers.
+const (
+	headerHint       = "X-Route-Hint"
+	headerAttempt    = "X-Attempt-Id"
+	headerRetryAfter = "Retry-After"
+)
+
+// errSink is the error of a sink whose caller takes nothing any more.
+var errSink = errors.New("caller: connection lost")
+
+// sink is where an answer goes.
+type sink interface {
+	// chunk passes on one chunk of the answer.
+	chunk(id coordination.Attempt, c engine.Chunk) error
+	// finish ends a whole answer.
+	finish(id coordination.Attempt, end closing)
+	// refuse ends the request without a whole answer.
+	refuse(r *outcome.Refusal)
+}
+
+// closing is the data of the outcome event that ends a stream.
+type closing struct {
+	Outcome outcome.Outcome `json:"outcome"`
+	Hint    string          `json:"route_hint,omitempty"`
+}
+
+// writer writes to one caller and gives up on one that stops reading, whose
+// answer would otherwise hold its place for ever.
+type writer struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	timeout time.Duration
+}
+
+func newWriter(w http.ResponseWriter, timeout time.Duration) writer {
+	c := http.NewResponseController(w)
+	// The limit for reading the body must not end the connection while the
+	// answer runs: the server would take the caller for gone.
+	_ = c.SetReadDeadline(time.Time{})
+	return writer{w: w, control: c, timeout: timeout}
+}
+
+func (w writer) write(text string) error {
+	_ = w.control.SetWriteDeadline(time.Now().Add(w.timeout))
+	if _, err := w.w.Write([]byte(text)); err != nil {
+		return fmt.Errorf("%w: %w", errSink, err)
+	}
+	if err := w.control.Flush(); err != nil {
+		return fmt.Errorf("%w: %w", errSink, err)
+	}
+	return nil
+}
+
+// refuse sends a refusal as the whole answer.
+func (w writer) refuse(r *outcome.Refusal) {
+	h := w.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(outcome.Header, r.Outcome.String())
+	h.Set(headerRetryAfter, strconv.Itoa(r.RetryAfterSeconds()))
+	w.w.WriteHeader(r.Code.HTTPStatus())
+	_ = w.write(marshal(r.Envelope()) + "\n")
+}
+
+// marshal encodes values whose types cannot fail to encode.
+func marshal(v any) string {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("caller: encoding %T: %v", v, err))
+	}
+	return string(data)
+}
+
+// streamSink writes server-sent events.
+type streamSink struct {
+	writer
+	begun bool
+}
+
+func (s *streamSink) begin(id coordination.Attempt) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	h := s.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	h.Set(headerAttempt, string(id))
+	s.w.WriteHeader(http.StatusOK)
+}
+
+func (s *streamSink) chunk(id coordination.Attempt, c engine.Chunk) error {
+	s.begin(id)
+	event := engine.EventID{Attempt: id, Offset: c.Offset}
+	return s.write("id: " + event.String() + "\ndata: " + c.Data + "\n\n")
+}
+
+func (s *streamSink) finish(id coordination.Attempt, end closing) {
+	s.begin(id)
+	_ = s.write("event: outcome\ndata: " + marshal(end) + "\n\ndata: [DONE]\n\n")
+}
+
+func (s *streamSink) refuse(r *outcome.Refusal) {
+	if !s.begun {
+		s.writer.refuse(r)
+		return
+	}
+	_ = s.write("event: error\ndata: " + marshal(r.Envelope()) + "\n\nevent: outcome\ndata: " + marshal(closing{Outcome: r.Outcome}) + "\n\n")
+}
+
+// wholeSink gathers the answer and writes it as one JSON object.
+type wholeSink struct {
+	writer
+	model  string
+	text   strings.Builder
+	reason string
+	usage  engine.Usage
+}
+
+func (s *wholeSink) chunk(_ coordination.Attempt, c engine.Chunk) error {
+	s.text.WriteString(c.Text)
+	if c.Finish != "" {
+		s.reason = c.Finish
+	}
+	if c.Usage != nil {
+		s.usage = *c.Usage
+	}
+	return nil
+}
+
+func (s *wholeSink) finish(id coordination.Attempt, end closing) {
+	h := s.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(outcome.Header, end.Outcome.String())
+	h.Set(headerHint, end.Hint)
+	h.Set(headerAttempt, string(id))
+	_ = s.write(marshal(s.completion(id)) + "\n")
+}
+
+// completion is an OpenAI-compatible answer.
+type completion struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Created int64           `json:"created"`
+	Model   string          `json:"model"`
+	Choices []choice        `json:"choices"`
+	Usage   completionUsage `json:"usage"`
+}
+
+type choice struct {
+	Index        int         `json:"index"`
+	Message      chatMessage `json:"message"`
+	FinishReason string      `json:"finish_reason"`
+}
+
+type completionUsage struct {
+	Prompt     coordination.Tokens `json:"prompt_tokens"`
+	Completion coordination.Tokens `json:"completion_tokens"`
+	Total      coordination.Tokens `json:"total_tokens"`
+	Details    usageDetails        `json:"prompt_tokens_details"`
+}
+
+type usageDetails struct {
+	Cached coordination.Tokens `json:"cached_tokens"`
+}
+
+func (s *wholeSink) completion(id coordination.Attempt) completion {
+	return completion{
+		ID:      string(id),
+		Object:  "chat.completion",
+		Created: time.Now().Unix(),
+		Model:   s.model,
+		Choices: []choice{{Message: chatMessage{Role: "assistant", Content: s.text.String()}, FinishReason: s.reason}},
+		Usage: completionUsage{
+			Prompt:     s.usage.Prompt,
+			Completion: s.usage.Completion,
+			Total:      s.usage.Prompt + s.usage.Completion,
+			Details:    usageDetails{Cached: s.usage.Cached},
+		},
+	}
+}
--- /dev/null
+++ b/wisteriarouter/config/config.go
@@ -0,0 +1,197 @@
+// Package config reads a router's own settings file: who it is, where it
+// listens, whom it knows and what it may spend. What serves a team is not
+// here but in the team's subtree of the platform's service.
+package config
+
+import (
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/settings/schema"
+)
+
+// Config is a router's settings file.
+type Config struct {
+	Instance coordination.Instance
+	Zone     coordination.Zone
+	Region   string
+	Fleet    string
+	Listen   Listen
+	Peers    Peers
+	Platform Platform
+	Limits   Limits
+	Log      Log
+}
+
+// Listen holds the addresses that the router listens on.
+type Listen struct {
+	Callers   string
+	Operators string
+	Peers     string
+	Advertise string // where other routers reach this one's peer address
+}
+
+// Peers holds what concerns other routers.
+type Peers struct {
+	Seeds    []string
+	Bytes    int // budget for all control traffic, bytes a second
+	OwnerCap int // routers that own endpoints, at most
+}
+
+// Platform holds what concerns the platform's service.
+type Platform struct {
+	KV        []string
+	Instances string
+	Refresh   time.Duration
+	Calls     float64 // budget of the whole fleet, calls a second
+	Timeout   time.Duration
+}
+
+// Limits are the router's limits.
+type Limits struct {
+	BodyBytes    int
+	HeaderBytes  int
+	HeaderWait   time.Duration
+	StreamIdle   time.Duration
+	WriteTimeout time.Duration
+	EngineCall   time.Duration
+	CancelFor    time.Duration
+	LoadInterval time.Duration
+	StopWithin   time.Duration
+}
+
+// Log holds how events are written.
+type Log struct {
+	Level logrus.Level
+	JSON  bool
+}
+
+// Schema is the table of a router's settings file.
+var Schema = schema.Schema{
+	{Name: "router", Required: true, Doc: "Who this router is.", Keys: []schema.Key{
+		{Name: "instance", Kind: schema.Name, Required: true, Doc: "Name of this instance, unique in the fleet."},
+		{Name: "availability-zone", Kind: schema.Name, Required: true, Doc: "Availability zone of this instance."},
+		{Name: "region", Kind: schema.Name, Default: "default", Doc: "Region of the availability zone."},
+		{Name: "fleet", Kind: schema.Name, Default: "wisteriaspool", Doc: "Name of the fleet; routers of another one are refused."},
+	}},
+	{Name: "listen", Doc: "Where this router listens.", Keys: []schema.Key{
+		{Name: "callers", Kind: schema.Address, Default: "127.0.0.1:8080", Doc: "Address for callers; the balancer points here."},
+		{Name: "operators", Kind: schema.Address, Default: "127.0.0.1:8081", Doc: "Address for operators, metrics and health checks."},
+		{Name: "peers", Kind: schema.Address, Default: "127.0.0.1:8082", Doc: "Address for other routers."},
+		{Name: "advertise", Kind: schema.Address, Doc: "Address at which other routers reach this one; that of peers if left out."},
+	}},
+	{Name: "peers", Doc: "What concerns other routers.", Keys: []schema.Key{
+		{Name: "seeds", Kind: schema.Addresses, Doc: "Peer addresses of a few other routers, to join the fleet by."},
+		{Name: "byte-budget", Kind: schema.Size, Default: "25KiB", Min: "4KiB", Max: "1MiB", Doc: "Control traffic a second. Soft state is dropped beyond it, settings never."},
+		{Name: "owner-cap", Kind: schema.Integer, Unit: "routers", Default: "150", Min: "1", Max: "1000", Doc: "How many routers own endpoints at most. Has to be the same on all routers."},
+	}},
+	{Name: "platform", Required: true, Doc: "The platform's services.", Keys: []schema.Key{
+		{Name: "kv", Kind: schema.Addresses, Required: true, Doc: "Addresses of the key-value service's JSON gateway."},
+		{Name: "instances", Kind: schema.Address, Required: true, Doc: "Address of the list of instances."},
+		{Name: "refresh", Kind: schema.Duration, Default: "1s", Min: "100ms", Max: "30s", Doc: "How often the list of instances is read."},
+		{Name: "call-budget", Kind: schema.Number, Unit: "calls/s", Default: "300", Min: "1", Max: "100000", Doc: "Calls of the whole fleet; each router takes an equal share."},
+		{Name: "timeout", Kind: schema.Duration, Default: "1s", Min: "50ms", Max: "10s", Doc: "Longest wait for one call."},
+	}},
+	{Name: "limits", Doc: "Limits towards callers and endpoints.", Keys: []schema.Key{
+		{Name: "body", Kind: schema.Size, Default: "1MiB", Min: "1KiB", Max: "64MiB", Doc: "Largest body of a request."},
+		{Name: "headers", Kind: schema.Size, Default: "16KiB", Min: "4KiB", Max: "1MiB", Doc: "Largest headers of a request."},
+		{Name: "header-wait", Kind: schema.Duration, Default: "5s", Min: "100ms", Max: "60s", Doc: "Longest wait for a request's headers."},
+		{Name: "stream-idle", Kind: schema.Duration, Default: "5s", Min: "200ms", Max: "120s", Doc: "Longest silence of an endpoint inside an answer before it is taken for broken."},
+		{Name: "write-timeout", Kind: schema.Duration, Default: "20s", Min: "1s", Max: "300s", Doc: "Longest wait for a caller to take what it is sent."},
+		{Name: "engine-call", Kind: schema.Duration, Default: "500ms", Min: "50ms", Max: "10s", Doc: "Longest wait for a short call of an engine."},
+		{Name: "cancel-for", Kind: schema.Duration, Default: "15s", Min: "1s", Max: "120s", Doc: "How long an attempt that nobody reads is tried to be cancelled."},
+		{Name: "load-interval", Kind: schema.Duration, Default: "500ms", Min: "100ms", Max: "10s", Doc: "How often the owner of an endpoint reads its load."},
+		{Name: "stop-within", Kind: schema.Duration, Default: "120s", Min: "1s", Max: "3600s", Doc: "Longest graceful shutdown; what is in flight behind it is cut off."},
+	}},
+	{Name: "log", Doc: "How events are written.", Keys: []schema.Key{
+		{Name: "level", Kind: schema.Name, Default: "info", Doc: "Least level: debug, info, warning or error."},
+		{Name: "json", Kind: schema.Boolean, Default: "true", Doc: "One JSON object a line rather than text."},
+	}},
+}
+
+// Load reads the file at path. The error is that of reading; problems are
+// those of the text.
+func Load(path string) (*Config, []schema.Problem, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	c, problems := Parse(path, text)
+	return c, problems, nil
+}
+
+// Parse reads text. The Config is nil if there is any problem.
+func Parse(file string, text []byte) (*Config, []schema.Problem) {
+	f, problems := Schema.Parse(file, text)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	level, err := logrus.ParseLevel(f.Section("log").Text("level"))
+	if err != nil {
+		return nil, []schema.Problem{f.Section("log").Problem("level", "write debug, info, warning or error")}
+	}
+	c := &Config{
+		Listen:   listen(f.Section("listen")),
+		Peers:    peers(f.Section("peers")),
+		Platform: platform(f.Section("platform")),
+		Limits:   limits(f.Section("limits")),
+		Log:      Log{Level: level, JSON: f.Section("log").Bool("json")},
+	}
+	c.identify(f.Section("router"))
+	return c, nil
+}
+
+func (c *Config) identify(v schema.Values) {
+	c.Instance = coordination.Instance(v.Text("instance"))
+	c.Zone = coordination.Zone(v.Text("availability-zone"))
+	c.Region = v.Text("region")
+	c.Fleet = v.Text("fleet")
+}
+
+func listen(v schema.Values) Listen {
+	l := Listen{
+		Callers:   v.Text("callers"),
+		Operators: v.Text("operators"),
+		Peers:     v.Text("peers"),
+		Advertise: v.Text("advertise"),
+	}
+	if l.Advertise == "" {
+		l.Advertise = l.Peers
+	}
+	return l
+}
+
+func peers(v schema.Values) Peers {
+	return Peers{
+		Seeds:    v.List("seeds"),
+		Bytes:    v.Int("byte-budget"),
+		OwnerCap: v.Int("owner-cap"),
+	}
+}
+
+func platform(v schema.Values) Platform {
+	return Platform{
+		KV:        v.List("kv"),
+		Instances: v.Text("instances"),
+		Refresh:   v.Duration("refresh"),
+		Calls:     v.Float("call-budget"),
+		Timeout:   v.Duration("timeout"),
+	}
+}
+
+func limits(v schema.Values) Limits {
+	return Limits{
+		BodyBytes:    v.Int("body"),
+		HeaderBytes:  v.Int("headers"),
+		HeaderWait:   v.Duration("header-wait"),
+		StreamIdle:   v.Duration("stream-idle"),
+		WriteTimeout: v.Duration("write-timeout"),
+		EngineCall:   v.Duration("engine-call"),
+		CancelFor:    v.Duration("cancel-for"),
+		LoadInterval: v.Duration("load-interval"),
+		StopWithin:   v.Duration("stop-within"),
+	}
+}
--- /dev/null
+++ b/wisteriarouter/config/config_test.go
@@ -0,0 +1,56 @@
+package config_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"wisteriaspool/wisteriarouter/config"
+)
+
+const least = `
+[router]
+instance = r1
+availability-zone = a
+
+[platform]
+kv = 127.0.0.1:2379
+instances = 127.0.0.1:2380
+`
+
+func TestDefaults(t *testing.T) {
+	c, problems := config.Parse("router.ini", []byte(least))
+	assert.Equal(t, len(problems), 0)
+	golden.Assert(t, fmt.Sprintf("%+v\n", *c), "defaults.golden")
+}
+
+// An operator mistypes several keys at once and mixes up units. All faults
+// come back in one go, each with its line and with what would be right.
+func TestProblems(t *testing.T) {
+	text := strings.Replace(least, "instance = r1", "instance = r 1\nzone = a", 1) +
+		"\n[limits]\nbody = 1MB\nstream-idle = 5\nstop-within = 2h\n\n[log]\nlevel = loud\n\n[extra]\n"
+	_, problems := config.Parse("router.ini", []byte(text))
+	var b strings.Builder
+	for _, p := range problems {
+		fmt.Fprintln(&b, p)
+	}
+	golden.Assert(t, b.String(), "problems.golden")
+}
+
+// The page is what operators read, so it holds exactly the keys of the table.
+// WISTERIA_UPDATE=1 writes it anew.
+func TestPageHoldsTable(t *testing.T) {
+	const page = "../../docs/ROUTER-INI.md"
+	want := "# router.ini\n\nThe settings file of one router. `wisteriarouter check -config F` validates it;\na test holds this page and the table in package config together.\n\n" +
+		config.Schema.Markdown(2)
+	if os.Getenv("WISTERIA_UPDATE") != "" {
+		assert.NilError(t, os.WriteFile(page, []byte(want), 0o644))
+	}
+	got, err := os.ReadFile(page)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), want)
+}
--- /dev/null
+++ b/wisteriarouter/engine/engine.go
@@ -0,0 +1,229 @@
+// Package engine speaks to model engines: it starts, follows, resumes and
+// cancels their answers, and reads their load. It knows nothing of placement.
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"wisteriaspool/coordination"
+)
+
+// Header names of the engines' protocol.
+const (
+	headerAttempt  = "X-Attempt-Id"
+	headerPriority = "X-Priority"
+	headerChat     = "X-Chat-Id"
+	headerOutcome  = "X-Outcome"
+	headerState    = "X-State"
+	stateLeaving   = "leaving"
+	outcomeNotRun  = "not-run"
+)
+
+// Limits of what is read from an engine.
+const (
+	maxEventBytes = 256 << 10
+	maxReplyBytes = 1 << 20
+)
+
+// ErrCut is the error of a stream whose connection ended before its answer
+// did. The engine may still be generating.
+var ErrCut = errors.New("engine: stream cut")
+
+// ErrGone is the error of a call about an attempt that the engine does not
+// have, or no longer has.
+var ErrGone = errors.New("engine: attempt gone")
+
+// ErrForeign is the error of a stream that carries a chunk of another attempt
+// or a chunk out of order.
+var ErrForeign = errors.New("engine: chunk of another attempt or out of order")
+
+// StartError tells why an attempt brought no stream.
+type StartError struct {
+	NotRun  bool // the engine certainly did not run the request
+	Leaving bool // the engine says that it is stopping
+	Dead    bool // no connection could be made, or it broke without an answer
+	Status  int  // HTTP status, zero if there was no answer
+	Err     error
+}
+
+// Error implements error.
+func (e *StartError) Error() string {
+	return fmt.Sprintf("engine: start: status %d: %v", e.Status, e.Err)
+}
+
+// Unwrap returns the underlying error.
+func (e *StartError) Unwrap() error { return e.Err }
+
+// Usage counts the tokens of one attempt, as the engine bills them.
+type Usage struct {
+	Prompt     coordination.Tokens
+	Cached     coordination.Tokens
+	Completion coordination.Tokens
+}
+
+// Chunk is one event of an answer.
+type Chunk struct {
+	Offset int    // tokens of the whole answer up to and including this chunk
+	Text   string // what the chunk adds to the answer
+	Data   string // the chunk as the engine sent it, for callers that stream
+	Finish string // the reason to finish, in the last chunk of an answer
+	Usage  *Usage
+}
+
+// Request is one attempt at one engine.
+type Request struct {
+	Attempt  coordination.Attempt
+	Chat     coordination.Chat
+	Priority coordination.Priority
+	Body     []byte
+	Offset   int // tokens that the body's partial answer holds already
+}
+
+// Load is an engine's own report, which lags.
+type Load struct {
+	Running     int                      `json:"running"`
+	Waiting     int                      `json:"waiting"`
+	Capacity    int                      `json:"capacity"`
+	State       string                   `json:"state"`
+	Incarnation coordination.Incarnation `json:"incarnation"`
+	ObservedAt  time.Time                `json:"observed_at"`
+}
+
+// Leaving reports whether the engine has announced its stop.
+func (l Load) Leaving() bool { return l.State == stateLeaving }
+
+// Client makes calls to engines. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+	idle time.Duration
+	call time.Duration
+}
+
+// Limits are the time limits of a client.
+type Limits struct {
+	Idle time.Duration // longest silence inside a stream
+	Call time.Duration // longest short call, such as a cancel
+}
+
+// NewClient returns a client and a function that closes its connections.
+func NewClient(lim Limits) (*Client, func()) {
+	tr := &http.Transport{
+		MaxIdleConnsPerHost: 256,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}
+	c := &Client{http: &http.Client{Transport: tr}, idle: lim.Idle, call: lim.Call}
+	return c, tr.CloseIdleConnections
+}
+
+// Start sends one attempt to the engine at address. On success the answer's
+// stream is open. Every failure is a *StartError.
+func (c *Client) Start(ctx context.Context, address string, req Request) (*Stream, error) {
+	w := c.watch(ctx)
+	sent, err := newStart(w.trace(), address, req)
+	if err != nil {
+		w.stop()
+		return nil, &StartError{NotRun: true, Err: err}
+	}
+	res, err := c.http.Do(sent)
+	if err != nil {
+		w.stop()
+		return nil, &StartError{NotRun: !w.wrote.Load(), Dead: ctx.Err() == nil, Err: err}
+	}
+	if res.StatusCode != http.StatusOK {
+		defer w.stop()
+		return nil, refusal(res)
+	}
+	return newStream(res.Body, w, req.Attempt, req.Offset), nil
+}
+
+// refusal turns an answer other than OK into an error and closes it.
+func refusal(res *http.Response) *StartError {
+	defer res.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(res.Body, 512))
+	return &StartError{
+		NotRun:  res.Header.Get(headerOutcome) == outcomeNotRun,
+		Leaving: res.Header.Get(headerState) == stateLeaving,
+		Status:  res.StatusCode,
+		Err:     fmt.Errorf("%s", text),
+	}
+}
+
+// Resume opens the rest of an attempt's stream behind token offset after.
+func (c *Client) Resume(ctx context.Context, address string, id coordination.Attempt, after int) (*Stream, error) {
+	w := c.watch(ctx)
+	url := fmt.Sprintf("http://%s/v1/attempts/%s/stream?after=%d", address, id, after)
+	req, err := http.NewRequestWithContext(w.ctx, http.MethodGet, url, nil)
+	if err != nil {
+		w.stop()
+		return nil, fmt.Errorf("engine: resume: %w", err)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		w.stop()
+		return nil, fmt.Errorf("engine: resume: %w", err)
+	}
+	if res.StatusCode == http.StatusNotFound {
+		w.stop()
+		res.Body.Close()
+		return nil, ErrGone
+	}
+	if res.StatusCode != http.StatusOK {
+		w.stop()
+		return nil, refusal(res)
+	}
+	return newStream(res.Body, w, id, after), nil
+}
+
+// Cancel tells the engine to stop an attempt, so that nobody is billed for
+// what nobody reads. It returns how many tokens the attempt had generated.
+func (c *Client) Cancel(ctx context.Context, address string, id coordination.Attempt) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.call)
+	defer cancel()
+	var reply struct {
+		Generated int `json:"generated"`
+	}
+	err := c.json(ctx, http.MethodPost, fmt.Sprintf("http://%s/v1/attempts/%s/cancel", address, id), &reply)
+	return reply.Generated, err
+}
+
+// Load reads the engine's report.
+func (c *Client) Load(ctx context.Context, address string) (Load, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.call)
+	defer cancel()
+	var l Load
+	err := c.json(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/load", address), &l)
+	return l, err
+}
+
+// json makes one short call and decodes its answer into v.
+func (c *Client) json(ctx context.Context, method, url string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, nil)
+	if err != nil {
+		return fmt.Errorf("engine: %w", err)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("engine: %w", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode == http.StatusNotFound {
+		return ErrGone
+	}
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("engine: %s answers %s", req.URL.Path, res.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxReplyBytes)).Decode(v); err != nil {
+		return fmt.Errorf("engine: %w", err)
+	}
+	return nil
+}
+
+func priorityText(p coordination.Priority) string { return strconv.Itoa(int(p)) }
--- /dev/null
+++ b/wisteriarouter/event/catalogue.go
@@ -0,0 +1,74 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// The events of a router's life.
+var (
+	Started  = Kind{100, "started", logrus.InfoLevel, "The router serves. Nothing to do."}
+	Ready    = Kind{101, "ready", logrus.InfoLevel, "The router has settings and endpoints and takes requests."}
+	Stopping = Kind{102, "stopping", logrus.InfoLevel, "A graceful shutdown began: no new requests, those in flight finish."}
+	Stopped  = Kind{103, "stopped", logrus.InfoLevel, "The shutdown is complete; in-flight tells how many requests were left, which is 0 unless the stop limit passed."}
+	Failed   = Kind{104, "failed", logrus.ErrorLevel, "The router could not start or go on. The error tells why."}
+	Panicked = Kind{105, "panicked", logrus.ErrorLevel, "A broken invariant stopped one request. Report it with the stack."}
+)
+
+// The events of settings.
+var (
+	SettingsApplied  = Kind{200, "settings-applied", logrus.InfoLevel, "A team's settings revision is in force on this router."}
+	SettingsInvalid  = Kind{201, "settings-invalid", logrus.WarnLevel, "The platform holds a value that this router refuses; the last good one stays in force. Put a valid change on top."}
+	SettingsRejected = Kind{202, "settings-rejected", logrus.WarnLevel, "An operator's change was refused; the outcome tells whether it conflicted, was invalid or could not be written."}
+	SettingsChanged  = Kind{203, "settings-changed", logrus.InfoLevel, "An operator's change was accepted through this router."}
+)
+
+// The events of the platform's service.
+var (
+	PlatformLost     = Kind{300, "platform-lost", logrus.WarnLevel, "Calls to the platform's service fail. Chats go on with the last settings; non-idempotent actions are refused. See the platform's own alarms."}
+	PlatformBack     = Kind{301, "platform-back", logrus.InfoLevel, "Calls to the platform's service succeed again."}
+	InstancesRefresh = Kind{302, "instances-changed", logrus.InfoLevel, "The platform's list of instances changed."}
+)
+
+// The events of peers.
+var (
+	PeerConnected    = Kind{400, "peer-connected", logrus.DebugLevel, "A connection to another router stands."}
+	PeerDisconnected = Kind{401, "peer-disconnected", logrus.DebugLevel, "A connection to another router ended."}
+	PeerMalformed    = Kind{402, "peer-malformed", logrus.WarnLevel, "A peer sent a malformed message; its connection was closed. Look for a router of a wrong version or a foreign client on the peer port."}
+	PeerRefused      = Kind{403, "peer-refused", logrus.WarnLevel, "A connection was refused at hello, for its fleet name or its version."}
+	MemberChanged    = Kind{404, "member-changed", logrus.InfoLevel, "A router joined, left, or is taken for dead."}
+	RumourShed       = Kind{405, "rumour-shed", logrus.WarnLevel, "Soft state was dropped to stay under the byte budget. If it goes on, raise the budget or look for flapping instances."}
+)
+
+// The events of chats and endpoints.
+var (
+	EndpointLeaving   = Kind{500, "endpoint-leaving", logrus.InfoLevel, "An endpoint announced its stop and gets no new work."}
+	EndpointLost      = Kind{501, "endpoint-lost", logrus.WarnLevel, "An endpoint died or was restarted while it ran requests."}
+	StreamResumed     = Kind{502, "stream-resumed", logrus.InfoLevel, "A stream that broke was resumed on the same endpoint."}
+	StreamContinued   = Kind{503, "stream-continued", logrus.InfoLevel, "A stream whose endpoint was lost goes on elsewhere."}
+	StreamForeign     = Kind{504, "stream-foreign", logrus.ErrorLevel, "An endpoint sent a chunk that does not belong to the attempt; the attempt was cancelled."}
+	CancelFailed      = Kind{505, "cancel-failed", logrus.WarnLevel, "An attempt nobody reads could not be cancelled; it ends when the endpoint's own limit passes."}
+	RequestRefused    = Kind{506, "request-refused", logrus.DebugLevel, "A request got a final refusal."}
+	RequestSuspected  = Kind{507, "request-suspected", logrus.WarnLevel, "A request ran on an endpoint that died."}
+	RequestConvicted  = Kind{508, "request-convicted", logrus.ErrorLevel, "A request's second endpoint died. The fleet refuses it from now on; look at its fingerprint's caller."}
+	RetryBudgetSpent  = Kind{509, "retry-budget-spent", logrus.WarnLevel, "A request was not retried because the share of retries is spent. Look for endpoints that fail."}
+	OwnerUnreachable  = Kind{510, "owner-unreachable", logrus.WarnLevel, "An endpoint's owner did not answer; the router decided by itself under a tighter bound."}
+	ConnectionDropped = Kind{511, "caller-gone", logrus.DebugLevel, "A caller went away; its attempt was cancelled."}
+)
+
+// The events of actions.
+var (
+	ActionUnknown    = Kind{600, "action-unknown", logrus.WarnLevel, "An action may or may not have run. Its record stands; check at the service with the key."}
+	ActionRefused    = Kind{601, "action-refused", logrus.InfoLevel, "A non-idempotent action was refused and did not run."}
+	ActionUnfinished = Kind{602, "action-unfinished", logrus.WarnLevel, "An action ran but its record could not be closed yet; the router keeps trying."}
+)
+
+// Catalogue lists every kind, in order of number.
+func Catalogue() []Kind {
+	return []Kind{
+		Started, Ready, Stopping, Stopped, Failed, Panicked,
+		SettingsApplied, SettingsInvalid, SettingsRejected, SettingsChanged,
+		PlatformLost, PlatformBack, InstancesRefresh,
+		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumourShed,
+		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamForeign, CancelFailed,
+		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, OwnerUnreachable, ConnectionDropped,
+		ActionUnknown, ActionRefused, ActionUnfinished,
+	}
+}
--- /dev/null
+++ b/wisteriarouter/event/event.go
@@ -0,0 +1,48 @@
+// Package event numbers what the router logs, so that operators can search,
+// count and alert on a number that stays the same when a text changes.
+package event
+
+import (
+	"github.com/sirupsen/logrus"
+)
+
+// Number identifies one kind of event. Numbers are never given out again.
+type Number int
+
+// Kind describes one numbered event.
+type Kind struct {
+	Number Number
+	Name   string       // kebab case, stable
+	Level  logrus.Level // at which it is logged
+	Help   string       // what it means and what an operator does
+}
+
+// Field is one named value of an event.
+type Field struct {
+	Name  string
+	Value any
+}
+
+// F returns a field.
+func F(name string, value any) Field { return Field{Name: name, Value: value} }
+
+// Log writes structured, numbered events. The zero value drops them.
+type Log struct {
+	logger *logrus.Logger
+}
+
+// NewLog returns a log that writes through logger.
+func NewLog(logger *logrus.Logger) Log { return Log{logger: logger} }
+
+// Emit logs one event.
+func (l Log) Emit(k Kind, fields ...Field) {
+	if l.logger == nil || !l.logger.IsLevelEnabled(k.Level) {
+		return
+	}
+	data := make(logrus.Fields, len(fields)+1)
+	data["event"] = int(k.Number)
+	for _, f := range fields {
+		data[f.Name] = f.Value
+	}
+	l.logger.WithFields(data).Log(k.Level, k.Name)
+}
--- /dev/null
+++ b/wisteriarouter/event/event_test.go
@@ -0,0 +1,69 @@
+package event_test
+
+import (
+	"bytes"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/wisteriarouter/event"
+)
+
+const page = "../../docs/EVENTS.md"
+
+// The page is what operators search when an alert shows a number, so it holds
+// exactly the rows of the catalogue. WISTERIA_UPDATE=1 writes it anew.
+func TestPageHoldsCatalogue(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("# Events\n\nEvery log line of a router carries `event`, one of these numbers. A test holds\nthis page and package event together.\n\n")
+	b.WriteString("| number | name | level | meaning, and what to do |\n| --- | --- | --- | --- |\n")
+	for _, k := range event.Catalogue() {
+		fmt.Fprintf(&b, "| %d | `%s` | %s | %s |\n", k.Number, k.Name, k.Level, k.Help)
+	}
+	if os.Getenv("WISTERIA_UPDATE") != "" {
+		assert.NilError(t, os.WriteFile(page, []byte(b.String()), 0o644))
+	}
+	got, err := os.ReadFile(page)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), b.String())
+}
+
+func TestNumbersAndNamesAreUnique(t *testing.T) {
+	names := map[string]bool{}
+	last := event.Number(0)
+	for _, k := range event.Catalogue() {
+		assert.Assert(t, k.Number > last, "%d is not in order", k.Number)
+		assert.Assert(t, !names[k.Name], "%s stands twice", k.Name)
+		last = k.Number
+		names[k.Name] = true
+	}
+}
+
+func TestCatalogueIsComplete(t *testing.T) {
+	f, err := parser.ParseFile(token.NewFileSet(), "catalogue.go", nil, 0)
+	assert.NilError(t, err)
+	declared := 0
+	for _, d := range f.Decls {
+		if g, ok := d.(*ast.GenDecl); ok && g.Tok == token.VAR {
+			declared += len(g.Specs)
+		}
+	}
+	assert.Equal(t, declared, len(event.Catalogue()))
+}
+
+func TestEmit(t *testing.T) {
+	var out bytes.Buffer
+	logger := logrus.New()
+	logger.SetOutput(&out)
+	logger.SetFormatter(&logrus.JSONFormatter{DisableTimestamp: true})
+	event.NewLog(logger).Emit(event.Started, event.F("instance", "r1"))
+	assert.Equal(t, out.String(), `{"event":100,"instance":"r1","level":"info","msg":"started"}`+"\n")
+	event.Log{}.Emit(event.Started)
+}
