--- /dev/null
+++ b/coordination/budget/budget_test.go
@@ -0,0 +1,93 @@
+package budget_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination/budget"
+)
+
+// allowed counts the calls let through when each class asks every
+// millisecond, in the order given, for d.
+func allowed(b *budget.Budget, d time.Duration, order ...budget.Class) map[budget.Class]int {
+	n := make(map[budget.Class]int)
+	for range d / time.Millisecond {
+		for _, c := range order {
+			if ok, _ := b.Allow(c); ok {
+				n[c]++
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return n
+}
+
+// A fleet that grows while each router keeps its rate would overrun the
+// platform, which then refuses everybody.
+func TestShareShrinksWithMembers(t *testing.T) {
+	for _, tt := range []struct{ members, seconds, atMost, atLeast int }{
+		{1, 10, 10*700 + 700, 10*595 - 10},
+		{7, 10, 10*100 + 100, 10*85 - 10},
+		{70, 10, 10*10 + 10, 10*8 - 5},
+		{700, 60, 60*1 + 5, 60 - 10},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := budget.New(700)
+			b.SetMembers(tt.members)
+			n := allowed(b, time.Duration(tt.seconds)*time.Second, budget.Lists, budget.Settings, budget.Actions)
+			sum := n[budget.Actions] + n[budget.Settings] + n[budget.Lists]
+			assert.Assert(t, sum <= tt.atMost, "%d members: %v", tt.members, n)
+			assert.Assert(t, sum >= tt.atLeast, "%d members: %v", tt.members, n)
+			assert.Assert(t, n[budget.Actions] > n[budget.Settings], "%v", n)
+			assert.Assert(t, n[budget.Settings] > n[budget.Lists], "%v", n)
+		})
+	}
+}
+
+// A surge of actions asks for the whole budget without end. Settings still
+// have to reach the routers, or operators would see an accepted change that
+// is in force nowhere.
+func TestActionsDoNotStarveSettings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := budget.New(700)
+		b.SetMembers(7)
+		n := allowed(b, 10*time.Second, budget.Actions, budget.Settings, budget.Lists)
+		assert.Assert(t, n[budget.Settings] >= 95, "%v", n)
+		assert.Assert(t, n[budget.Lists] >= 45, "%v", n)
+		assert.Assert(t, n[budget.Actions] >= 700, "%v", n)
+	})
+}
+
+// A refused caller that comes back when it was told must be let through, or
+// it would be sent away twice.
+func TestRetryAfterHolds(t *testing.T) {
+	for _, class := range []budget.Class{budget.Actions, budget.Settings, budget.Lists} {
+		synctest.Test(t, func(t *testing.T) {
+			b := budget.New(50)
+			b.SetMembers(10)
+			for {
+				ok, wait := b.Allow(class)
+				if ok {
+					continue
+				}
+				time.Sleep(wait + time.Millisecond)
+				break
+			}
+			ok, _ := b.Allow(class)
+			assert.Assert(t, ok, "%v", class)
+		})
+	}
+}
+
+func TestNoBudget(t *testing.T) {
+	b := budget.New(0)
+	for range 100 {
+		b.Allow(budget.Actions)
+	}
+	ok, wait := b.Allow(budget.Actions)
+	assert.Assert(t, !ok)
+	assert.Equal(t, wait, time.Hour)
+}
