placement: candidates, owner choice and the owner's count

Cause: the load bound needs one place that counts an endpoint exactly, and a chat needs the same candidates in the same order on every router.

Owners grant while count+1 <= ceil(bound*mean); mean and addition are one step under the pool's lock. A new owner that has neither reports nor registrations passes requests on for a grace time instead of counting from zero.

--- /dev/null
+++ b/coordination/placement/admit.go
@@ -0,0 +1,221 @@
+package placement
+
+import (
+	"context"
+	"time"
+)
+
+// queueTick is how often a waiting request looks whether the mean has risen or
+// the endpoint has stalled; ends of requests wake the queue by themselves.
+const queueTick = 25 * time.Millisecond
+
+// Admit decides a request for a grant. It returns at once unless the request
+// has to wait in the queue of its endpoint; then it returns as soon as the
+// request is granted, passed on, or certain not to start in time.
+func (o *Owner) Admit(ctx context.Context, req AdmitRequest) AdmitReply {
+	r, w := o.submit(time.Now(), req)
+	if w == nil {
+		return r
+	}
+	return o.await(ctx, w)
+}
+
+// await waits for the answer to a queued request.
+func (o *Owner) await(ctx context.Context, w *waiter) AdmitReply {
+	t := time.NewTicker(queueTick)
+	defer t.Stop()
+	for {
+		select {
+		case r := <-w.done:
+			return r
+		case <-t.C:
+			o.sweep(time.Now(), w)
+		case <-ctx.Done():
+			o.end(time.Now(), w.id, w.req.Endpoint)
+			return AdmitReply{Decision: Refused, Code: Cancelled}
+		}
+	}
+}
+
+// sweep serves and prunes the queue that w waits in.
+func (o *Owner) sweep(now time.Time, w *waiter) {
+	s := o.shard(w.req.Endpoint)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.loads[w.req.Endpoint]
+	if l == nil || now.Sub(l.swept) < queueTick/2 {
+		return
+	}
+	l.dispatch(now, o.cfg.Load())
+}
+
+// submit decides a request, or queues it and returns the waiter.
+func (o *Owner) submit(now time.Time, req AdmitRequest) (AdmitReply, *waiter) {
+	o.hear(now, req.Entry)
+	for _, r := range req.Releases {
+		o.end(now, GrantID{Entry: req.Entry, Sequence: r.Sequence}, r.Endpoint)
+	}
+	s := o.shard(req.Endpoint)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.loads[req.Endpoint]
+	if l == nil {
+		return AdmitReply{Decision: Next, Code: NotOwner}, nil
+	}
+	return l.submit(now, req, o.cfg.Load())
+}
+
+func (l *endpointLoad) submit(now time.Time, req AdmitRequest, cfg *Config) (AdmitReply, *waiter) {
+	id := GrantID{Entry: req.Entry, Sequence: req.Sequence}
+	if _, ok := l.grants[id]; ok {
+		return AdmitReply{Decision: Granted}, nil
+	}
+	if _, ok := l.released[id]; ok {
+		return AdmitReply{Decision: Refused, Code: Cancelled}, nil
+	}
+	if l.left || req.Incarnation != 0 && req.Incarnation != l.desc.Incarnation {
+		return AdmitReply{Decision: Next, Code: Gone}, nil
+	}
+	l.dispatch(now, cfg)
+	code := l.fits(now, req.Alone, cfg)
+	if code == None && l.grant(now, id, req.Alone, cfg) {
+		return AdmitReply{Decision: Granted}, nil
+	}
+	if code == None {
+		code = OverBound
+	}
+	if !req.Final && (req.Wait == 0 || code == Settling) {
+		return AdmitReply{Decision: Next, Code: code}, nil
+	}
+	return l.enqueue(now, id, req, cfg)
+}
+
+// fits tells what keeps the endpoint from one more request, or None. The bound
+// is left to grant, which checks and counts in one step.
+func (l *endpointLoad) fits(now time.Time, alone bool, cfg *Config) Code {
+	switch {
+	case l.settling(now, cfg):
+		return Settling
+	case alone && l.alone > 0:
+		return Full
+	case l.count(now, cfg) >= l.capacity():
+		return Full
+	default:
+		return None
+	}
+}
+
+// grant counts the request unless the endpoint would exceed its bound.
+func (l *endpointLoad) grant(now time.Time, id GrantID, alone bool, cfg *Config) bool {
+	l.refresh(now, cfg)
+	if !l.pool.admit(now, l.counted, cfg) {
+		return false
+	}
+	l.counted++
+	l.hold(id, held{start: now, alone: alone})
+	return true
+}
+
+// enqueue lets a request wait, unless it cannot start in time.
+func (l *endpointLoad) enqueue(now time.Time, id GrantID, req AdmitRequest, cfg *Config) (AdmitReply, *waiter) {
+	w := &waiter{req: req, id: id, arrived: now, done: make(chan AdmitReply, 1)}
+	l.arrived++
+	w.order = l.arrived
+	w.deadline = now.Add(cfg.MaxWait)
+	if d := req.Deadline.Duration(); d > 0 && d < cfg.MaxWait {
+		w.deadline = now.Add(d)
+	}
+	if !req.Final {
+		w.warmEnd = now.Add(min(req.Wait.Duration(), cfg.WarmWait))
+	}
+	if l.queue.len(req.Account) >= cfg.AccountQueueLimit {
+		return l.refusal(now, Overloaded), nil
+	}
+	l.queue.push(w, cfg.weightOf(req.Account))
+	if l.queue.size > cfg.QueueLimit {
+		last := l.queue.longest()
+		l.queue.remove(last)
+		last.settle(l.refusal(now, Overloaded))
+	}
+	l.prune(now, cfg)
+	select {
+	case r := <-w.done:
+		return r, nil
+	default:
+		return AdmitReply{}, w
+	}
+}
+
+// dispatch grants to waiting requests what the endpoint can take.
+func (l *endpointLoad) dispatch(now time.Time, cfg *Config) {
+	l.swept = now
+	for l.queue.size > 0 {
+		w := l.queue.next(func(w *waiter) bool {
+			return l.fits(now, w.req.Alone, cfg) == None
+		})
+		if w == nil || !l.grant(now, w.id, w.req.Alone, cfg) {
+			break
+		}
+		l.queue.serve(w)
+		w.settle(AdmitReply{Decision: Granted})
+	}
+	l.prune(now, cfg)
+}
+
+// prune answers the waiting requests whose time is up, and those that cannot
+// start in time any more: a caller told so at once can still go elsewhere.
+func (l *endpointLoad) prune(now time.Time, cfg *Config) {
+	if l.queue.size == 0 {
+		return
+	}
+	gap := l.service.gap(now, l.count(now, cfg))
+	for _, w := range l.queue.waiters() {
+		if !w.warmEnd.IsZero() && !now.Before(w.warmEnd) {
+			l.queue.remove(w)
+			w.settle(AdmitReply{Decision: Next, Code: Full})
+			continue
+		}
+		if now.Before(w.deadline) && gap == 0 {
+			continue
+		}
+		start := now.Add(time.Duration(l.queue.ahead(w)+1) * gap)
+		if start.Before(w.deadline) {
+			continue
+		}
+		l.queue.remove(w)
+		if w.req.Final {
+			w.settle(l.refusal(now, Deadline))
+		} else {
+			w.settle(AdmitReply{Decision: Next, Code: Full})
+		}
+	}
+}
+
+// The span of what a refusal tells a caller to wait.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+)
+
+// refusal returns a final answer that tells when the present queue will have
+// drained.
+func (l *endpointLoad) refusal(now time.Time, code Code) AdmitReply {
+	gap := l.service.gap(now, len(l.grants))
+	wait := time.Duration(l.queue.size+1) * gap
+	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	return AdmitReply{Decision: Refused, Code: code, RetryAfter: millis(wait)}
+}
+
+// passOn answers all waiting requests with Next.
+func (l *endpointLoad) passOn(code Code) {
+	for _, w := range l.queue.waiters() {
+		l.queue.remove(w)
+		w.settle(AdmitReply{Decision: Next, Code: code})
+	}
+}
+
+// retire takes the endpoint out of its pool's sum before it is forgotten.
+func (l *endpointLoad) retire(code Code) {
+	l.leave()
+	l.passOn(code)
+}
--- /dev/null
+++ b/coordination/placement/candidates.go
@@ -0,0 +1,177 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"wisteriaspool/coordination"
+)
+
+// Set is a snapshot of the endpoints that may take new work, by pool. It never
+// changes, so it may be shared without locks. The zero Set has no endpoints.
+type Set struct {
+	pools map[coordination.Pool]*pool
+	byID  map[coordination.Endpoint]*Descriptor
+}
+
+// pool holds the endpoints of one pool with what rendezvous hashing needs.
+type pool struct {
+	endpoints []*Descriptor
+	hashes    []uint64
+	weights   []float64
+	uniform   bool // all weights are equal
+	hints     map[Hint]int
+}
+
+// NewSet returns a snapshot of endpoints. Leaving ones are known to [Set.Find]
+// but are no candidates.
+func NewSet(endpoints []Descriptor) *Set {
+	own := slices.Clone(endpoints)
+	slices.SortFunc(own, func(a, b Descriptor) int {
+		return strings.Compare(string(a.ID), string(b.ID))
+	})
+	s := &Set{
+		pools: make(map[coordination.Pool]*pool),
+		byID:  make(map[coordination.Endpoint]*Descriptor, len(own)),
+	}
+	for i := range own {
+		s.add(&own[i])
+	}
+	return s
+}
+
+func (s *Set) add(d *Descriptor) {
+	s.byID[d.ID] = d
+	if d.State == Leaving {
+		return
+	}
+	p := s.pools[d.Pool]
+	if p == nil {
+		p = &pool{uniform: true, hints: make(map[Hint]int)}
+		s.pools[d.Pool] = p
+	}
+	w := d.weight()
+	if len(p.weights) > 0 && p.weights[0] != w {
+		p.uniform = false
+	}
+	if d.State == Live {
+		p.hints[HintOf(d.ID, d.Incarnation)] = len(p.endpoints)
+	}
+	p.endpoints = append(p.endpoints, d)
+	p.hashes = append(p.hashes, xxhash.Sum64String(string(d.ID)))
+	p.weights = append(p.weights, w)
+}
+
+// Find returns the descriptor of an endpoint, or nil.
+func (s *Set) Find(id coordination.Endpoint) *Descriptor {
+	return s.byID[id]
+}
+
+// Len returns the number of candidate endpoints of a pool.
+func (s *Set) Len(name coordination.Pool) int {
+	if p := s.pools[name]; p != nil {
+		return len(p.endpoints)
+	}
+	return 0
+}
+
+// Pools returns the names of the pools that have candidates, sorted.
+func (s *Set) Pools() []coordination.Pool {
+	names := lo.Keys(s.pools)
+	slices.Sort(names)
+	return names
+}
+
+// Warm returns the endpoint that a hint names in a pool, or nil.
+func (s *Set) Warm(name coordination.Pool, hint Hint) *Descriptor {
+	p := s.pools[name]
+	if p == nil || hint == 0 {
+		return nil
+	}
+	if i, ok := p.hints[hint]; ok {
+		return p.endpoints[i]
+	}
+	return nil
+}
+
+// scored is an endpoint in the course of a selection; a lower score is better.
+type scored struct {
+	score float64
+	index int
+}
+
+// inlineCandidates is the number of candidates selected without allocating.
+const inlineCandidates = 16
+
+// Candidates appends to dst up to limit endpoints of a pool in the order in
+// which a request with this key should try them: the hinted one first, then by
+// weighted rendezvous hashing. A hint that is unknown, stale or forged can only
+// reorder them; what an endpoint may take is its owner's decision.
+func (s *Set) Candidates(dst []*Descriptor, name coordination.Pool, key Key, hint Hint, limit int) []*Descriptor {
+	p := s.pools[name]
+	if p == nil || limit <= 0 {
+		return dst
+	}
+	limit = min(limit, len(p.endpoints))
+	warm := -1
+	if i, ok := p.hints[hint]; ok {
+		warm = i
+		dst = append(dst, p.endpoints[i])
+		limit--
+	}
+	var buf [inlineCandidates]scored
+	best := buf[:0]
+	if limit > len(buf) {
+		best = make([]scored, 0, limit)
+	}
+	best = p.selectBest(best, key, warm, limit)
+	for _, c := range best {
+		dst = append(dst, p.endpoints[c.index])
+	}
+	return dst
+}
+
+// selectBest fills best with the limit best endpoints but skip, in order. It is
+// an insertion into a short sorted list, since a request seldom needs more
+// than a few of several hundred.
+func (p *pool) selectBest(best []scored, key Key, skip, limit int) []scored {
+	if limit <= 0 {
+		return best
+	}
+	for i, h := range p.hashes {
+		if i == skip {
+			continue
+		}
+		score := p.score(mix(h, uint64(key)), i)
+		if len(best) == limit {
+			if score >= best[limit-1].score {
+				continue
+			}
+			best = best[:limit-1]
+		}
+		at := len(best)
+		for at > 0 && best[at-1].score > score {
+			at--
+		}
+		best = append(best, scored{})
+		copy(best[at+1:], best[at:])
+		best[at] = scored{score: score, index: i}
+	}
+	return best
+}
+
+// score turns a hash into the rendezvous score of endpoint i: an exponential
+// variate with the endpoint's weight as its rate, so that the lowest of all
+// falls on each endpoint in proportion to its weight. With equal weights the
+// hash itself has the same order and saves the logarithm.
+func (p *pool) score(h uint64, i int) float64 {
+	u := float64(h>>11) + 0.5
+	if p.uniform {
+		return -u
+	}
+	return -math.Log(u/(1<<53)) / p.weights[i]
+}
--- /dev/null
+++ b/coordination/placement/config.go
@@ -0,0 +1,100 @@
+package placement
+
+import (
+	"time"
+
+	"wisteriaspool/coordination"
+)
+
+// Config holds the settings of placement. A zero field means its default.
+type Config struct {
+	// Bound is the multiple of its pool's mean load that an endpoint may
+	// carry; above 1, default 1.25.
+	Bound float64
+
+	// WarmWait is the longest time for which an owner holds a request back
+	// for the endpoint where its chat is warm, before it is passed on to a
+	// cold one.
+	WarmWait time.Duration
+
+	// QueueLimit is the number of requests that may wait at one endpoint,
+	// default 64.
+	QueueLimit int
+
+	// AccountQueueLimit is the number of requests of one client account that
+	// may wait at one endpoint, default 16.
+	AccountQueueLimit int
+
+	// AccountWeights are the shares of client accounts under contention;
+	// an account not named here has weight 1.
+	AccountWeights map[coordination.Account]float64
+
+	// MaxWait is the longest time that a request without a nearer deadline
+	// waits in a queue, default 10 s.
+	MaxWait time.Duration
+
+	// Grace is how long a new owner waits for entries to register what an
+	// endpoint runs, if the endpoint itself does not report; default 1 s.
+	Grace time.Duration
+
+	// EntryLease is how long the grants of an entry last without a word from
+	// it, default 30 s. Entries register every third of it.
+	EntryLease time.Duration
+
+	// ReportTTL is how long an endpoint's report of its load counts, default
+	// 5 s.
+	ReportTTL time.Duration
+
+	// Candidates is the number of endpoints that an entry asks about before
+	// a request queues at the first of them, default 6.
+	Candidates int
+
+	// MeanHold is how long an owner uses the last mean of a pool when its root
+	// is silent, default 5 s.
+	MeanHold time.Duration
+
+	// FallbackShare is the part of the bound that an entry uses when it has to
+	// decide without an endpoint's owner, default 0.8.
+	FallbackShare float64
+}
+
+// weightOf returns the share of an account under contention.
+func (c *Config) weightOf(a coordination.Account) float64 {
+	if w := c.AccountWeights[a]; w > 0 {
+		return w
+	}
+	return 1
+}
+
+// withDefaults returns c with the zero fields filled in.
+func (c Config) withDefaults() Config {
+	setFloat(&c.Bound, 1.25)
+	setInt(&c.QueueLimit, 64)
+	setInt(&c.AccountQueueLimit, 16)
+	setDuration(&c.MaxWait, 10*time.Second)
+	setDuration(&c.Grace, time.Second)
+	setDuration(&c.EntryLease, 30*time.Second)
+	setDuration(&c.ReportTTL, 5*time.Second)
+	setInt(&c.Candidates, 6)
+	setDuration(&c.MeanHold, 5*time.Second)
+	setFloat(&c.FallbackShare, 0.8)
+	return c
+}
+
+func setFloat(v *float64, d float64) {
+	if *v <= 0 {
+		*v = d
+	}
+}
+
+func setInt(v *int, d int) {
+	if *v <= 0 {
+		*v = d
+	}
+}
+
+func setDuration(v *time.Duration, d time.Duration) {
+	if *v <= 0 {
+		*v = d
+	}
+}
--- /dev/null
+++ b/coordination/placement/handlers.go
@@ -0,0 +1,41 @@
+package placement
+
+import "context"
+
+// HandleAdmit answers a message on [TopicAdmit].
+func (o *Owner) HandleAdmit(ctx context.Context, payload []byte) ([]byte, error) {
+	m, err := DecodeAdmitRequest(payload)
+	if err != nil {
+		return nil, err
+	}
+	return o.Admit(ctx, m).Encode(), nil
+}
+
+// HandleRelease answers a message on [TopicRelease] with nothing.
+func (o *Owner) HandleRelease(_ context.Context, payload []byte) ([]byte, error) {
+	m, err := DecodeReleaseBatch(payload)
+	if err != nil {
+		return nil, err
+	}
+	o.Release(m)
+	return nil, nil
+}
+
+// HandleRegister answers a message on [TopicRegister] with nothing.
+func (o *Owner) HandleRegister(_ context.Context, payload []byte) ([]byte, error) {
+	m, err := DecodeRegister(payload)
+	if err != nil {
+		return nil, err
+	}
+	o.Register(m)
+	return nil, nil
+}
+
+// HandleSum answers a message on [TopicSum].
+func (o *Owner) HandleSum(_ context.Context, payload []byte) ([]byte, error) {
+	m, err := DecodeSumReport(payload)
+	if err != nil {
+		return nil, err
+	}
+	return o.Sum(m).Encode(), nil
+}
--- /dev/null
+++ b/coordination/placement/load.go
@@ -0,0 +1,243 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"wisteriaspool/coordination"
+)
+
+// Report is an endpoint's own word on its load. It lags.
+type Report struct {
+	Endpoint    coordination.Endpoint
+	Incarnation coordination.Incarnation
+	Running     int // running and waiting requests
+	Capacity    int // zero if the endpoint names none
+	Leaving     bool
+	Observed    time.Time
+}
+
+// held is a grant as its owner counts it.
+type held struct {
+	start time.Time
+	alone bool
+}
+
+// span is the life of a grant that has ended.
+type span struct{ start, end time.Time }
+
+// endpointLoad is the exact count of one endpoint, kept by its owner. A shard's
+// lock guards it.
+type endpointLoad struct {
+	desc    Descriptor
+	pool    *poolLoad
+	grants  map[GrantID]held
+	alone   int // grants of suspects
+	queue   fairQueue
+	arrived uint64
+	service serviceTime
+	counted int // what the pool's sum holds for this endpoint
+	left    bool
+
+	// A new owner does not know what its endpoint runs until entries have
+	// registered or the endpoint has reported. Counting from zero would put a
+	// whole second load upon it.
+	settled time.Time
+
+	report  Report
+	unknown int    // requests in the report that no grant accounts for
+	ended   []span // of late, oldest first
+
+	// released remembers grants that have ended: an admission or a registration
+	// that arrives after the release would otherwise be held for ever.
+	released map[GrantID]time.Time
+	forgot   time.Time
+	swept    time.Time
+}
+
+const (
+	endedSpans        = 256
+	releasedLimit     = 4096
+	releasedRetention = 30 * time.Second
+)
+
+func newEndpointLoad(d Descriptor, p *poolLoad, settled time.Time) *endpointLoad {
+	l := &endpointLoad{
+		desc:     d,
+		pool:     p,
+		grants:   make(map[GrantID]held),
+		released: make(map[GrantID]time.Time),
+		settled:  settled,
+		left:     d.State == Leaving,
+	}
+	if !l.left {
+		p.change(0, 1)
+	}
+	return l
+}
+
+// count returns the number of requests at the endpoint: the grants, and what
+// the endpoint itself reports beyond them. The latter ages, since a report
+// that is not renewed says less and less.
+func (l *endpointLoad) count(now time.Time, cfg *Config) int {
+	return len(l.grants) + l.unknownAt(now, cfg)
+}
+
+func (l *endpointLoad) unknownAt(now time.Time, cfg *Config) int {
+	if l.unknown == 0 {
+		return 0
+	}
+	age := now.Sub(l.report.Observed)
+	left := 1 - float64(age)/float64(cfg.ReportTTL)
+	if left <= 0 {
+		return 0
+	}
+	return int(math.Ceil(float64(l.unknown) * min(left, 1)))
+}
+
+// settling reports whether the owner cannot yet tell what the endpoint runs.
+func (l *endpointLoad) settling(now time.Time, cfg *Config) bool {
+	if !now.Before(l.settled) {
+		return false
+	}
+	reported := !l.report.Observed.IsZero() && now.Sub(l.report.Observed) < cfg.ReportTTL
+	return !reported
+}
+
+// refresh brings the pool's sum in line with the count.
+func (l *endpointLoad) refresh(now time.Time, cfg *Config) {
+	n := l.count(now, cfg)
+	if l.left {
+		n = 0
+	}
+	if n != l.counted {
+		l.pool.change(n-l.counted, 0)
+		l.counted = n
+	}
+}
+
+// leave marks the endpoint as leaving, for good.
+func (l *endpointLoad) leave() {
+	if l.left {
+		return
+	}
+	l.left = true
+	l.pool.change(-l.counted, -1)
+	l.counted = 0
+}
+
+// capacity returns the number of requests that the endpoint may run.
+func (l *endpointLoad) capacity() int {
+	c, r := l.desc.Capacity, l.report.Capacity
+	switch {
+	case c <= 0 && r <= 0:
+		return math.MaxInt
+	case c <= 0:
+		return r
+	case r <= 0:
+		return c
+	default:
+		return min(c, r)
+	}
+}
+
+// learn takes a report: what it shows beyond the grants that were live when it
+// was observed is unknown to this owner.
+func (l *endpointLoad) learn(now time.Time, r Report, cfg *Config) {
+	if r.Observed.Before(l.report.Observed) {
+		return
+	}
+	known := 0
+	for _, g := range l.grants {
+		if !g.start.After(r.Observed) {
+			known++
+		}
+	}
+	for _, e := range l.ended {
+		if !e.start.After(r.Observed) && e.end.After(r.Observed) {
+			known++
+		}
+	}
+	l.report = r
+	l.unknown = max(r.Running-known, 0)
+	l.refresh(now, cfg)
+}
+
+// hold records a grant.
+func (l *endpointLoad) hold(id GrantID, g held) {
+	l.grants[id] = g
+	if g.alone {
+		l.alone++
+	}
+}
+
+// drop ends a grant and reports whether there was one.
+func (l *endpointLoad) drop(now time.Time, id GrantID) bool {
+	g, ok := l.grants[id]
+	if !ok {
+		return false
+	}
+	delete(l.grants, id)
+	if g.alone {
+		l.alone--
+	}
+	if len(l.ended) == endedSpans {
+		l.ended = l.ended[1:]
+	}
+	l.ended = append(l.ended, span{start: g.start, end: now})
+	return true
+}
+
+// remember notes that a grant has been released.
+func (l *endpointLoad) remember(now time.Time, id GrantID) {
+	if len(l.released) < releasedLimit {
+		l.released[id] = now
+	}
+}
+
+// forget drops old releases.
+func (l *endpointLoad) forget(now time.Time) {
+	if now.Sub(l.forgot) < releasedRetention/4 {
+		return
+	}
+	l.forgot = now
+	for id, at := range l.released {
+		if now.Sub(at) > releasedRetention {
+			delete(l.released, id)
+		}
+	}
+}
+
+// serviceTime is the observed time that requests hold an endpoint. The zero
+// value has observed nothing.
+type serviceTime struct {
+	mean  time.Duration
+	ended time.Time
+}
+
+// serviceShare is the weight of the latest request in the mean.
+const serviceShare = 0.1
+
+func (s *serviceTime) observe(d time.Duration, now time.Time) {
+	s.ended = now
+	if s.mean == 0 {
+		s.mean = max(d, 1)
+		return
+	}
+	s.mean += time.Duration(serviceShare * float64(d-s.mean))
+}
+
+// stallFactor is how many mean gaps an endpoint may go without ending a
+// request before it is taken to be slower than it was.
+const stallFactor = 4
+
+// gap returns the expected time between two requests that end at an endpoint
+// that runs n. An endpoint that has stopped ending any gets slower with time,
+// so that requests behind it are refused early and not at their deadline.
+func (s *serviceTime) gap(now time.Time, n int) time.Duration {
+	if s.mean == 0 {
+		return 0
+	}
+	g := s.mean / time.Duration(max(n, 1))
+	return max(g, now.Sub(s.ended)/stallFactor)
+}
--- /dev/null
+++ b/coordination/placement/mean.go
@@ -0,0 +1,97 @@
+package placement
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"wisteriaspool/coordination"
+)
+
+// poolLoad is what an owner knows of the load of one pool: the exact sum over
+// its own endpoints, and the total that the pool's root last told it. The zero
+// value is a pool of which only the own part is known.
+type poolLoad struct {
+	mu        sync.Mutex
+	name      coordination.Pool
+	count     int // requests at own endpoints
+	endpoints int // own endpoints that take new work
+	listed    int // endpoints of the pool in the instance list
+
+	others          int // requests at endpoints of other owners
+	othersEndpoints int
+	heard           time.Time // when the root last answered
+}
+
+// change adds to the sums over own endpoints.
+func (p *poolLoad) change(count, endpoints int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.count += count
+	p.endpoints += endpoints
+	if p.count < 0 || p.endpoints < 0 {
+		panic("placement: negative load of pool " + string(p.name))
+	}
+}
+
+// list notes how many endpoints of the pool the instance list has.
+func (p *poolLoad) list(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listed = n
+}
+
+// admit counts one more request at an endpoint that runs count, if that keeps
+// the endpoint within bound times the mean. Reading the mean and adding to it
+// is one step under the lock, so that admissions at two endpoints cannot both
+// rely on the same sum.
+func (p *poolLoad) admit(now time.Time, count int, cfg *Config) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if count+1 > limitOf(cfg.Bound, p.mean(now, cfg)) {
+		return false
+	}
+	p.count++
+	return true
+}
+
+// mean returns the mean load of the pool with one more request.
+func (p *poolLoad) mean(now time.Time, cfg *Config) float64 {
+	own := float64(p.count + 1)
+	ownEndpoints := float64(max(p.endpoints, 1))
+	age := now.Sub(p.heard)
+	if p.heard.IsZero() || age >= 2*cfg.MeanHold {
+		return own / ownEndpoints
+	}
+	n := max(p.endpoints+p.othersEndpoints, p.listed, 1)
+	whole := (own + float64(p.others)) / float64(n)
+	if age <= cfg.MeanHold {
+		return whole
+	}
+	// The root has been silent for long: lean on the own part more and more,
+	// rather than jump from one mean to another.
+	part := float64(age-cfg.MeanHold) / float64(cfg.MeanHold)
+	return whole*(1-part) + own/ownEndpoints*part
+}
+
+// learn takes the root's total, of which mine is what this owner had reported.
+func (p *poolLoad) learn(now time.Time, total, mine PoolSum) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.others = max(total.Count-mine.Count, 0)
+	p.othersEndpoints = max(total.Endpoints-mine.Endpoints, 0)
+	p.heard = now
+}
+
+// own returns the sums over own endpoints.
+func (p *poolLoad) own() (count, endpoints int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.count, p.endpoints
+}
+
+// limitOf returns ceil(bound*mean), forgiving the rounding of floats: 1.25*8
+// must not become 11.
+func limitOf(bound, mean float64) int {
+	return int(math.Ceil(bound*mean - 1e-9))
+}
--- /dev/null
+++ b/coordination/placement/queue.go
@@ -0,0 +1,204 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"wisteriaspool/coordination"
+)
+
+// priorityHeadStart is how many requests of its account's share a request goes
+// ahead by for each step of priority. The account still pays for the service,
+// so an account that calls everything urgent gains a moment, not a share.
+const priorityHeadStart = 4.0
+
+// waiter is a request that waits at an endpoint. Its owner's shard lock guards
+// it, except for done.
+type waiter struct {
+	req      AdmitRequest
+	id       GrantID
+	arrived  time.Time
+	order    uint64    // of arrival at the endpoint
+	deadline time.Time // zero for none
+	warmEnd  time.Time // when a request held back for its cache is passed on
+	done     chan AdmitReply
+	queued   bool
+}
+
+// settle gives the waiter its answer.
+func (w *waiter) settle(r AdmitReply) { w.done <- r }
+
+// flow is the queue of one client account at one endpoint.
+type flow struct {
+	items  []*waiter // by priority, then by arrival
+	start  float64   // virtual time at which its next request is due
+	weight float64
+}
+
+// due returns the virtual time that ranks the item at index i of the flow.
+func (f *flow) due(i int) float64 {
+	ahead := priorityHeadStart * float64(f.items[i].req.Priority)
+	return f.start + float64(i)/f.weight - ahead
+}
+
+// fairQueue is a start-time fair queue over client accounts: under contention
+// each account gets service in proportion to its weight, however much it asks.
+// The zero value is empty and ready for use.
+type fairQueue struct {
+	flows map[coordination.Account]*flow
+	now   float64 // virtual time: the start of the last request served
+	size  int
+}
+
+// push adds w under its account.
+func (q *fairQueue) push(w *waiter, weight float64) {
+	if q.flows == nil {
+		q.flows = make(map[coordination.Account]*flow)
+	}
+	if weight <= 0 {
+		weight = 1
+	}
+	f := q.flows[w.req.Account]
+	if f == nil {
+		f = &flow{start: q.now}
+		q.flows[w.req.Account] = f
+	}
+	f.weight = weight
+	if len(f.items) == 0 {
+		f.start = max(f.start, q.now)
+	}
+	at := len(f.items)
+	for at > 0 && f.items[at-1].req.Priority < w.req.Priority {
+		at--
+	}
+	f.items = slices.Insert(f.items, at, w)
+	q.size++
+	w.queued = true
+}
+
+// len returns the number of waiting requests of an account.
+func (q *fairQueue) len(a coordination.Account) int {
+	if f := q.flows[a]; f != nil {
+		return len(f.items)
+	}
+	return 0
+}
+
+// remove takes w out without service.
+func (q *fairQueue) remove(w *waiter) {
+	f := q.flows[w.req.Account]
+	if f == nil {
+		return
+	}
+	i := slices.Index(f.items, w)
+	if i < 0 {
+		return
+	}
+	f.items = slices.Delete(f.items, i, i+1)
+	q.size--
+	w.queued = false
+	q.forget(w.req.Account, f)
+}
+
+// next returns the request that is due first among those that fit, or nil.
+func (q *fairQueue) next(fits func(*waiter) bool) *waiter {
+	var best *waiter
+	var first float64
+	for _, f := range q.flows {
+		for i, w := range f.items {
+			if !fits(w) {
+				continue
+			}
+			due := f.due(i)
+			if best == nil || due < first || due == first && w.order < best.order {
+				best, first = w, due
+			}
+			break
+		}
+	}
+	return best
+}
+
+// serve takes w out and charges its account.
+func (q *fairQueue) serve(w *waiter) {
+	f := q.flows[w.req.Account]
+	q.now = max(q.now, f.start)
+	f.start += 1 / f.weight
+	q.remove(w)
+}
+
+// forget drops an idle flow that has no lead over virtual time any more, so
+// that the table holds only accounts with requests here of late.
+func (q *fairQueue) forget(a coordination.Account, f *flow) {
+	if len(f.items) == 0 && f.start <= q.now {
+		delete(q.flows, a)
+	}
+	if q.size == 0 {
+		clear(q.flows)
+	}
+}
+
+// ahead returns how many waiting requests go before w.
+func (q *fairQueue) ahead(w *waiter) int {
+	own := q.flows[w.req.Account]
+	if own == nil {
+		return q.size
+	}
+	place := slices.Index(own.items, w)
+	if place < 0 {
+		return q.size
+	}
+	due := own.due(place)
+	n := place
+	for _, f := range q.flows {
+		if f == own {
+			continue
+		}
+		for i := range f.items {
+			if f.due(i) > due {
+				break
+			}
+			n++
+		}
+	}
+	return n
+}
+
+// longest returns the last request of the account with the most waiting
+// requests for its weight, or nil.
+func (q *fairQueue) longest() *waiter {
+	var worst *flow
+	for _, f := range q.flows {
+		if len(f.items) == 0 {
+			continue
+		}
+		if worst == nil || longer(f, worst) {
+			worst = f
+		}
+	}
+	if worst == nil {
+		return nil
+	}
+	return worst.items[len(worst.items)-1]
+}
+
+// longer ranks flows by length for weight. Between equals the one whose first
+// request came last is longer, so that map order decides nothing.
+func longer(a, b *flow) bool {
+	x, y := float64(len(a.items))/a.weight, float64(len(b.items))/b.weight
+	if x != y {
+		return x > y
+	}
+	return a.items[0].order > b.items[0].order
+}
+
+// waiters returns all waiting requests.
+func (q *fairQueue) waiters() []*waiter {
+	all := make([]*waiter, 0, q.size)
+	for _, f := range q.flows {
+		all = append(all, f.items...)
+	}
+	slices.SortFunc(all, func(a, b *waiter) int { return cmp.Compare(a.order, b.order) })
+	return all
+}
--- /dev/null
+++ b/coordination/placement/sums.go
@@ -0,0 +1,184 @@
+package placement
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"wisteriaspool/coordination"
+)
+
+// Transport carries requests to other routers. A call that fails tells nothing
+// of whether it was received.
+type Transport interface {
+	Call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error)
+}
+
+// PoolSum is the load of a pool over the endpoints of one owner, or of all.
+type PoolSum struct {
+	_         struct{} `cbor:",toarray"`
+	Pool      coordination.Pool
+	Count     int // requests
+	Endpoints int // that take new work
+}
+
+// SumReport tells the root of pools what one owner counts.
+type SumReport struct {
+	From coordination.Instance `cbor:"1,keyasint"`
+	Sums []PoolSum             `cbor:"2,keyasint"`
+}
+
+// SumReply answers a SumReport with the totals of the same pools.
+type SumReply struct {
+	Totals []PoolSum `cbor:"1,keyasint,omitempty"`
+}
+
+// Encode returns m as CBOR.
+func (m SumReport) Encode() []byte { return encode(m) }
+
+// Encode returns m as CBOR.
+func (m SumReply) Encode() []byte { return encode(m) }
+
+// DecodeSumReport returns the report in b.
+func DecodeSumReport(b []byte) (m SumReport, err error) {
+	err = decode(b, &m)
+	return m, err
+}
+
+// DecodeSumReply returns the reply in b.
+func DecodeSumReply(b []byte) (m SumReply, err error) {
+	err = decode(b, &m)
+	return m, err
+}
+
+// The interval between two exchanges of sums grows with the number of owners,
+// so that the root of a pool receives about as much at any size.
+const (
+	minSumInterval      = 100 * time.Millisecond
+	maxSumInterval      = 2 * time.Second
+	sumIntervalPerOwner = 8 * time.Millisecond
+
+	// sumTTL is how many intervals the sum of a silent owner counts.
+	sumTTL = 4
+)
+
+// SumInterval returns how often owners should call [Owner.Exchange] in a fleet
+// with this number of owners.
+func SumInterval(owners int) time.Duration {
+	d := time.Duration(owners) * sumIntervalPerOwner
+	return min(max(d, minSumInterval), maxSumInterval)
+}
+
+// poolSums is what the root of a pool knows of its owners' sums.
+type poolSums struct {
+	from map[coordination.Instance]heardSum
+}
+
+type heardSum struct {
+	PoolSum
+	at time.Time
+}
+
+// total returns the sum over the owners heard from of late.
+func (s *poolSums) total(now time.Time, name coordination.Pool, ttl time.Duration) PoolSum {
+	sum := PoolSum{Pool: name}
+	for id, h := range s.from {
+		if now.Sub(h.at) > ttl {
+			delete(s.from, id)
+			continue
+		}
+		sum.Count += h.Count
+		sum.Endpoints += h.Endpoints
+	}
+	return sum
+}
+
+// Sum takes an owner's report as the root of its pools. Any router answers: an
+// owner with another list of routers asks another root, which then knows only
+// a part, and says how many endpoints that part has.
+func (o *Owner) Sum(m SumReport) SumReply { return o.sum(time.Now(), m) }
+
+func (o *Owner) sum(now time.Time, m SumReport) SumReply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ttl := sumTTL * SumInterval(len(o.routers.owners))
+	totals := lo.Map(m.Sums, func(p PoolSum, _ int) PoolSum {
+		s := o.sums[p.Pool]
+		if s == nil {
+			s = &poolSums{from: make(map[coordination.Instance]heardSum)}
+			o.sums[p.Pool] = s
+		}
+		s.from[m.From] = heardSum{PoolSum: p, at: now}
+		return s.total(now, p.Pool, ttl)
+	})
+	return SumReply{Totals: totals}
+}
+
+// sumCall is one report on its way to a root.
+type sumCall struct {
+	owner  *Owner
+	to     coordination.Instance
+	report SumReport
+}
+
+// sumCalls returns the reports that are due, one for each root.
+func (o *Owner) sumCalls() []sumCall {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	byRoot := make(map[coordination.Instance][]PoolSum)
+	for name, p := range o.pools {
+		count, endpoints := p.own()
+		if endpoints > 0 {
+			root := o.routers.Root(name)
+			byRoot[root] = append(byRoot[root], PoolSum{Pool: name, Count: count, Endpoints: endpoints})
+		}
+	}
+	calls := lo.MapToSlice(byRoot, func(to coordination.Instance, sums []PoolSum) sumCall {
+		return sumCall{owner: o, to: to, report: SumReport{From: o.self, Sums: sums}}
+	})
+	slices.SortFunc(calls, func(a, b sumCall) int { return cmp.Compare(a.to, b.to) })
+	return calls
+}
+
+// learn takes the root's reply to a report.
+func (o *Owner) learn(now time.Time, sent SumReport, reply SumReply) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	mine := lo.KeyBy(sent.Sums, func(p PoolSum) coordination.Pool { return p.Pool })
+	for _, total := range reply.Totals {
+		own, asked := mine[total.Pool]
+		if p := o.pools[total.Pool]; asked && p != nil {
+			p.learn(now, total, own)
+		}
+	}
+}
+
+// Exchange reports this owner's sums to the pools' roots and learns the pools'
+// totals. It returns when all roots have answered or ctx ends.
+func (o *Owner) Exchange(ctx context.Context, t Transport) {
+	var wg sync.WaitGroup
+	for _, c := range o.sumCalls() {
+		if c.to == o.self {
+			o.learn(time.Now(), c.report, o.Sum(c.report))
+			continue
+		}
+		wg.Go(func() { c.run(ctx, t) })
+	}
+	wg.Wait()
+}
+
+// run makes one call. A root that does not answer is made up for by the held
+// mean.
+func (c sumCall) run(ctx context.Context, t Transport) {
+	b, err := t.Call(ctx, c.to, TopicSum, c.report.Encode())
+	if err != nil {
+		return
+	}
+	if reply, err := DecodeSumReply(b); err == nil {
+		c.owner.learn(time.Now(), c.report, reply)
+	}
+}
