Connect routers: membership, gossip and calls between them

Routers need to know each other, to spread soft state and to call the owner of an endpoint. coordination/membership holds the protocol without I/O; wisteriarouter/peer carries it over WebSocket and CBOR.

Ruled out: a full mesh (connections grow with the fleet), SWIM's random direct probes (a TCP and WebSocket handshake each). Watching along a mesh of hash rings keeps the links per router constant.

--- /dev/null
+++ b/coordination/membership/config.go
@@ -0,0 +1,132 @@
+package membership
+
+import (
+	"time"
+
+	"wisteriaspool/coordination"
+)
+
+// Config tunes a Machine. The zero value of each field stands for its default.
+type Config struct {
+	// Seeds are addresses of routers to try when no other is known, and from
+	// time to time when they belong to no live member.
+	Seeds []string
+	// Topics tells how rumours spread; a topic that is missing is soft and
+	// has DefaultTTL.
+	Topics map[string]Topic
+	// Heartbeat is the time between heartbeats on a link; 1 s.
+	Heartbeat time.Duration
+	// ProbeAfter is the silence after which a neighbour is probed; 3 s.
+	ProbeAfter time.Duration
+	// ProbeTimeout is the time that probes have for an answer; 2 s.
+	ProbeTimeout time.Duration
+	// Suspicion is the time that a suspect has to refute; 6 s.
+	Suspicion time.Duration
+	// ForgetAfter is the time for which dead members are kept, and tried from
+	// time to time; 30 min.
+	ForgetAfter time.Duration
+	// SearchInterval is the time between two attempts to reach a dead member
+	// or a missing seed; 10 s.
+	SearchInterval time.Duration
+	// RepairInterval is the least time between two comparisons of a table
+	// with others; 1 s, and five times that for soft rumours.
+	RepairInterval time.Duration
+	// Budget is the rate of gossip in bytes per second over which soft
+	// rumours are shed; 12,000.
+	Budget int
+	// MaxMembers bounds the table; 8192.
+	MaxMembers int
+	// MaxRumors bounds the soft rumours held; 8192.
+	MaxRumors int
+	// Seed makes random choices repeatable.
+	Seed uint64
+}
+
+// Topic tells how the rumours of a topic spread.
+type Topic struct {
+	// Keep means that rumours of the topic are never shed or expire.
+	Keep bool
+	// TTL is the life of a soft rumour; DefaultTTL.
+	TTL time.Duration
+}
+
+// DefaultTTL is the life of a soft rumour whose topic has none set.
+const DefaultTTL = 30 * time.Second
+
+const (
+	helpers       = 3                // members asked to probe for us
+	maxRecords    = 64               // records of members in one message
+	maxRumors     = 64               // rumours in one message
+	maxRumorBytes = 16 << 10         // payloads of rumours in one message
+	linger        = 10 * time.Second // for which an unwanted neighbour stays one
+	backoffFirst  = 500 * time.Millisecond
+	backoffMost   = 15 * time.Second
+	// secondDial is how long the member with the higher name waits for the
+	// other to dial, so that a pair rarely dials at once.
+	secondDial = time.Second
+	// pauseGap is the time between two ticks from which on the process is
+	// taken to have been paused.
+	pauseGap = 1500 * time.Millisecond
+	// tombstone is how long an expired rumour's version is remembered, lest a
+	// slow neighbour bring back an older one.
+	tombstone = 15 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	setDuration(&c.Heartbeat, time.Second)
+	setDuration(&c.ProbeAfter, 3*time.Second)
+	setDuration(&c.ProbeTimeout, 2*time.Second)
+	setDuration(&c.Suspicion, 6*time.Second)
+	setDuration(&c.ForgetAfter, 30*time.Minute)
+	setDuration(&c.SearchInterval, 10*time.Second)
+	setDuration(&c.RepairInterval, time.Second)
+	setInt(&c.Budget, 12000)
+	setInt(&c.MaxMembers, 8192)
+	setInt(&c.MaxRumors, 8192)
+	return c
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+func setInt(n *int, value int) {
+	if *n == 0 {
+		*n = value
+	}
+}
+
+// Dial asks for a connection to an address. Instance is empty for a seed.
+type Dial struct {
+	Instance coordination.Instance
+	Address  string
+}
+
+// Send asks for a message to be sent. If there is no connection to the
+// member, one is made for it at Address.
+type Send struct {
+	To      coordination.Instance
+	Address string
+	Message Message
+}
+
+// Output is what a Machine wants done.
+type Output struct {
+	Sends []Send
+	Dials []Dial
+}
+
+// Stats counts what a Machine did.
+type Stats struct {
+	Suspicions     uint64 // members that this one came to suspect by itself
+	Deaths         uint64 // members that this one declared dead
+	Refutations    uint64 // suspicions of itself that it refuted
+	Reincarnations uint64 // deaths of itself that it answered by a new incarnation
+	Repairs        uint64 // comparisons of tables begun
+	RecordsSent    uint64 // records of members
+	RumorsSent     uint64
+	RumorsShed     uint64 // soft rumours dropped for the byte budget, per link
+	RumorsRefused  uint64 // rumours not taken for their size or the table's
+}
--- /dev/null
+++ b/coordination/membership/digest.go
@@ -0,0 +1,180 @@
+package membership
+
+import (
+	"encoding/binary"
+	"time"
+
+	"wisteriaspool/coordination"
+)
+
+// row is one line of a table as members compare it.
+type row struct {
+	key    uint32
+	stamp  uint64
+	member coordination.Instance // in MemberTable
+	rumor  rumorKey              // in the others
+}
+
+const (
+	rowBytes = 12
+	// settle is the age from which on a soft rumour is compared. Younger
+	// ones are still on their way, and would make all tables differ always.
+	settle = 3 * time.Second
+	// maxRows bounds a listing.
+	maxRows = 2048
+)
+
+// rows returns the content of a table. Members that are gone are not in it,
+// since each member forgets them at its own time.
+func (m *Machine) rows(t Table) []row {
+	if t == MemberTable {
+		return m.memberRows()
+	}
+	var rows []row
+	for k, r := range m.rumors {
+		if r.keep != (t == KeptTable) || !r.keep && (m.now.Sub(r.arrived) < settle || !r.live(m.now)) {
+			continue
+		}
+		rows = append(rows, row{key: uint32(hash(k.topic + "\x00" + k.key)), stamp: r.Version, rumor: k})
+	}
+	return rows
+}
+
+func (m *Machine) memberRows() []row {
+	rows := make([]row, 0, len(m.table)+1)
+	self := entry{Member: m.self}
+	if self.Live() {
+		rows = append(rows, memberRow(&self))
+	}
+	for _, e := range m.table {
+		if e.Live() {
+			rows = append(rows, memberRow(e))
+		}
+	}
+	return rows
+}
+
+func memberRow(e *entry) row {
+	return row{key: uint32(hash(string(e.Instance))), stamp: e.stamp(), member: e.Instance}
+}
+
+// fingerprint sums up rows, in whatever order they are.
+func fingerprint(rows []row) [buckets]uint32 {
+	var sums [buckets]uint32
+	for _, r := range rows {
+		sums[r.key%buckets] ^= uint32(mix(uint64(r.key)<<32 ^ mix(r.stamp)))
+	}
+	return sums
+}
+
+// fingerprints sums up each table in one number.
+func (m *Machine) fingerprints() [tables]uint32 {
+	var sums [tables]uint32
+	for t := range tables {
+		for _, b := range fingerprint(m.rows(t)) {
+			sums[t] ^= b
+		}
+	}
+	return sums
+}
+
+// repair starts to compare tables with a peer whose heartbeats have shown a
+// difference twice. The first time the change may well be on its way.
+func (m *Machine) repair(l *link) {
+	for t := range tables {
+		if l.differs[t] < 2 || m.now.Before(m.nextRepair[t]) {
+			continue
+		}
+		l.differs[t] = 0
+		m.stats.Repairs++
+		m.send(l.peer, Message{Digests: []Digest{m.digest(t)}})
+	}
+}
+
+// addSync adds digests of all tables to msg for a new link.
+func (m *Machine) addSync(l *link, msg *Message) {
+	if !l.sync {
+		return
+	}
+	l.sync = false
+	for t := range tables {
+		msg.Digests = append(msg.Digests, m.digest(t))
+	}
+}
+
+func (m *Machine) digest(t Table) Digest {
+	interval := m.cfg.RepairInterval
+	if t == SoftTable {
+		interval *= 5
+	}
+	m.nextRepair[t] = m.now.Add(m.jitter(interval))
+	d := Digest{Table: t, Buckets: make([]byte, 0, 4*buckets)}
+	for _, sum := range fingerprint(m.rows(t)) {
+		d.Buckets = binary.LittleEndian.AppendUint32(d.Buckets, sum)
+	}
+	return d
+}
+
+// compareDigest answers a digest by listing the buckets that differ.
+func (m *Machine) compareDigest(from coordination.Instance, d Digest) {
+	if d.Table >= tables || len(d.Buckets) != 4*buckets {
+		return
+	}
+	rows := m.rows(d.Table)
+	var differ uint32
+	for i, sum := range fingerprint(rows) {
+		if sum != binary.LittleEndian.Uint32(d.Buckets[4*i:]) {
+			differ |= 1 << i
+		}
+	}
+	if differ != 0 {
+		m.send(from, Message{Listings: []Listing{list(d.Table, rows, differ, false)}})
+	}
+}
+
+// list makes the listing of the buckets in mask.
+func list(t Table, rows []row, mask uint32, answer bool) Listing {
+	l := Listing{Table: t, Buckets: mask, Answer: answer}
+	for _, r := range rows {
+		if mask&(1<<(r.key%buckets)) == 0 || len(l.Rows) >= maxRows*rowBytes {
+			continue
+		}
+		l.Rows = binary.LittleEndian.AppendUint32(l.Rows, r.key)
+		l.Rows = binary.LittleEndian.AppendUint64(l.Rows, r.stamp)
+	}
+	return l
+}
+
+// compareListing queues what the peer lacks, and lists the same buckets in
+// turn so that the peer does so too.
+func (m *Machine) compareListing(from coordination.Instance, l Listing) {
+	link := m.links[from]
+	if l.Table >= tables || len(l.Rows)%rowBytes != 0 || link == nil {
+		return
+	}
+	theirs := make(map[uint32]uint64, len(l.Rows)/rowBytes)
+	for b := l.Rows; len(b) > 0; b = b[rowBytes:] {
+		theirs[binary.LittleEndian.Uint32(b)] = binary.LittleEndian.Uint64(b[4:])
+	}
+	rows := m.rows(l.Table)
+	for _, r := range rows {
+		if l.Buckets&(1<<(r.key%buckets)) == 0 {
+			continue
+		}
+		stamp, ok := theirs[r.key]
+		if !ok || l.Table == MemberTable && stamp != r.stamp || stamp < r.stamp {
+			link.queue(l.Table, r)
+		}
+	}
+	if !l.Answer {
+		m.send(from, Message{Listings: []Listing{list(l.Table, rows, l.Buckets, true)}})
+	}
+}
+
+func (l *link) queue(t Table, r row) {
+	if t == MemberTable {
+		l.records[r.member] = struct{}{}
+		return
+	}
+	l.queueRumor(r.rumor)
+}
--- /dev/null
+++ b/coordination/membership/flush.go
@@ -0,0 +1,129 @@
+package membership
+
+import (
+	"math"
+	"time"
+
+	"wisteriaspool/coordination"
+)
+
+// flush sends heartbeats that are due and what is queued for each link.
+func (m *Machine) flush() {
+	m.refill()
+	for _, l := range m.sortedLinks() {
+		var msg Message
+		m.addHeartbeat(l, &msg)
+		m.addSync(l, &msg)
+		m.addRecords(l, &msg)
+		m.addRumors(l, &msg)
+		if msg.empty() {
+			continue
+		}
+		m.send(l.peer, msg)
+	}
+}
+
+func (m *Message) empty() bool {
+	return m.Heartbeat == nil && len(m.Members) == 0 && len(m.Rumors) == 0 && len(m.Digests) == 0
+}
+
+// addHeartbeat adds a heartbeat to msg if one is due.
+func (m *Machine) addHeartbeat(l *link, msg *Message) {
+	if !m.Neighbor(l.peer) || m.now.Before(l.beat) {
+		return
+	}
+	// A multiple of the interval, with a little scatter against lockstep.
+	l.beat = m.now.Add(m.cfg.Heartbeat - time.Duration(m.rand.Int64N(int64(m.cfg.Heartbeat/8))))
+	_, wanted := m.wanted[l.peer]
+	msg.Heartbeat = &Heartbeat{Neighbor: wanted, Fingerprints: m.fingerprints()}
+}
+
+// addRecords adds queued records of members to msg.
+func (m *Machine) addRecords(l *link, msg *Message) {
+	if len(l.records) == 0 {
+		return
+	}
+	// Membership is not shed, but a large change, such as the return of a
+	// region, is spread over some seconds.
+	if m.tokens < -float64(m.cfg.Budget) {
+		return
+	}
+	for _, id := range sortedKeys(l.records) {
+		if len(msg.Members) == maxRecords {
+			return
+		}
+		delete(l.records, id)
+		if r, ok := m.recordOf(id); ok {
+			msg.Members = append(msg.Members, r)
+			m.stats.RecordsSent++
+		}
+	}
+}
+
+// addRumors adds queued rumours to msg. Soft ones that go beyond the byte
+// budget are dropped: the next version of them will come soon.
+func (m *Machine) addRumors(l *link, msg *Message) {
+	var left []rumorKey
+	size := 0
+	for _, k := range l.rumorList {
+		r := m.rumors[k]
+		if _, ok := l.rumors[k]; !ok || r == nil || !r.live(m.now) {
+			delete(l.rumors, k)
+			continue
+		}
+		if len(msg.Rumors) == maxRumors || size > maxRumorBytes {
+			left = append(left, k)
+			continue
+		}
+		delete(l.rumors, k)
+		if !r.keep && m.tokens < float64(size) {
+			m.stats.RumorsShed++
+			continue
+		}
+		told := r.Rumor
+		if !r.keep {
+			told.Life = remaining(r.expires.Sub(m.now))
+		}
+		size += told.Size()
+		msg.Rumors = append(msg.Rumors, told)
+		m.stats.RumorsSent++
+	}
+	l.rumorList = left
+}
+
+func remaining(d time.Duration) uint32 {
+	return uint32(max(1, min(d.Milliseconds(), math.MaxUint32)))
+}
+
+// refill adds to the byte budget what the time since the last call gives.
+func (m *Machine) refill() {
+	rate := float64(m.cfg.Budget)
+	m.tokens = min(rate, m.tokens+rate*m.now.Sub(m.refilled).Seconds())
+	m.refilled = m.now
+}
+
+// charge takes bytes from the budget. The debt is bounded, so that soft
+// rumours are not shut out for long after a burst of what is never shed.
+func (m *Machine) charge(bytes int) {
+	m.tokens = max(m.tokens-float64(bytes), -2*float64(m.cfg.Budget))
+}
+
+// heartbeat handles the heartbeat of a peer.
+func (m *Machine) heartbeat(from coordination.Instance, h Heartbeat) {
+	l := m.links[from]
+	if l == nil {
+		return
+	}
+	if h.Neighbor {
+		l.neighbor = m.now.Add(linger)
+	}
+	own := m.fingerprints()
+	for t := range tables {
+		if own[t] == h.Fingerprints[t] {
+			l.differs[t] = 0
+			continue
+		}
+		l.differs[t]++
+	}
+	m.repair(l)
+}
--- /dev/null
+++ b/coordination/membership/rumor.go
@@ -0,0 +1,173 @@
+package membership
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"wisteriaspool/coordination"
+)
+
+// fanout is the factor c of the c·ln(n) links on which a member passes a new
+// rumour on.
+const fanout = 1.0
+
+type rumorKey struct {
+	topic string
+	key   string
+}
+
+// rumor is a rumour as it is held.
+type rumor struct {
+	Rumor
+	keep    bool
+	arrived time.Time
+	expires time.Time // unset if it is kept
+}
+
+func (r *rumor) live(now time.Time) bool {
+	return r.keep || now.Before(r.expires)
+}
+
+// Broadcast spreads a rumour of this member. It reports whether the rumour
+// was taken: it is not if it is larger than MaxPayload or no newer than what
+// is known.
+func (m *Machine) Broadcast(now time.Time, topic, key string, version uint64, payload []byte) bool {
+	m.advance(now)
+	return m.accept("", Rumor{
+		Topic:   topic,
+		Key:     key,
+		Version: version,
+		Origin:  m.self.Instance,
+		Payload: slices.Clone(payload),
+		Life:    m.lifeOf(topic),
+	})
+}
+
+// lifeOf returns the life of a new rumour of topic in milliseconds.
+func (m *Machine) lifeOf(topic string) uint32 {
+	t := m.cfg.Topics[topic]
+	if t.Keep {
+		return 0
+	}
+	setDuration(&t.TTL, DefaultTTL)
+	return uint32(min(t.TTL.Milliseconds(), math.MaxUint32))
+}
+
+// Fresh returns the rumours that have arrived since the last call. Of several
+// versions that came in between, it returns the newest only.
+func (m *Machine) Fresh() []Rumor {
+	var fresh []Rumor
+	for _, k := range m.fresh {
+		r := m.rumors[k]
+		if r == nil {
+			continue
+		}
+		fresh = append(fresh, r.Rumor)
+	}
+	m.fresh = nil
+	return fresh
+}
+
+// Rumors returns the live rumours of a topic in order of their keys.
+func (m *Machine) Rumors(topic string) []Rumor {
+	var live []Rumor
+	for _, r := range m.rumors {
+		if r.Topic == topic && r.live(m.now) {
+			live = append(live, r.Rumor)
+		}
+	}
+	slices.SortFunc(live, func(a, b Rumor) int { return cmp.Compare(a.Key, b.Key) })
+	return live
+}
+
+// hear takes in a rumour that a peer told.
+func (m *Machine) hear(from coordination.Instance, r Rumor) {
+	k := rumorKey{r.Topic, r.Key}
+	old := m.rumors[k]
+	if old != nil && old.Version == r.Version && old.Origin == r.Origin {
+		m.knownRumor(from, k)
+		return
+	}
+	m.accept(from, r)
+}
+
+// accept holds and spreads r if it is newer than what is known.
+func (m *Machine) accept(from coordination.Instance, r Rumor) bool {
+	k := rumorKey{r.Topic, r.Key}
+	old := m.rumors[k]
+	if old != nil && !newer(r, old.Rumor) {
+		return false
+	}
+	keep := m.cfg.Topics[r.Topic].Keep
+	if len(r.Payload) > MaxPayload || !keep && (r.Life == 0 || old == nil && len(m.rumors) >= m.cfg.MaxRumors) {
+		m.stats.RumorsRefused++
+		return false
+	}
+	held := &rumor{Rumor: r, keep: keep, arrived: m.now}
+	if !keep {
+		// No topic's life is longer here than its own members give it.
+		life := min(r.Life, m.lifeOf(r.Topic))
+		held.expires = m.now.Add(time.Duration(life) * time.Millisecond)
+	}
+	m.rumors[k] = held
+	if from != "" {
+		m.fresh = append(m.fresh, k)
+	}
+	m.spreadRumor(from, k)
+	return true
+}
+
+// newer reports whether a goes before b. Equal versions are told apart by
+// their origin, so that all members end with the same one.
+func newer(a, b Rumor) bool {
+	if a.Version != b.Version {
+		return a.Version > b.Version
+	}
+	return a.Origin > b.Origin
+}
+
+// spreadRumor queues the rumour on c·ln(n) links but that to from.
+func (m *Machine) spreadRumor(from coordination.Instance, k rumorKey) {
+	var peers []*link
+	for _, l := range m.sortedLinks() {
+		if l.peer != from && m.Neighbor(l.peer) {
+			peers = append(peers, l)
+		}
+	}
+	m.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	n := int(math.Ceil(fanout * math.Log(float64(len(m.table)+2))))
+	for _, l := range peers[:min(n, len(peers))] {
+		l.queueRumor(k)
+	}
+	m.knownRumor(from, k)
+}
+
+func (l *link) queueRumor(k rumorKey) {
+	if _, ok := l.rumors[k]; ok {
+		return
+	}
+	l.rumors[k] = struct{}{}
+	l.rumorList = append(l.rumorList, k)
+}
+
+// knownRumor notes that peer has the rumour already.
+func (m *Machine) knownRumor(peer coordination.Instance, k rumorKey) {
+	if l := m.links[peer]; l != nil {
+		delete(l.rumors, k)
+	}
+}
+
+// sweepRumors drops what has expired.
+func (m *Machine) sweepRumors() {
+	for k, r := range m.rumors {
+		if r.live(m.now) {
+			continue
+		}
+		r.Payload = nil
+		if m.now.Sub(r.expires) > tombstone {
+			delete(m.rumors, k)
+		}
+	}
+}
--- /dev/null
+++ b/wisteriarouter/peer/api.go
@@ -0,0 +1,161 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/membership"
+)
+
+// Self returns the node's own record.
+func (n *Node) Self() membership.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.machine.Self()
+}
+
+// Members returns the live members, this one among them, in order of their
+// instances. Suspect and leaving ones are live.
+func (n *Node) Members() []membership.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.machine.Members()
+}
+
+func (n *Node) lookup(id coordination.Instance) (membership.Member, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.machine.Lookup(id)
+}
+
+// OnChange has fn called with the live members now and after each change.
+// Several quick changes may come as one. All functions given to OnChange and
+// OnRumor are called by one goroutine, one after the other.
+func (n *Node) OnChange(fn func(members []membership.Member)) {
+	n.topicMu.Lock()
+	n.watchers = append(n.watchers, fn)
+	n.replays = append(n.replays, replay{watcher: fn})
+	n.topicMu.Unlock()
+	n.notify()
+}
+
+// OnRumor has fn called with the rumours of topic that are known and with
+// each new one. Of several versions that come in quick succession, it may see
+// the newest only. It does not see this node's own rumours.
+func (n *Node) OnRumor(topic string, fn func(key string, version uint64, payload []byte)) {
+	n.topicMu.Lock()
+	n.listeners[topic] = append(n.listeners[topic], fn)
+	n.replays = append(n.replays, replay{topic: topic, listener: fn})
+	n.topicMu.Unlock()
+	n.notify()
+}
+
+// Broadcast spreads a rumour to all members. A version that is no newer than
+// the known one, or a payload over membership.MaxPayload, is not taken; the
+// result tells.
+func (n *Node) Broadcast(topic, key string, version uint64, payload []byte) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.machine.Broadcast(time.Now(), topic, key, version, payload)
+}
+
+// Handle sets the handler of the calls and notices of topic.
+func (n *Node) Handle(topic string, fn Handler) {
+	n.topicMu.Lock()
+	defer n.topicMu.Unlock()
+	n.byTopic[topic] = fn
+}
+
+func (n *Node) handler(topic string) Handler {
+	n.topicMu.RLock()
+	defer n.topicMu.RUnlock()
+	return n.byTopic[topic]
+}
+
+// Call sends a request to a member and returns its answer. Its error is a
+// *CallError, which tells whether the request may have been delivered.
+func (n *Node) Call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error) {
+	c, err := n.connTo(ctx, to)
+	if err != nil {
+		return nil, &CallError{Failure: NotConnected, Peer: to, Topic: topic, Err: err}
+	}
+	answer, failure, err := c.call(ctx, topic, payload)
+	if err != nil {
+		return nil, &CallError{Failure: failure, Peer: to, Topic: topic, Err: err}
+	}
+	return answer, nil
+}
+
+// Notify sends a notice to a member, without an answer. No error means only
+// that it will be written unless the connection breaks. If there is no
+// connection, one is made, for which Notify waits until ctx ends.
+func (n *Node) Notify(ctx context.Context, to coordination.Instance, topic string, payload []byte) error {
+	c, err := n.connTo(ctx, to)
+	if err == nil {
+		c.used.Store(time.Now().UnixNano())
+		err = c.post(&message{Kind: kindNotice, Topic: topic, Payload: payload})
+	}
+	if err != nil {
+		return &CallError{Failure: NotConnected, Peer: to, Topic: topic, Err: err}
+	}
+	return nil
+}
+
+// SetReady tells all members whether this router takes work.
+func (n *Node) SetReady(ready bool) {
+	n.step(func(now time.Time) membership.Output {
+		n.machine.SetReady(now, ready)
+		return membership.Output{}
+	})
+}
+
+// Leave tells all members that this router is stopping, and returns when the
+// message to the neighbours is written or ctx ends. Calls go on working.
+func (n *Node) Leave(ctx context.Context) {
+	n.step(func(now time.Time) membership.Output {
+		n.machine.Leave(now)
+		return n.machine.Tick(now)
+	})
+	n.settle(ctx)
+}
+
+// Stats returns the counts so far.
+func (n *Node) Stats() Stats {
+	s := Stats{
+		Traffic:   n.counts.list(),
+		Dropped:   n.dropped.Load(),
+		Malformed: n.malformed.Load(),
+		Busy:      n.busy.Load(),
+		Members:   make(map[membership.State]int),
+	}
+	conns := n.connections()
+	s.Conns = len(conns)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s.Membership = n.machine.Stats()
+	for _, m := range n.machine.Members() {
+		s.Members[m.State]++
+	}
+	for _, c := range conns {
+		if n.machine.Neighbor(c.peer.Instance) {
+			s.Neighbors++
+		}
+	}
+	return s
+}
+
+func (n *Node) count(k kind, topic string, sent bool, bytes int) {
+	if topic != "" && n.handler(topic) == nil && !sent {
+		topic = "other"
+	}
+	n.counts.add(k.String(), topic, sent, bytes)
+}
+
+func (n *Node) countRumor(r *membership.Rumor, sent bool) {
+	topic := r.Topic
+	if _, ok := n.cfg.Topics[topic]; !ok {
+		topic = "other"
+	}
+	n.counts.add("rumor", topic, sent, r.Size())
+}
--- /dev/null
+++ b/wisteriarouter/peer/codec.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"wisteriaspool/coordination/membership"
+)
+
+// kind tells messages apart.
+type kind uint8
+
+const (
+	kindHello kind = iota + 1
+	kindGossip
+	kindRequest
+	kindAnswer
+	kindNotice
+	kindPing
+	kindPong
+	kindGoodbye
+	kinds
+)
+
+var kindNames = [kinds]string{"unknown", "hello", "gossip", "request", "answer", "notice", "ping", "pong", "goodbye"}
+
+// String returns the name of k as metrics show it.
+func (k kind) String() string {
+	if k >= kinds {
+		return kindNames[0]
+	}
+	return kindNames[k]
+}
+
+// message is what one WebSocket message holds.
+type message struct {
+	Kind    kind                `cbor:"1,keyasint"`
+	ID      uint64              `cbor:"2,keyasint,omitempty"` // of a request and its answer
+	Topic   string              `cbor:"3,keyasint,omitempty"`
+	Payload []byte              `cbor:"4,keyasint,omitempty"`
+	Failure Failure             `cbor:"5,keyasint,omitempty"` // of an answer
+	Error   string              `cbor:"6,keyasint,omitempty"` // of an answer
+	Timeout uint32              `cbor:"7,keyasint,omitempty"` // of a request, in milliseconds
+	Hello   *hello              `cbor:"8,keyasint,omitempty"`
+	Gossip  *membership.Message `cbor:"9,keyasint,omitempty"`
+}
+
+// hello is the first message on a connection, in either direction.
+type hello struct {
+	Major  uint32            `cbor:"1,keyasint"`
+	Minor  uint32            `cbor:"2,keyasint,omitempty"`
+	Fleet  string            `cbor:"3,keyasint"`
+	Member membership.Member `cbor:"4,keyasint"`
+	// Gossip means that the connection was made for the mesh.
+	Gossip bool `cbor:"5,keyasint,omitempty"`
+}
+
+var (
+	encoding = mustEncoding()
+	decoding = mustDecoding()
+)
+
+func mustEncoding() cbor.EncMode {
+	m, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		panic("peer: encoding options: " + err.Error())
+	}
+	return m
+}
+
+// mustDecoding bounds what a message may hold, so that a small message cannot
+// claim large structures.
+func mustDecoding() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		MaxArrayElements: 4096,
+		MaxMapPairs:      256,
+		MaxNestedLevels:  12,
+	}.DecMode()
+	if err != nil {
+		panic("peer: decoding options: " + err.Error())
+	}
+	return m
+}
+
+func encode(m *message) []byte {
+	b, err := encoding.Marshal(m)
+	if err != nil {
+		panic("peer: encode: " + err.Error())
+	}
+	return b
+}
+
+var errKind = errors.New("message without kind")
+
+// decode returns the message in b. Unknown fields are ignored; kinds that are
+// not known are returned as they are, to be ignored.
+func decode(b []byte) (*message, error) {
+	m := new(message)
+	if err := decoding.Unmarshal(b, m); err != nil {
+		return nil, fmt.Errorf("peer: decode: %w", err)
+	}
+	if m.Kind == 0 {
+		return nil, fmt.Errorf("peer: decode: %w", errKind)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/wisteriarouter/peer/dial.go
@@ -0,0 +1,302 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/membership"
+)
+
+// dialing is an attempt to connect to an address. Several callers may wait
+// for it.
+type dialing struct {
+	node    *Node
+	address string
+	gossip  bool
+	after   []membership.Message // to send when it stands
+	done    chan struct{}
+	conn    *conn // after done
+	err     error // after done
+}
+
+// dial starts an attempt to connect to address, or joins the running one.
+func (n *Node) dial(address string, gossip bool, after ...membership.Message) *dialing {
+	n.connMu.Lock()
+	defer n.connMu.Unlock()
+	if d := n.dialings[address]; d != nil {
+		d.after = append(d.after, after...)
+		return d
+	}
+	d := &dialing{node: n, address: address, gossip: gossip, after: after, done: make(chan struct{})}
+	if n.stopped || len(n.conns)+len(n.dialings) >= n.cfg.MaxConns {
+		d.err = errTooMany
+		close(d.done)
+		return d
+	}
+	n.dialings[address] = d
+	n.wait.Add(1)
+	go d.run()
+	return d
+}
+
+// run connects, and then reads from the connection until it ends.
+func (d *dialing) run() {
+	n := d.node
+	defer n.wait.Done()
+	made, err := d.connect()
+	c := made
+	if err == nil {
+		c, err = n.register(made)
+	}
+	n.connMu.Lock()
+	delete(n.dialings, d.address)
+	d.conn, d.err = c, err
+	after := d.after
+	n.connMu.Unlock()
+	close(d.done)
+	if err != nil {
+		n.dialFailed(d.address)
+		return
+	}
+	for _, m := range after {
+		_ = c.post(&message{Kind: kindGossip, Gossip: &m})
+	}
+	if c == made {
+		n.finish(c)
+	}
+}
+
+func (d *dialing) connect() (*conn, error) {
+	n := d.node
+	ctx, cancel := context.WithTimeout(n.ctx, n.cfg.DialTimeout)
+	defer cancel()
+	ws, _, err := websocket.Dial(ctx, "ws://"+d.address+Path, &websocket.DialOptions{
+		HTTPClient:      n.client,
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c, err := d.greet(ctx, ws)
+	if err != nil {
+		ws.Close(websocket.StatusPolicyViolation, err.Error())
+		return nil, err
+	}
+	return c, nil
+}
+
+// greet exchanges hellos on a connection that this side made.
+func (d *dialing) greet(ctx context.Context, ws *websocket.Conn) (*conn, error) {
+	n := d.node
+	if err := n.sendHello(ctx, ws, d.gossip, true); err != nil {
+		return nil, err
+	}
+	h, err := n.readHello(ctx, ws, false)
+	if err != nil {
+		n.refused(h, d.address, err)
+		return nil, err
+	}
+	h.Gossip = d.gossip
+	return newConn(n, ws, h, true), nil
+}
+
+func (n *Node) sendHello(ctx context.Context, ws *websocket.Conn, gossip, masked bool) error {
+	b := encode(&message{Kind: kindHello, Hello: &hello{
+		Major:  MajorVersion,
+		Minor:  MinorVersion,
+		Fleet:  n.cfg.Fleet,
+		Member: n.Self(),
+		Gossip: gossip,
+	}})
+	n.count(kindHello, "", true, framed(len(b), masked))
+	return ws.Write(ctx, websocket.MessageBinary, b)
+}
+
+// readHello reads and checks the first message of a connection.
+func (n *Node) readHello(ctx context.Context, ws *websocket.Conn, masked bool) (hello, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	ws.SetReadLimit(helloLimit)
+	_, data, err := ws.Read(ctx)
+	if err != nil {
+		return hello{}, err
+	}
+	m, err := decode(data)
+	if err != nil {
+		n.malformed.Add(1)
+		n.event(Event{Kind: Malformed, Err: err})
+		return hello{}, err
+	}
+	n.count(m.Kind, "", false, framed(len(data), masked))
+	if m.Kind != kindHello || m.Hello == nil || m.Hello.Member.Instance == "" || m.Hello.Member.Address == "" {
+		return hello{}, errNotHello
+	}
+	return *m.Hello, n.check(*m.Hello)
+}
+
+func (n *Node) check(h hello) error {
+	switch {
+	case h.Fleet != n.cfg.Fleet:
+		return errOtherFleet
+	case h.Major != MajorVersion:
+		return errOtherVersion
+	case h.Member.Instance == n.cfg.Self.Instance:
+		return errSelf
+	default:
+		return nil
+	}
+}
+
+func (n *Node) refused(h hello, address string, err error) {
+	if errors.Is(err, errSelf) {
+		return
+	}
+	n.event(Event{Kind: Refused, Peer: h.Member.Instance, Address: address, Err: err})
+}
+
+// ServeHTTP accepts a connection from another router and serves it until it
+// ends.
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !n.admit() {
+		http.Error(w, errTooMany.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	defer n.wait.Done()
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return
+	}
+	h, err := n.readHello(n.ctx, ws, true)
+	if err == nil {
+		err = n.sendHello(n.ctx, ws, false, false)
+	}
+	if err != nil {
+		n.refused(h, r.RemoteAddr, err)
+		ws.Close(websocket.StatusPolicyViolation, err.Error())
+		return
+	}
+	c := newConn(n, ws, h, false)
+	kept, err := n.register(c)
+	if err != nil || kept != c {
+		return
+	}
+	n.finish(c)
+}
+
+// admit reserves a place for a connection that is being accepted.
+func (n *Node) admit() bool {
+	n.connMu.Lock()
+	defer n.connMu.Unlock()
+	if n.stopped || len(n.conns) >= n.cfg.MaxConns {
+		return false
+	}
+	n.wait.Add(1)
+	return true
+}
+
+// register makes c the connection to its peer. If two stand, because both
+// sides dialled at once, both sides keep the one that the member with the
+// lower name dialled; register returns the one that is kept.
+func (n *Node) register(c *conn) (*conn, error) {
+	n.connMu.Lock()
+	if n.stopped {
+		n.connMu.Unlock()
+		c.ws.CloseNow()
+		return nil, errStopped
+	}
+	id := c.peer.Instance
+	old := n.conns[id]
+	if old != nil && old.peer.Incarnation == c.peer.Incarnation && old.preferred() && !c.preferred() {
+		n.connMu.Unlock()
+		c.ws.Close(websocket.StatusNormalClosure, errDuplicate.Error())
+		return old, nil
+	}
+	n.conns[id] = c
+	if old != nil {
+		n.draining[old] = struct{}{}
+		old.drain()
+	}
+	n.wait.Add(1)
+	go writer{c}.run()
+	n.connMu.Unlock()
+	n.linkUp(c)
+	return c, nil
+}
+
+// preferred reports whether the member with the lower name dialled c.
+func (c *conn) preferred() bool {
+	return c.dialled == (c.node.cfg.Self.Instance < c.peer.Instance)
+}
+
+// drain marks c as one that takes no new calls.
+func (c *conn) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.drained.IsZero() {
+		c.drained = time.Now()
+	}
+}
+
+// retire takes c out of use. Calls under way may end; the peer is told, lest
+// it send a request while the connection closes.
+func (n *Node) retire(c *conn, tell bool) {
+	n.connMu.Lock()
+	current := n.conns[c.peer.Instance] == c
+	if current {
+		delete(n.conns, c.peer.Instance)
+	}
+	n.draining[c] = struct{}{}
+	n.connMu.Unlock()
+	c.drain()
+	if tell {
+		_ = c.post(&message{Kind: kindGoodbye})
+	}
+	if current {
+		n.linkDown(c)
+	}
+}
+
+// finish reads from c until it ends and then takes it out of use.
+func (n *Node) finish(c *conn) {
+	err := c.run()
+	n.connMu.Lock()
+	current := n.conns[c.peer.Instance] == c
+	if current {
+		delete(n.conns, c.peer.Instance)
+	}
+	delete(n.draining, c)
+	n.connMu.Unlock()
+	if current {
+		n.linkDown(c)
+	}
+	n.event(Event{Kind: Disconnected, Peer: c.peer.Instance, Incarnation: c.peer.Incarnation, Address: c.peer.Address, Err: err})
+}
+
+// connTo returns the connection to a member, made for the occasion if need be.
+func (n *Node) connTo(ctx context.Context, to coordination.Instance) (*conn, error) {
+	if c := n.current(to); c != nil {
+		return c, nil
+	}
+	m, ok := n.lookup(to)
+	if !ok || !m.Live() || m.Address == "" {
+		return nil, errUnknownMember
+	}
+	d := n.dial(m.Address, false)
+	select {
+	case <-d.done:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if d.err != nil {
+		return nil, d.err
+	}
+	if d.conn.peer.Instance != to {
+		return nil, errUnknownMember
+	}
+	return d.conn, nil
+}
--- /dev/null
+++ b/wisteriarouter/peer/dispatch.go
@@ -0,0 +1,181 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/membership"
+)
+
+type rumorFunc = func(key string, version uint64, payload []byte)
+
+// replay is a function that has to be told what is known already.
+type replay struct {
+	watcher  func([]membership.Member)
+	topic    string
+	listener rumorFunc
+}
+
+// dispatcher calls the functions given to OnChange and OnRumor, so that none
+// of them can hold up the protocol.
+type dispatcher struct {
+	node           *Node
+	seen           map[coordination.Instance]membership.Member
+	shed           uint64
+	shedAt         time.Time
+	reincarnations uint64
+}
+
+func (d *dispatcher) run() {
+	defer d.node.wait.Done()
+	for {
+		select {
+		case <-d.node.ctx.Done():
+			return
+		case <-d.node.wake:
+			d.dispatch()
+		}
+	}
+}
+
+func (d *dispatcher) dispatch() {
+	n := d.node
+	n.mu.Lock()
+	changed := n.machine.Changed()
+	fresh := n.machine.Fresh()
+	members := []membership.Member(nil)
+	if changed {
+		members = n.machine.Members()
+	}
+	stats := n.machine.Stats()
+	n.mu.Unlock()
+	d.replay()
+	if changed {
+		d.change(members)
+	}
+	for _, r := range fresh {
+		for _, fn := range n.listenersOf(r.Topic) {
+			fn(r.Key, r.Version, r.Payload)
+		}
+	}
+	d.report(stats)
+}
+
+func (n *Node) listenersOf(topic string) []rumorFunc {
+	n.topicMu.RLock()
+	defer n.topicMu.RUnlock()
+	return slices.Clone(n.listeners[topic])
+}
+
+// replay tells new functions what is known already.
+func (d *dispatcher) replay() {
+	n := d.node
+	n.topicMu.Lock()
+	replays := n.replays
+	n.replays = nil
+	n.topicMu.Unlock()
+	for _, r := range replays {
+		if r.watcher != nil {
+			r.watcher(n.Members())
+			continue
+		}
+		n.mu.Lock()
+		known := n.machine.Rumors(r.topic)
+		self := n.machine.Self().Instance
+		n.mu.Unlock()
+		for _, k := range known {
+			if k.Origin != self {
+				r.listener(k.Key, k.Version, k.Payload)
+			}
+		}
+	}
+}
+
+// change calls the watchers and reports an event for each member that changed.
+func (d *dispatcher) change(members []membership.Member) {
+	n := d.node
+	n.topicMu.RLock()
+	watchers := slices.Clone(n.watchers)
+	n.topicMu.RUnlock()
+	for _, fn := range watchers {
+		fn(members)
+	}
+	now := make(map[coordination.Instance]membership.Member, len(members))
+	for _, m := range members {
+		now[m.Instance] = m
+		d.compare(m)
+	}
+	for id, old := range d.seen {
+		if _, ok := now[id]; !ok {
+			d.gone(old)
+		}
+	}
+	d.seen = now
+}
+
+func (d *dispatcher) compare(m membership.Member) {
+	if m.Instance == d.node.cfg.Self.Instance {
+		return
+	}
+	old, ok := d.seen[m.Instance]
+	switch {
+	case !ok || old.Incarnation != m.Incarnation:
+		d.tell(MemberJoined, m)
+	case old.State == m.State:
+		return
+	case m.State == membership.Suspect:
+		d.tell(MemberSuspect, m)
+	case m.State == membership.Leaving:
+		d.tell(MemberLeaving, m)
+	default:
+		d.tell(MemberCleared, m)
+	}
+}
+
+func (d *dispatcher) gone(old membership.Member) {
+	m, ok := d.node.lookup(old.Instance)
+	if ok && m.State == membership.Left {
+		d.tell(MemberLeft, m)
+		return
+	}
+	d.tell(MemberDead, old)
+}
+
+func (d *dispatcher) tell(k EventKind, m membership.Member) {
+	d.node.event(Event{Kind: k, Peer: m.Instance, Incarnation: m.Incarnation, Address: m.Address})
+}
+
+// report tells of what the protocol counted.
+func (d *dispatcher) report(s membership.Stats) {
+	if s.Reincarnations > d.reincarnations {
+		d.reincarnations = s.Reincarnations
+		d.tell(Reincarnated, d.node.Self())
+	}
+	if s.RumorsShed > d.shed && time.Since(d.shedAt) > 10*time.Second {
+		d.node.event(Event{Kind: Shedding, Count: s.RumorsShed - d.shed})
+		d.shed = s.RumorsShed
+		d.shedAt = time.Now()
+	}
+}
+
+func sortByUse(conns []*conn) {
+	slices.SortFunc(conns, func(a, b *conn) int { return cmp.Compare(a.used.Load(), b.used.Load()) })
+}
+
+// pingDue reports whether c may be pinged, and if so notes it.
+func (c *conn) pingDue(now time.Time) bool {
+	last := c.pinged.Load()
+	if now.Sub(time.Unix(0, last)) < c.node.cfg.DeadAfter/3 {
+		return false
+	}
+	c.pinged.Store(now.UnixNano())
+	return true
+}
+
+func (c *conn) drainedFor(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.drained)
+}
--- /dev/null
+++ b/wisteriarouter/peer/errors.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+
+	"wisteriaspool/coordination"
+)
+
+// Failure tells how far a call came before it failed.
+type Failure int
+
+// The ways in which a call fails.
+const (
+	// NotConnected means that the request was certainly not delivered.
+	NotConnected Failure = iota + 1
+	// Lost means that the request may have been delivered, but no answer came.
+	Lost
+	// TurnedAway means that the peer did not handle the request: it has no
+	// handler for the topic or too many calls.
+	TurnedAway
+	// Failed means that the peer's handler returned an error.
+	Failed
+)
+
+// String returns the name of f as logs and metrics show it.
+func (f Failure) String() string {
+	switch f {
+	case NotConnected:
+		return "not-connected"
+	case Lost:
+		return "lost"
+	case TurnedAway:
+		return "turned-away"
+	case Failed:
+		return "failed"
+	default:
+		return "unknown"
+	}
+}
+
+// CallError is the error of a Call or Notify.
+type CallError struct {
+	Failure Failure
+	Peer    coordination.Instance
+	Topic   string
+	Err     error
+}
+
+// Error describes the failure.
+func (e *CallError) Error() string {
+	return fmt.Sprintf("peer: call %s at %s: %s: %v", e.Topic, e.Peer, e.Failure, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error {
+	return e.Err
+}
+
+// MaybeDelivered reports whether the peer's handler may have run.
+func (e *CallError) MaybeDelivered() bool {
+	return e.Failure == Lost || e.Failure == Failed
+}
+
+var (
+	errClosed        = errors.New("connection closed")
+	errUnknownMember = errors.New("unknown member")
+	errQueueFull     = errors.New("queue full")
+	errTooLarge      = errors.New("message too large")
+	errSelf          = errors.New("this router itself")
+	errNoHandler     = errors.New("no handler for the topic")
+	errBusy          = errors.New("too many calls")
+	errStopped       = errors.New("node stopped")
+	errOtherFleet    = errors.New("router of another fleet")
+	errOtherVersion  = errors.New("other major version of the protocol")
+	errNotHello      = errors.New("first message is not a hello")
+	errTooMany       = errors.New("too many connections")
+	errSilent        = errors.New("connection silent for too long")
+	errDuplicate     = errors.New("another connection is kept")
+)
--- /dev/null
+++ b/wisteriarouter/peer/node.go
@@ -0,0 +1,298 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/membership"
+)
+
+// Node is a router's part in the fleet.
+type Node struct {
+	cfg    Config
+	client *http.Client
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+
+	mu      sync.Mutex // guards machine
+	machine *membership.Machine
+
+	// linkMu keeps what the machine is told of connections in the order in
+	// which they changed. It is taken before mu and connMu.
+	linkMu   sync.Mutex
+	connMu   sync.Mutex
+	conns    map[coordination.Instance]*conn
+	draining map[*conn]struct{}
+	dialings map[string]*dialing
+	stopped  bool
+
+	topicMu   sync.RWMutex
+	byTopic   map[string]Handler
+	listeners map[string][]rumorFunc
+	watchers  []func([]membership.Member)
+	replays   []replay
+
+	handlers  chan struct{} // places for calls being handled
+	wake      chan struct{} // to the dispatcher
+	counts    traffic
+	dropped   atomic.Uint64
+	malformed atomic.Uint64
+	busy      atomic.Uint64
+}
+
+// New starts a node. The function that it returns tells the other routers
+// that this one has left, closes all connections and waits for their end.
+func New(cfg Config) (*Node, func(), error) {
+	if cfg.Self.Instance == "" || cfg.Self.Address == "" || cfg.Self.Incarnation == 0 {
+		return nil, nil, fmt.Errorf("peer: config: self needs instance, address and incarnation")
+	}
+	cfg = cfg.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		cfg:       cfg,
+		client:    newClient(cfg.DialTimeout),
+		ctx:       ctx,
+		cancel:    cancel,
+		machine:   membership.New(cfg.Membership, cfg.Self, time.Now()),
+		conns:     make(map[coordination.Instance]*conn),
+		draining:  make(map[*conn]struct{}),
+		dialings:  make(map[string]*dialing),
+		byTopic:   make(map[string]Handler),
+		listeners: make(map[string][]rumorFunc),
+		handlers:  make(chan struct{}, cfg.MaxHandlers),
+		wake:      make(chan struct{}, 1),
+	}
+	n.wait.Add(2)
+	go n.run()
+	d := &dispatcher{node: n, seen: make(map[coordination.Instance]membership.Member)}
+	go d.run()
+	return n, n.stop, nil
+}
+
+// newClient returns a client that dials peers straight, without a proxy.
+func newClient(timeout time.Duration) *http.Client {
+	dialer := &net.Dialer{Timeout: timeout, KeepAlive: 30 * time.Second}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+}
+
+// run advances the membership protocol and looks after the connections.
+func (n *Node) run() {
+	defer n.wait.Done()
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-t.C:
+			n.step(func(now time.Time) membership.Output { return n.machine.Tick(now) })
+			n.tend(time.Now())
+		}
+	}
+}
+
+// step runs f on the machine and does what it wants done.
+func (n *Node) step(f func(now time.Time) membership.Output) {
+	n.mu.Lock()
+	out := f(time.Now())
+	n.mu.Unlock()
+	for _, s := range out.Sends {
+		n.send(s)
+	}
+	for _, d := range out.Dials {
+		n.dial(d.Address, true)
+	}
+	n.notify()
+}
+
+// notify wakes the dispatcher.
+func (n *Node) notify() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (n *Node) send(s membership.Send) {
+	c := n.current(s.To)
+	if c == nil {
+		if s.Message.Probe != nil && s.Address != "" {
+			n.dial(s.Address, false, s.Message)
+		}
+		return
+	}
+	if err := c.post(&message{Kind: kindGossip, Gossip: &s.Message}); err != nil {
+		if n.dropped.Add(1)%1000 == 1 {
+			n.event(Event{Kind: Overflow, Peer: s.To, Address: s.Address, Count: n.dropped.Load(), Err: err})
+		}
+		return
+	}
+	for i := range s.Message.Rumors {
+		n.countRumor(&s.Message.Rumors[i], true)
+	}
+}
+
+func (n *Node) gossip(c *conn, m membership.Message) {
+	for i := range m.Rumors {
+		n.countRumor(&m.Rumors[i], false)
+	}
+	n.step(func(now time.Time) membership.Output {
+		return n.machine.Receive(now, c.peer.Instance, m)
+	})
+}
+
+// linkUp tells the machine of c, unless it has been replaced already.
+func (n *Node) linkUp(c *conn) {
+	n.event(Event{Kind: Connected, Peer: c.peer.Instance, Incarnation: c.peer.Incarnation, Address: c.peer.Address})
+	n.linkMu.Lock()
+	defer n.linkMu.Unlock()
+	if n.current(c.peer.Instance) != c {
+		return
+	}
+	n.step(func(now time.Time) membership.Output {
+		n.machine.LinkUp(now, c.peer, c.gossip, c.dialled)
+		return membership.Output{}
+	})
+}
+
+// linkDown tells the machine that c has ended, unless another connection to
+// the peer stands by now.
+func (n *Node) linkDown(c *conn) {
+	n.linkMu.Lock()
+	defer n.linkMu.Unlock()
+	if n.current(c.peer.Instance) != nil {
+		return
+	}
+	n.step(func(now time.Time) membership.Output {
+		n.machine.LinkDown(now, c.peer.Instance)
+		return membership.Output{}
+	})
+}
+
+// current returns the connection to a member, or nil.
+func (n *Node) current(id coordination.Instance) *conn {
+	n.connMu.Lock()
+	defer n.connMu.Unlock()
+	return n.conns[id]
+}
+
+func (n *Node) dialFailed(address string) {
+	n.step(func(now time.Time) membership.Output {
+		n.machine.DialFailed(now, address)
+		return membership.Output{}
+	})
+}
+
+// tend pings quiet connections, ends broken ones, and retires those that were
+// made for calls and are no longer used.
+func (n *Node) tend(now time.Time) {
+	var spare []*conn
+	for _, c := range n.connections() {
+		silent := now.Sub(time.Unix(0, c.heard.Load()))
+		switch {
+		case silent > n.cfg.DeadAfter:
+			c.cancel(errSilent)
+		case silent > n.cfg.DeadAfter/3 && c.queued.Load() == 0 && c.pingDue(now):
+			_ = c.post(&message{Kind: kindPing})
+		}
+		if !n.isNeighbor(c) && now.Sub(c.since) > drainMost && c.idle() {
+			spare = append(spare, c)
+		}
+	}
+	n.retireIdle(now, spare)
+	n.closeDrained(now)
+}
+
+// retireIdle retires connections that were long unused, and if there are too
+// many, those that were unused for longest.
+func (n *Node) retireIdle(now time.Time, spare []*conn) {
+	sortByUse(spare)
+	for i, c := range spare {
+		unused := now.Sub(time.Unix(0, c.used.Load()))
+		if unused > n.cfg.IdleTimeout || len(spare)-i > n.cfg.MaxOnDemand {
+			n.retire(c, true)
+		}
+	}
+}
+
+func (n *Node) closeDrained(now time.Time) {
+	n.connMu.Lock()
+	defer n.connMu.Unlock()
+	for c := range n.draining {
+		age := c.drainedFor(now)
+		if age > drainMost || age > drainLeast && c.idle() {
+			c.cancel(errDuplicate)
+		}
+	}
+}
+
+func (n *Node) connections() []*conn {
+	n.connMu.Lock()
+	defer n.connMu.Unlock()
+	all := make([]*conn, 0, len(n.conns))
+	for _, c := range n.conns {
+		all = append(all, c)
+	}
+	return all
+}
+
+func (n *Node) isNeighbor(c *conn) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.machine.Neighbor(c.peer.Instance)
+}
+
+func (n *Node) event(e Event) {
+	if n.cfg.OnEvent != nil {
+		n.cfg.OnEvent(e)
+	}
+}
+
+// stop is the function that New returns.
+func (n *Node) stop() {
+	n.step(func(now time.Time) membership.Output {
+		n.machine.Left(now)
+		return n.machine.Tick(now)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), farewell)
+	defer cancel()
+	n.settle(ctx)
+	n.connMu.Lock()
+	n.stopped = true
+	for _, c := range n.conns {
+		c.cancel(errStopped)
+	}
+	for c := range n.draining {
+		c.cancel(errStopped)
+	}
+	n.connMu.Unlock()
+	n.cancel()
+	n.wait.Wait()
+}
+
+// settle waits until all queues are empty or ctx ends.
+func (n *Node) settle(ctx context.Context) {
+	t := time.NewTicker(5 * time.Millisecond)
+	defer t.Stop()
+	for {
+		waiting := false
+		for _, c := range n.connections() {
+			waiting = waiting || c.queued.Load() > 0
+		}
+		if !waiting {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
