Order the chunks of an answer, and keep a directory of endpoints

A chunk that comes too early waits for its predecessors, one of another attempt or one that came before is dropped, and the closing chunk names the total, so that an answer ends only when it is whole. Before, one chunk out of order ended the attempt, which would have paid for a second one. The directory joins the platform's list, the endpoints' own word and rumours; leaving is final for an incarnation. Not measured yet.

--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -224,7 +224,7 @@
 		Delta: &delta{}, FinishReason: s.attempt.finishReason(),
 	})
 	last.Usage = &u
-	s.write("", last)
+	s.write(fmt.Sprintf("id: %s.%d\n", s.attempt.id, s.attempt.total), last)
 	_, _ = s.w.Write([]byte("data: [DONE]\n\n")) // the caller has gone if it fails
 	s.flush()
 }
--- a/wisteriarouter/caller/adopt.go
+++ b/wisteriarouter/caller/adopt.go
@@ -23,7 +23,7 @@
 	a.offset = id.Offset
 	a.text.WriteString(a.chat.partial)
 	a.evidence.Begin(id.Attempt)
-	place, ok := a.Placer.Adopt(ctx, a.chat.want(nil), e)
+	place, ok := a.Placer.Adopt(e)
 	if !ok {
 		return a.adoptFailed(ctx)
 	}
@@ -60,6 +60,8 @@
 // adopted is the pass of an attempt that had its leave from another router.
 type adopted struct{}
 
+func (adopted) Alone() bool { return false }
+
 func (adopted) Done(bool) {}
 
 func (adopted) Died(coordination.Endpoint, coordination.Incarnation) {}
--- a/wisteriarouter/caller/answer.go
+++ b/wisteriarouter/caller/answer.go
@@ -35,7 +35,6 @@
 	text     strings.Builder // delivered to the sink
 	offset   int             // tokens delivered
 	exclude  []coordination.Endpoint
-	last     coordination.Endpoint
 }
 
 // end tells how one attempt ended.
@@ -47,7 +46,7 @@
 	declined              // the endpoint did not run it
 	lost                  // the stream broke and could not be resumed
 	died                  // so did its endpoint
-	foreign               // the endpoint sent what does not belong to it
+	malformed             // the endpoint sent what cannot be read
 )
 
 // attempt is one try at one endpoint.
@@ -84,7 +83,9 @@
 		a.giveUp(ctx, refusal)
 		return true
 	}
-	place, refusal := a.Placer.Place(ctx, a.chat.want(a.exclude))
+	want := a.chat.want(a.exclude)
+	want.Alone = pass.Alone()
+	place, refusal := a.Placer.Place(ctx, want)
 	if refusal != nil {
 		pass.Done(false)
 		a.giveUp(ctx, refusal)
@@ -105,7 +106,6 @@
 		return declined
 	}
 	a.evidence.Begin(at.id)
-	a.last = at.place.Endpoint
 	at.stream, err = a.Engines.Start(ctx, at.place.Address, engine.Request{
 		Attempt:  at.id,
 		Chat:     a.chat.id,
@@ -135,6 +135,9 @@
 	default:
 		a.evidence.Written(at.id)
 	}
+	if failure.Leaving {
+		a.Placer.Leaving(at.place.Endpoint, at.place.Incarnation)
+	}
 	if ctx.Err() != nil {
 		return callerGone
 	}
@@ -154,9 +157,9 @@
 			return finished
 		case ctx.Err() != nil, errors.Is(err, errSink):
 			return callerGone
-		case errors.Is(err, engine.ErrForeign):
-			a.Log.Emit(event.StreamForeign, event.F("endpoint", at.place.Endpoint), event.F("attempt", at.id))
-			return foreign
+		case errors.Is(err, engine.ErrMalformed):
+			a.Log.Emit(event.StreamMalformed, event.F("endpoint", at.place.Endpoint), event.F("attempt", at.id))
+			return malformed
 		}
 		if !a.resume(ctx, at) {
 			return lost
@@ -168,19 +171,14 @@
 
 // copy passes chunks to the sink. It returns nil behind a whole answer.
 func (a *answer) copy(at *attempt) error {
-	whole := false
 	for {
 		c, err := at.stream.Next()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
-			if whole {
-				return nil
-			}
 			return err
 		}
-		whole = whole || c.Finish != ""
 		if a.offset == 0 && c.Offset > 0 {
 			a.Metrics.firstToken.Observe(time.Since(a.chat.arrived).Seconds())
 		}
@@ -237,7 +235,7 @@
 	case died:
 		pass.Died(at.place.Endpoint, at.place.Incarnation)
 		a.Log.Emit(event.EndpointLost, event.F("endpoint", at.place.Endpoint), event.F("attempt", at.id))
-	case lost, foreign:
+	case lost, malformed:
 		pass.Done(false)
 		a.cancel(ctx, at)
 	default:
@@ -262,7 +260,7 @@
 }
 
 func (a *answer) finish(at *attempt) {
-	a.sink.finish(at.id, closing{Outcome: outcome.Ran, Hint: string(at.place.Endpoint)})
+	a.sink.finish(at.id, closing{Outcome: outcome.Ran, Hint: at.place.Hint})
 	a.Metrics.ended("chat", outcome.Ran, "")
 }
 
--- a/wisteriarouter/caller/caller.go
+++ b/wisteriarouter/caller/caller.go
@@ -31,11 +31,12 @@
 	Account     coordination.Account
 	Pool        coordination.Pool
 	Chat        coordination.Chat
-	Hint        coordination.Endpoint
+	Hint        string // as the caller sent it; never trusted
 	Priority    coordination.Priority
 	Deadline    time.Time // latest start; zero for none
 	Exclude     []coordination.Endpoint
 	Fingerprint uint64 // of the conversation
+	Alone       bool   // the request is suspected of crashing endpoints
 }
 
 // Place is a granted place at an endpoint. Release gives it back once.
@@ -43,6 +44,7 @@
 	Endpoint    coordination.Endpoint
 	Incarnation coordination.Incarnation
 	Address     string
+	Hint        string // leads the chat's next request back here
 	Release     func()
 }
 
@@ -51,7 +53,9 @@
 	// Place returns a place for an attempt, or the final refusal.
 	Place(ctx context.Context, w Want) (Place, *outcome.Refusal)
 	// Adopt returns the place of an attempt that already runs at e.
-	Adopt(ctx context.Context, w Want, e coordination.Endpoint) (Place, bool)
+	Adopt(e coordination.Endpoint) (Place, bool)
+	// Leaving takes in that an endpoint has said that it is stopping.
+	Leaving(e coordination.Endpoint, n coordination.Incarnation)
 }
 
 // Engines are the calls to model engines that an answer needs.
@@ -68,8 +72,10 @@
 	Enter(ctx context.Context, fingerprint uint64) (Pass, *outcome.Refusal)
 }
 
-// Pass is one attempt's leave to run. Exactly one of its methods is called.
+// Pass is one attempt's leave to run. Either Done or Died is called, once.
 type Pass interface {
+	// Alone reports whether the attempt must run apart from other suspects.
+	Alone() bool
 	// Done tells that the attempt ended and its endpoint did not die.
 	Done(finished bool)
 	// Died tells that the endpoint died while the attempt ran there.
--- a/wisteriarouter/caller/chat.go
+++ b/wisteriarouter/caller/chat.go
@@ -48,7 +48,7 @@
 	team        coordination.Team
 	account     coordination.Account
 	id          coordination.Chat
-	hint        coordination.Endpoint
+	hint        string
 	plan        Plan
 	deadline    time.Time
 	stream      bool
@@ -124,7 +124,7 @@
 		team:    coordination.Team(h.Team),
 		account: coordination.Account(h.Account),
 		id:      coordination.Chat(h.Chat),
-		hint:    coordination.Endpoint(h.Hint),
+		hint:    h.Hint,
 		stream:  in.Stream,
 		partial: in.Partial,
 		body:    b,
--- a/wisteriarouter/config/config.go
+++ b/wisteriarouter/config/config.go
@@ -61,6 +61,7 @@
 	CancelFor    time.Duration
 	LoadInterval time.Duration
 	StopWithin   time.Duration
+	StopDelay    time.Duration
 }
 
 // Log holds how events are written.
@@ -105,6 +106,7 @@
 		{Name: "cancel-for", Kind: schema.Duration, Default: "15s", Min: "1s", Max: "120s", Doc: "How long an attempt that nobody reads is tried to be cancelled."},
 		{Name: "load-interval", Kind: schema.Duration, Default: "500ms", Min: "100ms", Max: "10s", Doc: "How often the owner of an endpoint reads its load."},
 		{Name: "stop-within", Kind: schema.Duration, Default: "120s", Min: "1s", Max: "3600s", Doc: "Longest graceful shutdown; what is in flight behind it is cut off."},
+		{Name: "stop-delay", Kind: schema.Duration, Default: "1s", Min: "0s", Max: "60s", Doc: "How long a router that stops still takes new requests, until the balancer has seen that it is not ready."},
 	}},
 	{Name: "log", Doc: "How events are written.", Keys: []schema.Key{
 		{Name: "level", Kind: schema.Name, Default: "info", Doc: "Least level: debug, info, warning or error."},
@@ -193,5 +195,6 @@
 		CancelFor:    v.Duration("cancel-for"),
 		LoadInterval: v.Duration("load-interval"),
 		StopWithin:   v.Duration("stop-within"),
+		StopDelay:    v.Duration("stop-delay"),
 	}
 }
--- /dev/null
+++ b/wisteriarouter/endpoint/directory.go
@@ -0,0 +1,270 @@
+// Package endpoint keeps what a router knows of the endpoints: from the
+// platform's list, which lags, from the endpoints' own reports and from what
+// other routers have noticed.
+package endpoint
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/samber/lo"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/placement"
+	"wisteriaspool/wisteriarouter/platform"
+)
+
+// Report is an endpoint's own word.
+type Report struct {
+	ID          coordination.Endpoint
+	Incarnation coordination.Incarnation
+	Leaving     bool
+	Capacity    int
+}
+
+// Known is one endpoint as the router knows it.
+type Known struct {
+	placement.Descriptor
+	Kind    platform.Kind
+	Address string
+}
+
+// absences is in how many lists running an endpoint has to be missing before
+// it is dropped. A single list may be cut short, and dropping a live endpoint
+// would move its chats to cold ones.
+const absences = 2
+
+// Directory is the aggregate of all that is known of endpoints. The zero value
+// is empty and ready for use. It is safe for concurrent use.
+type Directory struct {
+	// OnLeaving, if set, is called once for each incarnation that is first
+	// seen to leave. It has to be set before the directory is used.
+	OnLeaving func(id coordination.Endpoint, n coordination.Incarnation)
+
+	mu       sync.Mutex
+	entries  map[coordination.Endpoint]*entry
+	leaving  map[coordination.Endpoint]coordination.Incarnation
+	fresh    []mark
+	snapshot atomic.Pointer[snapshot]
+	watchers []func()
+}
+
+// Watch has fn called behind each change.
+func (d *Directory) Watch(fn func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.watchers = append(d.watchers, fn)
+}
+
+// mark says that an incarnation of an endpoint is leaving.
+type mark struct {
+	id          coordination.Endpoint
+	incarnation coordination.Incarnation
+}
+
+// maxMarks bounds the marks of endpoints that come and go under new names.
+const maxMarks = 16384
+
+type entry struct {
+	Known
+	missing int // lists running that did not name it
+}
+
+// snapshot is what readers see. It never changes.
+type snapshot struct {
+	byID  map[coordination.Endpoint]Known
+	pools map[coordination.Pool][]Known
+}
+
+var empty snapshot
+
+func (d *Directory) view() *snapshot {
+	if s := d.snapshot.Load(); s != nil {
+		return s
+	}
+	return &empty
+}
+
+// Find returns an endpoint by its id.
+func (d *Directory) Find(id coordination.Endpoint) (Known, bool) {
+	k, ok := d.view().byID[id]
+	return k, ok
+}
+
+// Pool returns the endpoints of a pool, sorted by id. Callers must not change
+// the slice.
+func (d *Directory) Pool(p coordination.Pool) []Known { return d.view().pools[p] }
+
+// Pools returns the names of the pools that have endpoints, sorted.
+func (d *Directory) Pools() []coordination.Pool {
+	names := lo.Keys(d.view().pools)
+	slices.Sort(names)
+	return names
+}
+
+// All returns all endpoints, sorted by id.
+func (d *Directory) All() []Known {
+	all := lo.Values(d.view().byID)
+	slices.SortFunc(all, byID)
+	return all
+}
+
+func byID(a, b Known) int { return cmp.Compare(a.ID, b.ID) }
+
+// Update takes in the platform's list. The list lags: an incarnation older
+// than the one known, or one known to leave, is not brought back by it.
+func (d *Directory) Update(list []platform.Entry) {
+	d.change(func() {
+		seen := make(map[coordination.Endpoint]bool, len(list))
+		for _, l := range list {
+			if l.Kind == platform.Router {
+				continue
+			}
+			seen[l.ID] = true
+			d.list(l)
+		}
+		for id, e := range d.entries {
+			if seen[id] {
+				continue
+			}
+			e.missing++
+			if e.missing >= absences {
+				delete(d.entries, id)
+			}
+		}
+	})
+}
+
+func (d *Directory) list(l platform.Entry) {
+	e := d.entries[l.ID]
+	if e == nil {
+		e = &entry{}
+		e.ID = l.ID
+		d.entries[l.ID] = e
+	}
+	e.missing = 0
+	if l.Incarnation < e.Incarnation {
+		return
+	}
+	e.Kind = l.Kind
+	e.Address = l.Address
+	e.Zone = l.Zone
+	e.Pool = l.Pool
+	e.Incarnation = l.Incarnation
+	e.Capacity = l.Capacity
+	if l.State != platform.Live {
+		d.markLeaving(l.ID, l.Incarnation)
+	}
+}
+
+// Hear takes in an endpoint's own word.
+func (d *Directory) Hear(r Report) {
+	d.change(func() {
+		e := d.entries[r.ID]
+		if e == nil || r.Incarnation < e.Incarnation {
+			return
+		}
+		e.Incarnation = r.Incarnation
+		if r.Capacity > 0 {
+			e.Capacity = r.Capacity
+		}
+		if r.Leaving {
+			d.markLeaving(r.ID, r.Incarnation)
+		}
+	})
+}
+
+// Leave takes in that an incarnation of an endpoint is leaving, as noticed by
+// this router or another one. That is final: an endpoint that is stopping has
+// no later word that would make it take work again.
+func (d *Directory) Leave(id coordination.Endpoint, n coordination.Incarnation) {
+	d.change(func() { d.markLeaving(id, n) })
+}
+
+func (d *Directory) markLeaving(id coordination.Endpoint, n coordination.Incarnation) {
+	if last, ok := d.leaving[id]; ok && n <= last {
+		return
+	}
+	d.leaving[id] = n
+	d.fresh = append(d.fresh, mark{id, n})
+	d.prune()
+}
+
+// prune forgets the marks of endpoints that are no longer listed once there
+// are very many. A few stay, so that a list that lags does not bring one back.
+func (d *Directory) prune() {
+	if len(d.leaving) < maxMarks {
+		return
+	}
+	for id := range d.leaving {
+		if d.entries[id] == nil {
+			delete(d.leaving, id)
+		}
+	}
+}
+
+// change runs fn under the lock, publishes a new snapshot and then tells the
+// callbacks, which may ask the directory.
+func (d *Directory) change(fn func()) {
+	fresh, watchers := d.apply(fn)
+	for _, m := range fresh {
+		if d.OnLeaving != nil {
+			d.OnLeaving(m.id, m.incarnation)
+		}
+	}
+	for _, watcher := range watchers {
+		watcher()
+	}
+}
+
+// apply returns the fresh marks and whom to tell of a change.
+func (d *Directory) apply(fn func()) (fresh []mark, watchers []func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.entries == nil {
+		d.entries = make(map[coordination.Endpoint]*entry)
+		d.leaving = make(map[coordination.Endpoint]coordination.Incarnation)
+	}
+	fn()
+	fresh, d.fresh = d.fresh, nil
+	next := d.build()
+	if same(d.view(), next) {
+		return fresh, nil
+	}
+	d.snapshot.Store(next)
+	return fresh, d.watchers
+}
+
+func (d *Directory) build() *snapshot {
+	s := &snapshot{
+		byID:  make(map[coordination.Endpoint]Known, len(d.entries)),
+		pools: make(map[coordination.Pool][]Known),
+	}
+	for id, e := range d.entries {
+		k := e.Known
+		k.State = placement.Live
+		if n, ok := d.leaving[id]; ok && k.Incarnation <= n {
+			k.State = placement.Leaving
+		}
+		s.byID[id] = k
+		s.pools[k.Pool] = append(s.pools[k.Pool], k)
+	}
+	for _, p := range s.pools {
+		slices.SortFunc(p, byID)
+	}
+	return s
+}
+
+func same(a, b *snapshot) bool {
+	if len(a.byID) != len(b.byID) {
+		return false
+	}
+	for id, k := range a.byID {
+		if b.byID[id] != k {
+			return false
+		}
+	}
+	return true
+}
--- a/wisteriarouter/engine/engine.go
+++ b/wisteriarouter/engine/engine.go
@@ -40,9 +40,8 @@
 // have, or no longer has.
 var ErrGone = errors.New("engine: attempt gone")
 
-// ErrForeign is the error of a stream that carries a chunk of another attempt
-// or a chunk out of order.
-var ErrForeign = errors.New("engine: chunk of another attempt or out of order")
+// ErrMalformed is the error of a stream with a chunk that cannot be read.
+var ErrMalformed = errors.New("engine: malformed chunk")
 
 // StartError tells why an attempt brought no stream.
 type StartError struct {
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -43,7 +43,7 @@
 	EndpointLost      = Kind{501, "endpoint-lost", logrus.WarnLevel, "An endpoint died or was restarted while it ran requests."}
 	StreamResumed     = Kind{502, "stream-resumed", logrus.InfoLevel, "A stream that broke was resumed on the same endpoint."}
 	StreamContinued   = Kind{503, "stream-continued", logrus.InfoLevel, "A stream whose endpoint was lost goes on elsewhere."}
-	StreamForeign     = Kind{504, "stream-foreign", logrus.ErrorLevel, "An endpoint sent a chunk that does not belong to the attempt; the attempt was cancelled."}
+	StreamMalformed   = Kind{504, "stream-malformed", logrus.ErrorLevel, "An endpoint sent a chunk that cannot be read; the attempt was cancelled."}
 	CancelFailed      = Kind{505, "cancel-failed", logrus.WarnLevel, "An attempt nobody reads could not be cancelled; it ends when the endpoint's own limit passes."}
 	RequestRefused    = Kind{506, "request-refused", logrus.DebugLevel, "A request got a final refusal."}
 	RequestSuspected  = Kind{507, "request-suspected", logrus.WarnLevel, "A request ran on an endpoint that died."}
@@ -67,7 +67,7 @@
 		SettingsApplied, SettingsInvalid, SettingsRejected, SettingsChanged,
 		PlatformLost, PlatformBack, InstancesRefresh,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumourShed,
-		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamForeign, CancelFailed,
+		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
 		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, OwnerUnreachable, ConnectionDropped,
 		ActionUnknown, ActionRefused, ActionUnfinished,
 	}
