placement: the entry's walk, grants, releases and registration

Cause: something has to lead a request through its candidates, and to tell a new owner what its endpoints run.

An exhausted walk first queued at an endpoint over its bound; with a lagging mean it waited there while others idled (7 routers, 12 endpoints, a burst of 120: request 27 ran into its deadline). It now pauses for one exchange of sums and asks again.

--- a/coordination/placement/admit.go
+++ b/coordination/placement/admit.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"wisteriaspool/coordination"
 )
 
 // queueTick is how often a waiting request looks whether the mean has risen or
@@ -60,11 +62,21 @@
 	defer s.mu.Unlock()
 	l := s.loads[req.Endpoint]
 	if l == nil {
-		return AdmitReply{Decision: Next, Code: NotOwner}, nil
+		return o.disclaim(req.Endpoint), nil
 	}
 	return l.submit(now, req, o.cfg.Load())
 }
 
+// disclaim answers for an endpoint that this router does not count.
+func (o *Owner) disclaim(id coordination.Endpoint) AdmitReply {
+	v := o.view.Load()
+	d := v.set.Find(id)
+	if d == nil {
+		return AdmitReply{Decision: Next, Code: Gone}
+	}
+	return AdmitReply{Decision: Next, Code: NotOwner, Owner: v.routers.Owner(id, d.Zone)}
+}
+
 func (l *endpointLoad) submit(now time.Time, req AdmitRequest, cfg *Config) (AdmitReply, *waiter) {
 	id := GrantID{Entry: req.Entry, Sequence: req.Sequence}
 	if _, ok := l.grants[id]; ok {
@@ -78,14 +90,15 @@
 	}
 	l.dispatch(now, cfg)
 	code := l.fits(now, req.Alone, cfg)
-	if code == None && l.grant(now, id, req.Alone, cfg) {
-		return AdmitReply{Decision: Granted}, nil
-	}
 	if code == None {
+		limit, ok := l.grant(now, id, req.Alone, cfg)
+		if ok {
+			return AdmitReply{Decision: Granted, Limit: limit}, nil
+		}
 		code = OverBound
 	}
-	if !req.Final && (req.Wait == 0 || code == Settling) {
-		return AdmitReply{Decision: Next, Code: code}, nil
+	if !req.Final && req.Wait == 0 {
+		return l.pass(now, code), nil
 	}
 	return l.enqueue(now, id, req, cfg)
 }
@@ -106,14 +119,24 @@
 }
 
 // grant counts the request unless the endpoint would exceed its bound.
-func (l *endpointLoad) grant(now time.Time, id GrantID, alone bool, cfg *Config) bool {
+func (l *endpointLoad) grant(now time.Time, id GrantID, alone bool, cfg *Config) (limit int, ok bool) {
 	l.refresh(now, cfg)
-	if !l.pool.admit(now, l.counted, cfg) {
-		return false
+	limit, ok = l.pool.admit(now, l.counted, cfg)
+	if ok {
+		l.counted++
+		l.hold(id, held{start: now, alone: alone})
 	}
-	l.counted++
-	l.hold(id, held{start: now, alone: alone})
-	return true
+	return limit, ok
+}
+
+// pass returns the answer that sends a request on to its next candidate.
+func (l *endpointLoad) pass(now time.Time, code Code) AdmitReply {
+	return AdmitReply{Decision: Next, Code: code, RetryAfter: millis(l.drain(now))}
+}
+
+// drain returns the time in which the present queue will have been served.
+func (l *endpointLoad) drain(now time.Time) time.Duration {
+	return time.Duration(l.queue.size+1) * l.service.gap(now, len(l.grants))
 }
 
 // enqueue lets a request wait, unless it cannot start in time.
@@ -126,7 +149,7 @@
 		w.deadline = now.Add(d)
 	}
 	if !req.Final {
-		w.warmEnd = now.Add(min(req.Wait.Duration(), cfg.WarmWait))
+		w.passAt = now.Add(min(req.Wait.Duration(), cfg.MaxWait))
 	}
 	if l.queue.len(req.Account) >= cfg.AccountQueueLimit {
 		return l.refusal(now, Overloaded), nil
@@ -153,11 +176,15 @@
 		w := l.queue.next(func(w *waiter) bool {
 			return l.fits(now, w.req.Alone, cfg) == None
 		})
-		if w == nil || !l.grant(now, w.id, w.req.Alone, cfg) {
+		if w == nil {
+			break
+		}
+		limit, ok := l.grant(now, w.id, w.req.Alone, cfg)
+		if !ok {
 			break
 		}
 		l.queue.serve(w)
-		w.settle(AdmitReply{Decision: Granted})
+		w.settle(AdmitReply{Decision: Granted, Limit: limit})
 	}
 	l.prune(now, cfg)
 }
@@ -170,9 +197,9 @@
 	}
 	gap := l.service.gap(now, l.count(now, cfg))
 	for _, w := range l.queue.waiters() {
-		if !w.warmEnd.IsZero() && !now.Before(w.warmEnd) {
+		if !w.passAt.IsZero() && !now.Before(w.passAt) {
 			l.queue.remove(w)
-			w.settle(AdmitReply{Decision: Next, Code: Full})
+			w.settle(l.pass(now, Full))
 			continue
 		}
 		if now.Before(w.deadline) && gap == 0 {
@@ -186,7 +213,7 @@
 		if w.req.Final {
 			w.settle(l.refusal(now, Deadline))
 		} else {
-			w.settle(AdmitReply{Decision: Next, Code: Full})
+			w.settle(l.pass(now, Full))
 		}
 	}
 }
@@ -200,9 +227,7 @@
 // refusal returns a final answer that tells when the present queue will have
 // drained.
 func (l *endpointLoad) refusal(now time.Time, code Code) AdmitReply {
-	gap := l.service.gap(now, len(l.grants))
-	wait := time.Duration(l.queue.size+1) * gap
-	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	wait := min(max(l.drain(now), minRetryAfter), maxRetryAfter)
 	return AdmitReply{Decision: Refused, Code: code, RetryAfter: millis(wait)}
 }
 
--- /dev/null
+++ b/coordination/placement/entry.go
@@ -0,0 +1,217 @@
+package placement
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wisteriaspool/coordination"
+)
+
+// LoadReader asks an endpoint for its own report of its load.
+type LoadReader interface {
+	ReadLoad(ctx context.Context, endpoint coordination.Endpoint) (Report, error)
+}
+
+// Entry places the requests of one router: it asks the owners of candidate
+// endpoints, and keeps the grants that it holds, so that it can register them
+// with an owner that has taken over. The router calls [Entry.Tick] several
+// times a second.
+type Entry struct {
+	id        EntryID
+	transport Transport
+	local     *Owner
+	loads     LoadReader
+	cfg       atomic.Pointer[Config]
+	view      atomic.Pointer[view]
+	held      grantTable
+	fallback  fallbackTable
+}
+
+// view is a consistent pair of lists.
+type view struct {
+	set     *Set
+	routers *Routers
+}
+
+// NewEntry returns the entry of a router whose own endpoints local counts. The
+// other owners are reached through t. If loads is not nil, it serves to decide
+// without an owner that cannot be reached.
+func NewEntry(id EntryID, local *Owner, t Transport, loads LoadReader, cfg Config) *Entry {
+	e := &Entry{id: id, transport: t, local: local, loads: loads}
+	e.held.grants = make(map[Sequence]*Grant)
+	e.held.releases = make(map[coordination.Instance][]Release)
+	e.held.asked = make(map[coordination.Instance]time.Time)
+	e.view.Store(&view{set: NewSet(nil), routers: NewRouters(nil, 0)})
+	e.Configure(cfg)
+	return e
+}
+
+// Configure puts new settings in force.
+func (e *Entry) Configure(cfg Config) {
+	cfg = cfg.withDefaults()
+	e.cfg.Store(&cfg)
+}
+
+// Update takes new lists of endpoints and routers. The next [Entry.Tick]
+// registers the held grants with the owners that have changed.
+func (e *Entry) Update(set *Set, routers *Routers) {
+	e.view.Store(&view{set: set, routers: routers})
+	e.held.mu.Lock()
+	defer e.held.mu.Unlock()
+	e.held.registered = time.Time{}
+}
+
+// Acquire asks for a grant at the best endpoint that will take the request. It
+// returns a nil grant and the refusal if there is none. The caller must call
+// [Grant.Release] once the request no longer runs at the endpoint.
+func (e *Entry) Acquire(ctx context.Context, req Request) (*Grant, Refusal) {
+	cfg, v := e.cfg.Load(), e.view.Load()
+	g := e.held.open(e, req.Alone)
+	w := newWalk(time.Now(), req, cfg, v.set, v.routers)
+	for {
+		a, refusal, ok := w.next(time.Now())
+		if !ok {
+			e.held.close(g)
+			return nil, refusal
+		}
+		g.Warm = w.warm && a.endpoint == w.list[0]
+		r := e.put(ctx, g, req, a, cfg)
+		if !w.take(a, r) {
+			continue
+		}
+		if r.Decision == Granted && ctx.Err() == nil {
+			return g, Refusal{}
+		}
+		if r.Decision == Granted {
+			g.Release()
+			return nil, Refusal{Code: Cancelled}
+		}
+		e.held.close(g)
+		return nil, Refusal{Code: r.Code, RetryAfter: r.RetryAfter.Duration()}
+	}
+}
+
+// put puts one question to one owner.
+func (e *Entry) put(ctx context.Context, g *Grant, req Request, a ask, cfg *Config) AdmitReply {
+	e.held.aim(time.Now(), g, a)
+	m := AdmitRequest{
+		Entry:       e.id,
+		Sequence:    g.sequence,
+		Endpoint:    a.endpoint.ID,
+		Incarnation: a.endpoint.Incarnation,
+		Account:     req.Account,
+		Priority:    req.Priority,
+		Deadline:    a.deadline,
+		Wait:        a.wait,
+		Final:       a.final,
+		Alone:       req.Alone,
+	}
+	if a.owner == e.id.Instance {
+		r := e.local.Admit(ctx, m)
+		e.settle(g, a, r)
+		return r
+	}
+	if a.owner == "" || e.fallback.silent(time.Now(), a.owner) {
+		return e.decideAlone(ctx, g, a, cfg)
+	}
+	m.Releases = e.held.take(a.owner)
+	r, err := e.call(ctx, a, m, cfg)
+	if err != nil {
+		// The owner may have granted, so it is told that nobody uses it.
+		e.held.giveBack(a.owner, m.Releases)
+		e.held.giveBack(a.owner, []Release{{Endpoint: a.endpoint.ID, Sequence: g.sequence}})
+		if ctx.Err() != nil {
+			return AdmitReply{Decision: Refused, Code: Cancelled}
+		}
+		e.fallback.lost(time.Now(), a.owner)
+		return e.decideAlone(ctx, g, a, cfg)
+	}
+	e.settle(g, a, r)
+	return r
+}
+
+// settle notes what an owner answered.
+func (e *Entry) settle(g *Grant, a ask, r AdmitReply) {
+	if r.Limit > 0 {
+		e.fallback.learn(time.Now(), a.endpoint.Pool, r.Limit)
+	}
+	if r.Decision == Granted {
+		e.held.grant(time.Now(), g, a.owner)
+	}
+}
+
+// call makes the call to a remote owner. It waits for as long as the owner may
+// hold the request back, and admitTimeout more.
+func (e *Entry) call(ctx context.Context, a ask, m AdmitRequest, cfg *Config) (AdmitReply, error) {
+	wait := a.wait.Duration()
+	if a.final {
+		wait = cfg.MaxWait
+	}
+	if a.final && a.deadline > 0 {
+		wait = min(wait, a.deadline.Duration())
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+admitTimeout)
+	defer cancel()
+	b, err := e.transport.Call(ctx, a.owner, TopicAdmit, m.Encode())
+	if err != nil {
+		return AdmitReply{}, err
+	}
+	return DecodeAdmitReply(b)
+}
+
+// admitTimeout is how long an owner has for its answer. It is a part of the
+// time to the first token, so a frozen owner must not take more of it.
+const admitTimeout = 100 * time.Millisecond
+
+// Tick sends the releases that have gathered, and registers the held grants
+// when lists have changed or a third of the entry's lease has passed.
+func (e *Entry) Tick(ctx context.Context) {
+	cfg, v := e.cfg.Load(), e.view.Load()
+	var wg sync.WaitGroup
+	now := time.Now()
+	for _, d := range e.held.due(now, e.id, v, cfg) {
+		d.entry = e
+		wg.Go(func() { d.run(ctx) })
+	}
+	wg.Wait()
+}
+
+// dispatch is one message on its way to an owner.
+type dispatch struct {
+	entry    *Entry
+	to       coordination.Instance
+	releases []Release
+	register *Register
+}
+
+// run sends the message. Releases that may not have arrived are sent again.
+func (d dispatch) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	if d.register != nil {
+		d.sendRegister(ctx)
+		return
+	}
+	b := ReleaseBatch{Entry: d.entry.id, Releases: d.releases}
+	if d.to == d.entry.id.Instance {
+		d.entry.local.Release(b)
+		return
+	}
+	if _, err := d.entry.transport.Call(ctx, d.to, TopicRelease, b.Encode()); err != nil {
+		d.entry.held.giveBack(d.to, d.releases)
+	}
+}
+
+const sendTimeout = time.Second
+
+func (d dispatch) sendRegister(ctx context.Context) {
+	if d.to == d.entry.id.Instance {
+		d.entry.local.Register(*d.register)
+		return
+	}
+	if _, err := d.entry.transport.Call(ctx, d.to, TopicRegister, d.register.Encode()); err != nil {
+		d.entry.held.registerAgain()
+	}
+}
--- /dev/null
+++ b/coordination/placement/fallback.go
@@ -0,0 +1,125 @@
+package placement
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"wisteriaspool/coordination"
+)
+
+// fallbackTable is what an entry needs to decide without an endpoint's owner.
+// The zero value is ready for use.
+type fallbackTable struct {
+	mu     sync.Mutex
+	mute   map[coordination.Instance]time.Time // owners that did not answer
+	limits map[coordination.Pool]learnedLimit
+}
+
+// learnedLimit is the number of requests that an owner last let an endpoint of
+// a pool run.
+type learnedLimit struct {
+	limit int
+	at    time.Time
+}
+
+const (
+	// mutePeriod is how long an owner that did not answer is not asked again.
+	// Each question to a frozen owner costs a request admitTimeout.
+	mutePeriod = time.Second
+
+	// limitTTL is how long a learned limit serves.
+	limitTTL = 10 * time.Second
+)
+
+// lost notes that an owner did not answer.
+func (t *fallbackTable) lost(now time.Time, o coordination.Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.mute == nil {
+		t.mute = make(map[coordination.Instance]time.Time)
+	}
+	t.mute[o] = now
+}
+
+// silent reports whether an owner is not worth a question now.
+func (t *fallbackTable) silent(now time.Time, o coordination.Instance) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.mute[o]
+	if ok && now.Sub(at) >= mutePeriod {
+		delete(t.mute, o)
+		return false
+	}
+	return ok
+}
+
+func (t *fallbackTable) learn(now time.Time, p coordination.Pool, limit int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.limits == nil {
+		t.limits = make(map[coordination.Pool]learnedLimit)
+	}
+	t.limits[p] = learnedLimit{limit: limit, at: now}
+}
+
+// limit returns the last learned limit of a pool, or zero.
+func (t *fallbackTable) limit(now time.Time, p coordination.Pool) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l := t.limits[p]; now.Sub(l.at) < limitTTL {
+		return l.limit
+	}
+	return 0
+}
+
+// decideAlone decides without the owner: by the endpoint's own report, a
+// tightened bound, and only this router's share of what is left under it,
+// since the other routers cannot reach the owner either and see the same
+// report. In a large fleet the share is nothing, and the request goes on to an
+// endpoint whose owner answers.
+func (e *Entry) decideAlone(ctx context.Context, g *Grant, a ask, cfg *Config) AdmitReply {
+	declined := AdmitReply{Decision: Next, Code: Unreachable}
+	limit := e.fallback.limit(time.Now(), a.endpoint.Pool)
+	if e.loads == nil || limit == 0 || g.alone {
+		return declined
+	}
+	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
+	defer cancel()
+	r, err := e.loads.ReadLoad(ctx, a.endpoint.ID)
+	if err != nil || r.Leaving || r.Incarnation != a.endpoint.Incarnation {
+		return declined
+	}
+	room := tightened(limit, cfg) - r.Running
+	if r.Capacity > 0 {
+		room = min(room, r.Capacity-r.Running)
+	}
+	share := room / max(e.view.Load().routers.Len(), 1)
+	if !e.held.grantWithin(time.Now(), g, share, r.Observed) {
+		return declined
+	}
+	return AdmitReply{Decision: Granted}
+}
+
+// tightened returns the limit of a decision without the owner.
+func tightened(limit int, cfg *Config) int {
+	return int(float64(limit) * cfg.FallbackShare)
+}
+
+// grantWithin grants if this entry has begun fewer than n requests at the
+// endpoint since a report was observed.
+func (t *grantTable) grantWithin(now time.Time, g *Grant, n int, observed time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	begun := 0
+	for _, other := range t.grants {
+		if other.granted && other.Endpoint.ID == g.Endpoint.ID && other.start.After(observed) {
+			begun++
+		}
+	}
+	if begun >= n {
+		return false
+	}
+	g.granted, g.start = true, now
+	return true
+}
--- /dev/null
+++ b/coordination/placement/fleet_test.go
@@ -0,0 +1,171 @@
+package placement
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+)
+
+var errUnreachable = errors.New("unreachable")
+
+// fleet is a number of routers in one process. Its transport calls their
+// handlers directly, after a delay, and can cut, freeze or lose.
+type fleet struct {
+	mu      sync.Mutex
+	nodes   map[coordination.Instance]*node
+	delay   time.Duration
+	dead    map[coordination.Instance]bool
+	frozen  map[coordination.Instance]chan struct{}
+	lose    func(topic string, reply bool) bool
+	bytes   map[string]int
+	message map[string]int
+}
+
+type node struct {
+	owner *Owner
+	entry *Entry
+}
+
+func newFleet(members []Router, es []Descriptor, cfg Config) *fleet {
+	f := &fleet{
+		nodes:   make(map[coordination.Instance]*node),
+		delay:   time.Millisecond,
+		dead:    make(map[coordination.Instance]bool),
+		frozen:  make(map[coordination.Instance]chan struct{}),
+		bytes:   make(map[string]int),
+		message: make(map[string]int),
+	}
+	set, routers := NewSet(es), NewRouters(members, 0)
+	for _, m := range members {
+		n := &node{owner: NewOwner(m.ID, cfg)}
+		n.entry = NewEntry(EntryID{Instance: m.ID, Incarnation: m.Incarnation}, n.owner, f, nil, cfg)
+		f.nodes[m.ID] = n
+		n.update(set, routers)
+	}
+	return f
+}
+
+func (n *node) update(set *Set, routers *Routers) {
+	n.owner.Update(set, routers)
+	n.entry.Update(set, routers)
+}
+
+// start runs all routers and returns what stops them.
+func (f *fleet) start() (stop func()) {
+	var stops []func()
+	for _, n := range f.nodes {
+		stops = append(stops, Start(n.owner, n.entry))
+	}
+	return func() {
+		for _, s := range stops {
+			s()
+		}
+	}
+}
+
+// Call implements Transport.
+func (f *fleet) Call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error) {
+	time.Sleep(f.delay)
+	f.mu.Lock()
+	n, dead, frozen := f.nodes[to], f.dead[to], f.frozen[to]
+	f.bytes[topic] += len(payload)
+	f.message[topic]++
+	lost := f.lose != nil && f.lose(topic, false)
+	f.mu.Unlock()
+	if n == nil || dead {
+		return nil, errUnreachable
+	}
+	if lost {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if frozen != nil {
+		select {
+		case <-frozen:
+		case <-ctx.Done():
+			// The message sits in the frozen process and is handled on waking.
+			go n.late(frozen, topic, payload)
+			return nil, ctx.Err()
+		}
+	}
+	reply, err := n.handle(ctx, topic, payload)
+	time.Sleep(f.delay)
+	f.mu.Lock()
+	lost = f.lose != nil && f.lose(topic, true)
+	f.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return reply, err
+}
+
+func (n *node) late(frozen chan struct{}, topic string, payload []byte) {
+	<-frozen
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, _ = n.handle(ctx, topic, payload)
+}
+
+func (n *node) handle(ctx context.Context, topic string, payload []byte) ([]byte, error) {
+	switch topic {
+	case TopicAdmit:
+		return n.owner.HandleAdmit(ctx, payload)
+	case TopicRelease:
+		return n.owner.HandleRelease(ctx, payload)
+	case TopicRegister:
+		return n.owner.HandleRegister(ctx, payload)
+	case TopicSum:
+		return n.owner.HandleSum(ctx, payload)
+	}
+	return nil, errUnreachable
+}
+
+func TestAcquireSpreadsOverAllEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		f := newFleet(testRouters(7), testEndpoints(12), Config{})
+		defer f.start()()
+		time.Sleep(2 * time.Second)
+		running := make(map[coordination.Endpoint]int)
+		var grants []*Grant
+		for i := range 120 {
+			n := f.nodes[testRouters(7)[i%7].ID]
+			g, refusal := n.entry.Acquire(ctx, Request{Pool: testPool, Key: Key(i % 3)})
+			assert.Assert(t, g != nil, "request %d: %v", i, refusal)
+			running[g.Endpoint.ID]++
+			grants = append(grants, g)
+		}
+		for id, n := range running {
+			assert.Assert(t, n <= 13, "%s runs %d, the mean is 10", id, n)
+		}
+		for _, g := range grants {
+			g.Release()
+		}
+		time.Sleep(time.Second)
+		for _, n := range f.nodes {
+			for _, p := range n.owner.pools {
+				count, _ := p.own()
+				assert.Equal(t, count, 0)
+			}
+		}
+	})
+}
+
+func TestAcquireReturnsToTheHintedEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(testRouters(3), testEndpoints(12), Config{})
+		time.Sleep(2 * time.Second)
+		g, _ := f.nodes["r0"].entry.Acquire(t.Context(), Request{Pool: testPool, Key: 1, Hint: HintOf("e7", 1)})
+		assert.Equal(t, g.Endpoint.ID, coordination.Endpoint("e7"))
+		assert.Assert(t, g.Warm)
+		assert.Equal(t, g.Hint(), HintOf("e7", 1))
+	})
+}
--- /dev/null
+++ b/coordination/placement/grants.go
@@ -0,0 +1,213 @@
+package placement
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"wisteriaspool/coordination"
+)
+
+// Grant is the right to run one request at one endpoint. The request counts
+// there until Release.
+type Grant struct {
+	Endpoint Descriptor
+	Warm     bool // the endpoint is the one that the hint named
+
+	entry    *Entry
+	sequence Sequence
+	alone    bool
+
+	// The grantTable's lock guards what follows.
+	granted bool
+	start   time.Time
+	owners  []coordination.Instance // that count it
+}
+
+// ID returns the name under which owners know the grant.
+func (g *Grant) ID() GrantID { return GrantID{Entry: g.entry.id, Sequence: g.sequence} }
+
+// Release ends the grant. It may be called more than once.
+func (g *Grant) Release() { g.entry.held.close(g) }
+
+// Hint returns the hint that leads the next request of the chat back here.
+func (g *Grant) Hint() Hint { return HintOf(g.Endpoint.ID, g.Endpoint.Incarnation) }
+
+// grantTable holds the grants of an entry, and the releases to be sent.
+type grantTable struct {
+	mu         sync.Mutex
+	last       Sequence
+	grants     map[Sequence]*Grant
+	releases   map[coordination.Instance][]Release
+	registered time.Time // zero when owners may have changed
+
+	// asked tells when each owner was last asked. A registration goes to all
+	// asked of late, also when it has nothing to list: if the release of the
+	// last grant was lost, nothing else would tell the owner.
+	asked map[coordination.Instance]time.Time
+}
+
+// releaseLimit bounds the releases kept for an owner that cannot be reached.
+// The next registration says the same as those that are dropped.
+const releaseLimit = 4096
+
+// open starts a grant that is not granted yet. Numbering and entering it are
+// one step, so that a registration never seems to say that it has ended.
+func (t *grantTable) open(e *Entry, alone bool) *Grant {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.last++
+	g := &Grant{entry: e, sequence: t.last, alone: alone}
+	t.grants[g.sequence] = g
+	return g
+}
+
+// aim notes which owner is asked for the grant, and for which endpoint.
+func (t *grantTable) aim(now time.Time, g *Grant, a ask) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g.Endpoint = *a.endpoint
+	g.owners = g.owners[:0]
+	if a.owner != "" {
+		g.owners = append(g.owners, a.owner)
+		t.asked[a.owner] = now
+	}
+}
+
+// grant notes that the owner has granted.
+func (t *grantTable) grant(now time.Time, g *Grant, owner coordination.Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g.granted, g.start = true, now
+	if !slices.Contains(g.owners, owner) {
+		g.owners = append(g.owners, owner)
+	}
+}
+
+// close ends a grant and prepares the releases to all owners that count it.
+func (t *grantTable) close(g *Grant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.grants[g.sequence] != g {
+		return
+	}
+	delete(t.grants, g.sequence)
+	if !g.granted {
+		return
+	}
+	for _, o := range g.owners {
+		t.add(o, Release{Endpoint: g.Endpoint.ID, Sequence: g.sequence})
+	}
+}
+
+// add appends a release. The caller holds t.mu.
+func (t *grantTable) add(o coordination.Instance, r Release) {
+	if len(t.releases[o]) < releaseLimit {
+		t.releases[o] = append(t.releases[o], r)
+	}
+}
+
+// take returns the releases for an owner, which are then the caller's to send.
+func (t *grantTable) take(o coordination.Instance) []Release {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rs := t.releases[o]
+	delete(t.releases, o)
+	return rs
+}
+
+// giveBack keeps releases that may not have arrived.
+func (t *grantTable) giveBack(o coordination.Instance, rs []Release) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range rs {
+		t.add(o, r)
+	}
+}
+
+// registerAgain makes the next Tick register.
+func (t *grantTable) registerAgain() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.registered = time.Time{}
+}
+
+// due returns the messages that have to be sent now.
+func (t *grantTable) due(now time.Time, id EntryID, v *view, cfg *Config) []dispatch {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []dispatch
+	for o, rs := range t.releases {
+		if _, live := v.routers.Find(o); live {
+			all = append(all, dispatch{to: o, releases: rs})
+		}
+	}
+	clear(t.releases)
+	if now.Sub(t.registered) < cfg.EntryLease/3 {
+		return all
+	}
+	t.registered = now
+	for o, m := range t.registers(now, id, v, cfg) {
+		all = append(all, dispatch{to: o, register: m})
+	}
+	return all
+}
+
+// registers returns what each owner is to know. A grant is listed for the
+// owner of its endpoint by the present lists and for those that gave it: while
+// lists differ, each of them may count the endpoint.
+func (t *grantTable) registers(now time.Time, id EntryID, v *view, cfg *Config) map[coordination.Instance]*Register {
+	all := make(map[coordination.Instance]*Register)
+	for o, at := range t.asked {
+		if _, live := v.routers.Find(o); !live || now.Sub(at) > cfg.EntryLease {
+			delete(t.asked, o)
+			continue
+		}
+		all[o] = &Register{Entry: id, UpTo: t.last}
+	}
+	for _, seq := range sortedKeys(t.grants) {
+		g := t.grants[seq]
+		owner := v.routers.Owner(g.Endpoint.ID, g.Endpoint.Zone)
+		if g.granted && owner != "" && !slices.Contains(g.owners, owner) {
+			g.owners = append(g.owners, owner)
+		}
+		g.owners = lo.Filter(g.owners, func(o coordination.Instance, _ int) bool {
+			_, live := v.routers.Find(o)
+			return live
+		})
+		for _, o := range g.owners {
+			if all[o] == nil {
+				all[o] = &Register{Entry: id, UpTo: t.last}
+			}
+			all[o].list(now, g)
+		}
+	}
+	return all
+}
+
+func sortedKeys(m map[Sequence]*Grant) []Sequence {
+	keys := lo.Keys(m)
+	slices.Sort(keys)
+	return keys
+}
+
+// list adds a grant to the registration.
+func (m *Register) list(now time.Time, g *Grant) {
+	h := HeldGrant{Sequence: g.sequence}
+	if g.granted {
+		h.Age = millis(now.Sub(g.start))
+	} else {
+		h.Flags |= HeldPending
+	}
+	if g.alone {
+		h.Flags |= HeldAlone
+	}
+	i := slices.IndexFunc(m.Held, func(h HeldGrants) bool { return h.Endpoint == g.Endpoint.ID })
+	if i < 0 {
+		i = len(m.Held)
+		m.Held = append(m.Held, HeldGrants{Endpoint: g.Endpoint.ID, Incarnation: g.Endpoint.Incarnation})
+	}
+	m.Held[i].Grants = append(m.Held[i].Grants, h)
+}
--- a/coordination/placement/mean.go
+++ b/coordination/placement/mean.go
@@ -45,14 +45,15 @@
 // the endpoint within bound times the mean. Reading the mean and adding to it
 // is one step under the lock, so that admissions at two endpoints cannot both
 // rely on the same sum.
-func (p *poolLoad) admit(now time.Time, count int, cfg *Config) bool {
+func (p *poolLoad) admit(now time.Time, count int, cfg *Config) (limit int, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if count+1 > limitOf(cfg.Bound, p.mean(now, cfg)) {
-		return false
+	limit = limitOf(cfg.Bound, p.mean(now, cfg))
+	if count+1 > limit {
+		return limit, false
 	}
 	p.count++
-	return true
+	return limit, true
 }
 
 // mean returns the mean load of the pool with one more request.
--- a/coordination/placement/messages.go
+++ b/coordination/placement/messages.go
@@ -57,7 +57,8 @@
 	Deadline Millis `cbor:"7,keyasint,omitempty"`
 
 	// Wait is how long the owner may hold the request back for this endpoint
-	// rather than answer Next, because the chat is warm there.
+	// rather than answer Next: because the chat is warm there, or because no
+	// other candidate is left.
 	Wait Millis `cbor:"8,keyasint,omitempty"`
 
 	// Final says that the entry has no other candidate: the request is queued
@@ -129,9 +130,19 @@
 
 // AdmitReply answers an AdmitRequest.
 type AdmitReply struct {
-	Decision   Decision `cbor:"1,keyasint,omitempty"`
-	Code       Code     `cbor:"2,keyasint,omitempty"`
-	RetryAfter Millis   `cbor:"3,keyasint,omitempty"`
+	Decision Decision `cbor:"1,keyasint,omitempty"`
+	Code     Code     `cbor:"2,keyasint,omitempty"`
+
+	// RetryAfter is when to come back after a refusal, or the expected wait in
+	// the queue of the endpoint with Next.
+	RetryAfter Millis `cbor:"3,keyasint,omitempty"`
+
+	// Owner is the router that owns the endpoint, if the asked one does not.
+	Owner coordination.Instance `cbor:"4,keyasint,omitempty"`
+
+	// Limit is what the endpoint may run now. An entry that later cannot reach
+	// the owner decides by it.
+	Limit int `cbor:"5,keyasint,omitempty"`
 }
 
 // Release ends a grant, or a request that is still queued.
--- a/coordination/placement/owner.go
+++ b/coordination/placement/owner.go
@@ -21,11 +21,11 @@
 	cfg    atomic.Pointer[Config]
 	shards [ownerShards]ownerShard
 
-	mu      sync.Mutex // guards what follows and orders updates
-	set     *Set
-	routers *Routers
-	pools   map[coordination.Pool]*poolLoad
-	sums    map[coordination.Pool]*poolSums
+	view atomic.Pointer[view]
+
+	mu    sync.Mutex // orders updates of view and guards what follows
+	pools map[coordination.Pool]*poolLoad
+	sums  map[coordination.Pool]*poolSums
 
 	entriesMu sync.Mutex
 	heard     map[EntryID]time.Time
@@ -41,16 +41,15 @@
 // its first [Owner.Update].
 func NewOwner(self coordination.Instance, cfg Config) *Owner {
 	o := &Owner{
-		self:    self,
-		set:     NewSet(nil),
-		routers: NewRouters(nil, 0),
-		pools:   make(map[coordination.Pool]*poolLoad),
-		sums:    make(map[coordination.Pool]*poolSums),
-		heard:   make(map[EntryID]time.Time),
+		self:  self,
+		pools: make(map[coordination.Pool]*poolLoad),
+		sums:  make(map[coordination.Pool]*poolSums),
+		heard: make(map[EntryID]time.Time),
 	}
 	for i := range o.shards {
 		o.shards[i].loads = make(map[coordination.Endpoint]*endpointLoad)
 	}
+	o.view.Store(&view{set: NewSet(nil), routers: NewRouters(nil, 0)})
 	o.Configure(cfg)
 	return o
 }
@@ -75,24 +74,24 @@
 func (o *Owner) update(now time.Time, set *Set, routers *Routers) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	oldSet, oldRouters := o.set, o.routers
-	o.set, o.routers = set, routers
+	old := o.view.Load()
+	o.view.Store(&view{set: set, routers: routers})
 	for _, name := range set.Pools() {
 		o.poolLoad(name).list(set.Len(name))
 	}
 	for _, d := range set.byID {
 		if routers.Owner(d.ID, d.Zone) == o.self {
-			o.own(now, *d, oldSet, oldRouters)
+			o.own(now, *d, old)
 		}
 	}
 	for i := range o.shards {
-		o.disownIn(now, &o.shards[i])
+		o.shards[i].disown(o.self, set, routers)
 	}
-	o.lapseDead(now, oldRouters)
+	o.lapseDead(now, old.routers, routers)
 }
 
 // own starts or updates the count of an endpoint.
-func (o *Owner) own(now time.Time, d Descriptor, oldSet *Set, oldRouters *Routers) {
+func (o *Owner) own(now time.Time, d Descriptor, last *view) {
 	cfg := o.cfg.Load()
 	s := o.shard(d.ID)
 	s.mu.Lock()
@@ -115,25 +114,25 @@
 	// Somebody may have placed requests there before, unless the endpoint has
 	// only now come up or restarted before our eyes.
 	var settled time.Time
-	old := oldSet.Find(d.ID)
+	old := last.set.Find(d.ID)
 	seen := old != nil && old.Incarnation == d.Incarnation
-	if seen || oldRouters.Len() == 0 {
+	if seen || last.routers.Len() == 0 {
 		settled = now.Add(cfg.Grace)
 	}
 	s.loads[d.ID] = newEndpointLoad(d, o.poolLoad(d.Pool), settled)
 }
 
-// disownIn forgets the endpoints of a shard that are gone or owned elsewhere.
-func (o *Owner) disownIn(_ time.Time, s *ownerShard) {
+// disown forgets the endpoints that are gone or not owned by self.
+func (s *ownerShard) disown(self coordination.Instance, set *Set, routers *Routers) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, l := range s.loads {
-		d := o.set.Find(id)
+		d := set.Find(id)
 		switch {
 		case d == nil:
 			l.retire(Gone)
 			delete(s.loads, id)
-		case o.routers.Owner(id, d.Zone) != o.self:
+		case routers.Owner(id, d.Zone) != self:
 			l.retire(NotOwner)
 			delete(s.loads, id)
 		}
@@ -142,10 +141,10 @@
 
 // lapseDead ends the grants of entries that have died or restarted. An entry
 // that was never listed may be newer than the list, and is left alone.
-func (o *Owner) lapseDead(now time.Time, oldRouters *Routers) {
+func (o *Owner) lapseDead(now time.Time, before, routers *Routers) {
 	for _, e := range o.entries() {
-		m, ok := o.routers.Find(e.Instance)
-		_, listed := oldRouters.Find(e.Instance)
+		m, ok := routers.Find(e.Instance)
+		_, listed := before.Find(e.Instance)
 		if ok && m.Incarnation > e.Incarnation || !ok && listed {
 			o.lapse(now, e)
 		}
--- a/coordination/placement/owner_test.go
+++ b/coordination/placement/owner_test.go
@@ -21,7 +21,7 @@
 
 var testEntry = EntryID{Instance: "r0", Incarnation: 1}
 
-func ask(o *Owner, now time.Time, seq Sequence, e coordination.Endpoint) AdmitReply {
+func admit(o *Owner, now time.Time, seq Sequence, e coordination.Endpoint) AdmitReply {
 	r, w := o.submit(now, AdmitRequest{Entry: testEntry, Sequence: seq, Endpoint: e})
 	if w != nil {
 		panic("queued")
@@ -32,25 +32,25 @@
 func TestOwnerKeepsTheRelativeBound(t *testing.T) {
 	o, now := newTestOwner(t, testEndpoints(4), Config{})
 	// One endpoint alone may have one request, whatever the mean is.
-	assert.Equal(t, ask(o, now, 1, "e0").Decision, Granted)
-	assert.DeepEqual(t, ask(o, now, 2, "e0"), AdmitReply{Decision: Next, Code: OverBound})
+	assert.Equal(t, admit(o, now, 1, "e0").Decision, Granted)
+	assert.DeepEqual(t, admit(o, now, 2, "e0"), AdmitReply{Decision: Next, Code: OverBound})
 	for i, e := range []coordination.Endpoint{"e1", "e2", "e3"} {
-		assert.Equal(t, ask(o, now, Sequence(3+i), e).Decision, Granted)
+		assert.Equal(t, admit(o, now, Sequence(3+i), e).Decision, Granted)
 	}
 	// Four run, and the fifth makes the mean 1.25: ceil(1.25*1.25) is 2.
-	assert.Equal(t, ask(o, now, 6, "e0").Decision, Granted)
-	assert.Equal(t, ask(o, now, 7, "e0").Code, OverBound)
+	assert.Equal(t, admit(o, now, 6, "e0").Decision, Granted)
+	assert.Equal(t, admit(o, now, 7, "e0").Code, OverBound)
 }
 
 func TestAskingAgainIsIdempotent(t *testing.T) {
 	o, now := newTestOwner(t, testEndpoints(4), Config{})
-	assert.Equal(t, ask(o, now, 1, "e0").Decision, Granted)
-	assert.Equal(t, ask(o, now, 1, "e0").Decision, Granted)
+	assert.Equal(t, admit(o, now, 1, "e0").Decision, Granted)
+	assert.Equal(t, admit(o, now, 1, "e0").Decision, Granted)
 	o.release(now, ReleaseBatch{Entry: testEntry, Releases: []Release{{Endpoint: "e0", Sequence: 1}}})
 	o.release(now, ReleaseBatch{Entry: testEntry, Releases: []Release{{Endpoint: "e0", Sequence: 1}}})
-	assert.Equal(t, ask(o, now, 1, "e0").Code, Cancelled)
-	assert.Equal(t, ask(o, now, 2, "e0").Decision, Granted)
-	assert.Equal(t, ask(o, now, 3, "e0").Code, OverBound)
+	assert.Equal(t, admit(o, now, 1, "e0").Code, Cancelled)
+	assert.Equal(t, admit(o, now, 2, "e0").Decision, Granted)
+	assert.Equal(t, admit(o, now, 3, "e0").Code, OverBound)
 }
 
 // An entry gives a request up while its question is still on the way to the
@@ -59,7 +59,7 @@
 func TestReleaseThatOvertakesItsRequest(t *testing.T) {
 	o, now := newTestOwner(t, testEndpoints(1), Config{})
 	o.release(now, ReleaseBatch{Entry: testEntry, Releases: []Release{{Endpoint: "e0", Sequence: 1}}})
-	assert.Equal(t, ask(o, now, 1, "e0").Code, Cancelled)
+	assert.Equal(t, admit(o, now, 1, "e0").Code, Cancelled)
 	assert.Equal(t, o.shard("e0").loads["e0"].counted, 0)
 }
 
@@ -67,11 +67,11 @@
 	es := testEndpoints(2)
 	o, now := newTestOwner(t, es, Config{})
 	o.Leaving("e0", 1)
-	assert.Equal(t, ask(o, now, 1, "e0").Code, Gone)
+	assert.Equal(t, admit(o, now, 1, "e0").Code, Gone)
 	// A lagging list still calls it live.
 	o.update(now, NewSet(es), NewRouters(testRouters(1), 0))
-	assert.Equal(t, ask(o, now, 2, "e0").Code, Gone)
+	assert.Equal(t, admit(o, now, 2, "e0").Code, Gone)
 	es[0].Incarnation = 2
 	o.update(now, NewSet(es), NewRouters(testRouters(1), 0))
-	assert.Equal(t, ask(o, now, 3, "e0").Decision, Granted)
+	assert.Equal(t, admit(o, now, 3, "e0").Decision, Granted)
 }
--- a/coordination/placement/queue.go
+++ b/coordination/placement/queue.go
@@ -21,7 +21,7 @@
 	arrived  time.Time
 	order    uint64    // of arrival at the endpoint
 	deadline time.Time // zero for none
-	warmEnd  time.Time // when a request held back for its cache is passed on
+	passAt   time.Time // when a request that is not final is passed on
 	done     chan AdmitReply
 	queued   bool
 }
--- /dev/null
+++ b/coordination/placement/start.go
@@ -0,0 +1,67 @@
+package placement
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// tickInterval is how often queues and leases are looked at, and for how long
+// releases gather.
+const tickInterval = 100 * time.Millisecond
+
+// driver calls an owner and an entry as time passes.
+type driver struct {
+	owner *Owner
+	entry *Entry
+	wg    sync.WaitGroup
+}
+
+// Start makes the calls that o and e need from time to time, until the
+// returned function is called. That function sends the releases that are left.
+func Start(o *Owner, e *Entry) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &driver{owner: o, entry: e}
+	d.wg.Go(func() { d.loop(ctx, d.tickOwner) })
+	d.wg.Go(func() { d.loop(ctx, d.tickEntry) })
+	d.wg.Go(func() { d.loop(ctx, d.exchange) })
+	return func() {
+		cancel()
+		d.wg.Wait()
+		e.Tick(context.Background())
+	}
+}
+
+// loop calls step until ctx ends. A step returns the time until the next one;
+// each has its own loop, so that a peer that does not answer holds up only the
+// messages to itself.
+func (d *driver) loop(ctx context.Context, step func(context.Context) time.Duration) {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			t.Reset(step(ctx))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *driver) tickOwner(context.Context) time.Duration {
+	d.owner.Tick()
+	return tickInterval
+}
+
+func (d *driver) tickEntry(ctx context.Context) time.Duration {
+	d.entry.Tick(ctx)
+	return tickInterval
+}
+
+func (d *driver) exchange(ctx context.Context) time.Duration {
+	interval := SumInterval(len(d.owner.view.Load().routers.owners))
+	ctx, cancel := context.WithTimeout(ctx, interval)
+	defer cancel()
+	d.owner.Exchange(ctx, d.entry.transport)
+	return interval
+}
--- a/coordination/placement/sums.go
+++ b/coordination/placement/sums.go
@@ -105,7 +105,7 @@
 func (o *Owner) sum(now time.Time, m SumReport) SumReply {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	ttl := sumTTL * SumInterval(len(o.routers.owners))
+	ttl := sumTTL * SumInterval(len(o.view.Load().routers.owners))
 	totals := lo.Map(m.Sums, func(p PoolSum, _ int) PoolSum {
 		s := o.sums[p.Pool]
 		if s == nil {
@@ -129,11 +129,12 @@
 func (o *Owner) sumCalls() []sumCall {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	routers := o.view.Load().routers
 	byRoot := make(map[coordination.Instance][]PoolSum)
 	for name, p := range o.pools {
 		count, endpoints := p.own()
 		if endpoints > 0 {
-			root := o.routers.Root(name)
+			root := routers.Root(name)
 			byRoot[root] = append(byRoot[root], PoolSum{Pool: name, Count: count, Endpoints: endpoints})
 		}
 	}
--- /dev/null
+++ b/coordination/placement/walk.go
@@ -0,0 +1,240 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"wisteriaspool/coordination"
+)
+
+// Request is what an entry wants placed.
+type Request struct {
+	Pool     coordination.Pool
+	Key      Key  // of the chat, or of the content of a request without one
+	Hint     Hint // where the chat is warm
+	Account  coordination.Account
+	Priority coordination.Priority
+
+	// Deadline is the time left in which the request must start; zero for
+	// none of its own.
+	Deadline time.Duration
+
+	// Alone says that the request is suspected of crashing endpoints.
+	Alone bool
+
+	// Avoid lists endpoints that have failed this request already.
+	Avoid []coordination.Endpoint
+}
+
+// Refusal tells why a request got no grant, and when to come back.
+type Refusal struct {
+	Code       Code
+	RetryAfter time.Duration
+}
+
+// ask is one question to one owner.
+type ask struct {
+	endpoint *Descriptor
+	owner    coordination.Instance
+	deadline Millis
+	wait     Millis
+	final    bool
+}
+
+const (
+	// fullTries is how many full endpoints a request meets before it queues:
+	// in a surge all are full, and asking more of them only adds traffic.
+	fullTries = 3
+
+	// warmBias is the wait that a request accepts at its first candidate,
+	// where its chat may be warm, over that at another.
+	warmBias = 50 * time.Millisecond
+
+	noCandidateRetry = 500 * time.Millisecond
+)
+
+// walk leads one request through its candidates. It makes no calls: next gives
+// the question to ask, and take receives the answer.
+type walk struct {
+	req     Request
+	cfg     *Config
+	set     *Set
+	routers *Routers
+	started time.Time
+
+	list []*Descriptor
+	buf  [inlineCandidates]*Descriptor
+	at   int // of the candidate that is asked
+	warm bool
+
+	redirect coordination.Instance
+	stage    stage
+	full     int
+	other    bool // some answer was not that the endpoint is full
+	over     bool // some endpoint was over its bound, or its owner settling
+	queue    *Descriptor
+	wait     Millis // expected in that queue
+	last     Code
+}
+
+// stage is how far a walk has come.
+type stage int
+
+const (
+	asking   stage = iota // each candidate once
+	pausing               // held back until the owner has heard of a new mean
+	queueing              // in the queue of a full endpoint
+)
+
+func newWalk(now time.Time, req Request, cfg *Config, set *Set, routers *Routers) *walk {
+	w := &walk{req: req, cfg: cfg, set: set, routers: routers, started: now, at: -1}
+	w.warm = set.Warm(req.Pool, req.Hint) != nil
+	w.list = set.Candidates(w.buf[:0], req.Pool, req.Key, req.Hint, cfg.Candidates)
+	return w
+}
+
+// next returns the next question, or false and why there is none.
+func (w *walk) next(now time.Time) (ask, Refusal, bool) {
+	deadline, late := w.remaining(now)
+	if late {
+		return ask{}, Refusal{Code: Deadline, RetryAfter: minRetryAfter}, false
+	}
+	if w.redirect != "" {
+		a := w.ask(w.list[w.at], deadline)
+		a.owner, w.redirect = w.redirect, ""
+		return a, Refusal{}, true
+	}
+	if d := w.advance(); d != nil {
+		return w.ask(d, deadline), Refusal{}, true
+	}
+	if w.queue != nil {
+		return w.settleFor(w.queue, deadline), Refusal{}, true
+	}
+	return ask{}, w.exhausted(), false
+}
+
+// remaining returns the time left in which the request must start.
+func (w *walk) remaining(now time.Time) (left Millis, late bool) {
+	limit := w.cfg.MaxWait
+	if d := w.req.Deadline; d > 0 && d < limit {
+		limit = d
+	}
+	d := limit - now.Sub(w.started)
+	return millis(d), d <= 0
+}
+
+// settleFor returns the question that lets the request wait at an endpoint.
+// With a bound above 1 some endpoint of the pool is under it, so if none was,
+// the owners' mean lags behind a rising load: the request waits for the next
+// exchange of sums and then asks all over again. To queue at an endpoint over
+// its bound would keep it waiting there while others idle.
+func (w *walk) settleFor(d *Descriptor, deadline Millis) ask {
+	w.queue = nil
+	a := w.ask(d, deadline)
+	if w.over {
+		w.stage = pausing
+		a.wait = millis(SumInterval(len(w.routers.owners)))
+		return a
+	}
+	w.stage = queueing
+	a.final = true
+	return a
+}
+
+// restart begins the walk anew after a pause.
+func (w *walk) restart() {
+	w.stage, w.at, w.full = asking, -1, 0
+	w.other, w.over, w.queue = false, false, nil
+}
+
+// advance moves on to the next candidate that is worth a question.
+func (w *walk) advance() *Descriptor {
+	if w.full >= fullTries && w.queue != nil {
+		return nil
+	}
+	for {
+		w.at++
+		if w.at >= len(w.list) && !w.extend() {
+			return nil
+		}
+		if d := w.list[w.at]; !slices.Contains(w.req.Avoid, d.ID) {
+			return d
+		}
+	}
+}
+
+// extend makes the list of candidates longer. With a bound above 1 some
+// endpoint is always under it, so a request goes on until it has found one.
+func (w *walk) extend() bool {
+	n := w.set.Len(w.req.Pool)
+	if len(w.list) >= n || len(w.list) > 0 && !w.other && w.full > 0 {
+		return false
+	}
+	w.list = w.set.Candidates(w.list[:0], w.req.Pool, w.req.Key, w.req.Hint, min(2*len(w.list), n))
+	return true
+}
+
+func (w *walk) ask(d *Descriptor, deadline Millis) ask {
+	a := ask{
+		endpoint: d,
+		owner:    w.routers.Owner(d.ID, d.Zone),
+		deadline: deadline,
+	}
+	if w.at == 0 && w.warm {
+		a.wait = millis(w.cfg.WarmWait)
+	}
+	return a
+}
+
+// take receives the answer to the last question and reports whether it ends
+// the walk.
+func (w *walk) take(a ask, r AdmitReply) bool {
+	if r.Decision != Next {
+		return true
+	}
+	w.last = r.Code
+	if w.stage == pausing {
+		w.restart()
+		return false
+	}
+	switch r.Code {
+	case Full:
+		w.full++
+		w.offer(a, r.RetryAfter)
+	case OverBound, Settling:
+		w.other, w.over = true, true
+		w.offer(a, r.RetryAfter)
+	case NotOwner:
+		w.other = true
+		if r.Owner != "" && r.Owner != a.owner && w.stage == asking {
+			w.redirect = r.Owner
+		}
+	default:
+		w.other = true
+	}
+	return false
+}
+
+// offer notes an endpoint in whose queue the request could wait.
+func (w *walk) offer(a ask, wait Millis) {
+	if w.stage != asking {
+		return
+	}
+	if w.at > 0 {
+		wait += millis(warmBias)
+	}
+	if w.queue == nil || wait < w.wait {
+		w.queue, w.wait = a.endpoint, wait
+	}
+}
+
+// exhausted returns the refusal of a request that no endpoint takes.
+func (w *walk) exhausted() Refusal {
+	code := w.last
+	switch code {
+	case Unreachable, Gone:
+	default:
+		code = Overloaded
+	}
+	return Refusal{Code: code, RetryAfter: noCandidateRetry}
+}
