coordination/settings: team settings, values, replica and editor

A value carries a sequence besides the platform's revision: an old value that is put back past the routers gets a new revision, so revisions alone would let it revert an accepted change. The order by sequence does not depend on the order in which values arrive; ruled out: comparing only the previous revision, which sticks when the platform is restored to a lower revision.

After a lost answer the editor writes again on the same base instead of reading back, since a write still on its way can land after a read.

--- /dev/null
+++ b/coordination/settings/put.go
@@ -0,0 +1,137 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/kv"
+)
+
+// Put asks for a change of a team's settings.
+type Put struct {
+	Team   coordination.Team
+	Text   string
+	Base   kv.Revision // the revision that the author started from; 0 for a new team
+	ID     ChangeID    // the same one for every try of the same change
+	Author string
+	Reason string
+}
+
+// PutStatus tells how a Put ended.
+type PutStatus int
+
+// The ways in which a Put ends.
+const (
+	// Undecided means that the change may or may not be accepted; the same
+	// Put with the same id settles it.
+	Undecided PutStatus = iota
+	// Accepted means that the change is durable.
+	Accepted
+	// Conflicting means that another change stands on the base; nothing was
+	// written.
+	Conflicting
+	// Rejected means that the request has problems; nothing was written.
+	Rejected
+	// Unwritten means that the platform could not be reached or refused the
+	// call; nothing was written.
+	Unwritten
+)
+
+// String returns the name of s as answers, logs and metrics show it.
+func (s PutStatus) String() string {
+	names := [...]string{"unknown", "accepted", "conflict", "invalid", "unavailable"}
+	if s < 0 || int(s) >= len(names) {
+		return "unknown"
+	}
+	return names[s]
+}
+
+// Standing is what stands in the platform for a team, or else is in force.
+type Standing struct {
+	Revision kv.Revision
+	Text     string
+	Value    *Value // nil if the value has no readable change record
+}
+
+// Outcome is how a Put ended.
+type Outcome struct {
+	Status     PutStatus
+	Position   Position      // if Accepted
+	Repeated   bool          // accepted by an earlier try with the same id
+	Problems   []Problem     // if Rejected
+	Standing   Standing      // if Conflicting
+	Diff       string        // from Standing to the text of the Put
+	RetryAfter time.Duration // if Unwritten or Undecided
+	Err        error         // detail for logs
+}
+
+// problems returns what is wrong with p.
+func (p Put) problems() []Problem {
+	file := string(p.Team)
+	var found []Problem
+	add := func(key, message string) {
+		found = append(found, Problem{File: file, Key: key, Section: "change", Message: message})
+	}
+	if !ValidTeam(p.Team) {
+		add("team", fmt.Sprintf("%q is no name of a team; write letters, digits and . _ @ : -, at most 128", p.Team))
+	}
+	if !p.ID.Valid() {
+		add("change-id", fmt.Sprintf("%q is no UUIDv7 in lower case", p.ID))
+	}
+	if !fits(p.Author, maxAuthor) {
+		add("author", fmt.Sprintf("say who makes the change, in one line of at most %d bytes", maxAuthor))
+	}
+	if !fits(p.Reason, maxReason) {
+		add("reason", fmt.Sprintf("say why the change is made, in one line of at most %d bytes", maxReason))
+	}
+	if p.Base < 0 {
+		add("base-revision", "a revision is not negative; write 0 for a new team")
+	}
+	_, problems := Parse(file, []byte(p.Text))
+	return append(found, problems...)
+}
+
+func fits(s string, limit int) bool {
+	return strings.TrimSpace(s) != "" && len(s) <= limit && !strings.ContainsAny(s, "\r\n")
+}
+
+// basis is what a change is put on.
+type basis struct {
+	expect   kv.Revision // of the key; 0 if it does not exist
+	previous kv.Revision // that the change record names
+	value    *Value      // nil if there is none that can be read
+	inForce  Position
+}
+
+// change returns the value that puts p on b.
+func (b basis) change(p Put, now time.Time) Value {
+	v := Value{Text: p.Text, Change: Change{
+		ID:       p.ID,
+		Sequence: b.sequence(),
+		Previous: b.previous,
+		Author:   p.Author,
+		Reason:   p.Reason,
+		Time:     now.UTC().Truncate(time.Millisecond),
+		Digest:   DigestOf(p.Text),
+	}}
+	before := ""
+	if b.value != nil {
+		before = b.value.Text
+		v.Earlier = b.value.chain()
+	}
+	v.Change.Diff = cut(Diff(before, p.Text), maxDiff)
+	return v
+}
+
+// sequence returns a sequence above all that this router can know of. The
+// revision replaced keeps it above changes that this router has missed, the
+// sequence in force above those that the platform has lost.
+func (b basis) sequence() uint64 {
+	highest := max(b.inForce.Sequence+1, uint64(b.previous), uint64(b.expect))
+	if b.value != nil {
+		highest = max(highest, b.value.Change.Sequence+1)
+	}
+	return highest
+}
--- /dev/null
+++ b/coordination/settings/replica.go
@@ -0,0 +1,304 @@
+package settings
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/kv"
+)
+
+// Verdict is what a replica made of a value that it was offered.
+type Verdict int
+
+// The verdicts of a replica.
+const (
+	// Applied means that the value is in force now.
+	Applied Verdict = iota
+	// Known means that the value was offered before.
+	Known
+	// Older means that the value is behind the one in force: a stale read, or
+	// an old value that was put back past the routers.
+	Older
+	// Invalid means that the value is not right; the last good one stays.
+	Invalid
+	// Removed means that the key is gone; the last good value stays.
+	Removed
+)
+
+// String returns the name of v as logs and metrics show it.
+func (v Verdict) String() string {
+	names := [...]string{"applied", "known", "older", "invalid", "removed"}
+	if v < 0 || int(v) >= len(names) {
+		return "unknown"
+	}
+	return names[v]
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// Snapshot is the settings of one team as they are in force. It does not
+// change.
+type Snapshot struct {
+	Team     coordination.Team
+	Position Position
+	Settings *Team
+	Value    Value
+	Since    time.Time // when they came into force on this router
+
+	data []byte // the value as the platform holds it, for peers
+}
+
+// Refusal tells of a value that stands in the platform and is not in force.
+type Refusal struct {
+	Verdict  Verdict     `json:"verdict"`
+	Revision kv.Revision `json:"revision"`
+	Problems []Problem   `json:"problems,omitempty"`
+	Time     time.Time   `json:"time"`
+}
+
+// Status tells operators what a router has in force for one team.
+type Status struct {
+	Team     coordination.Team `json:"team"`
+	Position Position          `json:"in_force"` // zero if nothing is
+	ChangeID ChangeID          `json:"change_id,omitempty"`
+	Since    time.Time         `json:"since,omitzero"`
+	Refused  *Refusal          `json:"refused,omitempty"`
+}
+
+// Observation is what a replica tells its observers of.
+type Observation struct {
+	Team     coordination.Team
+	Verdict  Verdict
+	Revision kv.Revision // of the value offered
+	Problems []Problem
+	InForce  *Snapshot // after the offer; nil if nothing is in force
+}
+
+// Replica is what one router has in force for all teams. It applies only
+// values that are after the one in force, so that it never reverts, in
+// whatever order values reach it. The zero value is ready for use.
+type Replica struct {
+	mu        sync.RWMutex
+	teams     map[coordination.Team]*state
+	observers []func(Observation)
+}
+
+// state is what a replica knows of one team.
+type state struct {
+	snapshot *Snapshot
+	refused  *Refusal
+}
+
+// Observe has fn called after each offer that is not Known. Observers are to
+// be set before the first offer.
+func (r *Replica) Observe(fn func(Observation)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.observers = append(r.observers, fn)
+}
+
+// Offer considers the value that the platform holds, or held, for a team.
+func (r *Replica) Offer(team coordination.Team, pair kv.Pair) Verdict {
+	if in, ok := r.Snapshot(team); ok && in.Position.Revision == pair.Revision {
+		return Known // without parsing it again
+	}
+	v, parsed, problems := readPair(team, pair)
+	offered := &Snapshot{
+		Team:     team,
+		Position: Position{Sequence: v.Change.Sequence, Revision: pair.Revision},
+		Settings: parsed,
+		Value:    v,
+		Since:    time.Now(),
+		data:     pair.Value,
+	}
+	return r.decide(offered, problems)
+}
+
+// readPair returns the value of pair with its settings, or what is wrong.
+func readPair(team coordination.Team, pair kv.Pair) (Value, *Team, []Problem) {
+	v, err := decodeValue(pair.Value)
+	if err != nil {
+		return Value{}, nil, []Problem{{File: string(team), Message: err.Error()}}
+	}
+	parsed, problems := Parse(string(team), []byte(v.Text))
+	return v, parsed, problems
+}
+
+// decide applies the value offered or refuses it.
+func (r *Replica) decide(offered *Snapshot, problems []Problem) Verdict {
+	r.mu.Lock()
+	st := r.state(offered.Team)
+	verdict := st.judge(offered, problems)
+	switch verdict {
+	case Known:
+	case Applied:
+		st.apply(offered)
+	default:
+		st.refuse(verdict, offered.Position.Revision, problems)
+	}
+	o := Observation{Team: offered.Team, Verdict: verdict, Revision: offered.Position.Revision, Problems: problems, InForce: st.snapshot}
+	observers := r.observers
+	r.mu.Unlock()
+	tell(observers, o)
+	return verdict
+}
+
+// judge is the rule that nothing reverts. A value that is wrong in itself is
+// Invalid only if it is newer by its revision; a wrong one has no sequence.
+func (st *state) judge(offered *Snapshot, problems []Problem) Verdict {
+	revision := offered.Position.Revision
+	if st.refused != nil && st.refused.Revision == revision {
+		return Known
+	}
+	in := st.position()
+	switch {
+	case offered.Settings == nil && revision < in.Revision:
+		return Older
+	case offered.Settings == nil || len(problems) > 0:
+		return Invalid
+	case in == offered.Position:
+		return Known
+	case !in.Before(offered.Position):
+		return Older
+	default:
+		return Applied
+	}
+}
+
+func (st *state) position() Position {
+	if st.snapshot == nil {
+		return Position{}
+	}
+	return st.snapshot.Position
+}
+
+func (st *state) apply(s *Snapshot) {
+	st.snapshot = s
+	if st.refused != nil && st.refused.Revision < s.Position.Revision {
+		st.refused = nil
+	}
+}
+
+// refuse remembers the newest value that stands in the platform and is not in
+// force. What is behind the revision in force is a stale read and no fault.
+func (st *state) refuse(verdict Verdict, revision kv.Revision, problems []Problem) {
+	if revision <= st.position().Revision {
+		return
+	}
+	if st.refused != nil && revision < st.refused.Revision {
+		return
+	}
+	st.refused = &Refusal{Verdict: verdict, Revision: revision, Problems: problems, Time: time.Now()}
+}
+
+// Remove considers that the team's key was found deleted at revision. What is
+// in force stays: an accepted change holds until another is accepted.
+func (r *Replica) Remove(team coordination.Team, revision kv.Revision) Verdict {
+	r.mu.Lock()
+	st, known := r.teams[team]
+	if !known || st.snapshot == nil || st.refused != nil && st.refused.Verdict == Removed || revision <= st.snapshot.Position.Revision {
+		r.mu.Unlock()
+		return Known
+	}
+	st.refuse(Removed, revision, nil)
+	o := Observation{Team: team, Verdict: Removed, Revision: revision, InForce: st.snapshot}
+	observers := r.observers
+	r.mu.Unlock()
+	tell(observers, o)
+	return Removed
+}
+
+func tell(observers []func(Observation), o Observation) {
+	if o.Verdict == Known {
+		return
+	}
+	for _, fn := range observers {
+		fn(o)
+	}
+}
+
+// state returns the state of team. Callers hold r.mu.
+func (r *Replica) state(team coordination.Team) *state {
+	if r.teams == nil {
+		r.teams = make(map[coordination.Team]*state)
+	}
+	st, ok := r.teams[team]
+	if !ok {
+		st = &state{}
+		r.teams[team] = st
+	}
+	return st
+}
+
+// Team returns the settings of name that are in force.
+func (r *Replica) Team(name coordination.Team) (*Team, bool) {
+	s, ok := r.Snapshot(name)
+	if !ok {
+		return nil, false
+	}
+	return s.Settings, true
+}
+
+// Snapshot returns what is in force for team.
+func (r *Replica) Snapshot(team coordination.Team) (*Snapshot, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	st, ok := r.teams[team]
+	if !ok || st.snapshot == nil {
+		return nil, false
+	}
+	return st.snapshot, true
+}
+
+// Snapshots returns what is in force for all teams, by name.
+func (r *Replica) Snapshots() []*Snapshot {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return lo.FilterMap(r.names(), func(n coordination.Team, _ int) (*Snapshot, bool) {
+		s := r.teams[n].snapshot
+		return s, s != nil
+	})
+}
+
+// Status returns what is in force and what is refused for all teams, by name.
+func (r *Replica) Status() []Status {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return lo.Map(r.names(), func(n coordination.Team, _ int) Status { return r.teams[n].status(n) })
+}
+
+func (st *state) status(team coordination.Team) Status {
+	s := Status{Team: team, Refused: st.refused}
+	if st.snapshot != nil {
+		s.Position = st.snapshot.Position
+		s.ChangeID = st.snapshot.Value.Change.ID
+		s.Since = st.snapshot.Since
+	}
+	return s
+}
+
+func (r *Replica) names() []coordination.Team {
+	return slices.Sorted(maps.Keys(r.teams))
+}
+
+// Fingerprint returns a hash of the positions in force. Two replicas with the
+// same one have the same settings in force.
+func (r *Replica) Fingerprint() uint64 {
+	h := xxhash.New()
+	for _, s := range r.Snapshots() {
+		_, _ = h.WriteString(string(s.Team))
+		var b [17]byte
+		binary.BigEndian.PutUint64(b[1:], s.Position.Sequence)
+		binary.BigEndian.PutUint64(b[9:], uint64(s.Position.Revision))
+		_, _ = h.Write(b[:])
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/coordination/settings/replica_test.go
@@ -0,0 +1,172 @@
+package settings
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination/kv"
+)
+
+// written returns a value as the platform holds it after the change that
+// follows previous with the given sequence.
+func written(t *testing.T, text string, sequence uint64, previous, revision kv.Revision) kv.Pair {
+	t.Helper()
+	v := Value{Text: text, Change: Change{
+		ID: NewChangeID(), Sequence: sequence, Previous: previous, Author: "a", Reason: "r", Digest: DigestOf(text),
+	}}
+	data, err := v.encode()
+	assert.NilError(t, err)
+	return kv.Pair{Key: Key("solco"), Value: data, Revision: revision}
+}
+
+func deadline(t *testing.T, r *Replica) string {
+	t.Helper()
+	team, ok := r.Team("solco")
+	assert.Assert(t, ok)
+	return team.Deadline().String()
+}
+
+const (
+	oneSecond  = "[team]\ndeadline-default = 1s\n"
+	twoSeconds = "[team]\ndeadline-default = 2s\n"
+)
+
+// A read that a lagging replica of the platform answers brings a value that
+// was replaced long ago. Callers would be served by settings that the operator
+// saw replaced.
+func TestStaleReadIsNotApplied(t *testing.T) {
+	var r Replica
+	first := written(t, oneSecond, 1, 0, 10)
+	assert.Equal(t, r.Offer("solco", first), Applied)
+	assert.Equal(t, r.Offer("solco", written(t, twoSeconds, 11, 10, 20)), Applied)
+	assert.Equal(t, r.Offer("solco", first), Older)
+	assert.Equal(t, deadline(t, &r), "2s")
+	assert.Assert(t, r.Status()[0].Refused == nil)
+}
+
+// Somebody restores an old value straight in the platform, which gives it a
+// new revision. The operator saw the later change accepted and would find the
+// old one in force. A router that starts from the platform meanwhile takes the
+// old value for want of anything better, and mends as soon as a peer tells it
+// of the later change.
+func TestRestoredValueIsNotApplied(t *testing.T) {
+	older := written(t, oneSecond, 1, 0, 10)
+	newer := written(t, twoSeconds, 11, 10, 20)
+	restored := kv.Pair{Key: older.Key, Value: older.Value, Revision: 30}
+	next := written(t, oneSecond, 31, 30, 40)
+
+	var r Replica
+	r.Offer("solco", newer)
+	assert.Equal(t, r.Offer("solco", restored), Older)
+	assert.Equal(t, deadline(t, &r), "2s")
+	assert.Equal(t, r.Status()[0].Refused.Revision, kv.Revision(30))
+
+	var started Replica
+	started.Offer("solco", restored)
+	assert.Equal(t, started.Offer("solco", newer), Applied)
+	assert.Equal(t, started.Offer("solco", restored), Older)
+	assert.Equal(t, started.Fingerprint(), r.Fingerprint())
+
+	assert.Equal(t, r.Offer("solco", next), Applied)
+	assert.Assert(t, r.Status()[0].Refused == nil)
+}
+
+// Text is written straight into the platform, past every check. The last good
+// settings have to stay in force, and operators have to see what is wrong.
+func TestInvalidValueKeepsLastGood(t *testing.T) {
+	good := written(t, oneSecond, 1, 0, 10)
+	edited := Value{}
+	assert.NilError(t, json.Unmarshal(good.Value, &edited))
+	edited.Text = twoSeconds
+	data, err := json.Marshal(edited)
+	assert.NilError(t, err)
+	for _, tt := range []struct {
+		name string
+		pair kv.Pair
+	}{
+		{"raw text", kv.Pair{Value: []byte(twoSeconds), Revision: 20}},
+		{"text edited under its record", kv.Pair{Value: data, Revision: 20}},
+		{"bad setting", written(t, "[team]\ndeadline-default = 2\n", 11, 10, 20)},
+		{"empty", kv.Pair{Revision: 20}},
+	} {
+		var r Replica
+		r.Offer("solco", good)
+		assert.Equal(t, r.Offer("solco", tt.pair), Invalid, tt.name)
+		assert.Equal(t, r.Offer("solco", tt.pair), Known, tt.name)
+		assert.Equal(t, deadline(t, &r), "1s", tt.name)
+		refused := r.Status()[0].Refused
+		assert.Equal(t, refused.Revision, kv.Revision(20), tt.name)
+		assert.Assert(t, len(refused.Problems) > 0, tt.name)
+		assert.Equal(t, r.Offer("solco", written(t, twoSeconds, 21, 20, 30)), Applied, tt.name)
+		assert.Assert(t, r.Status()[0].Refused == nil, tt.name)
+	}
+}
+
+// The key is deleted in the platform. Without its settings a team would be
+// refused everywhere.
+func TestDeletionKeepsLastGood(t *testing.T) {
+	var r Replica
+	assert.Equal(t, r.Remove("solco", 5), Known)
+	r.Offer("solco", written(t, oneSecond, 1, 0, 10))
+	assert.Equal(t, r.Remove("solco", 5), Known)
+	assert.Equal(t, r.Remove("solco", 20), Removed)
+	assert.Equal(t, r.Remove("solco", 21), Known)
+	assert.Equal(t, deadline(t, &r), "1s")
+	assert.Equal(t, r.Status()[0].Refused.Verdict, Removed)
+	assert.Equal(t, r.Offer("solco", written(t, twoSeconds, 11, 10, 30)), Applied)
+	assert.Assert(t, r.Status()[0].Refused == nil)
+}
+
+// Watches, reads and peers bring the same values in any order, with stale and
+// restored ones among them. All routers have to end with the same settings in
+// force, and none may go back on its way.
+func TestAnyOrderEndsTheSame(t *testing.T) {
+	const changes = 8
+	pairs := make([]kv.Pair, 0, changes+2)
+	for i := range kv.Revision(changes) {
+		pairs = append(pairs, written(t, oneSecond, uint64(10*i+1), 10*i, 10*(i+1)))
+	}
+	last := Position{Sequence: 10*(changes-1) + 1, Revision: 10 * changes}
+	restored := pairs[3]
+	restored.Revision = 10*changes + 5
+	pairs = append(pairs, restored, kv.Pair{Value: []byte("junk"), Revision: 35})
+	for seed := range uint64(200) {
+		var r Replica
+		var at Position
+		r.Observe(func(o Observation) {
+			if o.InForce == nil {
+				return
+			}
+			assert.Assert(t, !o.InForce.Position.Before(at), "seed %d: went back", seed)
+			at = o.InForce.Position
+		})
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		for range 3 {
+			for _, i := range rnd.Perm(len(pairs)) {
+				r.Offer("solco", pairs[i])
+			}
+		}
+		assert.Equal(t, at, last, "seed %d", seed)
+	}
+}
+
+// History drops its oldest entries rather than outgrow the platform's limit;
+// a value that cannot be written would stop all changes of the team.
+func TestValueStaysBounded(t *testing.T) {
+	v := Value{Text: string(make([]byte, 20<<10)), Change: Change{ID: "x", Diff: string(make([]byte, maxDiff))}}
+	for range 200 {
+		v.Earlier = append(v.Earlier, v.Change)
+	}
+	data, err := v.encode()
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) <= maxValue)
+	var back Value
+	assert.NilError(t, json.Unmarshal(data, &back))
+	assert.Assert(t, len(back.Earlier) > 0 && len(back.Earlier) <= maxEarlier)
+	v.Text = string(make([]byte, MaxText))
+	_, err = v.encode()
+	assert.ErrorContains(t, err, "at most")
+}
--- /dev/null
+++ b/coordination/settings/team.go
@@ -0,0 +1,217 @@
+// Package settings holds what a team has agreed: its settings, their history,
+// the editor that changes them and the replica that each router keeps.
+//
+// A team's settings and the audit entry of their last change are one value of
+// the platform's key-value service, so that both are written by one
+// compare-and-swap. A few routers watch the service; the others get changes by
+// gossip. A router that has a change in force never goes back behind it.
+package settings
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/settings/schema"
+)
+
+// Problem is one fault of a team's settings.
+type Problem = schema.Problem
+
+// Team is the settings of one team. It does not change once it is parsed, and
+// may be read by any number of goroutines.
+type Team struct {
+	priorityDefault coordination.Priority
+	priorityCap     coordination.Priority
+	retryBudget     float64
+	deadline        time.Duration
+	actions         Actions
+	onlyListed      bool
+	weightDefault   float64
+	weights         map[coordination.Account]float64
+	models          map[coordination.Model]Model
+	services        map[coordination.Service]Service
+}
+
+// Model is what a team has set for one model.
+type Model struct {
+	Name         coordination.Model
+	Version      string
+	LoadBound    float64 // times the mean load of the pool
+	Capacity     int     // requests per endpoint; 0 takes the endpoint's report
+	Queue        int     // requests that may wait per endpoint
+	WarmWait     time.Duration
+	MaxTokens    coordination.Tokens
+	StallTimeout time.Duration
+}
+
+// Pool returns the pool that serves m.
+func (m Model) Pool() coordination.Pool { return coordination.PoolOf(m.Name, m.Version) }
+
+// Service is what a team has set for one plain service.
+type Service struct {
+	Name          coordination.Service
+	ActionTimeout time.Duration
+	Capacity      int // requests per endpoint; 0 takes the endpoint's report
+
+	nonIdempotent []coordination.Action
+}
+
+// NonIdempotent reports whether action may run at most once for each key.
+func (s Service) NonIdempotent(action coordination.Action) bool {
+	return slices.Contains(s.nonIdempotent, action)
+}
+
+// Pool returns the pool that serves s.
+func (s Service) Pool() coordination.Pool { return coordination.Pool(s.Name) }
+
+// Actions is how a team's non-idempotent actions are remembered.
+type Actions struct {
+	Retention   time.Duration
+	ClockSkew   time.Duration
+	AnswerLimit int // bytes
+}
+
+// Parse reads a team's settings. The name of the file is for the problems. The
+// Team is nil if there is any problem; all problems are reported at once.
+func Parse(file string, text []byte) (*Team, []Problem) {
+	if len(text) > MaxText {
+		return nil, []Problem{{File: file, Message: fmt.Sprintf("the text has %d bytes; at most %d are allowed", len(text), MaxText)}}
+	}
+	f, problems := Table.Parse(file, text)
+	if f == nil {
+		return nil, problems
+	}
+	if problems = crossCheck(f); len(problems) > 0 {
+		return nil, problems
+	}
+	return newTeam(f), nil
+}
+
+// crossCheck finds values that are right alone but not together.
+func crossCheck(f *schema.File) []Problem {
+	var problems []Problem
+	team := f.Section(sectionTeam)
+	if team.Int(keyPriorityDefault) > team.Int(keyPriorityCap) {
+		problems = append(problems, team.Problem(keyPriorityDefault,
+			fmt.Sprintf("%d is above the cap; write at most %d, or raise %s",
+				team.Int(keyPriorityDefault), team.Int(keyPriorityCap), keyPriorityCap)))
+	}
+	actions := f.Section(sectionActions)
+	if actions.Duration(keyClockSkew)*2 > actions.Duration(keyRetention) {
+		problems = append(problems, actions.Problem(keyClockSkew,
+			fmt.Sprintf("%v is more than half of the retention; write at most %v, or raise %s",
+				actions.Duration(keyClockSkew), actions.Duration(keyRetention)/2, keyRetention)))
+	}
+	for _, m := range f.Named(sectionModel) {
+		if v := m.Text(keyVersion); v != "" && !schema.ValidName(v) {
+			problems = append(problems, m.Problem(keyVersion,
+				fmt.Sprintf("%q is not right; write letters, digits and . _ @ : / -, at most 128", v)))
+		}
+	}
+	return problems
+}
+
+func newTeam(f *schema.File) *Team {
+	team := f.Section(sectionTeam)
+	actions := f.Section(sectionActions)
+	accounts := f.Section(sectionAccounts)
+	return &Team{
+		priorityDefault: coordination.Priority(team.Int(keyPriorityDefault)),
+		priorityCap:     coordination.Priority(team.Int(keyPriorityCap)),
+		retryBudget:     team.Float(keyRetryBudget),
+		deadline:        team.Duration(keyDeadline),
+		actions: Actions{
+			Retention:   actions.Duration(keyRetention),
+			ClockSkew:   actions.Duration(keyClockSkew),
+			AnswerLimit: actions.Int(keyAnswerLimit),
+		},
+		onlyListed:    accounts.Bool(keyOnlyListed),
+		weightDefault: accounts.Float(keyWeightDefault),
+		weights: lo.SliceToMap(f.Named(sectionAccount), func(v schema.Values) (coordination.Account, float64) {
+			return coordination.Account(v.Name), v.Float(keyWeight)
+		}),
+		models: lo.SliceToMap(f.Named(sectionModel), func(v schema.Values) (coordination.Model, Model) {
+			return coordination.Model(v.Name), newModel(v)
+		}),
+		services: lo.SliceToMap(f.Named(sectionService), func(v schema.Values) (coordination.Service, Service) {
+			return coordination.Service(v.Name), newService(v)
+		}),
+	}
+}
+
+func newModel(v schema.Values) Model {
+	return Model{
+		Name:         coordination.Model(v.Name),
+		Version:      v.Text(keyVersion),
+		LoadBound:    v.Float(keyLoadBound),
+		Capacity:     v.Int(keyCapacity),
+		Queue:        v.Int(keyQueue),
+		WarmWait:     v.Duration(keyWarmWait),
+		MaxTokens:    coordination.Tokens(v.Int(keyMaxTokens)),
+		StallTimeout: v.Duration(keyStallTimeout),
+	}
+}
+
+func newService(v schema.Values) Service {
+	names := lo.Map(v.List(keyNonIdempotent), func(s string, _ int) coordination.Action { return coordination.Action(s) })
+	return Service{
+		Name:          coordination.Service(v.Name),
+		ActionTimeout: v.Duration(keyActionTimeout),
+		Capacity:      v.Int(keyCapacity),
+		nonIdempotent: names,
+	}
+}
+
+// Priority returns the priority of a request that asks for one, or that names
+// none.
+func (t *Team) Priority(asked coordination.Priority, named bool) coordination.Priority {
+	if !named {
+		return t.priorityDefault
+	}
+	return min(asked, t.priorityCap)
+}
+
+// RetryBudget returns the share of requests that may be tried a second time.
+func (t *Team) RetryBudget() float64 { return t.retryBudget }
+
+// Deadline returns the time in which an answer must start if the request names
+// none.
+func (t *Team) Deadline() time.Duration { return t.deadline }
+
+// Actions returns how non-idempotent actions are remembered.
+func (t *Team) Actions() Actions { return t.actions }
+
+// Model returns what is set for name, and whether the team has that model.
+func (t *Team) Model(name coordination.Model) (Model, bool) {
+	m, ok := t.models[name]
+	return m, ok
+}
+
+// Models returns the team's models, by name.
+func (t *Team) Models() []Model {
+	return lo.Map(slices.Sorted(maps.Keys(t.models)), func(n coordination.Model, _ int) Model { return t.models[n] })
+}
+
+// Service returns what is set for name, and whether the team has that service.
+func (t *Team) Service(name coordination.Service) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Services returns the team's services, by name.
+func (t *Team) Services() []Service {
+	return lo.Map(slices.Sorted(maps.Keys(t.services)), func(n coordination.Service, _ int) Service { return t.services[n] })
+}
+
+// Account returns the weight of name, and whether the team serves it.
+func (t *Team) Account(name coordination.Account) (weight float64, allowed bool) {
+	if w, listed := t.weights[name]; listed {
+		return w, true
+	}
+	return t.weightDefault, !t.onlyListed
+}
