Limit an answer's tokens, and let a team set how long an engine may stall

An engine that ignores max_tokens would run up a bill behind the limit that a team has set; the router now ends the answer there and cancels. The stall limit moved from the router's own file to the team's model.

--- a/wisteriarouter/caller/adopt.go
+++ b/wisteriarouter/caller/adopt.go
@@ -28,7 +28,8 @@
 		return a.adoptFailed(ctx)
 	}
 	at := &attempt{id: id.Attempt, place: place}
-	at.stream, err = a.Engines.Resume(ctx, place.Address, id.Attempt, id.Offset)
+	a.id, a.place = at.id, place
+	at.stream, err = a.Engines.Resume(ctx, place.Address, a.request(id.Attempt, nil))
 	if err != nil {
 		place.Release()
 		if !errors.Is(err, engine.ErrGone) && ctx.Err() == nil {
--- a/wisteriarouter/caller/answer.go
+++ b/wisteriarouter/caller/answer.go
@@ -35,6 +35,8 @@
 	text     strings.Builder // delivered to the sink
 	offset   int             // tokens delivered
 	exclude  []coordination.Endpoint
+	place    Place                // of the last attempt
+	id       coordination.Attempt // of the last attempt
 }
 
 // end tells how one attempt ended.
@@ -43,6 +45,7 @@
 const (
 	finished   end = iota // the answer is whole
 	callerGone            // nobody reads any more
+	limited               // the answer has all the tokens it may have
 	declined              // the endpoint did not run it
 	lost                  // the stream broke and could not be resumed
 	died                  // so did its endpoint
@@ -61,6 +64,9 @@
 		return
 	}
 	for n := 0; n < maxAttempts; n++ {
+		if a.complete() {
+			return
+		}
 		if n > 0 && !a.Retries.Allow() {
 			a.Log.Emit(event.RetryBudgetSpent, event.F("team", a.chat.team))
 			break
@@ -76,6 +82,17 @@
 	})
 }
 
+// complete ends an answer that has all its tokens and lost only its closing
+// chunk: an endpoint has nothing left to add.
+func (a *answer) complete() bool {
+	if a.id == "" || a.offset < a.chat.limit {
+		return false
+	}
+	a.evidence.Answered(a.id)
+	a.finish()
+	return true
+}
+
 // try makes one attempt and reports whether the request is over.
 func (a *answer) try(ctx context.Context) bool {
 	pass, refusal := a.Suspects.Enter(ctx, a.chat.fingerprint)
@@ -92,6 +109,7 @@
 		return true
 	}
 	at := &attempt{id: engine.NewAttempt(place.Endpoint, a.chat.binding), place: place}
+	a.id, a.place = at.id, place
 	how := a.start(ctx, at)
 	if how == finished {
 		how = a.follow(ctx, at)
@@ -101,18 +119,12 @@
 
 // start sends the attempt. It returns finished when the stream stands.
 func (a *answer) start(ctx context.Context, at *attempt) end {
-	raw, err := a.chat.body.forEngine(a.text.String())
+	raw, err := a.chat.body.forEngine(a.text.String(), a.chat.limit-a.offset)
 	if err != nil {
 		return declined
 	}
 	a.evidence.Begin(at.id)
-	at.stream, err = a.Engines.Start(ctx, at.place.Address, engine.Request{
-		Attempt:  at.id,
-		Chat:     a.chat.id,
-		Priority: a.chat.plan.Priority,
-		Body:     raw,
-		Offset:   a.offset,
-	})
+	at.stream, err = a.Engines.Start(ctx, at.place.Address, a.request(at.id, raw))
 	if err == nil {
 		a.evidence.Written(at.id)
 		return finished
@@ -120,6 +132,18 @@
 	return a.startFailed(ctx, at, err)
 }
 
+// request is the attempt id as an engine gets it, from where the answer stands.
+func (a *answer) request(id coordination.Attempt, raw []byte) engine.Request {
+	return engine.Request{
+		Attempt:  id,
+		Chat:     a.chat.id,
+		Priority: a.chat.plan.Priority,
+		Body:     raw,
+		Offset:   a.offset,
+		Idle:     a.chat.plan.Stall,
+	}
+}
+
 func (a *answer) startFailed(ctx context.Context, at *attempt, err error) end {
 	var failure *engine.StartError
 	if !errors.As(err, &failure) {
@@ -155,6 +179,8 @@
 		switch {
 		case err == nil:
 			return finished
+		case errors.Is(err, errLimit):
+			return limited
 		case ctx.Err() != nil, errors.Is(err, errSink):
 			return callerGone
 		case errors.Is(err, engine.ErrMalformed):
@@ -169,6 +195,10 @@
 	}
 }
 
+// errLimit is the error of an answer that goes on behind its limit, because the
+// engine was given none or ignores it.
+var errLimit = errors.New("caller: answer is longer than allowed")
+
 // copy passes chunks to the sink. It returns nil behind a whole answer.
 func (a *answer) copy(at *attempt) error {
 	for {
@@ -182,6 +212,9 @@
 		if a.offset == 0 && c.Offset > 0 {
 			a.Metrics.firstToken.Observe(time.Since(a.chat.arrived).Seconds())
 		}
+		if c.Finish == "" && c.Offset > a.chat.limit {
+			return errLimit
+		}
 		if err := a.sink.chunk(at.id, c); err != nil {
 			return err
 		}
@@ -201,7 +234,7 @@
 			return false
 		case <-time.After(pause):
 		}
-		stream, err := a.Engines.Resume(ctx, at.place.Address, at.id, a.offset)
+		stream, err := a.Engines.Resume(ctx, at.place.Address, a.request(at.id, nil))
 		if err == nil {
 			at.stream = stream
 			return true
@@ -224,7 +257,13 @@
 	case finished:
 		pass.Done(true)
 		a.evidence.Answered(at.id)
-		a.finish(at)
+		a.finish()
+		return true
+	case limited:
+		pass.Done(true)
+		a.cancel(ctx, at)
+		a.evidence.Answered(at.id)
+		a.finish()
 		return true
 	case callerGone:
 		pass.Done(false)
@@ -259,8 +298,8 @@
 	return at.place.Incarnation != 0 && l.Incarnation != at.place.Incarnation
 }
 
-func (a *answer) finish(at *attempt) {
-	a.sink.finish(at.id, closing{Outcome: outcome.Ran, Hint: at.place.Hint})
+func (a *answer) finish() {
+	a.sink.finish(a.id, closing{Outcome: outcome.Ran, Hint: a.place.Hint})
 	a.Metrics.ended("chat", outcome.Ran, "")
 }
 
--- a/wisteriarouter/caller/caller.go
+++ b/wisteriarouter/caller/caller.go
@@ -17,6 +17,8 @@
 	Pool        coordination.Pool
 	Priority    coordination.Priority
 	StartWithin time.Duration // limit for the start of the answer; zero for none
+	Stall       time.Duration // silence of an endpoint after which an attempt is lost
+	MaxTokens   coordination.Tokens
 }
 
 // Teams tells what the settings in force say.
@@ -61,7 +63,7 @@
 // Engines are the calls to model engines that an answer needs.
 type Engines interface {
 	Start(ctx context.Context, address string, req engine.Request) (*engine.Stream, error)
-	Resume(ctx context.Context, address string, id coordination.Attempt, after int) (*engine.Stream, error)
+	Resume(ctx context.Context, address string, req engine.Request) (*engine.Stream, error)
 	Cancel(ctx context.Context, address string, id coordination.Attempt) (int, error)
 	Load(ctx context.Context, address string) (engine.Load, error)
 }
--- a/wisteriarouter/caller/chat.go
+++ b/wisteriarouter/caller/chat.go
@@ -6,6 +6,8 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,6 +55,7 @@
 	deadline    time.Time
 	stream      bool
 	partial     string
+	limit       int // tokens of the whole answer
 	resume      *engine.EventID
 	body        body
 	binding     engine.Fingerprint
@@ -73,31 +76,58 @@
 	return b, nil
 }
 
-// forEngine returns the body that an engine gets: streaming, and going on
-// behind text when the answer has begun.
-func (b body) forEngine(text string) ([]byte, error) {
-	out := make(body, len(b)+3)
-	for k, v := range b {
-		out[k] = v
+// Names of the fields of a body that a router sets.
+const (
+	fieldStream        = "stream"
+	fieldStreamOptions = "stream_options"
+	fieldMessages      = "messages"
+	fieldContinue      = "continue_final_message"
+	fieldPrompt        = "add_generation_prompt"
+)
+
+// limitFields are the fields in which a caller may limit the new tokens.
+var limitFields = []string{"max_completion_tokens", "max_tokens"}
+
+// forEngine returns the body that an engine gets: streaming, with at most left
+// new tokens if the caller set a limit, and going on behind text when the
+// answer has begun.
+func (b body) forEngine(text string, left int) ([]byte, error) {
+	out := maps.Clone(b)
+	out[fieldStream] = json.RawMessage("true")
+	out[fieldStreamOptions] = json.RawMessage(`{"include_usage":true}`)
+	for _, f := range limitFields {
+		if _, set := out[f]; set {
+			out[f] = json.RawMessage(strconv.Itoa(left))
+		}
 	}
-	out["stream"] = json.RawMessage("true")
-	out["stream_options"] = json.RawMessage(`{"include_usage":true}`)
 	if text != "" {
 		messages, err := b.withPartial(text)
 		if err != nil {
 			return nil, err
 		}
-		out["messages"] = messages
-		out["continue_final_message"] = json.RawMessage("true")
-		out["add_generation_prompt"] = json.RawMessage("false")
+		out[fieldMessages] = messages
+		out[fieldContinue] = json.RawMessage("true")
+		out[fieldPrompt] = json.RawMessage("false")
 	}
 	return json.Marshal(out)
 }
 
+// limit returns the most tokens of the whole answer: what the caller asks for,
+// and never more than most.
+func (b body) limit(most int) int {
+	for _, f := range limitFields {
+		var n int
+		if err := json.Unmarshal(b[f], &n); err == nil && n > 0 {
+			return min(n, most)
+		}
+	}
+	return most
+}
+
 // withPartial returns the messages with the answer so far behind them.
 func (b body) withPartial(text string) (json.RawMessage, error) {
 	var messages []json.RawMessage
-	if err := json.Unmarshal(b["messages"], &messages); err != nil {
+	if err := json.Unmarshal(b[fieldMessages], &messages); err != nil {
 		return nil, err
 	}
 	last, err := json.Marshal(chatMessage{Role: "assistant", Content: text})
@@ -135,6 +165,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	c.limit = b.limit(int(c.plan.MaxTokens))
 	c.setDeadline(h.DeadlineMs)
 	c.bind(in.Model)
 	return c, c.setResume(h.LastEventID)
@@ -159,9 +190,9 @@
 func (c *chat) bind(model string) {
 	h := sha256.New()
 	fmt.Fprintf(h, "%q %q %q ", c.team, c.account, model)
-	h.Write(c.body["messages"])
+	h.Write(c.body[fieldMessages])
 	c.binding = engine.Fingerprint(hex.EncodeToString(h.Sum(nil)[:bindingBytes]))
-	c.fingerprint = xxhash.Sum64(c.body["messages"])
+	c.fingerprint = xxhash.Sum64(c.body[fieldMessages])
 }
 
 // setResume reads Last-Event-ID. An id that was made for another request is
--- a/wisteriarouter/config/config.go
+++ b/wisteriarouter/config/config.go
@@ -55,7 +55,6 @@
 	BodyBytes    int
 	HeaderBytes  int
 	HeaderWait   time.Duration
-	StreamIdle   time.Duration
 	WriteTimeout time.Duration
 	EngineCall   time.Duration
 	CancelFor    time.Duration
@@ -100,7 +99,6 @@
 		{Name: "body", Kind: schema.Size, Default: "1MiB", Min: "1KiB", Max: "64MiB", Doc: "Largest body of a request."},
 		{Name: "headers", Kind: schema.Size, Default: "16KiB", Min: "4KiB", Max: "1MiB", Doc: "Largest headers of a request."},
 		{Name: "header-wait", Kind: schema.Duration, Default: "5s", Min: "100ms", Max: "60s", Doc: "Longest wait for a request's headers."},
-		{Name: "stream-idle", Kind: schema.Duration, Default: "5s", Min: "200ms", Max: "120s", Doc: "Longest silence of an endpoint inside an answer before it is taken for broken."},
 		{Name: "write-timeout", Kind: schema.Duration, Default: "20s", Min: "1s", Max: "300s", Doc: "Longest wait for a caller to take what it is sent."},
 		{Name: "engine-call", Kind: schema.Duration, Default: "500ms", Min: "50ms", Max: "10s", Doc: "Longest wait for a short call of an engine."},
 		{Name: "cancel-for", Kind: schema.Duration, Default: "15s", Min: "1s", Max: "120s", Doc: "How long an attempt that nobody reads is tried to be cancelled."},
@@ -189,7 +187,6 @@
 		BodyBytes:    v.Int("body"),
 		HeaderBytes:  v.Int("headers"),
 		HeaderWait:   v.Duration("header-wait"),
-		StreamIdle:   v.Duration("stream-idle"),
 		WriteTimeout: v.Duration("write-timeout"),
 		EngineCall:   v.Duration("engine-call"),
 		CancelFor:    v.Duration("cancel-for"),
--- a/wisteriarouter/config/config_test.go
+++ b/wisteriarouter/config/config_test.go
@@ -32,7 +32,7 @@
 // come back in one go, each with its line and with what would be right.
 func TestProblems(t *testing.T) {
 	text := strings.Replace(least, "instance = r1", "instance = r 1\nzone = a", 1) +
-		"\n[limits]\nbody = 1MB\nstream-idle = 5\nstop-within = 2h\n\n[log]\nlevel = loud\n\n[extra]\n"
+		"\n[limits]\nbody = 1MB\nheader-wait = 5\nstop-within = 2h\n\n[log]\nlevel = loud\n\n[extra]\n"
 	_, problems := config.Parse("router.ini", []byte(text))
 	var b strings.Builder
 	for _, p := range problems {
--- a/wisteriarouter/engine/engine.go
+++ b/wisteriarouter/engine/engine.go
@@ -82,7 +82,8 @@
 	Chat     coordination.Chat
 	Priority coordination.Priority
 	Body     []byte
-	Offset   int // tokens that the body's partial answer holds already
+	Offset   int           // tokens that the body's partial answer holds already
+	Idle     time.Duration // longest silence inside the stream
 }
 
 // Load is an engine's own report, which lags.
@@ -101,31 +102,25 @@
 // Client makes calls to engines. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
-	idle time.Duration
 	call time.Duration
 }
 
-// Limits are the time limits of a client.
-type Limits struct {
-	Idle time.Duration // longest silence inside a stream
-	Call time.Duration // longest short call, such as a cancel
-}
-
-// NewClient returns a client and a function that closes its connections.
-func NewClient(lim Limits) (*Client, func()) {
+// NewClient returns a client and a function that closes its connections. A
+// short call, such as a cancel, takes no longer than call.
+func NewClient(call time.Duration) (*Client, func()) {
 	tr := &http.Transport{
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
 	}
-	c := &Client{http: &http.Client{Transport: tr}, idle: lim.Idle, call: lim.Call}
+	c := &Client{http: &http.Client{Transport: tr}, call: call}
 	return c, tr.CloseIdleConnections
 }
 
 // Start sends one attempt to the engine at address. On success the answer's
 // stream is open. Every failure is a *StartError.
 func (c *Client) Start(ctx context.Context, address string, req Request) (*Stream, error) {
-	w := c.watch(ctx)
+	w := watch(ctx, req.Idle)
 	sent, err := newStart(w.trace(), address, req)
 	if err != nil {
 		w.stop()
@@ -155,16 +150,17 @@
 	}
 }
 
-// Resume opens the rest of an attempt's stream behind token offset after.
-func (c *Client) Resume(ctx context.Context, address string, id coordination.Attempt, after int) (*Stream, error) {
-	w := c.watch(ctx)
-	url := fmt.Sprintf("http://%s/v1/attempts/%s/stream?after=%d", address, id, after)
-	req, err := http.NewRequestWithContext(w.ctx, http.MethodGet, url, nil)
+// Resume opens the rest of an attempt's stream behind token Offset of req,
+// whose body it does not need.
+func (c *Client) Resume(ctx context.Context, address string, req Request) (*Stream, error) {
+	w := watch(ctx, req.Idle)
+	url := fmt.Sprintf("http://%s/v1/attempts/%s/stream?after=%d", address, req.Attempt, req.Offset)
+	get, err := http.NewRequestWithContext(w.ctx, http.MethodGet, url, nil)
 	if err != nil {
 		w.stop()
 		return nil, fmt.Errorf("engine: resume: %w", err)
 	}
-	res, err := c.http.Do(req)
+	res, err := c.http.Do(get)
 	if err != nil {
 		w.stop()
 		return nil, fmt.Errorf("engine: resume: %w", err)
@@ -178,7 +174,7 @@
 		w.stop()
 		return nil, refusal(res)
 	}
-	return newStream(res.Body, w, id, after), nil
+	return newStream(res.Body, w, req.Attempt, req.Offset), nil
 }
 
 // Cancel tells the engine to stop an attempt, so that nobody is billed for
--- a/wisteriarouter/engine/stream.go
+++ b/wisteriarouter/engine/stream.go
@@ -31,10 +31,16 @@
 	wrote  atomic.Bool
 }
 
-func (c *Client) watch(ctx context.Context) *silence {
-	w := &silence{idle: c.idle}
+// defaultIdle is the limit of a request that names none.
+const defaultIdle = 10 * time.Second
+
+func watch(ctx context.Context, idle time.Duration) *silence {
+	if idle <= 0 {
+		idle = defaultIdle
+	}
+	w := &silence{idle: idle}
 	w.ctx, w.cancel = context.WithCancel(ctx)
-	w.timer = time.AfterFunc(c.idle, w.cancel)
+	w.timer = time.AfterFunc(idle, w.cancel)
 	return w
 }
 
