coordination/execution: rules by team, budget by class, bounded answers in memory

Records stand for the longest retention that any team may set, not for the one in force: a raised retention would else accept keys whose records are gone.

--- a/coordination/execution/execution.go
+++ b/coordination/execution/execution.go
@@ -21,6 +21,7 @@
 	"github.com/google/uuid"
 
 	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/budget"
 	"wisteriaspool/coordination/kv"
 	"wisteriaspool/coordination/outcome"
 )
@@ -51,21 +52,22 @@
 	Grant(ctx context.Context, ttl time.Duration) (kv.Lease, kv.Result)
 }
 
-// Budget bounds the calls to the platform.
+// Budget bounds the calls to the platform, as package budget does.
 type Budget interface {
-	// Allow takes n calls from the budget, or none if there are not n left.
-	Allow(n int) bool
+	// Allow takes one call from the budget, or tells when there will be one.
+	Allow(class budget.Class) (ok bool, retryAfter time.Duration)
 }
 
 // Defaults of Config.
 const (
-	DefaultRetention     = 6 * time.Hour
-	DefaultClockSkew     = time.Minute
+	DefaultRetention     = 24 * time.Hour
+	DefaultClockSkew     = 10 * time.Minute
 	DefaultDispatchLimit = 10 * time.Second
 	DefaultCallTimeout   = time.Second
 	DefaultCreateWait    = 2 * time.Second
 	DefaultFinishWait    = 500 * time.Millisecond
-	DefaultKeepLimit     = 16 << 10
+	DefaultKeepLimit     = 64 << 10
+	DefaultMaxHeld       = 8 << 20
 	DefaultMaxOpen       = 1024
 	DefaultCreateTries   = 3
 )
@@ -77,11 +79,13 @@
 	Holder      coordination.Instance
 	Incarnation coordination.Incarnation
 
-	// Retention is how long after its issue a key is accepted at most. It has
-	// to be the same on all routers: a record made by a router that keeps for
-	// a shorter time could vanish while another one still accepts its key.
+	// Retention is the longest time after its issue for which any team may
+	// have a key accepted; records stand for longer than that. It has to be
+	// the same on all routers, and stays when a team changes its rules: were
+	// records kept for no longer than the rules of their time say, a team that
+	// raised its retention would have keys accepted whose records are gone.
 	Retention time.Duration
-	// ClockSkew bounds how far the clock of a router or caller is off.
+	// ClockSkew bounds how far the clock of any router or caller is off.
 	ClockSkew time.Duration
 	// DispatchLimit is the time from Begin in which a dispatch may start.
 	DispatchLimit time.Duration
@@ -92,11 +96,11 @@
 	// FinishWait is how long Finish and Abandon hold up their caller while
 	// the platform does not answer. The work goes on behind.
 	FinishWait time.Duration
-	// KeepLimit is the longest answer that is kept for repeats, in bytes.
-	KeepLimit int
 	// MaxOpen bounds the records that this router holds open at a time, those
 	// included that it could not yet finish; it bounds memory in an outage.
 	MaxOpen int
+	// MaxHeld bounds the bytes of answers that wait to be put on record.
+	MaxHeld int
 	// CreateTries bounds the calls that create one record.
 	CreateTries int
 	// Observe, if set, is told of what metrics and logs should show.
@@ -110,7 +114,7 @@
 	setDuration(&c.CallTimeout, DefaultCallTimeout)
 	setDuration(&c.CreateWait, DefaultCreateWait)
 	setDuration(&c.FinishWait, DefaultFinishWait)
-	setInt(&c.KeepLimit, DefaultKeepLimit)
+	setInt(&c.MaxHeld, DefaultMaxHeld)
 	setInt(&c.MaxOpen, DefaultMaxOpen)
 	setInt(&c.CreateTries, DefaultCreateTries)
 	if c.Observe == nil {
@@ -149,19 +153,36 @@
 	return c.life() + c.bucket() + c.DispatchLimit
 }
 
+// Rules are what a team has set for its actions.
+type Rules struct {
+	Retention time.Duration // how long a key is accepted; at most Config.Retention
+	ClockSkew time.Duration // how far clocks may differ; at most Config.ClockSkew
+	KeepLimit int           // the longest answer kept for repeats, in bytes
+}
+
 // Request identifies an action to be run at most once.
 type Request struct {
 	Team        coordination.Team
 	Key         Key
 	IssuedAt    time.Time   // when the caller made the key
 	Fingerprint Fingerprint // of all that the caller asks for
-	// Retention shortens Config.Retention for this request; zero does not.
-	Retention time.Duration
+	Rules       Rules       // the zero value takes Config's limits and DefaultKeepLimit
 	// Timeout is how long the action may take; a repeat that comes later is
 	// told that the holder is silent.
 	Timeout time.Duration
 }
 
+// rules returns the rules of r within the limits of c.
+func (c Config) rules(r Request) Rules {
+	if r.Rules == (Rules{}) {
+		return Rules{Retention: c.Retention, ClockSkew: c.ClockSkew, KeepLimit: DefaultKeepLimit}
+	}
+	rules := r.Rules
+	rules.Retention = min(rules.Retention, c.Retention)
+	rules.ClockSkew = min(rules.ClockSkew, c.ClockSkew)
+	return rules
+}
+
 // path returns the key of r's record in the service.
 func (r Request) path() string {
 	return Prefix + url.PathEscape(string(r.Team)) + "/" + url.PathEscape(string(r.Key))
--- a/coordination/execution/fleet_test.go
+++ b/coordination/execution/fleet_test.go
@@ -129,6 +129,7 @@
 	for _, r := range f.all {
 		r.cleanup()
 	}
+	f.work.Wait() // late writes of settlements
 }
 
 // step is where the router may be frozen, as by SIGSTOP, or killed. What a
--- a/coordination/execution/lease.go
+++ b/coordination/execution/lease.go
@@ -60,7 +60,7 @@
 	start := time.Now() // the lease cannot have begun earlier
 	res := kv.Result{Status: kv.Throttled}
 	var id kv.Lease
-	if l.allow(1) {
+	if ok, _ := l.allow(); ok {
 		ctx, cancel := context.WithTimeout(l.ctx, l.cfg.CallTimeout)
 		id, res = l.cfg.Store.Grant(ctx, l.cfg.leaseTTL())
 		cancel()
--- a/coordination/execution/ledger.go
+++ b/coordination/execution/ledger.go
@@ -6,15 +6,11 @@
 	"sync"
 	"time"
 
+	"wisteriaspool/coordination/budget"
 	"wisteriaspool/coordination/kv"
 	"wisteriaspool/coordination/outcome"
 )
 
-// callsPerAction is what Begin takes from the budget up front: one call to
-// create the record and one to finish it. Taking the second one late would
-// leave begun actions without a call to record their end.
-const callsPerAction = 2
-
 // Ledger creates and settles the execution records of one router. It is safe
 // for concurrent use.
 type Ledger struct {
@@ -25,6 +21,7 @@
 	work   sync.WaitGroup
 
 	mu   sync.Mutex
+	held int           // bytes of answers in settlements
 	open int           // records being created, held, or being settled
 	idle chan struct{} // closed when open falls to zero; nil if nobody waits
 }
@@ -88,8 +85,22 @@
 	}
 }
 
-func (l *Ledger) allow(n int) bool {
-	return l.cfg.Budget == nil || l.cfg.Budget.Allow(n)
+// allow takes one call from the budget.
+func (l *Ledger) allow() (ok bool, retryAfter time.Duration) {
+	if l.cfg.Budget == nil {
+		return true, 0
+	}
+	return l.cfg.Budget.Allow(budget.Actions)
+}
+
+// allowAction takes the calls of one action up front: one creates the record
+// and one finishes it. Taken late, the second one would not be left in a surge,
+// and actions that ran would stay in progress.
+func (l *Ledger) allowAction() (ok bool, retryAfter time.Duration) {
+	if ok, retryAfter = l.allow(); !ok {
+		return false, retryAfter
+	}
+	return l.allow()
 }
 
 // Begin decides whether req may be run by this router. On Execute the caller
@@ -114,16 +125,13 @@
 	if req.Key == "" || len(req.Key) > MaxKey || req.Team == "" {
 		return refused(outcome.Malformed, "the idempotency key must have 1 to 255 bytes", 0), false
 	}
-	retention := l.cfg.Retention
-	if req.Retention > 0 {
-		retention = min(retention, req.Retention)
-	}
+	rules := l.cfg.rules(req)
 	age := now.Round(0).Sub(req.IssuedAt.Round(0))
-	if age < -l.cfg.ClockSkew {
+	if age < -rules.ClockSkew {
 		return fromFuture(-age), false
 	}
-	if age > retention-l.cfg.ClockSkew {
-		return expired(retention), false
+	if age > rules.Retention-rules.ClockSkew {
+		return expired(rules.Retention), false
 	}
 	return Decision{}, true
 }
@@ -140,10 +148,16 @@
 	if res.Status != kv.Applied {
 		return unreachable(res.Status), false
 	}
-	if !l.allow(callsPerAction) {
-		return unreachable(kv.Throttled), false
+	if ok, wait := l.allowAction(); !ok {
+		return throttled(wait), false
+	}
+	c := &claim{
+		path:   req.path(),
+		record: l.newRecord(req, start),
+		keep:   l.cfg.rules(req).KeepLimit,
+		lease:  lease,
+		start:  start,
 	}
-	c := &claim{path: req.path(), record: l.newRecord(req, start), lease: lease, start: start}
 	d := l.create(ctx, c)
 	if d.Verdict == Execute {
 		return d, true
@@ -212,7 +226,8 @@
 	if last != kv.Conflict && !pause(ctx, backoff(try-1)) {
 		return false
 	}
-	return l.allow(1)
+	ok, _ := l.allow()
+	return ok
 }
 
 // swap makes one call. It does not end with the caller's context: cut short, a
--- a/coordination/execution/ledger_test.go
+++ b/coordination/execution/ledger_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
+	"wisteriaspool/coordination/budget"
 	"wisteriaspool/coordination/execution"
 	"wisteriaspool/coordination/kv"
 	"wisteriaspool/coordination/kv/kvtest"
@@ -84,7 +85,7 @@
 		{"no key", func(r *execution.Request) { r.Key = "" }, execution.Refused, outcome.Malformed, outcome.NotRun},
 		{"old key", func(r *execution.Request) { r.IssuedAt = r.IssuedAt.Add(-retention) }, execution.Expired, outcome.KeyExpired, outcome.Unknown},
 		{"older than the team keeps", func(r *execution.Request) {
-			r.IssuedAt, r.Retention = r.IssuedAt.Add(-2*time.Minute), time.Minute
+			r.IssuedAt, r.Rules = r.IssuedAt.Add(-2*time.Minute), execution.Rules{Retention: time.Minute}
 		}, execution.Expired, outcome.KeyExpired, outcome.Unknown},
 		{"key of tomorrow", func(r *execution.Request) { r.IssuedAt = r.IssuedAt.Add(time.Hour) }, execution.FromFuture, outcome.Malformed, outcome.NotRun},
 	}
@@ -282,10 +283,12 @@
 // that the order ran.
 func TestLargeAnswerIsNotKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := newLedger(t, kvtest.New(), func(c *execution.Config) { c.KeepLimit = 4 })
+		l := newLedger(t, kvtest.New(), nil)
 		s := &sender{answer: "booked"}
-		assert.Equal(t, string(l.Run(t.Context(), order("k"), s).Answer.Body), "booked")
-		res := l.Run(t.Context(), order("k"), s)
+		req := order("k")
+		req.Rules = execution.Rules{Retention: retention, KeepLimit: 4}
+		assert.Equal(t, string(l.Run(t.Context(), req, s).Answer.Body), "booked")
+		res := l.Run(t.Context(), req, s)
 		assert.Equal(t, res.Outcome, outcome.Ran)
 		assert.Assert(t, res.Answer == nil)
 		assert.Equal(t, res.Refusal.Outcome, outcome.Ran)
@@ -338,12 +341,9 @@
 
 type allowance struct{ left int }
 
-func (a *allowance) Allow(n int) bool {
-	if n > a.left {
-		return false
-	}
-	a.left -= n
-	return true
+func (a *allowance) Allow(budget.Class) (bool, time.Duration) {
+	a.left--
+	return a.left >= 0, 3 * time.Second
 }
 
 func TestBudgetRefusesBeforeCalling(t *testing.T) {
@@ -355,6 +355,7 @@
 		res := l.Run(t.Context(), order("b"), s)
 		assert.Equal(t, res.Outcome, outcome.NotRun)
 		assert.Equal(t, res.Refusal.Code, outcome.Overloaded)
+		assert.Equal(t, res.Refusal.RetryAfter, 3*time.Second)
 		assert.Equal(t, store.Calls("cas"), 2)
 	})
 }
--- a/coordination/execution/refusal.go
+++ b/coordination/execution/refusal.go
@@ -28,11 +28,16 @@
 // does not.
 func unreachable(s kv.Status) Decision {
 	if s == kv.Throttled {
-		return refused(outcome.Overloaded, "the rate of actions is at its limit; repeat with the same key", retryRate)
+		return throttled(retryRate)
 	}
 	return refused(outcome.PlatformUnavailable, "the action could not be put on record; repeat with the same key", retryPlatform)
 }
 
+// throttled refuses an action beyond the rate that the platform takes.
+func throttled(after time.Duration) Decision {
+	return refused(outcome.Overloaded, "the rate of actions is at its limit; repeat with the same key", after)
+}
+
 // expired refuses a key whose record may be gone. What became of an earlier
 // try with it cannot be told any more, so the outcome is unknown.
 func expired(retention time.Duration) Decision {
--- a/coordination/execution/settlement.go
+++ b/coordination/execution/settlement.go
@@ -14,11 +14,30 @@
 // record lives. The caller's own answer need not wait for more.
 func (l *Ledger) Finish(ctx context.Context, t *Token, o outcome.Outcome, a *Answer) bool {
 	t.settle()
-	r := t.claim.record.finished(o, a, l.cfg.KeepLimit)
+	r := t.claim.record.finished(o, a, t.claim.keep)
+	if !l.hold(r.Answer) {
+		r = t.claim.record.finished(o, a, keepNone)
+	}
 	s := l.settle(t.claim.path, r, t.revision, t.claim.lease)
 	return l.await(ctx, s)
 }
 
+// hold counts the bytes of an answer that waits to be put on record, and tells
+// whether there is room for it. Without a bound an outage that begins while
+// many actions run would hold all their answers in memory.
+func (l *Ledger) hold(a *Answer) bool {
+	if a == nil {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held+len(a.Body) > l.cfg.MaxHeld {
+		return false
+	}
+	l.held += len(a.Body)
+	return true
+}
+
 // Abandon records that the action was not and will not be dispatched by this
 // token, which frees its key for a repeat. It waits as Finish does.
 func (l *Ledger) Abandon(ctx context.Context, t *Token) bool {
@@ -40,6 +59,16 @@
 	return false
 }
 
+// unhold takes back what hold counted.
+func (l *Ledger) unhold(a *Answer) {
+	if a == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held -= len(a.Body)
+}
+
 // settlement writes the last state of a record that this router holds. It
 // keeps the record's lease: a write without one would make the record stay for
 // ever.
@@ -67,6 +96,7 @@
 	l := s.ledger
 	defer l.work.Done()
 	defer l.release()
+	defer l.unhold(s.record.Answer)
 	defer close(s.ended)
 	value := s.record.encode()
 	start := time.Now()
@@ -74,8 +104,7 @@
 		if try > 0 && !pause(l.ctx, backoff(try)) {
 			break
 		}
-		// Begin has paid for the first try.
-		if try > 0 && !l.allow(1) {
+		if !l.mayTry(try) {
 			continue
 		}
 		res := l.swap(s.path, value, s.expect, s.lease)
@@ -86,6 +115,16 @@
 	l.cfg.Observe(SettlementGivenUp)
 }
 
+// mayTry tells whether the budget lets the given try be made. Begin has paid
+// for the first.
+func (l *Ledger) mayTry(try int) bool {
+	if try == 0 {
+		return true
+	}
+	ok, _ := l.allow()
+	return ok
+}
+
 // over tells whether res ends the settlement, and reports how.
 func (s *settlement) over(res kv.Result) bool {
 	switch res.Status {
--- a/coordination/execution/token.go
+++ b/coordination/execution/token.go
@@ -11,6 +11,7 @@
 type claim struct {
 	path   string
 	record Record
+	keep   int // the longest answer to keep, in bytes
 	lease  kv.Lease
 	start  time.Time   // of Begin
 	expect kv.Revision // that the create expects
