Prove that answers are whole and their own, under cuts, crashes and freezes

Each answer has to equal what the engine generates for that conversation, and no attempt may run on afterwards.

First run: every request got 404, for huma ignores headers in an unexported embedded struct (cause found by the empty team in the refusal; ruled out: the route). Then the case where every engine refuses ended as endpoint-lost with status 502 although nothing had run; it is now overloaded, not-run.

--- a/wisteriarouter/caller/answer.go
+++ b/wisteriarouter/caller/answer.go
@@ -75,11 +75,23 @@
 			return
 		}
 	}
-	a.giveUp(ctx, &outcome.Refusal{
+	a.giveUp(ctx, a.exhausted())
+}
+
+// exhausted is the refusal of a request that no endpoint has completed.
+func (a *answer) exhausted() *outcome.Refusal {
+	if a.evidence.Outcome() == outcome.NotRun {
+		return &outcome.Refusal{
+			Code:       outcome.Overloaded,
+			Message:    "every endpoint that was asked refused the request",
+			RetryAfter: retryAfterLoss,
+		}
+	}
+	return &outcome.Refusal{
 		Code:       outcome.EndpointLost,
 		Message:    "the endpoints that ran the request were lost",
 		RetryAfter: retryAfterLoss,
-	})
+	}
 }
 
 // complete ends an answer that has all its tokens and lost only its closing
--- a/wisteriarouter/caller/api.go
+++ b/wisteriarouter/caller/api.go
@@ -13,7 +13,7 @@
 
 // chatInput is a chat request as huma reads it.
 type chatInput struct {
-	chatHeaders
+	ChatHeaders
 	Body    chatBody
 	RawBody []byte
 }
@@ -45,7 +45,7 @@
 	if r := s.refuseWhenStopping(); r != nil {
 		return s.refused("chat", r), nil
 	}
-	c, r := s.newChat(in.chatHeaders, in.Body, in.RawBody)
+	c, r := s.newChat(in.ChatHeaders, in.Body, in.RawBody)
 	if r != nil {
 		return s.refused("chat", r), nil
 	}
--- /dev/null
+++ b/wisteriarouter/caller/caller_test.go
@@ -0,0 +1,257 @@
+package caller_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/tmaxmax/go-sse"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/outcome"
+	standin "wisteriaspool/standin/engine"
+	"wisteriaspool/standin/pipe"
+	"wisteriaspool/wisteriarouter/caller"
+	"wisteriaspool/wisteriarouter/engine"
+)
+
+// fleet is routers before engines on a network of pipes, in the paused clock.
+type fleet struct {
+	t       *testing.T
+	network pipe.Network
+	engines map[coordination.Endpoint]*standin.Engine
+	placer  *roundRobin
+	servers []*caller.Server
+	stops   []func()
+}
+
+// plant changes a router before it serves, to plant a fault.
+type plant func(*caller.Server)
+
+func newFleet(t *testing.T, routers, engines int, plants ...plant) *fleet {
+	f := &fleet{t: t, engines: make(map[coordination.Endpoint]*standin.Engine)}
+	f.placer = &roundRobin{fleet: f}
+	for n := range engines {
+		id := coordination.Endpoint(fmt.Sprintf("e%d", n+1))
+		e, stop := standin.New(standin.Options{ID: string(id), Restart: 300 * time.Millisecond, Seed: uint64(n + 1)})
+		f.engines[id] = e
+		f.placer.ids = append(f.placer.ids, id)
+		f.stops = append(f.stops, f.network.Serve(address(id), e), stop)
+	}
+	for n := range routers {
+		s := f.newServer()
+		for _, p := range plants {
+			p(s)
+		}
+		mux := http.NewServeMux()
+		s.Register(humago.New(mux, huma.DefaultConfig("test", "0")))
+		f.servers = append(f.servers, s)
+		f.stops = append(f.stops, f.network.Serve(routerAddress(n), mux))
+	}
+	t.Cleanup(f.close)
+	return f
+}
+
+func (f *fleet) newServer() *caller.Server {
+	client, closeClient := engine.NewClient(engine.Options{DialContext: f.network.DialContext})
+	f.stops = append(f.stops, closeClient)
+	return &caller.Server{
+		Teams:    oneTeam{},
+		Placer:   f.placer,
+		Engines:  client,
+		Suspects: noSuspects{},
+		Retries:  endlessRetries{},
+		Actions:  noActions{},
+		Limits:   caller.Limits{BodyBytes: 1 << 16, WriteTimeout: 5 * time.Second, CancelFor: 15 * time.Second},
+		Metrics:  caller.NewMetrics(prometheus.NewRegistry()),
+	}
+}
+
+// close ends what the fleet started, the last first.
+func (f *fleet) close() {
+	for i := len(f.stops) - 1; i >= 0; i-- {
+		f.stops[i]()
+	}
+}
+
+func address(id coordination.Endpoint) string { return string(id) + ":80" }
+
+func routerAddress(n int) string { return fmt.Sprintf("r%d:80", n+1) }
+
+// roundRobin places each attempt at the next engine.
+type roundRobin struct {
+	fleet *fleet
+	mu    sync.Mutex
+	ids   []coordination.Endpoint
+	next  int
+}
+
+func (p *roundRobin) Place(_ context.Context, w caller.Want) (caller.Place, *outcome.Refusal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for range p.ids {
+		id := p.ids[p.next%len(p.ids)]
+		p.next++
+		if !contains(w.Exclude, id) {
+			return p.place(id), nil
+		}
+	}
+	return p.place(p.ids[p.next%len(p.ids)]), nil
+}
+
+func (p *roundRobin) place(id coordination.Endpoint) caller.Place {
+	return caller.Place{
+		Endpoint:    id,
+		Incarnation: coordination.Incarnation(p.fleet.engines[id].Incarnation()),
+		Address:     address(id),
+		Hint:        string(id),
+		Release:     func() {},
+	}
+}
+
+func (p *roundRobin) Adopt(id coordination.Endpoint) (caller.Place, bool) { return p.place(id), true }
+
+func (p *roundRobin) Leaving(coordination.Endpoint, coordination.Incarnation) {}
+
+func contains(all []coordination.Endpoint, id coordination.Endpoint) bool {
+	for _, each := range all {
+		if each == id {
+			return true
+		}
+	}
+	return false
+}
+
+type oneTeam struct{}
+
+func (oneTeam) PlanChat(team coordination.Team, _ coordination.Account, model coordination.Model, _ coordination.Priority) (caller.Plan, *outcome.Refusal) {
+	if team != "demo" {
+		return caller.Plan{}, &outcome.Refusal{Code: outcome.UnknownTeam, Outcome: outcome.NotRun}
+	}
+	if model != "m" {
+		return caller.Plan{}, &outcome.Refusal{Code: outcome.UnknownModel, Outcome: outcome.NotRun}
+	}
+	return caller.Plan{Pool: "m", Stall: time.Second, MaxTokens: 4096}, nil
+}
+
+type noSuspects struct{}
+
+func (noSuspects) Enter(context.Context, uint64) (caller.Pass, *outcome.Refusal) {
+	return noSuspects{}, nil
+}
+
+func (noSuspects) Alone() bool                                          { return false }
+func (noSuspects) Done(bool)                                            {}
+func (noSuspects) Died(coordination.Endpoint, coordination.Incarnation) {}
+
+type endlessRetries struct{}
+
+func (endlessRetries) Request()    {}
+func (endlessRetries) Allow() bool { return true }
+
+type noActions struct{}
+
+func (noActions) Run(context.Context, caller.Action) (caller.Answer, *outcome.Refusal) {
+	return caller.Answer{}, &outcome.Refusal{Code: outcome.UnknownService, Outcome: outcome.NotRun}
+}
+
+// heard is what a caller heard of one request.
+type heard struct {
+	text    string
+	offset  int
+	lastID  string
+	whole   bool
+	outcome string
+	status  int
+	header  http.Header
+	body    string
+}
+
+// words returns a message that no other chat sends.
+func words(n int) string { return fmt.Sprintf("chat %d asks for %d copies of side %d", n, n*7, n%2) }
+
+func want(n int) string {
+	return standin.Answer([]standin.Message{{Role: "user", Content: standin.Content(words(n))}}, 0)
+}
+
+// ask sends chat n through a router, going on behind what was heard before.
+func (f *fleet) ask(ctx context.Context, router, n int, before heard) heard {
+	body := fmt.Sprintf(`{"model":"m","stream":true,"partial":%q,"messages":[{"role":"user","content":%q}]}`, before.text, words(n))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+routerAddress(router)+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		f.t.Error(err)
+		return before
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("X-Team", "demo")
+	req.Header.Set("X-Client-Account", "label")
+	if before.lastID != "" {
+		req.Header.Set("Last-Event-ID", before.lastID)
+	}
+	tr := f.network.Transport()
+	defer tr.CloseIdleConnections()
+	res, err := tr.RoundTrip(req)
+	if err != nil {
+		return before
+	}
+	defer res.Body.Close()
+	before.status, before.header = res.StatusCode, res.Header
+	return before.read(res)
+}
+
+// read takes in the events of a stream for as long as they come.
+func (h heard) read(res *http.Response) heard {
+	for e, err := range sse.Read(res.Body, nil) {
+		if err != nil {
+			break
+		}
+		switch {
+		case e.Type == "outcome":
+			h.outcome = e.Data
+		case e.Type == "error":
+			h.body = e.Data
+		case e.Data == "[DONE]":
+			h.whole = true
+		default:
+			h.take(e)
+		}
+	}
+	return h
+}
+
+func (h *heard) take(e sse.Event) {
+	id, err := engine.ParseEventID(e.LastEventID)
+	if err != nil {
+		h.body = err.Error()
+		return
+	}
+	h.lastID = e.LastEventID
+	h.offset = id.Offset
+	if _, rest, ok := strings.Cut(e.Data, `"content":"`); ok {
+		text, _, _ := strings.Cut(rest, `"`)
+		h.text += text
+	}
+}
+
+// problem tells what is wrong with the answer to chat n, or nothing.
+func (h heard) problem(n int) string {
+	expected := want(n)
+	switch {
+	case !h.whole:
+		return fmt.Sprintf("chat %d: not whole: status %d, outcome %q, error %q, %d tokens", n, h.status, h.outcome, h.body, h.offset)
+	case h.text != expected:
+		return fmt.Sprintf("chat %d: got %q, want %q", n, h.text, expected)
+	case h.offset != len(strings.Fields(expected)):
+		return fmt.Sprintf("chat %d: last offset %d of %d", n, h.offset, len(strings.Fields(expected)))
+	case h.outcome == "" || !strings.Contains(h.outcome, `"ran"`):
+		return fmt.Sprintf("chat %d: whole, but outcome %q", n, h.outcome)
+	}
+	return ""
+}
--- a/wisteriarouter/caller/chat.go
+++ b/wisteriarouter/caller/chat.go
@@ -17,8 +17,8 @@
 	"wisteriaspool/wisteriarouter/engine"
 )
 
-// chatHeaders are the headers of a chat request.
-type chatHeaders struct {
+// ChatHeaders are the headers of a chat request.
+type ChatHeaders struct {
 	Team        string `header:"X-Team" doc:"Team whose settings serve the request. Required."`
 	Account     string `header:"X-Client-Account" doc:"Client account. Required."`
 	Chat        string `header:"X-Chat-Id" doc:"Conversation, which may return."`
@@ -139,7 +139,7 @@
 
 // newChat checks a request. Whatever is wrong with it is refused before
 // anything reaches an endpoint.
-func (s *Server) newChat(h chatHeaders, in chatBody, raw []byte) (*chat, *outcome.Refusal) {
+func (s *Server) newChat(h ChatHeaders, in chatBody, raw []byte) (*chat, *outcome.Refusal) {
 	if h.Team == "" {
 		return nil, refuse(outcome.UnknownTeam, "the X-Team header is missing")
 	}
--- a/wisteriarouter/engine/engine.go
+++ b/wisteriarouter/engine/engine.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -105,16 +106,36 @@
 	call time.Duration
 }
 
-// NewClient returns a client and a function that closes its connections. A
-// short call, such as a cancel, takes no longer than call.
-func NewClient(call time.Duration) (*Client, func()) {
+// Options are the options of a client. The zero value is ready for use.
+type Options struct {
+	// Call is the longest time of a short call, such as a cancel; 500 ms.
+	Call time.Duration
+	// DialContext makes connections; that of net.Dialer.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+const (
+	defaultCall = 500 * time.Millisecond
+	dialTimeout = time.Second
+	idleConns   = 256
+	idleTimeout = 30 * time.Second
+)
+
+// NewClient returns a client and a function that closes its connections.
+func NewClient(opts Options) (*Client, func()) {
+	if opts.Call <= 0 {
+		opts.Call = defaultCall
+	}
+	if opts.DialContext == nil {
+		opts.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	tr := &http.Transport{
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     30 * time.Second,
+		DialContext:         opts.DialContext,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	c := &Client{http: &http.Client{Transport: tr}, call: call}
-	return c, tr.CloseIdleConnections
+	return &Client{http: &http.Client{Transport: tr}, call: opts.Call}, tr.CloseIdleConnections
 }
 
 // Start sends one attempt to the engine at address. On success the answer's
