coordination/settings: keep replicas in step by few watchers and gossip

A fingerprint rides on the platform's confirmations and shows a router that it lacks something. Tests cover outage, watch gap, stuck watch, a router that hears no rumours, restored older value, replacement of all routers, with 1 to 30 routers in the paused clock.

--- a/coordination/settings/editor.go
+++ b/coordination/settings/editor.go
@@ -77,11 +77,13 @@
 	if !ok && p.Base == 0 {
 		return basis{}, Outcome{}, false
 	}
-	if ok && in.Position.Revision == p.Base {
-		return basis{expect: p.Base, previous: p.Base, value: &in.Value, inForce: in.Position}, Outcome{}, false
-	}
 	if ok {
 		b.inForce = in.Position
+		b.raise(in.standing())
+	}
+	if ok && in.Position.Revision == p.Base {
+		b.expect, b.previous = p.Base, p.Base
+		return b, Outcome{}, false
 	}
 	pair, found, out, failed := e.read(ctx, p.Team)
 	if failed {
@@ -92,7 +94,7 @@
 	}
 	b.expect, b.previous = pair.Revision, pair.Revision
 	standing := standingOf(pair)
-	b.value = standing.Value
+	b.raise(standing)
 	switch {
 	case pair.Revision < p.Base:
 		// Either the read was stale or the author saw a revision that the
@@ -215,7 +217,7 @@
 	if s.Value == nil {
 		return false
 	}
-	for _, c := range s.Value.chain() {
+	for _, c := range s.Value.History(s.Revision) {
 		if c.Previous == previous && c.ID != id {
 			return true
 		}
--- /dev/null
+++ b/coordination/settings/fleet_test.go
@@ -0,0 +1,272 @@
+package settings
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/kv/kvtest"
+)
+
+const testTeam = coordination.Team("solco")
+
+// router is one router of a fleet under test.
+type router struct {
+	*node
+	replica *Replica
+	editor  *Editor
+	sync    *Sync
+	stop    func()
+	last    Position // the latest in force, to see that it never goes back
+}
+
+// fleet is several routers on one fake platform and one fake hub.
+type fleet struct {
+	t       testing.TB
+	store   *kvtest.Store
+	hub     *hub
+	routers []*router
+	started int
+}
+
+func newFleet(t testing.TB, seed uint64, n int) *fleet {
+	f := &fleet{t: t, store: kvtest.New(), hub: newHub(seed)}
+	ctx, cancel := context.WithCancel(context.Background())
+	go f.hub.run(ctx)
+	for range n {
+		f.start()
+	}
+	t.Cleanup(func() {
+		for _, r := range f.routers {
+			r.stop()
+		}
+		cancel()
+	})
+	return f
+}
+
+// start adds a router to the fleet.
+func (f *fleet) start() *router {
+	r := &router{node: f.hub.add(f.started), replica: &Replica{}}
+	f.started++
+	r.replica.Observe(func(o Observation) { r.check(f.t, o) })
+	r.editor = NewEditor(f.store, r.replica)
+	r.sync, r.stop = NewSync(Config{Self: r.member.Instance, Zone: r.member.Zone}, r.replica, f.store, r.node)
+	f.routers = append(f.routers, r)
+	return r
+}
+
+// kill takes the router at i away.
+func (f *fleet) kill(i int) {
+	r := f.routers[i]
+	f.routers = append(f.routers[:i:i], f.routers[i+1:]...)
+	f.hub.remove(r.node)
+	r.stop()
+}
+
+// check holds the router to the promise that nothing reverts.
+func (r *router) check(t testing.TB, o Observation) {
+	if o.Verdict != Applied {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o.InForce.Position.Before(r.last) {
+		t.Errorf("%s went back from %v to %v", r.member.Instance, r.last, o.InForce.Position)
+	}
+	r.last = o.InForce.Position
+}
+
+func (r *router) position() Position {
+	in, ok := r.replica.Snapshot(testTeam)
+	if !ok {
+		return Position{}
+	}
+	return in.Position
+}
+
+func change(text string, base kv.Revision) Put {
+	return Put{Team: testTeam, Text: text, Base: base, ID: NewChangeID(), Author: "op", Reason: "test"}
+}
+
+// accept makes a change through r and returns its position.
+func (r *router) accept(t testing.TB, text string) Position {
+	t.Helper()
+	out := r.editor.Put(context.Background(), change(text, r.position().Revision))
+	assert.Equal(t, out.Status, Accepted, "%v %v", out.Err, out.Problems)
+	return out.Position
+}
+
+// behind counts the routers that do not have p in force.
+func (f *fleet) behind(p Position) int {
+	n := 0
+	for _, r := range f.routers {
+		if r.position().Before(p) {
+			n++
+		}
+	}
+	return n
+}
+
+// await returns after how long p is in force on all routers.
+func (f *fleet) await(p Position, limit time.Duration) time.Duration {
+	f.t.Helper()
+	start := time.Now()
+	for f.behind(p) > 0 {
+		if time.Since(start) >= limit {
+			f.t.Fatalf("after %v, %d of %d routers lack %v", limit, f.behind(p), len(f.routers), p)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+const inForceWithin = 4 * time.Second
+
+// The plain path at several sizes: one change, in force everywhere in time,
+// and few calls to the platform.
+func TestChangeReachesAll(t *testing.T) {
+	for _, n := range []int{1, 2, 7, 30} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, uint64(n), n)
+			time.Sleep(10 * time.Second)
+			p := f.routers[n/2].accept(t, oneSecond)
+			f.await(p, inForceWithin)
+			f.await(f.routers[0].accept(t, twoSeconds), inForceWithin)
+			assert.Equal(t, f.store.Calls("cas"), 2)
+			assert.Assert(t, f.store.Calls("watch") <= 4, "%d routers, %d watches", n, f.store.Calls("watch"))
+		})
+	}
+}
+
+// The platform goes down right after it accepted a change, and with it every
+// watch. Routers have to get the change from each other, keep it, and start
+// from each other; no new change can be accepted, and operators are told so.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 7)
+		time.Sleep(10 * time.Second)
+		p := f.routers[3].accept(t, oneSecond)
+		f.store.SetFaults(kvtest.Faults{Down: true})
+		f.await(p, inForceWithin)
+		for range 7 { // all are replaced, one after the other
+			f.kill(0)
+			started := time.Now()
+			r := f.start()
+			<-r.sync.Ready()
+			assert.Assert(t, time.Since(started) < 2*time.Second)
+			assert.Equal(t, r.position(), p)
+			time.Sleep(30 * time.Second)
+		}
+		out := f.routers[0].editor.Put(t.Context(), change(twoSeconds, p.Revision))
+		assert.Equal(t, out.Status, Unwritten)
+		assert.Assert(t, out.RetryAfter > 0)
+		f.store.SetFaults(kvtest.Faults{})
+		time.Sleep(5 * time.Second)
+		f.await(f.routers[0].accept(t, twoSeconds), inForceWithin)
+	})
+}
+
+// A watch delivers nothing for a while and then goes on. A change that the
+// platform took in between, from a router that died before it could tell
+// anybody, would stay unknown to the fleet.
+func TestWatchGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 7)
+		time.Sleep(10 * time.Second)
+		f.await(f.routers[0].accept(t, oneSecond), inForceWithin)
+		f.store.SetFaults(kvtest.Faults{DropWatch: true})
+		lone := NewEditor(f.store, f.routers[0].replica.copyOf(testTeam))
+		out := lone.Put(t.Context(), change(twoSeconds, f.routers[0].position().Revision))
+		assert.Equal(t, out.Status, Accepted)
+		f.store.SetFaults(kvtest.Faults{})
+		f.await(out.Position, inForceWithin)
+	})
+}
+
+// All watches are stuck without a sign, and the router that made the change
+// died at once. Only the watchers' regular reading of everything shows it.
+func TestStuckWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 7)
+		time.Sleep(10 * time.Second)
+		f.await(f.routers[0].accept(t, oneSecond), inForceWithin)
+		f.store.SetFaults(kvtest.Faults{DropWatch: true})
+		lone := NewEditor(f.store, f.routers[0].replica.copyOf(testTeam))
+		out := lone.Put(t.Context(), change(twoSeconds, f.routers[0].position().Revision))
+		assert.Equal(t, out.Status, Accepted)
+		f.await(out.Position, 3*rereadEvery/2+inForceWithin)
+	})
+}
+
+// copyOf returns a replica with the same settings of team in force, of which
+// the fleet knows nothing.
+func (r *Replica) copyOf(team coordination.Team) *Replica {
+	var c Replica
+	in, _ := r.Snapshot(team)
+	c.Offer(team, kv.Pair{Value: in.data, Revision: in.Position.Revision})
+	return &c
+}
+
+// A router never hears the rumour of a change, as when it was cut off until
+// the rumour had died out. It must notice that it lacks something.
+func TestDriftIsMended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4, 30)
+		time.Sleep(10 * time.Second)
+		f.await(f.routers[0].accept(t, oneSecond), inForceWithin)
+		lone := f.plain(t)
+		lone.setDeaf(topicChange)
+		p := f.routers[0].accept(t, twoSeconds)
+		time.Sleep(time.Second)
+		assert.Equal(t, f.behind(p), 1)
+		f.await(p, confirmEvery+inForceWithin)
+	})
+}
+
+// plain returns a router other than the first that is no watcher.
+func (f *fleet) plain(t *testing.T) *router {
+	for _, r := range f.routers[1:] {
+		if !r.sync.Watching() {
+			return r
+		}
+	}
+	t.Fatal("all routers watch")
+	return nil
+}
+
+// The platform loses an accepted change to somebody who puts an older value
+// back. Routers that are started then, with peers, must not serve by it.
+func TestRestoredValueReachesNoRouter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 5, 7)
+		time.Sleep(10 * time.Second)
+		f.routers[0].accept(t, oneSecond)
+		older := f.store.Get(t.Context(), Key(testTeam)).Pairs[0]
+		p := f.routers[0].accept(t, twoSeconds)
+		f.await(p, inForceWithin)
+		res := f.store.CompareAndSwap(t.Context(), older.Key, older.Value, p.Revision, 0)
+		assert.Equal(t, res.Status, kv.Applied)
+		time.Sleep(5 * time.Second)
+		for range 7 {
+			f.kill(0)
+			r := f.start()
+			<-r.sync.Ready()
+			assert.Equal(t, r.position(), p)
+			time.Sleep(15 * time.Second)
+		}
+		assert.Assert(t, f.routers[0].replica.Status()[0].Position == p)
+		standing, fresh := f.routers[0].editor.Read(t.Context(), testTeam)
+		assert.Assert(t, fresh)
+		assert.Equal(t, standing.Revision, res.Revision)
+		assert.Equal(t, f.routers[0].replica.Status()[0].Refused.Verdict, Older)
+		out := f.routers[1].editor.Put(t.Context(), change(oneSecond, res.Revision))
+		assert.Equal(t, out.Status, Accepted)
+		f.await(out.Position, inForceWithin)
+	})
+}
--- a/coordination/settings/put.go
+++ b/coordination/settings/put.go
@@ -55,6 +55,11 @@
 	Value    *Value // nil if the value has no readable change record
 }
 
+// position returns the position of s, which has a readable record.
+func (s Standing) position() Position {
+	return Position{Sequence: s.Value.Change.Sequence, Revision: s.Revision}
+}
+
 // Outcome is how a Put ended.
 type Outcome struct {
 	Status     PutStatus
@@ -101,10 +106,20 @@
 type basis struct {
 	expect   kv.Revision // of the key; 0 if it does not exist
 	previous kv.Revision // that the change record names
-	value    *Value      // nil if there is none that can be read
+	newest   Standing    // the latest change that is known
 	inForce  Position
 }
 
+// raise makes s the latest change known to b if it is later.
+func (b *basis) raise(s Standing) {
+	if s.Value == nil {
+		return
+	}
+	if b.newest.Value == nil || b.newest.position().Before(s.position()) {
+		b.newest = s
+	}
+}
+
 // change returns the value that puts p on b.
 func (b basis) change(p Put, now time.Time) Value {
 	v := Value{Text: p.Text, Change: Change{
@@ -116,12 +131,10 @@
 		Time:     now.UTC().Truncate(time.Millisecond),
 		Digest:   DigestOf(p.Text),
 	}}
-	before := ""
-	if b.value != nil {
-		before = b.value.Text
-		v.Earlier = b.value.chain()
+	if b.newest.Value != nil {
+		v.Earlier = b.newest.Value.History(b.newest.Revision)
 	}
-	v.Change.Diff = cut(Diff(before, p.Text), maxDiff)
+	v.Change.Diff = cut(Diff(b.newest.Text, p.Text), maxDiff)
 	return v
 }
 
@@ -130,8 +143,8 @@
 // sequence in force above those that the platform has lost.
 func (b basis) sequence() uint64 {
 	highest := max(b.inForce.Sequence+1, uint64(b.previous), uint64(b.expect))
-	if b.value != nil {
-		highest = max(highest, b.value.Change.Sequence+1)
+	if b.newest.Value != nil {
+		highest = max(highest, b.newest.Value.Change.Sequence+1)
 	}
 	return highest
 }
--- a/coordination/settings/replica_test.go
+++ b/coordination/settings/replica_test.go
@@ -158,7 +158,7 @@
 func TestValueStaysBounded(t *testing.T) {
 	v := Value{Text: string(make([]byte, 20<<10)), Change: Change{ID: "x", Diff: string(make([]byte, maxDiff))}}
 	for range 200 {
-		v.Earlier = append(v.Earlier, v.Change)
+		v.Earlier = append(v.Earlier, Entry{Change: v.Change})
 	}
 	data, err := v.encode()
 	assert.NilError(t, err)
--- a/coordination/settings/value.go
+++ b/coordination/settings/value.go
@@ -68,19 +68,19 @@
 	Diff     string      `json:"diff,omitempty"`
 }
 
-// Value is what the platform holds for one team.
-type Value struct {
-	Text    string   `json:"text"`
-	Change  Change   `json:"change"`
-	Earlier []Change `json:"earlier,omitempty"` // newest first
-}
-
 // Entry is a change with the revision at which it was written.
 type Entry struct {
 	Change
 	Revision kv.Revision `json:"revision"`
 }
 
+// Value is what the platform holds for one team.
+type Value struct {
+	Text    string  `json:"text"`
+	Change  Change  `json:"change"`
+	Earlier []Entry `json:"earlier,omitempty"` // newest first
+}
+
 // Position orders the accepted values of one team. The zero Position is before
 // all.
 type Position struct {
@@ -143,20 +143,10 @@
 	}
 }
 
-// chain returns all changes that v knows of, newest first.
-func (v Value) chain() []Change {
-	return append([]Change{v.Change}, v.Earlier...)
-}
-
 // History returns the changes that v knows of, newest first, when v stands at
 // revision.
 func (v Value) History(revision kv.Revision) []Entry {
-	var entries []Entry
-	for _, c := range v.chain() {
-		entries = append(entries, Entry{Change: c, Revision: revision})
-		revision = c.Previous
-	}
-	return entries
+	return append([]Entry{{Change: v.Change, Revision: revision}}, v.Earlier...)
 }
 
 // find returns the entry of id when v stands at revision.
--- /dev/null
+++ b/coordination/settings/watch.go
@@ -0,0 +1,99 @@
+package settings
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"wisteriaspool/coordination/kv"
+)
+
+// watcher watches the platform while its router is one of the watchers.
+type watcher struct {
+	s      *Sync
+	cancel context.CancelFunc
+}
+
+// run reads all settings and watches for changes, again and again until ctx
+// ends.
+func (w *watcher) run(ctx context.Context) {
+	defer w.s.group.Done()
+	wait := firstBackoff
+	for ctx.Err() == nil {
+		if w.follow(ctx) {
+			wait = firstBackoff
+		}
+		if !sleep(ctx, wait) {
+			return
+		}
+		wait = min(2*wait, 2*time.Second)
+	}
+}
+
+// follow reads all settings once and follows a watch from there until it
+// breaks. It reports whether the watch was opened.
+func (w *watcher) follow(ctx context.Context) bool {
+	revision, ok := w.s.list(ctx)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w.s.count(func(st *Stats) { st.Watches++ })
+	batches, res := w.s.store.Watch(ctx, Prefix, revision)
+	if res.Status != kv.Applied {
+		return false
+	}
+	w.drain(ctx, batches, revision)
+	return true
+}
+
+// drain takes batches until the watch breaks. An open watch can miss changes
+// without a sign, as when it is stuck behind a broken connection; reading all
+// settings once in a while bounds how long that goes unnoticed.
+func (w *watcher) drain(ctx context.Context, batches <-chan kv.Batch, revision kv.Revision) {
+	confirm := time.NewTicker(confirmEvery)
+	defer confirm.Stop()
+	reread := time.NewTimer(rereadEvery/2 + rand.N(rereadEvery))
+	defer reread.Stop()
+	for {
+		ok := true
+		select {
+		case b, open := <-batches:
+			if !open {
+				return
+			}
+			revision = max(revision, b.Revision)
+			ok = w.take(ctx, b)
+		case <-confirm.C:
+			w.s.confirm(revision)
+		case <-reread.C:
+			reread.Reset(rereadEvery/2 + rand.N(rereadEvery))
+			_, ok = w.s.list(ctx)
+		case <-ctx.Done():
+			return
+		}
+		if !ok {
+			return
+		}
+	}
+}
+
+// take offers what a batch brings. It reports whether the watch is still good.
+func (w *watcher) take(ctx context.Context, b kv.Batch) bool {
+	for _, e := range b.Events {
+		team, ok := TeamOf(e.Pair.Key)
+		switch {
+		case !ok:
+		case e.Deleted:
+			w.s.replica.Remove(team, e.Pair.Revision)
+		default:
+			w.s.replica.Offer(team, e.Pair)
+		}
+	}
+	if b.Gap {
+		_, ok := w.s.list(ctx)
+		return ok
+	}
+	return true
+}
