placement: an entry's word that an endpoint is dead reaches its owner at once

Cause: for as long as lists lag, owners went on offering a dead endpoint, or answered as if it were busy, so that an entry did not learn that something had taken it.

--- a/coordination/placement/admit.go
+++ b/coordination/placement/admit.go
@@ -72,7 +72,7 @@
 	v := o.view.Load()
 	d := v.set.Find(id)
 	if d == nil {
-		return AdmitReply{Decision: Next, Code: Gone}
+		return AdmitReply{Decision: Next, Code: Lost}
 	}
 	return AdmitReply{Decision: Next, Code: NotOwner, Owner: v.routers.Owner(id, d.Zone)}
 }
@@ -85,8 +85,8 @@
 	if _, ok := l.released[id]; ok {
 		return AdmitReply{Decision: Refused, Code: Cancelled}, nil
 	}
-	if l.left || req.Incarnation != 0 && req.Incarnation != l.desc.Incarnation {
-		return AdmitReply{Decision: Next, Code: Gone}, nil
+	if code := l.absent(now, req, cfg); code != None {
+		return AdmitReply{Decision: Next, Code: code}, nil
 	}
 	l.dispatch(now, cfg)
 	code := l.fits(now, req.Alone, cfg)
@@ -103,6 +103,20 @@
 	return l.enqueue(now, id, req, cfg)
 }
 
+// absent tells whether the endpoint can take no new work at all, or None.
+func (l *endpointLoad) absent(now time.Time, req AdmitRequest, cfg *Config) Code {
+	switch {
+	case req.Incarnation != 0 && req.Incarnation != l.desc.Incarnation:
+		return Lost
+	case l.left:
+		return Gone
+	case l.isLost(now, cfg):
+		return Lost
+	default:
+		return None
+	}
+}
+
 // fits tells what keeps the endpoint from one more request, or None. The bound
 // is left to grant, which checks and counts in one step.
 func (l *endpointLoad) fits(now time.Time, alone bool, cfg *Config) Code {
--- a/coordination/placement/candidates.go
+++ b/coordination/placement/candidates.go
@@ -98,6 +98,20 @@
 	return nil
 }
 
+// LostSince returns the endpoints of an older snapshot that have gone or
+// restarted without having been seen to leave.
+func (s *Set) LostSince(old *Set) []Descriptor {
+	var lost []Descriptor
+	for id, d := range old.byID {
+		now := s.byID[id]
+		if d.State != Leaving && (now == nil || now.Incarnation > d.Incarnation) {
+			lost = append(lost, *d)
+		}
+	}
+	slices.SortFunc(lost, func(a, b Descriptor) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return lost
+}
+
 // scored is an endpoint in the course of a selection; a lower score is better.
 type scored struct {
 	score float64
--- a/coordination/placement/entry.go
+++ b/coordination/placement/entry.go
@@ -82,6 +82,7 @@
 			continue
 		}
 		if r.Decision == Granted && ctx.Err() == nil {
+			g.Lost = w.lost
 			return g, Refusal{}
 		}
 		if r.Decision == Granted {
@@ -165,6 +166,21 @@
 // time to the first token, so a frozen owner must not take more of it.
 const admitTimeout = 100 * time.Millisecond
 
+// Lost tells the owner of an endpoint that this router has found it dead, so
+// that others do not run into it before their lists say so.
+func (e *Entry) Lost(ctx context.Context, d Descriptor) {
+	b := ReleaseBatch{Entry: e.id, Lost: []LostEndpoint{{Endpoint: d.ID, Incarnation: d.Incarnation}}}
+	to := e.view.Load().routers.Owner(d.ID, d.Zone)
+	if to == e.id.Instance {
+		e.local.Release(b)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	// If the message is lost, the list will tell the owner a little later.
+	_, _ = e.transport.Call(ctx, to, TopicRelease, b.Encode())
+}
+
 // Tick sends the releases that have gathered, and registers the held grants
 // when lists have changed or a third of the entry's lease has passed.
 func (e *Entry) Tick(ctx context.Context) {
--- a/coordination/placement/grants.go
+++ b/coordination/placement/grants.go
@@ -16,6 +16,10 @@
 	Endpoint Descriptor
 	Warm     bool // the endpoint is the one that the hint named
 
+	// Lost lists the candidates that turned out to have died. Something took
+	// them, and it may have been a copy of this very request.
+	Lost []LostEndpoint
+
 	entry    *Entry
 	sequence Sequence
 	alone    bool
--- a/coordination/placement/load.go
+++ b/coordination/placement/load.go
@@ -38,6 +38,7 @@
 	service serviceTime
 	counted int // what the pool's sum holds for this endpoint
 	left    bool
+	lost    time.Time // when an entry last found it dead; zero if alive
 
 	// A new owner does not know what its endpoint runs until entries have
 	// registered or the endpoint has reported. Counting from zero would put a
@@ -104,6 +105,13 @@
 	return !reported
 }
 
+// isLost reports whether an entry has found the endpoint dead of late. Its own
+// report proves otherwise, and without any the entry's word lasts no longer
+// than a report would.
+func (l *endpointLoad) isLost(now time.Time, cfg *Config) bool {
+	return !l.lost.IsZero() && now.Sub(l.lost) < cfg.ReportTTL
+}
+
 // refresh brings the pool's sum in line with the count.
 func (l *endpointLoad) refresh(now time.Time, cfg *Config) {
 	n := l.count(now, cfg)
@@ -147,6 +155,9 @@
 	if r.Observed.Before(l.report.Observed) {
 		return
 	}
+	if r.Observed.After(l.lost) {
+		l.lost = time.Time{}
+	}
 	known := 0
 	for _, g := range l.grants {
 		if !g.start.After(r.Observed) {
--- a/coordination/placement/messages.go
+++ b/coordination/placement/messages.go
@@ -104,7 +104,7 @@
 	None        Code = iota
 	Overloaded       // no capacity, and no room in the queue
 	Deadline         // cannot start in time
-	Gone             // the endpoint is leaving, restarted or unknown
+	Gone             // the endpoint is leaving
 	Poison           // convicted of crashing endpoints
 	NotOwner         // the asked router does not own the endpoint
 	OverBound        // the endpoint carries its multiple of the mean
@@ -112,12 +112,13 @@
 	Settling         // a new owner does not yet know what the endpoint runs
 	Cancelled        // the entry has released the request already
 	Unreachable      // the owner could not be reached, and the fallback declined
+	Lost             // the endpoint has died, restarted or is unknown
 )
 
 var codeNames = [...]string{
 	None: "none", Overloaded: "overloaded", Deadline: "deadline", Gone: "leaving",
 	Poison: "poison", NotOwner: "not-owner", OverBound: "over-bound", Full: "full",
-	Settling: "settling", Cancelled: "cancelled", Unreachable: "unreachable",
+	Settling: "settling", Cancelled: "cancelled", Unreachable: "unreachable", Lost: "endpoint-lost",
 }
 
 // String returns the name of c as logs, metrics and callers see it.
@@ -152,10 +153,19 @@
 	Sequence Sequence
 }
 
-// ReleaseBatch ends grants of one entry.
+// LostEndpoint names an incarnation of an endpoint that an entry found dead.
+type LostEndpoint struct {
+	_           struct{} `cbor:",toarray"`
+	Endpoint    coordination.Endpoint
+	Incarnation coordination.Incarnation
+}
+
+// ReleaseBatch ends grants of one entry, and tells of endpoints that it found
+// dead.
 type ReleaseBatch struct {
-	Entry    EntryID   `cbor:"1,keyasint"`
-	Releases []Release `cbor:"2,keyasint"`
+	Entry    EntryID        `cbor:"1,keyasint"`
+	Releases []Release      `cbor:"2,keyasint,omitempty"`
+	Lost     []LostEndpoint `cbor:"3,keyasint,omitempty"`
 }
 
 // Register lists all that an entry holds or has asked for at endpoints which
--- a/coordination/placement/owner.go
+++ b/coordination/placement/owner.go
@@ -109,7 +109,7 @@
 		return // an older list
 	}
 	if l != nil {
-		l.retire(Gone)
+		l.retire(Lost)
 	}
 	// Somebody may have placed requests there before, unless the endpoint has
 	// only now come up or restarted before our eyes.
@@ -130,7 +130,7 @@
 		d := set.Find(id)
 		switch {
 		case d == nil:
-			l.retire(Gone)
+			l.retire(Lost)
 			delete(s.loads, id)
 		case routers.Owner(id, d.Zone) != self:
 			l.retire(NotOwner)
--- a/coordination/placement/release.go
+++ b/coordination/placement/release.go
@@ -16,6 +16,20 @@
 	for _, r := range b.Releases {
 		o.end(now, GrantID{Entry: b.Entry, Sequence: r.Sequence}, r.Endpoint)
 	}
+	for _, e := range b.Lost {
+		o.lose(now, e)
+	}
+}
+
+// lose takes an entry's word that an endpoint is dead, before any list says so.
+func (o *Owner) lose(now time.Time, e LostEndpoint) {
+	s := o.shard(e.Endpoint)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.loads[e.Endpoint]; l != nil && l.desc.Incarnation == e.Incarnation {
+		l.lost = now
+		l.passOn(Lost)
+	}
 }
 
 // end ends one grant, or withdraws one waiting request.
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -75,6 +75,7 @@
 	queue    *Descriptor
 	wait     Millis // expected in that queue
 	last     Code
+	lost     []LostEndpoint // whose owners know of their death
 }
 
 // stage is how far a walk has come.
@@ -209,6 +210,9 @@
 		if r.Owner != "" && r.Owner != a.owner && w.stage == asking {
 			w.redirect = r.Owner
 		}
+	case Lost:
+		w.other = true
+		w.lost = append(w.lost, LostEndpoint{Endpoint: a.endpoint.ID, Incarnation: a.endpoint.Incarnation})
 	default:
 		w.other = true
 	}
@@ -232,7 +236,7 @@
 func (w *walk) exhausted() Refusal {
 	code := w.last
 	switch code {
-	case Unreachable, Gone:
+	case Unreachable, Gone, Lost:
 	default:
 		code = Overloaded
 	}
