Put a crashed engine's new incarnation on the list of instances

An engine that crashed and came back in the same process stayed on the list under its old incarnation, so routers could not tell its lives apart. Its member now looks every 200 ms.

--- a/standin/commands.go
+++ b/standin/commands.go
@@ -107,7 +107,7 @@
 	}
 	e, cleanup := engine.New(c.opts)
 	defer cleanup()
-	return status(c.run(ctx, e, "engine", e.Incarnation()))
+	return status(c.run(ctx, e, "engine"))
 }
 
 // serviceCommand runs a plain service.
@@ -139,5 +139,5 @@
 	c.opts.ID, c.opts.Capacity = c.id, c.capacity
 	s, cleanup := service.New(c.opts)
 	defer cleanup()
-	return status(c.run(ctx, s, "service", s.Incarnation()))
+	return status(c.run(ctx, s, "service"))
 }
--- /dev/null
+++ b/standin/member.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"net/http"
+	"time"
+
+	"wisteriaspool/standin/platform"
+)
+
+// refreshInterval is the time between two looks at a member's incarnation.
+const refreshInterval = 200 * time.Millisecond
+
+// member holds the flags of everything that is on the list of instances.
+type member struct {
+	listener
+	platform  string
+	id        string
+	zone      string
+	pool      string
+	capacity  int
+	leaveTime time.Duration
+}
+
+func (m *member) setFlags(f *flag.FlagSet, id, pool string, capacity int) {
+	m.listener.setFlags(f)
+	f.StringVar(&m.platform, "platform", "", "`URL` of the platform stand-in to register with; empty registers nowhere")
+	f.StringVar(&m.id, "id", id, "`id` on the list of instances")
+	f.StringVar(&m.zone, "zone", "a", "availability `zone`")
+	f.StringVar(&m.pool, "pool", pool, "`pool`, as model@version or the name of a service")
+	f.IntVar(&m.capacity, "capacity", capacity, "requests that run at once")
+	f.DurationVar(&m.leaveTime, "leave-time", time.Second, "least `time` between the word that it leaves and its end")
+}
+
+// entry returns what the list of instances is to show.
+func (m *member) entry(address, kind string, incarnation uint64) platform.Instance {
+	return platform.Instance{
+		ID: m.id, Address: address, Zone: m.zone, Kind: kind, Pool: m.pool,
+		State: platform.Live, Incarnation: incarnation, Capacity: m.capacity,
+	}
+}
+
+// worker is what a member serves.
+type worker interface {
+	http.Handler
+	Incarnation() uint64
+	Leave()
+	Drain(ctx context.Context) error
+}
+
+// run serves w from start to a graceful stop.
+func (m *member) run(ctx context.Context, w worker, kind string) error {
+	ln, err := m.listen()
+	if err != nil {
+		return err
+	}
+	s := serve(ln, w)
+	p := &presence{
+		member: m, worker: w, client: platform.Client{URL: m.platform},
+		entry: m.entry(ln.Addr().String(), kind, w.Incarnation()),
+	}
+	if err := p.register(ctx); err != nil {
+		return err
+	}
+	refresh, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go p.loop(refresh, done)
+	err = s.wait(ctx)
+	cancel()
+	<-done
+	if err != nil {
+		return err
+	}
+	return m.leave(s, p)
+}
+
+// leave stops gracefully: nothing that was accepted is cut off.
+func (m *member) leave(s *server, p *presence) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	p.worker.Leave()
+	p.entry.State = platform.Leaving
+	registered := p.register(ctx)
+	time.Sleep(m.leaveTime)
+	drained := p.worker.Drain(ctx)
+	stopped := s.stop()
+	return errors.Join(registered, drained, stopped, p.remove(ctx))
+}
+
+// presence is a member's entry on the list of instances.
+type presence struct {
+	member *member
+	worker worker
+	client platform.Client
+	entry  platform.Instance
+}
+
+// loop puts a new incarnation on the list when the worker has crashed.
+func (p *presence) loop(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		incarnation := p.worker.Incarnation()
+		if incarnation == p.entry.Incarnation {
+			continue
+		}
+		next := *p
+		next.entry.Incarnation = incarnation
+		if next.register(ctx) == nil {
+			p.entry = next.entry
+		}
+	}
+}
+
+// register tries for a while, since the platform may be starting too.
+func (p *presence) register(ctx context.Context) error {
+	const tries, interval = 25, 200 * time.Millisecond
+	if p.member.platform == "" {
+		return nil
+	}
+	var err error
+	for range tries {
+		if err = p.client.Register(ctx, p.entry); err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(interval):
+		case <-ctx.Done():
+			return err
+		}
+	}
+	return err
+}
+
+func (p *presence) remove(ctx context.Context) error {
+	if p.member.platform == "" {
+		return nil
+	}
+	return p.client.Remove(ctx, p.entry.ID)
+}
