wisteriarouter/service: client of plain services and runner of actions

Non-idempotent actions go over a connection of their own, with a body that cannot be rewound and without a key, so that the transport never sends one again; a test shows first that a naive client does. Bytes count as sent from the moment that a connection is got. A place is taken before the record is created, so that what no endpoint has room for costs the platform nothing.

--- /dev/null
+++ b/wisteriarouter/service/client_test.go
@@ -0,0 +1,126 @@
+package service_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/wisteriarouter/service"
+)
+
+// cutter reads each call whole, and breaks the connection of all calls but the
+// first. So the broken one finds a connection that is being used again.
+type cutter struct{ arrivals atomic.Int32 }
+
+func (c *cutter) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	if c.arrivals.Add(1) > 1 {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func address(url string) string { return strings.TrimPrefix(url, "http://") }
+
+// A service takes an order and its connection breaks before the answer. Go's
+// transport sends a request with an idempotency key once more on its own, and
+// a service that ignores the key books twice. The first half shows that it
+// does, the second that our client gives it nothing to repeat.
+func TestTransportNeverRepeatsAction(t *testing.T) {
+	naive := &cutter{}
+	srv := httptest.NewServer(naive)
+	defer srv.Close()
+	for range 2 {
+		req, err := http.NewRequest(http.MethodPost, srv.URL, bytes.NewReader([]byte("book")))
+		assert.NilError(t, err)
+		req.Header.Set("Idempotency-Key", "k")
+		if res, err := http.DefaultClient.Do(req); err == nil {
+			res.Body.Close()
+		}
+	}
+	assert.Assert(t, naive.arrivals.Load() > 2, "the naive client was expected to repeat")
+
+	ours := &cutter{}
+	srv = httptest.NewServer(ours)
+	defer srv.Close()
+	c, cleanup := service.NewClient(service.Options{})
+	defer cleanup()
+	for i, want := range []outcome.Outcome{outcome.Ran, outcome.Unknown} {
+		var e outcome.Evidence
+		_, err := c.Do(t.Context(), &e, service.Call{Attempt: "a", Address: address(srv.URL), Action: "book", Body: []byte("book"), Once: true})
+		assert.Equal(t, e.Outcome(), want, "%v", err)
+		assert.Equal(t, ours.arrivals.Load(), int32(i+1))
+	}
+}
+
+func TestOutcomeOfCall(t *testing.T) {
+	answer := func(status int, word, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			if word != "" {
+				w.Header().Set(outcome.Header, word)
+			}
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, body)
+		}
+	}
+	tests := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    outcome.Outcome
+	}{
+		{"answer", answer(200, "", "booked"), outcome.Ran},
+		{"judged by the service", answer(422, "", "no such slot"), outcome.Ran},
+		{"its word", answer(503, "not-run", ""), outcome.NotRun},
+		{"its word of a run that failed", answer(500, "ran", ""), outcome.Ran},
+		{"its word that it cannot tell", answer(200, "unknown", ""), outcome.Unknown},
+		{"a word we do not know", answer(200, "maybe", ""), outcome.Unknown},
+		{"too many requests", answer(429, "", ""), outcome.Unknown},
+		{"bare error", answer(500, "", ""), outcome.Unknown},
+		{"error of a proxy", answer(502, "", ""), outcome.Unknown},
+		{"answer too large", answer(200, "", strings.Repeat("x", 100)), outcome.Unknown},
+		{"redirect", answer(307, "", ""), outcome.Unknown},
+		{"cut before the answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, outcome.Unknown},
+		{"cut within the answer", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "10")
+			_, _ = io.WriteString(w, "boo")
+		}, outcome.Unknown},
+	}
+	c, cleanup := service.NewClient(service.Options{MaxAnswer: 50})
+	defer cleanup()
+	for _, tt := range tests {
+		for _, once := range []bool{true, false} {
+			srv := httptest.NewServer(tt.handler)
+			var e outcome.Evidence
+			_, _ = c.Do(t.Context(), &e, service.Call{Attempt: "a", Address: address(srv.URL), Action: "book", Once: once})
+			assert.Equal(t, e.Outcome(), tt.want, "%s, once %v", tt.name, once)
+			srv.Close()
+		}
+	}
+}
+
+// Nobody listens at the endpoint's address any more. Nothing was sent, so the
+// action may go elsewhere, and its caller may be told not-run.
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	c, cleanup := service.NewClient(service.Options{})
+	defer cleanup()
+	var e outcome.Evidence
+	_, err := c.Do(t.Context(), &e, service.Call{Attempt: "a", Address: closedAddress(t), Action: "book", Once: true})
+	assert.ErrorContains(t, err, "service: ")
+	assert.Equal(t, e.Outcome(), outcome.NotRun)
+}
+
+// closedAddress returns an address where nobody listens.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	return l.Addr().String()
+}
--- /dev/null
+++ b/wisteriarouter/service/observer.go
@@ -0,0 +1,46 @@
+package service
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"wisteriaspool/coordination/execution"
+	"wisteriaspool/wisteriarouter/event"
+)
+
+// Observer counts and logs what a ledger reports.
+type Observer struct {
+	reg    prometheus.Registerer
+	log    event.Log
+	events *prometheus.CounterVec
+}
+
+// NewObserver returns an observer whose metrics are registered with reg.
+func NewObserver(reg prometheus.Registerer, log event.Log) *Observer {
+	o := &Observer{
+		reg: reg,
+		log: log,
+		events: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wisteria_action_records_total",
+			Help: "What happened to execution records, by event.",
+		}, []string{"event"}),
+	}
+	reg.MustRegister(o.events)
+	return o
+}
+
+// Observe is for the field of that name in execution.Config.
+func (o *Observer) Observe(e execution.Event) {
+	o.events.WithLabelValues(e.String()).Inc()
+	switch e {
+	case execution.SettlementDelayed, execution.SettlementGivenUp, execution.RecordLost:
+		o.log.Emit(event.ActionUnfinished, event.F("state", e.String()))
+	}
+}
+
+// Follow shows how many records l holds open.
+func (o *Observer) Follow(l *execution.Ledger) {
+	o.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "wisteria_action_records_open",
+		Help: "Execution records that this router has not settled yet.",
+	}, func() float64 { return float64(l.Open()) }))
+}
--- /dev/null
+++ b/wisteriarouter/service/sending.go
@@ -0,0 +1,158 @@
+package service
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/execution"
+	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/wisteriarouter/caller"
+)
+
+// maxAttempts bounds the attempts of one action beside the retry budget.
+const maxAttempts = 3
+
+// retryAfterLoss is when a caller is told to come back after its endpoint was
+// lost.
+const retryAfterLoss = 2 * time.Second
+
+// sending is the sending of one action, over all its attempts. It implements
+// execution.Sender.
+type sending struct {
+	runner   *Runner
+	action   caller.Action
+	plan     Plan
+	deadline time.Time // latest start; zero for none
+	evidence outcome.Evidence
+	at       caller.Place
+	exclude  []coordination.Endpoint
+}
+
+func (r *Runner) newSending(a caller.Action, p Plan) *sending {
+	s := &sending{runner: r, action: a, plan: p, deadline: a.Deadline}
+	if s.deadline.IsZero() && p.StartWithin > 0 {
+		s.deadline = time.Now().Add(p.StartWithin)
+	}
+	return s
+}
+
+// place takes a place at an endpoint that was not tried yet.
+func (s *sending) place(ctx context.Context) *outcome.Refusal {
+	place, refusal := s.runner.Placer.Place(ctx, caller.Want{
+		Team:     s.action.Team,
+		Account:  s.action.Account,
+		Pool:     s.plan.Pool,
+		Priority: s.plan.Priority,
+		Deadline: s.deadline,
+		Exclude:  s.exclude,
+	})
+	if refusal != nil {
+		return refusal
+	}
+	s.at = place
+	return nil
+}
+
+// release gives the place back, once.
+func (s *sending) release() {
+	if s.at.Release != nil {
+		s.at.Release()
+		s.at.Release = nil
+	}
+}
+
+// Send implements execution.Sender. A non-idempotent action that may have
+// reached one endpoint is never sent to another; it is while it certainly has
+// not, or the endpoint has said that it did not run it.
+func (s *sending) Send(ctx context.Context) execution.Result {
+	if s.plan.NonIdempotent {
+		// A caller that hangs up does not undo the action. We wait for its
+		// answer and put it on record, for the caller will repeat.
+		ctx = context.WithoutCancel(ctx)
+	}
+	for n := 1; ; n++ {
+		reply, err := s.try(ctx)
+		if n == maxAttempts || ctx.Err() != nil || !s.mayRetry(reply, err) || !s.next(ctx) {
+			return s.result(reply, err)
+		}
+	}
+}
+
+func (s *sending) try(ctx context.Context) (Reply, error) {
+	defer s.release()
+	ctx, cancel := context.WithTimeout(ctx, s.plan.Timeout)
+	defer cancel()
+	reply, err := s.runner.Client.Do(ctx, &s.evidence, Call{
+		Attempt: coordination.Attempt(uuid.NewString()),
+		Address: s.at.Address,
+		Action:  s.action.Action,
+		Type:    s.action.Type,
+		Body:    s.action.Body,
+		Once:    s.plan.NonIdempotent,
+	})
+	if reply.Leaving {
+		s.runner.Placer.Leaving(s.at.Endpoint, s.at.Incarnation)
+	}
+	return reply, err
+}
+
+// mayRetry tells whether another attempt can do no harm and may help. It cannot
+// help where a service has judged the action itself, and not its own state.
+func (s *sending) mayRetry(reply Reply, err error) bool {
+	if err == nil && !busy(reply.Answer.Status) {
+		return false
+	}
+	return s.evidence.Outcome() == outcome.NotRun || err != nil && !s.plan.NonIdempotent
+}
+
+// next takes a place for another attempt, within the retry budget.
+func (s *sending) next(ctx context.Context) bool {
+	if !s.runner.Retries.Allow() {
+		return false
+	}
+	s.exclude = append(s.exclude, s.at.Endpoint)
+	return s.place(ctx) == nil
+}
+
+// result sums up the attempts by the last one's end.
+func (s *sending) result(reply Reply, err error) execution.Result {
+	o := s.evidence.Outcome()
+	if err != nil {
+		return execution.Result{Outcome: o, Refusal: lost(o)}
+	}
+	if o == outcome.NotRun && busy(reply.Answer.Status) {
+		return execution.Result{Outcome: o, Refusal: declined(reply)}
+	}
+	return execution.Result{Outcome: o, Answer: &reply.Answer}
+}
+
+func busy(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+// declined is the refusal of an action that the services turned away.
+func declined(r Reply) *outcome.Refusal {
+	return &outcome.Refusal{
+		Code:       outcome.Overloaded,
+		Message:    "the service takes no more actions now; repeat with the same key",
+		Outcome:    outcome.NotRun,
+		RetryAfter: max(r.RetryAfter, retryNow),
+	}
+}
+
+func lost(o outcome.Outcome) *outcome.Refusal {
+	r := &outcome.Refusal{
+		Code:       outcome.EndpointLost,
+		Message:    "the service was lost before it answered; the action may have run",
+		Outcome:    o,
+		RetryAfter: retryAfterLoss,
+	}
+	if o == outcome.NotRun {
+		r.Message = "the service could not be reached; repeat with the same key"
+	}
+	return r
+}
