--- a/standin/caller/action.go
+++ b/standin/caller/action.go
@@ -127,11 +127,7 @@
 	if res.StatusCode/100 == 2 {
 		return out
 	}
-	var e struct {
-		Error struct {
-			Code string `json:"code"`
-		} `json:"error"`
-	}
+	var e errorBody
 	_ = json.Unmarshal(data, &e) // of another form: no code
 	out.code = e.Error.Code
 	out.refusal = &refusal{status: res.StatusCode, hasRetry: res.Header.Get("Retry-After") != ""}
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -44,6 +44,7 @@
 	ActionRate float64  // actions a second, each sent through two routers at once
 	Services   []string // base URLs of stand-in services, read at the end to check the actions
 	Engines    []string // base URLs of stand-in engines, read at the end to measure skew
+	Counters   []string // names of the routers' metrics to show as rates, with or without labels
 	Bound      float64  // times the mean load that an engine may carry; 0 means 1.25
 
 	HTTP *http.Client // nil means one of its own
@@ -125,6 +126,7 @@
 	balancer, cleanup := newBalancer(opts)
 	defer cleanup()
 	l.balancer = balancer
+	before := l.readCounters(ctx)
 	for n := range opts.Accounts {
 		l.inFlight.Add(1)
 		go newAccount(l, n).run(ctx)
@@ -137,6 +139,7 @@
 	report := l.record.report(time.Since(l.start))
 	l.checkActions(ctx, &report)
 	l.measureSkew(ctx, &report)
+	report.Counters = l.rates(before, l.readCounters(ctx), report.Seconds)
 	return report, ctx.Err()
 }
 
--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -32,6 +33,7 @@
 	// told replaces the outcome of actions, when set.
 	told   string
 	refuse atomic.Int64 // chats to refuse as not run
+	code   string       // of those refusals
 	down   atomic.Bool
 }
 
@@ -40,12 +42,15 @@
 	case p.down.Load():
 		panic(http.ErrAbortHandler)
 	case r.URL.Path == "/readyz":
+	case r.URL.Path == "/metrics":
+		_, _ = fmt.Fprintf(w, "# TYPE tries counter\ntries{kind=\"chat\"} %d\ntries_other 7\n", p.attempt.Load())
 	case strings.HasPrefix(r.URL.Path, "/v1/services/"):
 		p.passAction(w, r)
 	case p.refuse.Add(-1) >= 0:
 		w.Header().Set("Retry-After", "1")
 		w.Header().Set("X-Outcome", "not-run")
 		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = fmt.Fprintf(w, `{"error":{"code":%q}}`, p.code)
 	default:
 		p.passChat(w, r)
 	}
@@ -164,6 +169,7 @@
 func TestSoundLoad(t *testing.T) {
 	inBubble(t, func(t *testing.T, s *site) {
 		s.opts.ActionRate, s.opts.MaxTokens = 0, 0 // answers of their natural length
+		s.opts.Counters = []string{"tries"}
 		r := s.run(t)
 		assert.Equal(t, r.Failures(), 0)
 		assert.Equal(t, r.Ran, r.Requests)
@@ -173,6 +179,8 @@
 		assert.Equal(t, s.engine.Stats().GeneratedTokens, r.Tokens)
 		assert.Check(t, r.First.P50 > 0 && r.First.P50 <= r.First.P99)
 		assert.Equal(t, r.Skew.Worst, 1.0) // there is one engine
+		assert.Equal(t, r.Counters[0].Routers, 2)
+		assert.Equal(t, math.Round(r.Counters[0].Mean*2*r.Seconds), float64(r.Requests))
 	})
 }
 
@@ -304,6 +312,22 @@
 	})
 }
 
+// A router refuses a poison request for good. Coming back cannot help, so its
+// caller stops at once.
+func TestFinalRefusal(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		s.opts.ActionRate = 0
+		for _, p := range s.routers {
+			p.code = codePoison
+			p.refuse.Store(math.MaxInt32)
+		}
+		r := s.run(t)
+		assert.Equal(t, r.NotRun, r.Requests)
+		assert.Equal(t, r.Refusals.WithRetryAfter, r.Requests)
+		assert.Equal(t, r.Codes[codePoison], r.Requests)
+	})
+}
+
 func TestRequestsAreBounded(t *testing.T) {
 	inBubble(t, func(t *testing.T, s *site) {
 		s.opts.Requests, s.opts.ActionRate = 21, 0
@@ -336,6 +360,7 @@
 		First: Quantiles{10, 20, 30, 40}, Gap: Quantiles{1, 2, 3, 4.5},
 		Actions:   ActionReport{Sent: 10, Ran: 9, Unknown: 1, Checked: 10},
 		Skew:      &Skew{Samples: 500, P50: 1.1, P99: 1.6, Worst: 2, Bound: 1.25},
+		Counters:  []Rate{{Name: "wisteria_peer_bytes_total", Routers: 3, Mean: 900, Highest: 1000.5}},
 		Unchecked: []string{"no engine answers"},
 	}
 	var out bytes.Buffer
--- /dev/null
+++ b/standin/caller/counters.go
@@ -0,0 +1,94 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// Rate is how fast a metric of the routers rose during the load.
+type Rate struct {
+	Name    string  `json:"name"`
+	Routers int     `json:"routers"` // that answered before and after
+	Mean    float64 `json:"mean"`    // a second for each router
+	Highest float64 `json:"highest"` // a second, of one router
+}
+
+// counterValues are the sums of the chosen metrics of one router, by name.
+type counterValues map[string]float64
+
+// readCounters reads the chosen metrics of each router. A router that does not
+// answer is left out.
+func (l *load) readCounters(ctx context.Context) map[string]counterValues {
+	out := make(map[string]counterValues)
+	if len(l.opts.Counters) == 0 {
+		return out
+	}
+	for _, router := range l.opts.Routers {
+		if values, ok := l.readMetrics(ctx, router); ok {
+			out[router] = values
+		}
+	}
+	return out
+}
+
+func (l *load) readMetrics(ctx context.Context, router string) (counterValues, bool) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, router+"/metrics", nil)
+	if err != nil {
+		return nil, false
+	}
+	res, err := l.opts.HTTP.Do(req)
+	if err != nil {
+		return nil, false
+	}
+	defer res.Body.Close()
+	values := make(counterValues)
+	lines := bufio.NewScanner(res.Body)
+	for lines.Scan() {
+		name, value, ok := parseSample(lines.Text())
+		if !ok {
+			continue
+		}
+		for _, chosen := range l.opts.Counters {
+			if chosen == name || strings.HasPrefix(name, chosen+"{") {
+				values[chosen] += value
+			}
+		}
+	}
+	return values, lines.Err() == nil && res.StatusCode == http.StatusOK
+}
+
+// parseSample reads one line of the text format, without a time stamp.
+func parseSample(line string) (string, float64, bool) {
+	cut := strings.LastIndexByte(line, ' ')
+	if cut < 0 || strings.HasPrefix(line, "#") {
+		return "", 0, false
+	}
+	value, err := strconv.ParseFloat(line[cut+1:], 64)
+	return line[:cut], value, err == nil
+}
+
+// rates compares what the routers showed before and after.
+func (l *load) rates(before, after map[string]counterValues, seconds float64) []Rate {
+	var out []Rate
+	for _, name := range l.opts.Counters {
+		r := Rate{Name: name}
+		for router, start := range before {
+			end, ok := after[router]
+			if !ok {
+				continue
+			}
+			rate := (end[name] - start[name]) / seconds
+			r.Routers++
+			r.Mean += rate
+			r.Highest = max(r.Highest, rate)
+		}
+		if r.Routers > 0 {
+			r.Mean /= float64(r.Routers)
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- a/standin/caller/report.go
+++ b/standin/caller/report.go
@@ -31,6 +31,7 @@
 	Gap       Quantiles    `json:"per_token"`
 	Actions   ActionReport `json:"actions"`
 	Skew      *Skew        `json:"skew,omitempty"`
+	Counters  []Rate       `json:"counters,omitempty"`
 	Unchecked []string     `json:"unchecked,omitempty"` // checks that could not be made
 }
 
@@ -227,6 +228,9 @@
 		row("load skew", "max/mean p50 %.2f, p99 %.2f, worst %.2f", s.P50, s.P99, s.Worst)
 		row("over the bound", "%d of %d samples, above ceil(%.2f x mean)", s.Over, s.Samples, s.Bound)
 	}
+	for _, c := range r.Counters {
+		row(c.Name, "%.1f a second for each of %d routers, highest %.1f", c.Mean, c.Routers, c.Highest)
+	}
 	for _, reason := range r.Unchecked {
 		row("not checked", "%s", reason)
 	}
--- a/standin/caller/stream.go
+++ b/standin/caller/stream.go
@@ -13,6 +13,14 @@
 
 const maxEvent = 1 << 20 // bytes of one line of a stream
 
+// errorBody is the body of an error.
+type errorBody struct {
+	Error struct {
+		Code    string  `json:"code"`
+		Outcome outcome `json:"outcome"`
+	} `json:"error"`
+}
+
 // sseEvent is one server-sent event.
 type sseEvent struct {
 	id   string
@@ -69,6 +77,8 @@
 			return t.done()
 		case e.name == "outcome":
 			t.readOutcome(e.data)
+		case e.name == "error":
+			t.readError(e.data)
 		default:
 			t.readChunk(e)
 		}
@@ -96,6 +106,16 @@
 	t.outcome, t.hint = told.Outcome, told.RouteHint
 }
 
+// readError notes why a stream ends early.
+func (t *turn) readError(data string) {
+	var e errorBody
+	if err := json.Unmarshal([]byte(data), &e); err != nil {
+		t.fault = wrong
+		return
+	}
+	t.code = e.Error.Code
+}
+
 func (t *turn) readChunk(e sseEvent) {
 	var c struct {
 		Choices []struct {
