--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -44,7 +44,8 @@
 	ActionRate float64  // actions a second, each sent through two routers at once
 	Services   []string // base URLs of stand-in services, read at the end to check the actions
 	Engines    []string // base URLs of stand-in engines, read at the end to measure skew
-	Counters   []string // names of the routers' metrics to show as rates, with or without labels
+	Counters   []string // metrics to show as rates, as name or name{label="value"}
+	Metrics    []string // base URLs of the routers' metrics; empty means Routers
 	Bound      float64  // times the mean load that an engine may carry; 0 means 1.25
 
 	HTTP *http.Client // nil means one of its own
--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -43,7 +43,7 @@
 		panic(http.ErrAbortHandler)
 	case r.URL.Path == "/readyz":
 	case r.URL.Path == "/metrics":
-		_, _ = fmt.Fprintf(w, "# TYPE tries counter\ntries{kind=\"chat\"} %d\ntries_other 7\n", p.attempt.Load())
+		_, _ = fmt.Fprintf(w, "# TYPE tries counter\ntries{kind=\"chat\"} %d\ntries{kind=\"action\"} 99\ntries_other 7\n", p.attempt.Load())
 	case strings.HasPrefix(r.URL.Path, "/v1/services/"):
 		p.passAction(w, r)
 	case p.refuse.Add(-1) >= 0:
@@ -169,7 +169,7 @@
 func TestSoundLoad(t *testing.T) {
 	inBubble(t, func(t *testing.T, s *site) {
 		s.opts.ActionRate, s.opts.MaxTokens = 0, 0 // answers of their natural length
-		s.opts.Counters = []string{"tries"}
+		s.opts.Counters = []string{`tries{kind="chat"}`}
 		r := s.run(t)
 		assert.Equal(t, r.Failures(), 0)
 		assert.Equal(t, r.Ran, r.Requests)
--- a/standin/caller/counters.go
+++ b/standin/caller/counters.go
@@ -26,7 +26,11 @@
 	if len(l.opts.Counters) == 0 {
 		return out
 	}
-	for _, router := range l.opts.Routers {
+	urls := l.opts.Metrics
+	if len(urls) == 0 {
+		urls = l.opts.Routers
+	}
+	for _, router := range urls {
 		if values, ok := l.readMetrics(ctx, router); ok {
 			out[router] = values
 		}
@@ -52,7 +56,7 @@
 			continue
 		}
 		for _, chosen := range l.opts.Counters {
-			if chosen == name || strings.HasPrefix(name, chosen+"{") {
+			if matches(chosen, name) {
 				values[chosen] += value
 			}
 		}
@@ -70,6 +74,14 @@
 	return line[:cut], value, err == nil
 }
 
+// matches tells whether a sample's name with its labels is of the chosen
+// metric, and has the chosen label if there is one.
+func matches(chosen, sample string) bool {
+	wantName, wantLabel, _ := strings.Cut(chosen, "{")
+	name, labels, _ := strings.Cut(sample, "{")
+	return name == wantName && strings.Contains(labels, strings.TrimSuffix(wantLabel, "}"))
+}
+
 // rates compares what the routers showed before and after.
 func (l *load) rates(before, after map[string]counterValues, seconds float64) []Rate {
 	var out []Rate
--- a/standin/load.go
+++ b/standin/load.go
@@ -21,6 +21,7 @@
 	services string
 	engines  string
 	counters string
+	metrics  string
 	output   string
 }
 
@@ -66,12 +67,14 @@
 	f.Float64Var(&o.ActionRate, "action-rate", 0, "actions a second")
 	f.StringVar(&c.services, "services", "", "`URLs` of the stand-in services, to check the actions")
 	f.StringVar(&c.engines, "engines", "", "`URLs` of the stand-in engines, to measure skew")
-	f.StringVar(&c.counters, "counters", "", "`names` of routers' metrics to show as rates, with commas between")
+	f.StringVar(&c.counters, "counters", "", "`names` of metrics to show as rates, as name or name{label=\"value\"}, with commas between")
+	f.StringVar(&c.metrics, "metrics", "", "`URLs` that have the routers' /metrics; empty means those of -routers")
 	f.Float64Var(&o.Bound, "bound", 1.25, "times the mean load that an engine may carry")
 }
 
 func (c *loadCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	c.opts.Routers, c.opts.Services, c.opts.Engines = urls(c.routers), urls(c.services), urls(c.engines)
+	c.opts.Metrics = urls(c.metrics)
 	c.opts.Counters = strings.FieldsFunc(c.counters, isSeparator)
 	if len(c.opts.Routers) == 0 || c.output != "text" && c.output != "json" {
 		fmt.Fprintln(os.Stderr, "standin: load needs -routers, and -o text or json")
