Count placements over the bound, and tell leaving and dead engines apart

Sampling alone shows engines over the bound when the load elsewhere ends, which no placement can prevent, so each rise of an engine's load is now judged too.

--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -343,23 +343,27 @@
 func TestSkewOf(t *testing.T) {
 	start := time.Unix(0, 0)
 	at := func(ms, running int) engine.Sample {
-		return engine.Sample{At: start.Add(time.Duration(ms) * time.Millisecond), Running: running}
+		return engine.Sample{At: start.Add(time.Duration(ms) * time.Millisecond), Running: running, State: engine.Live}
 	}
+	leaving := at(0, 0)
+	leaving.State = engine.Leaving
 	histories := [][]engine.Sample{
 		{at(0, 2), at(40, 6)},
 		{at(0, 2)},
+		{leaving},
 	}
 	got := SkewOf(histories, start, start.Add(80*time.Millisecond), 1.25)
-	assert.DeepEqual(t, *got, Skew{Samples: 4, P50: 1.5, P99: 1.5, Worst: 1.5, Bound: 1.25, Over: 2})
+	assert.DeepEqual(t, *got, Skew{Samples: 4, P50: 1.5, P99: 1.5, Worst: 1.5, Bound: 1.25, Over: 2, Placements: 1, PlacementsOver: 1})
 }
 
 func TestReportAsText(t *testing.T) {
 	r := Report{
 		Seconds: 10, Requests: 100, Returning: 70, Ran: 97, NotRun: 2, Unknown: 1, Resumes: 4, Resent: 2,
+		Codes:    CodeCounts{"overloaded": 2, "": 1},
 		Refusals: Refusals{WithRetryAfter: 4}, Reuse: Reuse{PromptTokens: 1000, CachedTokens: 750, Ratio: 0.75},
 		First: Quantiles{10, 20, 30, 40}, Gap: Quantiles{1, 2, 3, 4.5},
 		Actions:   ActionReport{Sent: 10, Ran: 9, Unknown: 1, Checked: 10},
-		Skew:      &Skew{Samples: 500, P50: 1.1, P99: 1.6, Worst: 2, Bound: 1.25},
+		Skew:      &Skew{Samples: 500, P50: 1.1, P99: 1.6, Worst: 2, Bound: 1.25, Over: 3, Placements: 100},
 		Counters:  []Rate{{Name: "wisteria_peer_bytes_total", Routers: 3, Mean: 900, Highest: 1000.5}},
 		Unchecked: []string{"no engine answers"},
 	}
--- a/standin/caller/report.go
+++ b/standin/caller/report.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -38,6 +41,20 @@
 // CodeCounts counts error codes.
 type CodeCounts map[string]int
 
+// String lists the counts by code. Turns that ended without a code show as
+// "none".
+func (c CodeCounts) String() string {
+	var parts []string
+	for _, code := range slices.Sorted(maps.Keys(c)) {
+		name := code
+		if name == "" {
+			name = "none"
+		}
+		parts = append(parts, fmt.Sprintf("%d %s", c[code], name))
+	}
+	return strings.Join(parts, ", ")
+}
+
 // Refusals counts answers that refused a request.
 type Refusals struct {
 	WithRetryAfter    int `json:"with_retry_after"`
@@ -212,6 +229,9 @@
 	}
 	row("requests", "%d in %.1f s (%d returning)", r.Requests, r.Seconds, r.Returning)
 	row("outcomes", "%d ran, %d not run, %d unknown", r.Ran, r.NotRun, r.Unknown)
+	if len(r.Codes) > 0 {
+		row("error codes", "%s", r.Codes)
+	}
 	row("wrong answers", "%d", r.Wrong)
 	row("partial answers", "%d", r.Partial)
 	row("cache reuse", "%.3f (%d of %d prompt tokens of returning chats)", r.Reuse.Ratio, r.Reuse.CachedTokens, r.Reuse.PromptTokens)
@@ -226,7 +246,7 @@
 	}
 	if s := r.Skew; s != nil {
 		row("load skew", "max/mean p50 %.2f, p99 %.2f, worst %.2f", s.P50, s.P99, s.Worst)
-		row("over the bound", "%d of %d samples, above ceil(%.2f x mean)", s.Over, s.Samples, s.Bound)
+		row("over the bound", "%d of %d placements, %d of %d samples, above ceil(%.2f x mean)", s.PlacementsOver, s.Placements, s.Over, s.Samples, s.Bound)
 	}
 	for _, c := range r.Counters {
 		row(c.Name, "%.1f a second for each of %d routers, highest %.1f", c.Mean, c.Routers, c.Highest)
--- a/standin/caller/skew.go
+++ b/standin/caller/skew.go
@@ -20,6 +20,12 @@
 	Worst   float64 `json:"worst"`
 	Bound   float64 `json:"bound"`
 	Over    int     `json:"over"` // samples with an engine above ceil(Bound x mean)
+
+	// Placements counts the requests that engines accepted, and PlacementsOver
+	// those that put their engine above ceil(Bound x mean). Samples go above it
+	// also when the load elsewhere ends, which no placement can prevent.
+	Placements     int `json:"placements"`
+	PlacementsOver int `json:"placements_over"`
 }
 
 // skewInterval is the time between two samples.
@@ -48,21 +54,16 @@
 	s := &Skew{Bound: bound}
 	var ratios []float64
 	for at := from; at.Before(to); at = at.Add(skewInterval) {
-		highest, total := 0, 0
-		for _, h := range histories {
-			load := loadAt(h, at)
-			highest = max(highest, load)
-			total += load
-		}
-		if total == 0 {
+		highest, mean := loadsAt(histories, at)
+		if highest == 0 {
 			continue
 		}
-		mean := float64(total) / float64(len(histories))
 		ratios = append(ratios, float64(highest)/mean)
-		if float64(highest) > math.Ceil(bound*mean) {
+		if exceeds(highest, mean, bound) {
 			s.Over++
 		}
 	}
+	s.countPlacements(histories)
 	slices.Sort(ratios)
 	s.Samples = len(ratios)
 	if s.Samples > 0 {
@@ -73,11 +74,46 @@
 	return s
 }
 
-// loadAt returns the load that h shows at a time, zero before its first sample.
-func loadAt(h []engine.Sample, at time.Time) int {
+// countPlacements looks at each time that an engine's load rises.
+func (s *Skew) countPlacements(histories [][]engine.Sample) {
+	for _, h := range histories {
+		for i := 1; i < len(h); i++ {
+			if h[i].Load() <= h[i-1].Load() {
+				continue
+			}
+			s.Placements++
+			_, mean := loadsAt(histories, h[i].At)
+			if exceeds(h[i].Load(), mean, s.Bound) {
+				s.PlacementsOver++
+			}
+		}
+	}
+}
+
+func exceeds(load int, mean, bound float64) bool { return float64(load) > math.Ceil(bound*mean) }
+
+// loadsAt returns the highest and the mean load at a time, over the engines
+// that take new work then.
+func loadsAt(histories [][]engine.Sample, at time.Time) (highest int, mean float64) {
+	total, live := 0, 0
+	for _, h := range histories {
+		s := sampleAt(h, at)
+		if s.State != engine.Live {
+			continue
+		}
+		live++
+		highest = max(highest, s.Load())
+		total += s.Load()
+	}
+	return highest, float64(total) / float64(max(live, 1))
+}
+
+// sampleAt returns the sample that holds at a time, the zero Sample before the
+// first.
+func sampleAt(h []engine.Sample, at time.Time) engine.Sample {
 	n := sort.Search(len(h), func(i int) bool { return h[i].At.After(at) })
 	if n == 0 {
-		return 0
+		return engine.Sample{}
 	}
-	return h[n-1].Load()
+	return h[n-1]
 }
--- a/standin/engine/crash.go
+++ b/standin/engine/crash.go
@@ -36,6 +36,7 @@
 	e.events, e.eventTimes, e.eventSeq = nil, nil, 0
 	e.orders = orderBook{}
 	e.sampleLocked()
+	time.AfterFunc(time.Until(e.deadUntil), e.sample)
 	e.checkIdleLocked()
 	if e.opts.OnCrash != nil {
 		e.opts.OnCrash()
--- a/standin/engine/stats.go
+++ b/standin/engine/stats.go
@@ -6,12 +6,22 @@
 	"time"
 )
 
+// State tells whether an engine takes new work.
+type State string
+
+// The states of an engine. A dead one has crashed and is not back yet.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+	Dead    State = "dead"
+)
+
 // Sample is the engine's load from a time on.
 type Sample struct {
 	At          time.Time `json:"at"`
 	Running     int       `json:"running"`
 	Waiting     int       `json:"waiting"`
-	State       string    `json:"state"`
+	State       State     `json:"state"`
 	Incarnation uint64    `json:"incarnation"`
 }
 
@@ -57,11 +67,21 @@
 	}
 }
 
-func (e *Engine) stateLocked() string {
-	if e.leaving {
-		return "leaving"
+func (e *Engine) stateLocked() State {
+	switch {
+	case time.Now().Before(e.deadUntil):
+		return Dead
+	case e.leaving:
+		return Leaving
 	}
-	return "live"
+	return Live
+}
+
+// sample records the load, when it changes without a request.
+func (e *Engine) sample() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sampleLocked()
 }
 
 // Stats returns the counts with the history of the load.
@@ -94,7 +114,7 @@
 	Running     int       `json:"running"`
 	Waiting     int       `json:"waiting"`
 	Capacity    int       `json:"capacity"`
-	State       string    `json:"state"`
+	State       State     `json:"state"`
 	Incarnation uint64    `json:"incarnation"`
 	ObservedAt  time.Time `json:"observed_at"`
 }
