--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -39,6 +39,7 @@
 	Timeout     time.Duration // of one turn, reconnects included; 0 means 60s
 	Retries     int           // of a turn that was refused as not run
 
+	Poisons    int      // requests that crash each engine that runs them
 	Service    string   // plain service of the actions; empty means "order-desk"
 	Action     string   // empty means "confirm"
 	ActionRate float64  // actions a second, each sent through two routers at once
@@ -128,6 +129,7 @@
 	defer cleanup()
 	l.balancer = balancer
 	before := l.readCounters(ctx)
+	crashes, known := l.readCrashes(ctx)
 	for n := range opts.Accounts {
 		l.inFlight.Add(1)
 		go newAccount(l, n).run(ctx)
@@ -136,9 +138,14 @@
 		l.inFlight.Add(1)
 		go (&actions{load: l, random: source(opts.Seed, actionStream)}).run(ctx)
 	}
+	if opts.Poisons > 0 {
+		l.inFlight.Add(1)
+		go (&poisons{load: l}).run(ctx)
+	}
 	l.inFlight.Wait()
 	report := l.record.report(time.Since(l.start))
 	l.checkActions(ctx, &report)
+	l.countCrashes(ctx, crashes, known, &report)
 	l.measureSkew(ctx, &report)
 	report.Counters = l.rates(before, l.readCounters(ctx), report.Seconds)
 	return report, ctx.Err()
@@ -184,6 +191,7 @@
 // from theirs.
 const (
 	actionStream  = 1
+	poisonStream  = 1 << 8
 	accountStream = 1 << 16
 	chatStream    = 1 << 32
 )
--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -328,6 +328,20 @@
 	})
 }
 
+// A request crashes each engine that runs it, and its caller sends it again and
+// again. These routers pass it on every time, and the count has to show that.
+func TestPoisonIsCounted(t *testing.T) {
+	inBubble(t, func(t *testing.T, s *site) {
+		s.opts.ActionRate, s.opts.Poisons, s.opts.Timeout = 0, 1, 3*time.Second
+		r := s.run(t)
+		assert.Equal(t, r.Poison.Requests, 1)
+		assert.Equal(t, r.Poison.Sent, poisonSends)
+		assert.Equal(t, r.Poison.Final, 0)
+		assert.Check(t, r.Poison.Crashes >= poisonSends)
+		assert.Equal(t, r.Poison.Crashes, s.engine.Stats().Crashes)
+	})
+}
+
 func TestRequestsAreBounded(t *testing.T) {
 	inBubble(t, func(t *testing.T, s *site) {
 		s.opts.Requests, s.opts.ActionRate = 21, 0
@@ -353,7 +367,7 @@
 		{leaving},
 	}
 	got := SkewOf(histories, start, start.Add(80*time.Millisecond), 1.25)
-	assert.DeepEqual(t, *got, Skew{Samples: 4, P50: 1.5, P99: 1.5, Worst: 1.5, Bound: 1.25, Over: 2, Placements: 1, PlacementsOver: 1})
+	assert.DeepEqual(t, *got, Skew{Samples: 4, P50: 1.5, P99: 1.5, Worst: 1.5, Bound: 1.25, Over: 2, Placements: 1, PlacementsOver: 1, MostOver: 1})
 }
 
 func TestReportAsText(t *testing.T) {
@@ -363,7 +377,8 @@
 		Refusals: Refusals{WithRetryAfter: 4}, Reuse: Reuse{PromptTokens: 1000, CachedTokens: 750, Ratio: 0.75},
 		First: Quantiles{10, 20, 30, 40}, Gap: Quantiles{1, 2, 3, 4.5},
 		Actions:   ActionReport{Sent: 10, Ran: 9, Unknown: 1, Checked: 10},
-		Skew:      &Skew{Samples: 500, P50: 1.1, P99: 1.6, Worst: 2, Bound: 1.25, Over: 3, Placements: 100},
+		Skew:      &Skew{Samples: 500, P50: 1.1, P99: 1.6, Worst: 2, Bound: 1.25, Over: 3, Placements: 100, PlacementsOver: 2, MostOver: 1},
+		Poison:    PoisonReport{Requests: 1, Sent: 5, Final: 4, Crashes: 2, Codes: CodeCounts{"poison": 4, "endpoint-lost": 1}},
 		Counters:  []Rate{{Name: "wisteria_peer_bytes_total", Routers: 3, Mean: 900, Highest: 1000.5}},
 		Unchecked: []string{"no engine answers"},
 	}
--- /dev/null
+++ b/standin/caller/poison.go
@@ -0,0 +1,124 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"wisteriaspool/standin/engine"
+)
+
+// poisonText crashes the stand-in engine that runs it.
+const poisonText = "POISON"
+
+// poisonSends is how often a caller sends its poison request, through one
+// router after another.
+const poisonSends = 5
+
+// PoisonReport counts requests that crash every engine that runs them.
+type PoisonReport struct {
+	Requests int        `json:"requests"`
+	Sent     int        `json:"sent"`    // each request is sent several times
+	Final    int        `json:"final"`   // answers that said it was poison
+	Ran      int        `json:"ran"`     // answers that said it ran; must be zero
+	Crashes  int        `json:"crashes"` // of engines during the load, whatever the cause
+	Codes    CodeCounts `json:"codes"`
+}
+
+// poisons sends poison requests at equal distances.
+type poisons struct {
+	load *load
+}
+
+func (p *poisons) run(ctx context.Context) {
+	defer p.load.inFlight.Done()
+	n := p.load.opts.Poisons
+	interval := p.load.opts.Duration / time.Duration(n+1)
+	for i := range n {
+		if !p.load.wait(ctx, p.load.start.Add(time.Duration(i+1)*interval)) {
+			return
+		}
+		p.load.inFlight.Add(1)
+		go newPoison(p.load, i).run(ctx)
+	}
+}
+
+// poison is one poison request, whose caller sends it again and again.
+type poison struct {
+	chat *chat
+}
+
+func newPoison(l *load, n int) *poison {
+	random := source(l.opts.Seed, poisonStream+uint64(n))
+	a := &account{load: l, name: "account-1"}
+	content := engine.Content(fmt.Sprintf("%s-%d ", poisonText, n)) + text(random, l.opts.FirstWords)
+	return &poison{chat: &chat{
+		load: l, account: a, id: fmt.Sprintf("poison-%d-%d", l.opts.Seed, n), random: random,
+		messages: []engine.Message{{Role: "user", Content: content}},
+	}}
+}
+
+func (p *poison) run(ctx context.Context) {
+	l := p.chat.load
+	defer l.inFlight.Done()
+	l.record.poisonRequest()
+	for range poisonSends {
+		p.chat.next = time.Now()
+		t := newTurn(p.chat, false)
+		t.run(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		l.record.poisonSent(t)
+		t.wait(ctx, leastPause)
+	}
+}
+
+func (r *record) poisonRequest() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sum.Poison.Requests++
+}
+
+func (r *record) poisonSent(t *turn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := &r.sum.Poison
+	p.Sent++
+	switch {
+	case t.outcome == ran:
+		p.Ran++
+	case t.code == codePoison:
+		p.Final++
+	}
+	if t.outcome != ran {
+		p.Codes[t.code]++
+	}
+}
+
+// readCrashes sums the crashes of all engines. It is false if one of them does
+// not answer.
+func (l *load) readCrashes(ctx context.Context) (int, bool) {
+	total := 0
+	for _, base := range l.opts.Engines {
+		var stats engine.Stats
+		if err := getJSON(ctx, l.opts.HTTP, base+"/admin/stats?history=0", &stats); err != nil {
+			return 0, false
+		}
+		total += stats.Crashes
+	}
+	return total, true
+}
+
+// countCrashes notes how often engines crashed since before.
+func (l *load) countCrashes(ctx context.Context, before int, known bool, r *Report) {
+	if l.opts.Poisons == 0 || len(l.opts.Engines) == 0 {
+		return
+	}
+	after, ok := l.readCrashes(ctx)
+	if !known || !ok {
+		r.Unchecked = append(r.Unchecked, "caller: an engine did not tell its crashes")
+		return
+	}
+	r.Poison.Crashes = after - before
+}
--- a/standin/caller/report.go
+++ b/standin/caller/report.go
@@ -33,6 +33,7 @@
 	First     Quantiles    `json:"first_token"`
 	Gap       Quantiles    `json:"per_token"`
 	Actions   ActionReport `json:"actions"`
+	Poison    PoisonReport `json:"poison"`
 	Skew      *Skew        `json:"skew,omitempty"`
 	Counters  []Rate       `json:"counters,omitempty"`
 	Unchecked []string     `json:"unchecked,omitempty"` // checks that could not be made
@@ -103,7 +104,7 @@
 // Failures returns the number of broken promises that the report shows.
 func (r Report) Failures() int {
 	a := r.Actions
-	return r.Wrong + r.Partial + a.Differing + a.Doubled + a.FalseNotRun + a.FalseRan
+	return r.Wrong + r.Partial + r.Poison.Ran + a.Differing + a.Doubled + a.FalseNotRun + a.FalseRan
 }
 
 // The histograms hold microseconds up to ten minutes, to three digits.
@@ -122,7 +123,7 @@
 
 func newRecord() *record {
 	return &record{
-		sum:   Report{Codes: CodeCounts{}, Actions: ActionReport{Codes: CodeCounts{}}},
+		sum:   Report{Codes: CodeCounts{}, Actions: ActionReport{Codes: CodeCounts{}}, Poison: PoisonReport{Codes: CodeCounts{}}},
 		first: hdrhistogram.New(1, maxLatency, digits),
 		gap:   hdrhistogram.New(1, maxLatency, digits),
 	}
@@ -244,9 +245,13 @@
 		row("actions checked", "%d: %d doubled, %d falsely not run, %d falsely ran, %d differing answers", a.Checked, a.Doubled, a.FalseNotRun, a.FalseRan, a.Differing)
 		row("action refusals", "%d with Retry-After, %d without", a.Refusals.WithRetryAfter, a.Refusals.WithoutRetryAfter)
 	}
+	if p := r.Poison; p.Requests > 0 {
+		row("poison requests", "%d sent %d times: %d final refusals, %d ran, %d engine crashes", p.Requests, p.Sent, p.Final, p.Ran, p.Crashes)
+		row("poison codes", "%s", p.Codes)
+	}
 	if s := r.Skew; s != nil {
 		row("load skew", "max/mean p50 %.2f, p99 %.2f, worst %.2f", s.P50, s.P99, s.Worst)
-		row("over the bound", "%d of %d placements, %d of %d samples, above ceil(%.2f x mean)", s.PlacementsOver, s.Placements, s.Over, s.Samples, s.Bound)
+		row("over the bound", "%d of %d placements, by %d at most; %d of %d samples; bound ceil(%.2f x mean)", s.PlacementsOver, s.Placements, s.MostOver, s.Over, s.Samples, s.Bound)
 	}
 	for _, c := range r.Counters {
 		row(c.Name, "%.1f a second for each of %d routers, highest %.1f", c.Mean, c.Routers, c.Highest)
--- a/standin/caller/skew.go
+++ b/standin/caller/skew.go
@@ -26,6 +26,7 @@
 	// also when the load elsewhere ends, which no placement can prevent.
 	Placements     int `json:"placements"`
 	PlacementsOver int `json:"placements_over"`
+	MostOver       int `json:"most_over"` // requests by which a placement went above it
 }
 
 // skewInterval is the time between two samples.
@@ -85,6 +86,7 @@
 			_, mean := loadsAt(histories, h[i].At)
 			if exceeds(h[i].Load(), mean, s.Bound) {
 				s.PlacementsOver++
+				s.MostOver = max(s.MostOver, h[i].Load()-int(math.Ceil(s.Bound*mean)))
 			}
 		}
 	}
--- a/standin/load.go
+++ b/standin/load.go
@@ -62,6 +62,7 @@
 	f.Float64Var(&o.Whole, "whole", 0, "share of turns without a stream")
 	f.DurationVar(&o.Timeout, "timeout", time.Minute, "time of one turn with its reconnects")
 	f.IntVar(&o.Retries, "retries", 2, "times that a refused turn is sent again, after Retry-After")
+	f.IntVar(&o.Poisons, "poisons", 0, "requests that crash each stand-in engine that runs them")
 	f.StringVar(&o.Service, "service", "order-desk", "plain service of the actions")
 	f.StringVar(&o.Action, "action", "confirm", "action")
 	f.Float64Var(&o.ActionRate, "action-rate", 0, "actions a second")
