--- a/wisteriarouter/service/runner_test.go
+++ b/wisteriarouter/service/runner_test.go
@@ -72,7 +72,9 @@
 	return caller.Place{}, &outcome.Refusal{Code: outcome.Overloaded, Outcome: outcome.NotRun, RetryAfter: time.Second}
 }
 
-func (d *desk) Leaving(e coordination.Endpoint, _ coordination.Incarnation) { d.left = append(d.left, e) }
+func (d *desk) Leaving(e coordination.Endpoint, _ coordination.Incarnation) {
+	d.left = append(d.left, e)
+}
 
 func (d *desk) Request() {}
 
