--- a/coordination/execution/ledger.go
+++ b/coordination/execution/ledger.go
@@ -11,6 +11,9 @@
 	"wisteriaspool/coordination/outcome"
 )
 
+// callsPerAction is how many calls to the platform an action needs.
+const callsPerAction = 2
+
 // Ledger creates and settles the execution records of one router. It is safe
 // for concurrent use.
 type Ledger struct {
@@ -20,10 +23,11 @@
 	ctx    context.Context
 	work   sync.WaitGroup
 
-	mu   sync.Mutex
-	held int           // bytes of answers in settlements
-	open int           // records being created, held, or being settled
-	idle chan struct{} // closed when open falls to zero; nil if nobody waits
+	mu    sync.Mutex
+	spare int           // calls taken from the budget and not used yet
+	held  int           // bytes of answers in settlements
+	open  int           // records being created, held, or being settled
+	idle  chan struct{} // closed when open falls to zero; nil if nobody waits
 }
 
 // New returns a ledger, and a function that ends its background work. What it
@@ -95,12 +99,20 @@
 
 // allowAction takes the calls of one action up front: one creates the record
 // and one finishes it. Taken late, the second one would not be left in a surge,
-// and actions that ran would stay in progress.
+// and actions that ran would stay in progress. If there is only one call left
+// it is kept for the next action: given up, each action of a surge would use up
+// the single call that came since the last one, and none would ever get two.
 func (l *Ledger) allowAction() (ok bool, retryAfter time.Duration) {
-	if ok, retryAfter = l.allow(); !ok {
-		return false, retryAfter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.spare < callsPerAction {
+		if ok, retryAfter = l.allow(); !ok {
+			return false, retryAfter
+		}
+		l.spare++
 	}
-	return l.allow()
+	l.spare -= callsPerAction
+	return true, 0
 }
 
 // Begin decides whether req may be run by this router. On Execute the caller
@@ -169,9 +181,17 @@
 		l.settle(c.path, c.record.abandoned(), c.expect, c.lease)
 		return d, true
 	}
+	l.refund()
 	return d, false
 }
 
+// refund takes back the call that would have finished a record.
+func (l *Ledger) refund() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.spare++
+}
+
 func (l *Ledger) newRecord(req Request, start time.Time) Record {
 	return Record{
 		Version:     recordVersion,
--- /dev/null
+++ b/coordination/execution/rate_test.go
@@ -0,0 +1,167 @@
+package execution_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/time/rate"
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination/budget"
+	"wisteriaspool/coordination/execution"
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/kv/kvtest"
+	"wisteriaspool/coordination/outcome"
+)
+
+// capped is a service that takes a number of writes a second and answers in
+// milliseconds.
+type capped struct {
+	*kvtest.Store
+	limit   *rate.Limiter
+	offered atomic.Int64 // writes, those refused included
+}
+
+func newCapped(writes float64) *capped {
+	return &capped{Store: kvtest.New(), limit: rate.NewLimiter(rate.Limit(writes), int(writes/10))}
+}
+
+func (s *capped) CompareAndSwap(ctx context.Context, key string, value []byte, expect kv.Revision, lease kv.Lease) kv.Result {
+	time.Sleep(3 * time.Millisecond)
+	s.offered.Add(1)
+	if !s.limit.Allow() {
+		return kv.Result{Status: kv.Throttled}
+	}
+	return s.Store.CompareAndSwap(ctx, key, value, expect, lease)
+}
+
+// surge is a stream of actions to some routers, each under a key of its own.
+type surge struct {
+	ledgers []*execution.Ledger
+	rate    float64 // actions a second, all routers together
+	span    time.Duration
+
+	mu      sync.Mutex
+	ran     int
+	refused int
+	slowest time.Duration // of the refusals
+	wrong   []execution.Result
+}
+
+// run offers the actions and waits until all have been answered.
+func (s *surge) run(ctx context.Context) {
+	var work sync.WaitGroup
+	n := int(s.rate * s.span.Seconds())
+	for i := range n {
+		work.Add(1)
+		go (&offer{surge: s, ledger: s.ledgers[i%len(s.ledgers)], key: fmt.Sprint(i)}).run(ctx, &work)
+		time.Sleep(time.Duration(float64(time.Second) / s.rate))
+	}
+	work.Wait()
+}
+
+// offer is one action of a surge, which takes its service 20 ms.
+type offer struct {
+	surge  *surge
+	ledger *execution.Ledger
+	key    string
+}
+
+func (o *offer) Send(context.Context) execution.Result {
+	time.Sleep(20 * time.Millisecond)
+	return execution.Result{Outcome: outcome.Ran, Answer: &execution.Answer{Status: 200, Body: []byte("booked")}}
+}
+
+func (o *offer) run(ctx context.Context, work *sync.WaitGroup) {
+	defer work.Done()
+	start := time.Now()
+	res := o.ledger.Run(ctx, order(execution.Key(o.key)), o)
+	took := time.Since(start)
+	s := o.surge
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case res.Outcome == outcome.Ran:
+		s.ran++
+	case res.Outcome == outcome.NotRun && res.Refusal.RetryAfter > 0:
+		s.refused++
+		s.slowest = max(s.slowest, took)
+	default:
+		s.wrong = append(s.wrong, res)
+	}
+}
+
+const (
+	rateRouters = 7
+	writeCap    = 300 // a second
+)
+
+// offerActions makes a surge against a capped service. Each router has its
+// share of a budget, unless that is zero.
+func offerActions(ctx context.Context, store execution.Store, fleetBudget, actions float64) *surge {
+	s := &surge{rate: actions, span: 10 * time.Second}
+	var cleanups []func()
+	for range rateRouters {
+		cfg := execution.Config{Store: store, Holder: "r"}
+		if fleetBudget > 0 {
+			b := budget.New(fleetBudget)
+			b.SetMembers(rateRouters)
+			cfg.Budget = b
+		}
+		l, cleanup := execution.New(cfg)
+		s.ledgers = append(s.ledgers, l)
+		cleanups = append(cleanups, cleanup)
+	}
+	s.run(ctx)
+	for i, l := range s.ledgers {
+		l.Drain(ctx)
+		cleanups[i]()
+	}
+	return s
+}
+
+// More orders come than the platform can put on record. What is beyond its
+// rate has to be refused before it waits for anything, truly not run, and with
+// a time to come back; what was begun has to be finished.
+func TestSurgeBeyondWriteRate(t *testing.T) {
+	tests := []struct{ budget, offered float64 }{
+		{0, 100},
+		{0, 150},
+		{0, 300},
+		{0, 600},
+		{writeCap, 100},
+		{writeCap, 150},
+		{writeCap, 300},
+		{writeCap, 600},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("budget %v offered %v", tt.budget, tt.offered), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newCapped(writeCap)
+				s := offerActions(t.Context(), store, tt.budget, tt.offered)
+				s.log(t, store)
+				assert.Equal(t, len(s.wrong), 0, "%+v", s.wrong)
+				possible := min(tt.offered, writeCap/2) * s.span.Seconds()
+				assert.Assert(t, float64(s.ran) > 0.75*possible, "%d", s.ran)
+				assert.Assert(t, s.refused > 0 || tt.offered*2 <= writeCap)
+				assert.Assert(t, s.slowest <= 10*time.Millisecond, "%v", s.slowest)
+				for _, p := range store.List(t.Context(), execution.Prefix).Pairs {
+					r, err := execution.DecodeRecord(p.Value)
+					assert.NilError(t, err)
+					assert.Equal(t, r.State, execution.Finished)
+				}
+			})
+		})
+	}
+}
+
+func (s *surge) log(t *testing.T, store *capped) {
+	span := s.span.Seconds()
+	t.Logf("ran %.0f/s, refused %.0f/s, slowest refusal %v, writes offered per action run %.2f",
+		float64(s.ran)/span, float64(s.refused)/span, s.slowest, float64(store.offered.Load())/float64(s.ran))
+}
