--- a/coordination/execution/execution.go
+++ b/coordination/execution/execution.go
@@ -233,8 +233,9 @@
 const (
 	// CreateUnanswered: a create got no answer and was sent again.
 	CreateUnanswered Event = iota
-	// DispatchTooLate: a holder woke after its dispatch limit and gave up.
-	DispatchTooLate
+	// NotDispatched: a holder gave up before sending, since it woke after its
+	// dispatch limit or its caller had gone.
+	NotDispatched
 	// RecordAbandoned: a record was marked abandoned, which frees its key.
 	RecordAbandoned
 	// RecordFinished: a record was marked done.
@@ -252,7 +253,7 @@
 // String returns the name of e as logs and metrics show it.
 func (e Event) String() string {
 	names := [...]string{
-		"create-unanswered", "dispatch-too-late", "record-abandoned", "record-finished",
+		"create-unanswered", "not-dispatched", "record-abandoned", "record-finished",
 		"settlement-delayed", "settlement-given-up", "record-lost",
 	}
 	if e < 0 || int(e) >= len(names) {
--- a/coordination/execution/fleet_test.go
+++ b/coordination/execution/fleet_test.go
@@ -31,6 +31,7 @@
 	takeOver
 	retryAfterCut
 	denyAfterSending
+	shortLeases
 )
 
 // chance draws from one seeded source, for several goroutines.
@@ -194,6 +195,9 @@
 func (r *router) Grant(ctx context.Context, ttl time.Duration) (kv.Lease, kv.Result) {
 	r.step()
 	defer r.step()
+	if r.fleet.planted == shortLeases {
+		ttl = retention / 4
+	}
 	id, res := r.fleet.store.Grant(ctx, ttl)
 	if r.chance.percent(r.fleet.rates.loseReply) {
 		return 0, kv.Result{Status: kv.Unknown}
--- a/coordination/execution/ledger.go
+++ b/coordination/execution/ledger.go
@@ -6,14 +6,10 @@
 	"sync"
 	"time"
 
-	"wisteriaspool/coordination/budget"
 	"wisteriaspool/coordination/kv"
 	"wisteriaspool/coordination/outcome"
 )
 
-// callsPerAction is how many calls to the platform an action needs.
-const callsPerAction = 2
-
 // Ledger creates and settles the execution records of one router. It is safe
 // for concurrent use.
 type Ledger struct {
@@ -23,11 +19,12 @@
 	ctx    context.Context
 	work   sync.WaitGroup
 
-	mu    sync.Mutex
-	spare int           // calls taken from the budget and not used yet
-	held  int           // bytes of answers in settlements
-	open  int           // records being created, held, or being settled
-	idle  chan struct{} // closed when open falls to zero; nil if nobody waits
+	mu     sync.Mutex
+	closed bool
+	spare  int           // calls taken from the budget and not used yet
+	held   int           // bytes of answers in settlements
+	open   int           // records being created, held, or being settled
+	idle   chan struct{} // closed when open falls to zero; nil if nobody waits
 }
 
 // New returns a ledger, and a function that ends its background work. What it
@@ -37,84 +34,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Ledger{cfg: cfg.withDefaults(), ctx: ctx}
 	return l, func() {
+		l.mu.Lock()
+		l.closed = true
+		l.mu.Unlock()
 		cancel()
 		l.work.Wait()
 	}
 }
 
-// Open returns how many records this router holds open.
-func (l *Ledger) Open() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.open
-}
-
-// Drain waits until no record is open, or ctx ends, and tells which it was.
-func (l *Ledger) Drain(ctx context.Context) bool {
-	l.mu.Lock()
-	if l.open == 0 {
-		l.mu.Unlock()
-		return true
-	}
-	if l.idle == nil {
-		l.idle = make(chan struct{})
-	}
-	idle := l.idle
-	l.mu.Unlock()
-	select {
-	case <-idle:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func (l *Ledger) acquire() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.open >= l.cfg.MaxOpen {
-		return false
-	}
-	l.open++
-	return true
-}
-
-func (l *Ledger) release() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.open--
-	if l.open == 0 && l.idle != nil {
-		close(l.idle)
-		l.idle = nil
-	}
-}
-
-// allow takes one call from the budget.
-func (l *Ledger) allow() (ok bool, retryAfter time.Duration) {
-	if l.cfg.Budget == nil {
-		return true, 0
-	}
-	return l.cfg.Budget.Allow(budget.Actions)
-}
-
-// allowAction takes the calls of one action up front: one creates the record
-// and one finishes it. Taken late, the second one would not be left in a surge,
-// and actions that ran would stay in progress. If there is only one call left
-// it is kept for the next action: given up, each action of a surge would use up
-// the single call that came since the last one, and none would ever get two.
-func (l *Ledger) allowAction() (ok bool, retryAfter time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for l.spare < callsPerAction {
-		if ok, retryAfter = l.allow(); !ok {
-			return false, retryAfter
-		}
-		l.spare++
-	}
-	l.spare -= callsPerAction
-	return true, 0
-}
-
 // Begin decides whether req may be run by this router. On Execute the caller
 // owns the token, and has to end it with Finish or Abandon.
 func (l *Ledger) Begin(ctx context.Context, req Request) Decision {
@@ -185,13 +112,6 @@
 	return d, false
 }
 
-// refund takes back the call that would have finished a record.
-func (l *Ledger) refund() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.spare++
-}
-
 func (l *Ledger) newRecord(req Request, start time.Time) Record {
 	return Record{
 		Version:     recordVersion,
--- /dev/null
+++ b/coordination/execution/limits.go
@@ -0,0 +1,148 @@
+package execution
+
+import (
+	"context"
+	"time"
+
+	"wisteriaspool/coordination/budget"
+)
+
+// callsPerAction is how many calls to the platform an action needs.
+const callsPerAction = 2
+
+// Open returns how many records this router holds open.
+func (l *Ledger) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
+// Drain waits until no record is open, or ctx ends, and tells which it was.
+func (l *Ledger) Drain(ctx context.Context) bool {
+	l.mu.Lock()
+	if l.open == 0 {
+		l.mu.Unlock()
+		return true
+	}
+	if l.idle == nil {
+		l.idle = make(chan struct{})
+	}
+	idle := l.idle
+	l.mu.Unlock()
+	select {
+	case <-idle:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (l *Ledger) acquire() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open >= l.cfg.MaxOpen {
+		return false
+	}
+	l.open++
+	return true
+}
+
+func (l *Ledger) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open--
+	if l.open == 0 && l.idle != nil {
+		close(l.idle)
+		l.idle = nil
+	}
+}
+
+// allow takes one call from the budget.
+func (l *Ledger) allow() (ok bool, retryAfter time.Duration) {
+	if l.cfg.Budget == nil {
+		return true, 0
+	}
+	return l.cfg.Budget.Allow(budget.Actions)
+}
+
+// allowAction takes the calls of one action up front: one creates the record
+// and one finishes it. Taken late, the second one would not be left in a surge,
+// and actions that ran would stay in progress. If there is only one call left
+// it is kept for the next action: given up, each action of a surge would use up
+// the single call that came since the last one, and none would ever get two.
+func (l *Ledger) allowAction() (ok bool, retryAfter time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.spare < callsPerAction {
+		if ok, retryAfter = l.allow(); !ok {
+			return false, retryAfter
+		}
+		l.spare++
+	}
+	l.spare -= callsPerAction
+	return true, 0
+}
+
+// refund takes back the call that would have finished a record.
+func (l *Ledger) refund() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.spare++
+}
+
+// mayTry tells whether the budget lets the given try be made. Begin has paid
+// for the first.
+func (l *Ledger) mayTry(try int) bool {
+	if try == 0 {
+		return true
+	}
+	ok, _ := l.allow()
+	return ok
+}
+
+// hold counts the bytes of an answer that waits to be put on record, and tells
+// whether there is room for it. Without a bound an outage that begins while
+// many actions run would hold all their answers in memory.
+func (l *Ledger) hold(a *Answer) bool {
+	if a == nil {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held+len(a.Body) > l.cfg.MaxHeld {
+		return false
+	}
+	l.held += len(a.Body)
+	return true
+}
+
+// Abandon records that the action was not and will not be dispatched by this
+// token, which frees its key for a repeat. It waits as Finish does.
+func (l *Ledger) Abandon(ctx context.Context, t *Token) bool {
+	t.settle()
+	s := l.settle(t.claim.path, t.claim.record.abandoned(), t.revision, t.claim.lease)
+	return l.await(ctx, s)
+}
+
+func (l *Ledger) await(ctx context.Context, s *settlement) bool {
+	timer := time.NewTimer(l.cfg.FinishWait)
+	defer timer.Stop()
+	select {
+	case <-s.ended:
+		return s.stands
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	l.cfg.Observe(SettlementDelayed)
+	return false
+}
+
+// unhold takes back what hold counted.
+func (l *Ledger) unhold(a *Answer) {
+	if a == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held -= len(a.Body)
+}
--- a/coordination/execution/run.go
+++ b/coordination/execution/run.go
@@ -37,7 +37,7 @@
 
 func (l *Ledger) dispatch(ctx context.Context, t *Token, s Sender) Result {
 	if ctx.Err() != nil || !t.Dispatch() {
-		l.cfg.Observe(DispatchTooLate)
+		l.cfg.Observe(NotDispatched)
 		l.Abandon(ctx, t)
 		return Result{Outcome: outcome.NotRun, Refusal: tooLate()}
 	}
--- a/coordination/execution/safety_test.go
+++ b/coordination/execution/safety_test.go
@@ -92,6 +92,7 @@
 		{"take-over of a silent holder's record", takeOver, rates{freeze: 4}},
 		{"retry after a cut connection", retryAfterCut, rates{loseAnswer: 50}},
 		{"not-run after bytes were sent", denyAfterSending, rates{loseAnswer: 50}},
+		{"records that lapse before their keys expire", shortLeases, rates{}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/coordination/execution/settlement.go
+++ b/coordination/execution/settlement.go
@@ -22,53 +22,6 @@
 	return l.await(ctx, s)
 }
 
-// hold counts the bytes of an answer that waits to be put on record, and tells
-// whether there is room for it. Without a bound an outage that begins while
-// many actions run would hold all their answers in memory.
-func (l *Ledger) hold(a *Answer) bool {
-	if a == nil {
-		return true
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.held+len(a.Body) > l.cfg.MaxHeld {
-		return false
-	}
-	l.held += len(a.Body)
-	return true
-}
-
-// Abandon records that the action was not and will not be dispatched by this
-// token, which frees its key for a repeat. It waits as Finish does.
-func (l *Ledger) Abandon(ctx context.Context, t *Token) bool {
-	t.settle()
-	s := l.settle(t.claim.path, t.claim.record.abandoned(), t.revision, t.claim.lease)
-	return l.await(ctx, s)
-}
-
-func (l *Ledger) await(ctx context.Context, s *settlement) bool {
-	timer := time.NewTimer(l.cfg.FinishWait)
-	defer timer.Stop()
-	select {
-	case <-s.ended:
-		return s.stands
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	l.cfg.Observe(SettlementDelayed)
-	return false
-}
-
-// unhold takes back what hold counted.
-func (l *Ledger) unhold(a *Answer) {
-	if a == nil {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.held -= len(a.Body)
-}
-
 // settlement writes the last state of a record that this router holds. It
 // keeps the record's lease: a write without one would make the record stay for
 // ever.
@@ -82,9 +35,16 @@
 	stands bool // valid once ended is closed
 }
 
-// settle starts a settlement, which owns one slot until it ends.
+// settle starts a settlement, which owns one slot until it ends. A ledger that
+// has ended settles nothing more.
 func (l *Ledger) settle(path string, r Record, expect kv.Revision, lease kv.Lease) *settlement {
 	s := &settlement{ledger: l, path: path, record: r, expect: expect, lease: lease, ended: make(chan struct{})}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		close(s.ended)
+		return s
+	}
 	l.work.Add(1)
 	go s.run()
 	return s
@@ -115,16 +75,6 @@
 	l.cfg.Observe(SettlementGivenUp)
 }
 
-// mayTry tells whether the budget lets the given try be made. Begin has paid
-// for the first.
-func (l *Ledger) mayTry(try int) bool {
-	if try == 0 {
-		return true
-	}
-	ok, _ := l.allow()
-	return ok
-}
-
 // over tells whether res ends the settlement, and reports how.
 func (s *settlement) over(res kv.Result) bool {
 	switch res.Status {
