wisteriarouter/service: whole path over HTTP in paused time, with faults

No order ran twice, none was denied to all although it ran, all receipts of an order are equal. With the action left unmarked the check finds doubled orders.

--- a/wisteriarouter/platform/call.go
+++ b/wisteriarouter/platform/call.go
@@ -20,10 +20,13 @@
 
 const contentType = "application/json"
 
-func newTransport(dialTimeout time.Duration) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newTransport(cfg Config) *http.Transport {
+	dial := cfg.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext
+	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     time.Minute,
 	}
--- a/wisteriarouter/platform/client.go
+++ b/wisteriarouter/platform/client.go
@@ -5,7 +5,9 @@
 package platform
 
 import (
+	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -49,6 +51,8 @@
 	// DialTimeout bounds the making of one connection; zero means
 	// DefaultDialTimeout.
 	DialTimeout time.Duration
+	// DialContext makes connections; nil means TCP.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnCall, if set, is told of every call that ended, a try at a second
 	// endpoint included.
 	OnCall func(op Op, status kv.Status, d time.Duration)
@@ -94,7 +98,7 @@
 		return nil, nil, err
 	}
 	c.instances = base
-	transport := newTransport(cfg.DialTimeout)
+	transport := newTransport(cfg)
 	c.hc = &http.Client{Transport: transport, CheckRedirect: refuseRedirect}
 	return c, transport.CloseIdleConnections, nil
 }
--- a/wisteriarouter/service/client.go
+++ b/wisteriarouter/service/client.go
@@ -43,6 +43,8 @@
 type Options struct {
 	DialTimeout time.Duration
 	MaxAnswer   int64 // the longest answer that is taken, in bytes
+	// DialContext makes connections; nil means TCP.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Client makes calls to plain services. It is safe for concurrent use.
@@ -60,9 +62,12 @@
 	if opts.MaxAnswer <= 0 {
 		opts.MaxAnswer = DefaultMaxAnswer
 	}
-	dialer := &net.Dialer{Timeout: opts.DialTimeout}
+	dial := opts.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: opts.DialTimeout}).DialContext
+	}
 	pooled := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
@@ -71,7 +76,7 @@
 	// request goes out. The transport then sends some requests once more on
 	// its own; on a connection of their own it never does.
 	once := &http.Transport{
-		DialContext:        dialer.DialContext,
+		DialContext:        dial,
 		DisableCompression: true,
 		DisableKeepAlives:  true,
 	}
--- /dev/null
+++ b/wisteriarouter/service/path_test.go
@@ -0,0 +1,267 @@
+package service_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/execution"
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/standin/pipe"
+	standin "wisteriaspool/standin/platform"
+	"wisteriaspool/standin/service"
+	"wisteriaspool/wisteriarouter/caller"
+	"wisteriaspool/wisteriarouter/platform"
+	router "wisteriaspool/wisteriarouter/service"
+)
+
+// site is a whole fleet in one process: stand-ins of the platform and of an
+// order desk, and routers, which talk HTTP over pipes.
+type site struct {
+	network  pipe.Network
+	platform *standin.Server
+	desks    []*service.Service
+	routers  []*router.Runner
+	cleanups []func()
+
+	nonIdempotent bool
+
+	mu     sync.Mutex
+	random *rand.Rand
+	told   map[string][]told // by key
+}
+
+// told is what a caller was told of one try.
+type told struct {
+	outcome outcome.Outcome
+	body    string // of an answer
+}
+
+const (
+	siteRouters = 3
+	siteDesks   = 2
+	siteKeys    = 5
+	keyCallers  = 4
+	callerTries = 5
+)
+
+func newSite(seed uint64) *site {
+	s := &site{random: rand.New(rand.NewPCG(seed, seed)), told: map[string][]told{}}
+	server, stop := standin.New(standin.Options{Seed: seed})
+	s.platform = server
+	s.cleanups = append(s.cleanups, s.network.Serve("platform:80", server), stop)
+	for i := range siteDesks {
+		desk, stop := service.New(service.Options{Seed: seed + uint64(i), Time: 20 * time.Millisecond})
+		desk.SetFaults(service.Faults{CutBefore: 0.1, CutAfter: 0.1, Refuse: 0.2})
+		s.desks = append(s.desks, desk)
+		s.cleanups = append(s.cleanups, s.network.Serve(deskAddress(i), desk), stop)
+	}
+	for i := range siteRouters {
+		s.addRouter(i)
+	}
+	return s
+}
+
+func deskAddress(i int) string { return fmt.Sprintf("desk-%d:80", i) }
+
+func (s *site) addRouter(i int) {
+	store, closeStore, err := platform.New(platform.Config{Endpoints: []string{"http://platform:80"}, DialContext: s.network.DialContext})
+	if err != nil {
+		panic(err)
+	}
+	client, closeClient := router.NewClient(router.Options{DialContext: s.network.DialContext})
+	ledger, stop := execution.New(execution.Config{
+		Store:  freezing{store, s},
+		Holder: coordination.Instance(fmt.Sprint("r", i)),
+	})
+	s.routers = append(s.routers, &router.Runner{Plans: s, Placer: s, Retries: s, Client: client, Ledger: ledger})
+	s.cleanups = append(s.cleanups, closeStore, closeClient, stop)
+}
+
+// stop ends everything, the parts made last first.
+func (s *site) stop() {
+	for i := range s.cleanups {
+		s.cleanups[len(s.cleanups)-1-i]()
+	}
+}
+
+func (s *site) intN(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.IntN(n)
+}
+
+// freezing holds up a router now and then before or after a call to the
+// platform, for longer than it may wait with a dispatch.
+type freezing struct {
+	execution.Store
+	site *site
+}
+
+func (f freezing) CompareAndSwap(ctx context.Context, key string, value []byte, expect kv.Revision, lease kv.Lease) kv.Result {
+	f.freeze()
+	defer f.freeze()
+	return f.Store.CompareAndSwap(context.WithoutCancel(ctx), key, value, expect, lease)
+}
+
+func (f freezing) freeze() {
+	if f.site.intN(100) < 3 {
+		time.Sleep(2 * execution.DefaultDispatchLimit)
+	}
+}
+
+func (s *site) PlanAction(caller.Action) (router.Plan, *outcome.Refusal) {
+	return router.Plan{Pool: "orders", Timeout: 5 * time.Second, NonIdempotent: s.nonIdempotent}, nil
+}
+
+// Place places at a random desk, or where nobody listens.
+func (s *site) Place(context.Context, caller.Want) (caller.Place, *outcome.Refusal) {
+	return caller.Place{Address: deskAddress(s.intN(siteDesks + 1)), Release: func() {}}, nil
+}
+
+func (s *site) Leaving(coordination.Endpoint, coordination.Incarnation) {}
+func (s *site) Request()                                                {}
+func (s *site) Allow() bool                                             { return true }
+
+// label repeats one order through one router after the other.
+type label struct {
+	site   *site
+	action caller.Action
+}
+
+func (l *label) run(ctx context.Context, done *sync.WaitGroup) {
+	defer done.Done()
+	s := l.site
+	for range callerTries {
+		ans, refusal := s.routers[s.intN(siteRouters)].Run(ctx, l.action)
+		t := told{outcome: ans.Outcome, body: string(ans.Body)}
+		if refusal != nil {
+			t = told{outcome: refusal.Outcome}
+		}
+		s.mu.Lock()
+		s.told[l.action.Key] = append(s.told[l.action.Key], t)
+		s.mu.Unlock()
+		time.Sleep(time.Duration(s.intN(10000)) * time.Millisecond)
+	}
+}
+
+// outages takes the platform down and up again, and loses its answers.
+type outages struct{ site *site }
+
+func (o outages) run(ctx context.Context, done *sync.WaitGroup) {
+	defer done.Done()
+	for ctx.Err() == nil {
+		f := standin.Faults{LoseReply: 0.1, LoseCall: 0.05, Outage: o.site.intN(4) == 0}
+		if err := o.site.platform.SetFaults(f); err != nil {
+			panic(err)
+		}
+		time.Sleep(3 * time.Second)
+	}
+}
+
+// simulate runs orders against a site, and returns it when all is over.
+func simulate(t *testing.T, seed uint64, nonIdempotent bool) *site {
+	t.Helper()
+	var s *site
+	synctest.Test(t, func(t *testing.T) {
+		s = newSite(seed)
+		s.nonIdempotent = nonIdempotent
+		defer s.stop()
+		ctx, cancel := context.WithCancel(t.Context())
+		var weather, labels sync.WaitGroup
+		weather.Add(1)
+		go outages{s}.run(ctx, &weather)
+		for range siteKeys {
+			action := booking(t)
+			for range keyCallers {
+				labels.Add(1)
+				go (&label{s, action}).run(ctx, &labels)
+			}
+		}
+		labels.Wait()
+		cancel()
+		weather.Wait()
+	})
+	return s
+}
+
+// fault compares what the callers of each key were told with its runs.
+func (s *site) fault() error {
+	for key, all := range s.told {
+		if err := contradiction(all, s.runs(key)); err != nil {
+			return fmt.Errorf("%s: %w", key, err)
+		}
+	}
+	return nil
+}
+
+func contradiction(all []told, runs int) error {
+	if runs > 1 {
+		return fmt.Errorf("ran %d times", runs)
+	}
+	body := ""
+	denied := 0
+	for _, one := range all {
+		switch {
+		case one.outcome == outcome.NotRun:
+			denied++
+		case one.outcome != outcome.Ran:
+		case runs == 0:
+			return errors.New("told ran, but did not run")
+		case body != "" && body != one.body:
+			return errors.New("different answers")
+		default:
+			body = one.body
+		}
+	}
+	if runs > 0 && denied == len(all) {
+		return errors.New("denied to all, but ran")
+	}
+	return nil
+}
+
+func (s *site) runs(key string) int {
+	n := 0
+	for _, d := range s.desks {
+		n += d.Arrivals().ByKey[key].Ran
+	}
+	return n
+}
+
+// Labels send the same orders through several routers, while the desk cuts
+// connections before and after it runs them or turns them away, the platform
+// loses answers and is down, and routers freeze. The desk counts its runs: no
+// order may run twice, none that ran may be denied to all, and all who are told
+// that it ran get the same receipt.
+func TestWholePathAtMostOnce(t *testing.T) {
+	const seeds = 20
+	runs := 0
+	told := map[outcome.Outcome]int{}
+	for seed := range uint64(seeds) {
+		s := simulate(t, seed, true)
+		assert.NilError(t, s.fault(), "seed %d", seed)
+		for key, all := range s.told {
+			runs += s.runs(key)
+			for _, one := range all {
+				told[one.outcome]++
+			}
+		}
+	}
+	t.Logf("%d orders, %d ran; told: %v", seeds*siteKeys, runs, told)
+	assert.Assert(t, runs > 0 && len(told) == 3)
+}
+
+// An operator forgot to mark the action as non-idempotent, so that each repeat
+// is sent. The check has to find it.
+func TestWholePathCheckFindsDoubledOrder(t *testing.T) {
+	assert.ErrorContains(t, simulate(t, 1, false).fault(), "times")
+}
