--- a/wisteriarouter/service/path_test.go
+++ b/wisteriarouter/service/path_test.go
@@ -27,11 +27,12 @@
 // site is a whole fleet in one process: stand-ins of the platform and of an
 // order desk, and routers, which talk HTTP over pipes.
 type site struct {
-	network  pipe.Network
-	platform *standin.Server
-	desks    []*service.Service
-	routers  []*router.Runner
-	cleanups []func()
+	network   pipe.Network
+	platform  *standin.Server
+	desks     []*service.Service
+	addresses []string // of the desks, and one where nobody listens
+	routers   []*router.Runner
+	cleanups  []func()
 
 	nonIdempotent bool
 
@@ -63,8 +64,10 @@
 		desk, stop := service.New(service.Options{Seed: seed + uint64(i), Time: 20 * time.Millisecond})
 		desk.SetFaults(service.Faults{CutBefore: 0.1, CutAfter: 0.1, Refuse: 0.2})
 		s.desks = append(s.desks, desk)
+		s.addresses = append(s.addresses, deskAddress(i))
 		s.cleanups = append(s.cleanups, s.network.Serve(deskAddress(i), desk), stop)
 	}
+	s.addresses = append(s.addresses, deskAddress(siteDesks))
 	for i := range siteRouters {
 		s.addRouter(i)
 	}
@@ -125,7 +128,7 @@
 
 // Place places at a random desk, or where nobody listens.
 func (s *site) Place(context.Context, caller.Want) (caller.Place, *outcome.Refusal) {
-	return caller.Place{Address: deskAddress(s.intN(siteDesks + 1)), Release: func() {}}, nil
+	return caller.Place{Address: s.addresses[s.intN(len(s.addresses))], Release: func() {}}, nil
 }
 
 func (s *site) Leaving(coordination.Endpoint, coordination.Incarnation) {}
--- /dev/null
+++ b/wisteriarouter/service/process_test.go
@@ -0,0 +1,235 @@
+package service_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/execution"
+	"wisteriaspool/coordination/outcome"
+	standin "wisteriaspool/standin/platform"
+	"wisteriaspool/standin/service"
+	"wisteriaspool/wisteriarouter/caller"
+	"wisteriaspool/wisteriarouter/platform"
+	router "wisteriaspool/wisteriarouter/service"
+)
+
+// The variables that make this test binary a router process.
+const (
+	envPlatform = "WISTERIA_TEST_PLATFORM" // URL
+	envDesks    = "WISTERIA_TEST_DESKS"    // addresses, separated by commas
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(envPlatform) != "" {
+		serveOrders()
+	}
+	os.Exit(m.Run())
+}
+
+// process is a router in a process of its own: it runs the order whose key is
+// the path, and answers with what its caller is told.
+type process struct{ runner *router.Runner }
+
+type processAnswer struct {
+	Outcome outcome.Outcome `json:"outcome"`
+	Body    string          `json:"body"`
+}
+
+func serveOrders() {
+	store, _, err := platform.New(platform.Config{Endpoints: []string{os.Getenv(envPlatform)}, Timeout: 300 * time.Millisecond})
+	if err != nil {
+		panic(err)
+	}
+	client, _ := router.NewClient(router.Options{})
+	ledger, _ := execution.New(execution.Config{
+		Store:         store,
+		Holder:        coordination.Instance(uuid.NewString()),
+		DispatchLimit: 300 * time.Millisecond,
+		CallTimeout:   300 * time.Millisecond,
+	})
+	s := &site{random: rand.New(rand.NewPCG(1, uint64(os.Getpid()))), nonIdempotent: true}
+	s.addresses = strings.Split(os.Getenv(envDesks), ",")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	go parent{}.run()
+	fmt.Println(l.Addr())
+	panic(http.Serve(l, process{&router.Runner{Plans: s, Placer: s, Retries: s, Client: client, Ledger: ledger}}))
+}
+
+// parent is the test process, whose end ends this one.
+type parent struct{}
+
+func (parent) run() {
+	_, _ = io.Copy(io.Discard, os.Stdin)
+	os.Exit(1)
+}
+
+func (p process) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	key := strings.TrimPrefix(r.URL.Path, "/")
+	ans, refusal := p.runner.Run(r.Context(), caller.Action{
+		Team: "solco", Account: "label-1", Service: "orders", Action: "book", Key: key, Body: []byte(`{"key":"` + key + `"}`),
+	})
+	out := processAnswer{Outcome: ans.Outcome, Body: string(ans.Body)}
+	if refusal != nil {
+		out = processAnswer{Outcome: refusal.Outcome}
+	}
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+// child is a running router process.
+type child struct {
+	cmd     *exec.Cmd
+	address string
+}
+
+func startChild(t *testing.T, platformURL string, desks []string) *child {
+	t.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), envPlatform+"="+platformURL, envDesks+"="+strings.Join(desks, ","))
+	out, err := cmd.StdoutPipe()
+	assert.NilError(t, err)
+	_, err = cmd.StdinPipe() // closed when we end
+	assert.NilError(t, err)
+	assert.NilError(t, cmd.Start())
+	c := &child{cmd: cmd}
+	t.Cleanup(c.kill)
+	line, err := bufio.NewReader(out).ReadString('\n')
+	assert.NilError(t, err)
+	c.address = strings.TrimSpace(line)
+	return c
+}
+
+func (c *child) signal(s syscall.Signal) { _ = c.cmd.Process.Signal(s) }
+
+func (c *child) kill() {
+	_ = c.cmd.Process.Kill()
+	_ = c.cmd.Wait()
+}
+
+// fleet is the routers as their callers know them.
+type fleet struct {
+	mu       sync.Mutex
+	children [siteRouters]*child
+}
+
+func (f *fleet) get(i int) *child {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.children[i]
+}
+
+func (f *fleet) set(i int, c *child) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.children[i] = c
+}
+
+// buyer repeats one order through the routers until the test ends.
+type buyer struct {
+	site  *site
+	fleet *fleet
+	key   string
+}
+
+func (b *buyer) run(ctx context.Context, done *sync.WaitGroup) {
+	defer done.Done()
+	client := &http.Client{Timeout: time.Second}
+	for ctx.Err() == nil {
+		t := b.order(client, b.fleet.get(b.site.intN(siteRouters)).address)
+		b.site.mu.Lock()
+		b.site.told[b.key] = append(b.site.told[b.key], t)
+		b.site.mu.Unlock()
+		time.Sleep(time.Duration(b.site.intN(300)) * time.Millisecond)
+	}
+}
+
+func (b *buyer) order(client *http.Client, address string) told {
+	res, err := client.Post("http://"+address+"/"+b.key, "", nil)
+	if err != nil {
+		return told{}
+	}
+	defer res.Body.Close()
+	var ans processAnswer
+	if json.NewDecoder(res.Body).Decode(&ans) != nil {
+		return told{}
+	}
+	return told{outcome: ans.Outcome, body: ans.Body}
+}
+
+// Routers are processes here, stopped by SIGSTOP for longer than their dispatch
+// limit and woken, or killed and replaced, while their callers repeat orders
+// through the others and the platform loses answers and goes down.
+func TestProcessesFrozenAndKilled(t *testing.T) {
+	server, stop := standin.New(standin.Options{Seed: 1})
+	defer stop()
+	platformServer := httptest.NewServer(server)
+	defer platformServer.Close()
+	s := &site{random: rand.New(rand.NewPCG(1, 1)), told: map[string][]told{}}
+	var desks []string
+	for i := range siteDesks {
+		desk, stop := service.New(service.Options{Seed: uint64(i), Time: 20 * time.Millisecond})
+		defer stop()
+		desk.SetFaults(service.Faults{CutBefore: 0.1, CutAfter: 0.1, Refuse: 0.1})
+		srv := httptest.NewServer(desk)
+		defer srv.Close()
+		s.desks = append(s.desks, desk)
+		desks = append(desks, address(srv.URL))
+	}
+	f := &fleet{}
+	for i := range siteRouters {
+		f.set(i, startChild(t, platformServer.URL, desks))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var buyers sync.WaitGroup
+	const rounds = 12
+	for n := range rounds {
+		for range 3 {
+			key := booking(t).Key
+			for range 3 {
+				buyers.Add(1)
+				go (&buyer{s, f, key}).run(ctx, &buyers)
+			}
+		}
+		assert.NilError(t, server.SetFaults(standin.Faults{LoseReply: 0.1, Outage: n%4 == 3}))
+		i := s.intN(siteRouters)
+		c := f.get(i)
+		c.signal(syscall.SIGSTOP)
+		time.Sleep(400 * time.Millisecond)
+		if n%3 == 2 {
+			c.kill()
+			f.set(i, startChild(t, platformServer.URL, desks))
+			continue
+		}
+		c.signal(syscall.SIGCONT)
+	}
+	cancel()
+	buyers.Wait()
+	assert.NilError(t, s.fault())
+	runs, calls := 0, 0
+	for key, all := range s.told {
+		runs += s.runs(key)
+		calls += len(all)
+	}
+	t.Logf("%d orders, %d calls, %d ran", len(s.told), calls, runs)
+	assert.Assert(t, runs > 0)
+}
