--- a/wisteriarouter/caller/caller_test.go
+++ b/wisteriarouter/caller/caller_test.go
@@ -163,7 +163,7 @@
 
 type endlessRetries struct{}
 
-func (endlessRetries) Request()    {}
+func (endlessRetries) Request()   {}
 func (endlessRetries) Take() bool { return true }
 
 type noActions struct{}
