--- a/wisteriarouter/service/runner_test.go
+++ b/wisteriarouter/service/runner_test.go
@@ -72,11 +72,13 @@
 	return caller.Place{}, &outcome.Refusal{Code: outcome.Overloaded, Outcome: outcome.NotRun, RetryAfter: time.Second}
 }
 
-func (d *desk) Leaving(e coordination.Endpoint, _ coordination.Incarnation) { d.left = append(d.left, e) }
+func (d *desk) Leaving(e coordination.Endpoint, _ coordination.Incarnation) {
+	d.left = append(d.left, e)
+}
 
 func (d *desk) Request() {}
 
-func (d *desk) Allow() bool {
+func (d *desk) Take() bool {
 	d.retries--
 	return d.retries >= 0
 }
@@ -170,8 +172,10 @@
 	a := booking(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	go cancelOnArrival{d, a.Key, cancel}.run()
-	_, _ = d.router(t).Run(ctx, a)
+	r := d.router(t)
+	_, _ = r.Run(ctx, a)
 	assert.ErrorIs(t, ctx.Err(), context.Canceled)
+	assert.Assert(t, r.Ledger.Drain(t.Context()))
 	ans, refusal := d.router(t).Run(t.Context(), a)
 	assert.Assert(t, refusal == nil, "%v", refusal)
 	assert.Assert(t, ans.Repeat)
