--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -258,99 +258,6 @@
 	})
 }
 
-// A chat returns. Where it was served before, its prompt is found in the cache
-// and the first token comes sooner; elsewhere all of it is computed again.
-func TestReturningChatIsWarm(t *testing.T) {
-	inBubble(t, Options{}, func(s *site) {
-		req := question("a", 160, 32)
-		first := s.ask("http://one", "x", req, "X-Chat-Id", "c")
-		assert.Equal(s.t, first.usage.PromptDetails.CachedTokens, 0)
-		again := req
-		again.Messages = append(req.Messages[:1:1],
-			Message{Role: "assistant", Content: Content(first.text)},
-			Message{Role: "user", Content: "and now"})
-		warm := s.ask("http://one", "y", again, "X-Chat-Id", "c")
-		assert.Equal(s.t, warm.usage.PromptTokens, 194)
-		assert.Equal(s.t, warm.usage.PromptDetails.CachedTokens, 192)
-		cold := s.ask("http://two", "z", again, "X-Chat-Id", "c")
-		assert.Equal(s.t, cold.usage.PromptDetails.CachedTokens, 0)
-	})
-}
-
-func TestExportWarmsAnotherEngine(t *testing.T) {
-	inBubble(t, Options{}, func(s *site) {
-		req := question("a", 160, 16)
-		s.ask("http://one", "x", req, "X-Chat-Id", "c")
-		assert.Equal(s.t, s.post("http://one/v1/kv/export", `{"chat":"none"}`, nil), http.StatusNotFound)
-		res, err := s.client.Post("http://one/v1/kv/export", "application/json", strings.NewReader(`{"chat":"c"}`))
-		assert.NilError(s.t, err)
-		kv, err := io.ReadAll(res.Body)
-		assert.NilError(s.t, err)
-		assert.Equal(s.t, s.post("http://two/v1/kv/import", string(kv), nil), http.StatusNoContent)
-		got := s.ask("http://two", "y", req, "X-Chat-Id", "c")
-		assert.Equal(s.t, got.usage.PromptDetails.CachedTokens, 160)
-		assert.Equal(s.t, s.post("http://two/v1/kv/import", string(kv[:20]), nil), http.StatusBadRequest)
-	})
-}
-
-// Other chats push a chat out of the limited cache. Its events tell so, late
-// and with gaps.
-func TestCacheIsLimited(t *testing.T) {
-	inBubble(t, Options{CacheBlocks: 12, EventDelay: time.Second}, func(s *site) {
-		s.ask("http://one", "x", question("a", 160, 1), "X-Chat-Id", "a")
-		s.ask("http://one", "y", question("b", 192, 1), "X-Chat-Id", "b")
-		got := s.ask("http://one", "z", question("a", 160, 1), "X-Chat-Id", "a")
-		assert.Equal(s.t, got.usage.PromptDetails.CachedTokens, 0)
-		assert.Equal(s.t, len(s.events(0).Events), 0)
-		time.Sleep(time.Second)
-		events := s.events(0)
-		assert.Check(s.t, contains(events.Events, "a", "evicted"))
-		assert.Check(s.t, contains(events.Events, "b", "stored"))
-		assert.Equal(s.t, len(s.events(events.Next).Events), 0)
-	})
-}
-
-func (s *site) events(since int) CacheEvents {
-	s.t.Helper()
-	res, err := s.client.Get("http://one/v1/cache-events?since=" + strconv.Itoa(since))
-	assert.NilError(s.t, err)
-	defer res.Body.Close()
-	var out CacheEvents
-	assert.NilError(s.t, json.NewDecoder(res.Body).Decode(&out))
-	return out
-}
-
-func contains(events []CacheEvent, chat, kind string) bool {
-	for _, e := range events {
-		if e.Chat == chat && e.Kind == kind {
-			return true
-		}
-	}
-	return false
-}
-
-// One request crashes the engine that runs it. All other answers break off, and
-// the engine comes back empty, as another incarnation.
-func TestPoisonCrashesTheEngine(t *testing.T) {
-	inBubble(t, Options{}, func(s *site) {
-		innocent := s.askLater("http://one", "x", question("a", 16, 100))
-		time.Sleep(100 * time.Millisecond)
-		before := s.one.Incarnation()
-		assert.Equal(s.t, s.ask("http://one", "p", question("POISON", 1, 1)).done, false)
-		cut := <-innocent
-		assert.Check(s.t, len(cut.ids) > 0 && !cut.done)
-		assert.Equal(s.t, s.ask("http://one", "y", question("a", 16, 1)).status, 0)
-
-		time.Sleep(time.Second)
-		got := s.ask("http://one", "z", question("a", 16, 1))
-		assert.Check(s.t, got.done)
-		assert.Equal(s.t, got.usage.PromptDetails.CachedTokens, 0)
-		assert.Check(s.t, s.one.Incarnation() > before)
-		assert.Equal(s.t, s.one.Stats().Crashes, 1)
-		assert.Equal(s.t, s.resume("http://one", "x", 0).status, http.StatusNotFound)
-	})
-}
-
 // An engine is stopped on purpose. What it runs ends as usual; what comes new
 // is refused by its own word, so that a router may send it elsewhere.
 func TestLeavingCutsOffNothing(t *testing.T) {
@@ -386,21 +293,6 @@
 	})
 }
 
-// A frozen engine neither reads nor writes, and goes on afterwards as if
-// nothing had been.
-func TestFreeze(t *testing.T) {
-	inBubble(t, Options{}, func(s *site) {
-		start := time.Now()
-		done := s.askLater("http://one", "x", question("a", 16, 10))
-		time.Sleep(50 * time.Millisecond)
-		s.one.SetFaults(Faults{FreezeMillis: 5000})
-		got := <-done
-		assert.Check(s.t, got.done)
-		assert.Equal(s.t, got.text, Answer(question("a", 16, 10).Messages, 10))
-		assert.Check(s.t, time.Since(start) > 5*time.Second)
-	})
-}
-
 // Higher priority goes first when requests wait.
 func TestPriorityOfWaiting(t *testing.T) {
 	inBubble(t, Options{Capacity: 1}, func(s *site) {
@@ -423,28 +315,6 @@
 	})
 }
 
-// Chunks come twice, swapped, or from another attempt. A reader that takes them
-// as they come shows its user a wrong answer, so the stand-in must send them.
-func TestDisorderedChunks(t *testing.T) {
-	for _, test := range []struct {
-		name   string
-		faults Faults
-		ids    string
-	}{
-		{"twice", Faults{Duplicates: 1}, "x.1 x.1 x.2 x.2 x.3 x.3 x.3"},
-		{"swapped", Faults{Swaps: 1}, "x.2 x.1 x.3 x.3"},
-		{"strays", Faults{Strays: 1}, "stray-x.1 x.1 stray-x.2 x.2 stray-x.3 x.3 x.3"},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			inBubble(t, Options{}, func(s *site) {
-				s.one.SetFaults(test.faults)
-				got := s.ask("http://one", "x", question("a", 16, 3))
-				assert.Equal(s.t, strings.Join(got.ids, " "), test.ids)
-			})
-		})
-	}
-}
-
 func TestLoadLags(t *testing.T) {
 	inBubble(t, Options{LoadLag: time.Second, Step: time.Second}, func(s *site) {
 		time.Sleep(2 * time.Second)
--- /dev/null
+++ b/standin/engine/faults_test.go
@@ -0,0 +1,69 @@
+package engine
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// One request crashes the engine that runs it. All other answers break off, and
+// the engine comes back empty, as another incarnation.
+func TestPoisonCrashesTheEngine(t *testing.T) {
+	inBubble(t, Options{}, func(s *site) {
+		innocent := s.askLater("http://one", "x", question("a", 16, 100))
+		time.Sleep(100 * time.Millisecond)
+		before := s.one.Incarnation()
+		assert.Equal(s.t, s.ask("http://one", "p", question("POISON", 1, 1)).done, false)
+		cut := <-innocent
+		assert.Check(s.t, len(cut.ids) > 0 && !cut.done)
+		assert.Equal(s.t, s.ask("http://one", "y", question("a", 16, 1)).status, 0)
+
+		time.Sleep(time.Second)
+		got := s.ask("http://one", "z", question("a", 16, 1))
+		assert.Check(s.t, got.done)
+		assert.Equal(s.t, got.usage.PromptDetails.CachedTokens, 0)
+		assert.Check(s.t, s.one.Incarnation() > before)
+		assert.Equal(s.t, s.one.Stats().Crashes, 1)
+		assert.Equal(s.t, s.resume("http://one", "x", 0).status, http.StatusNotFound)
+	})
+}
+
+// A frozen engine neither reads nor writes, and goes on afterwards as if
+// nothing had been.
+func TestFreeze(t *testing.T) {
+	inBubble(t, Options{}, func(s *site) {
+		start := time.Now()
+		done := s.askLater("http://one", "x", question("a", 16, 10))
+		time.Sleep(50 * time.Millisecond)
+		s.one.SetFaults(Faults{FreezeMillis: 5000})
+		got := <-done
+		assert.Check(s.t, got.done)
+		assert.Equal(s.t, got.text, Answer(question("a", 16, 10).Messages, 10))
+		assert.Check(s.t, time.Since(start) > 5*time.Second)
+	})
+}
+
+// Chunks come twice, swapped, or from another attempt. A reader that takes them
+// as they come shows its user a wrong answer, so the stand-in must send them.
+func TestDisorderedChunks(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		faults Faults
+		ids    string
+	}{
+		{"twice", Faults{Duplicates: 1}, "x.1 x.1 x.2 x.2 x.3 x.3 x.3"},
+		{"swapped", Faults{Swaps: 1}, "x.2 x.1 x.3 x.3"},
+		{"strays", Faults{Strays: 1}, "stray-x.1 x.1 stray-x.2 x.2 stray-x.3 x.3 x.3"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, Options{}, func(s *site) {
+				s.one.SetFaults(test.faults)
+				got := s.ask("http://one", "x", question("a", 16, 3))
+				assert.Equal(s.t, strings.Join(got.ids, " "), test.ids)
+			})
+		})
+	}
+}
