--- a/wisteriarouter/service/runner.go
+++ b/wisteriarouter/service/runner.go
@@ -70,9 +70,9 @@
 	}
 	defer s.release()
 	if !plan.NonIdempotent {
-		return r.answer(a, s.Send(ctx))
+		return s.answer(s.Send(ctx))
 	}
-	return r.answer(a, r.Ledger.Run(ctx, req, s))
+	return s.answer(r.Ledger.Run(ctx, req, s))
 }
 
 // request returns what is put on record of a non-idempotent action.
@@ -123,28 +123,3 @@
 		[]byte(issued.UTC().Format(time.RFC3339Nano)),
 	)
 }
-
-// answer turns the end of an action into what its caller gets, and logs what
-// operators should see.
-func (r *Runner) answer(a caller.Action, res execution.Result) (caller.Answer, *outcome.Refusal) {
-	fields := []event.Field{
-		event.F("team", a.Team), event.F("service", a.Service),
-		event.F("action", a.Action), event.F("key", a.Key),
-	}
-	switch {
-	case res.Outcome == outcome.Unknown:
-		r.Log.Emit(event.ActionUnknown, fields...)
-	case res.Outcome == outcome.NotRun && res.Refusal != nil:
-		r.Log.Emit(event.ActionRefused, append(fields, event.F("code", res.Refusal.Code))...)
-	}
-	if res.Answer == nil {
-		return caller.Answer{}, res.Refusal
-	}
-	return caller.Answer{
-		Status:  res.Answer.Status,
-		Type:    res.Answer.ContentType,
-		Body:    res.Answer.Body,
-		Outcome: res.Outcome,
-		Repeat:  res.Repeated,
-	}, nil
-}
--- a/wisteriarouter/service/sending.go
+++ b/wisteriarouter/service/sending.go
@@ -11,6 +11,7 @@
 	"wisteriaspool/coordination/execution"
 	"wisteriaspool/coordination/outcome"
 	"wisteriaspool/wisteriarouter/caller"
+	"wisteriaspool/wisteriarouter/event"
 )
 
 // maxAttempts bounds the attempts of one action beside the retry budget.
@@ -29,6 +30,7 @@
 	deadline time.Time // latest start; zero for none
 	evidence outcome.Evidence
 	at       caller.Place
+	attempt  coordination.Attempt // the last one; empty if nothing was sent
 	exclude  []coordination.Endpoint
 }
 
@@ -86,8 +88,9 @@
 	defer s.release()
 	ctx, cancel := context.WithTimeout(ctx, s.plan.Timeout)
 	defer cancel()
+	s.attempt = coordination.Attempt(uuid.NewString())
 	reply, err := s.runner.Client.Do(ctx, &s.evidence, Call{
-		Attempt: coordination.Attempt(uuid.NewString()),
+		Attempt: s.attempt,
 		Address: s.at.Address,
 		Action:  s.action.Action,
 		Type:    s.action.Type,
@@ -130,6 +133,36 @@
 	return execution.Result{Outcome: o, Answer: &reply.Answer}
 }
 
+// answer turns the end of the action into what its caller gets, and logs what
+// operators should see.
+func (s *sending) answer(res execution.Result) (caller.Answer, *outcome.Refusal) {
+	s.log(res)
+	if res.Answer == nil {
+		return caller.Answer{}, res.Refusal
+	}
+	return caller.Answer{
+		Status:  res.Answer.Status,
+		Type:    res.Answer.ContentType,
+		Body:    res.Answer.Body,
+		Outcome: res.Outcome,
+		Repeat:  res.Repeated,
+	}, nil
+}
+
+func (s *sending) log(res execution.Result) {
+	fields := []event.Field{
+		event.F("team", s.action.Team), event.F("service", s.action.Service),
+		event.F("action", s.action.Action), event.F("key", s.action.Key),
+		event.F("attempt", s.attempt),
+	}
+	switch {
+	case res.Outcome == outcome.Unknown:
+		s.runner.Log.Emit(event.ActionUnknown, fields...)
+	case res.Outcome == outcome.NotRun && res.Refusal != nil:
+		s.runner.Log.Emit(event.ActionRefused, append(fields, event.F("code", res.Refusal.Code))...)
+	}
+}
+
 func busy(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 }
