coordination/execution: tell of a lost platform; respect the deadline for the start

Finish and Abandon no longer end with the caller's context: a caller that had gone made them report a delay that was none. A slot is free when Finish returns; before, it was a moment later, which a test saw once. An action whose record comes after its deadline is abandoned, not sent. Dead connections to the platform are found within about ten seconds.

The test of the whole path took UUIDs whose time the library carried over from tests outside the paused clock: with -count=2 all keys were from the future and nothing ran, which its last assertion reported. Its keys carry no time now.

--- a/coordination/execution/execution.go
+++ b/coordination/execution/execution.go
@@ -61,7 +61,7 @@
 // Defaults of Config.
 const (
 	DefaultRetention     = 24 * time.Hour
-	DefaultClockSkew     = 10 * time.Minute
+	DefaultClockSkew     = time.Minute
 	DefaultDispatchLimit = 10 * time.Second
 	DefaultCallTimeout   = time.Second
 	DefaultCreateWait    = 2 * time.Second
@@ -248,6 +248,10 @@
 	// RecordLost: a record that this router held is gone, or is another's.
 	// The service lost it, or its lease lapsed early.
 	RecordLost
+	// PlatformLost: calls fail, and actions are refused without one.
+	PlatformLost
+	// PlatformBack: calls are answered again.
+	PlatformBack
 )
 
 // String returns the name of e as logs and metrics show it.
@@ -255,6 +259,7 @@
 	names := [...]string{
 		"create-unanswered", "not-dispatched", "record-abandoned", "record-finished",
 		"settlement-delayed", "settlement-given-up", "record-lost",
+		"platform-lost", "platform-back",
 	}
 	if e < 0 || int(e) >= len(names) {
 		return "invalid"
--- a/coordination/execution/gate.go
+++ b/coordination/execution/gate.go
@@ -42,20 +42,31 @@
 	return true
 }
 
-// note takes in how a call ended. A refusal for the rate is an answer, too.
-func (g *gate) note(s kv.Status) {
+// note takes in how a call ended, and tells whether that shut or opened the
+// gate. A refusal for the rate is an answer, too.
+func (g *gate) note(s kv.Status) (e Event, changed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if s != kv.Unknown && s != kv.Unavailable {
+		changed = g.failures >= gateFailures
 		g.failures = 0
-		return
+		return PlatformBack, changed
 	}
 	g.failures++
-	if g.failures == gateFailures {
-		g.postpone(time.Now())
+	if g.failures != gateFailures {
+		return 0, false
 	}
+	g.postpone(time.Now())
+	return PlatformLost, true
 }
 
 func (g *gate) postpone(now time.Time) {
 	g.next = now.Add(gateInterval/2 + rand.N(gateInterval))
 }
+
+// note takes in how a call to the platform ended.
+func (l *Ledger) note(s kv.Status) {
+	if e, changed := l.gate.note(s); changed {
+		l.cfg.Observe(e)
+	}
+}
--- a/coordination/execution/lease.go
+++ b/coordination/execution/lease.go
@@ -64,7 +64,7 @@
 		ctx, cancel := context.WithTimeout(l.ctx, l.cfg.CallTimeout)
 		id, res = l.cfg.Store.Grant(ctx, l.cfg.leaseTTL())
 		cancel()
-		l.gate.note(res.Status)
+		l.note(res.Status)
 	}
 	s := &l.leases
 	s.mu.Lock()
--- a/coordination/execution/ledger.go
+++ b/coordination/execution/ledger.go
@@ -177,7 +177,7 @@
 	ctx, cancel := context.WithTimeout(l.ctx, l.cfg.CallTimeout)
 	defer cancel()
 	res := l.cfg.Store.CompareAndSwap(ctx, path, value, expect, lease)
-	l.gate.note(res.Status)
+	l.note(res.Status)
 	return res
 }
 
--- a/coordination/execution/ledger_test.go
+++ b/coordination/execution/ledger_test.go
@@ -185,7 +185,7 @@
 		d := l.Begin(t.Context(), order("k"))
 		time.Sleep(execution.DefaultDispatchLimit + time.Nanosecond)
 		assert.Assert(t, !d.Token.Dispatch())
-		assert.Assert(t, l.Abandon(t.Context(), d.Token))
+		assert.Assert(t, l.Abandon(d.Token))
 		assert.Equal(t, l.Open(), 0)
 	})
 }
@@ -196,10 +196,10 @@
 		token := l.Begin(t.Context(), order("k")).Token
 		assert.Assert(t, token.Dispatch())
 		assert.Assert(t, !token.Dispatch())
-		l.Finish(t.Context(), token, outcome.Ran, nil)
+		l.Finish(token, outcome.Ran, nil)
 		assert.Assert(t, !token.Dispatch())
 		defer func() { assert.Equal(t, recover(), "execution: token settled twice") }()
-		l.Abandon(t.Context(), token)
+		l.Abandon(token)
 	})
 }
 
@@ -214,7 +214,7 @@
 		assert.Assert(t, token.Dispatch())
 		store.SetFaults(kvtest.Faults{Down: true})
 		start := time.Now()
-		assert.Assert(t, !l.Finish(t.Context(), token, outcome.Ran, &execution.Answer{Status: 200, Body: []byte("booked")}))
+		assert.Assert(t, !l.Finish(token, outcome.Ran, &execution.Answer{Status: 200, Body: []byte("booked")}))
 		assert.Equal(t, time.Since(start), execution.DefaultFinishWait)
 		time.Sleep(5 * time.Minute)
 		store.SetFaults(kvtest.Faults{})
@@ -334,7 +334,7 @@
 		assert.Equal(t, held.Verdict, execution.Execute)
 		d := l.Begin(t.Context(), order("b"))
 		assert.Equal(t, d.Refusal.Code, outcome.Overloaded)
-		l.Abandon(t.Context(), held.Token)
+		l.Abandon(held.Token)
 		assert.Equal(t, l.Begin(t.Context(), order("b")).Verdict, execution.Execute)
 	})
 }
--- a/coordination/execution/limits.go
+++ b/coordination/execution/limits.go
@@ -116,27 +116,6 @@
 	return true
 }
 
-// Abandon records that the action was not and will not be dispatched by this
-// token, which frees its key for a repeat. It waits as Finish does.
-func (l *Ledger) Abandon(ctx context.Context, t *Token) bool {
-	t.settle()
-	s := l.settle(t.claim.path, t.claim.record.abandoned(), t.revision, t.claim.lease)
-	return l.await(ctx, s)
-}
-
-func (l *Ledger) await(ctx context.Context, s *settlement) bool {
-	timer := time.NewTimer(l.cfg.FinishWait)
-	defer timer.Stop()
-	select {
-	case <-s.ended:
-		return s.stands
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	l.cfg.Observe(SettlementDelayed)
-	return false
-}
-
 // unhold takes back what hold counted.
 func (l *Ledger) unhold(a *Answer) {
 	if a == nil {
--- a/coordination/execution/run.go
+++ b/coordination/execution/run.go
@@ -22,7 +22,8 @@
 }
 
 // Run runs req by s if no other try of it has run, is running, or can still
-// run. Everything else is answered without s.
+// run. Everything else is answered without s. Once ctx has ended nothing is
+// sent any more.
 func (l *Ledger) Run(ctx context.Context, req Request, s Sender) Result {
 	d := l.Begin(ctx, req)
 	switch d.Verdict {
@@ -38,22 +39,22 @@
 func (l *Ledger) dispatch(ctx context.Context, t *Token, s Sender) Result {
 	if ctx.Err() != nil || !t.Dispatch() {
 		l.cfg.Observe(NotDispatched)
-		l.Abandon(ctx, t)
+		l.Abandon(t)
 		return Result{Outcome: outcome.NotRun, Refusal: tooLate()}
 	}
 	settled := false
 	defer func() {
 		if !settled { // s panicked: it may have sent the action
-			l.Finish(ctx, t, outcome.Unknown, nil)
+			l.Finish(t, outcome.Unknown, nil)
 		}
 	}()
 	res := s.Send(ctx)
 	settled = true
 	if res.Outcome == outcome.NotRun {
-		l.Abandon(ctx, t)
+		l.Abandon(t)
 		return res
 	}
-	l.Finish(ctx, t, res.Outcome, res.Answer)
+	l.Finish(t, res.Outcome, res.Answer)
 	return res
 }
 
--- a/coordination/execution/settlement.go
+++ b/coordination/execution/settlement.go
@@ -1,7 +1,6 @@
 package execution
 
 import (
-	"context"
 	"time"
 
 	"wisteriaspool/coordination/kv"
@@ -9,17 +8,37 @@
 )
 
 // Finish records the end of a dispatched action, for repeats to find. It
-// returns once the record stands, or after FinishWait or with ctx, and tells
-// whether it stands; if not, tries go on in the background for as long as the
-// record lives. The caller's own answer need not wait for more.
-func (l *Ledger) Finish(ctx context.Context, t *Token, o outcome.Outcome, a *Answer) bool {
+// returns once the record stands, or after FinishWait, and tells whether it
+// stands; if not, tries go on in the background for as long as the record
+// lives. The caller's own answer need not wait for more.
+func (l *Ledger) Finish(t *Token, o outcome.Outcome, a *Answer) bool {
 	t.settle()
 	r := t.claim.record.finished(o, a, t.claim.keep)
 	if !l.hold(r.Answer) {
 		r = t.claim.record.finished(o, a, keepNone)
 	}
 	s := l.settle(t.claim.path, r, t.revision, t.claim.lease)
-	return l.await(ctx, s)
+	return l.await(s)
+}
+
+// Abandon records that the action was not and will not be dispatched by this
+// token, which frees its key for a repeat. It waits as Finish does.
+func (l *Ledger) Abandon(t *Token) bool {
+	t.settle()
+	s := l.settle(t.claim.path, t.claim.record.abandoned(), t.revision, t.claim.lease)
+	return l.await(s)
+}
+
+func (l *Ledger) await(s *settlement) bool {
+	timer := time.NewTimer(l.cfg.FinishWait)
+	defer timer.Stop()
+	select {
+	case <-s.ended:
+		return s.stands
+	case <-timer.C:
+		l.cfg.Observe(SettlementDelayed)
+		return false
+	}
 }
 
 // settlement writes the last state of a record that this router holds. It
@@ -55,9 +74,9 @@
 func (s *settlement) run() {
 	l := s.ledger
 	defer l.work.Done()
+	defer close(s.ended)
 	defer l.release()
 	defer l.unhold(s.record.Answer)
-	defer close(s.ended)
 	value := s.record.encode()
 	start := time.Now()
 	for try := 0; elapsed(start) < l.cfg.life(); try++ {
--- a/wisteriarouter/platform/call.go
+++ b/wisteriarouter/platform/call.go
@@ -20,10 +20,15 @@
 
 const contentType = "application/json"
 
+// keepAlive finds out within about ten seconds that the other end of a
+// connection is gone without a word. A watch has nothing to send, and would
+// wait on such a connection for minutes while settings change.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 4 * time.Second, Interval: 2 * time.Second, Count: 3}
+
 func newTransport(cfg Config) *http.Transport {
 	dial := cfg.DialContext
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext
+		dial = (&net.Dialer{Timeout: cfg.DialTimeout, KeepAliveConfig: keepAlive}).DialContext
 	}
 	return &http.Transport{
 		DialContext:         dial,
--- a/wisteriarouter/service/observer.go
+++ b/wisteriarouter/service/observer.go
@@ -34,6 +34,10 @@
 	switch e {
 	case execution.SettlementDelayed, execution.SettlementGivenUp, execution.RecordLost:
 		o.log.Emit(event.ActionUnfinished, event.F("state", e.String()))
+	case execution.PlatformLost:
+		o.log.Emit(event.PlatformLost, event.F("service", "actions"))
+	case execution.PlatformBack:
+		o.log.Emit(event.PlatformBack, event.F("service", "actions"))
 	}
 }
 
--- a/wisteriarouter/service/path_test.go
+++ b/wisteriarouter/service/path_test.go
@@ -171,6 +171,16 @@
 	}
 }
 
+// order returns an action whose key does not carry its time: the library takes
+// the time of UUIDs from the last one that it made, outside the paused clock.
+func order(i int) caller.Action {
+	key := fmt.Sprint("order-", i)
+	return caller.Action{
+		Team: "solco", Account: "label-1", Service: "orders", Action: "book",
+		Key: key, IssuedAt: time.Now().Format(time.RFC3339), Body: []byte(`{"key":"` + key + `"}`),
+	}
+}
+
 // simulate runs orders against a site, and returns it when all is over.
 func simulate(t *testing.T, seed uint64, nonIdempotent bool) *site {
 	t.Helper()
@@ -183,8 +193,8 @@
 		var weather, labels sync.WaitGroup
 		weather.Add(1)
 		go outages{s}.run(ctx, &weather)
-		for range siteKeys {
-			action := booking(t)
+		for i := range siteKeys {
+			action := order(i)
 			for range keyCallers {
 				labels.Add(1)
 				go (&label{s, action}).run(ctx, &labels)
--- a/wisteriarouter/service/runner.go
+++ b/wisteriarouter/service/runner.go
@@ -72,6 +72,8 @@
 	if !plan.NonIdempotent {
 		return s.answer(s.Send(ctx))
 	}
+	ctx, cancel := s.startBy(ctx)
+	defer cancel()
 	return s.answer(r.Ledger.Run(ctx, req, s))
 }
 
--- a/wisteriarouter/service/runner_test.go
+++ b/wisteriarouter/service/runner_test.go
@@ -182,6 +182,19 @@
 	assert.Equal(t, d.count(a.Key), service.Count{Arrived: 1, Ran: 1})
 }
 
+// The platform answers only after the order's deadline for its start. A label
+// that has been told to count on nothing after it must not find a slot booked.
+func TestDeadlineBeforeRecord(t *testing.T) {
+	d := newDesk(t, 1)
+	d.store.SetFaults(kvtest.Faults{Delay: 30 * time.Millisecond})
+	a := booking(t)
+	a.Deadline = time.Now().Add(20 * time.Millisecond)
+	_, refusal := d.router(t).Run(t.Context(), a)
+	assert.Equal(t, refusal.Code, outcome.Deadline)
+	assert.Equal(t, refusal.Outcome, outcome.NotRun)
+	assert.Equal(t, d.count(a.Key).Arrived, 0)
+}
+
 // cancelOnArrival hangs up once the action has reached the service.
 type cancelOnArrival struct {
 	desk   *desk
--- a/wisteriarouter/service/sending.go
+++ b/wisteriarouter/service/sending.go
@@ -42,6 +42,14 @@
 	return s
 }
 
+// startBy bounds the time until the action is sent. Send does not end with it.
+func (s *sending) startBy(ctx context.Context) (context.Context, context.CancelFunc) {
+	if s.deadline.IsZero() {
+		return ctx, func() {}
+	}
+	return context.WithDeadline(ctx, s.deadline)
+}
+
 // place takes a place at an endpoint that was not tried yet.
 func (s *sending) place(ctx context.Context) *outcome.Refusal {
 	place, refusal := s.runner.Placer.Place(ctx, caller.Want{
