--- a/wisteriarouter/service/sending.go
+++ b/wisteriarouter/service/sending.go
@@ -157,6 +157,8 @@
 	}, nil
 }
 
+// log tells of an unknown end where it came about, and not again of each
+// repeat that learns of it.
 func (s *sending) log(res execution.Result) {
 	fields := []event.Field{
 		event.F("team", s.action.Team), event.F("service", s.action.Service),
@@ -164,7 +166,7 @@
 		event.F("attempt", s.attempt),
 	}
 	switch {
-	case res.Outcome == outcome.Unknown:
+	case res.Outcome == outcome.Unknown && s.attempt != "":
 		s.runner.Log.Emit(event.ActionUnknown, fields...)
 	case res.Outcome == outcome.NotRun && res.Refusal != nil:
 		s.runner.Log.Emit(event.ActionRefused, append(fields, event.F("code", res.Refusal.Code))...)
