--- a/coordination/execution/limits.go
+++ b/coordination/execution/limits.go
@@ -90,14 +90,16 @@
 	l.spare++
 }
 
-// mayTry tells whether the budget lets the given try be made. Begin has paid
-// for the first.
+// mayTry tells whether the given try of a settlement may be made. Begin has
+// paid for the first. Of the others the budget can hold back every second one
+// only: in a surge new actions take each call as it comes, and a key whose
+// action has long run would stay in progress for as long as the surge lasts.
 func (l *Ledger) mayTry(try int) bool {
 	if try == 0 {
 		return true
 	}
 	ok, _ := l.allow()
-	return ok
+	return ok || try%2 == 0
 }
 
 // hold counts the bytes of an answer that waits to be put on record, and tells
@@ -116,27 +118,6 @@
 	return true
 }
 
-// Abandon records that the action was not and will not be dispatched by this
-// token, which frees its key for a repeat. It waits as Finish does.
-func (l *Ledger) Abandon(ctx context.Context, t *Token) bool {
-	t.settle()
-	s := l.settle(t.claim.path, t.claim.record.abandoned(), t.revision, t.claim.lease)
-	return l.await(ctx, s)
-}
-
-func (l *Ledger) await(ctx context.Context, s *settlement) bool {
-	timer := time.NewTimer(l.cfg.FinishWait)
-	defer timer.Stop()
-	select {
-	case <-s.ended:
-		return s.stands
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	l.cfg.Observe(SettlementDelayed)
-	return false
-}
-
 // unhold takes back what hold counted.
 func (l *Ledger) unhold(a *Answer) {
 	if a == nil {
