--- /dev/null
+++ b/coordination/settings/churn_test.go
@@ -0,0 +1,141 @@
+package settings
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/kv/kvtest"
+)
+
+// staleStore is a platform whose lists are sometimes answered by a replica
+// that lags behind.
+type staleStore struct {
+	*kvtest.Store
+	mu   sync.Mutex
+	rnd  *rand.Rand
+	last kv.Result
+}
+
+func (s *staleStore) List(ctx context.Context, prefix string) kv.Result {
+	res := s.Store.List(ctx, prefix)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rnd.IntN(3) == 0 && s.last.Status == kv.Applied {
+		return s.last
+	}
+	s.last = res
+	return res
+}
+
+// churn does to a fleet what may happen to it, all in one run.
+type churn struct {
+	*fleet
+	rnd      *rand.Rand
+	old      []kv.Pair // values that stood once
+	accepted Position
+	at       time.Time
+	by       *router
+	counts   map[string]int
+}
+
+const (
+	churnSeeds = 12
+	churnSteps = 80
+)
+
+// Routers are replaced one after the other while operators make changes,
+// watches fall silent, reads are stale and somebody puts old values back. An
+// operator who saw a change accepted must find it, or a later one, in force on
+// every router from then on.
+func TestNothingRevertsUnderChurn(t *testing.T) {
+	counts := make(map[string]int)
+	for seed := range uint64(churnSeeds) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, seed, 0)
+			f.read = &staleStore{Store: f.store, rnd: rand.New(rand.NewPCG(seed, 5))}
+			for range 7 {
+				f.start()
+			}
+			time.Sleep(10 * time.Second)
+			c := &churn{fleet: f, rnd: rand.New(rand.NewPCG(seed, 6)), counts: counts}
+			c.change(t)
+			for range churnSteps {
+				c.step(t)
+				time.Sleep(time.Duration(c.rnd.IntN(2500)) * time.Millisecond)
+				c.check(t)
+			}
+		})
+	}
+	t.Logf("%d seeds of %d steps: %v", churnSeeds, churnSteps, counts)
+}
+
+func (c *churn) step(t *testing.T) {
+	switch c.rnd.IntN(5) {
+	case 0:
+		c.change(t)
+	case 1:
+		c.replace()
+	case 2:
+		c.restore(t)
+	case 3:
+		c.store.SetFaults(kvtest.Faults{DropWatch: true})
+		c.counts["silent watches"]++
+	case 4:
+		c.store.SetFaults(kvtest.Faults{})
+	}
+}
+
+func (c *churn) any() *router { return c.routers[c.rnd.IntN(len(c.routers))] }
+
+func (c *churn) change(t *testing.T) {
+	r := c.any()
+	standing, _ := r.editor.Read(t.Context(), testTeam)
+	out := r.editor.Put(t.Context(), change(fmt.Sprintf("[team]\ndeadline-default = %dms\n", 10+c.rnd.IntN(1000)), standing.Revision))
+	assert.Equal(t, out.Status, Accepted)
+	assert.Assert(t, c.accepted.Before(out.Position), "accepted behind an accepted change")
+	c.accepted, c.at, c.by = out.Position, time.Now(), r
+	c.old = append(c.old, c.store.Get(t.Context(), Key(testTeam)).Pairs[0])
+	c.counts["changes"]++
+}
+
+// replace replaces a router, but not the one that alone knows of the last
+// change, whose loss TestStuckWatch is about.
+func (c *churn) replace() {
+	i := c.rnd.IntN(len(c.routers))
+	if c.routers[i] == c.by && time.Since(c.at) < inForceWithin {
+		return
+	}
+	c.kill(i)
+	c.start()
+	c.counts["replacements"]++
+}
+
+func (c *churn) restore(t *testing.T) {
+	now := c.store.Get(t.Context(), Key(testTeam)).Pairs[0]
+	value := c.old[c.rnd.IntN(len(c.old))].Value
+	res := c.store.CompareAndSwap(t.Context(), now.Key, value, now.Revision, 0)
+	assert.Equal(t, res.Status, kv.Applied)
+	c.counts["old values put back"]++
+}
+
+func (c *churn) check(t *testing.T) {
+	if time.Since(c.at) < inForceWithin {
+		return
+	}
+	for _, r := range c.routers {
+		select {
+		case <-r.sync.Ready():
+			assert.Assert(t, !r.position().Before(c.accepted), "%s lacks %v", r.member.Instance, c.accepted)
+		default:
+		}
+	}
+	c.counts["checks"]++
+}
--- /dev/null
+++ b/coordination/settings/editor_test.go
@@ -0,0 +1,131 @@
+package settings
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/kv/kvtest"
+)
+
+func newEditor() (*Editor, *Replica, *kvtest.Store) {
+	store := kvtest.New()
+	replica := &Replica{}
+	return NewEditor(store, replica), replica, store
+}
+
+func put(t *testing.T, e *Editor, text string, base kv.Revision) Outcome {
+	t.Helper()
+	out := e.Put(context.Background(), change(text, base))
+	assert.Equal(t, out.Status, Accepted, "%v %v", out.Problems, out.Err)
+	return out
+}
+
+// Two operators start from the same revision. The second must not overwrite
+// what the first was told is accepted, and has to see what differs.
+func TestConflictShowsDifference(t *testing.T) {
+	e, _, store := newEditor()
+	first := put(t, e, oneSecond, 0)
+	put(t, e, twoSeconds, first.Position.Revision)
+	for _, other := range []*Editor{e, NewEditor(store, &Replica{})} {
+		out := other.Put(t.Context(), change("[team]\ndeadline-default = 3s\n", first.Position.Revision))
+		assert.Equal(t, out.Status, Conflicting)
+		assert.Equal(t, out.Standing.Text, twoSeconds)
+		assert.Equal(t, out.Diff, "-deadline-default = 2s\n+deadline-default = 3s\n")
+	}
+}
+
+// The same change is sent again after it was accepted, through a router that
+// knows of it and one that does not, also when later changes stand on it.
+func TestSameChangeAgain(t *testing.T) {
+	e, _, store := newEditor()
+	p := change(oneSecond, 0)
+	first := e.Put(t.Context(), p)
+	put(t, e, twoSeconds, first.Position.Revision)
+	for _, other := range []*Editor{e, NewEditor(store, &Replica{})} {
+		out := other.Put(t.Context(), p)
+		assert.Equal(t, out.Status, Accepted)
+		assert.Assert(t, out.Repeated)
+		assert.Equal(t, out.Position, first.Position)
+	}
+	assert.Equal(t, store.Calls("cas"), 3) // the third, on base 0, found the conflict
+}
+
+// The team's key was deleted past the routers. Operators go on from what is in
+// force, and their change must come after it everywhere.
+func TestPutAfterDeletion(t *testing.T) {
+	e, replica, store := newEditor()
+	base := put(t, e, oneSecond, 0).Position
+	assert.Equal(t, store.Delete(t.Context(), Key(testTeam), base.Revision).Status, kv.Applied)
+	standing, fresh := e.Read(t.Context(), testTeam)
+	assert.Assert(t, !fresh)
+	assert.Equal(t, standing.Text, oneSecond)
+	out := put(t, e, twoSeconds, base.Revision)
+	assert.Assert(t, base.Before(out.Position))
+	in, _ := replica.Snapshot(testTeam)
+	assert.Equal(t, in.Position, out.Position)
+	assert.Equal(t, len(in.Value.History(0)), 2)
+}
+
+// The platform was rebuilt from a backup, so that its revisions start low. A
+// change accepted there has to be in force, although its revision is below
+// the one in force.
+func TestPutOnRebuiltPlatform(t *testing.T) {
+	e, replica, store := newEditor()
+	for range 5 {
+		store.CompareAndSwap(t.Context(), "/other", nil, 0, 0)
+		store.Delete(t.Context(), "/other", store.Get(t.Context(), "/other").Revision)
+	}
+	before := put(t, e, oneSecond, 0).Position
+	rebuilt := kvtest.New()
+	e.store = rebuilt
+	standing, _ := e.Read(t.Context(), testTeam)
+	out := put(t, e, twoSeconds, standing.Revision)
+	assert.Assert(t, out.Position.Revision < before.Revision)
+	assert.Assert(t, before.Before(out.Position))
+	in, _ := replica.Snapshot(testTeam)
+	assert.Equal(t, in.Position, out.Position)
+}
+
+// Somebody wrote raw text past the routers. The next change goes on top of it
+// and keeps the history of what was accepted before.
+func TestPutOnRawText(t *testing.T) {
+	e, replica, store := newEditor()
+	base := put(t, e, oneSecond, 0).Position
+	raw := store.CompareAndSwap(t.Context(), Key(testTeam), []byte(twoSeconds), base.Revision, 0)
+	standing, fresh := e.Read(t.Context(), testTeam)
+	assert.Assert(t, fresh)
+	assert.Equal(t, standing.Revision, raw.Revision)
+	assert.Equal(t, replica.Status()[0].Refused.Verdict, Invalid)
+	out := put(t, e, twoSeconds, raw.Revision)
+	in, _ := replica.Snapshot(testTeam)
+	history := in.Value.History(out.Position.Revision)
+	assert.Equal(t, len(history), 2)
+	assert.Equal(t, history[1].Revision, base.Revision)
+	assert.Assert(t, replica.Status()[0].Refused == nil)
+}
+
+func TestRejected(t *testing.T) {
+	e, _, store := newEditor()
+	p := Put{Team: "a/b", Text: "[team]\nx = 1", Base: -1, ID: "1", Author: " ", Reason: strings.Repeat("x", maxReason+1)}
+	out := e.Put(t.Context(), p)
+	assert.Equal(t, out.Status, Rejected)
+	assert.Equal(t, len(out.Problems), 6, "%v", out.Problems)
+	assert.Equal(t, store.Calls("cas")+store.Calls("get"), 0)
+}
+
+// The platform is down. Nothing can be accepted, and the operator has to be
+// told at once that nothing was written.
+func TestPutInOutage(t *testing.T) {
+	e, _, store := newEditor()
+	base := put(t, e, oneSecond, 0).Position
+	store.SetFaults(kvtest.Faults{Down: true})
+	for _, other := range []*Editor{e, NewEditor(store, &Replica{})} {
+		out := other.Put(t.Context(), change(twoSeconds, base.Revision))
+		assert.Equal(t, out.Status, Unwritten)
+		assert.Assert(t, out.RetryAfter > 0)
+	}
+}
--- a/coordination/settings/fleet_test.go
+++ b/coordination/settings/fleet_test.go
@@ -22,20 +22,22 @@
 	editor  *Editor
 	sync    *Sync
 	stop    func()
-	last    Position // the latest in force, to see that it never goes back
+	seen    monotone
 }
 
 // fleet is several routers on one fake platform and one fake hub.
 type fleet struct {
 	t       testing.TB
 	store   *kvtest.Store
+	read    SyncStore // that the routers watch
 	hub     *hub
 	routers []*router
 	started int
 }
 
 func newFleet(t testing.TB, seed uint64, n int) *fleet {
-	f := &fleet{t: t, store: kvtest.New(), hub: newHub(seed)}
+	store := kvtest.New()
+	f := &fleet{t: t, store: store, read: store, hub: newHub(seed)}
 	ctx, cancel := context.WithCancel(context.Background())
 	go f.hub.run(ctx)
 	for range n {
@@ -56,7 +58,7 @@
 	f.started++
 	r.replica.Observe(func(o Observation) { r.check(f.t, o) })
 	r.editor = NewEditor(f.store, r.replica)
-	r.sync, r.stop = NewSync(Config{Self: r.member.Instance, Zone: r.member.Zone}, r.replica, f.store, r.node)
+	r.sync, r.stop = NewSync(Config{Self: r.member.Instance, Zone: r.member.Zone}, r.replica, f.read, r.node)
 	f.routers = append(f.routers, r)
 	return r
 }
@@ -76,10 +78,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if o.InForce.Position.Before(r.last) {
-		t.Errorf("%s went back from %v to %v", r.member.Instance, r.last, o.InForce.Position)
+	if !r.seen.saw(o.InForce.Position) {
+		t.Errorf("%s went back from %v to %v", r.member.Instance, r.seen.last, o.InForce.Position)
 	}
-	r.last = o.InForce.Position
 }
 
 func (r *router) position() Position {
--- a/coordination/settings/hub_test.go
+++ b/coordination/settings/hub_test.go
@@ -49,7 +49,6 @@
 	known    map[rumorID]rumor
 	handlers map[string]func(context.Context, coordination.Instance, []byte) ([]byte, error)
 	heard    map[string]func(string, uint64, []byte)
-	cut      bool
 	deaf     string // the topic of which no rumour arrives
 }
 
@@ -112,7 +111,7 @@
 		swap := (round+i)%10 == 0
 		for range roundFanout {
 			to := h.nodes[h.names[h.rnd.IntN(len(h.names))]]
-			if to == from || from.isCut() || to.isCut() || h.rnd.Float64() < h.loss {
+			if to == from || h.rnd.Float64() < h.loss {
 				continue
 			}
 			all = append(all, from.passes(to, swap)...)
@@ -160,18 +159,6 @@
 	}
 }
 
-func (n *node) isCut() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.cut
-}
-
-func (n *node) setCut(cut bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.cut = cut
-}
-
 func (n *node) setDeaf(topic string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -219,7 +206,7 @@
 	peer := n.hub.nodes[to]
 	n.hub.calls++
 	n.hub.mu.Unlock()
-	if peer == nil || peer.isCut() || n.isCut() {
+	if peer == nil {
 		return nil, errNoPeer
 	}
 	if !pause(ctx, linkDelay) {
--- a/coordination/settings/replica_test.go
+++ b/coordination/settings/replica_test.go
@@ -120,36 +120,89 @@
 	assert.Assert(t, r.Status()[0].Refused == nil)
 }
 
-// Watches, reads and peers bring the same values in any order, with stale and
-// restored ones among them. All routers have to end with the same settings in
-// force, and none may go back on its way.
-func TestAnyOrderEndsTheSame(t *testing.T) {
-	const changes = 8
-	pairs := make([]kv.Pair, 0, changes+2)
-	for i := range kv.Revision(changes) {
+// monotone checks that what a router has in force never goes back.
+type monotone struct{ last Position }
+
+// saw reports whether p is no step back.
+func (m *monotone) saw(p Position) bool {
+	if p.Before(m.last) {
+		return false
+	}
+	m.last = p
+	return true
+}
+
+const (
+	orderSeeds   = 200
+	orderChanges = 8
+)
+
+// arrivals returns the values of eight changes in random order, each several
+// times, with an old value put back and a wrong one among them.
+func arrivals(t *testing.T, seed uint64) []kv.Pair {
+	t.Helper()
+	pairs := make([]kv.Pair, 0, orderChanges+2)
+	for i := range kv.Revision(orderChanges) {
 		pairs = append(pairs, written(t, oneSecond, uint64(10*i+1), 10*i, 10*(i+1)))
 	}
-	last := Position{Sequence: 10*(changes-1) + 1, Revision: 10 * changes}
 	restored := pairs[3]
-	restored.Revision = 10*changes + 5
+	restored.Revision = 10*orderChanges + 5
 	pairs = append(pairs, restored, kv.Pair{Value: []byte("junk"), Revision: 35})
-	for seed := range uint64(200) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	var all []kv.Pair
+	for range 3 {
+		for _, i := range rnd.Perm(len(pairs)) {
+			all = append(all, pairs[i])
+		}
+	}
+	return all
+}
+
+// Watches, reads and peers bring the same values in any order, with stale and
+// restored ones among them. All routers have to end with the same settings in
+// force, and none may go back on its way.
+func TestAnyOrderEndsTheSame(t *testing.T) {
+	last := Position{Sequence: 10*(orderChanges-1) + 1, Revision: 10 * orderChanges}
+	for seed := range uint64(orderSeeds) {
 		var r Replica
-		var at Position
+		var m monotone
 		r.Observe(func(o Observation) {
-			if o.InForce == nil {
-				return
-			}
-			assert.Assert(t, !o.InForce.Position.Before(at), "seed %d: went back", seed)
-			at = o.InForce.Position
+			assert.Assert(t, o.InForce == nil || m.saw(o.InForce.Position), "seed %d: went back", seed)
 		})
-		rnd := rand.New(rand.NewPCG(seed, 1))
-		for range 3 {
-			for _, i := range rnd.Perm(len(pairs)) {
-				r.Offer("solco", pairs[i])
+		for _, pair := range arrivals(t, seed) {
+			r.Offer("solco", pair)
+		}
+		assert.Equal(t, m.last, last, "seed %d", seed)
+	}
+}
+
+// A replica that applies whatever comes, or whatever has the highest revision
+// of the platform, goes back at some point. The check has to see both.
+func TestMonotoneCatches(t *testing.T) {
+	applies := map[string]func(in, offered Position) bool{
+		"whatever comes":   func(_, _ Position) bool { return true },
+		"highest revision": func(in, offered Position) bool { return offered.Revision > in.Revision },
+	}
+	for name, apply := range applies {
+		caught := 0
+		for seed := range uint64(orderSeeds) {
+			var in Position
+			var m monotone
+			back := false
+			for _, pair := range arrivals(t, seed) {
+				v, err := decodeValue(pair.Value)
+				offered := Position{Sequence: v.Change.Sequence, Revision: pair.Revision}
+				if err == nil && apply(in, offered) {
+					in = offered
+					back = back || !m.saw(in)
+				}
+			}
+			if back {
+				caught++
 			}
 		}
-		assert.Equal(t, at, last, "seed %d", seed)
+		t.Logf("%s: caught with %d of %d seeds", name, caught, orderSeeds)
+		assert.Assert(t, caught > orderSeeds/2, name)
 	}
 }
 
