--- a/coordination/placement/messages.go
+++ b/coordination/placement/messages.go
@@ -57,7 +57,8 @@
 	Deadline Millis `cbor:"7,keyasint,omitempty"`
 
 	// Wait is how long the owner may hold the request back for this endpoint
-	// rather than answer Next, because the chat is warm there.
+	// rather than answer Next: because the chat is warm there, or because no
+	// other candidate is left.
 	Wait Millis `cbor:"8,keyasint,omitempty"`
 
 	// Final says that the entry has no other candidate: the request is queued
@@ -103,7 +104,7 @@
 	None        Code = iota
 	Overloaded       // no capacity, and no room in the queue
 	Deadline         // cannot start in time
-	Gone             // the endpoint is leaving, restarted or unknown
+	Gone             // the endpoint is leaving
 	Poison           // convicted of crashing endpoints
 	NotOwner         // the asked router does not own the endpoint
 	OverBound        // the endpoint carries its multiple of the mean
@@ -111,12 +112,13 @@
 	Settling         // a new owner does not yet know what the endpoint runs
 	Cancelled        // the entry has released the request already
 	Unreachable      // the owner could not be reached, and the fallback declined
+	Lost             // the endpoint has died, restarted or is unknown
 )
 
 var codeNames = [...]string{
 	None: "none", Overloaded: "overloaded", Deadline: "deadline", Gone: "leaving",
 	Poison: "poison", NotOwner: "not-owner", OverBound: "over-bound", Full: "full",
-	Settling: "settling", Cancelled: "cancelled", Unreachable: "unreachable",
+	Settling: "settling", Cancelled: "cancelled", Unreachable: "unreachable", Lost: "endpoint-lost",
 }
 
 // String returns the name of c as logs, metrics and callers see it.
@@ -129,9 +131,19 @@
 
 // AdmitReply answers an AdmitRequest.
 type AdmitReply struct {
-	Decision   Decision `cbor:"1,keyasint,omitempty"`
-	Code       Code     `cbor:"2,keyasint,omitempty"`
-	RetryAfter Millis   `cbor:"3,keyasint,omitempty"`
+	Decision Decision `cbor:"1,keyasint,omitempty"`
+	Code     Code     `cbor:"2,keyasint,omitempty"`
+
+	// RetryAfter is when to come back after a refusal, or the expected wait in
+	// the queue of the endpoint with Next.
+	RetryAfter Millis `cbor:"3,keyasint,omitempty"`
+
+	// Owner is the router that owns the endpoint, if the asked one does not.
+	Owner coordination.Instance `cbor:"4,keyasint,omitempty"`
+
+	// Limit is what the endpoint may run now. An entry that later cannot reach
+	// the owner decides by it.
+	Limit int `cbor:"5,keyasint,omitempty"`
 }
 
 // Release ends a grant, or a request that is still queued.
@@ -141,10 +153,19 @@
 	Sequence Sequence
 }
 
-// ReleaseBatch ends grants of one entry.
+// LostEndpoint names an incarnation of an endpoint that an entry found dead.
+type LostEndpoint struct {
+	_           struct{} `cbor:",toarray"`
+	Endpoint    coordination.Endpoint
+	Incarnation coordination.Incarnation
+}
+
+// ReleaseBatch ends grants of one entry, and tells of endpoints that it found
+// dead.
 type ReleaseBatch struct {
-	Entry    EntryID   `cbor:"1,keyasint"`
-	Releases []Release `cbor:"2,keyasint"`
+	Entry    EntryID        `cbor:"1,keyasint"`
+	Releases []Release      `cbor:"2,keyasint,omitempty"`
+	Lost     []LostEndpoint `cbor:"3,keyasint,omitempty"`
 }
 
 // Register lists all that an entry holds or has asked for at endpoints which
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -72,6 +72,7 @@
 		}
 		if s.phase == finished {
 			out.finish(s.usage)
+			e.markRead(a)
 			return
 		}
 	}
@@ -146,6 +147,7 @@
 		})
 		body.Usage = &s.usage
 		writeJSON(w, http.StatusOK, body)
+		e.markRead(a)
 		return
 	}
 }
@@ -224,7 +226,7 @@
 		Delta: &delta{}, FinishReason: s.attempt.finishReason(),
 	})
 	last.Usage = &u
-	s.write("", last)
+	s.write(fmt.Sprintf("id: %s.%d\n", s.attempt.id, s.attempt.total), last)
 	_, _ = s.w.Write([]byte("data: [DONE]\n\n")) // the caller has gone if it fails
 	s.flush()
 }
--- a/wisteriarouter/caller/adopt.go
+++ b/wisteriarouter/caller/adopt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 
-	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/outcome"
 	"wisteriaspool/wisteriarouter/engine"
 	"wisteriaspool/wisteriarouter/event"
@@ -23,12 +22,13 @@
 	a.offset = id.Offset
 	a.text.WriteString(a.chat.partial)
 	a.evidence.Begin(id.Attempt)
-	place, ok := a.Placer.Adopt(ctx, a.chat.want(nil), e)
+	place, ok := a.Placer.Adopt(e)
 	if !ok {
 		return a.adoptFailed(ctx)
 	}
 	at := &attempt{id: id.Attempt, place: place}
-	at.stream, err = a.Engines.Resume(ctx, place.Address, id.Attempt, id.Offset)
+	a.id, a.place = at.id, place
+	at.stream, err = a.Engines.Resume(ctx, place.Address, a.request(id.Attempt, nil))
 	if err != nil {
 		place.Release()
 		if !errors.Is(err, engine.ErrGone) && ctx.Err() == nil {
@@ -38,7 +38,7 @@
 	}
 	a.Metrics.adopted.Inc()
 	a.Log.Emit(event.StreamResumed, event.F("endpoint", e), event.F("offset", id.Offset), event.F("adopted", true))
-	return a.settle(ctx, at, adopted{}, a.follow(ctx, at))
+	return a.settle(ctx, at, a.follow(ctx, at))
 }
 
 // adoptFailed decides what becomes of a stream whose attempt is gone. With the
@@ -56,10 +56,3 @@
 	})
 	return true
 }
-
-// adopted is the pass of an attempt that had its leave from another router.
-type adopted struct{}
-
-func (adopted) Done(bool) {}
-
-func (adopted) Died(coordination.Endpoint, coordination.Incarnation) {}
--- a/wisteriarouter/caller/answer.go
+++ b/wisteriarouter/caller/answer.go
@@ -35,7 +35,10 @@
 	text     strings.Builder // delivered to the sink
 	offset   int             // tokens delivered
 	exclude  []coordination.Endpoint
-	last     coordination.Endpoint
+	trail    Trail
+	place    Place                // of the last attempt
+	id       coordination.Attempt // of the last attempt
+	finished bool
 }
 
 // end tells how one attempt ended.
@@ -44,10 +47,12 @@
 const (
 	finished   end = iota // the answer is whole
 	callerGone            // nobody reads any more
+	limited               // the answer has all the tokens it may have
 	declined              // the endpoint did not run it
 	lost                  // the stream broke and could not be resumed
 	died                  // so did its endpoint
-	foreign               // the endpoint sent what does not belong to it
+	foundDead             // its endpoint could not be reached at all
+	malformed             // the endpoint sent what cannot be read
 )
 
 // attempt is one try at one endpoint.
@@ -58,11 +63,26 @@
 }
 
 func (a *answer) run(ctx context.Context) {
+	trail, refusal := a.Suspects.Follow(ctx, a.chat.fingerprint, a.chat.plan.Pool)
+	if refusal != nil {
+		a.giveUp(ctx, refusal)
+		return
+	}
+	a.trail = trail
+	defer func() { trail.End(a.finished) }()
+	a.attempts(ctx)
+}
+
+// attempts makes attempts until the request is over.
+func (a *answer) attempts(ctx context.Context) {
 	if a.chat.resume != nil && a.adopt(ctx) {
 		return
 	}
 	for n := 0; n < maxAttempts; n++ {
-		if n > 0 && !a.Retries.Allow() {
+		if a.complete() {
+			return
+		}
+		if n > 0 && !a.Retries.Take() {
 			a.Log.Emit(event.RetryBudgetSpent, event.F("team", a.chat.team))
 			break
 		}
@@ -70,49 +90,78 @@
 			return
 		}
 	}
-	a.giveUp(ctx, &outcome.Refusal{
+	a.giveUp(ctx, a.exhausted())
+}
+
+// exhausted is the refusal of a request that no endpoint has completed.
+func (a *answer) exhausted() *outcome.Refusal {
+	if a.evidence.Outcome() == outcome.NotRun {
+		return &outcome.Refusal{
+			Code:       outcome.Overloaded,
+			Message:    "every endpoint that was asked refused the request",
+			RetryAfter: retryAfterLoss,
+		}
+	}
+	return &outcome.Refusal{
 		Code:       outcome.EndpointLost,
 		Message:    "the endpoints that ran the request were lost",
 		RetryAfter: retryAfterLoss,
-	})
+	}
+}
+
+// complete ends an answer that has all its tokens and lost only its closing
+// chunk: an endpoint has nothing left to add.
+func (a *answer) complete() bool {
+	if a.id == "" || a.offset < a.chat.limit {
+		return false
+	}
+	a.evidence.Answered(a.id)
+	a.finish()
+	return true
 }
 
 // try makes one attempt and reports whether the request is over.
 func (a *answer) try(ctx context.Context) bool {
-	pass, refusal := a.Suspects.Enter(ctx, a.chat.fingerprint)
+	want := a.chat.want(a.exclude)
+	want.Alone = a.trail.Alone()
+	place, refusal := a.Placer.Place(ctx, want)
 	if refusal != nil {
 		a.giveUp(ctx, refusal)
 		return true
 	}
-	place, refusal := a.Placer.Place(ctx, a.chat.want(a.exclude))
-	if refusal != nil {
-		pass.Done(false)
+	if refusal := a.heed(ctx, place.Lost); refusal != nil {
+		place.Release()
 		a.giveUp(ctx, refusal)
 		return true
 	}
 	at := &attempt{id: engine.NewAttempt(place.Endpoint, a.chat.binding), place: place}
+	a.id, a.place = at.id, place
 	how := a.start(ctx, at)
 	if how == finished {
 		how = a.follow(ctx, at)
 	}
-	return a.settle(ctx, at, pass, how)
+	return a.settle(ctx, at, how)
+}
+
+// heed tells the trail of endpoints that placement found dead: a copy of this
+// very request may have taken them.
+func (a *answer) heed(ctx context.Context, losses []Loss) *outcome.Refusal {
+	for _, l := range losses {
+		if refusal := a.trail.FoundDead(ctx, l.Endpoint, l.Incarnation); refusal != nil {
+			return refusal
+		}
+	}
+	return nil
 }
 
 // start sends the attempt. It returns finished when the stream stands.
 func (a *answer) start(ctx context.Context, at *attempt) end {
-	raw, err := a.chat.body.forEngine(a.text.String())
+	raw, err := a.chat.body.forEngine(a.text.String(), a.chat.limit-a.offset)
 	if err != nil {
 		return declined
 	}
 	a.evidence.Begin(at.id)
-	a.last = at.place.Endpoint
-	at.stream, err = a.Engines.Start(ctx, at.place.Address, engine.Request{
-		Attempt:  at.id,
-		Chat:     a.chat.id,
-		Priority: a.chat.plan.Priority,
-		Body:     raw,
-		Offset:   a.offset,
-	})
+	at.stream, err = a.Engines.Start(ctx, at.place.Address, a.request(at.id, raw))
 	if err == nil {
 		a.evidence.Written(at.id)
 		return finished
@@ -120,6 +169,18 @@
 	return a.startFailed(ctx, at, err)
 }
 
+// request is the attempt id as an engine gets it, from where the answer stands.
+func (a *answer) request(id coordination.Attempt, raw []byte) engine.Request {
+	return engine.Request{
+		Attempt:  id,
+		Chat:     a.chat.id,
+		Priority: a.chat.plan.Priority,
+		Body:     raw,
+		Offset:   a.offset,
+		Idle:     a.chat.plan.Stall,
+	}
+}
+
 func (a *answer) startFailed(ctx context.Context, at *attempt, err error) end {
 	var failure *engine.StartError
 	if !errors.As(err, &failure) {
@@ -132,9 +193,15 @@
 		return declined
 	case failure.NotRun:
 		a.evidence.NothingSent(at.id)
+		if failure.Dead {
+			return foundDead
+		}
 	default:
 		a.evidence.Written(at.id)
 	}
+	if failure.Leaving {
+		a.Placer.Leaving(at.place.Endpoint, at.place.Incarnation)
+	}
 	if ctx.Err() != nil {
 		return callerGone
 	}
@@ -152,11 +219,13 @@
 		switch {
 		case err == nil:
 			return finished
+		case errors.Is(err, errLimit):
+			return limited
 		case ctx.Err() != nil, errors.Is(err, errSink):
 			return callerGone
-		case errors.Is(err, engine.ErrForeign):
-			a.Log.Emit(event.StreamForeign, event.F("endpoint", at.place.Endpoint), event.F("attempt", at.id))
-			return foreign
+		case errors.Is(err, engine.ErrMalformed):
+			a.Log.Emit(event.StreamMalformed, event.F("endpoint", at.place.Endpoint), event.F("attempt", at.id))
+			return malformed
 		}
 		if !a.resume(ctx, at) {
 			return lost
@@ -166,24 +235,26 @@
 	}
 }
 
+// errLimit is the error of an answer that goes on behind its limit, because the
+// engine was given none or ignores it.
+var errLimit = errors.New("caller: answer is longer than allowed")
+
 // copy passes chunks to the sink. It returns nil behind a whole answer.
 func (a *answer) copy(at *attempt) error {
-	whole := false
 	for {
 		c, err := at.stream.Next()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
-			if whole {
-				return nil
-			}
 			return err
 		}
-		whole = whole || c.Finish != ""
 		if a.offset == 0 && c.Offset > 0 {
 			a.Metrics.firstToken.Observe(time.Since(a.chat.arrived).Seconds())
 		}
+		if c.Finish == "" && c.Offset > a.chat.limit {
+			return errLimit
+		}
 		if err := a.sink.chunk(at.id, c); err != nil {
 			return err
 		}
@@ -203,7 +274,7 @@
 			return false
 		case <-time.After(pause):
 		}
-		stream, err := a.Engines.Resume(ctx, at.place.Address, at.id, a.offset)
+		stream, err := a.Engines.Resume(ctx, at.place.Address, a.request(at.id, nil))
 		if err == nil {
 			at.stream = stream
 			return true
@@ -217,31 +288,33 @@
 
 // settle draws the consequences of an attempt's end and reports whether the
 // request is over.
-func (a *answer) settle(ctx context.Context, at *attempt, pass Pass, how end) bool {
+func (a *answer) settle(ctx context.Context, at *attempt, how end) bool {
+	defer at.place.Release()
 	if how == lost && a.isDead(ctx, at) {
 		how = died
 	}
-	defer at.place.Release()
 	switch how {
 	case finished:
-		pass.Done(true)
 		a.evidence.Answered(at.id)
-		a.finish(at)
+		a.finish()
+		return true
+	case limited:
+		a.cancel(ctx, at)
+		a.evidence.Answered(at.id)
+		a.finish()
 		return true
 	case callerGone:
-		pass.Done(false)
 		a.cancel(ctx, at)
 		a.Metrics.ended("chat", a.evidence.Outcome(), "caller-gone")
 		a.Log.Emit(event.ConnectionDropped, event.F("attempt", at.id))
 		return true
-	case died:
-		pass.Died(at.place.Endpoint, at.place.Incarnation)
-		a.Log.Emit(event.EndpointLost, event.F("endpoint", at.place.Endpoint), event.F("attempt", at.id))
-	case lost, foreign:
-		pass.Done(false)
+	case lost, malformed:
 		a.cancel(ctx, at)
-	default:
-		pass.Done(false)
+	case died, foundDead:
+		if refusal := a.mourn(ctx, at, how); refusal != nil {
+			a.giveUp(ctx, refusal)
+			return true
+		}
 	}
 	a.exclude = append(a.exclude, at.place.Endpoint)
 	if a.offset > 0 {
@@ -251,6 +324,22 @@
 	return false
 }
 
+// mourn tells of a dead endpoint. It returns a refusal if the request may not
+// run again. An endpoint that is only frozen may wake and go on, so its attempt
+// is cancelled all the same.
+func (a *answer) mourn(ctx context.Context, at *attempt, how end) *outcome.Refusal {
+	e, n := at.place.Endpoint, at.place.Incarnation
+	a.Placer.Dead(e, n)
+	if how == foundDead {
+		return a.trail.FoundDead(ctx, e, n)
+	}
+	a.Log.Emit(event.EndpointLost, event.F("endpoint", e), event.F("attempt", at.id))
+	a.cancel(ctx, at)
+	// The place is given back first: the wait for leave to go on may be long.
+	at.place.Release()
+	return a.trail.Crashed(ctx, e, n)
+}
+
 // isDead reports whether the attempt's endpoint cannot be reached or has been
 // restarted since, rather than only its connection cut.
 func (a *answer) isDead(ctx context.Context, at *attempt) bool {
@@ -261,8 +350,9 @@
 	return at.place.Incarnation != 0 && l.Incarnation != at.place.Incarnation
 }
 
-func (a *answer) finish(at *attempt) {
-	a.sink.finish(at.id, closing{Outcome: outcome.Ran, Hint: string(at.place.Endpoint)})
+func (a *answer) finish() {
+	a.finished = true
+	a.sink.finish(a.id, closing{Outcome: outcome.Ran, Hint: a.place.Hint})
 	a.Metrics.ended("chat", outcome.Ran, "")
 }
 
--- a/wisteriarouter/caller/caller.go
+++ b/wisteriarouter/caller/caller.go
@@ -17,6 +17,8 @@
 	Pool        coordination.Pool
 	Priority    coordination.Priority
 	StartWithin time.Duration // limit for the start of the answer; zero for none
+	Stall       time.Duration // silence of an endpoint after which an attempt is lost
+	MaxTokens   coordination.Tokens
 }
 
 // Teams tells what the settings in force say.
@@ -31,19 +33,29 @@
 	Account     coordination.Account
 	Pool        coordination.Pool
 	Chat        coordination.Chat
-	Hint        coordination.Endpoint
+	Hint        string // as the caller sent it; never trusted
 	Priority    coordination.Priority
 	Deadline    time.Time // latest start; zero for none
 	Exclude     []coordination.Endpoint
 	Fingerprint uint64 // of the conversation
+	Alone       bool   // the request is suspected of crashing endpoints
 }
 
-// Place is a granted place at an endpoint. Release gives it back once.
+// Place is a granted place at an endpoint. Release gives it back and may be
+// called again.
 type Place struct {
 	Endpoint    coordination.Endpoint
 	Incarnation coordination.Incarnation
 	Address     string
+	Hint        string // leads the chat's next request back here
 	Release     func()
+	Lost        []Loss // endpoints that were found dead on the way
+}
+
+// Loss names an incarnation of an endpoint that was found dead.
+type Loss struct {
+	Endpoint    coordination.Endpoint
+	Incarnation coordination.Incarnation
 }
 
 // Placer grants places.
@@ -51,37 +63,47 @@
 	// Place returns a place for an attempt, or the final refusal.
 	Place(ctx context.Context, w Want) (Place, *outcome.Refusal)
 	// Adopt returns the place of an attempt that already runs at e.
-	Adopt(ctx context.Context, w Want, e coordination.Endpoint) (Place, bool)
+	Adopt(e coordination.Endpoint) (Place, bool)
+	// Dead takes in that an endpoint cannot be reached or has restarted.
+	Dead(e coordination.Endpoint, n coordination.Incarnation)
+	// Leaving takes in that an endpoint has said that it is stopping.
+	Leaving(e coordination.Endpoint, n coordination.Incarnation)
 }
 
 // Engines are the calls to model engines that an answer needs.
 type Engines interface {
 	Start(ctx context.Context, address string, req engine.Request) (*engine.Stream, error)
-	Resume(ctx context.Context, address string, id coordination.Attempt, after int) (*engine.Stream, error)
+	Resume(ctx context.Context, address string, req engine.Request) (*engine.Stream, error)
 	Cancel(ctx context.Context, address string, id coordination.Attempt) (int, error)
 	Load(ctx context.Context, address string) (engine.Load, error)
 }
 
-// Suspects keeps apart the requests whose endpoints died.
+// Suspects keeps requests that crash endpoints from taking one after another.
 type Suspects interface {
-	// Enter lets one attempt of a request go on, or refuses the request.
-	Enter(ctx context.Context, fingerprint uint64) (Pass, *outcome.Refusal)
+	// Follow begins to follow a request, or refuses it. It may wait until
+	// another copy of a suspect has ended.
+	Follow(ctx context.Context, fingerprint uint64, p coordination.Pool) (Trail, *outcome.Refusal)
 }
 
-// Pass is one attempt's leave to run. Exactly one of its methods is called.
-type Pass interface {
-	// Done tells that the attempt ended and its endpoint did not die.
-	Done(finished bool)
-	// Died tells that the endpoint died while the attempt ran there.
-	Died(e coordination.Endpoint, n coordination.Incarnation)
+// Trail follows one request. End is called once, at the end.
+type Trail interface {
+	// Alone reports whether the next attempt must run apart from suspects.
+	Alone() bool
+	// Crashed tells that the endpoint which ran the request has died. It
+	// returns when the request may go on, or with its refusal.
+	Crashed(ctx context.Context, e coordination.Endpoint, n coordination.Incarnation) *outcome.Refusal
+	// FoundDead tells that an endpoint was dead before the request reached it.
+	FoundDead(ctx context.Context, e coordination.Endpoint, n coordination.Incarnation) *outcome.Refusal
+	// End tells whether the request has run to its end.
+	End(finished bool)
 }
 
 // Retries limits second attempts to a share of the requests.
 type Retries interface {
 	// Request counts a first attempt.
 	Request()
-	// Allow reports whether one more attempt may be made, and counts it.
-	Allow() bool
+	// Take reports whether one more attempt may be made, and counts it.
+	Take() bool
 }
 
 // Limits are the limits of one router towards callers and endpoints.
--- a/wisteriarouter/caller/chat.go
+++ b/wisteriarouter/caller/chat.go
@@ -6,17 +6,18 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/coordination/suspicion"
 	"wisteriaspool/wisteriarouter/engine"
 )
 
-// chatHeaders are the headers of a chat request.
-type chatHeaders struct {
+// ChatHeaders are the headers of a chat request.
+type ChatHeaders struct {
 	Team        string `header:"X-Team" doc:"Team whose settings serve the request. Required."`
 	Account     string `header:"X-Client-Account" doc:"Client account. Required."`
 	Chat        string `header:"X-Chat-Id" doc:"Conversation, which may return."`
@@ -48,11 +49,12 @@
 	team        coordination.Team
 	account     coordination.Account
 	id          coordination.Chat
-	hint        coordination.Endpoint
+	hint        string
 	plan        Plan
 	deadline    time.Time
 	stream      bool
 	partial     string
+	limit       int // tokens of the whole answer
 	resume      *engine.EventID
 	body        body
 	binding     engine.Fingerprint
@@ -73,31 +75,58 @@
 	return b, nil
 }
 
-// forEngine returns the body that an engine gets: streaming, and going on
-// behind text when the answer has begun.
-func (b body) forEngine(text string) ([]byte, error) {
-	out := make(body, len(b)+3)
-	for k, v := range b {
-		out[k] = v
+// Names of the fields of a body that a router sets.
+const (
+	fieldStream        = "stream"
+	fieldStreamOptions = "stream_options"
+	fieldMessages      = "messages"
+	fieldContinue      = "continue_final_message"
+	fieldPrompt        = "add_generation_prompt"
+)
+
+// limitFields are the fields in which a caller may limit the new tokens.
+var limitFields = []string{"max_completion_tokens", "max_tokens"}
+
+// forEngine returns the body that an engine gets: streaming, with at most left
+// new tokens if the caller set a limit, and going on behind text when the
+// answer has begun.
+func (b body) forEngine(text string, left int) ([]byte, error) {
+	out := maps.Clone(b)
+	out[fieldStream] = json.RawMessage("true")
+	out[fieldStreamOptions] = json.RawMessage(`{"include_usage":true}`)
+	for _, f := range limitFields {
+		if _, set := out[f]; set {
+			out[f] = json.RawMessage(strconv.Itoa(left))
+		}
 	}
-	out["stream"] = json.RawMessage("true")
-	out["stream_options"] = json.RawMessage(`{"include_usage":true}`)
 	if text != "" {
 		messages, err := b.withPartial(text)
 		if err != nil {
 			return nil, err
 		}
-		out["messages"] = messages
-		out["continue_final_message"] = json.RawMessage("true")
-		out["add_generation_prompt"] = json.RawMessage("false")
+		out[fieldMessages] = messages
+		out[fieldContinue] = json.RawMessage("true")
+		out[fieldPrompt] = json.RawMessage("false")
 	}
 	return json.Marshal(out)
 }
 
+// limit returns the most tokens of the whole answer: what the caller asks for,
+// and never more than most.
+func (b body) limit(most int) int {
+	for _, f := range limitFields {
+		var n int
+		if err := json.Unmarshal(b[f], &n); err == nil && n > 0 {
+			return min(n, most)
+		}
+	}
+	return most
+}
+
 // withPartial returns the messages with the answer so far behind them.
 func (b body) withPartial(text string) (json.RawMessage, error) {
 	var messages []json.RawMessage
-	if err := json.Unmarshal(b["messages"], &messages); err != nil {
+	if err := json.Unmarshal(b[fieldMessages], &messages); err != nil {
 		return nil, err
 	}
 	last, err := json.Marshal(chatMessage{Role: "assistant", Content: text})
@@ -109,7 +138,7 @@
 
 // newChat checks a request. Whatever is wrong with it is refused before
 // anything reaches an endpoint.
-func (s *Server) newChat(h chatHeaders, in chatBody, raw []byte) (*chat, *outcome.Refusal) {
+func (s *Server) newChat(h ChatHeaders, in chatBody, raw []byte) (*chat, *outcome.Refusal) {
 	if h.Team == "" {
 		return nil, refuse(outcome.UnknownTeam, "the X-Team header is missing")
 	}
@@ -124,7 +153,7 @@
 		team:    coordination.Team(h.Team),
 		account: coordination.Account(h.Account),
 		id:      coordination.Chat(h.Chat),
-		hint:    coordination.Endpoint(h.Hint),
+		hint:    h.Hint,
 		stream:  in.Stream,
 		partial: in.Partial,
 		body:    b,
@@ -135,8 +164,10 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	c.limit = b.limit(int(c.plan.MaxTokens))
 	c.setDeadline(h.DeadlineMs)
 	c.bind(in.Model)
+	c.fingerprint = fingerprintOf(in.Messages)
 	return c, c.setResume(h.LastEventID)
 }
 
@@ -153,15 +184,26 @@
 // bindingBytes is how much of a digest stands in an attempt's id.
 const bindingBytes = 12
 
-// bind works out what the request is known by: the binding ties an attempt to
-// team, account and body; the fingerprint is that of the conversation alone,
-// so that it stays the same through whichever account a crashing one comes.
+// bind ties the request's attempts to its team, account and body.
 func (c *chat) bind(model string) {
 	h := sha256.New()
 	fmt.Fprintf(h, "%q %q %q ", c.team, c.account, model)
-	h.Write(c.body["messages"])
+	h.Write(c.body[fieldMessages])
 	c.binding = engine.Fingerprint(hex.EncodeToString(h.Sum(nil)[:bindingBytes]))
-	c.fingerprint = xxhash.Sum64(c.body["messages"])
+}
+
+// fingerprintOf returns what a conversation is known by, through whichever
+// account it comes and however its JSON is spaced.
+func fingerprintOf(messages []chatMessage) uint64 {
+	parts := make([]string, 0, 2*len(messages))
+	for _, m := range messages {
+		text, ok := m.Content.(string)
+		if !ok {
+			text = marshal(m.Content)
+		}
+		parts = append(parts, m.Role, text)
+	}
+	return uint64(suspicion.FingerprintOf(parts...))
 }
 
 // setResume reads Last-Event-ID. An id that was made for another request is
--- a/wisteriarouter/config/config.go
+++ b/wisteriarouter/config/config.go
@@ -31,7 +31,7 @@
 	Callers   string
 	Operators string
 	Peers     string
-	Advertise string // where other routers reach this one's peer address
+	Advertise string // where other routers reach this one; empty for the bound address
 }
 
 // Peers holds what concerns other routers.
@@ -55,12 +55,12 @@
 	BodyBytes    int
 	HeaderBytes  int
 	HeaderWait   time.Duration
-	StreamIdle   time.Duration
 	WriteTimeout time.Duration
 	EngineCall   time.Duration
 	CancelFor    time.Duration
 	LoadInterval time.Duration
 	StopWithin   time.Duration
+	StopDelay    time.Duration
 }
 
 // Log holds how events are written.
@@ -99,12 +99,12 @@
 		{Name: "body", Kind: schema.Size, Default: "1MiB", Min: "1KiB", Max: "64MiB", Doc: "Largest body of a request."},
 		{Name: "headers", Kind: schema.Size, Default: "16KiB", Min: "4KiB", Max: "1MiB", Doc: "Largest headers of a request."},
 		{Name: "header-wait", Kind: schema.Duration, Default: "5s", Min: "100ms", Max: "60s", Doc: "Longest wait for a request's headers."},
-		{Name: "stream-idle", Kind: schema.Duration, Default: "5s", Min: "200ms", Max: "120s", Doc: "Longest silence of an endpoint inside an answer before it is taken for broken."},
 		{Name: "write-timeout", Kind: schema.Duration, Default: "20s", Min: "1s", Max: "300s", Doc: "Longest wait for a caller to take what it is sent."},
 		{Name: "engine-call", Kind: schema.Duration, Default: "500ms", Min: "50ms", Max: "10s", Doc: "Longest wait for a short call of an engine."},
 		{Name: "cancel-for", Kind: schema.Duration, Default: "15s", Min: "1s", Max: "120s", Doc: "How long an attempt that nobody reads is tried to be cancelled."},
 		{Name: "load-interval", Kind: schema.Duration, Default: "500ms", Min: "100ms", Max: "10s", Doc: "How often the owner of an endpoint reads its load."},
 		{Name: "stop-within", Kind: schema.Duration, Default: "120s", Min: "1s", Max: "3600s", Doc: "Longest graceful shutdown; what is in flight behind it is cut off."},
+		{Name: "stop-delay", Kind: schema.Duration, Default: "1s", Min: "0s", Max: "60s", Doc: "How long a router that stops still takes new requests, until the balancer has seen that it is not ready."},
 	}},
 	{Name: "log", Doc: "How events are written.", Keys: []schema.Key{
 		{Name: "level", Kind: schema.Name, Default: "info", Doc: "Least level: debug, info, warning or error."},
@@ -152,16 +152,12 @@
 }
 
 func listen(v schema.Values) Listen {
-	l := Listen{
+	return Listen{
 		Callers:   v.Text("callers"),
 		Operators: v.Text("operators"),
 		Peers:     v.Text("peers"),
 		Advertise: v.Text("advertise"),
 	}
-	if l.Advertise == "" {
-		l.Advertise = l.Peers
-	}
-	return l
 }
 
 func peers(v schema.Values) Peers {
@@ -187,11 +183,11 @@
 		BodyBytes:    v.Int("body"),
 		HeaderBytes:  v.Int("headers"),
 		HeaderWait:   v.Duration("header-wait"),
-		StreamIdle:   v.Duration("stream-idle"),
 		WriteTimeout: v.Duration("write-timeout"),
 		EngineCall:   v.Duration("engine-call"),
 		CancelFor:    v.Duration("cancel-for"),
 		LoadInterval: v.Duration("load-interval"),
 		StopWithin:   v.Duration("stop-within"),
+		StopDelay:    v.Duration("stop-delay"),
 	}
 }
--- a/wisteriarouter/engine/engine.go
+++ b/wisteriarouter/engine/engine.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -40,9 +41,8 @@
 // have, or no longer has.
 var ErrGone = errors.New("engine: attempt gone")
 
-// ErrForeign is the error of a stream that carries a chunk of another attempt
-// or a chunk out of order.
-var ErrForeign = errors.New("engine: chunk of another attempt or out of order")
+// ErrMalformed is the error of a stream with a chunk that cannot be read.
+var ErrMalformed = errors.New("engine: malformed chunk")
 
 // StartError tells why an attempt brought no stream.
 type StartError struct {
@@ -83,7 +83,8 @@
 	Chat     coordination.Chat
 	Priority coordination.Priority
 	Body     []byte
-	Offset   int // tokens that the body's partial answer holds already
+	Offset   int           // tokens that the body's partial answer holds already
+	Idle     time.Duration // longest silence inside the stream
 }
 
 // Load is an engine's own report, which lags.
@@ -102,31 +103,45 @@
 // Client makes calls to engines. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
-	idle time.Duration
 	call time.Duration
 }
 
-// Limits are the time limits of a client.
-type Limits struct {
-	Idle time.Duration // longest silence inside a stream
-	Call time.Duration // longest short call, such as a cancel
+// Options are the options of a client. The zero value is ready for use.
+type Options struct {
+	// Call is the longest time of a short call, such as a cancel; 500 ms.
+	Call time.Duration
+	// DialContext makes connections; that of net.Dialer.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+const (
+	defaultCall = 500 * time.Millisecond
+	dialTimeout = time.Second
+	idleConns   = 256
+	idleTimeout = 30 * time.Second
+)
+
 // NewClient returns a client and a function that closes its connections.
-func NewClient(lim Limits) (*Client, func()) {
+func NewClient(opts Options) (*Client, func()) {
+	if opts.Call <= 0 {
+		opts.Call = defaultCall
+	}
+	if opts.DialContext == nil {
+		opts.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	tr := &http.Transport{
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     30 * time.Second,
+		DialContext:         opts.DialContext,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	c := &Client{http: &http.Client{Transport: tr}, idle: lim.Idle, call: lim.Call}
-	return c, tr.CloseIdleConnections
+	return &Client{http: &http.Client{Transport: tr}, call: opts.Call}, tr.CloseIdleConnections
 }
 
 // Start sends one attempt to the engine at address. On success the answer's
 // stream is open. Every failure is a *StartError.
 func (c *Client) Start(ctx context.Context, address string, req Request) (*Stream, error) {
-	w := c.watch(ctx)
+	w := watch(ctx, req.Idle)
 	sent, err := newStart(w.trace(), address, req)
 	if err != nil {
 		w.stop()
@@ -156,16 +171,17 @@
 	}
 }
 
-// Resume opens the rest of an attempt's stream behind token offset after.
-func (c *Client) Resume(ctx context.Context, address string, id coordination.Attempt, after int) (*Stream, error) {
-	w := c.watch(ctx)
-	url := fmt.Sprintf("http://%s/v1/attempts/%s/stream?after=%d", address, id, after)
-	req, err := http.NewRequestWithContext(w.ctx, http.MethodGet, url, nil)
+// Resume opens the rest of an attempt's stream behind token Offset of req,
+// whose body it does not need.
+func (c *Client) Resume(ctx context.Context, address string, req Request) (*Stream, error) {
+	w := watch(ctx, req.Idle)
+	url := fmt.Sprintf("http://%s/v1/attempts/%s/stream?after=%d", address, req.Attempt, req.Offset)
+	get, err := http.NewRequestWithContext(w.ctx, http.MethodGet, url, nil)
 	if err != nil {
 		w.stop()
 		return nil, fmt.Errorf("engine: resume: %w", err)
 	}
-	res, err := c.http.Do(req)
+	res, err := c.http.Do(get)
 	if err != nil {
 		w.stop()
 		return nil, fmt.Errorf("engine: resume: %w", err)
@@ -179,7 +195,7 @@
 		w.stop()
 		return nil, refusal(res)
 	}
-	return newStream(res.Body, w, id, after), nil
+	return newStream(res.Body, w, req.Attempt, req.Offset), nil
 }
 
 // Cancel tells the engine to stop an attempt, so that nobody is billed for
