wisteriarouter/operator: the operators' API

In-force counting asks each router once and lets it wait for the change, since asking again and again costs more than the answer. The router that makes a change in force announces it only if no peer told of it: equal versions of a rumour are told apart by their origin, so that each further origin would send the same change through the fleet again.

--- a/coordination/settings/replica.go
+++ b/coordination/settings/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -32,18 +33,29 @@
 	Removed
 )
 
+var verdicts = [...]string{"applied", "known", "older", "invalid", "removed"}
+
 // String returns the name of v as logs and metrics show it.
 func (v Verdict) String() string {
-	names := [...]string{"applied", "known", "older", "invalid", "removed"}
-	if v < 0 || int(v) >= len(names) {
+	if v < 0 || int(v) >= len(verdicts) {
 		return "unknown"
 	}
-	return names[v]
+	return verdicts[v]
 }
 
 // MarshalText implements encoding.TextMarshaler.
 func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
 
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	i := slices.Index(verdicts[:], string(text))
+	if i < 0 {
+		return fmt.Errorf("settings: %q is no verdict", text)
+	}
+	*v = Verdict(i)
+	return nil
+}
+
 // Snapshot is the settings of one team as they are in force. It does not
 // change.
 type Snapshot struct {
@@ -64,8 +76,8 @@
 	Time     time.Time   `json:"time"`
 }
 
-// Status tells operators what a router has in force for one team.
-type Status struct {
+// TeamStatus tells operators what a router has in force for one team.
+type TeamStatus struct {
 	Team     coordination.Team `json:"team"`
 	Position Position          `json:"in_force"` // zero if nothing is
 	ChangeID ChangeID          `json:"change_id,omitempty"`
@@ -269,14 +281,14 @@
 }
 
 // Status returns what is in force and what is refused for all teams, by name.
-func (r *Replica) Status() []Status {
+func (r *Replica) Status() []TeamStatus {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return lo.Map(r.names(), func(n coordination.Team, _ int) Status { return r.teams[n].status(n) })
+	return lo.Map(r.names(), func(n coordination.Team, _ int) TeamStatus { return r.teams[n].status(n) })
 }
 
-func (st *state) status(team coordination.Team) Status {
-	s := Status{Team: team, Refused: st.refused}
+func (st *state) status(team coordination.Team) TeamStatus {
+	s := TeamStatus{Team: team, Refused: st.refused}
 	if st.snapshot != nil {
 		s.Position = st.snapshot.Position
 		s.ChangeID = st.snapshot.Value.Change.ID
--- a/coordination/settings/spread.go
+++ b/coordination/settings/spread.go
@@ -75,13 +75,20 @@
 	return data
 }
 
-// observe announces what came into force on this router, from wherever it
-// came: the router that learnt of it first may be gone by now.
+// observe announces what came into force on this router, unless a peer told of
+// it: its rumour is on its way already, and one more origin for each router
+// would make the fleet spread the same change again and again.
 func (s *Sync) observe(o Observation) {
 	if o.Verdict != Applied {
 		return
 	}
 	p := o.InForce.Position
+	s.mu.Lock()
+	wanted, told := s.wanted[o.Team]
+	s.mu.Unlock()
+	if told && !wanted.Before(p) {
+		return
+	}
 	s.peers.Broadcast(topicChange, string(o.Team), p.Sequence, encode(announcement{Position: p, Origin: s.cfg.Self}))
 }
 
--- /dev/null
+++ b/wisteriarouter/operator/failure.go
@@ -0,0 +1,66 @@
+package operator
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"wisteriaspool/coordination/settings"
+)
+
+// Code names a failure; it stays the same when a message changes.
+type Code string
+
+// The codes of failures.
+const (
+	CodeUnknownTeam Code = "unknown-team"
+	CodeConflict    Code = "conflict"
+	CodeInvalid     Code = "invalid"
+	CodeUnavailable Code = "platform-unavailable"
+	CodeUnknown     Code = "unknown"
+)
+
+var httpStatus = map[Code]int{
+	CodeUnknownTeam: http.StatusNotFound,
+	CodeConflict:    http.StatusConflict,
+	CodeInvalid:     http.StatusUnprocessableEntity,
+	CodeUnavailable: http.StatusServiceUnavailable,
+	CodeUnknown:     http.StatusGatewayTimeout,
+}
+
+// Failure is the answer to an operation that did not succeed.
+type Failure struct {
+	Code         Code               `json:"code"`
+	Message      string             `json:"message"`
+	Problems     []settings.Problem `json:"problems,omitempty"`
+	Standing     *Settings          `json:"standing,omitempty"`
+	Diff         string             `json:"diff,omitempty"`
+	RetryAfterMs int64              `json:"retry_after_ms,omitempty"`
+}
+
+// Error implements error.
+func (f *Failure) Error() string { return "operator: " + string(f.Code) + ": " + f.Message }
+
+// GetStatus implements huma.StatusError.
+func (f *Failure) GetStatus() int { return httpStatus[f.Code] }
+
+// ContentType implements huma.ContentTypeFilter.
+func (f *Failure) ContentType(string) string { return "application/json" }
+
+// MarshalJSON implements json.Marshaler.
+func (f *Failure) MarshalJSON() ([]byte, error) {
+	type plain Failure
+	return json.Marshal(map[string]*plain{"error": (*plain)(f)})
+}
+
+// GetHeaders implements huma.HeadersError.
+func (f *Failure) GetHeaders() http.Header {
+	h := http.Header{}
+	if f.RetryAfterMs > 0 {
+		seconds := math.Ceil(float64(f.RetryAfterMs) / float64(time.Second/time.Millisecond))
+		h.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	return h
+}
--- /dev/null
+++ b/wisteriarouter/operator/inforce.go
@@ -0,0 +1,207 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/settings"
+)
+
+// topicInForce is the question of a router to another.
+const topicInForce = "settings-in-force"
+
+const (
+	maxAsked  = 32 // routers asked at a time
+	maxWait   = 10 * time.Second
+	askSlack  = time.Second // for the way to the router and back
+	lookEvery = 50 * time.Millisecond
+)
+
+// inForceRequest asks what a router has in force, and to wait until that is at
+// least Want. Waiting there saves asking again and again.
+type inForceRequest struct {
+	Team   coordination.Team `cbor:"1,keyasint"`
+	Want   settings.Position `cbor:"2,keyasint"`
+	WaitMs int64             `cbor:"3,keyasint,omitempty"`
+}
+
+type inForceAnswer struct {
+	Position settings.Position `cbor:"1,keyasint"`
+	Refused  kv.Revision       `cbor:"2,keyasint,omitempty"`
+}
+
+// RouterInForce is what one router has in force of a team.
+type RouterInForce struct {
+	Instance coordination.Instance `json:"instance"`
+	Revision kv.Revision           `json:"revision"`
+	Sequence uint64                `json:"sequence"`
+	Refused  kv.Revision           `json:"refused_revision,omitempty" doc:"The revision that the router refuses, if any."`
+}
+
+// InForce tells on how many routers a change, or a later one, is in force.
+type InForce struct {
+	Team        coordination.Team       `json:"team"`
+	Revision    kv.Revision             `json:"revision"`
+	Routers     int                     `json:"routers" doc:"Routers known to the one that answered, itself included."`
+	InForce     int                     `json:"in_force"`
+	Behind      []RouterInForce         `json:"behind" doc:"Routers that have an earlier change in force."`
+	Unreachable []coordination.Instance `json:"unreachable" doc:"Routers that did not answer."`
+}
+
+type inForceInput struct {
+	Team     string `path:"team" maxLength:"128"`
+	Revision int64  `query:"revision" required:"true" minimum:"1"`
+	Sequence uint64 `query:"sequence" doc:"The change's sequence. Needed only after the platform was rebuilt with lower revisions."`
+	WaitMs   int64  `query:"wait_ms" minimum:"0" maximum:"10000" doc:"How long to wait until the change is in force everywhere."`
+}
+
+type inForceOutput struct{ Body InForce }
+
+func (s *Server) getInForce(ctx context.Context, in *inForceInput) (*inForceOutput, error) {
+	req := inForceRequest{
+		Team:   coordination.Team(in.Team),
+		Want:   settings.Position{Sequence: in.Sequence, Revision: kv.Revision(in.Revision)},
+		WaitMs: in.WaitMs,
+	}
+	if !settings.ValidTeam(req.Team) {
+		return nil, &Failure{Code: CodeUnknownTeam, Message: "this is no name of a team"}
+	}
+	c := &census{s: s, req: req, slots: make(chan struct{}, maxAsked)}
+	return &inForceOutput{Body: c.take(ctx)}, nil
+}
+
+// reached reports whether in is want or later. Without a sequence, revisions
+// are compared.
+func reached(in, want settings.Position) bool {
+	if want.Sequence == 0 {
+		return in.Revision >= want.Revision
+	}
+	return !in.Before(want)
+}
+
+// census asks all routers the same question.
+type census struct {
+	s     *Server
+	req   inForceRequest
+	slots chan struct{}
+	group sync.WaitGroup
+
+	mu     sync.Mutex
+	result InForce
+}
+
+func (c *census) take(ctx context.Context) InForce {
+	wait := min(time.Duration(c.req.WaitMs)*time.Millisecond, maxWait)
+	ctx, cancel := context.WithTimeout(ctx, wait+askSlack)
+	defer cancel()
+	members := c.s.Peers.Members()
+	c.result = InForce{
+		Team: c.req.Team, Revision: c.req.Want.Revision, Routers: len(members),
+		Behind: []RouterInForce{}, Unreachable: []coordination.Instance{},
+	}
+	deadline := time.Now().Add(wait)
+	for _, m := range members {
+		c.group.Add(1)
+		go c.run(ctx, m.Instance, deadline)
+	}
+	c.group.Wait()
+	slices.SortFunc(c.result.Behind, func(a, b RouterInForce) int { return cmp.Compare(a.Instance, b.Instance) })
+	slices.Sort(c.result.Unreachable)
+	return c.result
+}
+
+// run asks one router.
+func (c *census) run(ctx context.Context, to coordination.Instance, deadline time.Time) {
+	defer c.group.Done()
+	c.slots <- struct{}{}
+	defer func() { <-c.slots }()
+	req := c.req
+	req.WaitMs = max(time.Until(deadline).Milliseconds(), 0)
+	a, err := c.ask(ctx, to, req)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err != nil:
+		c.result.Unreachable = append(c.result.Unreachable, to)
+	case reached(a.Position, c.req.Want):
+		c.result.InForce++
+	default:
+		c.result.Behind = append(c.result.Behind, RouterInForce{
+			Instance: to, Revision: a.Position.Revision, Sequence: a.Position.Sequence, Refused: a.Refused,
+		})
+	}
+}
+
+func (c *census) ask(ctx context.Context, to coordination.Instance, req inForceRequest) (a inForceAnswer, err error) {
+	if to == c.s.Self {
+		return c.s.await(ctx, req), nil
+	}
+	payload, err := cbor.Marshal(req)
+	if err != nil {
+		return a, fmt.Errorf("operator: encoding a question: %w", err)
+	}
+	data, err := c.s.Peers.Call(ctx, to, topicInForce, payload)
+	if err != nil {
+		return a, err
+	}
+	if err := cbor.Unmarshal(data, &a); err != nil {
+		return a, fmt.Errorf("operator: answer of %s: %w", to, err)
+	}
+	return a, nil
+}
+
+// answerInForce answers another router.
+func (s *Server) answerInForce(ctx context.Context, _ coordination.Instance, payload []byte) ([]byte, error) {
+	var req inForceRequest
+	if err := cbor.Unmarshal(payload, &req); err != nil {
+		return nil, fmt.Errorf("operator: question about settings: %w", err)
+	}
+	data, err := cbor.Marshal(s.await(ctx, req))
+	if err != nil {
+		return nil, fmt.Errorf("operator: encoding an answer: %w", err)
+	}
+	return data, nil
+}
+
+// await returns what is in force here once that is what req wants, or its time
+// is over.
+func (s *Server) await(ctx context.Context, req inForceRequest) inForceAnswer {
+	wait := min(time.Duration(req.WaitMs)*time.Millisecond, maxWait)
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		a := s.inForce(req.Team)
+		if reached(a.Position, req.Want) {
+			return a
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return a
+		}
+	}
+}
+
+func (s *Server) inForce(team coordination.Team) inForceAnswer {
+	for _, st := range s.Replica.Status() {
+		if st.Team != team {
+			continue
+		}
+		a := inForceAnswer{Position: st.Position}
+		if st.Refused != nil {
+			a.Refused = st.Refused.Revision
+		}
+		return a
+	}
+	return inForceAnswer{}
+}
--- /dev/null
+++ b/wisteriarouter/operator/operator.go
@@ -0,0 +1,122 @@
+// Package operator speaks to operators: it serves the API by which they read
+// and change their teams' settings and see what a router is doing.
+package operator
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/settings"
+	"wisteriaspool/wisteriarouter/event"
+)
+
+// Editor reads and changes the settings of teams. *settings.Editor is one.
+type Editor interface {
+	Put(ctx context.Context, p settings.Put) settings.Outcome
+	Read(ctx context.Context, team coordination.Team) (settings.Standing, bool)
+}
+
+// Replica is what this router has in force. *settings.Replica is one.
+type Replica interface {
+	Snapshot(team coordination.Team) (*settings.Snapshot, bool)
+	Status() []settings.TeamStatus
+}
+
+// Peers are the other routers.
+type Peers interface {
+	Members() []settings.Member
+	Call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error)
+	Handle(topic string, fn func(ctx context.Context, from coordination.Instance, payload []byte) ([]byte, error))
+}
+
+// Server answers operators. All fields but Log are needed.
+type Server struct {
+	Self    coordination.Instance
+	Editor  Editor
+	Replica Replica
+	Peers   Peers
+	// Status tells about this router all but its settings.
+	Status func() Status
+	Log    event.Log
+}
+
+// maxBody bounds the body of a change: the text, twice over for its escapes,
+// and the change's own fields.
+const maxBody = 2*settings.MaxText + 8<<10
+
+// Register adds the operators' operations to api and answers the questions of
+// other routers about what is in force here.
+func (s *Server) Register(api huma.API) {
+	s.Peers.Handle(topicInForce, s.answerInForce)
+	tags := []string{"operators"}
+	huma.Register(api, huma.Operation{
+		OperationID: "get-settings", Method: http.MethodGet, Path: "/operator/v1/settings/{team}", Tags: tags,
+		Summary: "The settings that stand in the platform, or else those in force here",
+	}, s.getSettings)
+	huma.Register(api, huma.Operation{
+		OperationID: "put-settings", Method: http.MethodPut, Path: "/operator/v1/settings/{team}", Tags: tags,
+		Summary: "Change a team's settings", MaxBodyBytes: maxBody, BodyReadTimeout: 5 * time.Second,
+	}, s.putSettings)
+	huma.Register(api, huma.Operation{
+		OperationID: "get-settings-history", Method: http.MethodGet, Path: "/operator/v1/settings/{team}/history", Tags: tags,
+		Summary: "The change records of a team, newest first",
+	}, s.getHistory)
+	huma.Register(api, huma.Operation{
+		OperationID: "get-settings-in-force", Method: http.MethodGet, Path: "/operator/v1/settings/{team}/in-force", Tags: tags,
+		Summary: "On how many routers a revision or a later one is in force",
+	}, s.getInForce)
+	huma.Register(api, huma.Operation{
+		OperationID: "get-status", Method: http.MethodGet, Path: "/operator/v1/status", Tags: tags,
+		Summary: "This router, its peers, endpoints and settings",
+	}, s.getStatus)
+}
+
+// Status is what a router tells operators about itself.
+type Status struct {
+	Instance    coordination.Instance    `json:"instance"`
+	Incarnation coordination.Incarnation `json:"incarnation"`
+	Zone        coordination.Zone        `json:"availability_zone"`
+	State       string                   `json:"state" doc:"starting, ready or stopping"`
+	Started     time.Time                `json:"started"`
+	InFlight    int                      `json:"in_flight" doc:"Requests being served."`
+	Platform    PlatformStatus           `json:"platform"`
+	Peers       []PeerStatus             `json:"peers"`
+	Endpoints   []EndpointStatus         `json:"endpoints"`
+	Settings    []settings.TeamStatus    `json:"settings"`
+}
+
+// PlatformStatus tells how a router stands with the platform's service.
+type PlatformStatus struct {
+	Watching       bool  `json:"watching" doc:"Whether this router is one of those that watch the platform."`
+	ConfirmedMsAgo int64 `json:"confirmed_ms_ago" doc:"Since when no router has heard from the platform; -1 if none ever did."`
+}
+
+// PeerStatus is what a router knows of another.
+type PeerStatus struct {
+	Instance coordination.Instance `json:"instance"`
+	Zone     coordination.Zone     `json:"availability_zone"`
+	State    string                `json:"state"`
+}
+
+// EndpointStatus is what a router knows of an endpoint.
+type EndpointStatus struct {
+	Endpoint coordination.Endpoint `json:"endpoint"`
+	Pool     coordination.Pool     `json:"pool"`
+	Zone     coordination.Zone     `json:"availability_zone"`
+	State    string                `json:"state"`
+	Running  int                   `json:"running"`
+	Capacity int                   `json:"capacity"`
+	Owner    coordination.Instance `json:"owner,omitempty"`
+}
+
+type statusOutput struct{ Body Status }
+
+func (s *Server) getStatus(context.Context, *struct{}) (*statusOutput, error) {
+	st := s.Status()
+	st.Settings = s.Replica.Status()
+	return &statusOutput{Body: st}, nil
+}
--- /dev/null
+++ b/wisteriarouter/operator/settings.go
@@ -0,0 +1,167 @@
+package operator
+
+import (
+	"context"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/settings"
+	"wisteriaspool/wisteriarouter/event"
+)
+
+// Settings is what an operator sees of a team's settings.
+type Settings struct {
+	Team     coordination.Team `json:"team"`
+	Text     string            `json:"text"`
+	Revision kv.Revision       `json:"revision" doc:"The base of the next change."`
+	// Fresh is false if the platform did not answer or has lost the key: then
+	// the text is the one in force on the router that answered.
+	Fresh   bool              `json:"fresh"`
+	Change  *settings.Change  `json:"change,omitempty"`
+	InForce settings.Position `json:"in_force" doc:"What the router that answered has in force."`
+	Refused *settings.Refusal `json:"refused,omitempty" doc:"A value that stands in the platform and is not in force."`
+}
+
+type teamInput struct {
+	Team string `path:"team" maxLength:"128"`
+}
+
+type settingsOutput struct{ Body Settings }
+
+func (s *Server) getSettings(ctx context.Context, in *teamInput) (*settingsOutput, error) {
+	team := coordination.Team(in.Team)
+	standing, fresh, failure := s.read(ctx, team)
+	if failure != nil {
+		return nil, failure
+	}
+	return &settingsOutput{Body: s.view(team, standing, fresh)}, nil
+}
+
+func (s *Server) read(ctx context.Context, team coordination.Team) (settings.Standing, bool, *Failure) {
+	if !settings.ValidTeam(team) {
+		return settings.Standing{}, false, &Failure{Code: CodeUnknownTeam, Message: "this is no name of a team"}
+	}
+	standing, fresh := s.Editor.Read(ctx, team)
+	switch {
+	case standing.Revision == 0 && fresh:
+		return standing, fresh, &Failure{Code: CodeUnknownTeam, Message: "the team has no settings; put the first ones with base revision 0"}
+	case standing.Revision == 0:
+		return standing, fresh, &Failure{Code: CodeUnavailable, Message: "the platform does not answer, and nothing is in force here", RetryAfterMs: 1000}
+	}
+	return standing, fresh, nil
+}
+
+func (s *Server) view(team coordination.Team, standing settings.Standing, fresh bool) Settings {
+	v := Settings{Team: team, Text: standing.Text, Revision: standing.Revision, Fresh: fresh}
+	if standing.Value != nil {
+		v.Change = &standing.Value.Change
+	}
+	for _, st := range s.Replica.Status() {
+		if st.Team == team {
+			v.InForce, v.Refused = st.Position, st.Refused
+		}
+	}
+	return v
+}
+
+type putInput struct {
+	Team string `path:"team" maxLength:"128"`
+	Body struct {
+		Text         string `json:"text" doc:"The settings, in INI."`
+		BaseRevision int64  `json:"base_revision" doc:"The revision that the change starts from; 0 for a new team."`
+		ChangeID     string `json:"change_id" doc:"A UUIDv7; the same one for every try of this change."`
+		Author       string `json:"author"`
+		Reason       string `json:"reason"`
+	}
+}
+
+// Accepted is the answer to a change that is durable.
+type Accepted struct {
+	Team     coordination.Team `json:"team"`
+	Revision kv.Revision       `json:"revision"`
+	Sequence uint64            `json:"sequence"`
+	Repeated bool              `json:"repeated" doc:"Whether an earlier try of the same change was accepted."`
+}
+
+type acceptedOutput struct{ Body Accepted }
+
+func (s *Server) putSettings(ctx context.Context, in *putInput) (*acceptedOutput, error) {
+	p := settings.Put{
+		Team:   coordination.Team(in.Team),
+		Text:   in.Body.Text,
+		Base:   kv.Revision(in.Body.BaseRevision),
+		ID:     settings.ChangeID(in.Body.ChangeID),
+		Author: in.Body.Author,
+		Reason: in.Body.Reason,
+	}
+	out := s.Editor.Put(ctx, p)
+	s.log(p, out)
+	if out.Status != settings.Accepted {
+		return nil, s.failure(p, out)
+	}
+	return &acceptedOutput{Body: Accepted{
+		Team: p.Team, Revision: out.Position.Revision, Sequence: out.Position.Sequence, Repeated: out.Repeated,
+	}}, nil
+}
+
+func (s *Server) failure(p settings.Put, out settings.Outcome) *Failure {
+	f := &Failure{RetryAfterMs: out.RetryAfter.Milliseconds()}
+	switch out.Status {
+	case settings.Conflicting:
+		standing := s.view(p.Team, out.Standing, true)
+		f.Code, f.Standing, f.Diff = CodeConflict, &standing, out.Diff
+		f.Message = "another change stands; nothing was written. The difference leads from it to yours"
+	case settings.Rejected:
+		f.Code, f.Problems = CodeInvalid, out.Problems
+		f.Message = "the change has problems; nothing was written"
+	case settings.Unwritten:
+		f.Code = CodeUnavailable
+		f.Message = "the platform could not be reached; nothing was written. The settings in force stay"
+	default:
+		f.Code = CodeUnknown
+		f.Message = "no answer came in time; the change may or may not be accepted. Put it again with the same change id"
+	}
+	return f
+}
+
+func (s *Server) log(p settings.Put, out settings.Outcome) {
+	fields := []event.Field{
+		event.F("team", p.Team), event.F("change-id", p.ID), event.F("author", p.Author), event.F("base", p.Base),
+	}
+	if out.Status == settings.Accepted {
+		s.Log.Emit(event.SettingsChanged, append(fields, event.F("revision", out.Position.Revision), event.F("reason", p.Reason))...)
+		return
+	}
+	s.Log.Emit(event.SettingsRejected, append(fields, event.F("outcome", out.Status.String()))...)
+}
+
+// History is the audit trail of a team's settings.
+type History struct {
+	Team    coordination.Team `json:"team"`
+	Fresh   bool              `json:"fresh"`
+	Entries []settings.Entry  `json:"entries" doc:"Newest first."`
+}
+
+type historyOutput struct{ Body History }
+
+func (s *Server) getHistory(ctx context.Context, in *teamInput) (*historyOutput, error) {
+	team := coordination.Team(in.Team)
+	standing, fresh, failure := s.read(ctx, team)
+	if failure != nil {
+		return nil, failure
+	}
+	h := History{Team: team, Fresh: fresh}
+	if standing.Value != nil {
+		h.Entries = standing.Value.History(standing.Revision)
+	}
+	// An old or unreadable value that was put in past the routers hides later
+	// changes, which the settings in force still know of.
+	if in, ok := s.Replica.Snapshot(team); ok && hides(standing, in) {
+		h.Entries = in.Value.History(in.Position.Revision)
+	}
+	return &historyOutput{Body: h}, nil
+}
+
+func hides(standing settings.Standing, in *settings.Snapshot) bool {
+	return standing.Value == nil || standing.Value.Change.Sequence < in.Position.Sequence
+}
