wisteriactl: settings get, put, check, diff, history and status

A put is sent to the next router with the same change id when one cannot be reached or does not know, so that it is made at most once; it says that nothing was written only if no router can have written it. The base of a change rides in the first line of what get prints, so that an edit of an old text conflicts.

--- /dev/null
+++ b/wisteriactl/command.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/settings"
+)
+
+const (
+	formatText = "text"
+	formatJSON = "json"
+
+	routerVariable = "WISTERIACTL_ROUTER"
+	defaultRouter  = "http://127.0.0.1:8081"
+)
+
+// command is one command of the program.
+type command struct {
+	app
+	name     string
+	synopsis string
+	args     string // as in "-file F TEAM"
+	team     bool   // whether it takes a team
+	offline  bool   // whether it needs no router
+	flags    func(f *flag.FlagSet)
+	do       func(ctx context.Context, c *command) error
+
+	subject coordination.Team
+	client  *client
+	routers string
+	format  string
+}
+
+// Name implements subcommands.Command.
+func (c *command) Name() string { return c.name }
+
+// Synopsis implements subcommands.Command.
+func (c *command) Synopsis() string { return c.synopsis }
+
+// Usage implements subcommands.Command.
+func (c *command) Usage() string {
+	return strings.TrimSpace(c.name+" "+c.args) + ":\n  " + c.synopsis + "\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *command) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.format, "o", formatText, "output as `text|json`")
+	if !c.offline {
+		router := os.Getenv(routerVariable)
+		if router == "" {
+			router = defaultRouter
+		}
+		f.StringVar(&c.routers, "router", router, "operators' `URL` of a router, or several with commas; the next one is tried if one cannot be reached; the default is $"+routerVariable)
+	}
+	if c.flags != nil {
+		c.flags(f)
+	}
+}
+
+// Execute implements subcommands.Command.
+func (c *command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	err := c.prepare(f)
+	if err == nil {
+		err = c.do(ctx, c)
+	}
+	if err != nil && codeOf(err) != exitDiffers {
+		fmt.Fprintf(c.err, "wisteriactl: %s\n", messageOf(err))
+	}
+	return subcommands.ExitStatus(codeOf(err))
+}
+
+// prepare takes the team, before or behind the flags, and makes the client.
+func (c *command) prepare(f *flag.FlagSet) error {
+	if c.team {
+		if f.NArg() == 0 {
+			return errUsage.New("%s needs a TEAM; see wisteriactl settings %s -help", c.name, c.name)
+		}
+		c.subject = coordination.Team(f.Arg(0))
+		if err := f.Parse(f.Args()[1:]); err != nil {
+			return errUsage.New("wrong flags: %v", err)
+		}
+		if !settings.ValidTeam(c.subject) {
+			return errUsage.New("%q is no name of a team", c.subject)
+		}
+	}
+	if f.NArg() > 0 {
+		return errUsage.New("%q is one argument too many", f.Arg(0))
+	}
+	if c.format != formatText && c.format != formatJSON {
+		return errUsage.New("-o %s is not known; write -o text or -o json", c.format)
+	}
+	if c.offline {
+		return nil
+	}
+	var err error
+	c.client, err = newClient(c.routers)
+	return err
+}
+
+// show prints v as JSON if that is wanted, and calls text otherwise.
+func (c *command) show(v any, text func()) error {
+	if c.format != formatJSON {
+		text()
+		return nil
+	}
+	enc := json.NewEncoder(c.out)
+	enc.SetIndent("", "  ")
+	enc.SetEscapeHTML(false)
+	return enc.Encode(v)
+}
+
+// showWith shows v and returns err, or else what went wrong with showing.
+func (c *command) showWith(err error, v any, text func()) error {
+	shown := c.show(v, text)
+	if err != nil {
+		return err
+	}
+	return shown
+}
+
+func (c *command) printf(format string, args ...any) { fmt.Fprintf(c.out, format, args...) }
--- a/wisteriactl/main.go
+++ b/wisteriactl/main.go
@@ -1,17 +1,87 @@
-// Command wisteriactl is part of wisteriaspool.
+// Command wisteriactl is the operators' command line: it reads and changes the
+// settings of teams and shows the state of routers.
 package main
 
 import (
 	"context"
 	"flag"
+	"fmt"
+	"io"
 	"os"
+	"os/signal"
 
 	"github.com/google/subcommands"
 )
 
+const about = `wisteriactl reads and changes the settings of teams and shows the state of
+routers. It speaks to the operators' address of any router.
+
+  wisteriactl settings get [flags] TEAM       the settings, to edit and put back
+  wisteriactl settings check -file F          look for problems, without a router
+  wisteriactl settings diff -file F TEAM      what a put would change
+  wisteriactl settings put -file F -reason R [-wait 4s] TEAM
+  wisteriactl settings history [flags] TEAM   who changed what, when and why
+  wisteriactl status [flags]                  a router, its peers and endpoints
+
+A command with -help tells its flags.
+
+Exit codes:
+`
+
 func main() {
-	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(subcommands.FlagsCommand(), "")
-	flag.Parse()
-	os.Exit(int(subcommands.Execute(context.Background())))
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	code := run(ctx, os.Args[1:], app{in: os.Stdin, out: os.Stdout, err: os.Stderr})
+	cancel()
+	os.Exit(int(code))
+}
+
+// app is where the program reads and writes.
+type app struct {
+	in  io.Reader
+	out io.Writer
+	err io.Writer
+}
+
+// run executes the command that args name and returns its exit code.
+func run(ctx context.Context, args []string, a app) exitCode {
+	return execute(ctx, a, "wisteriactl", args, a.status(), group{a})
+}
+
+// execute executes the one of cmds that args name.
+func execute(ctx context.Context, a app, name string, args []string, cmds ...subcommands.Command) exitCode {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(a.err)
+	flags.Usage = func() { explain(a.err) }
+	if err := flags.Parse(args); err != nil {
+		return exitUsage
+	}
+	c := subcommands.NewCommander(flags, name)
+	c.Output, c.Error = a.out, a.err
+	c.Explain = explain
+	flags.Usage = func() { explain(a.err) }
+	c.Register(c.HelpCommand(), "")
+	for _, cmd := range cmds {
+		c.Register(cmd, "")
+	}
+	return exitCode(c.Execute(ctx))
+}
+
+func explain(w io.Writer) {
+	fmt.Fprint(w, about)
+	for _, e := range exitCodes {
+		fmt.Fprintf(w, "  %d  %s\n", e.code, e.meaning)
+	}
+}
+
+// group is the command "settings", which has commands of its own.
+type group struct{ app }
+
+func (group) Name() string           { return "settings" }
+func (group) Synopsis() string       { return "read and change the settings of teams" }
+func (group) Usage() string          { return about }
+func (group) SetFlags(*flag.FlagSet) {}
+
+func (g group) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return subcommands.ExitStatus(execute(ctx, g.app, "wisteriactl settings", f.Args(),
+		g.get(), g.check(), g.diff(), g.put(), g.history()))
 }
--- /dev/null
+++ b/wisteriactl/put.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/settings"
+)
+
+// maxWait is the longest wait that a router allows in one call.
+const maxWait = 8 * time.Second
+
+// putter is the command put.
+type putter struct {
+	file   file
+	reason string
+	author string
+	id     string
+	base   int64
+	wait   time.Duration
+}
+
+// change is the body of a put.
+type change struct {
+	Text         string            `json:"text"`
+	BaseRevision kv.Revision       `json:"base_revision"`
+	ChangeID     settings.ChangeID `json:"change_id"`
+	Author       string            `json:"author"`
+	Reason       string            `json:"reason"`
+}
+
+// accepted is what a router answers to a put that it accepted.
+type accepted struct {
+	Team     coordination.Team `json:"team"`
+	Revision kv.Revision       `json:"revision"`
+	Sequence uint64            `json:"sequence"`
+	Repeated bool              `json:"repeated"`
+	InForce  *inForce          `json:"in_force,omitempty"` // added if -wait is given
+}
+
+// inForce tells on how many routers a change is in force.
+type inForce struct {
+	Routers     int                     `json:"routers"`
+	InForce     int                     `json:"in_force"`
+	Behind      []behind                `json:"behind"`
+	Unreachable []coordination.Instance `json:"unreachable"`
+}
+
+type behind struct {
+	Instance coordination.Instance `json:"instance"`
+	Revision kv.Revision           `json:"revision"`
+	Refused  kv.Revision           `json:"refused_revision,omitempty"`
+}
+
+func (a app) put() *command {
+	p := &putter{}
+	return &command{
+		app: a, name: "put", args: "-file F -reason R [-author A] [-base N] [-wait 4s] TEAM", team: true,
+		synopsis: "change the settings of TEAM to those of the file",
+		flags:    p.set,
+		do:       p.run,
+	}
+}
+
+func (p *putter) set(fs *flag.FlagSet) {
+	p.file.set(fs)
+	fs.StringVar(&p.reason, "reason", "", "`why` the change is made, for the audit trail")
+	fs.StringVar(&p.author, "author", os.Getenv("USER"), "`who` makes the change")
+	fs.StringVar(&p.id, "change-id", "", "`id` of a change whose outcome is unknown, to put it again")
+	fs.Int64Var(&p.base, "base", -1, "`revision` that the change starts from; the default is the one in the file's first line, or else the one that stands now")
+	fs.DurationVar(&p.wait, "wait", 0, "wait this `long` until the change is in force on all routers")
+}
+
+func (p *putter) run(ctx context.Context, c *command) error {
+	t, err := p.file.read(c)
+	if err != nil {
+		return err
+	}
+	ch, err := p.change(ctx, c, t)
+	if err != nil {
+		return err
+	}
+	var a accepted
+	if err := c.client.call(ctx, http.MethodPut, settingsPath(c.subject), ch, &a); err != nil {
+		return p.explain(c, ch, err)
+	}
+	if p.wait > 0 {
+		a.InForce, err = p.await(ctx, c, a)
+	}
+	return c.showWith(err, a, func() { p.print(c, a) })
+}
+
+func (p *putter) change(ctx context.Context, c *command, t text) (change, error) {
+	switch {
+	case p.reason == "":
+		return change{}, errUsage.New("-reason is missing: say why the change is made")
+	case p.author == "":
+		return change{}, errUsage.New("-author is missing: say who makes the change")
+	case p.id != "" && !settings.ChangeID(p.id).Valid():
+		return change{}, errUsage.New("-change-id %q is no UUIDv7", p.id)
+	}
+	ch := change{Text: t.body, BaseRevision: kv.Revision(p.base), ChangeID: settings.ChangeID(p.id), Author: p.author, Reason: p.reason}
+	if p.id == "" {
+		ch.ChangeID = settings.NewChangeID()
+	}
+	if p.base < 0 {
+		ch.BaseRevision = t.base
+	}
+	if ch.BaseRevision >= 0 {
+		return ch, nil
+	}
+	s, err := c.client.get(ctx, c.subject)
+	if err != nil && !errorx.IsOfType(err, errNoTeam) {
+		return change{}, err
+	}
+	ch.BaseRevision = s.Revision
+	return ch, nil
+}
+
+// explain tells why a put was not accepted, and how to go on.
+func (p *putter) explain(c *command, ch change, err error) error {
+	var f *failure
+	if errors.As(err, &f) {
+		if c.format == formatJSON {
+			return c.showWith(known(err), f, nil)
+		}
+		c.problems(f.Problems)
+		if f.Standing != nil {
+			c.conflict(f)
+		}
+		return known(err)
+	}
+	if errorx.IsOfType(err, errUnknown) {
+		fmt.Fprintf(c.err, "wisteriactl: to settle it, put the same file again with -change-id %s -base %d\n", ch.ChangeID, ch.BaseRevision)
+	}
+	return err
+}
+
+func (c *command) conflict(f *failure) {
+	c.printf("revision %d stands", f.Standing.Revision)
+	if ch := f.Standing.Change; ch != nil {
+		c.printf(", by %s at %s: %s", ch.Author, ch.Time.Format(time.RFC3339), ch.Reason)
+	}
+	c.printf("\n%s", f.Diff)
+}
+
+func (p *putter) print(c *command, a accepted) {
+	again := ""
+	if a.Repeated {
+		again = ", by an earlier try"
+	}
+	c.printf("accepted: team %s, revision %d%s\n", a.Team, a.Revision, again)
+	if a.InForce == nil {
+		return
+	}
+	c.printf("in force on %d of %d routers\n", a.InForce.InForce, a.InForce.Routers)
+	for _, b := range a.InForce.Behind {
+		c.printf("  %s still has revision %d", b.Instance, b.Revision)
+		if b.Refused > 0 {
+			c.printf(" and refuses revision %d", b.Refused)
+		}
+		c.printf("\n")
+	}
+	for _, u := range a.InForce.Unreachable {
+		c.printf("  %s did not answer\n", u)
+	}
+}
+
+// await waits until the change is in force on all routers.
+func (p *putter) await(ctx context.Context, c *command, a accepted) (*inForce, error) {
+	deadline := time.Now().Add(p.wait)
+	for {
+		left := max(time.Until(deadline), 0)
+		path := fmt.Sprintf("%s/in-force?revision=%d&sequence=%d&wait_ms=%d",
+			settingsPath(a.Team), a.Revision, a.Sequence, min(left, maxWait).Milliseconds())
+		var in inForce
+		if err := c.client.call(ctx, http.MethodGet, path, nil, &in); err != nil {
+			return nil, errBehind.New("accepted, but no router tells where it is in force: %v", err)
+		}
+		if in.InForce == in.Routers {
+			return &in, nil
+		}
+		if time.Until(deadline) <= 0 {
+			return &in, errBehind.New("accepted, but in force on only %d of %d routers after %v", in.InForce, in.Routers, p.wait)
+		}
+	}
+}
--- /dev/null
+++ b/wisteriactl/settings.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/settings"
+)
+
+// baseLine is the first line of what get prints, by which put knows the
+// revision that an edited file started from.
+var baseLine = regexp.MustCompile(`^# wisteriactl: team (\S+), base revision (\d+)\r?\n`)
+
+func (a app) get() *command {
+	return &command{
+		app: a, name: "get", args: "TEAM", team: true,
+		synopsis: "print the settings of TEAM, with a first line that put takes its base from",
+		do: func(ctx context.Context, c *command) error {
+			s, err := c.client.get(ctx, c.subject)
+			if err != nil {
+				return err
+			}
+			c.warn(s)
+			return c.show(s, func() {
+				c.printf("# wisteriactl: team %s, base revision %d\n%s", s.Team, s.Revision, s.Text)
+			})
+		},
+	}
+}
+
+// warn tells on the error output what is odd about s.
+func (c *command) warn(s standing) {
+	if !s.Fresh {
+		fmt.Fprintln(c.err, "wisteriactl: the platform did not answer or has lost the key; these settings are in force on the router that answered")
+	}
+	if s.Refused != nil {
+		fmt.Fprintf(c.err, "wisteriactl: revision %d stands in the platform but is not in force (%s); put a change on top of it\n", s.Refused.Revision, s.Refused.Verdict)
+		c.problems(s.Refused.Problems)
+	}
+}
+
+func (c *command) problems(problems []settings.Problem) {
+	for _, p := range problems {
+		fmt.Fprintln(c.err, p)
+	}
+}
+
+// file is a flag for a file with settings.
+type file struct{ name string }
+
+func (f *file) set(fs *flag.FlagSet) {
+	fs.StringVar(&f.name, "file", "", "`file` with the settings; - is the standard input")
+}
+
+// text is the settings of a file, and the base that its first line names.
+type text struct {
+	body string
+	base kv.Revision // -1 if there is no such line
+}
+
+// read reads and checks the file.
+func (f *file) read(c *command) (text, error) {
+	if f.name == "" {
+		return text{}, errUsage.New("-file is missing")
+	}
+	data, err := f.open(c)
+	if err != nil {
+		return text{}, errUsage.New("%v", err)
+	}
+	_, problems := settings.Parse(f.name, data)
+	if c.format != formatJSON {
+		c.problems(problems)
+	}
+	t, err := split(string(data), c.subject)
+	if err == nil && len(problems) > 0 {
+		err = errInvalid.New("%s has %d problems", f.name, len(problems))
+	}
+	if err != nil && c.format == formatJSON {
+		err = c.showWith(err, checked{Problems: append([]settings.Problem{}, problems...)}, nil)
+	}
+	return t, err
+}
+
+func (f *file) open(c *command) ([]byte, error) {
+	if f.name == "-" {
+		return io.ReadAll(c.in)
+	}
+	return os.ReadFile(f.name)
+}
+
+// split takes the first line that get printed off a text.
+func split(body string, team coordination.Team) (text, error) {
+	m := baseLine.FindStringSubmatch(body)
+	if m == nil {
+		return text{body: body, base: -1}, nil
+	}
+	if team != "" && m[1] != string(team) {
+		return text{}, errUsage.New("the file was got from team %s, not %s; delete its first line to put it all the same", m[1], team)
+	}
+	base, err := strconv.ParseInt(m[2], 10, 64)
+	if err != nil {
+		return text{}, errUsage.New("the file's first line has no right revision: %v", err)
+	}
+	return text{body: strings.TrimPrefix(body, m[0]), base: kv.Revision(base)}, nil
+}
+
+// checked is the result of check.
+type checked struct {
+	Problems []settings.Problem `json:"problems"`
+}
+
+func (a app) check() *command {
+	f := &file{}
+	return &command{
+		app: a, name: "check", args: "-file F", offline: true, flags: f.set,
+		synopsis: "look for problems in a file, without a router",
+		do: func(_ context.Context, c *command) error {
+			if _, err := f.read(c); err != nil {
+				return err
+			}
+			return c.show(checked{Problems: []settings.Problem{}}, func() { c.printf("%s: no problems\n", f.name) })
+		},
+	}
+}
+
+// difference is the result of diff.
+type difference struct {
+	Team     coordination.Team `json:"team"`
+	Revision kv.Revision       `json:"revision"`
+	Diff     string            `json:"diff"`
+}
+
+func (a app) diff() *command {
+	f := &file{}
+	return &command{
+		app: a, name: "diff", args: "-file F TEAM", team: true, flags: f.set,
+		synopsis: "print what a put of the file would change; exits with 9 if there is a difference",
+		do: func(ctx context.Context, c *command) error {
+			t, err := f.read(c)
+			if err != nil {
+				return err
+			}
+			s, err := c.client.get(ctx, c.subject)
+			if err != nil {
+				return err
+			}
+			c.warn(s)
+			d := difference{Team: s.Team, Revision: s.Revision, Diff: settings.Diff(s.Text, t.body)}
+			if err := c.show(d, func() { c.printf("%s", d.Diff) }); err != nil {
+				return err
+			}
+			if d.Diff != "" {
+				return errDiffers.New("the file differs from revision %d", s.Revision)
+			}
+			return nil
+		},
+	}
+}
+
+// trail is the audit trail of a team.
+type trail struct {
+	Team    coordination.Team `json:"team"`
+	Fresh   bool              `json:"fresh"`
+	Entries []settings.Entry  `json:"entries"`
+}
+
+func (a app) history() *command {
+	var diffs bool
+	return &command{
+		app: a, name: "history", args: "[-diff] TEAM", team: true,
+		synopsis: "print who changed the settings of TEAM, when and why, newest first",
+		flags:    func(fs *flag.FlagSet) { fs.BoolVar(&diffs, "diff", false, "print what each change changed") },
+		do: func(ctx context.Context, c *command) error {
+			var h trail
+			err := c.client.call(ctx, http.MethodGet, settingsPath(c.subject)+"/history", nil, &h)
+			if err != nil {
+				return known(err)
+			}
+			return c.show(h, func() { c.printTrail(h, diffs) })
+		},
+	}
+}
+
+func (c *command) printTrail(h trail, diffs bool) {
+	if diffs {
+		for _, e := range h.Entries {
+			c.printf("revision %d  %s  %s  %s\n%s\n", e.Revision, e.Time.Format(time.RFC3339), e.Author, e.Reason, e.Diff)
+		}
+		return
+	}
+	c.table("REVISION\tTIME\tAUTHOR\tREASON\tCHANGE ID", len(h.Entries), func(w io.Writer, i int) {
+		e := h.Entries[i]
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\n", e.Revision, e.Time.Format(time.RFC3339), e.Author, e.Reason, e.ID)
+	})
+}
