--- a/coordination/settings/fetch.go
+++ b/coordination/settings/fetch.go
@@ -226,7 +226,7 @@
 
 func (l *loader) fromPlatform(waited time.Duration) bool {
 	patience := loadPatience
-	if isWatcher(l.s.cfg, l.s.peers.Members()) {
+	if l.s.isWatcher() {
 		patience = watcherPatience
 	}
 	if waited < patience {
--- a/coordination/settings/sync.go
+++ b/coordination/settings/sync.go
@@ -1,13 +1,14 @@
 package settings
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/samber/lo"
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/kv"
@@ -76,6 +77,8 @@
 	calls chan struct{} // bounds the values fetched at a time
 
 	mu       sync.Mutex
+	members  []Member // at the last choice of watchers
+	chosen   bool     // whether that choice fell on this router
 	watcher  *watcher
 	wanted   map[coordination.Team]Position
 	fresh    confirmation // the newest that was heard or made
@@ -181,7 +184,7 @@
 
 // checkRole starts or stops watching as the live routers change.
 func (s *Sync) checkRole() {
-	if !isWatcher(s.cfg, s.peers.Members()) {
+	if !s.isWatcher() {
 		s.stopWatching()
 		return
 	}
@@ -205,33 +208,40 @@
 	}
 }
 
-// isWatcher reports whether cfg.Self is among the first routers of its zone by
-// hash, or the first of all that are not. Routers whose lists of members
-// differ may choose more or fewer watchers for a while, which only costs calls
-// or leaves the change to the remaining ones.
-func isWatcher(cfg Config, members []Member) bool {
-	own := weight(cfg.Self)
-	ahead := lo.CountBy(members, func(m Member) bool {
-		return m.Zone == cfg.Zone && weight(m.Instance) > own
-	})
-	if ahead < cfg.WatchersPerZone {
-		return true
+// watchers returns who watches the platform: the first of each zone by hash,
+// and the first of the rest. Routers whose lists of members differ may choose
+// more or fewer for a while, which only costs calls or leaves the work to the
+// remaining ones.
+func watchers(perZone int, members []Member) []coordination.Instance {
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b Member) int { return cmp.Compare(weight(b.Instance), weight(a.Instance)) })
+	inZone := make(map[coordination.Zone]int)
+	var chosen []coordination.Instance
+	extra := false
+	for _, m := range ranked {
+		switch {
+		case inZone[m.Zone] < perZone:
+			inZone[m.Zone]++
+		case !extra:
+			extra = true
+		default:
+			continue
+		}
+		chosen = append(chosen, m.Instance)
 	}
-	return extraWatcher(cfg.WatchersPerZone, members) == cfg.Self
+	return chosen
 }
 
-// extraWatcher returns the first router that is no watcher of its zone.
-func extraWatcher(perZone int, members []Member) coordination.Instance {
-	var best coordination.Instance
-	for _, m := range members {
-		ahead := lo.CountBy(members, func(o Member) bool {
-			return o.Zone == m.Zone && weight(o.Instance) > weight(m.Instance)
-		})
-		if ahead == perZone && (best == "" || weight(m.Instance) > weight(best)) {
-			best = m.Instance
-		}
+// isWatcher reports whether this router is to watch.
+func (s *Sync) isWatcher() bool {
+	members := s.peers.Members()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !slices.Equal(members, s.members) {
+		s.members = members
+		s.chosen = slices.Contains(watchers(s.cfg.WatchersPerZone, members), s.cfg.Self)
 	}
-	return best
+	return s.chosen
 }
 
 func weight(i coordination.Instance) uint64 {
--- a/coordination/settings/watch.go
+++ b/coordination/settings/watch.go
@@ -52,7 +52,7 @@
 // without a sign, as when it is stuck behind a broken connection; reading all
 // settings once in a while bounds how long that goes unnoticed.
 func (w *watcher) drain(ctx context.Context, batches <-chan kv.Batch, revision kv.Revision) {
-	confirm := time.NewTicker(confirmEvery)
+	confirm := time.NewTimer(confirmPause())
 	defer confirm.Stop()
 	reread := time.NewTimer(rereadEvery/2 + rand.N(rereadEvery))
 	defer reread.Stop()
@@ -66,6 +66,7 @@
 			revision = max(revision, b.Revision)
 			ok = w.take(ctx, b)
 		case <-confirm.C:
+			confirm.Reset(confirmPause())
 			w.s.confirm(revision)
 		case <-reread.C:
 			reread.Reset(rereadEvery/2 + rand.N(rereadEvery))
@@ -79,6 +80,10 @@
 	}
 }
 
+// confirmPause spreads the confirmations of the watchers, so that most of them
+// find that another has just spread one.
+func confirmPause() time.Duration { return confirmEvery + rand.N(confirmEvery) }
+
 // take offers what a batch brings. It reports whether the watch is still good.
 func (w *watcher) take(ctx context.Context, b kv.Batch) bool {
 	for _, e := range b.Events {
