--- a/coordination/settings/fleet_test.go
+++ b/coordination/settings/fleet_test.go
@@ -173,6 +173,68 @@
 	})
 }
 
+// The router that accepted a change dies before it could tell anybody. The
+// watchers have to see the change in the platform.
+func TestEditorDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, 30)
+		time.Sleep(10 * time.Second)
+		f.await(f.routers[0].accept(t, oneSecond), inForceWithin)
+		lone := NewEditor(f.store, f.routers[0].replica.copyOf(testTeam))
+		out := lone.Put(t.Context(), change(twoSeconds, f.routers[0].position().Revision))
+		assert.Equal(t, out.Status, Accepted)
+		f.await(out.Position, inForceWithin)
+	})
+}
+
+// A whole fleet starts at once, as after a power cut, while the platform holds
+// settings. It must be ready soon and not ask the platform all together.
+func TestColdStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7, 0)
+		p := NewEditor(f.store, &Replica{}).Put(t.Context(), change(oneSecond, 0)).Position
+		for range 60 {
+			f.start()
+		}
+		for _, r := range f.routers {
+			<-r.sync.Ready()
+			assert.Equal(t, r.position(), p)
+		}
+		f.await(p, 0)
+		assert.Assert(t, f.store.Calls("list") <= 10, "%d reads", f.store.Calls("list"))
+	})
+}
+
+// The platform is down for minutes. The routers go on looking for it, but no
+// more often than a few times a second, however many they are.
+func TestOutageIsNoStampede(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8, 60)
+		time.Sleep(10 * time.Second)
+		f.store.SetFaults(kvtest.Faults{Down: true})
+		time.Sleep(freshFor)
+		before := f.lists()
+		time.Sleep(2 * time.Minute)
+		perSecond := float64(f.lists()-before) / 120
+		t.Logf("%.1f reads a second tried by 60 routers", perSecond)
+		assert.Assert(t, perSecond < 6)
+		f.store.SetFaults(kvtest.Faults{})
+		time.Sleep(10 * time.Second)
+		before = f.lists()
+		time.Sleep(time.Minute)
+		assert.Assert(t, f.lists()-before <= 10, "%d reads a minute after the outage", f.lists()-before)
+	})
+}
+
+// lists counts the reads of all settings that the routers have tried.
+func (f *fleet) lists() int {
+	n := 0
+	for _, r := range f.routers {
+		n += r.sync.Stats().Lists
+	}
+	return n
+}
+
 // A watch delivers nothing for a while and then goes on. A change that the
 // platform took in between, from a router that died before it could tell
 // anybody, would stay unknown to the fleet.
--- a/coordination/settings/replica.go
+++ b/coordination/settings/replica.go
@@ -109,8 +109,8 @@
 	refused  *Refusal
 }
 
-// Observe has fn called after each offer that is not Known. Observers are to
-// be set before the first offer.
+// Observe has fn called after each offer that changes what is in force or what
+// is refused. Observers are to be set before the first offer.
 func (r *Replica) Observe(fn func(Observation)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -149,17 +149,21 @@
 	r.mu.Lock()
 	st := r.state(offered.Team)
 	verdict := st.judge(offered, problems)
+	told := true
 	switch verdict {
 	case Known:
+		told = false
 	case Applied:
 		st.apply(offered)
 	default:
-		st.refuse(verdict, offered.Position.Revision, problems)
+		told = st.refuse(verdict, offered.Position.Revision, problems)
 	}
 	o := Observation{Team: offered.Team, Verdict: verdict, Revision: offered.Position.Revision, Problems: problems, InForce: st.snapshot}
 	observers := r.observers
 	r.mu.Unlock()
-	tell(observers, o)
+	if told {
+		tell(observers, o)
+	}
 	return verdict
 }
 
@@ -200,15 +204,14 @@
 }
 
 // refuse remembers the newest value that stands in the platform and is not in
-// force. What is behind the revision in force is a stale read and no fault.
-func (st *state) refuse(verdict Verdict, revision kv.Revision, problems []Problem) {
-	if revision <= st.position().Revision {
-		return
-	}
-	if st.refused != nil && revision < st.refused.Revision {
-		return
+// force, and reports whether this is one. What is behind the revision in force
+// is a stale read and no fault.
+func (st *state) refuse(verdict Verdict, revision kv.Revision, problems []Problem) bool {
+	if revision <= st.position().Revision || st.refused != nil && revision < st.refused.Revision {
+		return false
 	}
 	st.refused = &Refusal{Verdict: verdict, Revision: revision, Problems: problems, Time: time.Now()}
+	return true
 }
 
 // Remove considers that the team's key was found deleted at revision. What is
@@ -229,9 +232,6 @@
 }
 
 func tell(observers []func(Observation), o Observation) {
-	if o.Verdict == Known {
-		return
-	}
 	for _, fn := range observers {
 		fn(o)
 	}
--- a/coordination/settings/sync.go
+++ b/coordination/settings/sync.go
@@ -51,6 +51,7 @@
 	driftAfter   = 1500 * time.Millisecond // a difference this old is no mere delay
 	driftPause   = 30 * time.Second        // after asking about a difference in vain
 	listTimeout  = 3 * time.Second
+	checkEach    = 200 * time.Millisecond // between two routers that look at the platform
 )
 
 // Config tells a Sync where it runs.
@@ -249,8 +250,9 @@
 }
 
 // checkFreshness looks at the platform directly once no peer has shown a
-// confirmation for a while. The times are spread, and the first router that
-// succeeds confirms for all, so that an outage does not end in a stampede.
+// confirmation for a while. The first router that succeeds confirms for all. The
+// times are spread by the size of the fleet: else all would ask at once, again
+// and again for as long as an outage lasts.
 func (s *Sync) checkFreshness() {
 	s.mu.Lock()
 	now := time.Now()
@@ -259,12 +261,13 @@
 		s.mu.Unlock()
 		return
 	}
+	spread := max(2*freshFor, time.Duration(len(s.members))*checkEach)
 	if s.checkAt.IsZero() {
-		s.checkAt = now.Add(rand.N(freshFor))
+		s.checkAt = now.Add(rand.N(spread))
 	}
 	due := !now.Before(s.checkAt)
 	if due {
-		s.checkAt = now.Add(freshFor + rand.N(2*freshFor))
+		s.checkAt = now.Add(freshFor + rand.N(spread))
 	}
 	s.mu.Unlock()
 	if due {
