--- /dev/null
+++ b/wisteriarouter/engine/stream.go
@@ -0,0 +1,217 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"iter"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"wisteriaspool/coordination"
+)
+
+// doneData is the data of the event that ends an OpenAI-compatible stream.
+const doneData = "[DONE]"
+
+// silence ends a request whose engine stays silent for too long. A frozen
+// engine keeps its connections open, so that without it a caller would wait
+// for ever.
+type silence struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	timer  *time.Timer
+	idle   time.Duration
+	wrote  atomic.Bool
+}
+
+// defaultIdle is the limit of a request that names none.
+const defaultIdle = 10 * time.Second
+
+func watch(ctx context.Context, idle time.Duration) *silence {
+	if idle <= 0 {
+		idle = defaultIdle
+	}
+	w := &silence{idle: idle}
+	w.ctx, w.cancel = context.WithCancel(ctx)
+	w.timer = time.AfterFunc(idle, w.cancel)
+	return w
+}
+
+// trace returns a context that notes when a byte of the request may have left.
+// A connection that was made but not written to has told the engine nothing.
+func (w *silence) trace() context.Context {
+	return httptrace.WithClientTrace(w.ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { w.wrote.Store(true) },
+	})
+}
+
+func (w *silence) heard() { w.timer.Reset(w.idle) }
+
+func (w *silence) stop() {
+	w.timer.Stop()
+	w.cancel()
+}
+
+// newStart builds the request of an attempt. Its body cannot be rewound: the
+// transport would otherwise send it a second time over a new connection when
+// an idle one breaks, and the model would run twice.
+func newStart(ctx context.Context, address string, req Request) (*http.Request, error) {
+	body := io.NopCloser(bytes.NewReader(req.Body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", body)
+	if err != nil {
+		return nil, err
+	}
+	r.ContentLength = int64(len(req.Body))
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Accept", "text/event-stream")
+	r.Header.Set(headerAttempt, string(req.Attempt))
+	r.Header.Set(headerPriority, priorityText(req.Priority))
+	r.Header.Set(headerChat, string(req.Chat))
+	return r, nil
+}
+
+// window is how many chunks may be ahead of a missing one before the missing
+// one is taken for lost.
+const window = 64
+
+// Stream is the open answer of one attempt. It is not safe for concurrent use.
+type Stream struct {
+	body    io.Closer
+	watch   *silence
+	next    func() (sse.Event, error, bool)
+	release func()
+	attempt coordination.Attempt
+	offset  int           // of the last chunk that Next returned
+	early   map[int]Chunk // chunks that came before their predecessors
+	closing *Chunk        // the chunk that ends the answer, once it came
+	done    bool          // the closing chunk was returned
+	strays  int
+}
+
+func newStream(body io.ReadCloser, w *silence, id coordination.Attempt, offset int) *Stream {
+	next, release := iter.Pull2(iter.Seq2[sse.Event, error](sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes})))
+	return &Stream{body: body, watch: w, next: next, release: release, attempt: id, offset: offset}
+}
+
+// Strays returns how many chunks came that belong to another attempt. They
+// were dropped.
+func (s *Stream) Strays() int { return s.strays }
+
+// Close ends the connection. It does not cancel the attempt.
+func (s *Stream) Close() {
+	s.release()
+	s.watch.stop()
+	s.body.Close()
+}
+
+// Next returns the next chunk of the answer, each offset once and in order. It
+// returns io.EOF behind a whole answer, ErrCut when the rest did not come over
+// this connection, and ErrMalformed when what came cannot be read.
+func (s *Stream) Next() (Chunk, error) {
+	for {
+		if c, ok := s.ready(); ok {
+			return c, nil
+		}
+		if s.done {
+			return Chunk{}, io.EOF
+		}
+		if len(s.early) > window {
+			return Chunk{}, fmt.Errorf("%w: token %d is missing", ErrCut, s.offset+1)
+		}
+		e, err, ok := s.next()
+		if !ok || e.Data == doneData {
+			return Chunk{}, ErrCut
+		}
+		if err != nil {
+			return Chunk{}, fmt.Errorf("%w: %w", ErrCut, err)
+		}
+		s.watch.heard()
+		if err := s.take(e); err != nil {
+			return Chunk{}, err
+		}
+	}
+}
+
+// ready returns the chunk that follows the last one, if it has come. The chunk
+// that ends the answer waits until all tokens before it have been returned.
+func (s *Stream) ready() (Chunk, bool) {
+	if c, ok := s.early[s.offset+1]; ok {
+		delete(s.early, s.offset+1)
+		s.offset++
+		return c, true
+	}
+	if s.closing != nil && !s.done && s.closing.Offset == s.offset {
+		s.done = true
+		return *s.closing, true
+	}
+	return Chunk{}, false
+}
+
+// take sorts in one event. One of another attempt is dropped: it would put
+// somebody else's words into the answer. One that came before is dropped, too:
+// it would put a word in twice. One that comes too early waits.
+func (s *Stream) take(e sse.Event) error {
+	id, err := ParseEventID(e.LastEventID)
+	if err != nil || id.Attempt != s.attempt {
+		s.strays++
+		return nil
+	}
+	c, err := decodeChunk(e.Data)
+	if err != nil {
+		return err
+	}
+	c.Offset = id.Offset
+	switch {
+	case c.Finish != "":
+		s.closing = &c
+	case c.Offset > s.offset:
+		if s.early == nil {
+			s.early = make(map[int]Chunk)
+		}
+		s.early[c.Offset] = c
+	}
+	return nil
+}
+
+type wireChunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *struct {
+		Prompt     int `json:"prompt_tokens"`
+		Completion int `json:"completion_tokens"`
+		Details    struct {
+			Cached int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+func decodeChunk(data string) (Chunk, error) {
+	var w wireChunk
+	if err := json.Unmarshal([]byte(data), &w); err != nil {
+		return Chunk{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	c := Chunk{Data: data}
+	if len(w.Choices) > 0 {
+		c.Text = w.Choices[0].Delta.Content
+		c.Finish = w.Choices[0].FinishReason
+	}
+	if w.Usage != nil {
+		c.Usage = &Usage{
+			Prompt:     coordination.Tokens(w.Usage.Prompt),
+			Cached:     coordination.Tokens(w.Usage.Details.Cached),
+			Completion: coordination.Tokens(w.Usage.Completion),
+		}
+	}
+	return c, nil
+}
