Cause the faults of connections between routers on real sockets

Names, kept rumours and records are bounded now, since a faulty peer could have filled the memory with long names.

--- a/coordination/membership/bench_test.go
+++ b/coordination/membership/bench_test.go
@@ -65,5 +65,17 @@
 	b.ReportMetric(float64(sent)/perSecond, "msgs/s")
 	b.ReportMetric(f.cpu.Seconds()/perSecond*100, "cpu-%")
 	b.ReportMetric(start.Seconds(), "start-s")
+	b.ReportMetric(worstSpread(b, f).Seconds(), "spread-s")
 	b.ReportMetric(0, "ns/op")
 }
+
+// worstSpread returns the longest time that one of ten rumours takes to reach
+// all members.
+func worstSpread(b *testing.B, f *fabric) time.Duration {
+	var worst time.Duration
+	for i := range 10 {
+		f.nodes[i%len(f.nodes)].machine.Broadcast(f.now, "load", "spread", uint64(i+1), nil)
+		worst = max(worst, f.runUntil(b, time.Minute, "rumour everywhere", f.has("load", "spread", uint64(i+1))))
+	}
+	return worst
+}
--- a/coordination/membership/config.go
+++ b/coordination/membership/config.go
@@ -36,8 +36,10 @@
 	Budget int
 	// MaxMembers bounds the table; 8192.
 	MaxMembers int
-	// MaxRumors bounds the soft rumours held; 8192.
+	// MaxRumors bounds the rumours held, as far as soft ones go; 8192.
 	MaxRumors int
+	// MaxKept bounds the kept rumours held beyond MaxRumors; 8192.
+	MaxKept int
 	// Seed makes random choices repeatable.
 	Seed uint64
 }
@@ -55,6 +57,7 @@
 
 const (
 	helpers       = 3        // members asked to probe for us
+	maxName       = 256      // bytes of an instance, address, topic or key
 	maxRecords    = 64       // records of members in one message
 	maxRumors     = 64       // rumours in one message
 	maxRumorBytes = 16 << 10 // payloads of rumours in one message
@@ -86,6 +89,7 @@
 	setInt(&c.Budget, 12000)
 	setInt(&c.MaxMembers, 8192)
 	setInt(&c.MaxRumors, 8192)
+	setInt(&c.MaxKept, 8192)
 	return c
 }
 
--- a/coordination/membership/rumor.go
+++ b/coordination/membership/rumor.go
@@ -101,7 +101,7 @@
 		return false
 	}
 	keep := m.cfg.Topics[r.Topic].Keep
-	if len(r.Payload) > MaxPayload || !keep && (r.Life == 0 || old == nil && len(m.rumors) >= m.cfg.MaxRumors) {
+	if !r.valid() || !keep && r.Life == 0 || old == nil && m.full(keep) {
 		m.stats.RumorsRefused++
 		return false
 	}
@@ -119,6 +119,19 @@
 	return true
 }
 
+func (r *Rumor) valid() bool {
+	return len(r.Payload) <= MaxPayload && len(r.Topic) <= maxName && len(r.Key) <= maxName && len(r.Origin) <= maxName
+}
+
+// full reports whether no new key can be taken. Soft rumours leave room for
+// kept ones.
+func (m *Machine) full(keep bool) bool {
+	if keep {
+		return len(m.rumors) >= m.cfg.MaxRumors+m.cfg.MaxKept
+	}
+	return len(m.rumors) >= m.cfg.MaxRumors
+}
+
 // newer reports whether a goes before b. Equal versions are told apart by
 // their origin, so that all members end with the same one.
 func newer(a, b Rumor) bool {
--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -19,7 +19,7 @@
 
 // apply takes in a record about a member, told by from.
 func (m *Machine) apply(from coordination.Instance, r Member) {
-	if r.Instance == "" {
+	if !r.valid() {
 		return
 	}
 	if r.Instance == m.self.Instance {
@@ -57,6 +57,13 @@
 	}
 }
 
+// valid reports whether r may be held. The bounds keep a faulty peer from
+// filling the memory.
+func (r *Member) valid() bool {
+	return r.Instance != "" && len(r.Instance) <= maxName && len(r.Address) <= maxName &&
+		len(r.Zone) <= maxName && len(r.Region) <= maxName && len(r.Build) <= maxName && r.State <= Dead
+}
+
 // insert adds a member that was unknown. The end of an unknown member is no
 // news, and to take it in would keep the memory of it alive for ever.
 func (m *Machine) insert(from coordination.Instance, r Member) {
--- a/wisteriarouter/peer/node.go
+++ b/wisteriarouter/peer/node.go
@@ -202,7 +202,7 @@
 		case silent > n.cfg.DeadAfter/3 && c.queued.Load() == 0 && c.pingDue(now):
 			_ = c.post(&message{Kind: kindPing})
 		}
-		if !n.isNeighbor(c) && now.Sub(c.since) > drainMost && c.idle() {
+		if !n.isNeighbor(c) && now.Sub(c.since) > min(n.cfg.IdleTimeout, drainMost) && c.idle() {
 			spare = append(spare, c)
 		}
 	}
--- a/wisteriarouter/peer/peer_test.go
+++ b/wisteriarouter/peer/peer_test.go
@@ -21,6 +21,7 @@
 	*Node
 	address string
 	stop    func()
+	server  *http.Server
 	events  *eventLog
 }
 
@@ -36,6 +37,18 @@
 	l.all = append(l.all, e)
 }
 
+func (l *eventLog) count(k EventKind) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, e := range l.all {
+		if e.Kind == k {
+			n++
+		}
+	}
+	return n
+}
+
 // listen returns a listener on loopback.
 func listen(t testing.TB) net.Listener {
 	t.Helper()
@@ -44,6 +57,18 @@
 	return l
 }
 
+// listenAt returns a listener at an address that has just become free.
+func listenAt(t testing.TB, address string) net.Listener {
+	t.Helper()
+	var l net.Listener
+	eventually(t, "free address", func() bool {
+		var err error
+		l, err = net.Listen("tcp", address)
+		return err == nil
+	})
+	return l
+}
+
 // start runs a router on l with the given seeds.
 func start(t testing.TB, l net.Listener, id string, seeds []string, change func(*Config)) *router {
 	t.Helper()
@@ -74,7 +99,7 @@
 		_ = srv.Serve(l)
 	}()
 	var once sync.Once
-	r := &router{Node: n, address: l.Addr().String(), events: events}
+	r := &router{Node: n, address: l.Addr().String(), server: srv, events: events}
 	r.stop = func() {
 		once.Do(func() {
 			stop()
@@ -113,6 +138,18 @@
 	}
 }
 
+// abandon ends all connections of r at once, as when its process is killed.
+func abandon(r *router) {
+	r.cancel()
+	r.connMu.Lock()
+	r.stopped = true
+	for _, c := range r.conns {
+		c.cancel(errStopped)
+	}
+	r.connMu.Unlock()
+	r.server.Close()
+}
+
 func joined(routers []*router) func() bool {
 	return func() bool {
 		for _, r := range routers {
