Keep the fingerprints of a table until it changes

Each heartbeat in either direction summed up all tables. Membership rarely changes, and soft rumours are compared every few seconds only.

Ruled out: sums kept up to date by each change, which more code paths could get wrong.

--- a/coordination/membership/digest.go
+++ b/coordination/membership/digest.go
@@ -24,24 +24,49 @@
 	maxRows = 2048
 )
 
-// rows returns the content of a table. Members that are gone are not in it,
-// since each member forgets them at its own time.
-func (m *Machine) rows(t Table) []row {
+// view is the content of a table with its fingerprints. Both are kept until
+// the table changes, since each heartbeat in either direction needs them.
+type view struct {
+	rows  []row
+	sums  [buckets]uint32 // of each bucket
+	sum   uint32          // of all
+	at    time.Time
+	valid bool
+}
+
+// view returns the content of a table.
+func (m *Machine) view(t Table) *view {
+	v := &m.views[t]
+	// Soft rumours change all the time, and enter the view by their age.
+	if v.valid && (t != SoftTable || m.now.Sub(v.at) < m.cfg.Heartbeat) {
+		return v
+	}
+	v.rows = m.rows(t, v.rows[:0])
+	v.sums = fingerprint(v.rows)
+	v.sum = 0
+	for _, sum := range v.sums {
+		v.sum ^= sum
+	}
+	v.at, v.valid = m.now, true
+	return v
+}
+
+// rows appends the content of a table to rows. Members that are gone are not
+// in it, since each member forgets them at its own time.
+func (m *Machine) rows(t Table, rows []row) []row {
 	if t == MemberTable {
-		return m.memberRows()
+		return m.memberRows(rows)
 	}
-	var rows []row
 	for k, r := range m.rumors {
 		if r.keep != (t == KeptTable) || !r.keep && (m.now.Sub(r.arrived) < settle || !r.live(m.now)) {
 			continue
 		}
-		rows = append(rows, row{key: uint32(hash(k.topic + "\x00" + k.key)), stamp: r.Version, rumor: k})
+		rows = append(rows, row{key: r.hash, stamp: r.Version, rumor: k})
 	}
 	return rows
 }
 
-func (m *Machine) memberRows() []row {
-	rows := make([]row, 0, len(m.table)+1)
+func (m *Machine) memberRows(rows []row) []row {
 	self := entry{Member: m.self}
 	if self.Live() {
 		rows = append(rows, memberRow(&self))
@@ -71,9 +96,7 @@
 func (m *Machine) fingerprints() [tables]uint32 {
 	var sums [tables]uint32
 	for t := range tables {
-		for _, b := range fingerprint(m.rows(t)) {
-			sums[t] ^= b
-		}
+		sums[t] = m.view(t).sum
 	}
 	return sums
 }
@@ -111,7 +134,7 @@
 	}
 	m.nextRepair[t] = m.now.Add(m.jitter(interval))
 	d := Digest{Table: t, Buckets: make([]byte, 0, 4*buckets)}
-	for _, sum := range fingerprint(m.rows(t)) {
+	for _, sum := range m.view(t).sums {
 		d.Buckets = binary.LittleEndian.AppendUint32(d.Buckets, sum)
 	}
 	return d
@@ -123,15 +146,15 @@
 	if d.Table >= tables || len(d.Buckets) != 4*buckets || link == nil || link.queued(d.Table) {
 		return
 	}
-	rows := m.rows(d.Table)
+	v := m.view(d.Table)
 	var differ uint32
-	for i, sum := range fingerprint(rows) {
+	for i, sum := range v.sums {
 		if sum != binary.LittleEndian.Uint32(d.Buckets[4*i:]) {
 			differ |= 1 << i
 		}
 	}
 	if differ != 0 {
-		m.send(from, Message{Listings: []Listing{list(d.Table, rows, differ, false)}})
+		m.send(from, Message{Listings: []Listing{list(d.Table, v.rows, differ, false)}})
 	}
 }
 
@@ -159,7 +182,7 @@
 	for b := l.Rows; len(b) > 0; b = b[rowBytes:] {
 		theirs[binary.LittleEndian.Uint32(b)] = binary.LittleEndian.Uint64(b[4:])
 	}
-	rows := m.rows(l.Table)
+	rows := m.view(l.Table).rows
 	for _, r := range rows {
 		if l.Buckets&(1<<(r.key%buckets)) == 0 {
 			continue
--- a/coordination/membership/machine.go
+++ b/coordination/membership/machine.go
@@ -30,6 +30,7 @@
 	nextSearch time.Time
 
 	rumors     map[rumorKey]*rumor
+	views      [tables]view
 	nextRepair [tables]time.Time
 	nextSweep  time.Time
 	tokens     float64 // bytes left for soft rumours
--- a/coordination/membership/rumor.go
+++ b/coordination/membership/rumor.go
@@ -21,6 +21,7 @@
 // rumor is a rumour as it is held.
 type rumor struct {
 	Rumor
+	hash    uint32 // of topic and key
 	keep    bool
 	arrived time.Time
 	expires time.Time // unset if it is kept
@@ -105,13 +106,16 @@
 		m.stats.RumorsRefused++
 		return false
 	}
-	held := &rumor{Rumor: r, keep: keep, arrived: m.now}
+	held := &rumor{Rumor: r, hash: uint32(hash(k.topic + "\x00" + k.key)), keep: keep, arrived: m.now}
 	if !keep {
 		// No topic's life is longer here than its own members give it.
 		life := min(r.Life, m.lifeOf(r.Topic))
 		held.expires = m.now.Add(time.Duration(life) * time.Millisecond)
 	}
 	m.rumors[k] = held
+	if keep {
+		m.views[KeptTable].valid = false
+	}
 	if from != "" {
 		m.fresh = append(m.fresh, k)
 	}
--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -198,6 +198,7 @@
 func (m *Machine) touch() {
 	m.changed = true
 	m.stale = true
+	m.views[MemberTable].valid = false
 }
 
 // spread queues the record of id for all neighbours but from.
@@ -226,7 +227,7 @@
 
 // expire ends suspicions and forgets members that are long gone.
 func (m *Machine) expire() {
-	for _, e := range m.sortedTable() {
+	for _, e := range m.table {
 		age := m.now.Sub(e.since)
 		switch {
 		case e.State == Suspect && age >= m.cfg.Suspicion:
