--- a/coordination/membership/machine.go
+++ b/coordination/membership/machine.go
@@ -30,10 +30,13 @@
 	nextSearch time.Time
 
 	rumors     map[rumorKey]*rumor
+	views      [tables]view
 	nextRepair [tables]time.Time
 	nextSweep  time.Time
-	tokens     float64
-	refilled   time.Time
+	tokens     float64 // bytes left for soft rumours
+	// recordTokens are the bytes left for records of members.
+	recordTokens float64
+	refilled     time.Time
 
 	out     Output
 	changed bool
--- a/coordination/membership/rumor.go
+++ b/coordination/membership/rumor.go
@@ -21,6 +21,7 @@
 // rumor is a rumour as it is held.
 type rumor struct {
 	Rumor
+	hash    uint32 // of topic and key
 	keep    bool
 	arrived time.Time
 	expires time.Time // unset if it is kept
@@ -101,17 +102,20 @@
 		return false
 	}
 	keep := m.cfg.Topics[r.Topic].Keep
-	if len(r.Payload) > MaxPayload || !keep && (r.Life == 0 || old == nil && len(m.rumors) >= m.cfg.MaxRumors) {
+	if !r.valid() || !keep && r.Life == 0 || old == nil && m.full(keep) {
 		m.stats.RumorsRefused++
 		return false
 	}
-	held := &rumor{Rumor: r, keep: keep, arrived: m.now}
+	held := &rumor{Rumor: r, hash: uint32(hash(k.topic + "\x00" + k.key)), keep: keep, arrived: m.now}
 	if !keep {
 		// No topic's life is longer here than its own members give it.
 		life := min(r.Life, m.lifeOf(r.Topic))
 		held.expires = m.now.Add(time.Duration(life) * time.Millisecond)
 	}
 	m.rumors[k] = held
+	if keep {
+		m.views[KeptTable].valid = false
+	}
 	if from != "" {
 		m.fresh = append(m.fresh, k)
 	}
@@ -119,6 +123,19 @@
 	return true
 }
 
+func (r *Rumor) valid() bool {
+	return len(r.Payload) <= MaxPayload && len(r.Topic) <= maxName && len(r.Key) <= maxName && len(r.Origin) <= maxName
+}
+
+// full reports whether no new key can be taken. Soft rumours leave room for
+// kept ones.
+func (m *Machine) full(keep bool) bool {
+	if keep {
+		return len(m.rumors) >= m.cfg.MaxRumors+m.cfg.MaxKept
+	}
+	return len(m.rumors) >= m.cfg.MaxRumors
+}
+
 // newer reports whether a goes before b. Equal versions are told apart by
 // their origin, so that all members end with the same one.
 func newer(a, b Rumor) bool {
--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -19,7 +19,7 @@
 
 // apply takes in a record about a member, told by from.
 func (m *Machine) apply(from coordination.Instance, r Member) {
-	if r.Instance == "" {
+	if !r.valid() {
 		return
 	}
 	if r.Instance == m.self.Instance {
@@ -57,6 +57,13 @@
 	}
 }
 
+// valid reports whether r may be held. The bounds keep a faulty peer from
+// filling the memory.
+func (r *Member) valid() bool {
+	return r.Instance != "" && len(r.Instance) <= maxName && len(r.Address) <= maxName &&
+		len(r.Zone) <= maxName && len(r.Region) <= maxName && len(r.Build) <= maxName && r.State <= Dead
+}
+
 // insert adds a member that was unknown. The end of an unknown member is no
 // news, and to take it in would keep the memory of it alive for ever.
 func (m *Machine) insert(from coordination.Instance, r Member) {
@@ -191,6 +198,7 @@
 func (m *Machine) touch() {
 	m.changed = true
 	m.stale = true
+	m.views[MemberTable].valid = false
 }
 
 // spread queues the record of id for all neighbours but from.
@@ -219,7 +227,7 @@
 
 // expire ends suspicions and forgets members that are long gone.
 func (m *Machine) expire() {
-	for _, e := range m.sortedTable() {
+	for _, e := range m.table {
 		age := m.now.Sub(e.since)
 		switch {
 		case e.State == Suspect && age >= m.cfg.Suspicion:
--- a/wisteriarouter/peer/peer_test.go
+++ b/wisteriarouter/peer/peer_test.go
@@ -21,6 +21,7 @@
 	*Node
 	address string
 	stop    func()
+	server  *http.Server
 	events  *eventLog
 }
 
@@ -56,6 +57,18 @@
 	return l
 }
 
+// listenAt returns a listener at an address that has just become free.
+func listenAt(t testing.TB, address string) net.Listener {
+	t.Helper()
+	var l net.Listener
+	eventually(t, "free address", func() bool {
+		var err error
+		l, err = net.Listen("tcp", address)
+		return err == nil
+	})
+	return l
+}
+
 // start runs a router on l with the given seeds.
 func start(t testing.TB, l net.Listener, id string, seeds []string, change func(*Config)) *router {
 	t.Helper()
@@ -86,7 +99,7 @@
 		_ = srv.Serve(l)
 	}()
 	var once sync.Once
-	r := &router{Node: n, address: l.Addr().String(), events: events}
+	r := &router{Node: n, address: l.Addr().String(), server: srv, events: events}
 	r.stop = func() {
 		once.Do(func() {
 			stop()
@@ -125,6 +138,18 @@
 	}
 }
 
+// abandon ends all connections of r at once, as when its process is killed.
+func abandon(r *router) {
+	r.cancel()
+	r.connMu.Lock()
+	r.stopped = true
+	for _, c := range r.conns {
+		c.cancel(errStopped)
+	}
+	r.connMu.Unlock()
+	r.server.Close()
+}
+
 func joined(routers []*router) func() bool {
 	return func() bool {
 		for _, r := range routers {
