Run the whole path as separate processes, from wisteriactl to the engines

./demo.sh starts the platform's stand-in, three engines, a service and three routers, writes the team's settings, runs returning chats and actions, and stops a router and an engine on the way.

The operators' API and status are wired; the settings are put only after the routers have met, for -wait counted 1 of 1 routers before.

Known from trials and open: crashing requests are not convicted while other traffic runs; a killed or frozen owner slows first tokens; a cold burst is partly refused.

--- a/demo.sh
+++ b/demo.sh
@@ -94,7 +94,7 @@
 
 # Ports from a range of this run's own; a router needs to know its seeds' ports
 # before they are bound.
-base=$((20000 + RANDOM % 20000))
+base=$((20000 + RANDOM % 12000))
 router() { echo "127.0.0.1:$((base + $1 * 10 + $2))"; }
 for n in 1 2 3; do
   cat >"$dir/r$n.ini" <<INI
@@ -138,6 +138,10 @@
     sleep 0.05
   done
 done
+for _ in $(seq 100); do
+  curl -s "http://$(router 1 1)/metrics" | grep -q '^wisteria_members{state="alive"} 3' && break
+  sleep 0.05
+done
 bin/wisteriactl settings put -router "$operators" -file "$dir/demo.ini" \
   -author demo -reason "first settings" -wait 4s demo
 for n in 1 2 3; do
--- a/wisteriarouter/daemon/daemon.go
+++ b/wisteriarouter/daemon/daemon.go
@@ -36,6 +36,19 @@
 	ready       atomic.Bool // has settings and endpoints
 	leaving     atomic.Bool // told the balancer and the other routers so
 	stopping    atomic.Bool // refuses new requests
+	inFlight    atomic.Int64
+}
+
+// String returns the state as operators see it.
+func (s *state) String() string {
+	switch {
+	case s.leaving.Load():
+		return "stopping"
+	case s.ready.Load():
+		return "ready"
+	default:
+		return "starting"
+	}
 }
 
 // Ready reports whether the balancer should send requests here.
--- a/wisteriarouter/daemon/operators.go
+++ b/wisteriarouter/daemon/operators.go
@@ -1,9 +1,109 @@
 package daemon
 
 import (
+	"context"
+	"time"
+
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/budget"
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/membership"
+	"wisteriaspool/coordination/settings"
+	"wisteriaspool/wisteriarouter/endpoint"
+	"wisteriaspool/wisteriarouter/operator"
+	"wisteriaspool/wisteriarouter/peer"
+	"wisteriaspool/wisteriarouter/platform"
 )
 
 // addOperators adds the operations for operators.
-func addOperators(_ do.Injector, _ huma.API) {}
+func addOperators(i do.Injector, api huma.API) {
+	t := do.MustInvoke[*teams](i)
+	node := do.MustInvoke[*peer.Node](i)
+	store := budgetedStore{store: do.MustInvoke[*platform.Client](i), budget: do.MustInvoke[*budget.Budget](i)}
+	st := &status{
+		state:     stateOf(i),
+		zone:      settingsOf(i).Zone,
+		teams:     t,
+		node:      node,
+		directory: do.MustInvoke[*endpoint.Directory](i),
+		placing:   do.MustInvoke[*placing](i),
+	}
+	s := &operator.Server{
+		Self:    st.state.instance,
+		Editor:  settings.NewEditor(store, t.replica),
+		Replica: t.replica,
+		Peers:   settingsPeers{node},
+		Status:  st.report,
+		Log:     logOf(i),
+	}
+	s.Register(api)
+}
+
+// Get implements settings.EditorStore.
+func (s budgetedStore) Get(ctx context.Context, key string) kv.Result {
+	if res, ok := s.spend(); !ok {
+		return res
+	}
+	return s.store.Get(ctx, key)
+}
+
+// CompareAndSwap implements settings.EditorStore.
+func (s budgetedStore) CompareAndSwap(ctx context.Context, key string, value []byte, expect kv.Revision, lease kv.Lease) kv.Result {
+	if res, ok := s.spend(); !ok {
+		return res
+	}
+	return s.store.CompareAndSwap(ctx, key, value, expect, lease)
+}
+
+// status gathers what operators see of this router.
+type status struct {
+	state     *state
+	zone      coordination.Zone
+	teams     *teams
+	node      *peer.Node
+	directory *endpoint.Directory
+	placing   *placing
+}
+
+func (s *status) report() operator.Status {
+	return operator.Status{
+		Instance:    s.state.instance,
+		Incarnation: s.state.incarnation,
+		Zone:        s.zone,
+		State:       s.state.String(),
+		Started:     s.state.started,
+		InFlight:    int(s.state.inFlight.Load()),
+		Settings:    s.teams.replica.Status(),
+		Platform:    s.platform(),
+		Peers: lo.Map(s.node.Members(), func(m membership.Member, _ int) operator.PeerStatus {
+			return operator.PeerStatus{Instance: m.Instance, Zone: m.Zone, State: m.State.String()}
+		}),
+		Endpoints: lo.Map(s.directory.All(), func(k endpoint.Known, _ int) operator.EndpointStatus {
+			return s.endpoint(k)
+		}),
+	}
+}
+
+func (s *status) platform() operator.PlatformStatus {
+	p := operator.PlatformStatus{Watching: s.teams.sync.Watching(), ConfirmedMsAgo: -1}
+	if age, ever := s.teams.sync.Fresh(); ever {
+		p.ConfirmedMsAgo = age.Round(time.Millisecond).Milliseconds()
+	}
+	return p
+}
+
+func (s *status) endpoint(k endpoint.Known) operator.EndpointStatus {
+	return operator.EndpointStatus{
+		Endpoint: k.ID,
+		Pool:     k.Pool,
+		Zone:     k.Zone,
+		State:    k.State.String(),
+		Running:  s.placing.running(k.ID),
+		Capacity: k.Capacity,
+		Owner:    s.placing.view.Load().Owner(k.ID, k.Zone),
+	}
+}
--- a/wisteriarouter/daemon/placing.go
+++ b/wisteriarouter/daemon/placing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,7 @@
 	entry     *placement.Entry
 	changes   chan struct{} // a sign that lists have changed
 	view      atomic.Pointer[placement.Routers]
+	reports   sync.Map // the last load that each owned endpoint reported
 }
 
 func newPlacing(i do.Injector) (*placing, error) {
@@ -147,7 +149,16 @@
 	return p.view.Load().Owner(k.ID, k.Zone) == p.self
 }
 
+// running returns what an endpoint that this router owns last reported to run.
+func (p *placing) running(id coordination.Endpoint) int {
+	if l, ok := p.reports.Load(id); ok {
+		return l.(engine.Load).Running
+	}
+	return 0
+}
+
 func (p *placing) report(k endpoint.Known, l engine.Load) {
+	p.reports.Store(k.ID, l)
 	p.owner.Report(reportOf(k.ID, l))
 }
 
--- a/wisteriarouter/daemon/servers.go
+++ b/wisteriarouter/daemon/servers.go
@@ -20,7 +20,7 @@
 type server struct {
 	http     *http.Server
 	listener net.Listener
-	active   atomic.Int64
+	active   *atomic.Int64
 	onFail   func(error)
 }
 
@@ -28,7 +28,7 @@
 // caller who sends them very slowly holds nothing but one connection for a
 // short while.
 func newServer(l net.Listener, h http.Handler, lim config.Limits, onFail func(error)) *server {
-	s := &server{listener: l, onFail: onFail}
+	s := &server{listener: l, active: new(atomic.Int64), onFail: onFail}
 	s.http = &http.Server{
 		Handler:           s.count(h),
 		ReadHeaderTimeout: lim.HeaderWait,
