suspicion, retry: gates for crashing requests; retry budget

Cause: a request that crashes what runs it takes one endpoint after another when its caller sends it again.

Excusing every crash amid many losses kept itself going; now once.

--- a/coordination/placement/admit.go
+++ b/coordination/placement/admit.go
@@ -138,7 +138,7 @@
 	limit, ok = l.pool.admit(now, l.counted, cfg)
 	if ok {
 		l.counted++
-		l.hold(id, held{start: now, alone: alone})
+		l.hold(now, id, held{start: now, alone: alone})
 	}
 	return limit, ok
 }
@@ -211,27 +211,26 @@
 	}
 	gap := l.service.gap(now, l.count(now, cfg))
 	for _, w := range l.queue.waiters() {
-		if !w.passAt.IsZero() && !now.Before(w.passAt) {
-			l.queue.remove(w)
-			w.settle(l.pass(now, Full))
-			continue
-		}
-		if now.Before(w.deadline) && gap == 0 {
+		if !w.req.Final {
+			l.pruneHeldBack(now, w)
 			continue
 		}
 		start := now.Add(time.Duration(l.queue.ahead(w)+1) * gap)
-		if start.Before(w.deadline) {
-			continue
-		}
-		l.queue.remove(w)
-		if w.req.Final {
+		if !start.Before(w.deadline) {
+			l.queue.remove(w)
 			w.settle(l.refusal(now, Deadline))
-		} else {
-			w.settle(l.pass(now, Full))
 		}
 	}
 }
 
+// pruneHeldBack passes on a request that is not final once its time is up.
+func (l *endpointLoad) pruneHeldBack(now time.Time, w *waiter) {
+	if !now.Before(w.passAt) || !now.Before(w.deadline) {
+		l.queue.remove(w)
+		w.settle(l.pass(now, Full))
+	}
+}
+
 // The span of what a refusal tells a caller to wait.
 const (
 	minRetryAfter = 100 * time.Millisecond
--- a/coordination/placement/load.go
+++ b/coordination/placement/load.go
@@ -175,7 +175,10 @@
 }
 
 // hold records a grant.
-func (l *endpointLoad) hold(id GrantID, g held) {
+func (l *endpointLoad) hold(now time.Time, id GrantID, g held) {
+	if len(l.grants) == 0 {
+		l.service.begin(now)
+	}
 	l.grants[id] = g
 	if g.alone {
 		l.alone++
@@ -223,14 +226,14 @@
 // value has observed nothing.
 type serviceTime struct {
 	mean  time.Duration
-	ended time.Time
+	moved time.Time // when a request last ended, or the first one began
 }
 
 // serviceShare is the weight of the latest request in the mean.
 const serviceShare = 0.1
 
 func (s *serviceTime) observe(d time.Duration, now time.Time) {
-	s.ended = now
+	s.moved = now
 	if s.mean == 0 {
 		s.mean = max(d, 1)
 		return
@@ -238,6 +241,10 @@
 	s.mean += time.Duration(serviceShare * float64(d-s.mean))
 }
 
+// begin notes that a request begins at an idle endpoint. The time before that
+// says nothing of the endpoint's speed.
+func (s *serviceTime) begin(now time.Time) { s.moved = now }
+
 // stallFactor is how many mean gaps an endpoint may go without ending a
 // request before it is taken to be slower than it was.
 const stallFactor = 4
@@ -250,5 +257,5 @@
 		return 0
 	}
 	g := s.mean / time.Duration(max(n, 1))
-	return max(g, now.Sub(s.ended)/stallFactor)
+	return max(g, now.Sub(s.moved)/stallFactor)
 }
--- a/coordination/placement/release.go
+++ b/coordination/placement/release.go
@@ -123,7 +123,7 @@
 		return
 	}
 	start := now.Add(-g.Age.Duration())
-	l.hold(id, held{start: start, alone: g.Flags&HeldAlone != 0})
+	l.hold(now, id, held{start: start, alone: g.Flags&HeldAlone != 0})
 	if l.unknown > 0 && !start.After(l.report.Observed) {
 		l.unknown--
 	}
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -68,6 +68,8 @@
 	warm bool
 
 	redirect coordination.Instance
+	sent     int // position of the candidate that was last redirected
+	rounds   int
 	stage    stage
 	full     int
 	other    bool // some answer was not that the endpoint is full
@@ -88,7 +90,7 @@
 )
 
 func newWalk(now time.Time, req Request, cfg *Config, set *Set, routers *Routers) *walk {
-	w := &walk{req: req, cfg: cfg, set: set, routers: routers, started: now, at: -1}
+	w := &walk{req: req, cfg: cfg, set: set, routers: routers, started: now, at: -1, sent: -1}
 	w.warm = set.Warm(req.Pool, req.Hint) != nil
 	w.list = set.Candidates(w.buf[:0], req.Pool, req.Key, req.Hint, cfg.Candidates)
 	return w
@@ -97,7 +99,7 @@
 // next returns the next question, or false and why there is none.
 func (w *walk) next(now time.Time) (ask, Refusal, bool) {
 	deadline, late := w.remaining(now)
-	if late {
+	if late || w.rounds > maxRounds {
 		return ask{}, Refusal{Code: Deadline, RetryAfter: minRetryAfter}, false
 	}
 	if w.redirect != "" {
@@ -142,8 +144,13 @@
 	return a
 }
 
+// maxRounds ends a walk that goes round without waiting, which would spin.
+const maxRounds = 200
+
 // restart begins the walk anew after a pause.
 func (w *walk) restart() {
+	w.rounds++
+	w.sent = -1
 	w.stage, w.at, w.full = asking, -1, 0
 	w.other, w.over, w.queue = false, false, nil
 }
@@ -194,6 +201,9 @@
 		return true
 	}
 	w.last = r.Code
+	if r.Code == Gone || r.Code == Lost {
+		w.req.Avoid = append(slices.Clip(w.req.Avoid), a.endpoint.ID)
+	}
 	if w.stage == pausing {
 		w.restart()
 		return false
@@ -207,9 +217,7 @@
 		w.offer(a, r.RetryAfter)
 	case NotOwner:
 		w.other = true
-		if r.Owner != "" && r.Owner != a.owner && w.stage == asking {
-			w.redirect = r.Owner
-		}
+		w.follow(a, r.Owner)
 	case Lost:
 		w.other = true
 		w.lost = append(w.lost, LostEndpoint{Endpoint: a.endpoint.ID, Incarnation: a.endpoint.Incarnation})
@@ -219,6 +227,14 @@
 	return false
 }
 
+// follow goes on to the router that the asked one takes for the owner, once for
+// each candidate: while lists differ, two routers may name each other.
+func (w *walk) follow(a ask, owner coordination.Instance) {
+	if owner != "" && owner != a.owner && w.stage == asking && w.sent != w.at {
+		w.redirect, w.sent = owner, w.at
+	}
+}
+
 // offer notes an endpoint in whose queue the request could wait.
 func (w *walk) offer(a ask, wait Millis) {
 	if w.stage != asking {
--- /dev/null
+++ b/coordination/suspicion/fleet_test.go
@@ -0,0 +1,185 @@
+package suspicion
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/samber/lo"
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination/placement"
+)
+
+// outcome is what one seeded run of the world showed.
+type outcome struct {
+	lost      map[Fingerprint]int // endpoints, by crashing request
+	innocents int                 // refused as poison
+	served    int                 // innocents that ran to their end
+	sent      int                 // innocents
+	runs      []runRecord
+}
+
+// scenario is a seeded run: innocents arrive all the time, and crashing
+// requests are sent through one router and, again and again, through all.
+type scenario struct {
+	seed    uint64
+	poisons int
+	spacing time.Duration // between two crashing requests
+	planted plant
+	cfg     Config
+	rekeyed bool // each copy of a crashing request comes as another chat
+}
+
+// play runs the scenario in the paused clock.
+func (s scenario) play(t *testing.T) (o outcome) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(s.seed, 7, 12, s.planted, s.cfg)
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for i, m := range w.members {
+			wg.Go(func() { w.routers[m.ID].loop(ctx, time.Duration(200+250*i)*time.Millisecond) })
+		}
+		time.Sleep(3 * time.Second)
+		length := time.Duration(s.poisons)*s.spacing + 20*time.Second
+		var jobs sync.WaitGroup
+		jobs.Go(func() { s.innocents(ctx, w, length, &o) })
+		for i := range s.poisons {
+			jobs.Go(func() {
+				time.Sleep(time.Duration(i) * s.spacing)
+				s.poison(ctx, w, i, length)
+			})
+		}
+		jobs.Wait()
+		cancel()
+		wg.Wait()
+		w.stop()
+		o.lost, o.runs = w.lost(), w.runs
+		o.innocents = lo.CountBy(w.convicted, func(f Fingerprint) bool { return !isPoison(f, s.poisons) })
+		time.Sleep(time.Minute)
+	})
+	return o
+}
+
+func poisonOf(i int) Fingerprint { return FingerprintOf("poison", fmt.Sprint(i)) }
+
+func isPoison(f Fingerprint, n int) bool {
+	return lo.Contains(lo.Times(n, poisonOf), f)
+}
+
+// innocents sends 15 requests a second, one in twenty with the same common
+// prompt.
+func (s scenario) innocents(ctx context.Context, w *world, length time.Duration, o *outcome) {
+	rng := rand.New(rand.NewPCG(s.seed, 2))
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for i := range int(length.Seconds() * 15) {
+		time.Sleep(time.Second / 15)
+		j := job{
+			fingerprint: FingerprintOf("innocent", fmt.Sprint(i)),
+			key:         placement.Key(i),
+			length:      time.Duration(500+rng.IntN(6000)) * time.Millisecond,
+			retries:     3,
+		}
+		if rng.IntN(20) == 0 {
+			j.fingerprint = FingerprintOf("hello")
+		}
+		r := w.routers[w.members[rng.IntN(len(w.members))].ID]
+		o.sent++
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, 30*time.Second)
+			defer cancel()
+			if r.serve(ctx, j) {
+				mu.Lock()
+				defer mu.Unlock()
+				o.served++
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// poison sends a crashing request, and sends it again through every router at
+// once when its first try has ended, and every few seconds after that.
+func (s scenario) poison(ctx context.Context, w *world, i int, length time.Duration) {
+	rng := rand.New(rand.NewPCG(s.seed, uint64(i+3)))
+	j := job{
+		fingerprint: poisonOf(i),
+		key:         placement.Key(1_000_000 + i),
+		length:      time.Duration(50+rng.IntN(2000)) * time.Millisecond,
+		crashes:     true,
+		retries:     3,
+	}
+	until := time.Now().Add(length)
+	first := w.routers[w.members[rng.IntN(len(w.members))].ID]
+	var wg sync.WaitGroup
+	original := j
+	wg.Go(func() { first.serve(ctx, original) })
+	time.Sleep(j.length + time.Duration(10+rng.IntN(300))*time.Millisecond)
+	for time.Now().Before(until) {
+		for _, r := range w.routers {
+			if s.rekeyed {
+				j.key++
+			}
+			again := j
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+				defer cancel()
+				r.serve(ctx, again)
+			})
+		}
+		time.Sleep(3 * time.Second)
+	}
+	wg.Wait()
+}
+
+// A request crashes each endpoint that runs it. Its caller takes the broken
+// answer for a hiccup and sends it again through every router at once, before
+// they have told each other. Users of the pool would lose endpoint after
+// endpoint; and if suspicion were hasty, those whose requests merely ran there
+// would be refused as well.
+func TestCrashingRequestTakesAtMostTwoEndpoints(t *testing.T) {
+	tests := []struct {
+		name string
+		scenario
+		seeds uint64
+	}{
+		{"one", scenario{poisons: 1, spacing: 10 * time.Second}, 5},
+		{"several apart", scenario{poisons: 3, spacing: 10 * time.Second}, 1},
+		{"as other chats, always asking", scenario{
+			poisons: 1, spacing: 10 * time.Second, rekeyed: true, cfg: Config{Always: true},
+		}, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range test.seeds {
+				s := test.scenario
+				s.seed = seed
+				o := s.play(t)
+				for i := range s.poisons {
+					n := o.lost[poisonOf(i)]
+					assert.Assert(t, n >= 1 && n <= 2, "seed %d: request %d took %d endpoints", seed, i, n)
+				}
+				assert.Equal(t, o.innocents, 0, "seed %d", seed)
+				assert.Assert(t, o.served >= o.sent*99/100, "seed %d: %d of %d innocents served", seed, o.served, o.sent)
+			}
+		})
+	}
+}
+
+// The check above must be able to fail. Routers that retry without asking, or
+// that each ask only themselves, let a crashing request take many endpoints.
+func TestCheckFindsPlantedFaults(t *testing.T) {
+	for _, planted := range []plant{ungated, ownGateOnly} {
+		found := false
+		for seed := range uint64(2) {
+			o := scenario{seed: seed, poisons: 1, spacing: 10 * time.Second, planted: planted}.play(t)
+			found = found || o.lost[poisonOf(0)] > 2
+		}
+		assert.Assert(t, found, "fault %d goes unnoticed", planted)
+	}
+}
--- /dev/null
+++ b/coordination/suspicion/table.go
@@ -0,0 +1,230 @@
+package suspicion
+
+import (
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"wisteriaspool/coordination"
+)
+
+// Table holds what one router knows of fingerprints and of lost endpoints.
+type Table struct {
+	cfg Config
+
+	mu      sync.Mutex
+	records map[Fingerprint]*Record
+	decided map[lifeOf]Fingerprint // convicted of this crash, alone there
+	losses  map[lifeOf]time.Time
+	pools   map[coordination.Pool]time.Time // of the last loss
+}
+
+// lifeOf names one incarnation of an endpoint.
+type lifeOf struct {
+	endpoint    coordination.Endpoint
+	incarnation coordination.Incarnation
+}
+
+// NewTable returns an empty table.
+func NewTable(cfg Config) *Table {
+	return &Table{
+		cfg:     cfg.withDefaults(),
+		records: make(map[Fingerprint]*Record),
+		decided: make(map[lifeOf]Fingerprint),
+		losses:  make(map[lifeOf]time.Time),
+		pools:   make(map[coordination.Pool]time.Time),
+	}
+}
+
+// Lost notes the death of an endpoint from any source, and reports whether many
+// died at the same moment. Isolating all that a lost zone ran would take hours.
+func (t *Table) Lost(now time.Time, p coordination.Pool, e coordination.Endpoint, n coordination.Incarnation) (mass bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for l, at := range t.losses {
+		if now.Sub(at) > t.cfg.MassWindow {
+			delete(t.losses, l)
+		}
+	}
+	t.losses[lifeOf{endpoint: e, incarnation: n}] = now
+	t.pools[p] = now
+	return len(t.losses) >= t.cfg.MassLoss
+}
+
+// Advice tells an entry what to do with a request.
+type Advice int
+
+// The kinds of advice.
+const (
+	Run    Advice = iota
+	Ask           // ask the gate first
+	Refuse        // convicted
+)
+
+// Check advises on a request; retryAfter goes with Refuse.
+func (t *Table) Check(now time.Time, f Fingerprint, p coordination.Pool) (a Advice, retryAfter time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.find(now, f)
+	switch t.state(r) {
+	case Convicted:
+		return Refuse, r.Expires.Time().Sub(now)
+	case Suspect:
+		return Ask, 0
+	}
+	lost, ok := t.pools[p]
+	if t.cfg.Always || ok && now.Sub(lost) < t.cfg.LossWindow {
+		return Ask, 0
+	}
+	return Run, 0
+}
+
+// Find returns what is known of a fingerprint, and what follows from it.
+func (t *Table) Find(now time.Time, f Fingerprint) (Record, State) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.find(now, f)
+	return r, t.state(r)
+}
+
+// state returns what follows from a record. A crash beside a suspect that ran
+// alone there and was convicted of it is that one's doing: a common prompt may
+// well have run at both endpoints that a crashing request took.
+func (t *Table) state(r Record) State {
+	own := lo.CountBy(r.Crashes, func(c Crash) bool {
+		by, decided := t.decided[c.life()]
+		if c.Mass {
+			return false
+		}
+		return c.Alone || !decided || by == r.Fingerprint
+	})
+	switch {
+	case own >= convictingCrashes:
+		return Convicted
+	case own > 0:
+		return Suspect
+	default:
+		return Clear
+	}
+}
+
+// decide notes the crashes that a convicted record explains.
+func (t *Table) decide(r *Record) {
+	if len(r.Crashes) < convictingCrashes {
+		return
+	}
+	for _, c := range r.Crashes {
+		if c.Alone {
+			t.decided[c.life()] = r.Fingerprint
+		}
+	}
+}
+
+// forget drops a record and what it explains.
+func (t *Table) forget(r *Record) {
+	delete(t.records, r.Fingerprint)
+	for _, c := range r.Crashes {
+		if t.decided[c.life()] == r.Fingerprint {
+			delete(t.decided, c.life())
+		}
+	}
+}
+
+func (t *Table) find(now time.Time, f Fingerprint) Record {
+	r := t.records[f]
+	if r == nil {
+		return Record{Fingerprint: f}
+	}
+	if !now.Before(r.Expires.Time()) {
+		t.forget(r)
+		return Record{Fingerprint: f}
+	}
+	return *r
+}
+
+// Merge takes a record from a rumour and reports whether it was news, which is
+// to be passed on.
+func (t *Table) Merge(now time.Time, r Record) bool {
+	// A forged or mistaken expiry must not keep a record for ever.
+	r.Expires = min(r.Expires, unixMillis(now.Add(t.cfg.ConvictTTL)))
+	if r.Expires <= unixMillis(now) {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.records[r.Fingerprint]
+	if known == nil {
+		known = &Record{Fingerprint: r.Fingerprint}
+		t.records[r.Fingerprint] = known
+		t.evict(now, r.Fingerprint)
+	}
+	news := known.merge(r)
+	t.decide(known)
+	return news
+}
+
+// crash adds a crash and returns the merged record.
+func (t *Table) crash(now time.Time, f Fingerprint, c Crash) (Record, State) {
+	r, _ := t.Find(now, f)
+	// Only one crash is forgiven. Were each, a crashing request could keep up
+	// by itself the losses that excuse it.
+	if lo.SomeBy(r.Crashes, func(old Crash) bool { return old.Mass && !old.same(c) }) {
+		c.Mass = false
+	}
+	ttl := t.cfg.SuspectTTL
+	if len(r.Crashes) > 0 && !r.Crashes[0].same(c) {
+		ttl = t.cfg.ConvictTTL
+	}
+	t.Merge(now, Record{Fingerprint: f, Crashes: []Crash{c}, Expires: unixMillis(now.Add(ttl))})
+	return t.Find(now, f)
+}
+
+// clear forgives all crashes of a suspect until now and returns the record.
+func (t *Table) clear(now time.Time, f Fingerprint) (Record, State) {
+	expires := unixMillis(now.Add(t.cfg.SuspectTTL))
+	t.Merge(now, Record{Fingerprint: f, Cleared: unixMillis(now), Expires: expires})
+	return t.Find(now, f)
+}
+
+// evict keeps the table within its limit: it drops what has expired, then the
+// record that matters least. The caller holds t.mu.
+func (t *Table) evict(now time.Time, keep Fingerprint) {
+	if len(t.records) <= t.cfg.Limit {
+		return
+	}
+	var worst *Record
+	for f, r := range t.records {
+		if r.Expires <= unixMillis(now) {
+			t.forget(r)
+			continue
+		}
+		if f != keep && (worst == nil || t.lesser(r, worst)) {
+			worst = r
+		}
+	}
+	if len(t.records) > t.cfg.Limit && worst != nil {
+		t.forget(worst)
+	}
+}
+
+// lesser reports whether a matters less than b.
+func (t *Table) lesser(a, b *Record) bool {
+	if x, y := t.state(*a), t.state(*b); x != y {
+		return x < y
+	}
+	if a.Expires != b.Expires {
+		return a.Expires < b.Expires
+	}
+	return a.Fingerprint < b.Fingerprint
+}
+
+// Counts returns the number of suspects and convictions that are known.
+func (t *Table) Counts(now time.Time) (suspects, convicted int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	live := lo.Filter(lo.Values(t.records), func(r *Record, _ int) bool { return r.Expires > unixMillis(now) })
+	suspects = lo.CountBy(live, func(r *Record) bool { return t.state(*r) == Suspect })
+	convicted = lo.CountBy(live, func(r *Record) bool { return t.state(*r) == Convicted })
+	return suspects, convicted
+}
--- /dev/null
+++ b/coordination/suspicion/table_test.go
@@ -0,0 +1,131 @@
+package suspicion
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"wisteriaspool/coordination"
+)
+
+var testNow = time.UnixMilli(1_800_000_000_000)
+
+func crashAt(e coordination.Endpoint, alone bool) Crash {
+	return Crash{Endpoint: e, Incarnation: 1, At: unixMillis(testNow), Alone: alone}
+}
+
+func TestFingerprintKeepsPartsApart(t *testing.T) {
+	assert.Assert(t, FingerprintOf("ab", "c") != FingerprintOf("a", "bc"))
+	assert.Equal(t, FingerprintOf("user", "hi"), FingerprintOf("user", "hi"))
+}
+
+func TestSecondCrashConvictsUntilExpiry(t *testing.T) {
+	table := NewTable(Config{})
+	_, state := table.crash(testNow, 1, crashAt("e1", false))
+	assert.Equal(t, state, Suspect)
+	_, state = table.crash(testNow, 1, crashAt("e1", false))
+	assert.Equal(t, state, Suspect, "one crash, told twice")
+	_, state = table.crash(testNow, 1, crashAt("e2", true))
+	assert.Equal(t, state, Convicted)
+	advice, after := table.Check(testNow, 1, "m")
+	assert.Equal(t, advice, Refuse)
+	assert.Equal(t, after, 15*time.Minute)
+	advice, _ = table.Check(testNow.Add(15*time.Minute), 1, "m")
+	assert.Equal(t, advice, Run)
+}
+
+// A common prompt runs everywhere, so also at both endpoints that a crashing
+// request takes. Were it convicted with it, nobody could say hello any more.
+func TestBystanderAtBothEndpointsIsNotConvicted(t *testing.T) {
+	table := NewTable(Config{})
+	table.crash(testNow, 1, crashAt("e1", false))
+	table.crash(testNow, 2, crashAt("e1", false))
+	table.crash(testNow, 2, crashAt("e2", false))
+	_, state := table.Find(testNow, 2)
+	assert.Equal(t, state, Convicted, "nothing better is known yet")
+	table.crash(testNow, 1, crashAt("e2", true))
+	_, state = table.Find(testNow, 1)
+	assert.Equal(t, state, Convicted)
+	_, state = table.Find(testNow, 2)
+	assert.Equal(t, state, Suspect)
+	table.clear(testNow.Add(time.Second), 2)
+	_, state = table.Find(testNow.Add(time.Second), 2)
+	assert.Equal(t, state, Clear)
+}
+
+// An availability zone fails and takes many endpoints with it. Were all that
+// they ran suspected, the rest of the fleet would run them one by one. But a
+// request that goes on crashing must not be excused by its own trail.
+func TestMassLossIsForgivenOnce(t *testing.T) {
+	table := NewTable(Config{})
+	assert.Assert(t, !table.Lost(testNow, "m", "e1", 1))
+	assert.Assert(t, !table.Lost(testNow, "m", "e1", 1))
+	assert.Assert(t, !table.Lost(testNow, "m", "e2", 1))
+	assert.Assert(t, !table.Lost(testNow, "m", "e3", 1))
+	assert.Assert(t, table.Lost(testNow, "m", "e4", 1))
+	assert.Assert(t, !table.Lost(testNow.Add(time.Minute), "m", "e5", 1))
+
+	mass := func(e coordination.Endpoint) Crash {
+		c := crashAt(e, false)
+		c.Mass = true
+		return c
+	}
+	_, state := table.crash(testNow, 1, mass("e1"))
+	assert.Equal(t, state, Clear)
+	_, state = table.crash(testNow, 1, mass("e2"))
+	assert.Equal(t, state, Suspect)
+	_, state = table.crash(testNow, 1, mass("e3"))
+	assert.Equal(t, state, Convicted)
+}
+
+func TestTableIsBoundedAndKeepsConvictions(t *testing.T) {
+	table := NewTable(Config{Limit: 8})
+	table.crash(testNow, 1, crashAt("e1", false))
+	table.crash(testNow, 1, crashAt("e2", true))
+	for f := Fingerprint(10); f < 100; f++ {
+		table.crash(testNow, f, crashAt("e3", false))
+	}
+	suspects, convicted := table.Counts(testNow)
+	assert.Equal(t, suspects+convicted, 8)
+	assert.Equal(t, convicted, 1)
+}
+
+// Rumours arrive in any order and more than once. If the order mattered, two
+// routers would hold different opinions of a request for ever.
+func TestRecordsMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		records := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) Record {
+			r := Record{Fingerprint: 1, Expires: unixMillis(testNow.Add(time.Minute))}
+			r.Cleared = UnixMillis(rapid.Int64Range(0, 3).Draw(rt, "cleared"))
+			// At most as many lives as a record keeps.
+			at := rapid.Int64Range(1, 4).Draw(rt, "at")
+			r.Crashes = []Crash{{Endpoint: "e", Incarnation: coordination.Incarnation(at), At: UnixMillis(at)}}
+			return r
+		}), 1, 8).Draw(rt, "records")
+		order := rapid.Permutation(records).Draw(rt, "order")
+		a, b := NewTable(Config{}), NewTable(Config{})
+		for i := range records {
+			a.Merge(testNow, records[i])
+			b.Merge(testNow, order[i])
+			b.Merge(testNow, order[0])
+		}
+		x, _ := a.Find(testNow, 1)
+		y, _ := b.Find(testNow, 1)
+		assert.DeepEqual(rt, x, y)
+	})
+}
+
+func TestMessagesSurviveTheWire(t *testing.T) {
+	crash := crashAt("e1", true)
+	m := GateRequest{Fingerprint: 7, Copy: Copy{Instance: "r1", Incarnation: 2, Number: 3}, Step: Crashed, Crash: &crash}
+	got, err := DecodeGateRequest(m.Encode())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, m)
+	_, err = DecodeGateRequest([]byte("nonsense"))
+	assert.ErrorType(t, err, func(err error) bool { return err != nil })
+	reply, err := DecodeGateReply(GateReply{Verdict: Busy, RetryAfter: 250}.Encode())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, reply, GateReply{Verdict: Busy, RetryAfter: 250})
+}
