suspicion: excuse one crash of a request at most

Once each crash beside a convicted suspect was excused, one request crashed 18 endpoints and was never convicted.

--- a/coordination/suspicion/table.go
+++ b/coordination/suspicion/table.go
@@ -90,15 +90,21 @@
 
 // state returns what follows from a record. A crash beside a suspect that ran
 // alone there and was convicted of it is that one's doing: a common prompt may
-// well have run at both endpoints that a crashing request took.
+// well have run at both endpoints that a crashing request took. One such crash
+// is excused and no more, since several crashing requests at a time can seem to
+// excuse one another for ever.
 func (t *Table) state(r Record) State {
-	own := lo.CountBy(r.Crashes, func(c Crash) bool {
-		by, decided := t.decided[c.life()]
-		if c.Mass {
-			return false
+	own := 0
+	excused := false
+	for _, c := range r.Crashes {
+		switch {
+		case c.Mass:
+		case !excused && t.excuses(c, r.Fingerprint):
+			excused = true
+		default:
+			own++
 		}
-		return c.Alone || !decided || by == r.Fingerprint
-	})
+	}
 	switch {
 	case own >= convictingCrashes:
 		return Convicted
@@ -109,6 +115,12 @@
 	}
 }
 
+// excuses reports whether another request is known to have caused a crash.
+func (t *Table) excuses(c Crash, f Fingerprint) bool {
+	by, decided := t.decided[c.life()]
+	return decided && by != f && !c.Alone
+}
+
 // decide notes the crashes that a convicted record explains.
 func (t *Table) decide(r *Record) {
 	if len(r.Crashes) < convictingCrashes {
