--- a/coordination/suspicion/guard.go
+++ b/coordination/suspicion/guard.go
@@ -232,11 +232,10 @@
 // once the request may run again, then alone; or the refusal.
 func (f *Follow) Crashed(ctx context.Context, p coordination.Pool, e coordination.Endpoint, n coordination.Incarnation) (Refusal, bool) {
 	now := time.Now()
-	if !f.guard.table.Lost(now, p, e, n) {
-		return Refusal{}, true
-	}
+	mass := f.guard.table.Lost(now, p, e, n)
 	f.guard.mark(f)
 	crash := Crash{Endpoint: e, Incarnation: n, At: unixMillis(now), Alone: f.Alone()}
+	crash.Mass = mass && !crash.Alone
 	reply := f.guard.step(ctx, f, Crashed, &crash)
 	if reply.Verdict == Poison {
 		return Refusal{Poison: true, RetryAfter: reply.RetryAfter.Duration()}, false
