--- a/coordination/suspicion/suspicion.go
+++ b/coordination/suspicion/suspicion.go
@@ -63,7 +63,8 @@
 
 	// MassLoss is the number of endpoints that, lost within MassWindow, show
 	// that something other than a request takes them, such as the loss of a
-	// zone: no suspicion then. Defaults 3 and 2 s.
+	// zone. A fingerprint is forgiven one crash in such a moment. Defaults 4
+	// and 500 ms.
 	MassLoss   int
 	MassWindow time.Duration
 
@@ -84,10 +85,10 @@
 	setDuration(&c.ConvictTTL, 15*time.Minute)
 	setDuration(&c.Hold, time.Second)
 	setDuration(&c.LossWindow, 30*time.Second)
-	setDuration(&c.MassWindow, 2*time.Second)
+	setDuration(&c.MassWindow, 500*time.Millisecond)
 	setDuration(&c.MaxRun, time.Minute)
 	if c.MassLoss <= 0 {
-		c.MassLoss = 3
+		c.MassLoss = 4
 	}
 	if c.Limit <= 0 {
 		c.Limit = 4096
@@ -116,6 +117,7 @@
 	Incarnation coordination.Incarnation
 	At          UnixMillis
 	Alone       bool // it was the only suspect there
+	Mass        bool // many endpoints died at that moment
 }
 
 func (c Crash) life() lifeOf {
@@ -180,6 +182,7 @@
 			continue
 		}
 		r.Crashes[i].Alone = r.Crashes[i].Alone || c.Alone
+		r.Crashes[i].Mass = r.Crashes[i].Mass && c.Mass
 	}
 	r.Crashes = slices.DeleteFunc(r.Crashes, func(c Crash) bool { return c.At <= r.Cleared })
 	slices.SortFunc(r.Crashes, func(a, b Crash) int { return cmp.Compare(a.At, b.At) })
@@ -187,4 +190,4 @@
 	return r.Cleared != before.Cleared || !slices.EqualFunc(r.Crashes, before.Crashes, alike)
 }
 
-func alike(a, b Crash) bool { return a.same(b) && a.Alone == b.Alone }
+func alike(a, b Crash) bool { return a.same(b) && a.Alone == b.Alone && a.Mass == b.Mass }
