Let a router's share of platform calls come in bursts of ten

Cause: at 330 routers a router's share is under one call a second, and a bucket of 3 calls refused actions that came close together although the service had room. Ruled out: the service's cap (300 writes/s, 200 used).

A router that stops waits for the records of its ended actions; lost and unsettled records have events of their own.

--- a/coordination/budget/budget.go
+++ b/coordination/budget/budget.go
@@ -44,7 +44,7 @@
 const (
 	// commonBurst is the least burst of the common bucket in calls. It has to
 	// be above one, or the floors of all classes would be the same.
-	commonBurst = 3
+	commonBurst = 10
 	// burstTime bounds a burst to what the share yields in this time.
 	burstTime = time.Second
 )
--- a/wisteriarouter/daemon/actions.go
+++ b/wisteriarouter/daemon/actions.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -39,7 +40,10 @@
 		Observe:     observer.Observe,
 	})
 	observer.Follow(ledger)
-	onStop(i, closeLedger)
+	onStop(i, func() {
+		drain(ledger)
+		closeLedger()
+	})
 	return &service.Runner{
 		Plans:   do.MustInvoke[*teams](i),
 		Placer:  do.MustInvoke[*placing](i),
@@ -50,6 +54,17 @@
 	}, nil
 }
 
+// drainWait is how long a router that stops waits for the records of actions
+// that have ended. One left open would keep its key in progress, and its caller
+// without an answer, until it expires.
+const drainWait = 5 * time.Second
+
+func drain(l *execution.Ledger) {
+	ctx, cancel := context.WithTimeout(context.Background(), drainWait)
+	defer cancel()
+	l.Drain(ctx)
+}
+
 // PlanAction implements service.Plans.
 func (t *teams) PlanAction(a caller.Action) (service.Plan, *outcome.Refusal) {
 	team, refusal := t.find(a.Team, a.Account)
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -56,8 +56,10 @@
 // The events of actions.
 var (
 	ActionUnknown    = Kind{600, "action-unknown", logrus.WarnLevel, "An action may or may not have run. Its record stands; check at the service with the key."}
-	ActionRefused    = Kind{601, "action-refused", logrus.InfoLevel, "A non-idempotent action was refused and did not run."}
+	ActionRefused    = Kind{601, "action-refused", logrus.DebugLevel, "A non-idempotent action was refused and did not run."}
 	ActionUnfinished = Kind{602, "action-unfinished", logrus.WarnLevel, "An action ran but its record could not be closed yet; the router keeps trying."}
+	RecordLost       = Kind{603, "record-lost", logrus.ErrorLevel, "A record that this router held is gone or is another's: the platform lost it. Its key may run again; check at the service."}
+	RecordUnsettled  = Kind{604, "record-unsettled", logrus.WarnLevel, "A record was never closed. Its key stays in progress until it expires."}
 )
 
 // Catalogue lists every kind, in order of number.
@@ -69,6 +71,6 @@
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumourShed,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
 		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, OwnerUnreachable, ConnectionDropped,
-		ActionUnknown, ActionRefused, ActionUnfinished,
+		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
 	}
 }
--- a/wisteriarouter/service/observer.go
+++ b/wisteriarouter/service/observer.go
@@ -32,8 +32,12 @@
 func (o *Observer) Observe(e execution.Event) {
 	o.events.WithLabelValues(e.String()).Inc()
 	switch e {
-	case execution.SettlementDelayed, execution.SettlementGivenUp, execution.RecordLost:
-		o.log.Emit(event.ActionUnfinished, event.F("state", e.String()))
+	case execution.SettlementDelayed:
+		o.log.Emit(event.ActionUnfinished)
+	case execution.SettlementGivenUp:
+		o.log.Emit(event.RecordUnsettled)
+	case execution.RecordLost:
+		o.log.Emit(event.RecordLost)
 	case execution.PlatformLost:
 		o.log.Emit(event.PlatformLost, event.F("service", "actions"))
 	case execution.PlatformBack:
