wisteriarouter/daemon: spread suspicion under a key that is text

Fault: with crashing requests beside other traffic engines fell again and again. Cause: records were spread under a key of eight raw bytes. CBOR text has to be UTF-8, so nearly every receiver took the message for malformed and closed the connection (event 402, 'invalid UTF-8 string'): verdicts and rumours reached nobody, and the calls to gates and owners that were on that connection failed.

Ruled out: keys that collide (the digest covers the whole record), a version that is always 1 (a record that differs has another key), a gate without address (OnChange replays the members to a new watcher).

Conclusion: peer should refuse to broadcast a key that is not UTF-8.

--- a/wisteriarouter/daemon/daemon_test.go
+++ b/wisteriarouter/daemon/daemon_test.go
@@ -44,16 +44,17 @@
 	service  *standinservice.Service
 	routers  []*daemon.Daemon
 	stops    []func() int
+	logs     *logs
 }
 
 func newWorld(t *testing.T, routers, engines int) *world {
-	w := &world{t: t}
+	w := &world{t: t, logs: &logs{}}
 	var closePlatform func()
 	w.platform, closePlatform = standinplatform.New(standinplatform.Options{})
 	t.Cleanup(closePlatform)
 	w.address = w.serve(w.platform)
 	for n := range engines {
-		w.addEngine(fmt.Sprintf("e%d", n+1))
+		w.addEngine(engineID(n))
 	}
 	w.addService()
 	for n := range routers {
@@ -66,6 +67,8 @@
 	return w
 }
 
+func engineID(n int) string { return fmt.Sprintf("e%d", n+1) }
+
 func (w *world) serve(h http.Handler) string {
 	s := httptest.NewServer(h)
 	w.t.Cleanup(s.CloseClientConnections)
@@ -113,11 +116,11 @@
 [limits]
 stop-delay = 0s
 [log]
-level = error
+level = warning
 %s`, n, w.address, w.address, seeds)
 	cfg, problems := config.Parse("test.ini", []byte(text))
 	assert.Equal(w.t, len(problems), 0, "%v", problems)
-	d, stop, err := daemon.Start(cfg)
+	d, stop, err := daemon.StartWithLog(cfg, w.logs)
 	assert.NilError(w.t, err)
 	var once sync.Once
 	left := 0
--- /dev/null
+++ b/wisteriarouter/daemon/logs_test.go
@@ -0,0 +1,33 @@
+package daemon_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+)
+
+// logs gathers what the routers of a world log.
+type logs struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *logs) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// lines returns the lines that name an event.
+func (l *logs) lines(event string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []string
+	for line := range strings.Lines(l.text.String()) {
+		if strings.Contains(line, `"msg":"`+event+`"`) {
+			found = append(found, line)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/wisteriarouter/daemon/poison_test.go
@@ -0,0 +1,144 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	standinplatform "wisteriaspool/standin/platform"
+)
+
+// relister keeps the platform's list at the engines' present incarnations, as
+// the platform does when one restarts.
+type relister struct {
+	world *world
+}
+
+func (l relister) run(ctx context.Context) {
+	t := time.NewTicker(20 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		for _, e := range l.world.platform.Instances() {
+			l.relist(e)
+		}
+	}
+}
+
+func (l relister) relist(listed standinplatform.Instance) {
+	for n, e := range l.world.engines {
+		if listed.ID == engineID(n) && listed.Incarnation != e.Incarnation() {
+			listed.Incarnation = e.Incarnation()
+			l.world.platform.Register(listed)
+		}
+	}
+}
+
+// crashes returns how often engines crashed.
+func (w *world) crashes() int {
+	n := 0
+	for _, e := range w.engines {
+		n += e.Stats().Crashes
+	}
+	return n
+}
+
+// innocents asks one new thing after another through one router.
+type innocents struct {
+	world  *world
+	router int
+	done   <-chan struct{}
+	asked  []talk
+}
+
+func (s *innocents) run() {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for n := 0; ; n++ {
+		select {
+		case <-s.done:
+			return
+		case <-time.After(40 * time.Millisecond):
+		}
+		c := talk{
+			world: s.world, router: s.router, result: new(answer),
+			content: fmt.Sprintf("innocent %d through router %d", n, s.router+1),
+		}
+		s.asked = append(s.asked, c)
+		wg.Go(c.run)
+	}
+}
+
+// poisoner sends one crashing request again and again, each time through
+// another router.
+type poisoner struct {
+	world   *world
+	first   int
+	content string
+	sends   int
+	answers []answer
+}
+
+func (p *poisoner) run() {
+	for n := range p.sends {
+		router := (p.first + n) % len(p.world.routers)
+		p.answers = append(p.answers, p.world.chat(p.world.t.Context(), router, p.content))
+	}
+}
+
+// Some requests crash each engine that runs them. Their callers send them
+// again at once, each time through another router, while others ask for
+// ordinary things. Without a verdict that all routers share, every engine falls
+// again and again, and ordinary answers are lost with them.
+func TestPoisonRequests(t *testing.T) {
+	w := newWorld(t, 3, 6)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go relister{w}.run(ctx)
+
+	done := make(chan struct{})
+	var others sync.WaitGroup
+	beside := make([]*innocents, len(w.routers))
+	for n := range beside {
+		beside[n] = &innocents{world: w, router: n, done: done}
+		others.Go(beside[n].run)
+	}
+	poisoners := make([]*poisoner, 2)
+	var senders sync.WaitGroup
+	for n := range poisoners {
+		poisoners[n] = &poisoner{world: w, first: n, content: fmt.Sprintf("POISON %d", n), sends: 6}
+		senders.Go(poisoners[n].run)
+	}
+	senders.Wait()
+	close(done)
+	others.Wait()
+
+	for _, p := range poisoners {
+		for n, a := range p.answers {
+			assert.NilError(t, a.err)
+			assert.Assert(t, strings.Contains(a.body, `"code":"poison"`), "send %d of %q: status %d: %s", n+1, p.content, a.status, a.body)
+			assert.Assert(t, a.header.Get("Retry-After") != "")
+		}
+	}
+	for _, s := range beside {
+		for _, c := range s.asked {
+			assert.NilError(t, c.result.err)
+			assert.Equal(t, c.result.status, http.StatusOK, "%q: %s", c.content, c.result.body)
+			assert.Assert(t, strings.Contains(c.result.body, strings.TrimSpace(expected(c.content))), c.result.body)
+		}
+	}
+	assert.Assert(t, w.crashes() <= 2*len(poisoners), "%d poison requests took %d engines", len(poisoners), w.crashes())
+	for _, l := range w.logs.lines("peer-malformed") {
+		t.Errorf("a router closed the connection of another one: %s", l)
+	}
+}
--- a/wisteriarouter/daemon/suspects.go
+++ b/wisteriarouter/daemon/suspects.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"hash/fnv"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/samber/do/v2"
 
 	"wisteriaspool/coordination"
@@ -58,11 +59,12 @@
 }
 
 // Spread implements suspicion.Spreader. Records merge by union, so that each
-// may be a rumour of its own; the key is the record's digest.
+// may be a rumour of its own; the key is the record's digest. It is written in
+// hexadecimal: keys are text, and a router that is sent one which is not UTF-8
+// takes the message for malformed and closes the connection, so that verdicts
+// reach nobody and calls between routers fail beside them.
 func (s spreader) Spread(topic string, payload []byte) {
-	h := fnv.New64a()
-	_, _ = h.Write(payload)
-	s.node.Broadcast(topic, string(h.Sum(nil)), 1, payload)
+	s.node.Broadcast(topic, strconv.FormatUint(xxhash.Sum64(payload), 16), 1, payload)
 }
 
 func (s *suspects) hear(_ string, _ uint64, payload []byte) {
