wisteriarouter: keep a restarting engine's work and deaths apart

Fault: crashing requests took more than two engines each, and innocent requests beside them were lost. Causes, from the logs of failing runs: - The platform lists a crashed engine's next incarnation before it serves. Owners granted it at once; requests met a dead engine, were suspected, and the second life counted as a second death. Two poison requests at a time then looked like four deaths in 500 ms, the loss of a zone, so that nothing was suspected: the request went on within a millisecond. - Owners heard of a death only behind all tries to resume (200 ms), and not at all when the list had moved on; the word to the owner held up the request. - A request that had reached an endpoint was refused as overloaded (outcome unknown) when all of a dead engine's work came to the others at once, or when the deadline of its start had passed since.

--- a/wisteriarouter/caller/answer.go
+++ b/wisteriarouter/caller/answer.go
@@ -122,9 +122,7 @@
 
 // try makes one attempt and reports whether the request is over.
 func (a *answer) try(ctx context.Context) bool {
-	want := a.chat.want(a.exclude)
-	want.Alone = a.trail.Alone()
-	place, refusal := a.Placer.Place(ctx, want)
+	place, refusal := a.acquire(ctx)
 	if refusal != nil {
 		a.giveUp(ctx, refusal)
 		return true
@@ -282,6 +280,9 @@
 		if errors.Is(err, engine.ErrGone) {
 			return false
 		}
+		// The endpoint may be back in a moment, but until then its owner must
+		// not send others there: they would be lost with it, and suspected.
+		a.Placer.Dead(at.place.Endpoint, at.place.Incarnation)
 	}
 	return false
 }
@@ -333,7 +334,7 @@
 	if how == foundDead {
 		return a.trail.FoundDead(ctx, e, n)
 	}
-	a.Log.Emit(event.EndpointLost, event.F("endpoint", e), event.F("attempt", at.id))
+	a.Log.Emit(event.EndpointLost, event.F("endpoint", e), event.F("incarnation", n), event.F("attempt", at.id))
 	a.cancel(ctx, at)
 	// The place is given back first: the wait for leave to go on may be long.
 	at.place.Release()
@@ -367,40 +368,3 @@
 		a.sink.refuse(&final)
 	}
 }
-
-// cancel stops an attempt that nobody reads. It goes on beside the request,
-// for an endpoint that is frozen may answer only later.
-func (a *answer) cancel(ctx context.Context, at *attempt) {
-	c := &cancellation{Server: a.Server, id: at.id, address: at.place.Address, delivered: a.offset}
-	go c.run(context.WithoutCancel(ctx))
-}
-
-// cancellation tries to cancel one attempt for a while.
-type cancellation struct {
-	*Server
-	id        coordination.Attempt
-	address   string
-	delivered int
-}
-
-// cancelPause is the wait between tries.
-const cancelPause = 500 * time.Millisecond
-
-func (c *cancellation) run(ctx context.Context) {
-	ctx, stop := context.WithTimeout(ctx, c.Limits.CancelFor)
-	defer stop()
-	for {
-		generated, err := c.Engines.Cancel(ctx, c.address, c.id)
-		if err == nil || errors.Is(err, engine.ErrGone) {
-			c.Metrics.cancelled.Inc()
-			c.Metrics.wasted.Add(float64(max(0, generated-c.delivered)))
-			return
-		}
-		select {
-		case <-ctx.Done():
-			c.Log.Emit(event.CancelFailed, event.F("attempt", c.id), event.F("error", err))
-			return
-		case <-time.After(cancelPause):
-		}
-	}
-}
--- a/wisteriarouter/daemon/daemon_test.go
+++ b/wisteriarouter/daemon/daemon_test.go
@@ -67,6 +67,9 @@
 	return w
 }
 
+// restart is how long an engine is dead after a crash.
+const restart = time.Second
+
 func engineID(n int) string { return fmt.Sprintf("e%d", n+1) }
 
 func (w *world) serve(h http.Handler) string {
@@ -77,7 +80,7 @@
 }
 
 func (w *world) addEngine(id string) {
-	e, stop := standinengine.New(standinengine.Options{ID: id, Step: 5 * time.Millisecond})
+	e, stop := standinengine.New(standinengine.Options{ID: id, Step: 5 * time.Millisecond, Restart: restart})
 	w.t.Cleanup(stop)
 	w.engines = append(w.engines, e)
 	w.platform.Register(standinplatform.Instance{
--- a/wisteriarouter/daemon/placing.go
+++ b/wisteriarouter/daemon/placing.go
@@ -35,6 +35,9 @@
 	changes   chan struct{} // a sign that lists have changed
 	view      atomic.Pointer[placement.Routers]
 	reports   sync.Map // the last load that each owned endpoint reported
+	lives     lives
+	restarts  sync.Map // the last restart of each engine
+	losses    losses
 }
 
 func newPlacing(i do.Injector) (*placing, error) {
@@ -48,6 +51,7 @@
 		node:      node,
 		owner:     placement.NewOwner(cfg.Instance, placement.Config{}),
 		changes:   make(chan struct{}, 1),
+		lives:     lives{},
 	}
 	engines := do.MustInvoke[*engine.Client](i)
 	id := placement.EntryID{Instance: cfg.Instance, Incarnation: st.incarnation}
@@ -136,13 +140,13 @@
 }
 
 func (p *placing) update() {
-	set := placement.NewSet(lo.Map(p.directory.All(), func(k endpoint.Known, _ int) placement.Descriptor {
-		return k.Descriptor
-	}))
+	all := p.directory.All()
 	routers := p.lists()
 	p.view.Store(routers)
-	p.owner.Update(set, routers)
-	p.entry.Update(set, routers)
+	p.owner.Update(placement.NewSet(p.served(all)), routers)
+	p.entry.Update(placement.NewSet(lo.Map(all, func(k endpoint.Known, _ int) placement.Descriptor {
+		return k.Descriptor
+	})), routers)
 }
 
 func (p *placing) owns(k endpoint.Known) bool {
@@ -158,6 +162,9 @@
 }
 
 func (p *placing) report(k endpoint.Known, l engine.Load) {
+	if p.reported(k.ID) != l.Incarnation {
+		p.changed()
+	}
 	p.reports.Store(k.ID, l)
 	p.owner.Report(reportOf(k.ID, l))
 }
@@ -218,9 +225,7 @@
 		Address:     k.Address,
 		Hint:        g.Hint().String(),
 		Release:     g.Release,
-		Lost: lo.Map(g.Lost, func(l placement.LostEndpoint, _ int) caller.Loss {
-			return caller.Loss{Endpoint: l.Endpoint, Incarnation: l.Incarnation}
-		}),
+		Lost:        lo.Map(g.Lost, func(l placement.LostEndpoint, _ int) caller.Loss { return p.lossOf(l) }),
 	}, nil
 }
 
@@ -267,15 +272,6 @@
 	}, true
 }
 
-// Dead implements caller.Placer.
-func (p *placing) Dead(id coordination.Endpoint, n coordination.Incarnation) {
-	k, ok := p.directory.Find(id)
-	if !ok || k.Incarnation != n {
-		return
-	}
-	p.entry.Lost(context.Background(), k.Descriptor)
-}
-
 // Leaving implements caller.Placer.
 func (p *placing) Leaving(id coordination.Endpoint, n coordination.Incarnation) {
 	p.directory.Leave(id, n)
--- a/wisteriarouter/daemon/poison_test.go
+++ b/wisteriarouter/daemon/poison_test.go
@@ -79,6 +79,15 @@
 	}
 }
 
+// check fails the test unless each answer is whole.
+func (s *innocents) check() {
+	for _, c := range s.asked {
+		assert.NilError(s.world.t, c.result.err)
+		assert.Equal(s.world.t, c.result.status, http.StatusOK, "%q: %s", c.content, c.result.body)
+		assert.Assert(s.world.t, strings.Contains(c.result.body, strings.TrimSpace(expected(c.content))), c.result.body)
+	}
+}
+
 // poisoner sends one crashing request again and again, each time through
 // another router.
 type poisoner struct {
@@ -131,14 +140,43 @@
 		}
 	}
 	for _, s := range beside {
-		for _, c := range s.asked {
-			assert.NilError(t, c.result.err)
-			assert.Equal(t, c.result.status, http.StatusOK, "%q: %s", c.content, c.result.body)
-			assert.Assert(t, strings.Contains(c.result.body, strings.TrimSpace(expected(c.content))), c.result.body)
-		}
+		s.check()
 	}
 	assert.Assert(t, w.crashes() <= 2*len(poisoners), "%d poison requests took %d engines", len(poisoners), w.crashes())
 	for _, l := range w.logs.lines("peer-malformed") {
 		t.Errorf("a router closed the connection of another one: %s", l)
 	}
 }
+
+// An engine crashes, and the platform lists its next incarnation while it is
+// still starting. Requests sent there meet a dead engine; their callers wait
+// for a second endpoint, and the requests are suspected of a crash that none
+// of them caused.
+func TestRestartingEngineGetsNothing(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	done := make(chan struct{})
+	var others sync.WaitGroup
+	beside := make([]*innocents, len(w.routers))
+	for n := range beside {
+		beside[n] = &innocents{world: w, router: n, done: done}
+		others.Go(beside[n].run)
+	}
+	w.awaitArrivals(w.arrivals() + 20)
+	first := w.engines[0].Incarnation()
+	w.engines[0].Crash()
+	go relister{w}.run(ctx)
+	time.Sleep(2 * restart)
+	close(done)
+	others.Wait()
+
+	for _, s := range beside {
+		s.check()
+	}
+	old := fmt.Sprintf(`"incarnation":%d`, first)
+	for _, l := range w.logs.lines("endpoint-lost") {
+		assert.Assert(t, strings.Contains(l, old), "a request went to the engine before it was back: %s", l)
+	}
+	assert.Assert(t, w.engines[0].Stats().LastArrival.After(time.Now().Add(-restart)), "the engine got no more work when it was back")
+}
