--- /dev/null
+++ b/wisteriarouter/operator/fleet_test.go
@@ -0,0 +1,235 @@
+package operator_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+	"github.com/samber/lo"
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/kv/kvtest"
+	"wisteriaspool/coordination/membership"
+	"wisteriaspool/coordination/settings"
+	"wisteriaspool/wisteriarouter/operator"
+	"wisteriaspool/wisteriarouter/peer"
+)
+
+// nodePeers is a node as settings and the operators' API see it.
+type nodePeers struct{ *peer.Node }
+
+func (p nodePeers) Members() []settings.Member {
+	return lo.Map(p.Node.Members(), func(m membership.Member, _ int) settings.Member {
+		return settings.Member{Instance: m.Instance, Zone: m.Zone}
+	})
+}
+
+func (p nodePeers) Broadcast(topic, key string, version uint64, payload []byte) {
+	p.Node.Broadcast(topic, key, version, payload)
+}
+
+func (p nodePeers) Handle(topic string, fn func(context.Context, coordination.Instance, []byte) ([]byte, error)) {
+	p.Node.Handle(topic, fn)
+}
+
+// real is a router with real connections to its peers, on loopback, and the
+// fake platform.
+type real struct {
+	node    *peer.Node
+	replica *settings.Replica
+	sync    *settings.Sync
+	url     string
+}
+
+func startReal(t testing.TB, store *kvtest.Store, i int, seeds []string) (*real, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	self := coordination.Instance("r" + strconv.Itoa(i))
+	zone := coordination.Zone(fmt.Sprintf("z%d", i%3))
+	node, stopNode, err := peer.New(peer.Config{
+		Fleet: "test",
+		Self: membership.Member{
+			Instance: self, Address: l.Addr().String(), Zone: zone,
+			Incarnation: coordination.Incarnation(time.Now().UnixMilli()),
+		},
+		Seeds:  seeds,
+		Topics: map[string]membership.Topic{settings.TopicChange: {Keep: true}, settings.TopicFresh: {}},
+	})
+	assert.NilError(t, err)
+	links := http.NewServeMux()
+	links.Handle(peer.Path, node)
+	peerServer := &http.Server{Handler: links, ReadHeaderTimeout: time.Second}
+	go func() { _ = peerServer.Serve(l) }()
+	r := &real{node: node, replica: &settings.Replica{}}
+	var stopSync func()
+	r.sync, stopSync = settings.NewSync(settings.Config{Self: self, Zone: zone}, r.replica, store, nodePeers{node})
+	mux := http.NewServeMux()
+	api := &operator.Server{
+		Self: self, Editor: settings.NewEditor(store, r.replica), Replica: r.replica, Peers: nodePeers{node},
+		Status: func() operator.Status { return operator.Status{Instance: self} },
+	}
+	api.Register(humago.New(mux, huma.DefaultConfig("test", "1")))
+	server := httptest.NewServer(mux)
+	r.url = server.URL
+	t.Cleanup(func() {
+		server.Close()
+		stopSync()
+		_ = peerServer.Close()
+		stopNode()
+	})
+	return r, l.Addr().String()
+}
+
+// startFleet starts n routers and returns when all know each other and are
+// ready.
+func startFleet(t testing.TB, store *kvtest.Store, n int) []*real {
+	t.Helper()
+	var routers []*real
+	var seeds []string
+	for i := range n {
+		r, address := startReal(t, store, i, seeds)
+		routers = append(routers, r)
+		if len(seeds) < 2 {
+			seeds = append(seeds, address)
+		}
+	}
+	limit := time.Now().Add(time.Minute)
+	for _, r := range routers {
+		<-r.sync.Ready()
+		for len(r.node.Members()) < n {
+			assert.Assert(t, time.Now().Before(limit), "%s knows %d of %d routers", r.node.Self().Instance, len(r.node.Members()), n)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return routers
+}
+
+// The whole way over real connections: an operator changes settings through
+// one router and is told by another that they are in force on all.
+func TestChangeOverRealPeers(t *testing.T) {
+	routers := startFleet(t, kvtest.New(), 5)
+	b := &bench{}
+	for _, r := range routers {
+		b.apis = append(b.apis, proxyTo(r.url))
+	}
+	a := b.put(t, "[team]\npriority-cap = 3\n", 0)
+	var in operator.InForce
+	b.do(t, 4, http.MethodGet, fmt.Sprintf("%s/in-force?revision=%d&sequence=%d&wait_ms=10000", path, a.Revision, a.Sequence), nil, &in)
+	assert.Equal(t, in.Routers, 5)
+	assert.Equal(t, in.InForce, 5, "%+v", in)
+	for _, r := range routers {
+		team, ok := r.replica.Team("solco")
+		assert.Assert(t, ok)
+		assert.Equal(t, team.Priority(9, true), coordination.Priority(3))
+	}
+}
+
+// proxyTo sends what a test asks to the router at url.
+func proxyTo(url string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		req, _ := http.NewRequestWithContext(r.Context(), r.Method, url+r.URL.RequestURI(), r.Body)
+		req.Header = r.Header
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		defer func() { _ = res.Body.Close() }()
+		w.WriteHeader(res.StatusCode)
+		_, _ = io.Copy(w, res.Body)
+	})
+}
+
+// BenchmarkInForce reports the time from the acceptance of a change until it
+// is in force on the last router, over real connections on loopback in one
+// process, and the bytes that a router sends for each change and, at rest, for
+// confirmations. The team has a full history.
+func BenchmarkInForce(b *testing.B) {
+	for _, n := range []int{7, 15, 30, 60} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			store := kvtest.New()
+			first := &real{replica: &settings.Replica{}}
+			for i := range 70 {
+				first.change(b, store, i)
+			}
+			routers := startFleet(b, store, n)
+			writes, start := store.Calls("cas"), sent(routers)
+			var times []time.Duration
+			for i := 0; b.Loop(); i++ {
+				times = append(times, spread(b, store, routers, i))
+			}
+			end := sent(routers)
+			slices.Sort(times)
+			perRouter := func(bytes uint64) float64 { return float64(bytes) / float64(n) }
+			b.ReportMetric(times[len(times)/2].Seconds()*1000, "p50-ms")
+			b.ReportMetric(times[len(times)-1].Seconds()*1000, "max-ms")
+			b.ReportMetric(float64(store.Calls("cas")-writes)/float64(len(times)), "writes/op")
+			b.ReportMetric(perRouter(end.changes-start.changes)/float64(len(times)), "B/op/router")
+			b.ReportMetric(perRouter(end.fresh-start.fresh)/end.at.Sub(start.at).Seconds(), "fresh-B/s/router")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// bytesSent is what the routers of a fleet have sent about settings.
+type bytesSent struct {
+	changes, fresh uint64
+	at             time.Time
+}
+
+func sent(routers []*real) bytesSent {
+	s := bytesSent{at: time.Now()}
+	for _, r := range routers {
+		for _, t := range r.node.Stats().Traffic {
+			switch {
+			case !t.Sent || !strings.HasPrefix(t.Topic, settings.TopicChange):
+			case t.Topic == settings.TopicFresh:
+				s.fresh += t.Bytes
+			default:
+				s.changes += t.Bytes
+			}
+		}
+	}
+	return s
+}
+
+// change makes the change i through r and returns its position.
+func (r *real) change(b *testing.B, store *kvtest.Store, i int) settings.Position {
+	base := settings.Position{}
+	if in, ok := r.replica.Snapshot("solco"); ok {
+		base = in.Position
+	}
+	out := settings.NewEditor(store, r.replica).Put(b.Context(), settings.Put{
+		Team: "solco", Text: fmt.Sprintf("[team]\ndeadline-default = %dms\n", 100+i), Base: base.Revision,
+		ID: settings.NewChangeID(), Author: "b", Reason: "measure",
+	})
+	assert.Equal(b, out.Status, settings.Accepted)
+	return out.Position
+}
+
+// spread makes the change i and returns after how long it is in force on all.
+func spread(b *testing.B, store *kvtest.Store, routers []*real, i int) time.Duration {
+	p := routers[i*5%len(routers)].change(b, store, i)
+	start := time.Now()
+	for !lo.EveryBy(routers, func(r *real) bool {
+		in, ok := r.replica.Snapshot("solco")
+		return ok && !in.Position.Before(p)
+	}) {
+		time.Sleep(time.Millisecond)
+	}
+	took := time.Since(start)
+	time.Sleep(500 * time.Millisecond)
+	return took
+}
