Push rumours along a tree that each member computes from its list

The largest cost of gossip was copies: each member passed a rumour on along c ln n links, 3.5 copies a member. Now it goes along a breadth-first tree of the mesh (three children at most), and is announced by 8 bytes on the other links a second later; who lacks it asks.

--- a/coordination/membership/digest.go
+++ b/coordination/membership/digest.go
@@ -212,6 +212,8 @@
 	clear(l.records)
 	clear(l.rumors)
 	l.rumorList = nil
+	l.announcements = nil
+	l.wants = nil
 }
 
 func (l *link) queue(t Table, r row) {
--- a/coordination/membership/flush.go
+++ b/coordination/membership/flush.go
@@ -26,6 +26,8 @@
 		m.addSync(l, &msg)
 		m.addRecords(l, &msg)
 		m.addRumors(l, &msg)
+		m.addAnnouncements(l, &msg)
+		msg.Wants, l.wants = l.wants, nil
 		if msg.empty() {
 			continue
 		}
@@ -34,7 +36,8 @@
 }
 
 func (m *Message) empty() bool {
-	return m.Heartbeat == nil && len(m.Members) == 0 && len(m.Rumors) == 0 && len(m.Digests) == 0
+	return m.Heartbeat == nil && len(m.Members) == 0 && len(m.Rumors) == 0 && len(m.Digests) == 0 &&
+		len(m.Haves) == 0 && len(m.Wants) == 0
 }
 
 // addHeartbeat adds a heartbeat to msg if one is due.
--- a/coordination/membership/machine.go
+++ b/coordination/membership/machine.go
@@ -20,6 +20,7 @@
 	table  map[coordination.Instance]*entry // without self
 	links  map[coordination.Instance]*link
 	wanted map[coordination.Instance]time.Time // mesh neighbours, since when
+	tree   map[coordination.Instance]bool      // those along which rumours go
 	stale  bool                                // wanted has to be computed again
 
 	watched map[coordination.Instance]*watch
@@ -30,6 +31,8 @@
 	nextSearch time.Time
 
 	rumors     map[rumorKey]*rumor
+	byHash     map[uint32]rumorKey
+	asked      map[uint32]time.Time // rumours that were announced, by hash
 	views      [tables]view
 	nextRepair [tables]time.Time
 	nextSweep  time.Time
@@ -54,6 +57,9 @@
 	records   map[coordination.Instance]struct{} // to send
 	rumors    map[rumorKey]struct{}              // to send
 	rumorList []rumorKey                         // the same in order of arrival
+
+	announcements []announcement
+	wants         []byte // hashes of rumours to ask for
 }
 
 // New returns the machine of the member self at time now.
@@ -71,6 +77,8 @@
 		relays:   make(map[uint64]relay),
 		dials:    make(map[string]*backoff),
 		rumors:   make(map[rumorKey]*rumor),
+		byHash:   make(map[uint32]rumorKey),
+		asked:    make(map[uint32]time.Time),
 		tokens:   float64(cfg.Budget),
 		refilled: now,
 		changed:  true,
@@ -185,6 +193,7 @@
 		m.nextSweep = now.Add(m.cfg.Heartbeat / 4)
 		m.expire()
 		m.sweepRumors()
+		m.forgetAsked()
 		m.forget()
 		m.probe()
 	}
@@ -204,6 +213,8 @@
 	for _, r := range msg.Rumors {
 		m.hear(from, r)
 	}
+	m.hearHaves(from, msg.Haves)
+	m.hearWants(from, msg.Wants)
 	for _, d := range msg.Digests {
 		m.compareDigest(from, d)
 	}
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -241,16 +241,16 @@
 	for name, shape := range shapes {
 		for _, n := range []int{2, 7, 330} {
 			t.Run(fmt.Sprint(name, " ", n), func(t *testing.T) {
-				degrees := meshOf(n, shape)
-				assert.Assert(t, degrees <= 2*(zoneRings+regionRings+fleetRings))
+				degrees := largestDegree(n, shape)
+				assert.Assert(t, degrees <= 2*len(rings))
 			})
 		}
 	}
 }
 
-// meshOf returns the largest degree in the mesh of n members, or a number
+// largestDegree returns the largest degree in the mesh of n members, or a number
 // beyond all bounds if it is not connected.
-func meshOf(n int, shape func(int) (Region, coordination.Zone)) int {
+func largestDegree(n int, shape func(int) (Region, coordination.Zone)) int {
 	var members []Member
 	for i := range n {
 		region, zone := shape(i)
--- a/coordination/membership/mesh.go
+++ b/coordination/membership/mesh.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"wisteriaspool/coordination"
@@ -11,64 +13,143 @@
 // connections to the one before and the one after it. Each ring connects its
 // members by itself, a change of the list touches two links per ring, and the
 // number of links stays the same however large the fleet or uneven the zones.
-const (
-	zoneRings   = 2
-	regionRings = 1
-	fleetRings  = 1
-)
 
-// mesh computes the wanted neighbours if members have changed.
+// rings are the rings of the mesh, by the part of the fleet that each holds.
+var rings = []func(*Member) string{
+	zonePart,
+	zonePart,
+	func(m *Member) string { return string(m.Region) },
+	func(*Member) string { return "" },
+}
+
+func zonePart(m *Member) string {
+	return string(m.Region) + "\x00" + string(m.Zone)
+}
+
+// mesh computes the wanted neighbours and the tree if members have changed.
 func (m *Machine) mesh() {
 	if !m.stale {
 		return
 	}
 	m.stale = false
+	members := m.Members()
+	links := meshOf(members)
+	self := slices.IndexFunc(members, func(o Member) bool { return o.Instance == m.self.Instance })
 	wanted := make(map[coordination.Instance]time.Time)
-	for i := range zoneRings {
-		m.ring(wanted, uint64(i), func(e *entry) bool {
-			return e.Zone == m.self.Zone && e.Region == m.self.Region
-		})
-	}
-	for i := range regionRings {
-		m.ring(wanted, uint64(zoneRings+i), func(e *entry) bool { return e.Region == m.self.Region })
-	}
-	for i := range fleetRings {
-		m.ring(wanted, uint64(zoneRings+regionRings+i), func(*entry) bool { return true })
+	for _, i := range links[self] {
+		id := members[i].Instance
+		since, ok := m.wanted[id]
+		if !ok {
+			since = m.now
+		}
+		wanted[id] = since
 	}
 	m.wanted = wanted
+	m.tree = make(map[coordination.Instance]bool)
+	for i, parent := range treeOf(links) {
+		switch {
+		case i == 0:
+		case i == self:
+			m.tree[members[parent].Instance] = true
+		case parent == self:
+			m.tree[members[i].Instance] = true
+		}
+	}
 }
 
-// ring adds the members before and after self on the ring that is seeded by
-// seed and holds the live members that are in it.
-func (m *Machine) ring(wanted map[coordination.Instance]time.Time, seed uint64, in func(*entry) bool) {
-	own := place(seed, m.self.Instance)
-	var next, previous coordination.Instance
-	var ahead, behind uint64 // distances, less one
-	for id, e := range m.table {
-		if !e.Live() || !in(e) {
-			continue
+// meshOf returns for each of the members, which are in order, the indexes of
+// its neighbours.
+func meshOf(members []Member) [][]int {
+	links := make([][]int, len(members))
+	for seed, part := range rings {
+		parts := make(map[string][]int)
+		for i := range members {
+			key := part(&members[i])
+			parts[key] = append(parts[key], i)
 		}
-		distance := place(seed, id) - own
-		if next == "" || distance-1 < ahead {
-			next, ahead = id, distance-1
+		for _, ring := range parts {
+			connectRing(links, members, uint64(seed), ring)
 		}
-		if previous == "" || -distance-1 < behind {
-			previous, behind = id, -distance-1
+	}
+	for _, l := range links {
+		slices.Sort(l)
+	}
+	return links
+}
+
+// connectRing connects each member of a ring with the next one.
+func connectRing(links [][]int, members []Member, seed uint64, ring []int) {
+	places := make(map[int]uint64, len(ring))
+	for _, i := range ring {
+		places[i] = place(seed, members[i].Instance)
+	}
+	slices.SortFunc(ring, func(a, b int) int { return cmp.Compare(places[a], places[b]) })
+	for i, a := range ring {
+		b := ring[(i+1)%len(ring)]
+		if a == b || slices.Contains(links[a], b) {
+			continue
 		}
+		links[a] = append(links[a], b)
+		links[b] = append(links[b], a)
 	}
-	m.want(wanted, next)
-	m.want(wanted, previous)
 }
 
-func (m *Machine) want(wanted map[coordination.Instance]time.Time, id coordination.Instance) {
-	if id == "" {
-		return
+// mostChildren bounds the copies of each rumour that a member sends along the
+// tree. Without a bound those near the root send three times the mean.
+const mostChildren = 3
+
+// treeOf returns the parent of each member in a breadth-first tree of the mesh
+// with the first member as its root.
+func treeOf(links [][]int) []int {
+	t := tree{parents: make([]int, len(links)), children: make([]int, len(links))}
+	for i := range t.parents {
+		t.parents[i] = -1
+	}
+	t.parents[0] = 0
+	for todo := []int{0}; len(todo) > 0; todo = todo[1:] {
+		for _, i := range links[todo[0]] {
+			if t.parents[i] < 0 && t.children[todo[0]] < mostChildren {
+				t.adopt(todo[0], i)
+				todo = append(todo, i)
+			}
+		}
+	}
+	for t.adoptRest(links) {
 	}
-	since, ok := m.wanted[id]
-	if !ok {
-		since = m.now
+	return t.parents
+}
+
+// tree is a tree in the making.
+type tree struct {
+	parents  []int // -1 for those not yet in it
+	children []int // their number
+}
+
+func (t *tree) adopt(parent, child int) {
+	t.parents[child] = parent
+	t.children[parent]++
+}
+
+// adoptRest gives those who found no parent the neighbour with the fewest
+// children. It reports whether there were any to whom it could.
+func (t *tree) adoptRest(links [][]int) bool {
+	adopted := false
+	for i, parent := range t.parents {
+		if parent >= 0 {
+			continue
+		}
+		best := -1
+		for _, j := range links[i] {
+			if t.parents[j] >= 0 && (best < 0 || t.children[j] < t.children[best]) {
+				best = j
+			}
+		}
+		if best >= 0 {
+			t.adopt(best, i)
+			adopted = true
+		}
 	}
-	wanted[id] = since
+	return adopted
 }
 
 // place returns the place of id on a ring.
--- a/coordination/membership/message.go
+++ b/coordination/membership/message.go
@@ -11,6 +11,11 @@
 	Digests   []Digest   `cbor:"4,keyasint,omitempty"`
 	Listings  []Listing  `cbor:"5,keyasint,omitempty"`
 	Probe     *Probe     `cbor:"6,keyasint,omitempty"`
+	// Haves announces rumours: for each the 32-bit hash of its topic and key
+	// and the low 32 bits of its version, little-endian.
+	Haves []byte `cbor:"7,keyasint,omitempty"`
+	// Wants asks for rumours by their hashes.
+	Wants []byte `cbor:"8,keyasint,omitempty"`
 }
 
 // Heartbeat shows that its sender lives and sums up its tables.
@@ -97,7 +102,7 @@
 
 // Size estimates the encoded size of m in bytes.
 func (m *Message) Size() int {
-	n := messageBytes
+	n := messageBytes + len(m.Haves) + len(m.Wants)
 	if m.Heartbeat != nil {
 		n += heartbeatBytes
 	}
--- /dev/null
+++ b/coordination/membership/push.go
@@ -0,0 +1,158 @@
+package membership
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"wisteriaspool/coordination"
+)
+
+// A rumour is pushed along a tree and announced on the other links of the
+// mesh. Each member computes the tree from its list of members, so that members
+// with the same list agree on it without a word. Whoever hears of a rumour that
+// did not come, because lists differ or a member of the tree has died, asks the
+// announcer for it.
+
+// announceAfter is the age at which a rumour is announced. By then it has
+// arrived by the tree, unless that is broken.
+const announceAfter = time.Second
+
+// announceBatch is the time for which announcements are gathered.
+const announceBatch = 500 * time.Millisecond
+
+// askAgain is the time after which a rumour that was asked for and did not
+// come is asked for again.
+const askAgain = time.Second
+
+// announcementBytes is the size of one announcement: the hash of the topic and
+// key, and the low half of the version.
+const announcementBytes = 8
+
+// announcement is a rumour to be announced on a link.
+type announcement struct {
+	key rumorKey
+	due time.Time
+}
+
+// spreadRumor queues the rumour or its announcement for all neighbours but
+// from.
+func (m *Machine) spreadRumor(from coordination.Instance, k rumorKey) {
+	all := !m.treeStands()
+	for _, l := range m.links {
+		if l.peer == from || !m.Neighbor(l.peer) {
+			continue
+		}
+		if !all && !m.tree[l.peer] {
+			l.announcements = append(l.announcements, announcement{k, m.now.Add(announceAfter)})
+			continue
+		}
+		l.queueRumor(k)
+	}
+	m.knownRumor(from, k)
+}
+
+func (l *link) queueRumor(k rumorKey) {
+	if _, ok := l.rumors[k]; ok {
+		return
+	}
+	l.rumors[k] = struct{}{}
+	l.rumorList = append(l.rumorList, k)
+}
+
+// knownRumor notes that peer has the rumour already.
+func (m *Machine) knownRumor(peer coordination.Instance, k rumorKey) {
+	l := m.links[peer]
+	if l == nil {
+		return
+	}
+	delete(l.rumors, k)
+	for i := range l.announcements {
+		if l.announcements[i].key == k {
+			l.announcements[i].key = rumorKey{}
+		}
+	}
+}
+
+// treeStands reports whether this member is linked to all its neighbours in
+// the tree. If it is not, it sends rumours on all links.
+func (m *Machine) treeStands() bool {
+	for id := range m.tree {
+		if m.links[id] == nil {
+			return false
+		}
+	}
+	return len(m.tree) > 0
+}
+
+// addAnnouncements adds what is due to msg. Beyond the byte budget soft
+// rumours are not announced, since those who ask would get nothing.
+func (m *Machine) addAnnouncements(l *link, msg *Message) {
+	if len(l.announcements) == 0 || m.now.Before(l.announcements[0].due.Add(announceBatch)) {
+		return
+	}
+	sent := 0
+	for _, a := range l.announcements {
+		if m.now.Before(a.due) {
+			break
+		}
+		sent++
+		r := m.rumors[a.key]
+		if r == nil || !r.live(m.now) || !r.keep && m.tokens <= 0 {
+			continue
+		}
+		msg.Haves = binary.LittleEndian.AppendUint32(msg.Haves, r.hash)
+		msg.Haves = binary.LittleEndian.AppendUint32(msg.Haves, uint32(r.Version))
+	}
+	l.announcements = slices.Delete(l.announcements, 0, sent)
+}
+
+// hearHaves asks for what a peer has announced and this member lacks.
+func (m *Machine) hearHaves(from coordination.Instance, haves []byte) {
+	l := m.links[from]
+	if l == nil || len(haves)%announcementBytes != 0 {
+		return
+	}
+	for ; len(haves) > 0; haves = haves[announcementBytes:] {
+		h, version := binary.LittleEndian.Uint32(haves), binary.LittleEndian.Uint32(haves[4:])
+		k, ok := m.byHash[h]
+		// The difference tells the newer one also where the low half wraps.
+		if ok && int32(version-uint32(m.rumors[k].Version)) <= 0 {
+			if version == uint32(m.rumors[k].Version) {
+				m.knownRumor(from, k)
+			}
+			continue
+		}
+		m.ask(l, h)
+	}
+}
+
+func (m *Machine) ask(l *link, h uint32) {
+	if asked, ok := m.asked[h]; ok && m.now.Sub(asked) < askAgain || len(m.asked) >= m.cfg.MaxRumors {
+		return
+	}
+	m.asked[h] = m.now
+	l.wants = binary.LittleEndian.AppendUint32(l.wants, h)
+}
+
+// hearWants queues what a peer has asked for.
+func (m *Machine) hearWants(from coordination.Instance, wants []byte) {
+	l := m.links[from]
+	if l == nil || len(wants)%4 != 0 {
+		return
+	}
+	for ; len(wants) > 0; wants = wants[4:] {
+		if k, ok := m.byHash[binary.LittleEndian.Uint32(wants)]; ok {
+			l.queueRumor(k)
+		}
+	}
+}
+
+// forgetAsked drops the memory of what was asked for.
+func (m *Machine) forgetAsked() {
+	for h, asked := range m.asked {
+		if m.now.Sub(asked) > askAgain {
+			delete(m.asked, h)
+		}
+	}
+}
--- a/coordination/membership/rumor.go
+++ b/coordination/membership/rumor.go
@@ -9,10 +9,6 @@
 	"wisteriaspool/coordination"
 )
 
-// fanout is the factor c of the c·ln(n) links on which a member passes a new
-// rumour on.
-const fanout = 1.0
-
 type rumorKey struct {
 	topic string
 	key   string
@@ -113,6 +109,7 @@
 		held.expires = m.now.Add(time.Duration(life) * time.Millisecond)
 	}
 	m.rumors[k] = held
+	m.byHash[held.hash] = k
 	if keep {
 		m.views[KeptTable].valid = false
 	}
@@ -145,37 +142,6 @@
 	return a.Origin > b.Origin
 }
 
-// spreadRumor queues the rumour on c·ln(n) links but that to from.
-func (m *Machine) spreadRumor(from coordination.Instance, k rumorKey) {
-	var peers []*link
-	for _, l := range m.sortedLinks() {
-		if l.peer != from && m.Neighbor(l.peer) {
-			peers = append(peers, l)
-		}
-	}
-	m.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	n := int(math.Ceil(fanout * math.Log(float64(len(m.table)+2))))
-	for _, l := range peers[:min(n, len(peers))] {
-		l.queueRumor(k)
-	}
-	m.knownRumor(from, k)
-}
-
-func (l *link) queueRumor(k rumorKey) {
-	if _, ok := l.rumors[k]; ok {
-		return
-	}
-	l.rumors[k] = struct{}{}
-	l.rumorList = append(l.rumorList, k)
-}
-
-// knownRumor notes that peer has the rumour already.
-func (m *Machine) knownRumor(peer coordination.Instance, k rumorKey) {
-	if l := m.links[peer]; l != nil {
-		delete(l.rumors, k)
-	}
-}
-
 // sweepRumors drops what has expired.
 func (m *Machine) sweepRumors() {
 	for k, r := range m.rumors {
@@ -185,6 +151,7 @@
 		r.Payload = nil
 		if m.now.Sub(r.expires) > tombstone {
 			delete(m.rumors, k)
+			delete(m.byHash, r.hash)
 		}
 	}
 }
