--- a/coordination/settings/fleet_test.go
+++ b/coordination/settings/fleet_test.go
@@ -22,20 +22,22 @@
 	editor  *Editor
 	sync    *Sync
 	stop    func()
-	last    Position // the latest in force, to see that it never goes back
+	seen    monotone
 }
 
 // fleet is several routers on one fake platform and one fake hub.
 type fleet struct {
 	t       testing.TB
 	store   *kvtest.Store
+	read    SyncStore // that the routers watch
 	hub     *hub
 	routers []*router
 	started int
 }
 
 func newFleet(t testing.TB, seed uint64, n int) *fleet {
-	f := &fleet{t: t, store: kvtest.New(), hub: newHub(seed)}
+	store := kvtest.New()
+	f := &fleet{t: t, store: store, read: store, hub: newHub(seed)}
 	ctx, cancel := context.WithCancel(context.Background())
 	go f.hub.run(ctx)
 	for range n {
@@ -56,7 +58,7 @@
 	f.started++
 	r.replica.Observe(func(o Observation) { r.check(f.t, o) })
 	r.editor = NewEditor(f.store, r.replica)
-	r.sync, r.stop = NewSync(Config{Self: r.member.Instance, Zone: r.member.Zone}, r.replica, f.store, r.node)
+	r.sync, r.stop = NewSync(Config{Self: r.member.Instance, Zone: r.member.Zone}, r.replica, f.read, r.node)
 	f.routers = append(f.routers, r)
 	return r
 }
@@ -76,10 +78,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if o.InForce.Position.Before(r.last) {
-		t.Errorf("%s went back from %v to %v", r.member.Instance, r.last, o.InForce.Position)
+	if !r.seen.saw(o.InForce.Position) {
+		t.Errorf("%s went back from %v to %v", r.member.Instance, r.seen.last, o.InForce.Position)
 	}
-	r.last = o.InForce.Position
 }
 
 func (r *router) position() Position {
@@ -172,6 +173,68 @@
 	})
 }
 
+// The router that accepted a change dies before it could tell anybody. The
+// watchers have to see the change in the platform.
+func TestEditorDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, 30)
+		time.Sleep(10 * time.Second)
+		f.await(f.routers[0].accept(t, oneSecond), inForceWithin)
+		lone := NewEditor(f.store, f.routers[0].replica.copyOf(testTeam))
+		out := lone.Put(t.Context(), change(twoSeconds, f.routers[0].position().Revision))
+		assert.Equal(t, out.Status, Accepted)
+		f.await(out.Position, inForceWithin)
+	})
+}
+
+// A whole fleet starts at once, as after a power cut, while the platform holds
+// settings. It must be ready soon and not ask the platform all together.
+func TestColdStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7, 0)
+		p := NewEditor(f.store, &Replica{}).Put(t.Context(), change(oneSecond, 0)).Position
+		for range 60 {
+			f.start()
+		}
+		for _, r := range f.routers {
+			<-r.sync.Ready()
+			assert.Equal(t, r.position(), p)
+		}
+		f.await(p, 0)
+		assert.Assert(t, f.store.Calls("list") <= 10, "%d reads", f.store.Calls("list"))
+	})
+}
+
+// The platform is down for minutes. The routers go on looking for it, but no
+// more often than a few times a second, however many they are.
+func TestOutageIsNoStampede(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8, 60)
+		time.Sleep(10 * time.Second)
+		f.store.SetFaults(kvtest.Faults{Down: true})
+		time.Sleep(freshFor)
+		before := f.lists()
+		time.Sleep(2 * time.Minute)
+		perSecond := float64(f.lists()-before) / 120
+		t.Logf("%.1f reads a second tried by 60 routers", perSecond)
+		assert.Assert(t, perSecond < 6)
+		f.store.SetFaults(kvtest.Faults{})
+		time.Sleep(10 * time.Second)
+		before = f.lists()
+		time.Sleep(time.Minute)
+		assert.Assert(t, f.lists()-before <= 10, "%d reads a minute after the outage", f.lists()-before)
+	})
+}
+
+// lists counts the reads of all settings that the routers have tried.
+func (f *fleet) lists() int {
+	n := 0
+	for _, r := range f.routers {
+		n += r.sync.Stats().Lists
+	}
+	return n
+}
+
 // A watch delivers nothing for a while and then goes on. A change that the
 // platform took in between, from a router that died before it could tell
 // anybody, would stay unknown to the fleet.
