Measure what a router costs in fleets of 3 to 60

BenchmarkFleet runs whole routers in one process before 12 engines, idle and at 2 requests a second each.

--- a/wisteriarouter/daemon/daemon_test.go
+++ b/wisteriarouter/daemon/daemon_test.go
@@ -37,17 +37,22 @@
 
 // world is a platform, engines, a service and routers on loopback.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	platform *standinplatform.Server
 	address  string
 	engines  []*standinengine.Engine
 	service  *standinservice.Service
 	routers  []*daemon.Daemon
 	stops    []func() int
+	refresh  time.Duration // of the list of instances
 }
 
-func newWorld(t *testing.T, routers, engines int) *world {
-	w := &world{t: t}
+func newWorld(t testing.TB, routers, engines int) *world {
+	return buildWorld(&world{t: t, refresh: 100 * time.Millisecond}, routers, engines)
+}
+
+func buildWorld(w *world, routers, engines int) *world {
+	t := w.t
 	var closePlatform func()
 	w.platform, closePlatform = standinplatform.New(standinplatform.Options{})
 	t.Cleanup(closePlatform)
@@ -109,12 +114,12 @@
 [platform]
 kv = %s
 instances = %s
-refresh = 100ms
+refresh = %s
 [limits]
 stop-delay = 0s
 [log]
 level = error
-%s`, n, w.address, w.address, seeds)
+%s`, n, w.address, w.address, w.refresh, seeds)
 	cfg, problems := config.Parse("test.ini", []byte(text))
 	assert.Equal(w.t, len(problems), 0, "%v", problems)
 	d, stop, err := daemon.Start(cfg)
--- /dev/null
+++ b/wisteriarouter/daemon/fleet_bench_test.go
@@ -0,0 +1,166 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// BenchmarkFleet measures what a router costs in a fleet of a given size, in
+// one process with all the others and with the stand-ins: control bytes and
+// messages, calls to the platform, processor time and memory, each for one
+// router. The fleet is idle or serves a number of requests a second for each
+// router; slopes over size and load give docs/CAPACITY.md.
+//
+//	go test -run xxx -bench Fleet -benchtime 1x ./daemon
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []int{3, 7, 15, 30, 60} {
+		for _, rate := range []int{0, 2} {
+			b.Run(fmt.Sprintf("routers=%d/rate=%d", size, rate), func(b *testing.B) {
+				for b.Loop() {
+					benchFleet(b, size, rate)
+				}
+			})
+		}
+	}
+}
+
+const (
+	benchEngines = 12
+	benchSettle  = 5 * time.Second
+	benchWindow  = 10 * time.Second
+)
+
+func benchFleet(b *testing.B, size, rate int) {
+	w := buildWorld(&world{t: b, refresh: time.Second}, size, benchEngines)
+	time.Sleep(benchSettle)
+	ctx, cancel := context.WithCancel(b.Context())
+	var wg sync.WaitGroup
+	for n := range size {
+		l := load{world: w, router: n, rate: rate}
+		wg.Go(func() { l.run(ctx) })
+	}
+	before, calls, used := w.counters(), w.platform.Calls(), processTime()
+	time.Sleep(benchWindow)
+	after, callsAfter, usedAfter := w.counters(), w.platform.Calls(), processTime()
+	cancel()
+	wg.Wait()
+	perRouter := func(total float64) float64 { return total / benchWindow.Seconds() / float64(size) }
+	b.ReportMetric(perRouter(after.bytes-before.bytes), "sent-B/s")
+	b.ReportMetric(perRouter(after.messages-before.messages), "sent-msg/s")
+	b.ReportMetric(perRouter(after.admission-before.admission), "admission-B/s")
+	b.ReportMetric(perRouter(after.gossip-before.gossip), "gossip-B/s")
+	b.ReportMetric(perRouter(float64(callsAfter.Reads()-calls.Reads())), "reads/s")
+	b.ReportMetric(perRouter(float64(callsAfter.Writes()-calls.Writes())), "writes/s")
+	b.ReportMetric(100*perRouter((usedAfter-used).Seconds()), "%core")
+	b.ReportMetric(float64(memory())/float64(size)/(1<<20), "MiB")
+	b.ReportMetric(0, "ns/op")
+}
+
+// load asks a router for short answers at a steady rate.
+type load struct {
+	world  *world
+	router int
+	rate   int
+}
+
+func (l load) run(ctx context.Context) {
+	if l.rate == 0 {
+		return
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	t := time.NewTicker(time.Second / time.Duration(l.rate))
+	defer t.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		q := question{load: l, n: n}
+		wg.Go(q.run)
+	}
+}
+
+// question is one request of a load.
+type question struct {
+	load
+	n int
+}
+
+func (q question) run() {
+	q.world.chat(context.Background(), q.router, fmt.Sprintf("chat %d of router %d", q.n, q.router))
+}
+
+// counters are sums over all routers.
+type counters struct {
+	bytes     float64
+	messages  float64
+	admission float64 // bytes of placement
+	gossip    float64 // bytes of membership and rumours
+}
+
+func (w *world) counters() counters {
+	var c counters
+	for _, r := range w.routers {
+		res, err := http.Get("http://" + r.OperatorsAddress() + "/metrics")
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		lines := bufio.NewScanner(res.Body)
+		for lines.Scan() {
+			c.add(lines.Text())
+		}
+		res.Body.Close()
+	}
+	return c
+}
+
+// add takes in one line of metrics about what was sent. Rumours are counted
+// inside gossip already.
+func (c *counters) add(line string) {
+	if !strings.Contains(line, `direction="sent"`) || strings.Contains(line, `type="rumor"`) {
+		return
+	}
+	n, err := strconv.ParseFloat(line[strings.LastIndexByte(line, ' ')+1:], 64)
+	if err != nil {
+		return
+	}
+	if strings.HasPrefix(line, "wisteria_peer_messages_total") {
+		c.messages += n
+		return
+	}
+	c.bytes += n
+	switch {
+	case strings.Contains(line, `topic="place-`):
+		c.admission += n
+	case strings.Contains(line, `type="gossip"`):
+		c.gossip += n
+	}
+}
+
+// processTime returns the processor time that the process has used.
+func processTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// memory returns the bytes of live heap and of stacks.
+func memory() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
