Give orders to engines as desired state, under a lease with a fencing number

One router at a time gives a pool's orders (load-adapter from the team's settings): the pool's root, once the platform's compare-and-swap has made it the holder; the revision of that write is the fencing number. It stops at half of its lease's term by its own monotonic clock, checked right before each order. For engines that ignore the number it gives everything again once, two terms after taking over, when nothing of an earlier holder can be on its way. Loads of a pool keep a pace from settings.

Not done: unloading, roles, moving an engine to another version.

--- a/coordination/settings/table.go
+++ b/coordination/settings/table.go
@@ -28,6 +28,8 @@
 	keyWarmWait        = "warm-wait"
 	keyMaxTokens       = "max-tokens"
 	keyStallTimeout    = "stall-timeout"
+	keyAdapters        = "adapters"
+	keyLoadPace        = "load-pace"
 	keyNonIdempotent   = "non-idempotent"
 	keyActionTimeout   = "action-timeout"
 )
@@ -54,6 +56,8 @@
 			{Name: keyQueue, Kind: schema.Integer, Unit: "requests per endpoint", Default: "256", Min: "0", Max: "100000", Doc: "Requests that may wait for one engine; more are refused."},
 			{Name: keyWarmWait, Kind: schema.Duration, Default: "0ms", Min: "0ms", Max: "100ms", Doc: "How long a chat may wait for the engine that holds its context before it goes to another."},
 			{Name: keyMaxTokens, Kind: schema.Integer, Unit: "tokens", Default: "4096", Min: "1", Max: "1000000", Doc: "Tokens that one answer may have."},
+			{Name: keyAdapters, Kind: schema.Names, Doc: "Adapters that every engine of the pool is told to load."},
+			{Name: keyLoadPace, Kind: schema.Duration, Default: "5s", Min: "0s", Max: "10m", Doc: "Time between two loads in the pool, for the weight store's rate limit."},
 			{Name: keyStallTimeout, Kind: schema.Duration, Default: "10s", Min: "100ms", Max: "10m", Doc: "Silence of an engine after which an attempt counts as lost."},
 		},
 	},
--- a/coordination/settings/team.go
+++ b/coordination/settings/team.go
@@ -46,6 +46,8 @@
 	Queue        int     // requests that may wait per endpoint
 	WarmWait     time.Duration
 	MaxTokens    coordination.Tokens
+	Adapters     []string      // that every engine of the pool loads
+	LoadPace     time.Duration // between two loads in the pool
 	StallTimeout time.Duration
 }
 
@@ -153,6 +155,8 @@
 		Queue:        v.Int(keyQueue),
 		WarmWait:     v.Duration(keyWarmWait),
 		MaxTokens:    coordination.Tokens(v.Int(keyMaxTokens)),
+		Adapters:     v.List(keyAdapters),
+		LoadPace:     v.Duration(keyLoadPace),
 		StallTimeout: v.Duration(keyStallTimeout),
 	}
 }
--- a/coordination/settings/team_test.go
+++ b/coordination/settings/team_test.go
@@ -43,7 +43,7 @@
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, m, settings.Model{
 		Name: "chat", Version: "7", LoadBound: 1.5, Capacity: 16, Queue: 256,
-		WarmWait: 20 * time.Millisecond, MaxTokens: 4096, StallTimeout: 10 * time.Second,
+		WarmWait: 20 * time.Millisecond, MaxTokens: 4096, LoadPace: 5 * time.Second, StallTimeout: 10 * time.Second,
 	})
 	assert.Equal(t, m.Pool(), coordination.Pool("chat@7"))
 	_, ok = team.Model("other")
--- a/wisteriarouter/daemon/callers.go
+++ b/wisteriarouter/daemon/callers.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/samber/do/v2"
 
+	"wisteriaspool/coordination/order"
 	"wisteriaspool/coordination/retry"
 	"wisteriaspool/wisteriarouter/caller"
 	"wisteriaspool/wisteriarouter/engine"
@@ -48,6 +49,7 @@
 	bound := do.MustInvoke[*listeners](i)
 	node := do.MustInvoke[*peer.Node](i)
 	huma.NewError = caller.NewFault
+	do.MustInvoke[*order.Giver](i)
 	s := &servers{node: node, log: logOf(i), failed: make(chan struct{})}
 	s.peers = newServer(bound.peers, peerHandler(node), lim, s.fail)
 	s.operators = newServer(bound.operators, operatorHandler(i), lim, s.fail)
--- a/wisteriarouter/daemon/daemon_test.go
+++ b/wisteriarouter/daemon/daemon_test.go
@@ -140,8 +140,10 @@
 	c, closeClient, err := platform.New(platform.Config{Endpoints: []string{"http://" + w.address}})
 	assert.NilError(w.t, err)
 	defer closeClient()
-	out := settings.NewEditor(c, &settings.Replica{}).Put(w.t.Context(), settings.Put{
-		Team: "demo", Text: text, ID: settings.NewChangeID(), Author: "test", Reason: "first settings",
+	editor := settings.NewEditor(c, &settings.Replica{})
+	standing, _ := editor.Read(w.t.Context(), "demo")
+	out := editor.Put(w.t.Context(), settings.Put{
+		Team: "demo", Text: text, Base: standing.Revision, ID: settings.NewChangeID(), Author: "test", Reason: "test",
 	})
 	assert.Equal(w.t, out.Status, settings.Accepted, "%+v", out)
 }
--- a/wisteriarouter/daemon/parts.go
+++ b/wisteriarouter/daemon/parts.go
@@ -33,6 +33,7 @@
 	do.Provide(i, newTeams)
 	do.Provide(i, newSuspects)
 	do.Provide(i, newActions)
+	do.Provide(i, newOrders)
 	do.Provide(i, newCallers)
 	do.Provide(i, newServers)
 }
--- /dev/null
+++ b/wisteriarouter/engine/order.go
@@ -0,0 +1,46 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"wisteriaspool/coordination/order"
+)
+
+// orderBody is an order on the wire.
+type orderBody struct {
+	Fencing order.Fencing `json:"fencing"`
+	order.Order
+}
+
+// Order gives an order to an engine. It implements order.Engines.
+func (c *Client) Order(ctx context.Context, t order.Target, o order.Order, f order.Fencing) order.Result {
+	ctx, cancel := context.WithTimeout(ctx, c.call)
+	defer cancel()
+	data, err := json.Marshal(orderBody{Fencing: f, Order: o})
+	if err != nil {
+		return order.Declined
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.Address+"/v1/orders", bytes.NewReader(data))
+	if err != nil {
+		return order.Declined
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := c.http.Do(req)
+	if err != nil {
+		return order.Unknown
+	}
+	defer res.Body.Close()
+	switch {
+	case res.StatusCode == http.StatusOK:
+		return order.Taken
+	case res.StatusCode == http.StatusConflict:
+		return order.Fenced
+	case res.StatusCode < http.StatusInternalServerError:
+		return order.Declined
+	default:
+		return order.Unknown
+	}
+}
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -62,6 +62,11 @@
 	RecordUnsettled  = Kind{604, "record-unsettled", logrus.WarnLevel, "A record was never closed. Its key stays in progress until it expires."}
 )
 
+// The events of orders to engines.
+var (
+	OrderGiven = Kind{700, "order-given", logrus.InfoLevel, "An engine was told to load something; the result tells whether it took the order. If many are fenced, two routers hold the pool: see the platform's leases under /wisteriaspool/orders/."}
+)
+
 // Catalogue lists every kind, in order of number.
 func Catalogue() []Kind {
 	return []Kind{
@@ -72,5 +77,6 @@
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
 		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, OwnerUnreachable, ConnectionDropped,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
+		OrderGiven,
 	}
 }
