placement: a cautious pool mean, and histories under faults

A root that does not answer is passed over for the next in line.

Listed ones are divided by for 3 s, the sums' own after that.

--- a/coordination/placement/admit.go
+++ b/coordination/placement/admit.go
@@ -135,7 +135,7 @@
 // grant counts the request unless the endpoint would exceed its bound.
 func (l *endpointLoad) grant(now time.Time, id GrantID, alone bool, cfg *Config) (limit int, ok bool) {
 	l.refresh(now, cfg)
-	limit, ok = l.pool.admit(now, l.counted, cfg)
+	limit, ok = l.pool.admit(now, l.count(now, cfg), cfg)
 	if ok {
 		l.counted++
 		l.hold(now, id, held{start: now, alone: alone})
--- a/coordination/placement/entry.go
+++ b/coordination/placement/entry.go
@@ -73,7 +73,7 @@
 	for {
 		a, refusal, ok := w.next(time.Now())
 		if !ok {
-			e.held.close(g)
+			e.held.close(g, e.id.Instance)
 			return nil, refusal
 		}
 		g.Warm = w.warm && a.endpoint == w.list[0]
@@ -89,7 +89,7 @@
 			g.Release()
 			return nil, Refusal{Code: Cancelled}
 		}
-		e.held.close(g)
+		e.held.close(g, e.id.Instance)
 		return nil, Refusal{Code: r.Code, RetryAfter: r.RetryAfter.Duration()}
 	}
 }
--- a/coordination/placement/fleet_test.go
+++ b/coordination/placement/fleet_test.go
@@ -24,10 +24,21 @@
 	dead    map[coordination.Instance]bool
 	frozen  map[coordination.Instance]chan struct{}
 	lose    func(topic string, reply bool) bool
+	planted plant
 	bytes   map[string]int
 	message map[string]int
 }
 
+// plant is a fault put into the routers, to see that the checker finds it.
+type plant int
+
+const (
+	sound          plant = iota
+	releaseTwice         // each release at some endpoints ends another grant as well
+	takeoverAtZero       // a new owner hears of nothing that runs already
+	boundPerRouter       // each owner takes its own endpoints for the whole pool
+)
+
 type node struct {
 	owner *Owner
 	entry *Entry
@@ -45,7 +56,7 @@
 	set, routers := NewSet(es), NewRouters(members, 0)
 	for _, m := range members {
 		n := &node{owner: NewOwner(m.ID, cfg)}
-		n.entry = NewEntry(EntryID{Instance: m.ID, Incarnation: m.Incarnation}, n.owner, f, nil, cfg)
+		n.entry = NewEntry(EntryID{Instance: m.ID, Incarnation: m.Incarnation}, n.owner, link{fleet: f, from: m.ID}, nil, cfg)
 		f.nodes[m.ID] = n
 		n.update(set, routers)
 	}
@@ -70,8 +81,39 @@
 	}
 }
 
-// Call implements Transport.
-func (f *fleet) Call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error) {
+// link is the transport of one router.
+type link struct {
+	*fleet
+	from coordination.Instance
+}
+
+// Call implements Transport. A dead router sends nothing, a frozen one only
+// when it wakes.
+func (l link) Call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error) {
+	l.wait(l.from)
+	if l.isDead(l.from) {
+		return nil, errUnreachable
+	}
+	return l.call(ctx, to, topic, payload)
+}
+
+// wait returns when a router is not frozen.
+func (f *fleet) wait(id coordination.Instance) {
+	f.mu.Lock()
+	frozen := f.frozen[id]
+	f.mu.Unlock()
+	if frozen != nil {
+		<-frozen
+	}
+}
+
+func (f *fleet) isDead(id coordination.Instance) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dead[id]
+}
+
+func (f *fleet) call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error) {
 	time.Sleep(f.delay)
 	f.mu.Lock()
 	n, dead, frozen := f.nodes[to], f.dead[to], f.frozen[to]
@@ -95,7 +137,16 @@
 			return nil, ctx.Err()
 		}
 	}
+	if f.planted == takeoverAtZero && topic == TopicRegister {
+		return nil, nil
+	}
+	if f.planted == boundPerRouter && topic == TopicSum {
+		return nil, errUnreachable
+	}
 	reply, err := n.handle(ctx, topic, payload)
+	if f.planted == releaseTwice && topic == TopicRelease {
+		n.releaseAnother(payload)
+	}
 	time.Sleep(f.delay)
 	f.mu.Lock()
 	lost = f.lose != nil && f.lose(topic, true)
@@ -107,6 +158,28 @@
 	return reply, err
 }
 
+// releaseAnother ends a second grant for each release.
+func (n *node) releaseAnother(payload []byte) {
+	b, err := DecodeReleaseBatch(payload)
+	if err != nil {
+		return
+	}
+	for _, r := range b.Releases {
+		if r.Endpoint > "e2" {
+			continue
+		}
+		s := n.owner.shard(r.Endpoint)
+		s.mu.Lock()
+		if l := s.loads[r.Endpoint]; l != nil {
+			for id := range l.grants {
+				l.end(time.Now(), id, n.owner.cfg.Load())
+				break
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
 func (n *node) late(frozen chan struct{}, topic string, payload []byte) {
 	<-frozen
 	ctx, cancel := context.WithCancel(context.Background())
--- a/coordination/placement/grants.go
+++ b/coordination/placement/grants.go
@@ -34,7 +34,12 @@
 func (g *Grant) ID() GrantID { return GrantID{Entry: g.entry.id, Sequence: g.sequence} }
 
 // Release ends the grant. It may be called more than once.
-func (g *Grant) Release() { g.entry.held.close(g) }
+func (g *Grant) Release() {
+	e := g.entry
+	if local := e.held.close(g, e.id.Instance); local != nil {
+		e.local.Release(ReleaseBatch{Entry: e.id, Releases: []Release{*local}})
+	}
+}
 
 // Hint returns the hint that leads the next request of the chat back here.
 func (g *Grant) Hint() Hint { return HintOf(g.Endpoint.ID, g.Endpoint.Incarnation) }
@@ -90,20 +95,27 @@
 	}
 }
 
-// close ends a grant and prepares the releases to all owners that count it.
-func (t *grantTable) close(g *Grant) {
+// close ends a grant and prepares the releases to all owners that count it. It
+// returns the one for self, which needs no message.
+func (t *grantTable) close(g *Grant, self coordination.Instance) (local *Release) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.grants[g.sequence] != g {
-		return
+		return nil
 	}
 	delete(t.grants, g.sequence)
 	if !g.granted {
-		return
+		return nil
 	}
 	for _, o := range g.owners {
-		t.add(o, Release{Endpoint: g.Endpoint.ID, Sequence: g.sequence})
+		r := Release{Endpoint: g.Endpoint.ID, Sequence: g.sequence}
+		if o == self {
+			local = &r
+			continue
+		}
+		t.add(o, r)
 	}
+	return local
 }
 
 // add appends a release. The caller holds t.mu.
--- /dev/null
+++ b/coordination/placement/history_test.go
@@ -0,0 +1,378 @@
+package placement
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/samber/lo"
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+)
+
+// event is the start or end of a request, or the coming or going of an
+// endpoint, as the endpoints themselves see it.
+type event struct {
+	at       time.Time
+	endpoint coordination.Endpoint
+	running  int // change
+	live     int // change, 1 or -1, of the endpoint's membership
+}
+
+// history gathers events.
+type history struct {
+	mu     sync.Mutex
+	events []event
+	load   map[coordination.Endpoint]int
+}
+
+func (h *history) add(e event) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e.at = time.Now()
+	h.events = append(h.events, e)
+	h.load[e.endpoint] += e.running
+}
+
+func (h *history) running(e coordination.Endpoint) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.load[e]
+}
+
+// verdict is what a history shows of the bound.
+type verdict struct {
+	placed  int
+	over    int // placements over the bound
+	worst   int // requests over the bound at the worst placement
+	refused int
+}
+
+// check goes through the events in order. A placement is over the bound if the
+// endpoint then runs more than ceil(bound * mean) over the live endpoints, with
+// slack more requests for what ends while a grant is on its way.
+func (h *history) check(bound float64, slack int) (v verdict) {
+	load := make(map[coordination.Endpoint]int)
+	live := make(map[coordination.Endpoint]bool)
+	total := 0
+	for _, e := range h.events {
+		if e.live != 0 {
+			live[e.endpoint] = e.live > 0
+			total += e.live * load[e.endpoint]
+			continue
+		}
+		load[e.endpoint] += e.running
+		if !live[e.endpoint] {
+			continue
+		}
+		total += e.running
+		if e.running < 0 {
+			continue
+		}
+		v.placed++
+		n := lo.CountBy(lo.Values(live), func(b bool) bool { return b })
+		excess := load[e.endpoint] - limitOf(bound, float64(total+slack)/float64(n))
+		if excess > 0 {
+			v.over++
+			v.worst = max(v.worst, excess)
+		}
+	}
+	return v
+}
+
+// trial drives a fleet with a seeded load.
+type trial struct {
+	*fleet
+	h         history
+	rng       *rand.Rand
+	members   []Router
+	endpoints []Descriptor
+	length    time.Duration
+	rate      int // requests a second
+	wg        sync.WaitGroup
+	refused   int
+}
+
+func newTrial(seed uint64, routers, endpoints int, cfg Config) *trial {
+	tr := &trial{
+		rng:       rand.New(rand.NewPCG(seed, 7)),
+		members:   testRouters(routers),
+		endpoints: testEndpoints(endpoints),
+		length:    10 * time.Second,
+		rate:      4 * endpoints,
+	}
+	tr.fleet = newFleet(tr.members, tr.endpoints, cfg)
+	tr.h.load = make(map[coordination.Endpoint]int)
+	for _, d := range tr.endpoints {
+		tr.h.add(event{endpoint: d.ID, live: 1})
+	}
+	return tr
+}
+
+// play runs the load with faults and returns the verdict.
+func (tr *trial) play(ctx context.Context, faults func(*trial), slack int) verdict {
+	stop := tr.start()
+	ctx, cancel := context.WithCancel(ctx)
+	tr.wg.Go(func() { tr.reports(ctx) })
+	time.Sleep(2 * time.Second)
+	var load sync.WaitGroup
+	load.Go(func() { tr.arrivals(ctx, &load) })
+	time.Sleep(tr.length / 2)
+	if faults != nil {
+		faults(tr)
+	}
+	load.Wait()
+	cancel()
+	tr.wg.Wait()
+	stop()
+	return tr.h.check(1.25, slack)
+}
+
+// arrivals sends requests through random routers. Half of them would rather go
+// to the endpoints of one owner, so that the bound is what keeps them away.
+func (tr *trial) arrivals(ctx context.Context, wg *sync.WaitGroup) {
+	victim, r := tr.ownerOf(), NewRouters(tr.members, 0)
+	hot := lo.FilterMap(tr.endpoints, func(d Descriptor, _ int) (coordination.Endpoint, bool) {
+		return d.ID, r.Owner(d.ID, d.Zone) == victim
+	})
+	for i := range int(tr.length.Seconds()) * tr.rate {
+		time.Sleep(time.Second / time.Duration(tr.rate))
+		m := tr.members[tr.rng.IntN(len(tr.members))]
+		hold := time.Duration(500+tr.rng.IntN(3000)) * time.Millisecond
+		req := Request{Pool: testPool, Key: Key(i)}
+		if tr.rng.IntN(2) == 0 {
+			req.Hint = HintOf(hot[tr.rng.IntN(len(hot))], 1)
+		}
+		wg.Go(func() { tr.request(ctx, m.ID, req, hold) })
+	}
+}
+
+func (tr *trial) request(ctx context.Context, id coordination.Instance, req Request, hold time.Duration) {
+	tr.wait(id)
+	if tr.isDead(id) {
+		return
+	}
+	g, _ := tr.nodes[id].entry.Acquire(ctx, req)
+	tr.mu.Lock()
+	if g == nil {
+		tr.refused++
+	}
+	tr.mu.Unlock()
+	if g == nil || tr.isDead(id) {
+		return
+	}
+	tr.h.add(event{endpoint: g.Endpoint.ID, running: 1})
+	time.Sleep(hold)
+	tr.h.add(event{endpoint: g.Endpoint.ID, running: -1})
+	tr.wait(id)
+	if !tr.isDead(id) {
+		g.Release()
+	}
+}
+
+func (tr *trial) kill(id coordination.Instance) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.dead[id] = true
+}
+
+// reports gives owners the endpoints' own word, half a second old.
+func (tr *trial) reports(ctx context.Context) {
+	for ctx.Err() == nil && tr.planted == sound {
+		at := time.Now()
+		tr.mu.Lock()
+		es := tr.endpoints
+		tr.mu.Unlock()
+		loads := lo.Map(es, func(d Descriptor, _ int) Report {
+			return Report{Endpoint: d.ID, Incarnation: d.Incarnation, Running: tr.h.running(d.ID), Observed: at}
+		})
+		time.Sleep(500 * time.Millisecond)
+		for _, m := range tr.members {
+			for _, r := range loads {
+				tr.nodes[m.ID].owner.Report(r)
+			}
+		}
+	}
+}
+
+// tell gives all routers but some new lists, one after another.
+func (tr *trial) tell(es []Descriptor, members []Router, gap time.Duration) {
+	set, routers := NewSet(es), NewRouters(members, 0)
+	for _, m := range tr.members {
+		time.Sleep(gap)
+		if !tr.isDead(m.ID) {
+			tr.nodes[m.ID].update(set, routers)
+		}
+	}
+}
+
+// Users of a pool see their answers slow down when one endpoint carries far
+// more than the others. With a single owner there is no lag, so nothing may
+// ever be over the bound.
+func TestOneOwnerNeverExceedsTheBound(t *testing.T) {
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			v := newTrial(seed, 1, 12, Config{}).play(t.Context(), nil, 0)
+			assert.Equal(t, v.over, 0, "seed %d: %+v", seed, v)
+			assert.Assert(t, v.placed > 400)
+		})
+	}
+}
+
+// ownerOf returns the router that owns most endpoints of the trial.
+func (tr *trial) ownerOf() coordination.Instance {
+	r := NewRouters(tr.members, 0)
+	counts := lo.CountValuesBy(tr.endpoints, func(d Descriptor) coordination.Instance { return r.Owner(d.ID, d.Zone) })
+	ids := lo.Keys(counts)
+	return slices.MaxFunc(ids, func(a, b coordination.Instance) int {
+		return cmp.Or(cmp.Compare(counts[a], counts[b]), cmp.Compare(a, b))
+	})
+}
+
+func (tr *trial) without(id coordination.Instance) []Router {
+	return lo.Filter(tr.members, func(m Router, _ int) bool { return m.ID != id })
+}
+
+// An owner dies. Others take its endpoints over, and if they counted from zero
+// they would put a second load on each of them.
+func killOwner(tr *trial) {
+	dead := tr.ownerOf()
+	tr.kill(dead)
+	time.Sleep(300 * time.Millisecond)
+	tr.tell(tr.endpoints, tr.without(dead), 50*time.Millisecond)
+}
+
+// An owner is paused for longer than its peers wait, and wakes with what it
+// counted before; some requests still believe in it.
+func freezeOwner(tr *trial) {
+	id := tr.ownerOf()
+	wake := make(chan struct{})
+	tr.mu.Lock()
+	tr.frozen[id] = wake
+	tr.mu.Unlock()
+	time.Sleep(time.Second)
+	tr.tell(tr.endpoints, tr.without(id), 100*time.Millisecond)
+	time.Sleep(2 * time.Second)
+	tr.mu.Lock()
+	delete(tr.frozen, id)
+	close(wake)
+	tr.mu.Unlock()
+	tr.tell(tr.endpoints, tr.members, 200*time.Millisecond)
+}
+
+// Routers hold different lists for seconds, so two of them take themselves for
+// the owner of the same endpoints.
+func splitLists(tr *trial) {
+	id := tr.ownerOf()
+	set, short := NewSet(tr.endpoints), NewRouters(tr.without(id), 0)
+	for _, m := range tr.members[:len(tr.members)/2] {
+		tr.nodes[m.ID].update(set, short)
+	}
+	time.Sleep(2 * time.Second)
+	tr.tell(tr.endpoints, tr.members, 100*time.Millisecond)
+}
+
+// A router is killed holding grants; nobody will ever release them.
+func killEntry(tr *trial) {
+	id := tr.members[0].ID
+	tr.kill(id)
+	time.Sleep(2 * time.Second)
+	tr.tell(tr.endpoints, tr.without(id), 50*time.Millisecond)
+}
+
+// Endpoints join and leave within moments.
+func flap(tr *trial) {
+	for i := range 3 {
+		es := slices.Clone(tr.endpoints)
+		joined := testEndpoints(len(es) + 1)[len(es)]
+		joined.Incarnation = coordination.Incarnation(i + 1)
+		es[i].State = Leaving
+		tr.h.add(event{endpoint: joined.ID, live: 1})
+		tr.h.add(event{endpoint: es[i].ID, live: -1})
+		tr.tell(append(es, joined), tr.members, 30*time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
+		es[i].State = Live
+		es[i].Incarnation += 100
+		tr.mu.Lock()
+		tr.endpoints = es
+		tr.mu.Unlock()
+		tr.h.add(event{endpoint: joined.ID, live: -1})
+		tr.h.add(event{endpoint: es[i].ID, live: 1})
+		tr.tell(es, tr.members, 30*time.Millisecond)
+	}
+}
+
+// tolerance is what a few routers with a mean that lags by 0.1 s and more may
+// show: the share of placements over the bound, and by how much.
+const (
+	tolerableShare = 0.025
+	tolerableWorst = 3
+)
+
+func (v verdict) tolerable() bool {
+	return float64(v.over) <= tolerableShare*float64(v.placed) && v.worst <= tolerableWorst
+}
+
+func TestBoundHoldsUnderFaults(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults func(*trial)
+	}{
+		{"steady", nil},
+		{"owner killed", killOwner},
+		{"owner frozen and back", freezeOwner},
+		{"split lists", splitLists},
+		{"entry killed with grants held", killEntry},
+		{"endpoints join and leave within moments", flap},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			v := sum(t, test.faults, sound, Config{})
+			assert.Assert(t, v.tolerable(), "%+v", v)
+			assert.Assert(t, v.refused <= v.placed/100, "%+v", v)
+		})
+	}
+}
+
+// sum plays several seeds and adds up what they show.
+func sum(t *testing.T, faults func(*trial), planted plant, cfg Config) (all verdict) {
+	for seed := range uint64(4) {
+		synctest.Test(t, func(t *testing.T) {
+			tr := newTrial(seed, 7, 12, cfg)
+			tr.planted = planted
+			v := tr.play(t.Context(), faults, 0)
+			all.placed += v.placed
+			all.over += v.over
+			all.worst = max(all.worst, v.worst)
+			all.refused += tr.refused
+		})
+	}
+	t.Logf("%+v", all)
+	return all
+}
+
+// The check above must be able to fail, and for each of the mistakes that the
+// owner's code is there to avoid.
+func TestCheckFindsPlantedFaults(t *testing.T) {
+	tests := []struct {
+		name    string
+		planted plant
+		faults  func(*trial)
+	}{
+		{"release counted twice", releaseTwice, nil},
+		{"takeover from zero", takeoverAtZero, killOwner},
+		{"owners without a common mean", boundPerRouter, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			v := sum(t, test.faults, test.planted, Config{Grace: time.Nanosecond})
+			assert.Assert(t, !v.tolerable(), "%+v", v)
+		})
+	}
+}
--- a/coordination/placement/load.go
+++ b/coordination/placement/load.go
@@ -47,6 +47,7 @@
 
 	report  Report
 	unknown int    // requests in the report that no grant accounts for
+	ghosts  int    // grants that the report shows no request for
 	ended   []span // of late, oldest first
 
 	// released remembers grants that have ended: an admission or a registration
@@ -84,6 +85,17 @@
 	return len(l.grants) + l.unknownAt(now, cfg)
 }
 
+// sure returns the number of requests that certainly run: without the grants
+// for which the endpoint shows none, such as those of an entry that died. The
+// pool's mean is made of this. If it were made of the count, grants that nobody
+// will release would raise what all endpoints may run.
+func (l *endpointLoad) sure(now time.Time, cfg *Config) int {
+	if now.Sub(l.report.Observed) >= cfg.ReportTTL {
+		return len(l.grants)
+	}
+	return max(len(l.grants)-l.ghosts, 0) + l.unknownAt(now, cfg)
+}
+
 func (l *endpointLoad) unknownAt(now time.Time, cfg *Config) int {
 	if l.unknown == 0 {
 		return 0
@@ -114,7 +126,7 @@
 
 // refresh brings the pool's sum in line with the count.
 func (l *endpointLoad) refresh(now time.Time, cfg *Config) {
-	n := l.count(now, cfg)
+	n := l.sure(now, cfg)
 	if l.left {
 		n = 0
 	}
@@ -171,6 +183,7 @@
 	}
 	l.report = r
 	l.unknown = max(r.Running-known, 0)
+	l.ghosts = max(known-r.Running, 0)
 	l.refresh(now, cfg)
 }
 
--- a/coordination/placement/mean.go
+++ b/coordination/placement/mean.go
@@ -20,7 +20,10 @@
 
 	others          int // requests at endpoints of other owners
 	othersEndpoints int
+	drift           float64 // usual change of others from one exchange to the next
+	interval        time.Duration
 	heard           time.Time // when the root last answered
+	whole           time.Time // when the sums last covered all listed endpoints
 }
 
 // change adds to the sums over own endpoints.
@@ -41,6 +44,16 @@
 	p.listed = n
 }
 
+const (
+	// driftMargin is how many times the usual change between two exchanges the
+	// other owners' load is taken to have fallen since the last one. Without
+	// it, one placement in a hundred relies on a mean that is no more.
+	driftMargin = 2.0
+
+	// driftShare is the weight of the latest change in the usual one.
+	driftShare = 0.2
+)
+
 // admit counts one more request at an endpoint that runs count, if that keeps
 // the endpoint within bound times the mean. Reading the mean and adding to it
 // is one step under the lock, so that admissions at two endpoints cannot both
@@ -64,8 +77,12 @@
 	if p.heard.IsZero() || age >= 2*cfg.MeanHold {
 		return own / ownEndpoints
 	}
-	n := max(p.endpoints+p.othersEndpoints, p.listed, 1)
-	whole := (own + float64(p.others)) / float64(n)
+	n := p.members(now)
+	others := float64(p.others)
+	// With half of what the bound leaves above the mean, some endpoint is still
+	// under the bound, so that the margin never refuses by itself.
+	others -= min(p.drift*p.staleness(age), others*(1-1/cfg.Bound)/2)
+	whole := (own + others) / n
 	if age <= cfg.MeanHold {
 		return whole
 	}
@@ -75,12 +92,47 @@
 	return whole*(1-part) + own/ownEndpoints*part
 }
 
+// partialHold is for how long sums that cover only a part of a pool are taken
+// for those of the whole.
+const partialHold = 3 * time.Second
+
+// members returns by how many endpoints the sums are divided. Some that are
+// listed may not be in the sums yet: they have just joined, their owner has
+// died, or the root has not heard from all owners. Counting those keeps the
+// mean from being too high. But an owner that stays cut off from the others
+// would so refuse everything, hence the time limit.
+func (p *poolLoad) members(now time.Time) float64 {
+	summed := max(p.endpoints+p.othersEndpoints, 1)
+	if now.Sub(p.whole) > partialHold {
+		return float64(summed)
+	}
+	return float64(max(p.listed, summed))
+}
+
+// staleness returns by how many usual changes the others' load may have fallen
+// since the last exchange. It grows with every exchange that is missed.
+func (p *poolLoad) staleness(age time.Duration) float64 {
+	if p.interval <= 0 {
+		return driftMargin
+	}
+	return driftMargin * max(float64(age)/float64(p.interval), 1)
+}
+
 // learn takes the root's total, of which mine is what this owner had reported.
 func (p *poolLoad) learn(now time.Time, total, mine PoolSum) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.others = max(total.Count-mine.Count, 0)
+	others := max(total.Count-mine.Count, 0)
+	change := math.Abs(float64(others - p.others))
+	if !p.heard.IsZero() {
+		p.drift += driftShare * (change - p.drift)
+		p.interval = now.Sub(p.heard)
+	}
+	p.others = others
 	p.othersEndpoints = max(total.Endpoints-mine.Endpoints, 0)
+	if p.endpoints+p.othersEndpoints >= p.listed {
+		p.whole = now
+	}
 	p.heard = now
 }
 
--- a/coordination/placement/owner.go
+++ b/coordination/placement/owner.go
@@ -27,6 +27,8 @@
 	pools map[coordination.Pool]*poolLoad
 	sums  map[coordination.Pool]*poolSums
 
+	silentRoots map[coordination.Instance]time.Time
+
 	entriesMu sync.Mutex
 	heard     map[EntryID]time.Time
 }
@@ -41,10 +43,11 @@
 // its first [Owner.Update].
 func NewOwner(self coordination.Instance, cfg Config) *Owner {
 	o := &Owner{
-		self:  self,
-		pools: make(map[coordination.Pool]*poolLoad),
-		sums:  make(map[coordination.Pool]*poolSums),
-		heard: make(map[EntryID]time.Time),
+		self:        self,
+		pools:       make(map[coordination.Pool]*poolLoad),
+		sums:        make(map[coordination.Pool]*poolSums),
+		silentRoots: make(map[coordination.Instance]time.Time),
+		heard:       make(map[EntryID]time.Time),
 	}
 	for i := range o.shards {
 		o.shards[i].loads = make(map[coordination.Endpoint]*endpointLoad)
--- a/coordination/placement/routers.go
+++ b/coordination/placement/routers.go
@@ -105,9 +105,11 @@
 	return highest(among, xxhash.Sum64String(string(id)))
 }
 
-// Root returns the router that sums the load of a pool.
-func (r *Routers) Root(name coordination.Pool) coordination.Instance {
-	return highest(r.owners, xxhash.Sum64String(string(name)))
+// Root returns the router that sums the load of a pool, the next one in line
+// if the first has been found silent.
+func (r *Routers) Root(name coordination.Pool, silent func(coordination.Instance) bool) coordination.Instance {
+	among := lo.Reject(r.owners, func(o ownerRouter, _ int) bool { return silent(o.id) })
+	return highest(among, xxhash.Sum64String(string(name)))
 }
 
 // Place returns the owner on which all routers agree for a hash, such as a
--- a/coordination/placement/start.go
+++ b/coordination/placement/start.go
@@ -6,9 +6,14 @@
 	"time"
 )
 
-// tickInterval is how often queues and leases are looked at, and for how long
-// releases gather.
-const tickInterval = 100 * time.Millisecond
+const (
+	// tickInterval is how often queues and leases are looked at.
+	tickInterval = 100 * time.Millisecond
+
+	// releaseInterval is for how long releases gather. Until they arrive, the
+	// owner takes the mean for higher than it is.
+	releaseInterval = 20 * time.Millisecond
+)
 
 // driver calls an owner and an entry as time passes.
 type driver struct {
@@ -55,7 +60,7 @@
 
 func (d *driver) tickEntry(ctx context.Context) time.Duration {
 	d.entry.Tick(ctx)
-	return tickInterval
+	return releaseInterval
 }
 
 func (d *driver) exchange(ctx context.Context) time.Duration {
--- a/coordination/placement/sums.go
+++ b/coordination/placement/sums.go
@@ -126,15 +126,16 @@
 }
 
 // sumCalls returns the reports that are due, one for each root.
-func (o *Owner) sumCalls() []sumCall {
+func (o *Owner) sumCalls(now time.Time) []sumCall {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	routers := o.view.Load().routers
+	silent := func(id coordination.Instance) bool { return now.Sub(o.silentRoots[id]) < rootSilence }
 	byRoot := make(map[coordination.Instance][]PoolSum)
 	for name, p := range o.pools {
 		count, endpoints := p.own()
 		if endpoints > 0 {
-			root := routers.Root(name)
+			root := routers.Root(name, silent)
 			byRoot[root] = append(byRoot[root], PoolSum{Pool: name, Count: count, Endpoints: endpoints})
 		}
 	}
@@ -162,7 +163,7 @@
 // totals. It returns when all roots have answered or ctx ends.
 func (o *Owner) Exchange(ctx context.Context, t Transport) {
 	var wg sync.WaitGroup
-	for _, c := range o.sumCalls() {
+	for _, c := range o.sumCalls(time.Now()) {
 		if c.to == o.self {
 			o.learn(time.Now(), c.report, o.Sum(c.report))
 			continue
@@ -172,11 +173,18 @@
 	wg.Wait()
 }
 
-// run makes one call. A root that does not answer is made up for by the held
-// mean.
+// rootSilence is how long a root that did not answer is passed over.
+const rootSilence = 3 * time.Second
+
+// run makes one call. A root that does not answer is passed over for a while;
+// the held mean makes up for the time until the next in line has heard from
+// all owners.
 func (c sumCall) run(ctx context.Context, t Transport) {
 	b, err := t.Call(ctx, c.to, TopicSum, c.report.Encode())
 	if err != nil {
+		c.owner.mu.Lock()
+		defer c.owner.mu.Unlock()
+		c.owner.silentRoots[c.to] = time.Now()
 		return
 	}
 	if reply, err := DecodeSumReply(b); err == nil {
