--- a/coordination/placement/bench_test.go
+++ b/coordination/placement/bench_test.go
@@ -35,6 +35,7 @@
 		b.ReportMetric(float64(lo.SumBy(m.routers, func(r *modelRouter) int { return r.messages }))/n/seconds, "msg/s/router")
 		b.ReportMetric(float64(lo.SumBy(m.routers, func(r *modelRouter) int { return r.bytes }))/2/float64(m.placed), "B/placement")
 	}
+	b.ReportMetric(float64(m.waits[false].ValueAtQuantile(95)), "ms-p95")
 	b.ReportMetric(100*float64(m.refused)/float64(m.placed+m.refused), "%refused")
 	if s.weather == surge {
 		b.ReportMetric(100*float64(m.served[false])/float64(m.asked[false]), "%served-others")
@@ -65,26 +66,12 @@
 
 // BenchmarkWarmWait measures what waiting for the warm endpoint is worth.
 func BenchmarkWarmWait(b *testing.B) {
-	for _, wait := range []time.Duration{0, 25, 50, 100, 200} {
-		b.Run(fmt.Sprintf("ms=%d", wait), func(b *testing.B) {
-			s := setup{
-				scheme: ownerAdmission, weather: churn, hint: true, endpoints: 60, routers: 30,
-				seed: 1, length: 90 * time.Second, bound: 1.25, warmWait: wait * time.Millisecond,
-			}
-			measure(b, s)
-		})
-	}
-}
-
-// BenchmarkKeepHint measures whether a chat that had to go elsewhere should go
-// back to where it was warm, or stay.
-func BenchmarkKeepHint(b *testing.B) {
-	for _, weather := range []weather{steady, churn, flapping} {
-		for _, keep := range []bool{false, true} {
-			b.Run(fmt.Sprintf("%s/keep=%t", weather, keep), func(b *testing.B) {
+	for _, weather := range []weather{steady, churn} {
+		for _, wait := range []time.Duration{0, 25, 50, 100, 200} {
+			b.Run(fmt.Sprintf("%s/ms=%d", weather, wait), func(b *testing.B) {
 				s := setup{
 					scheme: ownerAdmission, weather: weather, hint: true, endpoints: 60, routers: 30,
-					seed: 1, length: 90 * time.Second, bound: 1.25, keepHint: keep,
+					seed: 1, length: 90 * time.Second, bound: 1.25, warmWait: wait * time.Millisecond,
 				}
 				measure(b, s)
 			})
--- a/coordination/placement/model_test.go
+++ b/coordination/placement/model_test.go
@@ -47,7 +47,6 @@
 	length    time.Duration
 	warmWait  time.Duration
 	bound     float64
-	keepHint  bool // a chat that had to go elsewhere keeps its hint
 }
 
 const (
@@ -467,9 +466,7 @@
 	if e.touch(chat) {
 		m.reused++
 	}
-	if !m.keepHint || m.hints[chat] == 0 || r.set.Warm(testPool, m.hints[chat]) == nil {
-		m.hints[chat] = HintOf(d.ID, d.Incarnation)
-	}
+	m.hints[chat] = HintOf(d.ID, d.Incarnation)
 	ended := false
 	end := func() {
 		if !ended {
