caller: write each event of a stream from one buffer

Each event was joined from five strings and copied into a byte slice: half of the allocations that were left. The event's space now serves the next.

What is left for a token is the SSE library's text and data, and the text of the token.

--- a/wisteriarouter/caller/action.go
+++ b/wisteriarouter/caller/action.go
@@ -110,5 +110,5 @@
 		h.Set(headerRepeat, "true")
 	}
 	w.w.WriteHeader(ans.Status)
-	_ = w.write(string(ans.Body))
+	_ = w.write(ans.Body)
 }
--- a/wisteriarouter/caller/sink.go
+++ b/wisteriarouter/caller/sink.go
@@ -56,9 +56,9 @@
 	return writer{w: w, control: c, timeout: timeout}
 }
 
-func (w writer) write(text string) error {
+func (w writer) write(text []byte) error {
 	_ = w.control.SetWriteDeadline(time.Now().Add(w.timeout))
-	if _, err := w.w.Write([]byte(text)); err != nil {
+	if _, err := w.w.Write(text); err != nil {
 		return fmt.Errorf("%w: %w", errSink, err)
 	}
 	if err := w.control.Flush(); err != nil {
@@ -74,7 +74,7 @@
 	h.Set(outcome.Header, r.Outcome.String())
 	h.Set(headerRetryAfter, strconv.Itoa(r.RetryAfterSeconds()))
 	w.w.WriteHeader(r.Code.HTTPStatus())
-	_ = w.write(marshal(r.Envelope()) + "\n")
+	_ = w.write([]byte(marshal(r.Envelope()) + "\n"))
 }
 
 // marshal encodes values whose types cannot fail to encode.
@@ -90,6 +90,7 @@
 type streamSink struct {
 	writer
 	begun bool
+	event []byte // the last event, whose space serves the next one
 }
 
 func (s *streamSink) begin(id coordination.Attempt) {
@@ -106,13 +107,17 @@
 
 func (s *streamSink) chunk(id coordination.Attempt, c engine.Chunk) error {
 	s.begin(id)
-	event := engine.EventID{Attempt: id, Offset: c.Offset}
-	return s.write("id: " + event.String() + "\ndata: " + c.Data + "\n\n")
+	e := append(s.event[:0], "id: "...)
+	e = engine.EventID{Attempt: id, Offset: c.Offset}.Append(e)
+	e = append(e, "\ndata: "...)
+	e = append(e, c.Data...)
+	s.event = append(e, "\n\n"...)
+	return s.write(s.event)
 }
 
 func (s *streamSink) finish(id coordination.Attempt, end closing) {
 	s.begin(id)
-	_ = s.write("event: outcome\ndata: " + marshal(end) + "\n\ndata: [DONE]\n\n")
+	_ = s.write([]byte("event: outcome\ndata: " + marshal(end) + "\n\ndata: [DONE]\n\n"))
 }
 
 func (s *streamSink) refuse(r *outcome.Refusal) {
@@ -120,7 +125,7 @@
 		s.writer.refuse(r)
 		return
 	}
-	_ = s.write("event: error\ndata: " + marshal(r.Envelope()) + "\n\nevent: outcome\ndata: " + marshal(closing{Outcome: r.Outcome}) + "\n\n")
+	_ = s.write([]byte("event: error\ndata: " + marshal(r.Envelope()) + "\n\nevent: outcome\ndata: " + marshal(closing{Outcome: r.Outcome}) + "\n\n"))
 }
 
 // wholeSink gathers the answer and writes it as one JSON object.
@@ -149,7 +154,7 @@
 	h.Set(outcome.Header, end.Outcome.String())
 	h.Set(headerHint, end.Hint)
 	h.Set(headerAttempt, string(id))
-	_ = s.write(marshal(s.completion(id)) + "\n")
+	_ = s.write([]byte(marshal(s.completion(id)) + "\n"))
 }
 
 // completion is an OpenAI-compatible answer.
