--- a/wisteriarouter/daemon/orders.go
+++ b/wisteriarouter/daemon/orders.go
@@ -73,10 +73,13 @@
 func (o *orders) Duties() []coordination.Pool {
 	view := o.placing.view.Load()
 	return lo.Filter(o.directory.Pools(), func(p coordination.Pool, _ int) bool {
-		return view.Root(p) == o.self && len(o.Plan(p)) > 0
+		return view.Root(p, nobody) == o.self && len(o.Plan(p)) > 0
 	})
 }
 
+// nobody is silent: the lease passes on by itself when a root has died.
+func nobody(coordination.Instance) bool { return false }
+
 // Targets implements order.Pools.
 func (o *orders) Targets(p coordination.Pool) []order.Target {
 	return lo.FilterMap(o.directory.Pool(p), func(k endpoint.Known, _ int) (order.Target, bool) {
