--- a/wisteriarouter/peer/bench_test.go
+++ b/wisteriarouter/peer/bench_test.go
@@ -103,3 +103,20 @@
 		}
 	}
 }
+
+// BenchmarkConnections measures the memory of a connection, both ends of it in
+// this process, when one node holds many.
+func BenchmarkConnections(b *testing.B) {
+	const conns = 150
+	for range b.N {
+		r := start(b, listen(b), "r000", nil, nil)
+		before := memory()
+		for i := range conns {
+			raw(b, r, helloOf(fmt.Sprintf("x%03d", i)))
+		}
+		eventually(b, "all connections", func() bool { return r.Stats().Conns == conns })
+		b.ReportMetric(float64(memory()-before)/conns/1024, "KiB/conn")
+		b.ReportMetric(0, "ns/op")
+		r.stop()
+	}
+}
--- a/wisteriarouter/peer/fault_test.go
+++ b/wisteriarouter/peer/fault_test.go
@@ -20,7 +20,7 @@
 )
 
 // raw dials a router and says hello as a router of the given name.
-func raw(t *testing.T, r *router, h hello) *websocket.Conn {
+func raw(t testing.TB, r *router, h hello) *websocket.Conn {
 	t.Helper()
 	ctx := within(t, 10*time.Second)
 	ws, _, err := websocket.Dial(ctx, "ws://"+r.address+Path, nil)
