--- a/wisteriarouter/daemon/daemon_test.go
+++ b/wisteriarouter/daemon/daemon_test.go
@@ -45,10 +45,11 @@
 	routers  []*daemon.Daemon
 	stops    []func() int
 	refresh  time.Duration // of the list of instances
+	logs     *logs
 }
 
 func newWorld(t testing.TB, routers, engines int) *world {
-	return buildWorld(&world{t: t, refresh: 100 * time.Millisecond}, routers, engines)
+	return buildWorld(&world{t: t, refresh: 100 * time.Millisecond, logs: &logs{}}, routers, engines)
 }
 
 func buildWorld(w *world, routers, engines int) *world {
@@ -58,7 +59,7 @@
 	t.Cleanup(closePlatform)
 	w.address = w.serve(w.platform)
 	for n := range engines {
-		w.addEngine(fmt.Sprintf("e%d", n+1))
+		w.addEngine(engineID(n))
 	}
 	w.addService()
 	for n := range routers {
@@ -71,6 +72,8 @@
 	return w
 }
 
+func engineID(n int) string { return fmt.Sprintf("e%d", n+1) }
+
 func (w *world) serve(h http.Handler) string {
 	s := httptest.NewServer(h)
 	w.t.Cleanup(s.CloseClientConnections)
@@ -118,11 +121,11 @@
 [limits]
 stop-delay = 0s
 [log]
-level = error
+level = warning
 %s`, n, w.address, w.address, w.refresh, seeds)
 	cfg, problems := config.Parse("test.ini", []byte(text))
 	assert.Equal(w.t, len(problems), 0, "%v", problems)
-	d, stop, err := daemon.Start(cfg)
+	d, stop, err := daemon.StartWithLog(cfg, w.logs)
 	assert.NilError(w.t, err)
 	var once sync.Once
 	left := 0
--- a/wisteriarouter/daemon/fleet_bench_test.go
+++ b/wisteriarouter/daemon/fleet_bench_test.go
@@ -40,7 +40,7 @@
 )
 
 func benchFleet(b *testing.B, size, rate int) {
-	w := buildWorld(&world{t: b, refresh: time.Second}, size, benchEngines)
+	w := buildWorld(&world{t: b, refresh: time.Second, logs: &logs{}}, size, benchEngines)
 	time.Sleep(benchSettle)
 	ctx, cancel := context.WithCancel(b.Context())
 	var wg sync.WaitGroup
