Make no timer for no wait between resumes

Cause: -race run of TestEveryAnswerIsWholeAndItsOwn ended in a segmentation fault inside the runtime (timer.maybeRunChan below select, in a synctest bubble), once in about ten runs. The only timer that is due at once was the first, zero pause before a resume. Ruled out: our memory, for the fault lies in the race detector's own context of a timer that select runs by itself.

--- a/wisteriarouter/caller/answer.go
+++ b/wisteriarouter/caller/answer.go
@@ -269,10 +269,8 @@
 // generated is paid for, so that another endpoint is the second choice.
 func (a *answer) resume(ctx context.Context, at *attempt) bool {
 	for _, pause := range resumePauses {
-		select {
-		case <-ctx.Done():
+		if !wait(ctx, pause) {
 			return false
-		case <-time.After(pause):
 		}
 		stream, err := a.Engines.Resume(ctx, at.place.Address, a.request(at.id, nil))
 		if err == nil {
@@ -286,6 +284,21 @@
 	return false
 }
 
+// wait waits for d and reports whether ctx still stands. It makes no timer for
+// no time at all: under the race detector one that is due at once in a paused
+// clock can crash the process.
+func wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // settle draws the consequences of an attempt's end and reports whether the
 // request is over.
 func (a *answer) settle(ctx context.Context, at *attempt, how end) bool {
