--- a/wisteriarouter/peer/api.go
+++ b/wisteriarouter/peer/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"wisteriaspool/coordination"
@@ -76,17 +77,26 @@
 // Call sends a request to a member and returns its answer. Its error is a
 // *CallError, which tells whether the request may have been delivered.
 func (n *Node) Call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error) {
-	c, err := n.connTo(ctx, to)
-	if err != nil {
-		return nil, &CallError{Failure: NotConnected, Peer: to, Topic: topic, Err: err}
+	answer, failure, err := n.call(ctx, to, topic, payload)
+	if failure == NotConnected && errors.Is(err, errClosed) && ctx.Err() == nil {
+		// The connection ended before the request was written, as when the
+		// peer has closed an idle one or has restarted.
+		answer, failure, err = n.call(ctx, to, topic, payload)
 	}
-	answer, failure, err := c.call(ctx, topic, payload)
 	if err != nil {
 		return nil, &CallError{Failure: failure, Peer: to, Topic: topic, Err: err}
 	}
 	return answer, nil
 }
 
+func (n *Node) call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, Failure, error) {
+	c, err := n.connTo(ctx, to)
+	if err != nil {
+		return nil, NotConnected, err
+	}
+	return c.call(ctx, topic, payload)
+}
+
 // Notify sends a notice to a member, without an answer. No error means only
 // that it will be written unless the connection breaks. If there is no
 // connection, one is made, for which Notify waits until ctx ends.
@@ -117,7 +127,7 @@
 		n.machine.Leave(now)
 		return n.machine.Tick(now)
 	})
-	n.settle(ctx)
+	n.settle(ctx, func(c *conn) bool { return c.queued.Load() == 0 })
 }
 
 // Stats returns the counts so far.
--- a/wisteriarouter/peer/conn.go
+++ b/wisteriarouter/peer/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -261,7 +262,7 @@
 func (c *conn) finish(waiting *call, m *message, ok bool) ([]byte, Failure, error) {
 	switch {
 	case !ok:
-		return nil, waiting.frame.giveUp(), context.Cause(c.ctx)
+		return nil, waiting.frame.giveUp(), fmt.Errorf("%w: %w", errClosed, context.Cause(c.ctx))
 	case m.Failure != 0:
 		failure := Failed
 		if m.Failure == TurnedAway {
--- a/wisteriarouter/peer/node.go
+++ b/wisteriarouter/peer/node.go
@@ -129,8 +129,8 @@
 		return
 	}
 	if err := c.post(&message{Kind: kindGossip, Gossip: &s.Message}); err != nil {
-		if n.dropped.Add(1)%1000 == 1 {
-			n.event(Event{Kind: Overflow, Peer: s.To, Address: s.Address, Count: n.dropped.Load(), Err: err})
+		if dropped := n.dropped.Add(1); dropped%eventEvery == 1 {
+			n.event(Event{Kind: Overflow, Peer: s.To, Address: s.Address, Count: dropped, Err: err})
 		}
 		return
 	}
@@ -263,7 +263,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), farewell)
 	defer cancel()
-	n.settle(ctx)
+	n.settle(ctx, func(c *conn) bool { return c.idle() })
 	n.connMu.Lock()
 	n.stopped = true
 	for _, c := range n.conns {
@@ -277,14 +277,14 @@
 	n.wait.Wait()
 }
 
-// settle waits until all queues are empty or ctx ends.
-func (n *Node) settle(ctx context.Context) {
+// settle waits until all connections are settled or ctx ends.
+func (n *Node) settle(ctx context.Context, settled func(*conn) bool) {
 	t := time.NewTicker(5 * time.Millisecond)
 	defer t.Stop()
 	for {
 		waiting := false
 		for _, c := range n.connections() {
-			waiting = waiting || c.queued.Load() > 0
+			waiting = waiting || !settled(c)
 		}
 		if !waiting {
 			return
--- a/wisteriarouter/peer/peer.go
+++ b/wisteriarouter/peer/peer.go
@@ -73,6 +73,9 @@
 	drainLeast   = time.Second
 	drainMost    = 10 * time.Second
 	farewell     = 500 * time.Millisecond
+	// eventEvery is how many lost messages or refused calls make an event, so
+	// that an overload does not fill the log.
+	eventEvery = 1000
 )
 
 func (c Config) withDefaults() Config {
@@ -156,6 +159,6 @@
 	Peer        coordination.Instance // if known
 	Incarnation coordination.Incarnation
 	Address     string // if known
-	Count       uint64 // of what Shedding and Overflow have dropped since the last such event
+	Count       uint64 // of what Shedding dropped since the last such event, of what Overflow and HandlersBusy dropped in all
 	Err         error
 }
--- a/wisteriarouter/peer/serve.go
+++ b/wisteriarouter/peer/serve.go
@@ -27,8 +27,9 @@
 	select {
 	case c.node.handlers <- struct{}{}:
 	default:
-		c.node.busy.Add(1)
-		c.node.event(Event{Kind: HandlersBusy, Peer: c.peer.Instance, Address: c.peer.Address})
+		if n := c.node.busy.Add(1); n%eventEvery == 1 {
+			c.node.event(Event{Kind: HandlersBusy, Peer: c.peer.Instance, Address: c.peer.Address, Count: n})
+		}
 		c.turnAway(m, errBusy)
 		return
 	}
