caller: refuse in one form, and mend what abuse tests found

- A request that huma refuses came back as {"$schema":...} with neither X-Outcome nor Retry-After: huma copies the exported fields of an error beside a link to its schema, and a Fault has none; and it sets an error's headers only when a handler returns it.
A Fault now provides its schema, and its headers are set where it is made.
- Go's decoder takes "Messages" for "messages", engines do not.
A caller could have the router check one model or one text and the engine run another, past the defence against poison, too.
Such names are refused.
- The body of an action was huma's own space, which serves the next request once the handler has returned.
A service that answers early could be sent another caller's bytes.
- A caller that never read a refusal by huma held its connection for ever.

The doubles for teams and services now give a message and a time, as the real ones do, for the check of forms.

Ruled out: the limit for writing an answer does not outlive it; net/http clears it between requests.

--- a/wisteriarouter/caller/action.go
+++ b/wisteriarouter/caller/action.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -66,8 +67,11 @@
 		Key:      in.Key,
 		IssuedAt: in.IssuedAt,
 		Priority: coordination.Priority(in.Priority),
-		Body:     in.RawBody,
-		Type:     in.Type,
+		// A copy, because huma gives the space to another request when the
+		// handler returns, and a service that has answered early may still be
+		// sent the rest of it.
+		Body: bytes.Clone(in.RawBody),
+		Type: in.Type,
 	}
 	if in.DeadlineMs > 0 {
 		a.Deadline = time.Now().Add(time.Duration(in.DeadlineMs) * time.Millisecond)
--- a/wisteriarouter/caller/api.go
+++ b/wisteriarouter/caller/api.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"reflect"
+	"time"
 
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
@@ -29,6 +31,7 @@
 		Description:  "OpenAI-compatible. The answer carries its outcome and a route hint; see docs/PROTOCOLS.md.",
 		Tags:         []string{"callers"},
 		MaxBodyBytes: s.Limits.BodyBytes,
+		Middlewares:  huma.Middlewares{s.limitWriting},
 	}, s.createChat)
 	huma.Register(api, huma.Operation{
 		OperationID:  "run-action",
@@ -38,9 +41,22 @@
 		Description:  "An action that the settings mark as non-idempotent needs an Idempotency-Key and runs at most once.",
 		Tags:         []string{"callers"},
 		MaxBodyBytes: s.Limits.BodyBytes,
+		Middlewares:  huma.Middlewares{s.limitWriting},
 	}, s.runAction)
 }
 
+// bodyWait is how long huma waits for a body.
+const bodyWait = 5 * time.Second
+
+// limitWriting limits the time in which a caller has to take a refusal by huma.
+// A caller that sends one bad request after the other and never reads would
+// otherwise hold its connection for ever.
+func (s *Server) limitWriting(ctx huma.Context, next func(huma.Context)) {
+	_, w := humago.Unwrap(ctx)
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(bodyWait + s.Limits.WriteTimeout))
+	next(ctx)
+}
+
 func (s *Server) createChat(_ context.Context, in *chatInput) (*huma.StreamResponse, error) {
 	if r := s.refuseWhenStopping(); r != nil {
 		return s.refused("chat", r), nil
@@ -84,6 +100,13 @@
 // MarshalJSON implements json.Marshaler.
 func (f *Fault) MarshalJSON() ([]byte, error) { return json.Marshal(f.refusal.Envelope()) }
 
+// Schema implements huma.SchemaProvider. It also keeps huma from sending a copy
+// of the exported fields, of which a Fault has none, with a link to the schema
+// in place of the fault: the caller would be told nothing at all.
+func (f *Fault) Schema(r huma.Registry) *huma.Schema {
+	return huma.SchemaFromType(r, reflect.TypeFor[outcome.Envelope]())
+}
+
 // ContentType implements huma.ContentTypeFilter.
 func (f *Fault) ContentType(string) string { return "application/json" }
 
@@ -95,6 +118,24 @@
 	return h
 }
 
+// Errors of huma have the form of a router's refusals in the whole process.
+func init() {
+	huma.NewError = NewFault
+	huma.NewErrorWithContext = newFaultIn
+}
+
+// newFaultIn is NewFault with the headers set, too: huma itself sets those of
+// an error only when a handler returns it.
+func newFaultIn(ctx huma.Context, status int, message string, errs ...error) huma.StatusError {
+	f := NewFault(status, message, errs...)
+	if h, ok := f.(huma.HeadersError); ok && ctx != nil {
+		for name, values := range h.GetHeaders() {
+			ctx.SetHeader(name, values[0])
+		}
+	}
+	return f
+}
+
 // NewFault makes the error of a request that huma refuses. It is meant for
 // huma.NewError.
 func NewFault(status int, message string, errs ...error) huma.StatusError {
--- a/wisteriarouter/caller/caller_test.go
+++ b/wisteriarouter/caller/caller_test.go
@@ -135,14 +135,18 @@
 
 func (oneTeam) PlanChat(team coordination.Team, _ coordination.Account, model coordination.Model, _ coordination.Priority) (caller.Plan, *outcome.Refusal) {
 	if team != "demo" {
-		return caller.Plan{}, &outcome.Refusal{Code: outcome.UnknownTeam, Outcome: outcome.NotRun}
+		return caller.Plan{}, unknown(outcome.UnknownTeam)
 	}
 	if model != "m" {
-		return caller.Plan{}, &outcome.Refusal{Code: outcome.UnknownModel, Outcome: outcome.NotRun}
+		return caller.Plan{}, unknown(outcome.UnknownModel)
 	}
 	return caller.Plan{Pool: "m", Stall: time.Second, MaxTokens: 4096}, nil
 }
 
+func unknown(code outcome.Code) *outcome.Refusal {
+	return &outcome.Refusal{Code: code, Message: "it is not known", Outcome: outcome.NotRun, RetryAfter: 4 * time.Second}
+}
+
 type noSuspects struct{}
 
 func (noSuspects) Follow(context.Context, uint64, coordination.Pool) (caller.Trail, *outcome.Refusal) {
@@ -169,7 +173,7 @@
 type noActions struct{}
 
 func (noActions) Run(context.Context, caller.Action) (caller.Answer, *outcome.Refusal) {
-	return caller.Answer{}, &outcome.Refusal{Code: outcome.UnknownService, Outcome: outcome.NotRun}
+	return caller.Answer{}, unknown(outcome.UnknownService)
 }
 
 // heard is what a caller heard of one request.
--- a/wisteriarouter/caller/chat.go
+++ b/wisteriarouter/caller/chat.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"maps"
 	"strconv"
+	"strings"
 	"time"
 
 	"wisteriaspool/coordination"
@@ -71,12 +72,17 @@
 	if err := json.Unmarshal(raw, &b); err != nil {
 		return nil, fmt.Errorf("caller: body: %w", err)
 	}
-	delete(b, "partial")
+	if err := b.checkNames(); err != nil {
+		return nil, err
+	}
+	delete(b, fieldPartial)
 	return b, nil
 }
 
-// Names of the fields of a body that a router sets.
+// Names of the fields of a body that a router reads or sets.
 const (
+	fieldModel         = "model"
+	fieldPartial       = "partial"
 	fieldStream        = "stream"
 	fieldStreamOptions = "stream_options"
 	fieldMessages      = "messages"
@@ -87,6 +93,37 @@
 // limitFields are the fields in which a caller may limit the new tokens.
 var limitFields = []string{"max_completion_tokens", "max_tokens"}
 
+// checkNames refuses names that differ from those of fields that a router reads
+// only in their case. Go's decoder takes them for the same field and engines
+// do not: a caller could have the router check one model or one text, and the
+// engine run another.
+func (b body) checkNames() error {
+	if err := b.checkCase(fieldModel, fieldMessages, fieldStream, fieldPartial); err != nil {
+		return err
+	}
+	var messages []body
+	if err := json.Unmarshal(b[fieldMessages], &messages); err != nil {
+		return fmt.Errorf("caller: messages: %w", err)
+	}
+	for _, m := range messages {
+		if err := m.checkCase("role", "content"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b body) checkCase(names ...string) error {
+	for field := range b {
+		for _, name := range names {
+			if field != name && strings.EqualFold(field, name) {
+				return fmt.Errorf("caller: field %q: the name is %q", field, name)
+			}
+		}
+	}
+	return nil
+}
+
 // forEngine returns the body that an engine gets: streaming, with at most left
 // new tokens if the caller set a limit, and going on behind text when the
 // answer has begun.
