--- a/coordination/placement/load.go
+++ b/coordination/placement/load.go
@@ -47,6 +47,7 @@
 
 	report  Report
 	unknown int    // requests in the report that no grant accounts for
+	ghosts  int    // grants that the report shows no request for
 	ended   []span // of late, oldest first
 
 	// released remembers grants that have ended: an admission or a registration
@@ -84,6 +85,17 @@
 	return len(l.grants) + l.unknownAt(now, cfg)
 }
 
+// sure returns the number of requests that certainly run: without the grants
+// for which the endpoint shows none, such as those of an entry that died. The
+// pool's mean is made of this. If it were made of the count, grants that nobody
+// will release would raise what all endpoints may run.
+func (l *endpointLoad) sure(now time.Time, cfg *Config) int {
+	if now.Sub(l.report.Observed) >= cfg.ReportTTL {
+		return len(l.grants)
+	}
+	return max(len(l.grants)-l.ghosts, 0) + l.unknownAt(now, cfg)
+}
+
 func (l *endpointLoad) unknownAt(now time.Time, cfg *Config) int {
 	if l.unknown == 0 {
 		return 0
@@ -114,7 +126,7 @@
 
 // refresh brings the pool's sum in line with the count.
 func (l *endpointLoad) refresh(now time.Time, cfg *Config) {
-	n := l.count(now, cfg)
+	n := l.sure(now, cfg)
 	if l.left {
 		n = 0
 	}
@@ -171,11 +183,15 @@
 	}
 	l.report = r
 	l.unknown = max(r.Running-known, 0)
+	l.ghosts = max(known-r.Running, 0)
 	l.refresh(now, cfg)
 }
 
 // hold records a grant.
-func (l *endpointLoad) hold(id GrantID, g held) {
+func (l *endpointLoad) hold(now time.Time, id GrantID, g held) {
+	if len(l.grants) == 0 {
+		l.service.begin(now)
+	}
 	l.grants[id] = g
 	if g.alone {
 		l.alone++
@@ -223,14 +239,14 @@
 // value has observed nothing.
 type serviceTime struct {
 	mean  time.Duration
-	ended time.Time
+	moved time.Time // when a request last ended, or the first one began
 }
 
 // serviceShare is the weight of the latest request in the mean.
 const serviceShare = 0.1
 
 func (s *serviceTime) observe(d time.Duration, now time.Time) {
-	s.ended = now
+	s.moved = now
 	if s.mean == 0 {
 		s.mean = max(d, 1)
 		return
@@ -238,6 +254,10 @@
 	s.mean += time.Duration(serviceShare * float64(d-s.mean))
 }
 
+// begin notes that a request begins at an idle endpoint. The time before that
+// says nothing of the endpoint's speed.
+func (s *serviceTime) begin(now time.Time) { s.moved = now }
+
 // stallFactor is how many mean gaps an endpoint may go without ending a
 // request before it is taken to be slower than it was.
 const stallFactor = 4
@@ -250,5 +270,5 @@
 		return 0
 	}
 	g := s.mean / time.Duration(max(n, 1))
-	return max(g, now.Sub(s.ended)/stallFactor)
+	return max(g, now.Sub(s.moved)/stallFactor)
 }
--- a/coordination/suspicion/table.go
+++ b/coordination/suspicion/table.go
@@ -37,11 +37,9 @@
 	}
 }
 
-// Lost notes the death of an endpoint from any source, and reports whether the
-// requests that it ran are suspects. They are not if several endpoints died at
-// the same moment: no request runs in so many places, and isolating all that a
-// lost zone ran would take hours.
-func (t *Table) Lost(now time.Time, p coordination.Pool, e coordination.Endpoint, n coordination.Incarnation) bool {
+// Lost notes the death of an endpoint from any source, and reports whether many
+// died at the same moment. Isolating all that a lost zone ran would take hours.
+func (t *Table) Lost(now time.Time, p coordination.Pool, e coordination.Endpoint, n coordination.Incarnation) (mass bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for l, at := range t.losses {
@@ -51,7 +49,7 @@
 	}
 	t.losses[lifeOf{endpoint: e, incarnation: n}] = now
 	t.pools[p] = now
-	return len(t.losses) < t.cfg.MassLoss
+	return len(t.losses) >= t.cfg.MassLoss
 }
 
 // Advice tells an entry what to do with a request.
@@ -92,12 +90,21 @@
 
 // state returns what follows from a record. A crash beside a suspect that ran
 // alone there and was convicted of it is that one's doing: a common prompt may
-// well have run at both endpoints that a crashing request took.
+// well have run at both endpoints that a crashing request took. One such crash
+// is excused and no more, since several crashing requests at a time can seem to
+// excuse one another for ever.
 func (t *Table) state(r Record) State {
-	own := lo.CountBy(r.Crashes, func(c Crash) bool {
-		by, decided := t.decided[c.life()]
-		return c.Alone || !decided || by == r.Fingerprint
-	})
+	own := 0
+	excused := false
+	for _, c := range r.Crashes {
+		switch {
+		case c.Mass:
+		case !excused && t.excuses(c, r.Fingerprint):
+			excused = true
+		default:
+			own++
+		}
+	}
 	switch {
 	case own >= convictingCrashes:
 		return Convicted
@@ -108,6 +115,12 @@
 	}
 }
 
+// excuses reports whether another request is known to have caused a crash.
+func (t *Table) excuses(c Crash, f Fingerprint) bool {
+	by, decided := t.decided[c.life()]
+	return decided && by != f && !c.Alone
+}
+
 // decide notes the crashes that a convicted record explains.
 func (t *Table) decide(r *Record) {
 	if len(r.Crashes) < convictingCrashes {
@@ -166,6 +179,11 @@
 // crash adds a crash and returns the merged record.
 func (t *Table) crash(now time.Time, f Fingerprint, c Crash) (Record, State) {
 	r, _ := t.Find(now, f)
+	// Only one crash is forgiven. Were each, a crashing request could keep up
+	// by itself the losses that excuse it.
+	if lo.SomeBy(r.Crashes, func(old Crash) bool { return old.Mass && !old.same(c) }) {
+		c.Mass = false
+	}
 	ttl := t.cfg.SuspectTTL
 	if len(r.Crashes) > 0 && !r.Crashes[0].same(c) {
 		ttl = t.cfg.ConvictTTL
