--- a/coordination/placement/admit.go
+++ b/coordination/placement/admit.go
@@ -98,7 +98,7 @@
 		code = OverBound
 	}
 	if !req.Final && req.Wait == 0 {
-		return l.pass(now, code), nil
+		return l.pass(now, code, &req), nil
 	}
 	return l.enqueue(now, id, req, cfg)
 }
@@ -143,9 +143,11 @@
 	return limit, ok
 }
 
-// pass returns the answer that sends a request on to its next candidate.
-func (l *endpointLoad) pass(now time.Time, code Code) AdmitReply {
-	return AdmitReply{Decision: Next, Code: code, RetryAfter: millis(l.drain(now))}
+// pass returns the answer that sends a request on to its next candidate. It
+// tells how long the request would wait here, by its account's share.
+func (l *endpointLoad) pass(now time.Time, code Code, req *AdmitRequest) AdmitReply {
+	wait := time.Duration(l.queue.aheadOf(req)+1) * l.service.gap(now, len(l.grants))
+	return AdmitReply{Decision: Next, Code: code, RetryAfter: millis(wait)}
 }
 
 // drain returns the time in which the present queue will have been served.
@@ -227,7 +229,7 @@
 func (l *endpointLoad) pruneHeldBack(now time.Time, w *waiter) {
 	if !now.Before(w.passAt) || !now.Before(w.deadline) {
 		l.queue.remove(w)
-		w.settle(l.pass(now, Full))
+		w.settle(l.pass(now, Full, &w.req))
 	}
 }
 
--- a/coordination/placement/queue.go
+++ b/coordination/placement/queue.go
@@ -142,15 +142,24 @@
 // ahead returns how many waiting requests go before w.
 func (q *fairQueue) ahead(w *waiter) int {
 	own := q.flows[w.req.Account]
-	if own == nil {
-		return q.size
-	}
 	place := slices.Index(own.items, w)
-	if place < 0 {
-		return q.size
+	return place + q.before(own, own.due(place))
+}
+
+// aheadOf returns how many waiting requests would go before a new one.
+func (q *fairQueue) aheadOf(req *AdmitRequest) int {
+	own := q.flows[req.Account]
+	due, place := q.now, 0
+	if own != nil {
+		place = len(own.items)
+		due = max(own.start, q.now) + float64(place)/own.weight
 	}
-	due := own.due(place)
-	n := place
+	return place + q.before(own, due-priorityHeadStart*float64(req.Priority))
+}
+
+// before returns how many requests of flows other than own are due by then.
+func (q *fairQueue) before(own *flow, due float64) int {
+	n := 0
 	for _, f := range q.flows {
 		if f == own {
 			continue
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -171,10 +171,19 @@
 	}
 }
 
+// extendFactor is how many times its usual candidates a request asks in the
+// first round, and more in each round after.
+const extendFactor = 2
+
 // extend makes the list of candidates longer. With a bound above 1 some
-// endpoint is always under it, so a request goes on until it has found one.
+// endpoint is always under it, so a request goes on, but not through the whole
+// pool at once: if a dozen endpoints are over the bound, then the mean lags
+// behind a rising load, and the others are over it as well.
 func (w *walk) extend() bool {
 	n := w.set.Len(w.req.Pool)
+	if w.over {
+		n = min(n, w.cfg.Candidates*extendFactor*(w.rounds+1))
+	}
 	if len(w.list) >= n || len(w.list) > 0 && !w.other && w.full > 0 {
 		return false
 	}
