--- a/standin/main.go
+++ b/standin/main.go
@@ -20,6 +20,7 @@
 	subcommands.Register(&engineCommand{}, "")
 	subcommands.Register(&serviceCommand{}, "")
 	subcommands.Register(&loadCommand{}, "")
+	subcommands.Register(&chartCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
