--- a/coordination/settings/team_test.go
+++ b/coordination/settings/team_test.go
@@ -95,3 +95,13 @@
 	// +priority-cap = 7
 	// +[actions]
 }
+
+func ExampleParse() {
+	_, problems := settings.Parse("solco.ini", []byte("[model chat]\nload-bound = 0.9\nwarm-wait = 20\n"))
+	for _, p := range problems {
+		fmt.Println(p)
+	}
+	// Output:
+	// solco.ini:2: [model "chat"] load-bound: 0.9 is out of bounds; write a decimal number without a unit (times the pool's mean), from 1.01 to 10
+	// solco.ini:3: [model "chat"] warm-wait: "20" is not right; write a duration with a unit, as in 250ms, 30s or 24h, from 0ms to 100ms
+}
