--- a/coordination/placement/admit.go
+++ b/coordination/placement/admit.go
@@ -26,12 +26,18 @@
 func (o *Owner) await(ctx context.Context, w *waiter) AdmitReply {
 	t := time.NewTicker(queueTick)
 	defer t.Stop()
+	var pass <-chan time.Time
+	if !w.req.Final {
+		pass = time.After(time.Until(w.passAt))
+	}
 	for {
 		select {
 		case r := <-w.done:
 			return r
 		case <-t.C:
 			o.sweep(time.Now(), w)
+		case <-pass:
+			o.sweepNow(time.Now(), w)
 		case <-ctx.Done():
 			o.end(time.Now(), w.id, w.req.Endpoint)
 			return AdmitReply{Decision: Refused, Code: Cancelled}
@@ -39,16 +45,26 @@
 	}
 }
 
-// sweep serves and prunes the queue that w waits in.
+// sweep serves and prunes the queue that w waits in, unless that has just been
+// done for another request there.
 func (o *Owner) sweep(now time.Time, w *waiter) {
 	s := o.shard(w.req.Endpoint)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.loads[w.req.Endpoint]
-	if l == nil || now.Sub(l.swept) < queueTick/2 {
-		return
+	if l != nil && now.Sub(l.swept) >= queueTick/2 {
+		l.dispatch(now, o.cfg.Load())
+	}
+}
+
+// sweepNow serves and prunes the queue that w waits in.
+func (o *Owner) sweepNow(now time.Time, w *waiter) {
+	s := o.shard(w.req.Endpoint)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.loads[w.req.Endpoint]; l != nil {
+		l.dispatch(now, o.cfg.Load())
 	}
-	l.dispatch(now, o.cfg.Load())
 }
 
 // submit decides a request, or queues it and returns the waiter.
--- a/coordination/placement/bench_test.go
+++ b/coordination/placement/bench_test.go
@@ -28,11 +28,13 @@
 	b.ReportMetric(quantile(m.skew, 0.5), "skew-p50")
 	b.ReportMetric(quantile(m.skew, 0.99), "skew-p99")
 	b.ReportMetric(m.skew[len(m.skew)-1], "skew-max")
-	seconds := s.length.Seconds()
+	seconds := (s.length - modelWarmUp).Seconds()
 	n := float64(len(m.routers))
 	if s.scheme == ownerAdmission {
 		b.ReportMetric(float64(lo.SumBy(m.routers, func(r *modelRouter) int { return r.bytes }))/n/seconds, "B/s/router")
 		b.ReportMetric(float64(lo.SumBy(m.routers, func(r *modelRouter) int { return r.messages }))/n/seconds, "msg/s/router")
+		top := lo.MaxBy(m.routers, func(a, b *modelRouter) bool { return a.bytes > b.bytes })
+		b.ReportMetric(float64(top.bytes)/seconds, "B/s/busiest")
 		b.ReportMetric(float64(lo.SumBy(m.routers, func(r *modelRouter) int { return r.bytes }))/2/float64(m.placed), "B/placement")
 	}
 	b.ReportMetric(float64(m.waits[false].ValueAtQuantile(95)), "ms-p95")
@@ -54,7 +56,7 @@
 				for _, hint := range []bool{false, true} {
 					s := setup{
 						scheme: scheme, weather: weather, hint: hint, endpoints: size.endpoints, routers: size.routers,
-						seed: 1, length: 90 * time.Second, bound: 1.25,
+						seed: 1, length: 90 * time.Second, bound: 1.25, warmWait: -1,
 					}
 					name := fmt.Sprintf("size=%dx%d/%s/%s/hint=%t", size.endpoints, size.routers, weather, scheme, hint)
 					b.Run(name, func(b *testing.B) { measure(b, s) })
@@ -67,7 +69,7 @@
 // BenchmarkWarmWait measures what waiting for the warm endpoint is worth.
 func BenchmarkWarmWait(b *testing.B) {
 	for _, weather := range []weather{steady, churn} {
-		for _, wait := range []time.Duration{0, 25, 50, 100, 200} {
+		for _, wait := range []time.Duration{-1, 25, 50, 100, 200} {
 			b.Run(fmt.Sprintf("%s/ms=%d", weather, wait), func(b *testing.B) {
 				s := setup{
 					scheme: ownerAdmission, weather: weather, hint: true, endpoints: 60, routers: 30,
@@ -79,6 +81,15 @@
 	}
 }
 
+// BenchmarkTargetSize measures what owner admission costs a router at the size
+// of docs/CAPACITY.md: 4,450 requests a second on 890 endpoints.
+func BenchmarkTargetSize(b *testing.B) {
+	measure(b, setup{
+		scheme: ownerAdmission, weather: steady, hint: true, endpoints: 890, routers: 330,
+		seed: 1, length: 25 * time.Second, bound: 1.25, warmWait: -1,
+	})
+}
+
 // BenchmarkOneOwner is owner admission with all endpoints at one owner, whose
 // mean does not lag.
 func BenchmarkOneOwner(b *testing.B) {
@@ -86,7 +97,7 @@
 		b.Run(string(weather), func(b *testing.B) {
 			s := setup{
 				scheme: ownerAdmission, weather: weather, hint: true, endpoints: 12, routers: 1,
-				seed: 1, length: 90 * time.Second, bound: 1.25,
+				seed: 1, length: 90 * time.Second, bound: 1.25, warmWait: -1,
 			}
 			measure(b, s)
 		})
--- a/coordination/placement/config.go
+++ b/coordination/placement/config.go
@@ -14,7 +14,8 @@
 
 	// WarmWait is the longest time for which an owner holds a request back
 	// for the endpoint where its chat is warm, before it is passed on to a
-	// cold one.
+	// cold one; default 50 ms, below zero for none. It is a part of the time
+	// to the first token.
 	WarmWait time.Duration
 
 	// QueueLimit is the number of requests that may wait at one endpoint,
@@ -69,6 +70,9 @@
 // withDefaults returns c with the zero fields filled in.
 func (c Config) withDefaults() Config {
 	setFloat(&c.Bound, 1.25)
+	if c.WarmWait == 0 {
+		c.WarmWait = 50 * time.Millisecond
+	}
 	setInt(&c.QueueLimit, 64)
 	setInt(&c.AccountQueueLimit, 16)
 	setDuration(&c.MaxWait, 10*time.Second)
--- a/coordination/placement/model_test.go
+++ b/coordination/placement/model_test.go
@@ -59,6 +59,7 @@
 	modelReport   = 1 * time.Second        // lag of reports
 	modelListLag  = 2 * time.Second        // longest lag of a router's list
 	modelSample   = 100 * time.Millisecond // between two samples of the skew
+	modelWarmUp   = 10 * time.Second       // not measured
 	modelEnvelope = 12                     // bytes around each payload
 )
 
@@ -236,6 +237,7 @@
 		m.every(20*time.Second/time.Duration(m.setup.endpoints), m.flap)
 	}
 	m.arrive()
+	m.after(modelWarmUp, m.reset)
 	for m.now.Before(m.end) {
 		t := heap.Pop(&m.queue).(task)
 		m.now = t.at
@@ -243,6 +245,17 @@
 	}
 }
 
+// reset forgets what was measured while the load came up from nothing.
+func (m *model) reset() {
+	m.placed, m.over, m.reused, m.refused, m.lost = 0, 0, 0, 0, 0
+	m.skew = nil
+	clear(m.asked)
+	clear(m.served)
+	m.waits[true].Reset()
+	m.waits[false].Reset()
+	m.each(func(r *modelRouter) { r.bytes, r.messages = 0, 0 })
+}
+
 func (m *model) each(do func(*modelRouter)) {
 	for _, r := range m.routers {
 		do(r)
@@ -366,6 +379,12 @@
 			answer(reply)
 		} else {
 			owner.waiting = append(owner.waiting, modelWaiter{w: waits, then: answer})
+			if !req.Final {
+				m.after(req.Wait.Duration(), func() {
+					owner.owner.sweepNow(m.now, waits)
+					m.settle(owner)
+				})
+			}
 		}
 		m.settle(owner)
 	})
@@ -485,9 +504,6 @@
 }
 
 func (m *model) sample() {
-	if m.now.Sub(testStart) < 10*time.Second {
-		return
-	}
 	top := lo.Max(lo.Map(m.live, func(id coordination.Endpoint, _ int) int { return m.engines[id].running }))
 	if mean := m.mean(); mean > 0 {
 		m.skew = append(m.skew, float64(top)/mean)
