Put the teams' placement settings into effect

load-bound, capacity, queue, warm-wait, account weights and retry-budget were checked and documented, and changed nothing: the daemon made placement with its defaults. They now reach placement whenever a change comes into force; of teams that share a pool the strictest counts, and each team has a retry budget of its own. The default of warm-wait is the 50 ms that placement measured.

--- a/coordination/settings/table.go
+++ b/coordination/settings/table.go
@@ -54,7 +54,7 @@
 			{Name: keyLoadBound, Kind: schema.Number, Unit: "times the pool's mean", Default: "1.25", Min: "1.01", Max: "10", Doc: "Load that no engine of the pool may exceed."},
 			{Name: keyCapacity, Kind: schema.Integer, Unit: "requests per endpoint", Default: "0", Min: "0", Max: "100000", Doc: "Requests that one engine may run at a time; 0 takes the engine's own report."},
 			{Name: keyQueue, Kind: schema.Integer, Unit: "requests per endpoint", Default: "256", Min: "0", Max: "100000", Doc: "Requests that may wait for one engine; more are refused."},
-			{Name: keyWarmWait, Kind: schema.Duration, Default: "0ms", Min: "0ms", Max: "100ms", Doc: "How long a chat may wait for the engine that holds its context before it goes to another."},
+			{Name: keyWarmWait, Kind: schema.Duration, Default: "50ms", Min: "0ms", Max: "100ms", Doc: "How long a chat may wait for the engine that holds its context before it goes to another."},
 			{Name: keyMaxTokens, Kind: schema.Integer, Unit: "tokens", Default: "4096", Min: "1", Max: "1000000", Doc: "Tokens that one answer may have."},
 			{Name: keyAdapters, Kind: schema.Names, Doc: "Adapters that every engine of the pool is told to load."},
 			{Name: keyLoadPace, Kind: schema.Duration, Default: "5s", Min: "0s", Max: "10m", Doc: "Time between two loads in the pool, for the weight store's rate limit."},
--- a/coordination/settings/team.go
+++ b/coordination/settings/team.go
@@ -212,6 +212,9 @@
 	return lo.Map(slices.Sorted(maps.Keys(t.services)), func(n coordination.Service, _ int) Service { return t.services[n] })
 }
 
+// Weights returns the weights of the client accounts that are listed.
+func (t *Team) Weights() map[coordination.Account]float64 { return maps.Clone(t.weights) }
+
 // Account returns the weight of name, and whether the team serves it.
 func (t *Team) Account(name coordination.Account) (weight float64, allowed bool) {
 	if w, listed := t.weights[name]; listed {
--- a/wisteriarouter/caller/answer.go
+++ b/wisteriarouter/caller/answer.go
@@ -82,7 +82,7 @@
 		if a.complete() {
 			return
 		}
-		if n > 0 && !a.Retries.Take() {
+		if n > 0 && !a.Retries.Take(a.chat.team) {
 			a.Log.Emit(event.RetryBudgetSpent, event.F("team", a.chat.team))
 			break
 		}
--- a/wisteriarouter/caller/caller.go
+++ b/wisteriarouter/caller/caller.go
@@ -98,12 +98,12 @@
 	End(finished bool)
 }
 
-// Retries limits second attempts to a share of the requests.
+// Retries limits second attempts to a share of each team's requests.
 type Retries interface {
 	// Request counts a first attempt.
-	Request()
+	Request(team coordination.Team)
 	// Take reports whether one more attempt may be made, and counts it.
-	Take() bool
+	Take(team coordination.Team) bool
 }
 
 // Limits are the limits of one router towards callers and endpoints.
--- a/wisteriarouter/caller/caller_test.go
+++ b/wisteriarouter/caller/caller_test.go
@@ -167,8 +167,8 @@
 
 type endlessRetries struct{}
 
-func (endlessRetries) Request()   {}
-func (endlessRetries) Take() bool { return true }
+func (endlessRetries) Request(coordination.Team)   {}
+func (endlessRetries) Take(coordination.Team) bool { return true }
 
 type noActions struct{}
 
--- a/wisteriarouter/caller/chat.go
+++ b/wisteriarouter/caller/chat.go
@@ -289,7 +289,7 @@
 func (s *Server) serve(ctx context.Context, c *chat, sink sink) {
 	s.Metrics.inFlight.Inc()
 	defer s.Metrics.inFlight.Dec()
-	s.Retries.Request()
+	s.Retries.Request(c.team)
 	a := &answer{Server: s, chat: c, sink: sink}
 	a.run(ctx)
 }
--- a/wisteriarouter/daemon/actions.go
+++ b/wisteriarouter/daemon/actions.go
@@ -11,7 +11,6 @@
 	"wisteriaspool/coordination/budget"
 	"wisteriaspool/coordination/execution"
 	"wisteriaspool/coordination/outcome"
-	"wisteriaspool/coordination/retry"
 	"wisteriaspool/wisteriarouter/caller"
 	"wisteriaspool/wisteriarouter/platform"
 	"wisteriaspool/wisteriarouter/service"
@@ -47,7 +46,7 @@
 	return &service.Runner{
 		Plans:   do.MustInvoke[*teams](i),
 		Placer:  do.MustInvoke[*placing](i),
-		Retries: &retry.Budget{},
+		Retries: do.MustInvoke[*teamRetries](i),
 		Client:  client,
 		Ledger:  ledger,
 		Log:     logOf(i),
--- a/wisteriarouter/daemon/callers.go
+++ b/wisteriarouter/daemon/callers.go
@@ -11,7 +11,6 @@
 	"github.com/samber/do/v2"
 
 	"wisteriaspool/coordination/order"
-	"wisteriaspool/coordination/retry"
 	"wisteriaspool/wisteriarouter/caller"
 	"wisteriaspool/wisteriarouter/engine"
 	"wisteriaspool/wisteriarouter/event"
@@ -30,7 +29,7 @@
 		Placer:   do.MustInvoke[*placing](i),
 		Engines:  do.MustInvoke[*engine.Client](i),
 		Suspects: do.MustInvoke[*suspects](i),
-		Retries:  &retry.Budget{},
+		Retries:  do.MustInvoke[*teamRetries](i),
 		Actions:  do.MustInvoke[*service.Runner](i),
 		Limits: caller.Limits{
 			BodyBytes:    int64(lim.BodyBytes),
--- a/wisteriarouter/daemon/parts.go
+++ b/wisteriarouter/daemon/parts.go
@@ -31,6 +31,7 @@
 	do.Provide(i, newDirectory)
 	do.Provide(i, newPlacing)
 	do.Provide(i, newTeams)
+	do.Provide(i, newTeamRetries)
 	do.Provide(i, newSuspects)
 	do.Provide(i, newActions)
 	do.Provide(i, newOrders)
--- a/wisteriarouter/daemon/placing.go
+++ b/wisteriarouter/daemon/placing.go
@@ -34,6 +34,7 @@
 	entry     *placement.Entry
 	changes   chan struct{} // a sign that lists have changed
 	view      atomic.Pointer[placement.Routers]
+	tuning    atomic.Pointer[tuning]
 	reports   sync.Map // the last load that each owned endpoint reported
 }
 
@@ -52,6 +53,7 @@
 	engines := do.MustInvoke[*engine.Client](i)
 	id := placement.EntryID{Instance: cfg.Instance, Incarnation: st.incarnation}
 	p.entry = placement.NewEntry(id, p.owner, node, loadReader{directory: p.directory, engines: engines}, placement.Config{})
+	p.tuning.Store(newTuning(nil))
 	p.handle()
 	p.update()
 	node.OnChange(func([]membership.Member) { p.changed() })
@@ -137,7 +139,7 @@
 
 func (p *placing) update() {
 	set := placement.NewSet(lo.Map(p.directory.All(), func(k endpoint.Known, _ int) placement.Descriptor {
-		return k.Descriptor
+		return p.tuning.Load().descriptor(k.Descriptor)
 	}))
 	routers := p.lists()
 	p.view.Store(routers)
--- a/wisteriarouter/daemon/teams.go
+++ b/wisteriarouter/daemon/teams.go
@@ -26,12 +26,15 @@
 	replica *settings.Replica
 	sync    *settings.Sync
 	log     event.Log
+	applied []func() // told of each change that came into force
 }
 
 func newTeams(i do.Injector) (*teams, error) {
 	cfg := settingsOf(i)
 	node := do.MustInvoke[*peer.Node](i)
+	place := do.MustInvoke[*placing](i)
 	t := &teams{replica: &settings.Replica{}, log: logOf(i)}
+	t.applied = append(t.applied, func() { place.tune(t.replica.Snapshots()) })
 	t.replica.Observe(t.observe)
 	sync, stop := settings.NewSync(
 		settings.Config{Self: cfg.Instance, Zone: cfg.Zone},
@@ -50,6 +53,9 @@
 	switch o.Verdict {
 	case settings.Applied:
 		t.log.Emit(event.SettingsApplied, fields...)
+		for _, fn := range t.applied {
+			fn()
+		}
 	case settings.Invalid:
 		t.log.Emit(event.SettingsInvalid, append(fields, event.F("problems", o.Problems))...)
 	case settings.Older, settings.Removed:
--- a/wisteriarouter/service/path_test.go
+++ b/wisteriarouter/service/path_test.go
@@ -132,8 +132,8 @@
 }
 
 func (s *site) Leaving(coordination.Endpoint, coordination.Incarnation) {}
-func (s *site) Request()                                                {}
-func (s *site) Take() bool                                              { return true }
+func (s *site) Request(coordination.Team)                               {}
+func (s *site) Take(coordination.Team) bool                             { return true }
 
 // label repeats one order through one router after the other.
 type label struct {
--- a/wisteriarouter/service/runner.go
+++ b/wisteriarouter/service/runner.go
@@ -63,7 +63,7 @@
 	if refusal != nil {
 		return caller.Answer{}, refusal
 	}
-	r.Retries.Request()
+	r.Retries.Request(a.Team)
 	s := r.newSending(a, plan)
 	if refusal := s.place(ctx); refusal != nil {
 		return caller.Answer{}, refusal
--- a/wisteriarouter/service/runner_test.go
+++ b/wisteriarouter/service/runner_test.go
@@ -76,9 +76,9 @@
 	d.left = append(d.left, e)
 }
 
-func (d *desk) Request() {}
+func (d *desk) Request(coordination.Team) {}
 
-func (d *desk) Take() bool {
+func (d *desk) Take(coordination.Team) bool {
 	d.retries--
 	return d.retries >= 0
 }
--- a/wisteriarouter/service/sending.go
+++ b/wisteriarouter/service/sending.go
@@ -122,7 +122,7 @@
 
 // next takes a place for another attempt, within the retry budget.
 func (s *sending) next(ctx context.Context) bool {
-	if !s.runner.Retries.Take() {
+	if !s.runner.Retries.Take(s.action.Team) {
 		return false
 	}
 	s.exclude = append(s.exclude, s.at.Endpoint)
