coordination/settings: tell observers in the order of the decisions

Two offers at once could be told in the wrong order, so that a log, or the check that nothing reverts, would see a step back that never was.

--- a/coordination/settings/fleet_test.go
+++ b/coordination/settings/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -129,18 +130,28 @@
 
 const inForceWithin = 4 * time.Second
 
-// The plain path at several sizes: one change, in force everywhere in time,
-// and few calls to the platform.
+// The plain path at several sizes: changes are in force everywhere in time, and
+// the calls to the platform do not grow with the fleet. The times reported are
+// those of the paused clock, with gossip modelled by rounds as hub does it.
 func TestChangeReachesAll(t *testing.T) {
-	for _, n := range []int{1, 2, 7, 30} {
+	const changes = 12
+	for _, n := range []int{1, 2, 7, 15, 30, 60} {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(t, uint64(n), n)
 			time.Sleep(10 * time.Second)
-			p := f.routers[n/2].accept(t, oneSecond)
-			f.await(p, inForceWithin)
-			f.await(f.routers[0].accept(t, twoSeconds), inForceWithin)
-			assert.Equal(t, f.store.Calls("cas"), 2)
-			assert.Assert(t, f.store.Calls("watch") <= 4, "%d routers, %d watches", n, f.store.Calls("watch"))
+			watches, lists := f.store.Calls("watch"), f.store.Calls("list")
+			var longest time.Duration
+			for i := range changes {
+				p := f.routers[i*5%n].accept(t, fmt.Sprintf("[team]\ndeadline-default = %ds\n", i+1))
+				longest = max(longest, f.await(p, inForceWithin))
+				time.Sleep(time.Second)
+			}
+			t.Logf("%d routers: in force on the last after %v at most; lists while %d changes were made: %d",
+				n, longest, changes, f.store.Calls("list")-lists)
+			assert.Equal(t, f.store.Calls("cas"), changes)
+			assert.Equal(t, f.store.Calls("get"), changes)
+			assert.Assert(t, f.store.Calls("list")-lists <= 4)
+			assert.Assert(t, watches <= 4, "%d routers, %d watches", n, watches)
 		})
 	}
 }
--- a/coordination/settings/replica.go
+++ b/coordination/settings/replica.go
@@ -98,6 +98,9 @@
 // values that are after the one in force, so that it never reverts, in
 // whatever order values reach it. The zero value is ready for use.
 type Replica struct {
+	// telling is held from a decision until its observers are told, so that
+	// they see the decisions in their order.
+	telling   sync.Mutex
 	mu        sync.RWMutex
 	teams     map[coordination.Team]*state
 	observers []func(Observation)
@@ -110,7 +113,8 @@
 }
 
 // Observe has fn called after each offer that changes what is in force or what
-// is refused. Observers are to be set before the first offer.
+// is refused, in order. It must not offer anything itself. Observers are to be
+// set before the first offer.
 func (r *Replica) Observe(fn func(Observation)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -146,6 +150,8 @@
 
 // decide applies the value offered or refuses it.
 func (r *Replica) decide(offered *Snapshot, problems []Problem) Verdict {
+	r.telling.Lock()
+	defer r.telling.Unlock()
 	r.mu.Lock()
 	st := r.state(offered.Team)
 	verdict := st.judge(offered, problems)
@@ -217,6 +223,8 @@
 // Remove considers that the team's key was found deleted at revision. What is
 // in force stays: an accepted change holds until another is accepted.
 func (r *Replica) Remove(team coordination.Team, revision kv.Revision) Verdict {
+	r.telling.Lock()
+	defer r.telling.Unlock()
 	r.mu.Lock()
 	st, known := r.teams[team]
 	if !known || st.snapshot == nil || st.refused != nil && st.refused.Verdict == Removed || revision <= st.snapshot.Position.Revision {
