--- a/wisteriarouter/daemon/rumors.go
+++ b/wisteriarouter/daemon/rumors.go
@@ -20,6 +20,9 @@
 // the platform's list lags.
 const leavingLife = 2 * time.Minute
 
+// freshLife is how long a confirmation of the settings by the platform counts.
+const freshLife = 30 * time.Second
+
 // suspicionLife is how long a record of suspicion is spread: as long as a
 // conviction lasts.
 const suspicionLife = 15 * time.Minute
@@ -28,6 +31,7 @@
 var topics = map[string]membership.Topic{
 	topicLeaving:          {TTL: leavingLife},
 	settings.TopicChange:  {Keep: true},
+	settings.TopicFresh:   {TTL: freshLife},
 	suspicion.TopicRecord: {TTL: suspicionLife},
 }
 
