--- a/coordination/settings/team.go
+++ b/coordination/settings/team.go
@@ -46,6 +46,8 @@
 	Queue        int     // requests that may wait per endpoint
 	WarmWait     time.Duration
 	MaxTokens    coordination.Tokens
+	Adapters     []string      // that every engine of the pool loads
+	LoadPace     time.Duration // between two loads in the pool
 	StallTimeout time.Duration
 }
 
@@ -153,6 +155,8 @@
 		Queue:        v.Int(keyQueue),
 		WarmWait:     v.Duration(keyWarmWait),
 		MaxTokens:    coordination.Tokens(v.Int(keyMaxTokens)),
+		Adapters:     v.List(keyAdapters),
+		LoadPace:     v.Duration(keyLoadPace),
 		StallTimeout: v.Duration(keyStallTimeout),
 	}
 }
@@ -208,6 +212,9 @@
 	return lo.Map(slices.Sorted(maps.Keys(t.services)), func(n coordination.Service, _ int) Service { return t.services[n] })
 }
 
+// Weights returns the weights of the client accounts that are listed.
+func (t *Team) Weights() map[coordination.Account]float64 { return maps.Clone(t.weights) }
+
 // Account returns the weight of name, and whether the team serves it.
 func (t *Team) Account(name coordination.Account) (weight float64, allowed bool) {
 	if w, listed := t.weights[name]; listed {
--- a/wisteriarouter/caller/answer.go
+++ b/wisteriarouter/caller/answer.go
@@ -82,7 +82,7 @@
 		if a.complete() {
 			return
 		}
-		if n > 0 && !a.Retries.Take() {
+		if n > 0 && !a.Retries.Take(a.chat.team) {
 			a.Log.Emit(event.RetryBudgetSpent, event.F("team", a.chat.team))
 			break
 		}
@@ -267,10 +267,8 @@
 // generated is paid for, so that another endpoint is the second choice.
 func (a *answer) resume(ctx context.Context, at *attempt) bool {
 	for _, pause := range resumePauses {
-		select {
-		case <-ctx.Done():
+		if !wait(ctx, pause) {
 			return false
-		case <-time.After(pause):
 		}
 		stream, err := a.Engines.Resume(ctx, at.place.Address, a.request(at.id, nil))
 		if err == nil {
@@ -287,6 +285,21 @@
 	return false
 }
 
+// wait waits for d and reports whether ctx still stands. It makes no timer for
+// no time at all: under the race detector one that is due at once in a paused
+// clock can crash the process.
+func wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // settle draws the consequences of an attempt's end and reports whether the
 // request is over.
 func (a *answer) settle(ctx context.Context, at *attempt, how end) bool {
--- a/wisteriarouter/daemon/callers.go
+++ b/wisteriarouter/daemon/callers.go
@@ -10,7 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/samber/do/v2"
 
-	"wisteriaspool/coordination/retry"
+	"wisteriaspool/coordination/order"
 	"wisteriaspool/wisteriarouter/caller"
 	"wisteriaspool/wisteriarouter/engine"
 	"wisteriaspool/wisteriarouter/event"
@@ -29,7 +29,7 @@
 		Placer:   do.MustInvoke[*placing](i),
 		Engines:  do.MustInvoke[*engine.Client](i),
 		Suspects: do.MustInvoke[*suspects](i),
-		Retries:  &retry.Budget{},
+		Retries:  do.MustInvoke[*teamRetries](i),
 		Actions:  do.MustInvoke[*service.Runner](i),
 		Limits: caller.Limits{
 			BodyBytes:    int64(lim.BodyBytes),
@@ -48,6 +48,7 @@
 	bound := do.MustInvoke[*listeners](i)
 	node := do.MustInvoke[*peer.Node](i)
 	huma.NewError = caller.NewFault
+	do.MustInvoke[*order.Giver](i)
 	s := &servers{node: node, log: logOf(i), failed: make(chan struct{})}
 	s.peers = newServer(bound.peers, peerHandler(node), lim, s.fail)
 	s.operators = newServer(bound.operators, operatorHandler(i), lim, s.fail)
--- a/wisteriarouter/daemon/daemon_test.go
+++ b/wisteriarouter/daemon/daemon_test.go
@@ -37,18 +37,23 @@
 
 // world is a platform, engines, a service and routers on loopback.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	platform *standinplatform.Server
 	address  string
 	engines  []*standinengine.Engine
 	service  *standinservice.Service
 	routers  []*daemon.Daemon
 	stops    []func() int
+	refresh  time.Duration // of the list of instances
 	logs     *logs
 }
 
-func newWorld(t *testing.T, routers, engines int) *world {
-	w := &world{t: t, logs: &logs{}}
+func newWorld(t testing.TB, routers, engines int) *world {
+	return buildWorld(&world{t: t, refresh: 100 * time.Millisecond, logs: &logs{}}, routers, engines)
+}
+
+func buildWorld(w *world, routers, engines int) *world {
+	t := w.t
 	var closePlatform func()
 	w.platform, closePlatform = standinplatform.New(standinplatform.Options{})
 	t.Cleanup(closePlatform)
@@ -115,12 +120,12 @@
 [platform]
 kv = %s
 instances = %s
-refresh = 100ms
+refresh = %s
 [limits]
 stop-delay = 0s
 [log]
 level = warning
-%s`, n, w.address, w.address, seeds)
+%s`, n, w.address, w.address, w.refresh, seeds)
 	cfg, problems := config.Parse("test.ini", []byte(text))
 	assert.Equal(w.t, len(problems), 0, "%v", problems)
 	d, stop, err := daemon.StartWithLog(cfg, w.logs)
@@ -141,8 +146,10 @@
 	c, closeClient, err := platform.New(platform.Config{Endpoints: []string{"http://" + w.address}})
 	assert.NilError(w.t, err)
 	defer closeClient()
-	out := settings.NewEditor(c, &settings.Replica{}).Put(w.t.Context(), settings.Put{
-		Team: "demo", Text: text, ID: settings.NewChangeID(), Author: "test", Reason: "first settings",
+	editor := settings.NewEditor(c, &settings.Replica{})
+	standing, _ := editor.Read(w.t.Context(), "demo")
+	out := editor.Put(w.t.Context(), settings.Put{
+		Team: "demo", Text: text, Base: standing.Revision, ID: settings.NewChangeID(), Author: "test", Reason: "test",
 	})
 	assert.Equal(w.t, out.Status, settings.Accepted, "%+v", out)
 }
--- a/wisteriarouter/daemon/losses.go
+++ b/wisteriarouter/daemon/losses.go
@@ -27,7 +27,7 @@
 	now := time.Now()
 	next := make(lives, len(all))
 	served := lo.Map(all, func(k endpoint.Known, _ int) placement.Descriptor {
-		d := k.Descriptor
+		d := p.tuning.Load().descriptor(k.Descriptor)
 		last, known := p.lives[k.ID]
 		if known && last < d.Incarnation && k.Kind == platform.Engine {
 			p.restarts.Store(k.ID, restart{from: last, to: d.Incarnation, at: now})
--- a/wisteriarouter/daemon/placing.go
+++ b/wisteriarouter/daemon/placing.go
@@ -34,6 +34,7 @@
 	entry     *placement.Entry
 	changes   chan struct{} // a sign that lists have changed
 	view      atomic.Pointer[placement.Routers]
+	tuning    atomic.Pointer[tuning]
 	reports   sync.Map // the last load that each owned endpoint reported
 	lives     lives
 	restarts  sync.Map // the last restart of each engine
@@ -56,6 +57,7 @@
 	engines := do.MustInvoke[*engine.Client](i)
 	id := placement.EntryID{Instance: cfg.Instance, Incarnation: st.incarnation}
 	p.entry = placement.NewEntry(id, p.owner, node, loadReader{directory: p.directory, engines: engines}, placement.Config{})
+	p.tuning.Store(newTuning(nil))
 	p.handle()
 	p.update()
 	node.OnChange(func([]membership.Member) { p.changed() })
@@ -145,7 +147,7 @@
 	p.view.Store(routers)
 	p.owner.Update(placement.NewSet(p.served(all)), routers)
 	p.entry.Update(placement.NewSet(lo.Map(all, func(k endpoint.Known, _ int) placement.Descriptor {
-		return k.Descriptor
+		return p.tuning.Load().descriptor(k.Descriptor)
 	})), routers)
 }
 
