wisteriarouter/daemon: do without a router that does not answer

Fault: a killed or frozen router slowed first tokens through all others. Cause: the fleet holds a router for dead only after about 10 s. Until then its endpoints took a small share of what was left under the bound, decided without their owner, so that requests waited in the queues of the others. Besides, the daemon drove placement by loops of its own: a message to a silent router held up the ticks of its own queues, and the exchange of sums had no time limit.

Mended: calls go through a table that remembers silent routers, probes them, and after half a second takes them out of the lists of owners and gates until three probes in a row are answered; placement runs in its own loops (placement.Start); a new owner reads the loads at once rather than at the next poll.

Conclusion: membership stays slow on purpose; who asks may be quick by itself.

--- a/wisteriarouter/daemon/parts.go
+++ b/wisteriarouter/daemon/parts.go
@@ -27,6 +27,7 @@
 	do.Provide(i, newBudget)
 	do.Provide(i, newPlatform)
 	do.Provide(i, newNode)
+	do.Provide(i, newReach)
 	do.Provide(i, newEngines)
 	do.Provide(i, newDirectory)
 	do.Provide(i, newPlacing)
--- a/wisteriarouter/daemon/placing.go
+++ b/wisteriarouter/daemon/placing.go
@@ -19,10 +19,6 @@
 	"wisteriaspool/wisteriarouter/peer"
 )
 
-// tickInterval is the time between two ticks of placement: it bounds how long
-// a release waits to be sent, and how late a queue notices a free place.
-const tickInterval = 50 * time.Millisecond
-
 // placing joins the decisions of placement with what the router knows of
 // endpoints and of other routers.
 type placing struct {
@@ -30,12 +26,15 @@
 	ownerCap  int
 	directory *endpoint.Directory
 	node      *peer.Node
+	reach     *reach
 	owner     *placement.Owner
 	entry     *placement.Entry
 	changes   chan struct{} // a sign that lists have changed
+	polls     chan struct{} // a sign to read the loads at once
 	view      atomic.Pointer[placement.Routers]
 	tuning    atomic.Pointer[tuning]
 	reports   sync.Map // the last load that each owned endpoint reported
+	owned     map[coordination.Endpoint]bool
 	lives     lives
 	restarts  sync.Map // the last restart of each engine
 	losses    losses
@@ -50,22 +49,26 @@
 		ownerCap:  cfg.Peers.OwnerCap,
 		directory: do.MustInvoke[*endpoint.Directory](i),
 		node:      node,
+		reach:     do.MustInvoke[*reach](i),
 		owner:     placement.NewOwner(cfg.Instance, placement.Config{}),
 		changes:   make(chan struct{}, 1),
+		polls:     make(chan struct{}, 1),
 		lives:     lives{},
 	}
 	engines := do.MustInvoke[*engine.Client](i)
 	id := placement.EntryID{Instance: cfg.Instance, Incarnation: st.incarnation}
-	p.entry = placement.NewEntry(id, p.owner, node, loadReader{directory: p.directory, engines: engines}, placement.Config{})
+	p.entry = placement.NewEntry(id, p.owner, p.reach, loadReader{directory: p.directory, engines: engines}, placement.Config{})
 	p.tuning.Store(newTuning(nil))
 	p.handle()
 	p.update()
 	node.OnChange(func([]membership.Member) { p.changed() })
+	p.reach.watch(p.changed)
 	p.directory.Watch(p.changed)
 	poller := &endpoint.Poller{
 		Directory: p.directory,
 		Loads:     engines,
 		Interval:  cfg.Limits.LoadInterval,
+		Soon:      p.polls,
 		Owned:     p.owns,
 		OnLoad:    p.report,
 	}
@@ -73,8 +76,8 @@
 	onStop(i, stopPolling)
 	ctx, cancel := context.WithCancel(context.Background())
 	go p.loop(ctx)
-	go exchange{placing: p}.run(ctx)
 	onStop(i, cancel)
+	onStop(i, placement.Start(p.owner, p.entry))
 	return p, nil
 }
 
@@ -101,42 +104,21 @@
 }
 
 func (p *placing) loop(ctx context.Context) {
-	t := time.NewTicker(tickInterval)
-	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-p.changes:
 			p.update()
-		case <-t.C:
-			p.owner.Tick()
-			p.entry.Tick(ctx)
 		}
 	}
 }
 
-// exchange reports this owner's sums to the roots of the pools.
-type exchange struct {
-	*placing
-}
-
-func (e exchange) run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(placement.SumInterval(len(e.view.Load().Owners()))):
-		}
-		e.owner.Exchange(ctx, e.node)
-	}
-}
-
-// lists returns the routers that may own endpoints.
+// lists returns the routers that may own endpoints, as far as they answer.
 func (p *placing) lists() *placement.Routers {
 	members := lo.FilterMap(p.node.Members(), func(m membership.Member, _ int) (placement.Router, bool) {
 		r := placement.Router{ID: m.Instance, Incarnation: m.Incarnation, Zone: m.Zone}
-		return r, m.Owner && m.State != membership.Leaving
+		return r, m.Owner && m.State != membership.Leaving && !p.reach.away(m.Instance)
 	})
 	return placement.NewRouters(members, p.ownerCap)
 }
@@ -146,11 +128,33 @@
 	routers := p.lists()
 	p.view.Store(routers)
 	p.owner.Update(placement.NewSet(p.served(all)), routers)
+	p.pollNew(all)
 	p.entry.Update(placement.NewSet(lo.Map(all, func(k endpoint.Known, _ int) placement.Descriptor {
 		return p.tuning.Load().descriptor(k.Descriptor)
 	})), routers)
 }
 
+// pollNew has the loads read at once if this router has become the owner of an
+// endpoint: it grants nothing there until it knows what the endpoint runs.
+func (p *placing) pollNew(all []endpoint.Known) {
+	owned := make(map[coordination.Endpoint]bool)
+	fresh := false
+	for _, k := range all {
+		if p.owns(k) {
+			owned[k.ID] = true
+			fresh = fresh || !p.owned[k.ID]
+		}
+	}
+	p.owned = owned
+	if !fresh {
+		return
+	}
+	select {
+	case p.polls <- struct{}{}:
+	default:
+	}
+}
+
 func (p *placing) owns(k endpoint.Known) bool {
 	return p.view.Load().Owner(k.ID, k.Zone) == p.self
 }
--- /dev/null
+++ b/wisteriarouter/daemon/reach.go
@@ -0,0 +1,188 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/membership"
+	"wisteriaspool/wisteriarouter/peer"
+)
+
+// topicProbe asks a router for a sign of life.
+const topicProbe = "probe"
+
+const (
+	// awayAfter is how long a router has to have left all calls without an
+	// answer until this one does without it.
+	awayAfter = 500 * time.Millisecond
+
+	// probeTimeout is how long a probe waits, and probePause the time between
+	// two of them.
+	probeTimeout = 250 * time.Millisecond
+	probePause   = 100 * time.Millisecond
+
+	// backAfter is how many probes in a row a router has to answer to be
+	// taken back.
+	backAfter = 3
+)
+
+// fleet is the node as reach sees it.
+type fleet interface {
+	Call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error)
+	Members() []membership.Member
+}
+
+// reach makes calls to other routers and remembers which of them do not answer.
+//
+// The members of the fleet are slow to be declared dead, so that a short pause
+// does not look like a death everywhere. For those ten seconds the endpoints of
+// a dead owner would take almost no work, and requests would wait for the few
+// others: their first tokens come seconds late. So this router by itself does
+// without a router that is away; each of the others soon finds out, too. If
+// only the way between two is broken, the owner that is asked instead declines,
+// and nothing is worse than before.
+type reach struct {
+	node fleet
+	ctx  context.Context // ends with the router
+
+	mu       sync.Mutex
+	silent   map[coordination.Instance]*silence
+	watchers []func()
+}
+
+// silence is the time for which a router has not answered.
+type silence struct {
+	since time.Time
+	away  bool
+}
+
+func newReach(i do.Injector) (*reach, error) {
+	node := do.MustInvoke[*peer.Node](i)
+	node.Handle(topicProbe, func(context.Context, coordination.Instance, []byte) ([]byte, error) { return nil, nil })
+	ctx, cancel := context.WithCancel(context.Background())
+	onStop(i, cancel)
+	return reachOf(ctx, node), nil
+}
+
+func reachOf(ctx context.Context, f fleet) *reach {
+	return &reach{node: f, ctx: ctx, silent: make(map[coordination.Instance]*silence)}
+}
+
+// watch has fn called when a router has gone away or is back.
+func (r *reach) watch(fn func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watchers = append(r.watchers, fn)
+}
+
+// away reports whether a router is known not to answer.
+func (r *reach) away(id coordination.Instance) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.silent[id]
+	return s != nil && s.away
+}
+
+// Call implements placement.Transport and suspicion.Transport.
+func (r *reach) Call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error) {
+	answer, err := r.node.Call(ctx, to, topic, payload)
+	if unanswered(err) && !errors.Is(ctx.Err(), context.Canceled) {
+		r.suspect(to)
+	}
+	return answer, err
+}
+
+// unanswered reports whether a call's error may mean that its router is dead.
+func unanswered(err error) bool {
+	var failure *peer.CallError
+	return errors.As(err, &failure) && (failure.Failure == peer.NotConnected || failure.Failure == peer.Lost)
+}
+
+// suspect begins to probe a router.
+func (r *reach) suspect(id coordination.Instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.silent[id] != nil {
+		return
+	}
+	r.silent[id] = &silence{since: time.Now()}
+	go probe{reach: r, id: id}.run(r.ctx)
+}
+
+// probe watches one router that has not answered.
+type probe struct {
+	*reach
+	id coordination.Instance
+}
+
+// run probes until the router is back, or is no member any more.
+func (p probe) run(ctx context.Context) {
+	answers := 0
+	for p.member() {
+		if p.answers(ctx) {
+			answers++
+		} else {
+			answers = 0
+			p.missed(time.Now())
+		}
+		if answers >= backAfter || answers > 0 && !p.away(p.id) {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(probePause):
+		}
+	}
+	p.over()
+}
+
+func (p probe) member() bool {
+	return lo.SomeBy(p.node.Members(), func(m membership.Member) bool { return m.Instance == p.id })
+}
+
+func (p probe) answers(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := p.node.Call(ctx, p.id, topicProbe, nil)
+	return !unanswered(err)
+}
+
+// missed notes that a probe was not answered.
+func (p probe) missed(now time.Time) {
+	p.mu.Lock()
+	s := p.silent[p.id]
+	turned := !s.away && now.Sub(s.since) >= awayAfter
+	s.away = s.away || turned
+	p.mu.Unlock()
+	if turned {
+		p.changed()
+	}
+}
+
+// over ends the watch.
+func (p probe) over() {
+	p.mu.Lock()
+	was := p.silent[p.id].away
+	delete(p.silent, p.id)
+	p.mu.Unlock()
+	if was {
+		p.changed()
+	}
+}
+
+func (r *reach) changed() {
+	r.mu.Lock()
+	watchers := slices.Clone(r.watchers)
+	r.mu.Unlock()
+	for _, fn := range watchers {
+		fn()
+	}
+}
--- /dev/null
+++ b/wisteriarouter/daemon/reach_test.go
@@ -0,0 +1,128 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/membership"
+	"wisteriaspool/wisteriarouter/peer"
+)
+
+// oneRouter is a fleet with one other router, r2.
+type oneRouter struct {
+	mu     sync.Mutex
+	dead   bool // refuses connections
+	frozen bool // answers nothing
+	gone   bool // is no member any more
+	calls  int
+}
+
+func (f *oneRouter) set(change func(f *oneRouter)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+func (f *oneRouter) Members() []membership.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.gone {
+		return nil
+	}
+	return []membership.Member{{Instance: "r2", Owner: true}}
+}
+
+func (f *oneRouter) Call(ctx context.Context, to coordination.Instance, topic string, _ []byte) ([]byte, error) {
+	f.mu.Lock()
+	f.calls++
+	dead, frozen := f.dead, f.frozen
+	f.mu.Unlock()
+	switch {
+	case dead:
+		return nil, &peer.CallError{Failure: peer.NotConnected, Peer: to, Topic: topic, Err: errors.New("refused")}
+	case frozen:
+		<-ctx.Done()
+		return nil, &peer.CallError{Failure: peer.Lost, Peer: to, Topic: topic, Err: ctx.Err()}
+	}
+	return nil, nil
+}
+
+// ask makes a call as placement does.
+func ask(r *reach) {
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, _ = r.Call(ctx, "r2", "place-admit", nil)
+}
+
+// A router is killed or stands still for longer than a moment. For the ten
+// seconds until the fleet holds it for dead its endpoints would take almost no
+// work, and first tokens come seconds late. It is done without after half a
+// second, and taken back when it answers.
+func TestSilentRouterIsDoneWithout(t *testing.T) {
+	for name, fail := range map[string]func(f *oneRouter){
+		"killed": func(f *oneRouter) { f.dead = true },
+		"frozen": func(f *oneRouter) { f.frozen = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &oneRouter{}
+				r := reachOf(t.Context(), f)
+				var changes atomic.Int32
+				r.watch(func() { changes.Add(1) })
+				ask(r)
+				f.set(fail)
+				ask(r)
+				assert.Assert(t, !r.away("r2"), "away after one call")
+				time.Sleep(2 * awayAfter)
+				assert.Assert(t, r.away("r2"))
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, changes.Load(), int32(1))
+				f.set(func(f *oneRouter) { f.dead, f.frozen = false, false })
+				time.Sleep(2 * time.Second)
+				assert.Assert(t, !r.away("r2"))
+				assert.Equal(t, changes.Load(), int32(2))
+			})
+		})
+	}
+}
+
+// One call is lost, as on a link that drops packets, or a router pauses for a
+// quarter of a second. To take it for away would move its endpoints to other
+// owners and back again.
+func TestShortSilenceChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &oneRouter{frozen: true}
+		r := reachOf(t.Context(), f)
+		r.watch(func() { t.Error("taken for away") })
+		ask(r)
+		time.Sleep(150 * time.Millisecond)
+		f.set(func(f *oneRouter) { f.frozen = false })
+		time.Sleep(time.Minute)
+		f.set(func(f *oneRouter) { assert.Assert(t, f.calls < 6, "%d calls: it is probed on", f.calls) })
+	})
+}
+
+// A dead router is at last held for dead by the fleet. It is probed no more,
+// or every router that ever died would cost the others bytes for ever.
+func TestDeadRouterIsProbedNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &oneRouter{dead: true}
+		r := reachOf(t.Context(), f)
+		ask(r)
+		time.Sleep(10 * time.Second)
+		f.set(func(f *oneRouter) { f.gone = true })
+		time.Sleep(time.Second)
+		calls := 0
+		f.set(func(f *oneRouter) { calls = f.calls })
+		time.Sleep(time.Minute)
+		f.set(func(f *oneRouter) { assert.Equal(t, f.calls, calls) })
+	})
+}
--- a/wisteriarouter/daemon/suspects.go
+++ b/wisteriarouter/daemon/suspects.go
@@ -41,12 +41,13 @@
 		log:   logOf(i),
 		known: make(map[coordination.Instance]bool),
 	}
-	s.guard = suspicion.NewGuard(st.instance, st.incarnation, s.gate, node, spreader{node})
+	s.guard = suspicion.NewGuard(st.instance, st.incarnation, s.gate, s.place.reach, spreader{node})
 	node.Handle(suspicion.TopicGate, func(ctx context.Context, _ coordination.Instance, payload []byte) ([]byte, error) {
 		return s.guard.HandleGate(ctx, payload)
 	})
 	node.OnRumor(suspicion.TopicRecord, s.hear)
 	node.OnChange(s.members)
+	s.place.reach.watch(s.moved)
 	ctx, cancel := context.WithCancel(context.Background())
 	go s.loop(ctx)
 	onStop(i, cancel)
@@ -91,10 +92,12 @@
 		}
 	}
 	s.known = live
-	s.gate.Moved(now)
-	s.guard.Update(context.Background(), s.place.lists())
+	s.moved()
 }
 
+// moved tells the guard that gates may have moved to other routers.
+func (s *suspects) moved() { s.guard.Update(context.Background(), s.place.lists()) }
+
 func (s *suspects) loop(ctx context.Context) {
 	t := time.NewTicker(renewInterval)
 	defer t.Stop()
--- a/wisteriarouter/endpoint/refresh.go
+++ b/wisteriarouter/endpoint/refresh.go
@@ -88,6 +88,9 @@
 	Owned func(k Known) bool
 	// OnLoad takes each report that came.
 	OnLoad func(k Known, l engine.Load)
+	// Soon, if set, brings a sign to read the reports before the interval has
+	// passed.
+	Soon <-chan struct{}
 }
 
 // pollers bounds the calls that run at a time, so that a zone of frozen
@@ -105,8 +108,9 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			p.poll(ctx)
+		case <-p.Soon:
 		}
+		p.poll(ctx)
 	}
 }
 
