wisteriarouter: leave a frozen engine early, wait for a busy one

Fault: gaps of over 9 s between the tokens of an answer. A frozen engine was left only after the whole stall limit (10 s), and each of three tries to resume waited as long again.

Mended: an engine that is quiet for 20 times its own pace (500 ms at least, 1 s before its pace is known) is asked for its load beside the stream; each question waits twice as long as the one before. No answer ends the stream; a resume has to open within the time of a short call, and is not tried again at a silent engine.

Ruled out: a shorter stall limit, which would cut long prompts.

--- a/wisteriarouter/caller/answer.go
+++ b/wisteriarouter/caller/answer.go
@@ -281,6 +281,9 @@
 		// The endpoint may be back in a moment, but until then its owner must
 		// not send others there: they would be lost with it, and suspected.
 		a.Placer.Dead(at.place.Endpoint, at.place.Incarnation)
+		if errors.Is(err, engine.ErrSilent) {
+			return false // frozen: another try would only wait as long
+		}
 	}
 	return false
 }
--- a/wisteriarouter/daemon/poison_test.go
+++ b/wisteriarouter/daemon/poison_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	standinplatform "wisteriaspool/standin/platform"
 )
@@ -166,8 +167,14 @@
 	w.awaitArrivals(w.arrivals() + 20)
 	first := w.engines[0].Incarnation()
 	w.engines[0].Crash()
+	back := time.Now().Add(restart)
 	go relister{w}.run(ctx)
-	time.Sleep(2 * restart)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if w.engines[0].Stats().LastArrival.After(back) {
+			return poll.Success()
+		}
+		return poll.Continue("the engine is back and has got no work")
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
 	close(done)
 	others.Wait()
 
@@ -178,5 +185,4 @@
 	for _, l := range w.logs.lines("endpoint-lost") {
 		assert.Assert(t, strings.Contains(l, old), "a request went to the engine before it was back: %s", l)
 	}
-	assert.Assert(t, w.engines[0].Stats().LastArrival.After(time.Now().Add(-restart)), "the engine got no more work when it was back")
 }
--- a/wisteriarouter/engine/engine.go
+++ b/wisteriarouter/engine/engine.go
@@ -41,6 +41,9 @@
 // have, or no longer has.
 var ErrGone = errors.New("engine: attempt gone")
 
+// ErrSilent is the error of a resume that the engine did not answer in time.
+var ErrSilent = errors.New("engine: no answer in time")
+
 // ErrMalformed is the error of a stream with a chunk that cannot be read.
 var ErrMalformed = errors.New("engine: malformed chunk")
 
@@ -141,7 +144,7 @@
 // Start sends one attempt to the engine at address. On success the answer's
 // stream is open. Every failure is a *StartError.
 func (c *Client) Start(ctx context.Context, address string, req Request) (*Stream, error) {
-	w := watch(ctx, req.Idle)
+	w := watchEngine(ctx, req.Idle, c.aliveAt(address))
 	sent, err := newStart(w.trace(), address, req)
 	if err != nil {
 		w.stop()
@@ -159,6 +162,26 @@
 	return newStream(res.Body, w, req.Attempt, req.Offset), nil
 }
 
+// aliveAt returns a function that tells whether the engine answers a short call
+// at all, whatever the answer.
+func (c *Client) aliveAt(address string) func(context.Context) bool {
+	return func(ctx context.Context) bool {
+		call, cancel := context.WithTimeout(ctx, c.call)
+		defer cancel()
+		req, err := http.NewRequestWithContext(call, http.MethodGet, fmt.Sprintf("http://%s/v1/load", address), nil)
+		if err != nil {
+			return true
+		}
+		res, err := c.http.Do(req)
+		if err != nil {
+			return ctx.Err() != nil
+		}
+		defer res.Body.Close()
+		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxReplyBytes)) // so that the connection is kept
+		return true
+	}
+}
+
 // refusal turns an answer other than OK into an error and closes it.
 func refusal(res *http.Response) *StartError {
 	defer res.Body.Close()
@@ -172,9 +195,12 @@
 }
 
 // Resume opens the rest of an attempt's stream behind token Offset of req,
-// whose body it does not need.
+// whose body it does not need. The stream has to open within the time of a
+// short call: on a frozen engine each try would wait for the whole limit.
 func (c *Client) Resume(ctx context.Context, address string, req Request) (*Stream, error) {
-	w := watch(ctx, req.Idle)
+	w := watchEngine(ctx, req.Idle, c.aliveAt(address))
+	opening := time.AfterFunc(c.call, w.cancel)
+	defer opening.Stop()
 	url := fmt.Sprintf("http://%s/v1/attempts/%s/stream?after=%d", address, req.Attempt, req.Offset)
 	get, err := http.NewRequestWithContext(w.ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -183,7 +209,11 @@
 	}
 	res, err := c.http.Do(get)
 	if err != nil {
+		silent := w.ctx.Err() != nil && ctx.Err() == nil
 		w.stop()
+		if silent {
+			return nil, ErrSilent
+		}
 		return nil, fmt.Errorf("engine: resume: %w", err)
 	}
 	if res.StatusCode == http.StatusNotFound {
--- a/wisteriarouter/engine/stream.go
+++ b/wisteriarouter/engine/stream.go
@@ -7,9 +7,6 @@
 	"io"
 	"iter"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
-	"time"
 
 	"github.com/tmaxmax/go-sse"
 
@@ -19,45 +16,6 @@
 // doneData is the data of the event that ends an OpenAI-compatible stream.
 const doneData = "[DONE]"
 
-// silence ends a request whose engine stays silent for too long. A frozen
-// engine keeps its connections open, so that without it a caller would wait
-// for ever.
-type silence struct {
-	ctx    context.Context
-	cancel context.CancelFunc
-	timer  *time.Timer
-	idle   time.Duration
-	wrote  atomic.Bool
-}
-
-// defaultIdle is the limit of a request that names none.
-const defaultIdle = 10 * time.Second
-
-func watch(ctx context.Context, idle time.Duration) *silence {
-	if idle <= 0 {
-		idle = defaultIdle
-	}
-	w := &silence{idle: idle}
-	w.ctx, w.cancel = context.WithCancel(ctx)
-	w.timer = time.AfterFunc(idle, w.cancel)
-	return w
-}
-
-// trace returns a context that notes when a byte of the request may have left.
-// A connection that was made but not written to has told the engine nothing.
-func (w *silence) trace() context.Context {
-	return httptrace.WithClientTrace(w.ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { w.wrote.Store(true) },
-	})
-}
-
-func (w *silence) heard() { w.timer.Reset(w.idle) }
-
-func (w *silence) stop() {
-	w.timer.Stop()
-	w.cancel()
-}
-
 // newStart builds the request of an attempt. Its body cannot be rewound: the
 // transport would otherwise send it a second time over a new connection when
 // an idle one breaks, and the model would run twice.
