--- a/wisteriarouter/daemon/fleet_bench_test.go
+++ b/wisteriarouter/daemon/fleet_bench_test.go
@@ -22,8 +22,8 @@
 //
 //	go test -run xxx -bench Fleet -benchtime 1x ./daemon
 func BenchmarkFleet(b *testing.B) {
-	for _, size := range []int{3, 7, 15, 30, 60} {
-		for _, rate := range []int{0, 2} {
+	for _, size := range []int{7, 15, 30, 60} {
+		for _, rate := range []int{0, 2, 5} {
 			b.Run(fmt.Sprintf("routers=%d/rate=%d", size, rate), func(b *testing.B) {
 				for b.Loop() {
 					benchFleet(b, size, rate)
@@ -34,13 +34,16 @@
 }
 
 const (
-	benchEngines = 12
-	benchSettle  = 5 * time.Second
-	benchWindow  = 10 * time.Second
+	benchSettle = 5 * time.Second
+	benchWindow = 10 * time.Second
 )
 
+// benchEngines returns how many engines stand behind a fleet: as many for each
+// router as at the target, 890 for 330.
+func benchEngines(routers int) int { return routers * 890 / 330 }
+
 func benchFleet(b *testing.B, size, rate int) {
-	w := buildWorld(&world{t: b, refresh: time.Second, logs: &logs{}}, size, benchEngines)
+	w := buildWorld(&world{t: b, refresh: time.Second, logs: &logs{}}, size, benchEngines(size))
 	time.Sleep(benchSettle)
 	ctx, cancel := context.WithCancel(b.Context())
 	var wg sync.WaitGroup
