--- a/wisteriarouter/daemon/placing.go
+++ b/wisteriarouter/daemon/placing.go
@@ -36,6 +36,9 @@
 	view      atomic.Pointer[placement.Routers]
 	tuning    atomic.Pointer[tuning]
 	reports   sync.Map // the last load that each owned endpoint reported
+	lives     lives
+	restarts  sync.Map // the last restart of each engine
+	losses    losses
 }
 
 func newPlacing(i do.Injector) (*placing, error) {
@@ -49,6 +52,7 @@
 		node:      node,
 		owner:     placement.NewOwner(cfg.Instance, placement.Config{}),
 		changes:   make(chan struct{}, 1),
+		lives:     lives{},
 	}
 	engines := do.MustInvoke[*engine.Client](i)
 	id := placement.EntryID{Instance: cfg.Instance, Incarnation: st.incarnation}
@@ -138,13 +142,13 @@
 }
 
 func (p *placing) update() {
-	set := placement.NewSet(lo.Map(p.directory.All(), func(k endpoint.Known, _ int) placement.Descriptor {
-		return p.tuning.Load().descriptor(k.Descriptor)
-	}))
+	all := p.directory.All()
 	routers := p.lists()
 	p.view.Store(routers)
-	p.owner.Update(set, routers)
-	p.entry.Update(set, routers)
+	p.owner.Update(placement.NewSet(p.served(all)), routers)
+	p.entry.Update(placement.NewSet(lo.Map(all, func(k endpoint.Known, _ int) placement.Descriptor {
+		return p.tuning.Load().descriptor(k.Descriptor)
+	})), routers)
 }
 
 func (p *placing) owns(k endpoint.Known) bool {
@@ -160,6 +164,9 @@
 }
 
 func (p *placing) report(k endpoint.Known, l engine.Load) {
+	if p.reported(k.ID) != l.Incarnation {
+		p.changed()
+	}
 	p.reports.Store(k.ID, l)
 	p.owner.Report(reportOf(k.ID, l))
 }
@@ -220,9 +227,7 @@
 		Address:     k.Address,
 		Hint:        g.Hint().String(),
 		Release:     g.Release,
-		Lost: lo.Map(g.Lost, func(l placement.LostEndpoint, _ int) caller.Loss {
-			return caller.Loss{Endpoint: l.Endpoint, Incarnation: l.Incarnation}
-		}),
+		Lost:        lo.Map(g.Lost, func(l placement.LostEndpoint, _ int) caller.Loss { return p.lossOf(l) }),
 	}, nil
 }
 
@@ -269,15 +274,6 @@
 	}, true
 }
 
-// Dead implements caller.Placer.
-func (p *placing) Dead(id coordination.Endpoint, n coordination.Incarnation) {
-	k, ok := p.directory.Find(id)
-	if !ok || k.Incarnation != n {
-		return
-	}
-	p.entry.Lost(context.Background(), k.Descriptor)
-}
-
 // Leaving implements caller.Placer.
 func (p *placing) Leaving(id coordination.Endpoint, n coordination.Incarnation) {
 	p.directory.Leave(id, n)
