placement: one list of endpoints, with leaving final and flapping damped

Cause: the instance list lags and may call a leaving endpoint live again. What damping is worth was not measured; a pool that flaps as a whole is damped evenly and so not changed by it.

--- /dev/null
+++ b/coordination/placement/roster_test.go
@@ -0,0 +1,71 @@
+package placement
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// An engine says that it is leaving while the instance list, which lags, still
+// calls it live. Were the list believed, requests would go on to an engine that
+// is about to stop.
+func TestFirstSightOfLeavingIsFinal(t *testing.T) {
+	var r Roster
+	es := testEndpoints(2)
+	r.Update(es)
+	assert.Equal(t, r.Leaving("e0", 1).Find("e0").State, Leaving)
+	assert.Equal(t, r.Update(es).Find("e0").State, Leaving)
+	es[0].Incarnation = 2
+	assert.Equal(t, r.Update(es).Find("e0").State, Live)
+	// A list from before the restart comes late.
+	es[0].Incarnation = 1
+	assert.Equal(t, int(r.Update(es).Find("e0").Incarnation), 2)
+}
+
+func TestLeavingIsKnownBeforeTheEndpointIs(t *testing.T) {
+	var r Roster
+	r.Leaving("e0", 1)
+	assert.Equal(t, r.Update(testEndpoints(1)).Find("e0").State, Leaving)
+}
+
+// An endpoint crashes and restarts every few seconds. Chats placed there lose
+// their cache each time, so it should get few until it stays up.
+func TestFlappingEndpointIsDamped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var r Roster
+		es := testEndpoints(2)
+		r.Update(es)
+		for range 3 {
+			time.Sleep(2 * time.Second)
+			es[0].Incarnation++
+			r.Update(es)
+		}
+		assert.Equal(t, r.Update(es).Find("e0").Warming, flapShare)
+		assert.Equal(t, r.Update(es).Find("e1").Warming, 0.0)
+		time.Sleep(time.Minute)
+		assert.Equal(t, r.Update(es).Find("e0").Warming, 0.0)
+	})
+}
+
+func TestPlannedRestartsAreNotFlapping(t *testing.T) {
+	var r Roster
+	es := testEndpoints(1)
+	for range 5 {
+		r.Update(es)
+		r.Leaving("e0", es[0].Incarnation)
+		r.Update(nil)
+		es[0].Incarnation++
+	}
+	assert.Equal(t, r.Update(es).Find("e0").Warming, 0.0)
+}
+
+func TestSuspectEndpointComesLast(t *testing.T) {
+	var r Roster
+	r.Update(testEndpoints(3))
+	s := r.Suspect("e1", 1, true)
+	assert.Equal(t, s.Find("e1").State, Suspect)
+	assert.Assert(t, s.Warm(testPool, HintOf("e1", 1)) == nil)
+	assert.Equal(t, r.Suspect("e1", 1, false).Find("e1").State, Live)
+}
