--- a/coordination/placement/sums.go
+++ b/coordination/placement/sums.go
@@ -69,8 +69,13 @@
 // sumInterval returns how often owners exchange sums. No more of them report a
 // pool than it has endpoints.
 func (v *view) sumInterval() time.Duration {
-	reporters := min(len(v.routers.owners), v.set.largest)
-	d := time.Duration(reporters) * sumIntervalPerOwner
+	return SumInterval(min(len(v.routers.owners), v.set.largest))
+}
+
+// SumInterval returns how often to call [Owner.Exchange] when this number of
+// owners report to a root. [Start] does so by itself.
+func SumInterval(owners int) time.Duration {
+	d := time.Duration(owners) * sumIntervalPerOwner
 	return min(max(d, minSumInterval), maxSumInterval)
 }
 
