--- /dev/null
+++ b/coordination/membership/mesh.go
@@ -0,0 +1,270 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"wisteriaspool/coordination"
+)
+
+// The mesh is the union of rings. A ring holds the members of a zone, of a
+// region or of the whole fleet in the order of a hash, and each member keeps
+// connections to the one before and the one after it. Each ring connects its
+// members by itself, a change of the list touches two links per ring, and the
+// number of links stays the same however large the fleet or uneven the zones.
+
+// rings are the rings of the mesh, by the part of the fleet that each holds.
+var rings = []func(*Member) string{
+	zonePart,
+	zonePart,
+	func(m *Member) string { return string(m.Region) },
+	func(*Member) string { return "" },
+}
+
+func zonePart(m *Member) string {
+	return string(m.Region) + "\x00" + string(m.Zone)
+}
+
+// mesh computes the wanted neighbours and the tree if members have changed.
+func (m *Machine) mesh() {
+	if !m.stale {
+		return
+	}
+	m.stale = false
+	members := m.Members()
+	links := meshOf(members)
+	self := slices.IndexFunc(members, func(o Member) bool { return o.Instance == m.self.Instance })
+	wanted := make(map[coordination.Instance]time.Time)
+	for _, i := range links[self] {
+		id := members[i].Instance
+		since, ok := m.wanted[id]
+		if !ok {
+			since = m.now
+		}
+		wanted[id] = since
+	}
+	m.wanted = wanted
+	m.tree = make(map[coordination.Instance]bool)
+	for i, parent := range treeOf(links) {
+		switch {
+		case i == 0:
+		case i == self:
+			m.tree[members[parent].Instance] = true
+		case parent == self:
+			m.tree[members[i].Instance] = true
+		}
+	}
+}
+
+// meshOf returns for each of the members, which are in order, the indexes of
+// its neighbours.
+func meshOf(members []Member) [][]int {
+	links := make([][]int, len(members))
+	for seed, part := range rings {
+		parts := make(map[string][]int)
+		for i := range members {
+			key := part(&members[i])
+			parts[key] = append(parts[key], i)
+		}
+		for _, ring := range parts {
+			connectRing(links, members, uint64(seed), ring)
+		}
+	}
+	for _, l := range links {
+		slices.Sort(l)
+	}
+	return links
+}
+
+// connectRing connects each member of a ring with the next one.
+func connectRing(links [][]int, members []Member, seed uint64, ring []int) {
+	places := make(map[int]uint64, len(ring))
+	for _, i := range ring {
+		places[i] = place(seed, members[i].Instance)
+	}
+	slices.SortFunc(ring, func(a, b int) int { return cmp.Compare(places[a], places[b]) })
+	for i, a := range ring {
+		b := ring[(i+1)%len(ring)]
+		if a == b || slices.Contains(links[a], b) {
+			continue
+		}
+		links[a] = append(links[a], b)
+		links[b] = append(links[b], a)
+	}
+}
+
+// mostChildren bounds the copies of each rumour that a member sends along the
+// tree. Without a bound those near the root send three times the mean.
+const mostChildren = 3
+
+// treeOf returns the parent of each member in a breadth-first tree of the mesh
+// with the first member as its root.
+func treeOf(links [][]int) []int {
+	t := tree{parents: make([]int, len(links)), children: make([]int, len(links))}
+	for i := range t.parents {
+		t.parents[i] = -1
+	}
+	t.parents[0] = 0
+	for todo := []int{0}; len(todo) > 0; todo = todo[1:] {
+		for _, i := range links[todo[0]] {
+			if t.parents[i] < 0 && t.children[todo[0]] < mostChildren {
+				t.adopt(todo[0], i)
+				todo = append(todo, i)
+			}
+		}
+	}
+	for t.adoptRest(links) {
+	}
+	return t.parents
+}
+
+// tree is a tree in the making.
+type tree struct {
+	parents  []int // -1 for those not yet in it
+	children []int // their number
+}
+
+func (t *tree) adopt(parent, child int) {
+	t.parents[child] = parent
+	t.children[parent]++
+}
+
+// adoptRest gives those who found no parent the neighbour with the fewest
+// children. It reports whether there were any to whom it could.
+func (t *tree) adoptRest(links [][]int) bool {
+	adopted := false
+	for i, parent := range t.parents {
+		if parent >= 0 {
+			continue
+		}
+		best := -1
+		for _, j := range links[i] {
+			if t.parents[j] >= 0 && (best < 0 || t.children[j] < t.children[best]) {
+				best = j
+			}
+		}
+		if best >= 0 {
+			t.adopt(best, i)
+			adopted = true
+		}
+	}
+	return adopted
+}
+
+// place returns the place of id on a ring.
+func place(seed uint64, id coordination.Instance) uint64 {
+	return mix(hash(string(id)) ^ (seed+1)*0x9e3779b97f4a7c15)
+}
+
+// mix spreads the bits of x.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// backoff delays attempts to reach an address.
+type backoff struct {
+	failures int
+	next     time.Time
+}
+
+// dial asks for the connections that are missing.
+func (m *Machine) dial() {
+	if m.self.State == Left {
+		return
+	}
+	for _, id := range sortedKeys(m.wanted) {
+		if m.links[id] != nil {
+			continue
+		}
+		if id < m.self.Instance && m.now.Sub(m.wanted[id]) < secondDial {
+			continue
+		}
+		m.try(Dial{Instance: id, Address: m.table[id].Address})
+	}
+	if len(m.links) == 0 {
+		for _, seed := range m.cfg.Seeds {
+			m.try(Dial{Address: seed})
+		}
+	}
+	m.search()
+}
+
+// try asks for a connection unless an attempt is due only later.
+func (m *Machine) try(d Dial) {
+	if d.Address == "" || d.Address == m.self.Address {
+		return
+	}
+	b := m.dials[d.Address]
+	if b != nil && m.now.Before(b.next) {
+		return
+	}
+	m.backOff(d.Address)
+	m.out.Dials = append(m.out.Dials, d)
+}
+
+// backOff delays the next attempt to reach address, longer with each failure
+// and by a random share, so that those who lost a peer together do not return
+// together.
+func (m *Machine) backOff(address string) {
+	b := m.dials[address]
+	if b == nil {
+		b = &backoff{}
+		m.dials[address] = b
+	}
+	if m.now.Before(b.next) {
+		return
+	}
+	wait := backoffMost
+	if b.failures < 5 {
+		wait = backoffFirst << b.failures
+	}
+	b.failures++
+	b.next = m.now.Add(m.jitter(wait))
+}
+
+// jitter returns a time between half of d and one and a half of it.
+func (m *Machine) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(m.rand.Int64N(int64(d)+1))
+}
+
+// search tries from time to time to reach one member that is held for dead or
+// one seed that no live member has. This is how the sides of a partition find
+// each other again, at a rate that does not depend on their number.
+func (m *Machine) search() {
+	if m.now.Before(m.nextSearch) {
+		return
+	}
+	m.nextSearch = m.now.Add(m.jitter(m.cfg.SearchInterval))
+	live := make(map[string]bool)
+	var lost []Dial
+	for _, e := range m.sortedTable() {
+		if e.Live() {
+			live[e.Address] = true
+		}
+		if e.State == Dead {
+			lost = append(lost, Dial{Instance: e.Instance, Address: e.Address})
+		}
+	}
+	for _, seed := range m.cfg.Seeds {
+		if !live[seed] && seed != m.self.Address {
+			lost = append(lost, Dial{Address: seed})
+		}
+	}
+	if len(lost) > 0 {
+		m.try(lost[m.rand.IntN(len(lost))])
+	}
+}
+
+// forget drops the backoff of addresses that are no longer tried.
+func (m *Machine) forget() {
+	for address, b := range m.dials {
+		if m.now.Sub(b.next) > time.Minute {
+			delete(m.dials, address)
+		}
+	}
+}
