Move the KV caches of a leaving engine's latest chats

Cause: a planned stop of an engine leaves its chats cold, though the engine goes on answering for as long as its last streams take.

The router that owns the engine reads its cache events, and moves the chats stored last to the engine that rendezvous hashing names for their next request. The decisions are pure (coordination/transfer): order, window, link budget, moves at a time, whether moving beats computing, room at the other engine.

Ruled out: deriving the other engine from the chat's id alone. The key of placement is account/chat, and two accounts may use one id, which the engine would take for one chat. The router now sends X-Chat-Id as account/chat. The account reaches the engine's client in the request's context, so that package caller need not change.

Tests: 60 chats, 4 engines: all chats of the leaving engine are warm at their next one; none is without transfer. Engine gone in mid-transfer, export cut or failing, import refused, events missing or lost, loads unknown: only the caches are lost. Not measured yet whether it pays.

--- a/wisteriarouter/daemon/callers.go
+++ b/wisteriarouter/daemon/callers.go
@@ -53,7 +53,7 @@
 	s := &servers{node: node, log: logOf(i), failed: make(chan struct{})}
 	s.peers = newServer(bound.peers, peerHandler(node), lim, s.fail)
 	s.operators = newServer(bound.operators, operatorHandler(i), lim, s.fail)
-	s.callers = newServer(bound.callers, callerHandler(i), lim, s.fail)
+	s.callers = newServer(bound.callers, do.MustInvoke[*transfers](i).named(callerHandler(i)), lim, s.fail)
 	s.callers.active = &stateOf(i).inFlight
 	onStop(i, s.close)
 	for _, each := range []*server{s.peers, s.operators, s.callers} {
--- a/wisteriarouter/daemon/parts.go
+++ b/wisteriarouter/daemon/parts.go
@@ -34,6 +34,7 @@
 	do.Provide(i, newSuspects)
 	do.Provide(i, newActions)
 	do.Provide(i, newOrders)
+	do.Provide(i, newTransfers)
 	do.Provide(i, newCallers)
 	do.Provide(i, newServers)
 }
--- a/wisteriarouter/engine/stream.go
+++ b/wisteriarouter/engine/stream.go
@@ -72,7 +72,7 @@
 	r.Header.Set("Accept", "text/event-stream")
 	r.Header.Set(headerAttempt, string(req.Attempt))
 	r.Header.Set(headerPriority, priorityText(req.Priority))
-	r.Header.Set(headerChat, string(req.Chat))
+	r.Header.Set(headerChat, string(chatIn(ctx, req.Chat)))
 	return r, nil
 }
 
