--- a/measure.sh
+++ b/measure.sh
@@ -48,6 +48,7 @@
 
 measure() {
   local n flags=() callers=() operators=() addresses=() services=()
+  rm -f "$dir"/*.addr
   start_platform
   for n in $(seq $engines); do start_engine $n -cache-blocks 1024; done
   for n in 1 2 3; do start_service $n; done
