--- a/coordination/placement/entry.go
+++ b/coordination/placement/entry.go
@@ -70,13 +70,14 @@
 	cfg, v := e.cfg.Load(), e.view.Load()
 	g := e.held.open(e, req.Alone)
 	w := newWalk(time.Now(), req, cfg, v.set, v.routers)
+	w.latest = e.view.Load
 	for {
 		a, refusal, ok := w.next(time.Now())
 		if !ok {
 			e.held.close(g, e.id.Instance)
 			return nil, refusal
 		}
-		g.Warm = w.warm && a.endpoint == w.list[0]
+		g.Warm = a.endpoint == w.warm
 		r := e.put(ctx, g, req, a, cfg)
 		if !w.take(a, r) {
 			continue
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -60,12 +60,13 @@
 	cfg     *Config
 	set     *Set
 	routers *Routers
+	latest  func() *view // nil if the lists do not change
 	started time.Time
 
 	list []*Descriptor
 	buf  [inlineCandidates]*Descriptor
 	at   int // of the candidate that is asked
-	warm bool
+	warm *Descriptor // the endpoint that the hint names, or nil
 
 	redirect coordination.Instance
 	sent     int // position of the candidate that was last redirected
@@ -91,7 +92,7 @@
 
 func newWalk(now time.Time, req Request, cfg *Config, set *Set, routers *Routers) *walk {
 	w := &walk{req: req, cfg: cfg, set: set, routers: routers, started: now, at: -1, sent: -1}
-	w.warm = set.Warm(req.Pool, req.Hint) != nil
+	w.warm = set.Warm(req.Pool, req.Hint)
 	w.list = set.Candidates(w.buf[:0], req.Pool, req.Key, req.Hint, cfg.Candidates)
 	return w
 }
@@ -147,9 +148,15 @@
 // maxRounds ends a walk that goes round without waiting, which would spin.
 const maxRounds = 200
 
-// restart begins the walk anew after a pause.
+// restart begins the walk anew after a pause, by the lists as they are now.
 func (w *walk) restart() {
 	w.rounds++
+	if w.latest != nil {
+		v := w.latest()
+		w.set, w.routers = v.set, v.routers
+		w.warm = w.set.Warm(w.req.Pool, w.req.Hint)
+		w.list = w.set.Candidates(w.list[:0], w.req.Pool, w.req.Key, w.req.Hint, w.cfg.Candidates)
+	}
 	w.sent = -1
 	w.stage, w.at, w.full = asking, -1, 0
 	w.other, w.over, w.queue = false, false, nil
@@ -197,7 +204,7 @@
 		owner:    w.routers.Owner(d.ID, d.Zone),
 		deadline: deadline,
 	}
-	if w.at == 0 && w.warm {
+	if w.at == 0 && d == w.warm {
 		a.wait = millis(w.cfg.WarmWait)
 	}
 	return a
