--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -65,7 +65,7 @@
 
 	list []*Descriptor
 	buf  [inlineCandidates]*Descriptor
-	at   int // of the candidate that is asked
+	at   int         // of the candidate that is asked
 	warm *Descriptor // the endpoint that the hint names, or nil
 
 	redirect coordination.Instance
