--- /dev/null
+++ b/wisteriarouter/daemon/leave_test.go
@@ -0,0 +1,100 @@
+package daemon_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/placement"
+	standinengine "wisteriaspool/standin/engine"
+)
+
+// conversation is a chat that goes on as its caller's application would.
+type conversation struct {
+	id       string
+	hint     string
+	messages []standinengine.Message
+}
+
+// reply is what is read of an answer.
+type reply struct {
+	Choices []struct {
+		Message standinengine.Message `json:"message"`
+	} `json:"choices"`
+	Usage struct {
+		Details struct {
+			Cached int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+// say has a conversation go on through a router, and returns the engine that
+// answered and how many tokens of the prompt it had cached.
+func (w *world) say(n int, c *conversation, words int) (engine string, cached int) {
+	w.t.Helper()
+	text := strings.Repeat(fmt.Sprintf("%s.%d ", c.id, len(c.messages)), words)
+	c.messages = append(c.messages, standinengine.Message{Role: "user", Content: standinengine.Content(text)})
+	body, err := json.Marshal(standinengine.Request{Model: "m", Messages: c.messages, MaxTokens: 16})
+	assert.NilError(w.t, err)
+	a := w.post(w.t.Context(), n, "/v1/chat/completions", string(body), "X-Chat-Id", c.id, "X-Route-Hint", c.hint)
+	assert.NilError(w.t, a.err)
+	assert.Equal(w.t, a.status, http.StatusOK, a.body)
+	var r reply
+	assert.NilError(w.t, json.Unmarshal([]byte(a.body), &r))
+	assert.Equal(w.t, string(r.Choices[0].Message.Content), standinengine.Answer(c.messages, 16))
+	c.messages = append(c.messages, r.Choices[0].Message)
+	c.hint = a.header.Get("X-Route-Hint")
+	engine, _, _ = strings.Cut(a.header.Get("X-Attempt-Id"), "-")
+	return engine, r.Usage.Details.Cached
+}
+
+// An engine leaves as planned, and the chats that it has served return through
+// any router. Their users would wait for the first token, and their accounts
+// would be billed for the whole prompt again.
+func TestChatsStayWarmBehindPlannedLeave(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	there := make([]*conversation, 0)
+	for n := range 24 {
+		c := &conversation{id: fmt.Sprintf("quote-%d", n)}
+		if engine, _ := w.say(n%3, c, 320); engine == engineID(0) {
+			there = append(there, c)
+		}
+	}
+	assert.Assert(t, len(there) >= 3, "only %d chats went to the engine that leaves", len(there))
+	w.engines[0].Leave()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := w.engines[1].Stats().Imports + w.engines[2].Stats().Imports; n < len(there) {
+			return poll.Continue("%d of %d chats have been moved", n, len(there))
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(50*time.Millisecond))
+	// An owner that learns late of a release sends a chat on to another engine,
+	// which is cold. On a busy machine that may happen to one now and then.
+	first := 0
+	for n, c := range there {
+		engine, cached := w.say(n%3, c, 4)
+		assert.Assert(t, engine != engineID(0))
+		if engine == firstOf(c, engineID(1), engineID(2)) {
+			first++
+			assert.Assert(t, cached >= 320, "%s had %d tokens cached at %s", c.id, cached, engine)
+		}
+	}
+	assert.Assert(t, 2*first > len(there), "%d of %d chats went to the first engine in line", first, len(there))
+	assert.Equal(t, w.engines[0].Stats().ArrivalsLeaving, 0)
+}
+
+// firstOf returns the engine that a conversation goes to if none is busy.
+func firstOf(c *conversation, engines ...string) string {
+	set := placement.NewSet(lo.Map(engines, func(id string, _ int) placement.Descriptor {
+		return placement.Descriptor{ID: coordination.Endpoint(id), Pool: "m@1"}
+	}))
+	return string(set.Candidates(nil, "m@1", placement.KeyOf(coordination.Chat("label/"+c.id)), 0, 1)[0].ID)
+}
