Repair soft rumours also while new links wait for their comparison

Cause: its neighbours had up to eleven new links, each waiting for a comparison of soft rumours, one every five seconds, and these came before the comparison with the router that differed. New links compare rumours with the first peer only now.

Ruled out: loss alone (a neighbour tries every five seconds, and there are eight).

Records with impossible incarnations, versions or names are refused.

--- a/coordination/membership/config.go
+++ b/coordination/membership/config.go
@@ -58,6 +58,7 @@
 const (
 	helpers       = 3        // members asked to probe for us
 	maxName       = 256      // bytes of an instance, address, topic or key
+	maxCount      = 1 << 62  // incarnation and version, which must be able to rise
 	maxRecords    = 64       // records of members in one message
 	maxRumors     = 64       // rumours in one message
 	maxRumorBytes = 16 << 10 // payloads of rumours in one message
--- a/coordination/membership/digest.go
+++ b/coordination/membership/digest.go
@@ -1,7 +1,9 @@
 package membership
 
 import (
+	"cmp"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"wisteriaspool/coordination"
@@ -46,6 +48,8 @@
 		return v
 	}
 	v.rows = m.rows(t, v.rows[:0])
+	// The order of a map must not decide what a bounded message holds.
+	slices.SortFunc(v.rows, func(a, b row) int { return cmp.Compare(a.key, b.key) })
 	v.sums = fingerprint(v.rows)
 	v.sum = 0
 	for _, sum := range v.sums {
@@ -145,15 +149,20 @@
 }
 
 // addSync adds digests of the tables to msg for a new link. A member that has
-// just made several links compares with one peer after the other, lest it get
-// the whole table from each.
+// just made several links compares members with one peer after the other, lest
+// it get the whole table from each. Rumours it compares with the first only:
+// if they still differ from those of others, heartbeats will show it, and a
+// list of links that wait for their turn would keep it from repairing that.
 func (m *Machine) addSync(l *link, msg *Message) {
 	for t := range tables {
-		if !l.sync[t] || m.now.Before(m.nextRepair[t]) || m.now.Before(m.repairing[t]) {
+		if !l.sync[t] {
 			continue
 		}
-		l.sync[t] = false
-		msg.Digests = append(msg.Digests, m.digest(t))
+		due := !m.now.Before(m.nextRepair[t]) && !m.now.Before(m.repairing[t])
+		if due {
+			msg.Digests = append(msg.Digests, m.digest(t))
+		}
+		l.sync[t] = !due && t == MemberTable
 	}
 }
 
--- a/coordination/membership/flush.go
+++ b/coordination/membership/flush.go
@@ -185,5 +185,7 @@
 		}
 		l.differs[t]++
 	}
-	m.repair(l)
+	if m.Neighbor(from) {
+		m.repair(l)
+	}
 }
--- a/coordination/membership/machine.go
+++ b/coordination/membership/machine.go
@@ -32,7 +32,7 @@
 
 	rumors     map[rumorKey]*rumor
 	byHash     map[uint32]rumorKey
-	asked      map[uint32]time.Time // rumours that were announced, by hash
+	requests   map[uint32]*request // by hash of topic and key
 	views      [tables]view
 	nextRepair [tables]time.Time
 	repairing  [tables]time.Time // until when a peer is taken to be repairing it
@@ -81,7 +81,7 @@
 		dials:    make(map[string]*backoff),
 		rumors:   make(map[rumorKey]*rumor),
 		byHash:   make(map[uint32]rumorKey),
-		asked:    make(map[uint32]time.Time),
+		requests: make(map[uint32]*request),
 		tokens:   float64(cfg.Budget),
 		refilled: now,
 		changed:  true,
@@ -195,7 +195,7 @@
 		m.nextSweep = now.Add(m.cfg.Heartbeat / 4)
 		m.expire()
 		m.sweepRumors()
-		m.forgetAsked()
+		m.askOthers()
 		m.forget()
 		m.probe()
 	}
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -324,3 +324,30 @@
 	}
 	return most
 }
+
+// A faulty router tells records that no member can have. Taken in, they would
+// fill the memory, or stand for ever because nothing can follow them.
+func TestImpossibleRecords(t *testing.T) {
+	long := string(make([]byte, maxName+1))
+	good := Member{Instance: "b", Address: "b", Incarnation: 1}
+	tests := map[string]func(r *Member){
+		"no name":              func(r *Member) { r.Instance = "" },
+		"long name":            func(r *Member) { r.Instance = coordination.Instance(long) },
+		"long address":         func(r *Member) { r.Address = long },
+		"unknown state":        func(r *Member) { r.State = Dead + 1 },
+		"last incarnation":     func(r *Member) { r.Incarnation = 1<<64 - 1 },
+		"last version":         func(r *Member) { r.Version = 1<<64 - 1 },
+		"end of an unknown":    func(r *Member) { r.State = Dead },
+		"suspect, no address":  func(r *Member) { r.State, r.Address = Suspect, "" },
+		"last of this one too": func(r *Member) { r.Instance, r.Incarnation = "a", 1<<64-1 },
+	}
+	now := time.Unix(1_800_000_000, 0)
+	for name, spoil := range tests {
+		m := New(Config{}, Member{Instance: "a", Address: "a", Incarnation: 1}, now)
+		r := good
+		spoil(&r)
+		m.Receive(now, "c", Message{Members: []Member{r}})
+		assert.Equal(t, len(m.Members()), 1, name)
+		assert.Equal(t, m.Self().Incarnation, coordination.Incarnation(1), name)
+	}
+}
--- a/coordination/membership/push.go
+++ b/coordination/membership/push.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"wisteriaspool/coordination"
 )
 
@@ -140,6 +142,13 @@
 	l.announcements = slices.Delete(l.announcements, 0, sent)
 }
 
+// request is a rumour that was announced and asked for.
+type request struct {
+	version uint32 // the low half
+	asked   time.Time
+	others  []coordination.Instance // that have announced it too
+}
+
 // hearHaves asks for what a peer has announced and this member lacks.
 func (m *Machine) hearHaves(from coordination.Instance, haves []byte) {
 	l := m.links[from]
@@ -148,26 +157,63 @@
 	}
 	for ; len(haves) > 0; haves = haves[announcementBytes:] {
 		h, version := binary.LittleEndian.Uint32(haves), binary.LittleEndian.Uint32(haves[4:])
-		k, ok := m.byHash[h]
-		// The difference tells the newer one also where the low half wraps.
-		if ok && int32(version-uint32(m.rumors[k].Version)) <= 0 {
-			if version == uint32(m.rumors[k].Version) {
-				m.knownRumor(from, k)
-			}
+		if m.lacks(h, version) {
+			m.ask(l, h, version)
 			continue
 		}
-		m.ask(l, h)
+		if k := m.byHash[h]; uint32(m.rumors[k].Version) == version {
+			m.knownRumor(from, k)
+		}
 	}
 }
 
-func (m *Machine) ask(l *link, h uint32) {
-	if asked, ok := m.asked[h]; ok && m.now.Sub(asked) < askAgain || len(m.asked) >= m.cfg.MaxRumors {
+// lacks reports whether the version is newer than what this member has.
+func (m *Machine) lacks(h, version uint32) bool {
+	k, ok := m.byHash[h]
+	// The difference tells the newer one also where the low half wraps.
+	return !ok || int32(version-uint32(m.rumors[k].Version)) > 0
+}
+
+// ask asks for a rumour, unless that has been done; then it remembers whom
+// else to ask.
+func (m *Machine) ask(l *link, h, version uint32) {
+	r := m.requests[h]
+	if r != nil && int32(version-r.version) <= 0 {
+		if len(r.others) < helpers {
+			r.others = append(r.others, l.peer)
+		}
+		return
+	}
+	if len(m.requests) >= m.cfg.MaxRumors {
 		return
 	}
-	m.asked[h] = m.now
+	m.requests[h] = &request{version: version, asked: m.now}
 	l.wants = binary.LittleEndian.AppendUint32(l.wants, h)
 }
 
+// askOthers asks again for what did not come, and ends requests that have been
+// met or that nobody else can meet.
+func (m *Machine) askOthers() {
+	hashes := lo.Keys(m.requests)
+	slices.Sort(hashes)
+	for _, h := range hashes {
+		r := m.requests[h]
+		if m.now.Sub(r.asked) < askAgain {
+			continue
+		}
+		if len(r.others) == 0 || !m.lacks(h, r.version) {
+			delete(m.requests, h)
+			continue
+		}
+		next := r.others[0]
+		r.others = r.others[1:]
+		if l := m.links[next]; l != nil {
+			r.asked = m.now
+			l.wants = binary.LittleEndian.AppendUint32(l.wants, h)
+		}
+	}
+}
+
 // hearWants queues what a peer has asked for.
 func (m *Machine) hearWants(from coordination.Instance, wants []byte) {
 	l := m.links[from]
@@ -180,12 +226,3 @@
 		}
 	}
 }
-
-// forgetAsked drops the memory of what was asked for.
-func (m *Machine) forgetAsked() {
-	for h, asked := range m.asked {
-		if m.now.Sub(asked) > askAgain {
-			delete(m.asked, h)
-		}
-	}
-}
--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -61,7 +61,7 @@
 // filling the memory.
 func (r *Member) valid() bool {
 	return r.Instance != "" && len(r.Instance) <= maxName && len(r.Address) <= maxName &&
-		len(r.Zone) <= maxName && len(r.Region) <= maxName && len(r.Build) <= maxName && r.State <= Dead
+		r.Incarnation < maxCount && r.Version < maxCount && len(r.Zone) <= maxName && len(r.Region) <= maxName && len(r.Build) <= maxName && r.State <= Dead
 }
 
 // insert adds a member that was unknown. The end of an unknown member is no
