--- a/coordination/placement/admit.go
+++ b/coordination/placement/admit.go
@@ -26,12 +26,18 @@
 func (o *Owner) await(ctx context.Context, w *waiter) AdmitReply {
 	t := time.NewTicker(queueTick)
 	defer t.Stop()
+	var pass <-chan time.Time
+	if !w.req.Final {
+		pass = time.After(time.Until(w.passAt))
+	}
 	for {
 		select {
 		case r := <-w.done:
 			return r
 		case <-t.C:
 			o.sweep(time.Now(), w)
+		case <-pass:
+			o.sweepNow(time.Now(), w)
 		case <-ctx.Done():
 			o.end(time.Now(), w.id, w.req.Endpoint)
 			return AdmitReply{Decision: Refused, Code: Cancelled}
@@ -39,16 +45,26 @@
 	}
 }
 
-// sweep serves and prunes the queue that w waits in.
+// sweep serves and prunes the queue that w waits in, unless that has just been
+// done for another request there.
 func (o *Owner) sweep(now time.Time, w *waiter) {
 	s := o.shard(w.req.Endpoint)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.loads[w.req.Endpoint]
-	if l == nil || now.Sub(l.swept) < queueTick/2 {
-		return
+	if l != nil && now.Sub(l.swept) >= queueTick/2 {
+		l.dispatch(now, o.cfg.Load())
+	}
+}
+
+// sweepNow serves and prunes the queue that w waits in.
+func (o *Owner) sweepNow(now time.Time, w *waiter) {
+	s := o.shard(w.req.Endpoint)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.loads[w.req.Endpoint]; l != nil {
+		l.dispatch(now, o.cfg.Load())
 	}
-	l.dispatch(now, o.cfg.Load())
 }
 
 // submit decides a request, or queues it and returns the waiter.
@@ -98,7 +114,7 @@
 		code = OverBound
 	}
 	if !req.Final && req.Wait == 0 {
-		return l.pass(now, code), nil
+		return l.pass(now, code, &req), nil
 	}
 	return l.enqueue(now, id, req, cfg)
 }
@@ -143,9 +159,11 @@
 	return limit, ok
 }
 
-// pass returns the answer that sends a request on to its next candidate.
-func (l *endpointLoad) pass(now time.Time, code Code) AdmitReply {
-	return AdmitReply{Decision: Next, Code: code, RetryAfter: millis(l.drain(now))}
+// pass returns the answer that sends a request on to its next candidate. It
+// tells how long the request would wait here, by its account's share.
+func (l *endpointLoad) pass(now time.Time, code Code, req *AdmitRequest) AdmitReply {
+	wait := time.Duration(l.queue.aheadOf(req)+1) * l.service.gap(now, len(l.grants))
+	return AdmitReply{Decision: Next, Code: code, RetryAfter: millis(wait)}
 }
 
 // drain returns the time in which the present queue will have been served.
@@ -227,7 +245,7 @@
 func (l *endpointLoad) pruneHeldBack(now time.Time, w *waiter) {
 	if !now.Before(w.passAt) || !now.Before(w.deadline) {
 		l.queue.remove(w)
-		w.settle(l.pass(now, Full))
+		w.settle(l.pass(now, Full, &w.req))
 	}
 }
 
--- a/wisteriarouter/daemon/callers.go
+++ b/wisteriarouter/daemon/callers.go
@@ -11,7 +11,6 @@
 	"github.com/samber/do/v2"
 
 	"wisteriaspool/coordination/order"
-	"wisteriaspool/coordination/retry"
 	"wisteriaspool/wisteriarouter/caller"
 	"wisteriaspool/wisteriarouter/engine"
 	"wisteriaspool/wisteriarouter/event"
@@ -30,7 +29,7 @@
 		Placer:   do.MustInvoke[*placing](i),
 		Engines:  do.MustInvoke[*engine.Client](i),
 		Suspects: do.MustInvoke[*suspects](i),
-		Retries:  &retry.Budget{},
+		Retries:  do.MustInvoke[*teamRetries](i),
 		Actions:  do.MustInvoke[*service.Runner](i),
 		Limits: caller.Limits{
 			BodyBytes:    int64(lim.BodyBytes),
@@ -53,7 +52,7 @@
 	s := &servers{node: node, log: logOf(i), failed: make(chan struct{})}
 	s.peers = newServer(bound.peers, peerHandler(node), lim, s.fail)
 	s.operators = newServer(bound.operators, operatorHandler(i), lim, s.fail)
-	s.callers = newServer(bound.callers, callerHandler(i), lim, s.fail)
+	s.callers = newServer(bound.callers, do.MustInvoke[*transfers](i).named(callerHandler(i)), lim, s.fail)
 	s.callers.active = &stateOf(i).inFlight
 	onStop(i, s.close)
 	for _, each := range []*server{s.peers, s.operators, s.callers} {
--- a/wisteriarouter/daemon/parts.go
+++ b/wisteriarouter/daemon/parts.go
@@ -31,9 +31,11 @@
 	do.Provide(i, newDirectory)
 	do.Provide(i, newPlacing)
 	do.Provide(i, newTeams)
+	do.Provide(i, newTeamRetries)
 	do.Provide(i, newSuspects)
 	do.Provide(i, newActions)
 	do.Provide(i, newOrders)
+	do.Provide(i, newTransfers)
 	do.Provide(i, newCallers)
 	do.Provide(i, newServers)
 }
