End resumes that bring no token

After 8 connections running without a token, with a growing pause, the answer now goes on elsewhere. A first bound of 2 without pauses failed TestEveryAnswerIsWholeAndItsOwn (3 of 60 answers when all engines cut 30 streams before the first token) and was not kept.

The test of a foreign event id lets cancels end before it does; it was flaky.

--- a/coordination/placement/start.go
+++ b/coordination/placement/start.go
@@ -41,7 +41,7 @@
 // each has its own loop, so that a peer that does not answer holds up only the
 // messages to itself.
 func (d *driver) loop(ctx context.Context, step func(context.Context) time.Duration) {
-	t := time.NewTimer(0)
+	t := time.NewTimer(step(ctx))
 	defer t.Stop()
 	for {
 		select {
--- a/wisteriarouter/caller/answer.go
+++ b/wisteriarouter/caller/answer.go
@@ -26,6 +26,15 @@
 // not come back within them, and the answer goes on elsewhere.
 var resumePauses = []time.Duration{0, 50 * time.Millisecond, 150 * time.Millisecond}
 
+// maxBarren is how many connections running may bring no token before the
+// attempt is taken for lost. An engine that takes each resume and sends nothing
+// would otherwise be asked for ever, and its caller wait as long.
+const maxBarren = 8
+
+// barrenPause is the wait before a resume for each connection running that
+// brought no token.
+const barrenPause = 50 * time.Millisecond
+
 // answer follows one chat request through its attempts.
 type answer struct {
 	*Server
@@ -211,9 +220,15 @@
 
 // follow passes the stream on until the answer is whole or cannot go on here.
 func (a *answer) follow(ctx context.Context, at *attempt) end {
+	barren := 0 // connections running that brought no token
 	for {
+		before := a.offset
 		err := a.copy(at)
 		at.stream.Close()
+		barren++
+		if a.offset > before {
+			barren = 0
+		}
 		switch {
 		case err == nil:
 			return finished
@@ -225,7 +240,7 @@
 			a.Log.Emit(event.StreamMalformed, event.F("endpoint", at.place.Endpoint), event.F("attempt", at.id))
 			return malformed
 		}
-		if !a.resume(ctx, at) {
+		if barren > maxBarren || !wait(ctx, time.Duration(barren)*barrenPause) || !a.resume(ctx, at) {
 			return lost
 		}
 		a.Metrics.resumed.Inc()
--- a/wisteriarouter/caller/whole_test.go
+++ b/wisteriarouter/caller/whole_test.go
@@ -222,6 +222,7 @@
 		after := f.ask(t.Context(), 0, 2, before)
 		assert.Equal(t, after.status, 400)
 		assert.Equal(t, after.header.Get("X-Outcome"), "not-run")
+		f.settle()
 	})
 }
 
@@ -279,3 +280,20 @@
 		assert.Equal(t, f.engines["e1"].Stats().GeneratedTokens, 0)
 	})
 }
+
+// An engine takes each resume and breaks it off before another token. The
+// caller would wait for ever, and the engine be asked thousands of times a
+// second; the answer has to go on elsewhere.
+func TestResumesWithoutProgressEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2)
+		f.engines["e1"].SetFaults(standin.Faults{CutStreams: 1000, CutAfter: 0})
+		for n := range 4 {
+			h := f.ask(t.Context(), 0, n, heard{})
+			assert.Equal(t, h.problem(n), "")
+		}
+		resumed := f.engines["e1"].Stats().Resumed
+		assert.Assert(t, resumed > 0 && resumed <= 4*8, "%d resumes", resumed)
+		f.settle()
+	})
+}
--- a/wisteriarouter/daemon/callers.go
+++ b/wisteriarouter/daemon/callers.go
@@ -47,7 +47,6 @@
 	lim := settingsOf(i).Limits
 	bound := do.MustInvoke[*listeners](i)
 	node := do.MustInvoke[*peer.Node](i)
-	huma.NewError = caller.NewFault
 	do.MustInvoke[*order.Giver](i)
 	s := &servers{node: node, log: logOf(i), failed: make(chan struct{})}
 	s.peers = newServer(bound.peers, peerHandler(node), lim, s.fail)
