Read the list of instances less often in a large fleet

Each router read it once a second, 330 calls a second at the target and 2,000 at 2,000 routers, which is all that the platform's service takes. The fleet now reads it 100 times a second at most: every second up to 100 routers, every 3.3 s at 330. Not measured beyond 60 routers, where nothing changes.

--- a/wisteriarouter/daemon/parts.go
+++ b/wisteriarouter/daemon/parts.go
@@ -137,6 +137,16 @@
 	return c, nil
 }
 
+// listPause is the time between two reads of the list of instances by any
+// router of the fleet: the platform's rates do not grow as the fleet does.
+// Leaving endpoints are known sooner, from their own word and from rumours.
+const listPause = 10 * time.Millisecond
+
+// refreshEvery returns how often one of so many routers reads the list.
+func refreshEvery(configured time.Duration, routers int) time.Duration {
+	return max(configured, time.Duration(routers)*listPause)
+}
+
 // newDirectory makes the directory of endpoints and keeps it fresh. What one
 // router notices of a leaving endpoint reaches the others as a rumour, long
 // before the platform's list shows it.
@@ -148,7 +158,7 @@
 	r := &endpoint.Refresher{
 		Directory: d,
 		Lister:    do.MustInvoke[*platform.Client](i),
-		Interval:  func() time.Duration { return cfg.Platform.Refresh },
+		Interval:  func() time.Duration { return refreshEvery(cfg.Platform.Refresh, len(node.Members())) },
 		Log:       logOf(i),
 	}
 	onStop(i, r.Start(context.Background()))
