--- a/coordination/placement/admit.go
+++ b/coordination/placement/admit.go
@@ -185,13 +185,13 @@
 		w.passAt = now.Add(min(req.Wait.Duration(), cfg.MaxWait))
 	}
 	if l.queue.len(req.Account) >= cfg.AccountQueueLimit {
-		return l.refusal(now, Overloaded), nil
+		return l.turnAway(now, w), nil
 	}
 	l.queue.push(w, cfg.weightOf(req.Account))
 	if l.queue.size > cfg.QueueLimit {
 		last := l.queue.longest()
 		l.queue.remove(last)
-		last.settle(l.refusal(now, Overloaded))
+		last.settle(l.turnAway(now, last))
 	}
 	l.prune(now, cfg)
 	select {
@@ -202,6 +202,15 @@
 	}
 }
 
+// turnAway answers a request for which the queue has no room. Only a final one
+// is refused: others still have somewhere to go.
+func (l *endpointLoad) turnAway(now time.Time, w *waiter) AdmitReply {
+	if w.req.Final {
+		return l.refusal(now, Overloaded)
+	}
+	return l.pass(now, Full, &w.req)
+}
+
 // dispatch grants to waiting requests what the endpoint can take.
 func (l *endpointLoad) dispatch(now time.Time, cfg *Config) {
 	l.swept = now
--- a/coordination/placement/model_test.go
+++ b/coordination/placement/model_test.go
@@ -378,7 +378,7 @@
 		m.hop(owner, r, len(reply.Encode()), func() {
 			switch {
 			case !w.take(a, reply):
-				m.step(r, w, seq, done)
+				m.after(w.pause(m.now), func() { m.step(r, w, seq, done) })
 			case reply.Decision == Granted:
 				done(a.endpoint, func() { m.release(r, a, seq) })
 			default:
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -71,6 +71,7 @@
 	redirect coordination.Instance
 	sent     int // position of the candidate that was last redirected
 	rounds   int
+	resume   time.Time // when a pause ends
 	stage    stage
 	full     int
 	other    bool // some answer was not that the endpoint is full
@@ -112,7 +113,7 @@
 		return w.ask(d, deadline), Refusal{}, true
 	}
 	if w.queue != nil {
-		return w.settleFor(w.queue, deadline), Refusal{}, true
+		return w.settleFor(now, w.queue, deadline), Refusal{}, true
 	}
 	return ask{}, w.exhausted(), false
 }
@@ -132,11 +133,12 @@
 // the owners' mean lags behind a rising load: the request waits for the next
 // exchange of sums and then asks all over again. To queue at an endpoint over
 // its bound would keep it waiting there while others idle.
-func (w *walk) settleFor(d *Descriptor, deadline Millis) ask {
+func (w *walk) settleFor(now time.Time, d *Descriptor, deadline Millis) ask {
 	w.queue = nil
 	a := w.ask(d, deadline)
 	if w.over {
 		w.stage = pausing
+		w.resume = now.Add((&view{set: w.set, routers: w.routers}).sumInterval())
 		a.wait = millis((&view{set: w.set, routers: w.routers}).sumInterval())
 		return a
 	}
@@ -148,6 +150,16 @@
 // maxRounds ends a walk that goes round without waiting, which would spin.
 const maxRounds = 200
 
+// pause returns how long the entry has to wait before the next question: an
+// owner whose queue has no room does not hold the request back itself, and
+// without a pause it would be asked again at once.
+func (w *walk) pause(now time.Time) time.Duration {
+	if w.stage != asking || w.at >= 0 {
+		return 0
+	}
+	return max(w.resume.Sub(now), 0)
+}
+
 // restart begins the walk anew after a pause, by the lists as they are now.
 func (w *walk) restart() {
 	w.rounds++
