--- a/coordination/transfer/load.go
+++ b/coordination/transfer/load.go
@@ -1,6 +1,7 @@
 package transfer
 
 import (
+	"math"
 	"time"
 
 	"wisteriaspool/coordination"
@@ -15,7 +16,7 @@
 }
 
 // loadTTL is how long a report counts.
-const loadTTL = time.Second
+const loadTTL = 500 * time.Millisecond
 
 // Loads holds the last reports of the engines of a pool. The zero value is
 // empty and ready for use.
@@ -49,12 +50,13 @@
 	if r.Capacity > 0 && next > cfg.CapacityShare*float64(r.Capacity) {
 		return false
 	}
-	return next <= cfg.Bound*(l.mean()+1)
+	return next <= math.Ceil(cfg.Bound*l.mean())
 }
 
-// mean returns the mean number of requests of the engines that have reported.
+// mean returns the mean number of requests of the engines that have reported,
+// with one more among them.
 func (l *Loads) mean() float64 {
-	sum := 0
+	sum := 1
 	for _, r := range l.last {
 		sum += r.Requests
 	}
--- a/coordination/transfer/plan.go
+++ b/coordination/transfer/plan.go
@@ -48,7 +48,7 @@
 
 const (
 	// busyDelay is how long a chat waits whose other engine is busy.
-	busyDelay = time.Second
+	busyDelay = 500 * time.Millisecond
 
 	// maxChats bounds the chats of a plan. Those stored longest ago, which are
 	// least likely to return, are dropped beyond it.
@@ -62,6 +62,7 @@
 	evicted bool
 	done    Sequence // the event up to which it was dealt with
 	moving  bool
+	began   time.Time // its move
 	after   time.Time // not to be moved before
 }
 
@@ -135,7 +136,7 @@
 	if c == nil {
 		return Step{Action: Wait, Wait: p.cfg.Interval}
 	}
-	c.moving, c.done = true, c.seq
+	c.moving, c.done, c.began = true, c.seq, now
 	p.moving++
 	return Step{Action: Move, Chat: c.chat}
 }
@@ -162,7 +163,7 @@
 	c := p.chats[chat]
 	c.moving = false
 	p.moving--
-	p.spend(now, bytes)
+	p.spend(c.began, bytes)
 	switch r {
 	case Lost:
 		p.failures++
@@ -177,9 +178,10 @@
 // Fail takes that the leaving engine did not answer a read of its events.
 func (p *Plan) Fail() { p.failures++ }
 
-func (p *Plan) spend(now time.Time, bytes int64) {
-	if p.free.Before(now) {
-		p.free = now
+// spend charges bytes that were taken from a time on.
+func (p *Plan) spend(from time.Time, bytes int64) {
+	if p.free.Before(from) {
+		p.free = from
 	}
 	p.free = p.free.Add(time.Duration(float64(bytes) / p.cfg.Budget * float64(time.Second)))
 }
--- a/coordination/transfer/plan_test.go
+++ b/coordination/transfer/plan_test.go
@@ -176,6 +176,7 @@
 		{"under the bound", load(5), true},
 		{"near the bound", load(10), false},
 		{"near its capacity", Load{Requests: 8, Capacity: 10, Read: testStart}, false},
+		{"idle", load(0), true},
 		{"no capacity known", Load{Requests: 8, Read: testStart}, true},
 		{"leaving", Load{Requests: 0, Leaving: true, Read: testStart}, false},
 	}
--- a/coordination/transfer/transfer.go
+++ b/coordination/transfer/transfer.go
@@ -58,9 +58,9 @@
 	// Overhead is the time that a move takes besides its bytes, default 5 ms.
 	Overhead time.Duration
 
-	// Bound is the multiple of the mean load above which an engine gets no
-	// chats, default 1.1: below the bound of placement, since a moved chat
-	// brings its next request along.
+	// Bound is the multiple of the mean load, rounded up, above which an engine
+	// gets no chats; default 1.1, which is below the bound of placement, since
+	// a moved chat brings its next request along.
 	Bound float64
 
 	// CapacityShare is the part of its capacity above which an engine gets no
--- a/wisteriarouter/daemon/transfer.go
+++ b/wisteriarouter/daemon/transfer.go
@@ -92,8 +92,11 @@
 
 // begin starts an evacuation of each engine that this router owns and that is
 // first seen to leave. If two routers take an engine for theirs, some chats are
-// moved twice.
+// moved twice. Nothing is asked of engines where computing beats moving.
 func (t *transfers) begin(ctx context.Context) {
+	if !t.cfg.Pays(unknownSize) {
+		return
+	}
 	for _, k := range t.directory.All() {
 		if k.Kind != platform.Engine || k.State != placement.Leaving || t.begun[k.ID] >= k.Incarnation || !t.owns(k) {
 			continue
@@ -105,6 +108,9 @@
 	t.forget()
 }
 
+// unknownSize is the size of any chat's KV cache before it is asked for.
+const unknownSize = -1
+
 // forget drops what is noted of engines that are no longer listed.
 func (t *transfers) forget() {
 	for id := range t.begun {
--- a/wisteriarouter/daemon/transfer_test.go
+++ b/wisteriarouter/daemon/transfer_test.go
@@ -171,6 +171,9 @@
 		{"all events are lost", trial{options: standin.Options{EventLoss: 1}}, func(t *testing.T, w *evacuationWorld) {
 			assert.Equal(t, w.engines[leavingEngine].Stats().Exports, 0)
 		}},
+		{"the link is slow", trial{cfg: transfer.Config{Budget: 125e6}}, func(t *testing.T, w *evacuationWorld) {
+			assert.Equal(t, w.engines[leavingEngine].Stats().Exports, 0)
+		}},
 		{"export fails", trial{wrap: only("/v1/kv/export", http.StatusInternalServerError)}, func(t *testing.T, w *evacuationWorld) {
 			assert.Assert(t, w.result(transfer.Lost) >= 3)
 		}},
--- a/wisteriarouter/daemon/transfer_world_test.go
+++ b/wisteriarouter/daemon/transfer_world_test.go
@@ -256,6 +256,9 @@
 	return int(testutil.ToFloat64(w.metrics.results.WithLabelValues(r.String())))
 }
 
+// bytes returns how many bytes have been taken from leaving engines.
+func (w *evacuationWorld) bytes() float64 { return testutil.ToFloat64(w.metrics.bytes) }
+
 func (w *evacuationWorld) mustSay(c *talker, words, limit int) heard {
 	w.t.Helper()
 	h, err := w.say(c, words, limit)
