--- a/coordination/membership/push.go
+++ b/coordination/membership/push.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"wisteriaspool/coordination"
 )
 
@@ -35,6 +37,32 @@
 	due time.Time
 }
 
+// rumorQueue holds rumours in order of their arrival.
+type rumorQueue struct {
+	set   map[rumorKey]struct{}
+	order []rumorKey // may hold some that were dropped
+}
+
+func (q *rumorQueue) push(k rumorKey) {
+	if q.has(k) {
+		return
+	}
+	if q.set == nil {
+		q.set = make(map[rumorKey]struct{})
+	}
+	q.set[k] = struct{}{}
+	q.order = append(q.order, k)
+}
+
+func (q *rumorQueue) has(k rumorKey) bool {
+	_, ok := q.set[k]
+	return ok
+}
+
+func (q *rumorQueue) drop(k rumorKey) {
+	delete(q.set, k)
+}
+
 // spreadRumor queues the rumour or its announcement for all neighbours but
 // from.
 func (m *Machine) spreadRumor(from coordination.Instance, k rumorKey) {
@@ -43,34 +71,39 @@
 		if l.peer == from || !m.Neighbor(l.peer) {
 			continue
 		}
-		if !all && !m.tree[l.peer] {
-			l.announcements = append(l.announcements, announcement{k, m.now.Add(announceAfter)})
+		if all || m.tree[l.peer] {
+			l.rumors.push(k)
 			continue
 		}
-		l.queueRumor(k)
+		l.announce(k, m.now.Add(announceAfter))
 	}
 	m.knownRumor(from, k)
 }
 
-func (l *link) queueRumor(k rumorKey) {
-	if _, ok := l.rumors[k]; ok {
-		return
+// announce queues the announcement of the rumour for all neighbours but from.
+func (m *Machine) announce(from coordination.Instance, k rumorKey) {
+	for _, l := range m.links {
+		if l.peer != from && m.Neighbor(l.peer) {
+			l.announce(k, m.now.Add(announceAfter))
+		}
+	}
+	m.knownRumor(from, k)
+}
+
+func (l *link) announce(k rumorKey, due time.Time) {
+	if l.unannounced == nil {
+		l.unannounced = make(map[rumorKey]struct{})
 	}
-	l.rumors[k] = struct{}{}
-	l.rumorList = append(l.rumorList, k)
+	l.unannounced[k] = struct{}{}
+	l.announcements = append(l.announcements, announcement{k, due})
 }
 
 // knownRumor notes that peer has the rumour already.
 func (m *Machine) knownRumor(peer coordination.Instance, k rumorKey) {
-	l := m.links[peer]
-	if l == nil {
-		return
-	}
-	delete(l.rumors, k)
-	for i := range l.announcements {
-		if l.announcements[i].key == k {
-			l.announcements[i].key = rumorKey{}
-		}
+	if l := m.links[peer]; l != nil {
+		l.rumors.drop(k)
+		l.repairs.drop(k)
+		delete(l.unannounced, k)
 	}
 }
 
@@ -98,7 +131,9 @@
 		}
 		sent++
 		r := m.rumors[a.key]
-		if r == nil || !r.live(m.now) || !r.keep && m.tokens <= 0 {
+		_, ok := l.unannounced[a.key]
+		delete(l.unannounced, a.key)
+		if !ok || r == nil || !r.live(m.now) || !r.keep && m.tokens <= 0 {
 			continue
 		}
 		msg.Haves = binary.LittleEndian.AppendUint32(msg.Haves, r.hash)
@@ -107,6 +142,13 @@
 	l.announcements = slices.Delete(l.announcements, 0, sent)
 }
 
+// request is a rumour that was announced and asked for.
+type request struct {
+	version uint32 // the low half
+	asked   time.Time
+	others  []coordination.Instance // that have announced it too
+}
+
 // hearHaves asks for what a peer has announced and this member lacks.
 func (m *Machine) hearHaves(from coordination.Instance, haves []byte) {
 	l := m.links[from]
@@ -115,26 +157,63 @@
 	}
 	for ; len(haves) > 0; haves = haves[announcementBytes:] {
 		h, version := binary.LittleEndian.Uint32(haves), binary.LittleEndian.Uint32(haves[4:])
-		k, ok := m.byHash[h]
-		// The difference tells the newer one also where the low half wraps.
-		if ok && int32(version-uint32(m.rumors[k].Version)) <= 0 {
-			if version == uint32(m.rumors[k].Version) {
-				m.knownRumor(from, k)
-			}
+		if m.lacks(h, version) {
+			m.ask(l, h, version)
 			continue
 		}
-		m.ask(l, h)
+		if k := m.byHash[h]; uint32(m.rumors[k].Version) == version {
+			m.knownRumor(from, k)
+		}
 	}
 }
 
-func (m *Machine) ask(l *link, h uint32) {
-	if asked, ok := m.asked[h]; ok && m.now.Sub(asked) < askAgain || len(m.asked) >= m.cfg.MaxRumors {
+// lacks reports whether the version is newer than what this member has.
+func (m *Machine) lacks(h, version uint32) bool {
+	k, ok := m.byHash[h]
+	// The difference tells the newer one also where the low half wraps.
+	return !ok || int32(version-uint32(m.rumors[k].Version)) > 0
+}
+
+// ask asks for a rumour, unless that has been done; then it remembers whom
+// else to ask.
+func (m *Machine) ask(l *link, h, version uint32) {
+	r := m.requests[h]
+	if r != nil && int32(version-r.version) <= 0 {
+		if len(r.others) < helpers {
+			r.others = append(r.others, l.peer)
+		}
+		return
+	}
+	if len(m.requests) >= m.cfg.MaxRumors {
 		return
 	}
-	m.asked[h] = m.now
+	m.requests[h] = &request{version: version, asked: m.now}
 	l.wants = binary.LittleEndian.AppendUint32(l.wants, h)
 }
 
+// askOthers asks again for what did not come, and ends requests that have been
+// met or that nobody else can meet.
+func (m *Machine) askOthers() {
+	hashes := lo.Keys(m.requests)
+	slices.Sort(hashes)
+	for _, h := range hashes {
+		r := m.requests[h]
+		if m.now.Sub(r.asked) < askAgain {
+			continue
+		}
+		if len(r.others) == 0 || !m.lacks(h, r.version) {
+			delete(m.requests, h)
+			continue
+		}
+		next := r.others[0]
+		r.others = r.others[1:]
+		if l := m.links[next]; l != nil {
+			r.asked = m.now
+			l.wants = binary.LittleEndian.AppendUint32(l.wants, h)
+		}
+	}
+}
+
 // hearWants queues what a peer has asked for.
 func (m *Machine) hearWants(from coordination.Instance, wants []byte) {
 	l := m.links[from]
@@ -143,16 +222,7 @@
 	}
 	for ; len(wants) > 0; wants = wants[4:] {
 		if k, ok := m.byHash[binary.LittleEndian.Uint32(wants)]; ok {
-			l.queueRumor(k)
-		}
-	}
-}
-
-// forgetAsked drops the memory of what was asked for.
-func (m *Machine) forgetAsked() {
-	for h, asked := range m.asked {
-		if m.now.Sub(asked) > askAgain {
-			delete(m.asked, h)
+			l.rumors.push(k)
 		}
 	}
 }
