--- a/coordination/transfer/plan_test.go
+++ b/coordination/transfer/plan_test.go
@@ -194,3 +194,17 @@
 		})
 	}
 }
+
+// A team sets a bound close to the mean. Moves that kept to their own default
+// would bring chats to engines that placement passes over.
+func TestRoomUnderBoundOfPlacement(t *testing.T) {
+	var l Loads
+	l.Learn("e1", Load{Requests: 109, Read: testStart})
+	l.Learn("e2", Load{Requests: 99, Read: testStart})
+	cfg := Config{}.WithDefaults()
+	assert.Assert(t, l.Room("e1", cfg))
+	assert.Assert(t, l.Room("e1", cfg.Under(0)))
+	assert.Assert(t, l.Room("e1", cfg.Under(2)))
+	assert.Assert(t, !l.Room("e1", cfg.Under(1.05)))
+	assert.Assert(t, l.Room("e2", cfg.Under(1.05)))
+}
--- a/coordination/transfer/transfer.go
+++ b/coordination/transfer/transfer.go
@@ -90,6 +90,18 @@
 	return c
 }
 
+// nearShare is the part of the room between the mean load and the bound of
+// placement that moves leave to requests.
+const nearShare = 0.6
+
+// Under returns c for a pool with that bound of placement; zero says nothing.
+func (c Config) Under(bound float64) Config {
+	if bound > 1 {
+		c.Bound = min(c.Bound, 1+(1-nearShare)*(bound-1))
+	}
+	return c
+}
+
 func setFloat(v *float64, d float64) {
 	if *v <= 0 {
 		*v = d
--- a/wisteriarouter/daemon/transfer.go
+++ b/wisteriarouter/daemon/transfer.go
@@ -22,7 +22,7 @@
 type transfers struct {
 	cfg       transfer.Config
 	directory *endpoint.Directory
-	owns      func(endpoint.Known) bool
+	placed    placed
 	engines   kvEngines
 	metrics   *transferMetrics
 	changes   chan struct{} // a sign that the directory has changed
@@ -30,6 +30,17 @@
 	running   sync.WaitGroup
 }
 
+// placed tells what placement goes by.
+type placed interface {
+	// owns reports whether this router owns an endpoint.
+	owns(k endpoint.Known) bool
+	// bound returns the load bound in force, or zero for the default.
+	bound() float64
+}
+
+// bound implements placed.
+func (p *placing) bound() float64 { return p.tuning.Load().placement.Bound }
+
 // kvEngines are the calls to engines that moves need.
 type kvEngines interface {
 	CacheEvents(ctx context.Context, address string, since transfer.Sequence) (engine.CacheEvents, error)
@@ -43,19 +54,19 @@
 	metrics := newTransferMetrics()
 	do.MustInvoke[*prometheus.Registry](i).MustRegister(metrics.results, metrics.bytes)
 	t, stop := startTransfers(transfer.Config{}, do.MustInvoke[*endpoint.Directory](i),
-		do.MustInvoke[*placing](i).owns, do.MustInvoke[*engine.Client](i), metrics)
+		do.MustInvoke[*placing](i), do.MustInvoke[*engine.Client](i), metrics)
 	onStop(i, stop)
 	return t, nil
 }
 
 // startTransfers returns with the function that ends all moves.
 func startTransfers(
-	cfg transfer.Config, d *endpoint.Directory, owns func(endpoint.Known) bool, engines kvEngines, m *transferMetrics,
+	cfg transfer.Config, d *endpoint.Directory, p placed, engines kvEngines, m *transferMetrics,
 ) (*transfers, func()) {
 	t := &transfers{
 		cfg:       cfg.WithDefaults(),
 		directory: d,
-		owns:      owns,
+		placed:    p,
 		engines:   engines,
 		metrics:   m,
 		changes:   make(chan struct{}, 1),
@@ -98,7 +109,7 @@
 		return
 	}
 	for _, k := range t.directory.All() {
-		if k.Kind != platform.Engine || k.State != placement.Leaving || t.begun[k.ID] >= k.Incarnation || !t.owns(k) {
+		if k.Kind != platform.Engine || k.State != placement.Leaving || t.begun[k.ID] >= k.Incarnation || !t.placed.owns(k) {
 			continue
 		}
 		t.begun[k.ID] = k.Incarnation
--- a/wisteriarouter/daemon/transfer_run.go
+++ b/wisteriarouter/daemon/transfer_run.go
@@ -175,5 +175,5 @@
 	if !fresh && err == nil {
 		m.loads.Learn(to.ID, l.Room(time.Now()))
 	}
-	return err == nil && to.State == placement.Live && m.loads.Room(to.ID, m.cfg)
+	return err == nil && to.State == placement.Live && m.loads.Room(to.ID, m.cfg.Under(m.placed.bound()))
 }
--- a/wisteriarouter/daemon/transfer_world_test.go
+++ b/wisteriarouter/daemon/transfer_world_test.go
@@ -64,9 +64,7 @@
 	w.client, closeClient = engine.NewClient(engine.Options{DialContext: w.network.DialContext})
 	w.entry = placement.NewEntry(placement.EntryID{Instance: "r1", Incarnation: 1}, w.owner, nil, nil, placement.Config{})
 	w.directory.Watch(w.update)
-	ctx, cancel := context.WithCancel(context.Background())
-	go w.loop(ctx)
-	w.stops = append(w.stops, closeClient, cancel)
+	w.stops = append(w.stops, closeClient, placement.Start(w.owner, w.entry))
 	return w
 }
 
@@ -79,20 +77,6 @@
 	}
 }
 
-func (w *evacuationWorld) loop(ctx context.Context) {
-	t := time.NewTicker(tickInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			w.owner.Tick()
-			w.entry.Tick(ctx)
-		}
-	}
-}
-
 func (w *evacuationWorld) update() {
 	set := placement.NewSet(lo.Map(w.directory.All(), func(k endpoint.Known, _ int) placement.Descriptor { return k.Descriptor }))
 	routers := placement.NewRouters([]placement.Router{{ID: "r1", Incarnation: 1}}, 0)
@@ -102,10 +86,16 @@
 
 // transfer starts moving chats.
 func (w *evacuationWorld) transfer(cfg transfer.Config, engines kvEngines) {
-	_, stop := startTransfers(cfg, w.directory, func(endpoint.Known) bool { return true }, engines, w.metrics)
+	_, stop := startTransfers(cfg, w.directory, ownsAll{}, engines, w.metrics)
 	w.stops = append(w.stops, stop)
 }
 
+// ownsAll is the only router.
+type ownsAll struct{}
+
+func (ownsAll) owns(endpoint.Known) bool { return true }
+func (ownsAll) bound() float64           { return 0 }
+
 func (w *evacuationWorld) join() {
 	w.next++
 	id := coordination.Endpoint(fmt.Sprintf("e%d", w.next))
