transfer: move no chat that cannot arrive in time

A chat whose bytes take longer, on their way to the router and from it, is skipped. The limit is now a setting.

--- a/coordination/transfer/plan.go
+++ b/coordination/transfer/plan.go
@@ -183,5 +183,5 @@
 	if p.free.Before(from) {
 		p.free = from
 	}
-	p.free = p.free.Add(time.Duration(float64(bytes) / p.cfg.Budget * float64(time.Second)))
+	p.free = p.free.Add(p.cfg.onLink(bytes))
 }
--- a/coordination/transfer/transfer.go
+++ b/coordination/transfer/transfer.go
@@ -58,6 +58,11 @@
 	// Overhead is the time that a move takes besides its bytes, default 5 ms.
 	Overhead time.Duration
 
+	// Longest is the longest time of one move, default 2 s. An engine whose
+	// process waits for its open connections is held up by at most that, and
+	// only by a move that was under way when everything else had ended.
+	Longest time.Duration
+
 	// Bound is the multiple of the mean load, rounded up, above which an engine
 	// gets no chats; default 1.1, which is below the bound of placement, since
 	// a moved chat brings its next request along.
@@ -83,6 +88,7 @@
 	setDuration(&c.Prefill, 200*time.Microsecond)
 	setInt(&c.BytesPerToken, 128<<10)
 	setDuration(&c.Overhead, 5*time.Millisecond)
+	setDuration(&c.Longest, 2*time.Second)
 	setFloat(&c.Bound, 1.1)
 	setFloat(&c.CapacityShare, 0.8)
 	setDuration(&c.Interval, 250*time.Millisecond)
@@ -121,13 +127,20 @@
 }
 
 // Pays reports whether moving a KV cache of that many bytes takes less time
-// than computing its tokens. If the size is not known, it is below zero, and
-// the cache of a long chat is assumed.
+// than computing its tokens, and can be done in time. If the size is not known,
+// it is below zero, and the cache of a long chat is assumed.
 func (c Config) Pays(size int64) bool {
-	perToken := time.Duration(float64(c.BytesPerToken) / c.Budget * float64(time.Second))
+	perToken := c.onLink(int64(c.BytesPerToken))
 	if size < 0 {
 		return perToken < c.Prefill
 	}
-	tokens := time.Duration(size / int64(c.BytesPerToken))
-	return c.Overhead+tokens*perToken < tokens*c.Prefill
+	move := c.Overhead + c.onLink(size)
+	computing := time.Duration(size/int64(c.BytesPerToken)) * c.Prefill
+	// The bytes pass the link twice: to the router and from it.
+	return move < computing && move+c.onLink(size) < c.Longest
+}
+
+// onLink returns the time that bytes take on the link.
+func (c Config) onLink(bytes int64) time.Duration {
+	return time.Duration(float64(bytes) / c.Budget * float64(time.Second))
 }
--- a/wisteriarouter/daemon/transfer_run.go
+++ b/wisteriarouter/daemon/transfer_run.go
@@ -13,11 +13,6 @@
 	"wisteriaspool/wisteriarouter/engine"
 )
 
-// moveTimeout is the longest time of one move. An engine whose process waits
-// for its open connections is held up by at most that, and only by a move that
-// was under way when everything else had ended.
-const moveTimeout = 2 * time.Second
-
 // evacuation moves the chats of one leaving engine for as long as it answers.
 type evacuation struct {
 	*transfers
@@ -122,7 +117,7 @@
 }
 
 func (m move) run(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.Longest)
 	defer cancel()
 	result, n := m.do(ctx)
 	m.ended <- moveEnd{chat: m.chat, result: result, bytes: n}
