--- a/coordination/placement/model_test.go
+++ b/coordination/placement/model_test.go
@@ -21,8 +21,9 @@
 const (
 	rendezvousOnly scheme = "rendezvous"
 	routerLocal    scheme = "router-local" // each router keeps the bound among its own requests
-	laggedReports  scheme = "lagged"       // endpoints' reports of 1 s ago, and own requests since
+	laggedReports  scheme = "lagged"       // endpoints' reports up to 1 s old, and own requests since
 	ownerAdmission scheme = "owner"
+	ownerWait      scheme = "owner-wait" // the same, with the default wait for a warm endpoint
 )
 
 // weather is what happens to the pool meanwhile.
@@ -149,6 +150,9 @@
 }
 
 func newModel(s setup) *model {
+	if s.scheme == ownerWait {
+		s.scheme, s.warmWait = ownerAdmission, DefaultWarmWait
+	}
 	m := &model{
 		setup:   s,
 		rng:     rand.New(rand.NewPCG(s.seed, 11)),
@@ -224,7 +228,7 @@
 	m.every(queueTick, m.sweep)
 	if m.scheme == ownerAdmission {
 		m.every(releaseInterval, m.flush)
-		m.every(SumInterval(len(m.view.owners)), m.exchange)
+		m.every((&view{set: m.list(), routers: m.view}).sumInterval(), m.exchange)
 	}
 	switch m.weather {
 	case churn:
@@ -325,7 +329,7 @@
 	case routerLocal:
 		load = func(d *Descriptor) int { return r.own[d.ID] }
 	case laggedReports:
-		load = func(d *Descriptor) int { return m.engines[d.ID].reported() + r.since[d.ID] }
+		load = func(d *Descriptor) int { return m.engines[d.ID].latest() + r.since[d.ID] }
 	}
 	total := lo.SumBy(all, load)
 	limit := limitOf(m.cfg.Bound, float64(total+1)/float64(len(all)))
@@ -336,8 +340,17 @@
 	return d
 }
 
-// reported returns the engine's load as of the last report but one: that is how
-// old it is when it has reached all routers.
+// latest returns the engine's load as of its last report, which is up to a
+// second old.
+func (e *engine) latest() int {
+	if len(e.reports) == 0 {
+		return 0
+	}
+	return e.reports[len(e.reports)-1]
+}
+
+// reported returns the engine's load as of the last report but one, as its
+// owner learns it.
 func (e *engine) reported() int {
 	if len(e.reports) == 0 {
 		return 0
@@ -365,7 +378,7 @@
 		m.hop(owner, r, len(reply.Encode()), func() {
 			switch {
 			case !w.take(a, reply):
-				m.step(r, w, seq, done)
+				m.after(w.pause(m.now), func() { m.step(r, w, seq, done) })
 			case reply.Decision == Granted:
 				done(a.endpoint, func() { m.release(r, a, seq) })
 			default:
--- a/coordination/placement/start.go
+++ b/coordination/placement/start.go
@@ -41,7 +41,7 @@
 // each has its own loop, so that a peer that does not answer holds up only the
 // messages to itself.
 func (d *driver) loop(ctx context.Context, step func(context.Context) time.Duration) {
-	t := time.NewTimer(0)
+	t := time.NewTimer(step(ctx))
 	defer t.Stop()
 	for {
 		select {
@@ -64,7 +64,7 @@
 }
 
 func (d *driver) exchange(ctx context.Context) time.Duration {
-	interval := SumInterval(len(d.owner.view.Load().routers.owners))
+	interval := d.owner.view.Load().sumInterval()
 	ctx, cancel := context.WithTimeout(ctx, interval)
 	defer cancel()
 	d.owner.Exchange(ctx, d.entry.transport)
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -60,16 +60,18 @@
 	cfg     *Config
 	set     *Set
 	routers *Routers
+	latest  func() *view // nil if the lists do not change
 	started time.Time
 
 	list []*Descriptor
 	buf  [inlineCandidates]*Descriptor
-	at   int // of the candidate that is asked
-	warm bool
+	at   int         // of the candidate that is asked
+	warm *Descriptor // the endpoint that the hint names, or nil
 
 	redirect coordination.Instance
 	sent     int // position of the candidate that was last redirected
 	rounds   int
+	resume   time.Time // when a pause ends
 	stage    stage
 	full     int
 	other    bool // some answer was not that the endpoint is full
@@ -91,7 +93,7 @@
 
 func newWalk(now time.Time, req Request, cfg *Config, set *Set, routers *Routers) *walk {
 	w := &walk{req: req, cfg: cfg, set: set, routers: routers, started: now, at: -1, sent: -1}
-	w.warm = set.Warm(req.Pool, req.Hint) != nil
+	w.warm = set.Warm(req.Pool, req.Hint)
 	w.list = set.Candidates(w.buf[:0], req.Pool, req.Key, req.Hint, cfg.Candidates)
 	return w
 }
@@ -111,7 +113,7 @@
 		return w.ask(d, deadline), Refusal{}, true
 	}
 	if w.queue != nil {
-		return w.settleFor(w.queue, deadline), Refusal{}, true
+		return w.settleFor(now, w.queue, deadline), Refusal{}, true
 	}
 	return ask{}, w.exhausted(), false
 }
@@ -131,12 +133,13 @@
 // the owners' mean lags behind a rising load: the request waits for the next
 // exchange of sums and then asks all over again. To queue at an endpoint over
 // its bound would keep it waiting there while others idle.
-func (w *walk) settleFor(d *Descriptor, deadline Millis) ask {
+func (w *walk) settleFor(now time.Time, d *Descriptor, deadline Millis) ask {
 	w.queue = nil
 	a := w.ask(d, deadline)
 	if w.over {
 		w.stage = pausing
-		a.wait = millis(SumInterval(len(w.routers.owners)))
+		w.resume = now.Add((&view{set: w.set, routers: w.routers}).sumInterval())
+		a.wait = millis((&view{set: w.set, routers: w.routers}).sumInterval())
 		return a
 	}
 	w.stage = queueing
@@ -147,9 +150,25 @@
 // maxRounds ends a walk that goes round without waiting, which would spin.
 const maxRounds = 200
 
-// restart begins the walk anew after a pause.
+// pause returns how long the entry has to wait before the next question: an
+// owner whose queue has no room does not hold the request back itself, and
+// without a pause it would be asked again at once.
+func (w *walk) pause(now time.Time) time.Duration {
+	if w.stage != asking || w.at >= 0 {
+		return 0
+	}
+	return max(w.resume.Sub(now), 0)
+}
+
+// restart begins the walk anew after a pause, by the lists as they are now.
 func (w *walk) restart() {
 	w.rounds++
+	if w.latest != nil {
+		v := w.latest()
+		w.set, w.routers = v.set, v.routers
+		w.warm = w.set.Warm(w.req.Pool, w.req.Hint)
+		w.list = w.set.Candidates(w.list[:0], w.req.Pool, w.req.Key, w.req.Hint, w.cfg.Candidates)
+	}
 	w.sent = -1
 	w.stage, w.at, w.full = asking, -1, 0
 	w.other, w.over, w.queue = false, false, nil
@@ -197,8 +216,8 @@
 		owner:    w.routers.Owner(d.ID, d.Zone),
 		deadline: deadline,
 	}
-	if w.at == 0 && w.warm {
-		a.wait = millis(max(w.cfg.WarmWait, 0))
+	if w.at == 0 && d == w.warm {
+		a.wait = millis(w.cfg.WarmWait)
 	}
 	return a
 }
--- a/wisteriarouter/daemon/callers.go
+++ b/wisteriarouter/daemon/callers.go
@@ -47,12 +47,11 @@
 	lim := settingsOf(i).Limits
 	bound := do.MustInvoke[*listeners](i)
 	node := do.MustInvoke[*peer.Node](i)
-	huma.NewError = caller.NewFault
 	do.MustInvoke[*order.Giver](i)
 	s := &servers{node: node, log: logOf(i), failed: make(chan struct{})}
 	s.peers = newServer(bound.peers, peerHandler(node), lim, s.fail)
 	s.operators = newServer(bound.operators, operatorHandler(i), lim, s.fail)
-	s.callers = newServer(bound.callers, callerHandler(i), lim, s.fail)
+	s.callers = newServer(bound.callers, do.MustInvoke[*transfers](i).named(callerHandler(i)), lim, s.fail)
 	s.callers.active = &stateOf(i).inFlight
 	onStop(i, s.close)
 	for _, each := range []*server{s.peers, s.operators, s.callers} {
