End an entry's grants with its process, not with its listing

A router that was frozen returns in lists with a higher incarnation while the same process still holds its grants; owners took that for a restart and ended them, so that its endpoints seemed emptier than they were. Owners now end the grants of an earlier life when they hear from a later one. The test has both.

Calls that a busy router turns away have an event of their own.

--- a/coordination/placement/owner_test.go
+++ b/coordination/placement/owner_test.go
@@ -95,3 +95,17 @@
 		})
 	})
 }
+
+// A router restarts at once, so that lists never drop it. What it ran before is
+// over; counted on, it would keep new requests from the endpoint. A router that
+// was frozen, on the other hand, comes back in lists with a higher incarnation
+// while the same process still holds its grants, and they have to stay.
+func TestGrantsEndWithTheProcessNotWithTheListing(t *testing.T) {
+	o, now := newTestOwner(t, testEndpoints(4), Config{})
+	assert.Equal(t, admit(o, now, 1, "e0").Decision, Granted)
+	o.update(now, NewSet(testEndpoints(4)), NewRouters([]Router{{ID: "r0", Zone: "z0"}}, 0))
+	assert.Equal(t, admit(o, now, 2, "e0").Code, OverBound)
+	again := EntryID{Instance: testEntry.Instance, Incarnation: 2}
+	r, _ := o.submit(now, AdmitRequest{Entry: again, Sequence: 1, Endpoint: "e0"})
+	assert.Equal(t, r.Decision, Granted)
+}
--- a/coordination/placement/release.go
+++ b/coordination/placement/release.go
@@ -131,9 +131,24 @@
 
 // hear notes a sign of life of an entry.
 func (o *Owner) hear(now time.Time, e EntryID) {
+	for _, old := range o.note(now, e) {
+		o.lapse(now, old)
+	}
+}
+
+// note marks an entry as heard, and returns its earlier lives if it is new: a
+// process that has restarted no longer runs what it held before.
+func (o *Owner) note(now time.Time, e EntryID) []EntryID {
 	o.entriesMu.Lock()
 	defer o.entriesMu.Unlock()
+	_, known := o.heard[e]
 	o.heard[e] = now
+	if known {
+		return nil
+	}
+	return lo.Filter(lo.Keys(o.heard), func(old EntryID, _ int) bool {
+		return old.Instance == e.Instance && old.Incarnation < e.Incarnation
+	})
 }
 
 // entries returns the entries heard from.
--- a/wisteriarouter/caller/chat.go
+++ b/wisteriarouter/caller/chat.go
@@ -208,9 +208,13 @@
 	return c, c.setResume(h.LastEventID)
 }
 
+// maxDeadlineMs is the longest deadline, a day, that a caller may ask for; a
+// longer one would not fit into a duration.
+const maxDeadlineMs = 24 * 60 * 60 * 1000
+
 func (c *chat) setDeadline(ms int) {
 	within := c.plan.StartWithin
-	if asked := time.Duration(ms) * time.Millisecond; asked > 0 && (within == 0 || asked < within) {
+	if asked := time.Duration(min(ms, maxDeadlineMs)) * time.Millisecond; asked > 0 && (within == 0 || asked < within) {
 		within = asked
 	}
 	if within > 0 {
--- a/wisteriarouter/daemon/collector.go
+++ b/wisteriarouter/daemon/collector.go
@@ -22,13 +22,17 @@
 		"Routers by state, as this one sees them.", []string{"state"}, nil)
 	peerConns = prometheus.NewDesc("wisteria_peer_connections",
 		"Connections with other routers.", nil, nil)
+	peerDropped = prometheus.NewDesc("wisteria_peer_messages_dropped_total",
+		"Gossip messages that a slow peer's full queue did not take.", nil, nil)
+	peerBusy = prometheus.NewDesc("wisteria_peer_calls_refused_total",
+		"Calls of other routers that were turned away.", nil, nil)
 	peerShed = prometheus.NewDesc("wisteria_rumors_shed_total",
 		"Soft rumours dropped to stay under the byte budget.", nil, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (c *peerCollector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{peerBytes, peerMessages, peerMembers, peerConns, peerShed} {
+	for _, d := range []*prometheus.Desc{peerBytes, peerMessages, peerMembers, peerConns, peerShed, peerDropped, peerBusy} {
 		ch <- d
 	}
 }
@@ -48,5 +52,7 @@
 		ch <- prometheus.MustNewConstMetric(peerMembers, prometheus.GaugeValue, float64(n), state.String())
 	}
 	ch <- prometheus.MustNewConstMetric(peerConns, prometheus.GaugeValue, float64(s.Conns))
+	ch <- prometheus.MustNewConstMetric(peerDropped, prometheus.CounterValue, float64(s.Dropped))
+	ch <- prometheus.MustNewConstMetric(peerBusy, prometheus.CounterValue, float64(s.Busy))
 	ch <- prometheus.MustNewConstMetric(peerShed, prometheus.CounterValue, float64(s.Membership.RumorsShed))
 }
--- a/wisteriarouter/daemon/placing.go
+++ b/wisteriarouter/daemon/placing.go
@@ -33,7 +33,7 @@
 	polls     chan struct{} // a sign to read the loads at once
 	view      atomic.Pointer[placement.Routers]
 	tuning    atomic.Pointer[tuning]
-	reports   sync.Map // the last load that each owned endpoint reported
+	reports   sync.Map // by endpoint, the last load that each owned endpoint reported
 	owned     map[coordination.Endpoint]bool
 	lives     lives
 	restarts  sync.Map // the last restart of each engine
@@ -117,7 +117,9 @@
 // lists returns the routers that may own endpoints, as far as they answer.
 func (p *placing) lists() *placement.Routers {
 	members := lo.FilterMap(p.node.Members(), func(m membership.Member, _ int) (placement.Router, bool) {
-		r := placement.Router{ID: m.Instance, Incarnation: m.Incarnation, Zone: m.Zone}
+		// Without the incarnation: a router that was frozen returns with a higher
+		// one, and its grants are still held by the same process.
+		r := placement.Router{ID: m.Instance, Zone: m.Zone}
 		return r, m.Owner && m.State != membership.Leaving && !p.reach.away(m.Instance)
 	})
 	return placement.NewRouters(members, p.ownerCap)
--- a/wisteriarouter/daemon/rumors.go
+++ b/wisteriarouter/daemon/rumors.go
@@ -68,6 +68,7 @@
 	peer.Refused:      event.PeerRefused,
 	peer.Overflow:     event.RumourShed,
 	peer.Shedding:     event.RumourShed,
+	peer.HandlersBusy: event.PeerBusy,
 }
 
 func (p peerEvents) emit(e peer.Event) {
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -35,6 +35,7 @@
 	PeerRefused      = Kind{403, "peer-refused", logrus.WarnLevel, "A connection was refused at hello, for its fleet name or its version."}
 	MemberChanged    = Kind{404, "member-changed", logrus.InfoLevel, "A router joined, left, or is taken for dead."}
 	RumourShed       = Kind{405, "rumour-shed", logrus.WarnLevel, "Soft state was dropped to stay under the byte budget. If it goes on, raise the budget or look for flapping instances."}
+	PeerBusy         = Kind{406, "peer-busy", logrus.WarnLevel, "More calls of other routers came at once than this one handles; some were turned away. If it goes on, the instance is too small or a peer repeats itself."}
 )
 
 // The events of chats and endpoints.
@@ -73,7 +74,7 @@
 		Started, Ready, Stopping, Stopped, Failed, Panicked,
 		SettingsApplied, SettingsInvalid, SettingsRejected, SettingsChanged,
 		PlatformLost, PlatformBack, InstancesRefresh,
-		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumourShed,
+		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumourShed, PeerBusy,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
 		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, OwnerUnreachable, ConnectionDropped,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
