suspicion: a claimed request still has to ask; placement: bound the flows

The test resends after the crash itself, not after its expected time.

The fair queue kept a flow for every account while it was never empty; now 64 more than requests wait.

--- a/coordination/placement/queue.go
+++ b/coordination/placement/queue.go
@@ -128,8 +128,13 @@
 	q.remove(w)
 }
 
-// forget drops an idle flow that has no lead over virtual time any more, so
-// that the table holds only accounts with requests here of late.
+// spareFlows is how many idle flows a queue keeps for the lead that they have
+// over virtual time.
+const spareFlows = 64
+
+// forget drops an idle flow that has no lead over virtual time any more. Under
+// lasting overload the queue is never empty, and every account that was ever
+// served would stay in the table, which each service goes through.
 func (q *fairQueue) forget(a coordination.Account, f *flow) {
 	if len(f.items) == 0 && f.start <= q.now {
 		delete(q.flows, a)
@@ -137,6 +142,21 @@
 	if q.size == 0 {
 		clear(q.flows)
 	}
+	if len(q.flows) > q.size+spareFlows {
+		q.dropIdle(func(f *flow) bool { return f.start <= q.now })
+	}
+	if len(q.flows) > q.size+spareFlows {
+		q.dropIdle(func(*flow) bool { return true })
+	}
+}
+
+// dropIdle drops the flows without requests that also match.
+func (q *fairQueue) dropIdle(match func(*flow) bool) {
+	for a, f := range q.flows {
+		if len(f.items) == 0 && match(f) {
+			delete(q.flows, a)
+		}
+	}
 }
 
 // ahead returns how many waiting requests go before w.
--- a/coordination/placement/queue_test.go
+++ b/coordination/placement/queue_test.go
@@ -187,3 +187,16 @@
 	_, err = DecodeAdmitReply([]byte{0xff})
 	assert.Assert(t, err != nil)
 }
+
+// A pool stays overloaded for hours while requests of ever new accounts come.
+// If each account left its mark, every grant would take longer than the last.
+func TestQueueForgetsAccountsUnderLastingOverload(t *testing.T) {
+	var q fairQueue
+	q.push(&waiter{req: AdmitRequest{Account: "patient"}, order: 1}, 1e-9)
+	for i := range 10_000 {
+		w := &waiter{req: AdmitRequest{Account: coordination.Account(fmt.Sprint(i))}, order: uint64(i + 2)}
+		q.push(w, 1)
+		q.serve(w)
+		assert.Assert(t, len(q.flows) <= q.size+spareFlows, "%d flows", len(q.flows))
+	}
+}
--- a/coordination/suspicion/fleet_test.go
+++ b/coordination/suspicion/fleet_test.go
@@ -119,7 +119,10 @@
 	var wg sync.WaitGroup
 	original := j
 	wg.Go(func() { first.serve(ctx, original) })
-	time.Sleep(j.length + time.Duration(10+rng.IntN(300))*time.Millisecond)
+	for w.lost()[j.fingerprint] == 0 && time.Now().Before(until) {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(time.Duration(10+rng.IntN(300)) * time.Millisecond)
 	for time.Now().Before(until) {
 		for _, r := range w.routers {
 			if s.rekeyed {
--- a/coordination/suspicion/guard.go
+++ b/coordination/suspicion/guard.go
@@ -143,15 +143,14 @@
 	fingerprint Fingerprint
 	copy        Copy
 	alone       atomic.Bool
-	asked       bool // its gate knows of it; Guard.mu guards it
+	entered     atomic.Bool // its gate has let it run
+	asked       bool        // its gate knows of it; Guard.mu guards it
 }
 
-// Asked reports whether the gate knows of the request.
-func (f *Follow) Asked() bool {
-	f.guard.mu.Lock()
-	defer f.guard.mu.Unlock()
-	return f.asked
-}
+// Asked reports whether the gate has let the request run. A request that a
+// rumour made this router claim has not been let run: it may be on its way to
+// an endpoint, and has to ask like any other.
+func (f *Follow) Asked() bool { return f.entered.Load() }
 
 // Alone reports whether the request must run with no other suspect beside it.
 func (f *Follow) Alone() bool { return f.alone.Load() }
@@ -207,9 +206,11 @@
 		reply := f.guard.step(ctx, f, Enter, nil)
 		switch reply.Verdict {
 		case Free:
+			f.entered.Store(true)
 			return Refusal{}, true
 		case Alone:
 			f.alone.Store(true)
+			f.entered.Store(true)
 			return Refusal{}, true
 		case Poison:
 			return Refusal{Poison: true, RetryAfter: reply.RetryAfter.Duration()}, false
