--- a/wisteriarouter/daemon/transfer_test.go
+++ b/wisteriarouter/daemon/transfer_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
@@ -13,6 +14,7 @@
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/transfer"
 	standin "wisteriaspool/standin/engine"
+	"wisteriaspool/standin/pipe"
 )
 
 const (
@@ -214,3 +216,44 @@
 		assert.Equal(t, r.warm, moved)
 	})
 }
+
+// process is an engine's process, which on its planned stop waits for the
+// connections that are in use.
+type process struct {
+	server   *http.Server
+	listener *pipe.Listener
+}
+
+func (p process) run() { _ = p.server.Serve(p.listener) }
+
+// The process of an engine waits for its open connections before it ends. Moves
+// that were begun one after the other would keep it from ending for as long as
+// there are chats to move, and the platform would kill it at last.
+func TestMovesDoNotHoldUpShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newEvacuationWorld(t, standin.Options{LinkBytesPerSec: 100e6}, nil)
+		defer w.close()
+		w.join()
+		chats := lo.Times(30, newTalker)
+		for _, c := range chats {
+			w.mustSay(c, testPrompt, 16)
+		}
+		w.closes[leavingEngine]() // all is answered; from here on a server that can wait
+		e := w.engines[leavingEngine]
+		p := process{server: &http.Server{Handler: e}, listener: w.network.Listen("e1:80")}
+		go p.run()
+		w.closes[leavingEngine] = func() { _ = p.server.Close() }
+		w.join()
+		w.transfer(transfer.Config{}, w.client)
+		e.Leave()
+		w.directory.Leave(leavingEngine, coordination.Incarnation(e.Incarnation()))
+		time.Sleep(3 * time.Second)
+		start := time.Now()
+		assert.NilError(t, p.server.Shutdown(context.Background()))
+		took := time.Since(start)
+		assert.Assert(t, took <= transfer.Config{}.WithDefaults().Longest, "held up for %v", took)
+		time.Sleep(5 * time.Second)
+		moved := w.result(transfer.Moved)
+		assert.Assert(t, moved > 0 && moved < len(chats), "%d of %d moved", moved, len(chats))
+	})
+}
