--- a/wisteriarouter/daemon/transfer_bench_test.go
+++ b/wisteriarouter/daemon/transfer_bench_test.go
@@ -92,8 +92,9 @@
 
 // run plays the setup in the paused clock, which needs a test of its own.
 func (s leaveSetup) run() *leaveRun {
-	m := &leaveRun{leaveSetup: s}
+	var m *leaveRun
 	play := testing.InternalTest{Name: "paused", F: func(t *testing.T) {
+		m = &leaveRun{leaveSetup: s} // the flag count repeats tests, too
 		synctest.Test(t, m.play)
 	}}
 	match := func(string, string) (bool, error) { return true, nil }
