Damp flapping endpoints, and tell suspicion of losses that lists show

placement.Roster was built and not used: an endpoint that comes and goes now gets an eighth of its chats until it is steady. A router whose list dropped an endpoint before any request of its own met it there now asks the gate, too. A request that becomes a suspect while it looks for a place gives that place back. Owners' decisions and loads are metrics. Tests of daemon and caller pass with -race; the effect of damping was not measured.

--- a/wisteriarouter/caller/answer.go
+++ b/wisteriarouter/caller/answer.go
@@ -131,6 +131,7 @@
 
 // try makes one attempt and reports whether the request is over.
 func (a *answer) try(ctx context.Context) bool {
+	alone := a.trail.Alone()
 	place, refusal := a.acquire(ctx)
 	if refusal != nil {
 		a.giveUp(ctx, refusal)
@@ -141,6 +142,11 @@
 		a.giveUp(ctx, refusal)
 		return true
 	}
+	if a.trail.Alone() && !alone {
+		// It has become a suspect on the way: it must not run beside another.
+		place.Release()
+		return false
+	}
 	at := &attempt{id: engine.NewAttempt(place.Endpoint, a.chat.binding), place: place}
 	a.id, a.place = at.id, place
 	how := a.start(ctx, at)
--- a/wisteriarouter/daemon/collector.go
+++ b/wisteriarouter/daemon/collector.go
@@ -3,9 +3,42 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"wisteriaspool/coordination/placement"
 	"wisteriaspool/wisteriarouter/peer"
 )
 
+// placementCollector exports what an owner counts.
+type placementCollector struct {
+	owner *placement.Owner
+}
+
+var (
+	ownerDecisions = prometheus.NewDesc("wisteria_owner_decisions_total",
+		"Answers that this router gave as the owner of endpoints, by decision and code.",
+		[]string{"decision", "code"}, nil)
+	ownerLoad = prometheus.NewDesc("wisteria_owned_endpoint_load",
+		"Requests at endpoints that this router owns: counted, held by grants, queued.",
+		[]string{"endpoint", "pool", "kind"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (c *placementCollector) Describe(ch chan<- *prometheus.Desc) {
+	ch <- ownerDecisions
+	ch <- ownerLoad
+}
+
+// Collect implements prometheus.Collector.
+func (c *placementCollector) Collect(ch chan<- prometheus.Metric) {
+	for _, d := range c.owner.Decisions() {
+		ch <- prometheus.MustNewConstMetric(ownerDecisions, prometheus.CounterValue, float64(d.Count), d.Decision.String(), d.Code.String())
+	}
+	for _, l := range c.owner.Loads() {
+		for kind, n := range map[string]int{"counted": l.Count, "held": l.Held, "queued": l.Queued} {
+			ch <- prometheus.MustNewConstMetric(ownerLoad, prometheus.GaugeValue, float64(n), string(l.Endpoint), string(l.Pool), kind)
+		}
+	}
+}
+
 // peerCollector exports what a node counts.
 type peerCollector struct {
 	node *peer.Node
--- a/wisteriarouter/daemon/placing.go
+++ b/wisteriarouter/daemon/placing.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 
@@ -29,8 +30,9 @@
 	reach     *reach
 	owner     *placement.Owner
 	entry     *placement.Entry
-	changes   chan struct{} // a sign that lists have changed
-	polls     chan struct{} // a sign to read the loads at once
+	roster    placement.Roster // damps endpoints that come and go
+	changes   chan struct{}    // a sign that lists have changed
+	polls     chan struct{}    // a sign to read the loads at once
 	view      atomic.Pointer[placement.Routers]
 	tuning    atomic.Pointer[tuning]
 	reports   sync.Map // by endpoint, the last load that each owned endpoint reported
@@ -59,6 +61,7 @@
 	id := placement.EntryID{Instance: cfg.Instance, Incarnation: st.incarnation}
 	p.entry = placement.NewEntry(id, p.owner, p.reach, loadReader{directory: p.directory, engines: engines}, placement.Config{})
 	p.tuning.Store(newTuning(nil))
+	do.MustInvoke[*prometheus.Registry](i).MustRegister(&placementCollector{owner: p.owner})
 	p.handle()
 	p.update()
 	node.OnChange(func([]membership.Member) { p.changed() })
@@ -104,16 +107,23 @@
 }
 
 func (p *placing) loop(ctx context.Context) {
+	t := time.NewTicker(steadyInterval)
+	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-p.changes:
-			p.update()
+		case <-t.C:
 		}
+		p.update()
 	}
 }
 
+// steadyInterval is how often it is looked whether an endpoint that came and
+// went has been steady for long enough to get its share of chats again.
+const steadyInterval = 15 * time.Second
+
 // lists returns the routers that may own endpoints, as far as they answer.
 func (p *placing) lists() *placement.Routers {
 	members := lo.FilterMap(p.node.Members(), func(m membership.Member, _ int) (placement.Router, bool) {
@@ -131,7 +141,7 @@
 	p.view.Store(routers)
 	p.owner.Update(placement.NewSet(p.served(all)), routers)
 	p.pollNew(all)
-	p.entry.Update(placement.NewSet(lo.Map(all, func(k endpoint.Known, _ int) placement.Descriptor {
+	p.entry.Update(p.roster.Update(lo.Map(all, func(k endpoint.Known, _ int) placement.Descriptor {
 		return p.tuning.Load().descriptor(k.Descriptor)
 	})), routers)
 }
--- a/wisteriarouter/daemon/suspects.go
+++ b/wisteriarouter/daemon/suspects.go
@@ -3,16 +3,20 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/membership"
 	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/coordination/placement"
 	"wisteriaspool/coordination/suspicion"
 	"wisteriaspool/wisteriarouter/caller"
+	"wisteriaspool/wisteriarouter/endpoint"
 	"wisteriaspool/wisteriarouter/event"
 	"wisteriaspool/wisteriarouter/peer"
 )
@@ -29,14 +33,20 @@
 	place *placing
 	log   event.Log
 	known map[coordination.Instance]bool
+	table *suspicion.Table
+	mu    sync.Mutex // guards set
+	set   *placement.Set
 }
 
 func newSuspects(i do.Injector) (*suspects, error) {
 	st := stateOf(i)
 	node := do.MustInvoke[*peer.Node](i)
+	table := suspicion.NewTable(suspicion.Config{})
 	s := &suspects{
 		node:  node,
-		gate:  suspicion.NewGate(suspicion.NewTable(suspicion.Config{})),
+		gate:  suspicion.NewGate(table),
+		table: table,
+		set:   placement.NewSet(nil),
 		place: do.MustInvoke[*placing](i),
 		log:   logOf(i),
 		known: make(map[coordination.Instance]bool),
@@ -48,6 +58,8 @@
 	node.OnRumor(suspicion.TopicRecord, s.hear)
 	node.OnChange(s.members)
 	s.place.reach.watch(s.moved)
+	directory := do.MustInvoke[*endpoint.Directory](i)
+	directory.Watch(func() { s.lists(directory.All()) })
 	ctx, cancel := context.WithCancel(context.Background())
 	go s.loop(ctx)
 	onStop(i, cancel)
@@ -78,6 +90,21 @@
 	}
 }
 
+// lists tells of endpoints that have gone from the list or restarted without
+// having said so. A router that has dropped an endpoint before any request of
+// its own met it there would otherwise not know that something took it.
+func (s *suspects) lists(all []endpoint.Known) {
+	next := placement.NewSet(lo.Map(all, func(k endpoint.Known, _ int) placement.Descriptor { return k.Descriptor }))
+	s.mu.Lock()
+	before := s.set
+	s.set = next
+	s.mu.Unlock()
+	now := time.Now()
+	for _, d := range next.LostSince(before) {
+		s.table.Lost(now, d.Pool, d.ID, d.Incarnation)
+	}
+}
+
 // members tells the gate of routers that have gone, and that it may have got
 // fingerprints of another one.
 func (s *suspects) members(members []membership.Member) {
