--- a/coordination/suspicion/guard.go
+++ b/coordination/suspicion/guard.go
@@ -248,7 +248,7 @@
 // Something took it, and perhaps a copy of this very request, of which this
 // router has not heard yet; so the gate is asked. It returns once the request
 // may go elsewhere, or the refusal.
-func (f *Follow) FoundDead(ctx context.Context, p coordination.Pool, e coordination.Endpoint, n coordination.Incarnation) (Refusal, bool) {
+func (f *Follow) FoundDead(ctx context.Context, p coordination.Pool, e coordination.Endpoint) (Refusal, bool) {
 	f.guard.table.Lost(time.Now(), p, e)
 	f.guard.mark(f)
 	return f.enter(ctx)
--- a/wisteriarouter/caller/answer.go
+++ b/wisteriarouter/caller/answer.go
@@ -158,9 +158,9 @@
 
 // heed tells the trail of endpoints that placement found dead: a copy of this
 // very request may have taken them.
-func (a *answer) heed(ctx context.Context, losses []Loss) *outcome.Refusal {
-	for _, l := range losses {
-		if refusal := a.trail.FoundDead(ctx, l.Endpoint, l.Incarnation); refusal != nil {
+func (a *answer) heed(ctx context.Context, lost []coordination.Endpoint) *outcome.Refusal {
+	for _, e := range lost {
+		if refusal := a.trail.FoundDead(ctx, e); refusal != nil {
 			return refusal
 		}
 	}
@@ -369,7 +369,7 @@
 	e, n := at.place.Endpoint, at.place.Incarnation
 	a.Placer.Dead(e, n)
 	if how == foundDead {
-		return a.trail.FoundDead(ctx, e, n)
+		return a.trail.FoundDead(ctx, e)
 	}
 	a.Log.Emit(event.EndpointLost, event.F("endpoint", e), event.F("incarnation", n), event.F("attempt", at.id))
 	a.cancel(ctx, at)
--- a/wisteriarouter/caller/caller.go
+++ b/wisteriarouter/caller/caller.go
@@ -49,13 +49,7 @@
 	Address     string
 	Hint        string // leads the chat's next request back here
 	Release     func()
-	Lost        []Loss // endpoints that were found dead on the way
-}
-
-// Loss names an incarnation of an endpoint that was found dead.
-type Loss struct {
-	Endpoint    coordination.Endpoint
-	Incarnation coordination.Incarnation
+	Lost        []coordination.Endpoint // found dead on the way
 }
 
 // Placer grants places.
@@ -93,7 +87,7 @@
 	// returns when the request may go on, or with its refusal.
 	Crashed(ctx context.Context, e coordination.Endpoint, n coordination.Incarnation) *outcome.Refusal
 	// FoundDead tells that an endpoint was dead before the request reached it.
-	FoundDead(ctx context.Context, e coordination.Endpoint, n coordination.Incarnation) *outcome.Refusal
+	FoundDead(ctx context.Context, e coordination.Endpoint) *outcome.Refusal
 	// End tells whether the request has run to its end.
 	End(finished bool)
 }
--- a/wisteriarouter/config/config.go
+++ b/wisteriarouter/config/config.go
@@ -23,6 +23,7 @@
 	Peers    Peers
 	Platform Platform
 	Limits   Limits
+	Transfer Transfer
 	Log      Log
 }
 
@@ -63,6 +64,14 @@
 	StopDelay    time.Duration
 }
 
+// Transfer holds what concerns the moving of KV caches away from engines that
+// leave as planned.
+type Transfer struct {
+	Link          int // bytes a second for one leaving engine
+	BytesPerToken int
+	Prefill       time.Duration // for one token of a prompt
+}
+
 // Log holds how events are written.
 type Log struct {
 	Level logrus.Level
@@ -106,6 +115,11 @@
 		{Name: "stop-within", Kind: schema.Duration, Default: "120s", Min: "1s", Max: "3600s", Doc: "Longest graceful shutdown; what is in flight behind it is cut off."},
 		{Name: "stop-delay", Kind: schema.Duration, Default: "1s", Min: "0s", Max: "60s", Doc: "How long a router that stops still takes new requests, until the balancer has seen that it is not ready."},
 	}},
+	{Name: "transfer", Doc: "Moving the KV caches of an engine's latest chats when it leaves as planned. A cache is moved only if that takes less time than to compute it again.", Keys: []schema.Key{
+		{Name: "link", Kind: schema.Size, Unit: "a second", Default: "119MiB", Min: "1MiB", Max: "100GiB", Doc: "What may be moved for one leaving engine, through this router. The default is a link of 1 Gbit/s, on which large caches do not pay and stay."},
+		{Name: "kv-per-token", Kind: schema.Size, Default: "128KiB", Min: "1KiB", Max: "16MiB", Doc: "Size of the KV cache of one token."},
+		{Name: "prefill-per-token", Kind: schema.Duration, Default: "200us", Min: "1us", Max: "1s", Doc: "Time in which an engine computes one token of a prompt."},
+	}},
 	{Name: "log", Doc: "How events are written.", Keys: []schema.Key{
 		{Name: "level", Kind: schema.Name, Default: "info", Doc: "Least level: debug, info, warning or error."},
 		{Name: "json", Kind: schema.Boolean, Default: "true", Doc: "One JSON object a line rather than text."},
@@ -138,6 +152,7 @@
 		Peers:    peers(f.Section("peers")),
 		Platform: platform(f.Section("platform")),
 		Limits:   limits(f.Section("limits")),
+		Transfer: transfer(f.Section("transfer")),
 		Log:      Log{Level: level, JSON: f.Section("log").Bool("json")},
 	}
 	c.identify(f.Section("router"))
@@ -178,6 +193,14 @@
 	}
 }
 
+func transfer(v schema.Values) Transfer {
+	return Transfer{
+		Link:          v.Int("link"),
+		BytesPerToken: v.Int("kv-per-token"),
+		Prefill:       v.Duration("prefill-per-token"),
+	}
+}
+
 func limits(v schema.Values) Limits {
 	return Limits{
 		BodyBytes:    v.Int("body"),
--- a/wisteriarouter/daemon/daemon_test.go
+++ b/wisteriarouter/daemon/daemon_test.go
@@ -123,6 +123,8 @@
 refresh = %s
 [limits]
 stop-delay = 0s
+[transfer]
+link = 1192MiB
 [log]
 level = warning
 %s`, n, w.address, w.address, w.refresh, seeds)
--- a/wisteriarouter/daemon/losses.go
+++ b/wisteriarouter/daemon/losses.go
@@ -9,7 +9,6 @@
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/placement"
-	"wisteriaspool/wisteriarouter/caller"
 	"wisteriaspool/wisteriarouter/endpoint"
 	"wisteriaspool/wisteriarouter/engine"
 	"wisteriaspool/wisteriarouter/platform"
@@ -24,13 +23,11 @@
 // So its owner holds to the old incarnation, which grants nothing to those who
 // ask for the new one, until the engine itself has reported.
 func (p *placing) served(all []endpoint.Known) []placement.Descriptor {
-	now := time.Now()
 	next := make(lives, len(all))
 	served := lo.Map(all, func(k endpoint.Known, _ int) placement.Descriptor {
 		d := p.tuning.Load().descriptor(k.Descriptor)
 		last, known := p.lives[k.ID]
 		if known && last < d.Incarnation && k.Kind == platform.Engine {
-			p.restarts.Store(k.ID, restart{from: last, to: d.Incarnation, at: now})
 			if p.owns(k) && p.reported(k.ID) != d.Incarnation {
 				d.Incarnation = last
 			}
@@ -42,29 +39,6 @@
 	return served
 }
 
-// restart is the change of an engine from one incarnation to the next.
-type restart struct {
-	from, to coordination.Incarnation
-	at       time.Time
-}
-
-// restartSpan is how long an engine that is listed in its next incarnation may
-// still be starting.
-const restartSpan = 10 * time.Second
-
-// lossOf returns which incarnation was found dead. While an engine restarts, it
-// is the one before: to count the next as dead, too, makes one death look like
-// two, and a few like the loss of a zone, of which no request is suspected.
-func (p *placing) lossOf(l placement.LostEndpoint) caller.Loss {
-	if v, ok := p.restarts.Load(l.Endpoint); ok {
-		r := v.(restart)
-		if r.to == l.Incarnation && time.Since(r.at) < restartSpan {
-			l.Incarnation = r.from
-		}
-	}
-	return caller.Loss{Endpoint: l.Endpoint, Incarnation: l.Incarnation}
-}
-
 // reported returns the incarnation that an endpoint's last report named.
 func (p *placing) reported(id coordination.Endpoint) coordination.Incarnation {
 	if l, ok := p.reports.Load(id); ok {
--- a/wisteriarouter/daemon/placing.go
+++ b/wisteriarouter/daemon/placing.go
@@ -38,7 +38,6 @@
 	reports   sync.Map // by endpoint, the last load that each owned endpoint reported
 	owned     map[coordination.Endpoint]bool
 	lives     lives
-	restarts  sync.Map // the last restart of each engine
 	losses    losses
 }
 
@@ -243,7 +242,7 @@
 		Address:     k.Address,
 		Hint:        g.Hint().String(),
 		Release:     g.Release,
-		Lost:        lo.Map(g.Lost, func(l placement.LostEndpoint, _ int) caller.Loss { return p.lossOf(l) }),
+		Lost:        lo.Map(g.Lost, func(l placement.LostEndpoint, _ int) coordination.Endpoint { return l.Endpoint }),
 	}, nil
 }
 
--- a/wisteriarouter/daemon/reach.go
+++ b/wisteriarouter/daemon/reach.go
@@ -12,6 +12,7 @@
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/membership"
+	"wisteriaspool/wisteriarouter/event"
 	"wisteriaspool/wisteriarouter/peer"
 )
 
@@ -51,6 +52,7 @@
 type reach struct {
 	node fleet
 	ctx  context.Context // ends with the router
+	log  event.Log
 
 	mu       sync.Mutex
 	silent   map[coordination.Instance]*silence
@@ -68,7 +70,9 @@
 	node.Handle(topicProbe, func(context.Context, coordination.Instance, []byte) ([]byte, error) { return nil, nil })
 	ctx, cancel := context.WithCancel(context.Background())
 	onStop(i, cancel)
-	return reachOf(ctx, node), nil
+	r := reachOf(ctx, node)
+	r.log = logOf(i)
+	return r, nil
 }
 
 func reachOf(ctx context.Context, f fleet) *reach {
@@ -163,6 +167,7 @@
 	s.away = s.away || turned
 	p.mu.Unlock()
 	if turned {
+		p.log.Emit(event.PeerAway, event.F("peer", p.id))
 		p.changed()
 	}
 }
@@ -174,6 +179,7 @@
 	delete(p.silent, p.id)
 	p.mu.Unlock()
 	if was {
+		p.log.Emit(event.PeerBack, event.F("peer", p.id))
 		p.changed()
 	}
 }
--- a/wisteriarouter/daemon/suspects.go
+++ b/wisteriarouter/daemon/suspects.go
@@ -181,8 +181,8 @@
 	return t.result(t.follow.Crashed(ctx, t.pool, e, n))
 }
 
-func (t *trail) FoundDead(ctx context.Context, e coordination.Endpoint, n coordination.Incarnation) *outcome.Refusal {
-	return t.result(t.follow.FoundDead(ctx, t.pool, e, n))
+func (t *trail) FoundDead(ctx context.Context, e coordination.Endpoint) *outcome.Refusal {
+	return t.result(t.follow.FoundDead(ctx, t.pool, e))
 }
 
 // result turns the guard's word into a refusal, or nil if the request may go on.
--- a/wisteriarouter/daemon/transfer.go
+++ b/wisteriarouter/daemon/transfer.go
@@ -12,6 +12,7 @@
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/placement"
 	"wisteriaspool/coordination/transfer"
+	"wisteriaspool/wisteriarouter/config"
 	"wisteriaspool/wisteriarouter/endpoint"
 	"wisteriaspool/wisteriarouter/engine"
 	"wisteriaspool/wisteriarouter/platform"
@@ -53,7 +54,7 @@
 func newTransfers(i do.Injector) (*transfers, error) {
 	metrics := newTransferMetrics()
 	do.MustInvoke[*prometheus.Registry](i).MustRegister(metrics.results, metrics.bytes)
-	t, stop := startTransfers(transfer.Config{}, do.MustInvoke[*endpoint.Directory](i),
+	t, stop := startTransfers(transferConfig(settingsOf(i).Transfer), do.MustInvoke[*endpoint.Directory](i),
 		do.MustInvoke[*placing](i), do.MustInvoke[*engine.Client](i), metrics)
 	onStop(i, stop)
 	return t, nil
@@ -175,3 +176,12 @@
 		}),
 	}
 }
+
+// transferConfig returns the settings of this router for transfers.
+func transferConfig(c config.Transfer) transfer.Config {
+	return transfer.Config{
+		Budget:        float64(c.Link),
+		BytesPerToken: c.BytesPerToken,
+		Prefill:       c.Prefill,
+	}
+}
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -36,6 +36,8 @@
 	MemberChanged    = Kind{404, "member-changed", logrus.InfoLevel, "A router joined, left, or is taken for dead."}
 	RumourShed       = Kind{405, "rumour-shed", logrus.WarnLevel, "Soft state was dropped to stay under the byte budget. If it goes on, raise the budget or look for flapping instances."}
 	PeerBusy         = Kind{406, "peer-busy", logrus.WarnLevel, "More calls of other routers came at once than this one handles; some were turned away. If it goes on, the instance is too small or a peer repeats itself."}
+	PeerAway         = Kind{407, "peer-away", logrus.WarnLevel, "A router leaves calls without an answer; this one does without it until it answers again. If it goes on and the router is not declared dead, look at the path between the two."}
+	PeerBack         = Kind{408, "peer-back", logrus.InfoLevel, "A router that was away answers again."}
 )
 
 // The events of chats and endpoints.
@@ -74,7 +76,7 @@
 		Started, Ready, Stopping, Stopped, Failed, Panicked,
 		SettingsApplied, SettingsInvalid, SettingsRejected, SettingsChanged,
 		PlatformLost, PlatformBack, InstancesRefresh,
-		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumourShed, PeerBusy,
+		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumourShed, PeerBusy, PeerAway, PeerBack,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
 		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, OwnerUnreachable, ConnectionDropped,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
