--- a/coordination/membership/fabric_test.go
+++ b/coordination/membership/fabric_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -200,7 +202,7 @@
 }
 
 func (n *node) unlinkAll() {
-	for _, id := range sortedKeys(n.links) {
+	for _, id := range slices.Sorted(maps.Keys(n.links)) {
 		n.f.unlink(n, n.f.byID[id])
 	}
 }
@@ -310,7 +312,7 @@
 	f.cut = func(a, b *node) bool { return side(a) != side(b) }
 	f.after(10*time.Second, func() {
 		for _, a := range f.nodes {
-			for _, id := range sortedKeys(a.links) {
+			for _, id := range slices.Sorted(maps.Keys(a.links)) {
 				if b := f.byID[id]; f.cut(a, b) {
 					f.unlink(a, b)
 				}
--- a/coordination/membership/flush.go
+++ b/coordination/membership/flush.go
@@ -1,7 +1,9 @@
 package membership
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"wisteriaspool/coordination"
@@ -59,7 +61,7 @@
 	if len(l.records) == 0 || m.recordTokens <= 0 {
 		return
 	}
-	ids := sortedKeys(l.records)
+	ids := slices.Sorted(maps.Keys(l.records))
 	if len(ids) > maxRecords {
 		m.rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 		ids = ids[:maxRecords]
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -115,7 +117,7 @@
 				f.fill(30, 1, 3, Config{})
 				f.up(t)
 				a := f.nodes[4]
-				b := f.byID[sortedKeys(a.machine.wanted)[0]]
+				b := f.byID[slices.Sorted(maps.Keys(a.machine.wanted))[0]]
 				f.cut = func(from, to *node) bool { return cut(a, b, from, to) }
 				f.after(10*time.Second, func() { f.unlink(a, b) })
 				f.run(2 * time.Minute)
@@ -307,7 +309,7 @@
 			m.apply("", other)
 		}
 		m.mesh()
-		links[self.Instance] = sortedKeys(m.wanted)
+		links[self.Instance] = slices.Sorted(maps.Keys(m.wanted))
 		most = max(most, len(m.wanted))
 	}
 	reached := map[coordination.Instance]bool{members[0].Instance: true}
--- a/coordination/membership/mesh.go
+++ b/coordination/membership/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -177,7 +178,7 @@
 	if m.self.State == Left {
 		return
 	}
-	for _, id := range sortedKeys(m.wanted) {
+	for _, id := range slices.Sorted(maps.Keys(m.wanted)) {
 		if m.links[id] != nil {
 			continue
 		}
--- a/coordination/membership/probe.go
+++ b/coordination/membership/probe.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -39,7 +40,7 @@
 // those who stay silent.
 func (m *Machine) probe() {
 	m.watchWanted()
-	for _, id := range sortedKeys(m.watched) {
+	for _, id := range slices.Sorted(maps.Keys(m.watched)) {
 		w := m.watched[id]
 		e := m.table[id]
 		if e.State == Suspect {
@@ -95,7 +96,7 @@
 // likely to differ from ours and from each other's.
 func (m *Machine) helpersFor(id coordination.Instance) []coordination.Instance {
 	var peers []coordination.Instance
-	for _, peer := range sortedKeys(m.links) {
+	for _, peer := range slices.Sorted(maps.Keys(m.links)) {
 		e := m.table[peer]
 		if peer != id && e != nil && e.State == Alive {
 			peers = append(peers, peer)
@@ -138,12 +139,3 @@
 		}
 	}
 }
-
-func sortedKeys[V any](set map[coordination.Instance]V) []coordination.Instance {
-	keys := make([]coordination.Instance, 0, len(set))
-	for id := range set {
-		keys = append(keys, id)
-	}
-	slices.Sort(keys)
-	return keys
-}
