--- a/wisteriarouter/daemon/placing.go
+++ b/wisteriarouter/daemon/placing.go
@@ -63,24 +63,28 @@
 	do.MustInvoke[*prometheus.Registry](i).MustRegister(&placementCollector{owner: p.owner})
 	p.handle()
 	p.update()
-	node.OnChange(func([]membership.Member) { p.changed() })
+	p.start(i, engines, cfg.Limits.LoadInterval)
+	return p, nil
+}
+
+// start has placing follow the lists and the loads.
+func (p *placing) start(i do.Injector, engines *engine.Client, loads time.Duration) {
+	p.node.OnChange(func([]membership.Member) { p.changed() })
 	p.reach.watch(p.changed)
 	p.directory.Watch(p.changed)
 	poller := &endpoint.Poller{
 		Directory: p.directory,
 		Loads:     engines,
-		Interval:  cfg.Limits.LoadInterval,
+		Interval:  loads,
 		Soon:      p.polls,
 		Owned:     p.owns,
 		OnLoad:    p.report,
 	}
-	stopPolling := poller.Start(context.Background())
-	onStop(i, stopPolling)
+	onStop(i, poller.Start(context.Background()))
 	ctx, cancel := context.WithCancel(context.Background())
 	go p.loop(ctx)
 	onStop(i, cancel)
 	onStop(i, placement.Start(p.owner, p.entry))
-	return p, nil
 }
 
 // handle registers the owner's part of the protocol between routers.
