--- a/fleet.sh
+++ b/fleet.sh
@@ -111,6 +111,7 @@
 [platform]
 kv = $platform
 instances = $platform
+${router_extra:-}
 INI
   bin/wisteriarouter check -config "$dir/r$n.ini" >"$dir/check.out"
   start "router$n" bin/wisteriarouter serve -config "$dir/r$n.ini"
--- a/measure.sh
+++ b/measure.sh
@@ -5,9 +5,9 @@
 #
 #   ./measure.sh [CASE...]
 #
-# Cases: steady, churn (an engine in twelve replaced as planned every 5 s), crash
-# (killed instead), router (a router killed), surge (three client accounts at ten
-# times their rate).
+# Cases: steady, churn (an engine in twelve replaced as planned every 5 s), moved
+# (the same with a link that pays for moving KV caches), crash (killed instead),
+# router (a router killed), surge (three client accounts at ten times their rate).
 set -euo pipefail
 cd "$(dirname "$0")"
 . ./fleet.sh
@@ -19,7 +19,7 @@
 
 # replace KIND N stops or kills engine N and starts it anew.
 replace() {
-  if [ "$1" = churn ]; then
+  if [ "$1" != crash ]; then
     kill -TERM "${pids[engine$2]}"
   else
     kill -KILL "${pids[engine$2]}"
@@ -32,7 +32,7 @@
 trouble() {
   local n
   case $1 in
-  churn | crash)
+  churn | moved | crash)
     for n in 1 2 3 4; do
       sleep 5
       replace "$1" $n
@@ -49,6 +49,8 @@
 measure() {
   local n flags=() callers=() operators=() addresses=() services=()
   rm -f "$dir"/*.addr
+  router_extra=
+  if [ "$1" = moved ]; then router_extra=$'[transfer]\nlink = 1192MiB'; fi
   start_platform
   for n in $(seq $engines); do start_engine $n -cache-blocks 1024; done
   for n in 1 2 3; do start_service $n; done
@@ -89,5 +91,5 @@
 [service "order-desk"]
 non-idempotent = confirm
 INI
-if [ $# -eq 0 ]; then set -- steady churn crash router surge; fi
+if [ $# -eq 0 ]; then set -- steady churn moved crash router surge; fi
 for each in "$@"; do measure "$each"; done
