Drop three events that nothing emitted

Found by reading the catalogue against the code: panicked (105), instances-changed (302) and owner-unreachable (510) were on the operators' page and never logged; 407 peer-away tells what the last one promised. A test now demands that something emits each kind; it failed with these three names before. The numbers stay free.

--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -9,7 +9,6 @@
 	Stopping = Kind{102, "stopping", logrus.InfoLevel, "A graceful shutdown began: no new requests, those in flight finish."}
 	Stopped  = Kind{103, "stopped", logrus.InfoLevel, "The shutdown is complete; in-flight tells how many requests were left, which is 0 unless the stop limit passed."}
 	Failed   = Kind{104, "failed", logrus.ErrorLevel, "The router could not start or go on. The error tells why."}
-	Panicked = Kind{105, "panicked", logrus.ErrorLevel, "A broken invariant stopped one request. Report it with the stack."}
 )
 
 // The events of settings.
@@ -22,9 +21,8 @@
 
 // The events of the platform's service.
 var (
-	PlatformLost     = Kind{300, "platform-lost", logrus.WarnLevel, "Calls to the platform's service fail. Chats go on with the last settings; non-idempotent actions are refused. See the platform's own alarms."}
-	PlatformBack     = Kind{301, "platform-back", logrus.InfoLevel, "Calls to the platform's service succeed again."}
-	InstancesRefresh = Kind{302, "instances-changed", logrus.InfoLevel, "The platform's list of instances changed."}
+	PlatformLost = Kind{300, "platform-lost", logrus.WarnLevel, "Calls to the platform's service fail. Chats go on with the last settings; non-idempotent actions are refused. See the platform's own alarms."}
+	PlatformBack = Kind{301, "platform-back", logrus.InfoLevel, "Calls to the platform's service succeed again."}
 )
 
 // The events of peers.
@@ -52,7 +50,6 @@
 	RequestSuspected  = Kind{507, "request-suspected", logrus.WarnLevel, "A request ran on an endpoint that died."}
 	RequestConvicted  = Kind{508, "request-convicted", logrus.ErrorLevel, "A request's second endpoint died. The fleet refuses it from now on; look at its fingerprint's caller."}
 	RetryBudgetSpent  = Kind{509, "retry-budget-spent", logrus.WarnLevel, "A request was not retried because the share of retries is spent. Look for endpoints that fail."}
-	OwnerUnreachable  = Kind{510, "owner-unreachable", logrus.WarnLevel, "An endpoint's owner did not answer; the router decided by itself under a tighter bound."}
 	ConnectionDropped = Kind{511, "caller-gone", logrus.DebugLevel, "A caller went away; its attempt was cancelled."}
 )
 
@@ -73,12 +70,12 @@
 // Catalogue lists every kind, in order of number.
 func Catalogue() []Kind {
 	return []Kind{
-		Started, Ready, Stopping, Stopped, Failed, Panicked,
+		Started, Ready, Stopping, Stopped, Failed,
 		SettingsApplied, SettingsInvalid, SettingsRejected, SettingsChanged,
-		PlatformLost, PlatformBack, InstancesRefresh,
+		PlatformLost, PlatformBack,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumourShed, PeerBusy, PeerAway, PeerBack,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
-		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, OwnerUnreachable, ConnectionDropped,
+		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, ConnectionDropped,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
 		OrderGiven,
 	}
--- a/wisteriarouter/event/event_test.go
+++ b/wisteriarouter/event/event_test.go
@@ -7,6 +7,8 @@
 	"go/parser"
 	"go/token"
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -47,15 +49,24 @@
 }
 
 func TestCatalogueIsComplete(t *testing.T) {
+	assert.Equal(t, len(declared(t)), len(event.Catalogue()))
+}
+
+// declared returns the names of the kinds that the catalogue's file declares.
+func declared(t *testing.T) []string {
 	f, err := parser.ParseFile(token.NewFileSet(), "catalogue.go", nil, 0)
 	assert.NilError(t, err)
-	declared := 0
+	var names []string
 	for _, d := range f.Decls {
-		if g, ok := d.(*ast.GenDecl); ok && g.Tok == token.VAR {
-			declared += len(g.Specs)
+		g, ok := d.(*ast.GenDecl)
+		if !ok || g.Tok != token.VAR {
+			continue
+		}
+		for _, spec := range g.Specs {
+			names = append(names, spec.(*ast.ValueSpec).Names[0].Name)
 		}
 	}
-	assert.Equal(t, declared, len(event.Catalogue()))
+	return names
 }
 
 func TestEmit(t *testing.T) {
@@ -67,3 +78,22 @@
 	assert.Equal(t, out.String(), `{"event":100,"instance":"r1","level":"info","msg":"started"}`+"\n")
 	event.Log{}.Emit(event.Started)
 }
+
+// An operator waits for a number that the page promises and nothing ever logs.
+func TestEveryEventIsEmitted(t *testing.T) {
+	var code strings.Builder
+	files, err := filepath.Glob("../*/*.go")
+	assert.NilError(t, err)
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		text, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		code.Write(text)
+	}
+	for _, name := range declared(t) {
+		used := regexp.MustCompile(`event\.` + name + `\b`).MatchString(code.String())
+		assert.Check(t, used, "nothing emits %s", name)
+	}
+}
