--- /dev/null
+++ b/coordination/mirror/follower.go
@@ -0,0 +1,97 @@
+package mirror
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"wisteriaspool/coordination/kv"
+)
+
+// Source tells what has changed under a prefix: the store, or another router.
+type Source interface {
+	// Fetch returns what has changed after a revision. It waits for a change,
+	// but no longer than for a time that the source sets. After zero asks for
+	// everything at once.
+	Fetch(ctx context.Context, after kv.Revision) (Update, error)
+}
+
+// The pause after a fetch that failed doubles from the first to the longest.
+// The first is short, for an answer that was lost is often an only one; the
+// longest keeps a store that is down from being called by the whole fleet, and
+// is well under the two seconds within which endpoints are back in its list.
+const (
+	firstPause   = 100 * time.Millisecond
+	longestPause = 800 * time.Millisecond
+)
+
+// Follower feeds a mirror from a source.
+type Follower struct {
+	Mirror *Mirror
+	Source Source
+	// OnState, if set, is told when the source is lost, with why, and when it
+	// is back.
+	OnState func(err error)
+}
+
+// Start follows until the returned function is called.
+func (f *Follower) Start() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+func (f *Follower) run(ctx context.Context) {
+	pause := time.Duration(0)
+	lost := false
+	for ctx.Err() == nil {
+		u, err := f.Source.Fetch(ctx, f.Mirror.AsOf())
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			f.Mirror.Take(u)
+		}
+		if lost != (err != nil) {
+			lost = err != nil
+			f.tell(err)
+		}
+		pause = next(pause, err)
+		sleep(ctx, pause)
+	}
+}
+
+func (f *Follower) tell(err error) {
+	if f.OnState != nil {
+		f.OnState(err)
+	}
+}
+
+// next returns the pause after a fetch.
+func next(last time.Duration, err error) time.Duration {
+	if err == nil {
+		return 0
+	}
+	return min(max(2*last, firstPause), longestPause)
+}
+
+// sleep waits for about d, so that those who failed together do not come back
+// together.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d/2 + rand.N(d))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/coordination/mirror/mirror.go
@@ -0,0 +1,189 @@
+// Package mirror keeps a router's copy of the keys under one prefix of the
+// platform's store. The copy is fed by the store itself and by other routers
+// that keep the same copy, in any order: of each key the highest revision
+// counts, so that nothing ever reverts.
+package mirror
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"wisteriaspool/coordination/kv"
+)
+
+// Item is what is known of one key.
+type Item struct {
+	Key      string      `cbor:"1,keyasint"`
+	Value    []byte      `cbor:"2,keyasint,omitempty"`
+	Revision kv.Revision `cbor:"3,keyasint"` // of the last write, or of the deletion
+	Deleted  bool        `cbor:"4,keyasint,omitempty"`
+}
+
+// Update is what a source tells of a prefix.
+type Update struct {
+	// Full says that Items are all keys that exist. Otherwise they are those
+	// that have changed since the revision that was asked for.
+	Full  bool        `cbor:"1,keyasint,omitempty"`
+	Items []Item      `cbor:"2,keyasint,omitempty"`
+	AsOf  kv.Revision `cbor:"3,keyasint"` // all changes up to here are in
+}
+
+// tombstoneLife is how long a deleted key is remembered. It covers the longest
+// time for which a peer may be behind and still be told changes alone: its
+// fetch waits for a few seconds, and a pause of its process lasts longer.
+const tombstoneLife = time.Minute
+
+// Mirror is the copy of one prefix. It is safe for concurrent use.
+type Mirror struct {
+	mu        sync.Mutex
+	items     map[string]Item
+	deleted   map[string]time.Time // when each tombstone was learned
+	asOf      kv.Revision
+	floor     kv.Revision // tombstones up to here may be forgotten
+	changed   chan struct{}
+	telling   sync.Mutex
+	observers []func([]Item)
+}
+
+// New returns an empty mirror, which knows nothing before its first update.
+func New() *Mirror {
+	return &Mirror{
+		items:   make(map[string]Item),
+		deleted: make(map[string]time.Time),
+		changed: make(chan struct{}),
+	}
+}
+
+// Observe has fn called with the items that each update has changed. It has to
+// be set before the first update.
+func (m *Mirror) Observe(fn func([]Item)) { m.observers = append(m.observers, fn) }
+
+// AsOf returns the revision up to which the mirror is complete; zero before
+// the first update.
+func (m *Mirror) AsOf() kv.Revision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.asOf
+}
+
+// Find returns the item of a key that exists.
+func (m *Mirror) Find(key string) (Item, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	item, ok := m.items[key]
+	return item, ok && !item.Deleted
+}
+
+// Take applies an update and tells the observers what has changed. An update
+// that is behind what is known changes nothing.
+func (m *Mirror) Take(u Update) {
+	m.telling.Lock()
+	defer m.telling.Unlock()
+	news := m.apply(time.Now(), u)
+	if len(news) == 0 {
+		return
+	}
+	for _, fn := range m.observers {
+		fn(news)
+	}
+}
+
+func (m *Mirror) apply(now time.Time, u Update) []Item {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var news []Item
+	for _, item := range u.Items {
+		if m.put(now, item) {
+			news = append(news, item)
+		}
+	}
+	if u.Full {
+		news = append(news, m.sweep(now, u)...)
+	}
+	m.prune(now)
+	advanced := u.AsOf > m.asOf
+	m.asOf = max(m.asOf, u.AsOf)
+	if advanced || len(news) > 0 {
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
+	return news
+}
+
+// put takes an item if it is newer than what is known of its key.
+func (m *Mirror) put(now time.Time, item Item) bool {
+	if old, ok := m.items[item.Key]; ok && old.Revision >= item.Revision {
+		return false
+	}
+	m.items[item.Key] = item
+	delete(m.deleted, item.Key)
+	if item.Deleted {
+		m.deleted[item.Key] = now
+	}
+	return true
+}
+
+// sweep deletes the keys that a full update does not name, unless they are
+// newer than the update.
+func (m *Mirror) sweep(now time.Time, u Update) []Item {
+	named := make(map[string]bool, len(u.Items))
+	for _, item := range u.Items {
+		named[item.Key] = true
+	}
+	var gone []Item
+	for key, item := range m.items {
+		if item.Deleted || named[key] || item.Revision > u.AsOf {
+			continue
+		}
+		tombstone := Item{Key: key, Revision: u.AsOf, Deleted: true}
+		m.put(now, tombstone)
+		gone = append(gone, tombstone)
+	}
+	return gone
+}
+
+// prune forgets old tombstones.
+func (m *Mirror) prune(now time.Time) {
+	for key, at := range m.deleted {
+		if now.Sub(at) > tombstoneLife {
+			m.floor = max(m.floor, m.items[key].Revision)
+			delete(m.items, key)
+			delete(m.deleted, key)
+		}
+	}
+}
+
+// Since returns what has changed after a revision, or everything if the mirror
+// cannot tell.
+func (m *Mirror) Since(after kv.Revision) Update {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	u := Update{Full: after == 0 || after < m.floor, AsOf: m.asOf}
+	for _, item := range m.items {
+		if u.Full && !item.Deleted || !u.Full && item.Revision > after {
+			u.Items = append(u.Items, item)
+		}
+	}
+	slices.SortFunc(u.Items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+	return u
+}
+
+// Wait returns once the mirror is complete beyond a revision, or ctx ends.
+func (m *Mirror) Wait(ctx context.Context, after kv.Revision) {
+	for {
+		m.mu.Lock()
+		ahead, changed := m.asOf > after, m.changed
+		m.mu.Unlock()
+		if ahead {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/coordination/placement/config.go
+++ b/coordination/placement/config.go
@@ -16,6 +16,12 @@
 	// carry; above 1, default 1.25.
 	Bound float64
 
+	// Slack is a number of requests that an endpoint may carry beyond Bound. It
+	// keeps small loads from being driven away from their caches: at a mean of
+	// two, a bound of 1.25 lets an endpoint run three. Default 0.
+	Slack int
+	// Pools holds the bounds of pools that have their own.
+	Pools map[coordination.Pool]PoolBound
 	// WarmWait is the longest time for which an owner holds a request back
 	// for the endpoint where its chat is warm, before it is passed on to a
 	// cold one. Zero is none. It is a part of the time to the first token.
@@ -62,6 +68,23 @@
 	FallbackShare float64
 }
 
+// PoolBound is how much of its pool's mean load an endpoint may carry.
+type PoolBound struct {
+	Bound float64 // multiple of the mean; above 1
+	Slack int     // requests beyond it
+}
+
+// boundOf returns the bound of a pool.
+func (c *Config) boundOf(p coordination.Pool) PoolBound {
+	if b, ok := c.Pools[p]; ok {
+		return b
+	}
+	return PoolBound{Bound: c.Bound, Slack: c.Slack}
+}
+
+// limit returns how many requests an endpoint may carry at a mean load.
+func (b PoolBound) limit(mean float64) int { return limitOf(b.Bound, mean) + b.Slack }
+
 // weightOf returns the share of an account under contention.
 func (c *Config) weightOf(a coordination.Account) float64 {
 	if w := c.AccountWeights[a]; w > 0 {
--- a/coordination/placement/mean.go
+++ b/coordination/placement/mean.go
@@ -61,7 +61,7 @@
 func (p *poolLoad) admit(now time.Time, count int, cfg *Config) (limit int, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	limit = limitOf(cfg.Bound, p.mean(now, cfg))
+	limit = cfg.boundOf(p.name).limit(p.mean(now, cfg))
 	if count+1 > limit {
 		return limit, false
 	}
@@ -81,7 +81,7 @@
 	others := float64(p.others)
 	// With half of what the bound leaves above the mean, some endpoint is still
 	// under the bound, so that the margin never refuses by itself.
-	others -= min(p.drift*p.staleness(age), others*(1-1/cfg.Bound)/2)
+	others -= min(p.drift*p.staleness(age), others*(1-1/cfg.boundOf(p.name).Bound)/2)
 	whole := (own + others) / n
 	if age <= cfg.MeanHold {
 		return whole
--- a/coordination/settings/schema/file.go
+++ b/coordination/settings/schema/file.go
@@ -109,7 +109,9 @@
 		p := &place{section: sec, title: sec.Name}
 		v := Values{file: sc.file, section: sec, keys: make(map[string]value)}
 		for _, k := range sec.Keys {
-			v.keys[k.Name] = sc.fallback(p, k)
+			if !sec.Optional || !k.Required {
+				v.keys[k.Name] = sc.fallback(p, k)
+			}
 		}
 		f.values = append(f.values, v)
 	}
--- a/coordination/settings/schema/schema.go
+++ b/coordination/settings/schema/schema.go
@@ -55,6 +55,9 @@
 	Name     string
 	Named    bool
 	Required bool // the section has to be written; not for Named ones
+	// Optional means that the section may be left out although it has required
+	// keys, which are then empty.
+	Optional bool
 	Doc      string
 	Keys     []Key
 }
--- a/wisteriarouter/config/config.go
+++ b/wisteriarouter/config/config.go
@@ -22,6 +22,7 @@
 	Listen   Listen
 	Peers    Peers
 	Platform Platform
+	Relay    *Relay // nil if the router serves callers by its own interface
 	Limits   Limits
 	Transfer Transfer
 	Log      Log
@@ -51,6 +52,17 @@
 	Timeout   time.Duration
 }
 
+// Relay holds what concerns a router that relays plain HTTP on a platform whose
+// store holds the desired state and the endpoints.
+type Relay struct {
+	Store      string        // address of the platform's store
+	Readiness  string        // address on which the platform's balancer asks
+	RetryShare float64       // second attempts of the whole fleet for each request
+	RetryBurst int           // and beyond those, in RetryWindow
+	LoadFactor float64       // multiple of its pool's mean load that an endpoint may carry
+	LoadSlack  int           // requests beyond that
+}
+
 // Limits are the router's limits.
 type Limits struct {
 	BodyBytes    int
@@ -100,13 +112,21 @@
 		{Name: "byte-budget", Kind: schema.Size, Default: "25KiB", Min: "4KiB", Max: "1MiB", Doc: "Control traffic a second. Soft state is dropped beyond it, settings never."},
 		{Name: "owner-cap", Kind: schema.Integer, Unit: "routers", Default: "150", Min: "1", Max: "1000", Doc: "How many routers own endpoints at most. Has to be the same on all routers."},
 	}},
-	{Name: "platform", Required: true, Doc: "The platform's services.", Keys: []schema.Key{
+	{Name: "platform", Optional: true, Doc: "The platform's services. A router has this section or [relay].", Keys: []schema.Key{
 		{Name: "kv", Kind: schema.Addresses, Required: true, Doc: "Addresses of the key-value service's JSON gateway."},
 		{Name: "instances", Kind: schema.Address, Required: true, Doc: "Address of the list of instances."},
 		{Name: "refresh", Kind: schema.Duration, Default: "1s", Min: "100ms", Max: "30s", Doc: "How often the list of instances is read."},
 		{Name: "call-budget", Kind: schema.Number, Unit: "calls/s", Default: "300", Min: "1", Max: "100000", Doc: "Calls of the whole fleet; each router takes an equal share."},
 		{Name: "timeout", Kind: schema.Duration, Default: "1s", Min: "50ms", Max: "10s", Doc: "Longest wait for one call."},
 	}},
+	{Name: "relay", Optional: true, Doc: "For a router that relays plain HTTP by the desired state in the platform's store, in place of [platform].", Keys: []schema.Key{
+		{Name: "store", Kind: schema.Address, Required: true, Doc: "Address of the platform's store."},
+		{Name: "readiness", Kind: schema.Address, Required: true, Doc: "Address on which the platform's balancer asks whether the router is ready."},
+		{Name: "retry-share", Kind: schema.Number, Unit: "for each request", Default: "0.15", Min: "0", Max: "1", Doc: "Second attempts of the whole fleet at a pool, for each of its requests."},
+		{Name: "retry-burst", Kind: schema.Integer, Unit: "requests", Default: "40", Min: "0", Max: "100000", Doc: "Second attempts of the whole fleet at a pool beyond its share, when many fail at once."},
+		{Name: "load-factor", Kind: schema.Number, Unit: "times the mean", Default: "1.5", Min: "1.05", Max: "10", Doc: "Load of an endpoint against the mean of its pool, at most."},
+		{Name: "load-slack", Kind: schema.Integer, Unit: "requests", Default: "2", Min: "0", Max: "1000", Doc: "Requests that an endpoint may run beyond that."},
+	}},
 	{Name: "limits", Doc: "Limits towards callers and endpoints.", Keys: []schema.Key{
 		{Name: "body", Kind: schema.Size, Default: "1MiB", Min: "1KiB", Max: "64MiB", Doc: "Largest body of a request."},
 		{Name: "headers", Kind: schema.Size, Default: "16KiB", Min: "4KiB", Max: "1MiB", Doc: "Largest headers of a request."},
@@ -146,6 +166,9 @@
 	if len(problems) > 0 {
 		return nil, problems
 	}
+	if problem, ok := alternative(file, f); !ok {
+		return nil, []schema.Problem{problem}
+	}
 	level, err := logrus.ParseLevel(f.Section("log").Text("level"))
 	if err != nil {
 		panic("config: the table allows a level that logrus does not know: " + err.Error())
@@ -158,10 +181,40 @@
 		Transfer: transfer(f.Section("transfer")),
 		Log:      Log{Level: level, JSON: f.Section("log").Bool("json")},
 	}
+	if v := f.Section("relay"); v.Line > 0 {
+		c.Relay = relay(v)
+	}
 	c.identify(f.Section("router"))
 	return c, nil
 }
 
+// alternative checks that the file says where the router's settings and
+// endpoints come from, and says it once.
+func alternative(file string, f *schema.File) (schema.Problem, bool) {
+	onPlatform, relays := f.Section("platform").Line > 0, f.Section("relay").Line > 0
+	p := schema.Problem{File: file, Section: "platform"}
+	switch {
+	case onPlatform && relays:
+		p.Message = "stands beside [relay]; a router has one of them"
+	case !onPlatform && !relays:
+		p.Message = "the section is missing, and so is [relay]; a router has one of them"
+	default:
+		return p, true
+	}
+	return p, false
+}
+
+func relay(v schema.Values) *Relay {
+	return &Relay{
+		Store:      v.Text("store"),
+		Readiness:  v.Text("readiness"),
+		RetryShare: v.Float("retry-share"),
+		RetryBurst: v.Int("retry-burst"),
+		LoadFactor: v.Float("load-factor"),
+		LoadSlack:  v.Int("load-slack"),
+	}
+}
+
 func (c *Config) identify(v schema.Values) {
 	c.Instance = coordination.Instance(v.Text("instance"))
 	c.Zone = coordination.Zone(v.Text("availability-zone"))
--- a/wisteriarouter/daemon/daemon.go
+++ b/wisteriarouter/daemon/daemon.go
@@ -78,7 +78,7 @@
 // Start starts a router and returns it with its graceful shutdown, which
 // returns how many requests it had to cut off.
 func Start(cfg *config.Config) (*Daemon, func() int, error) {
-	return start(cfg, os.Stderr)
+	return start(cfg, os.Stdout)
 }
 
 func start(cfg *config.Config, logs io.Writer) (*Daemon, func() int, error) {
@@ -99,7 +99,11 @@
 	do.ProvideValue(d.injector, d.log)
 	do.ProvideValue(d.injector, d.state)
 	do.ProvideValue(d.injector, d.cleanups)
-	provide(d.injector)
+	if cfg.Relay != nil {
+		provideRelay(d.injector)
+	} else {
+		provide(d.injector)
+	}
 	servers, err := do.Invoke[*servers](d.injector)
 	if err != nil {
 		d.cleanups.run()
--- a/wisteriarouter/daemon/parts.go
+++ b/wisteriarouter/daemon/parts.go
@@ -22,18 +22,13 @@
 // provide declares how each part is made. A part is made when the first other
 // one asks for it.
 func provide(i do.Injector) {
-	do.Provide(i, newListeners)
-	do.Provide(i, newRegistry)
-	do.Provide(i, newBudget)
+	provideShared(i)
 	do.Provide(i, newPlatform)
-	do.Provide(i, newNode)
-	do.Provide(i, newReach)
 	do.Provide(i, newEngines)
 	do.Provide(i, newDirectory)
 	do.Provide(i, newPlacing)
 	do.Provide(i, newTeams)
 	do.Provide(i, newTeamRetries)
-	do.Provide(i, newSuspects)
 	do.Provide(i, newActions)
 	do.Provide(i, newOrders)
 	do.Provide(i, newTransfers)
@@ -41,6 +36,16 @@
 	do.Provide(i, newServers)
 }
 
+// provideShared declares the parts that every router has.
+func provideShared(i do.Injector) {
+	do.Provide(i, newListeners)
+	do.Provide(i, newRegistry)
+	do.Provide(i, newBudget)
+	do.Provide(i, newNode)
+	do.Provide(i, newReach)
+	do.Provide(i, newSuspects)
+}
+
 func settingsOf(i do.Injector) *config.Config { return do.MustInvoke[*config.Config](i) }
 
 func logOf(i do.Injector) event.Log { return do.MustInvoke[event.Log](i) }
--- /dev/null
+++ b/wisteriarouter/daemon/relay.go
@@ -0,0 +1,328 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/membership"
+	"wisteriaspool/coordination/mirror"
+	"wisteriaspool/coordination/route"
+	"wisteriaspool/platform"
+	"wisteriaspool/wisteriarouter/endpoint"
+	"wisteriaspool/wisteriarouter/event"
+	"wisteriaspool/wisteriarouter/peer"
+	legacy "wisteriaspool/wisteriarouter/platform"
+	"wisteriaspool/wisteriarouter/relay"
+	"wisteriaspool/wisteriarouter/upstream"
+)
+
+// provideRelay declares the parts of a router that relays plain HTTP on a
+// platform whose store holds the desired state and the endpoints.
+func provideRelay(i do.Injector) {
+	provideShared(i)
+	do.Provide(i, newStore)
+	do.Provide(i, newMirror)
+	do.Provide(i, newListedDirectory)
+	do.Provide(i, newRegister)
+	do.Provide(i, newRelayPlacing)
+	do.Provide(i, newDesired)
+	do.Provide(i, newRelayPlacer)
+	do.Provide(i, newPoolRetries)
+	do.Provide(i, newSender)
+	do.Provide(i, newRelay)
+	do.Provide(i, newRelayServers)
+}
+
+// storeTimeout bounds a call to the platform's store, which answers in some
+// milliseconds; a slow one takes 60 times as long.
+const storeTimeout = time.Second
+
+func newStore(i do.Injector) (*platform.Store, error) {
+	cfg := settingsOf(i).Relay
+	observe := newStoreMetrics(do.MustInvoke[*prometheus.Registry](i))
+	s, cleanup := platform.NewStore(platform.StoreConfig{Address: cfg.Store, Timeout: storeTimeout, OnCall: observe})
+	onStop(i, cleanup)
+	return s, nil
+}
+
+const (
+	// peerWait is how long a router waits at another one for a change before it
+	// asks the next one. A change that one router knows reaches all others
+	// within a few of these, whatever the store does.
+	peerWait = 700 * time.Millisecond
+	// peerTimeout is how much longer an answer may take.
+	peerTimeout = 500 * time.Millisecond
+)
+
+// newMirror makes the router's copy of what the store holds, and starts to feed
+// it from the store and from other routers. A router that the store turns away
+// still hears of changes from those that it serves.
+func newMirror(i do.Injector) (*mirror.Mirror, error) {
+	m := mirror.New()
+	node := do.MustInvoke[*peer.Node](i)
+	server := mirror.Server{Mirrors: map[string]*mirror.Mirror{platform.Prefix: m}}
+	node.Handle(mirror.Topic, func(ctx context.Context, _ coordination.Instance, payload []byte) ([]byte, error) {
+		return server.Handle(ctx, payload)
+	})
+	return m, nil
+}
+
+// feed starts to feed the mirror. Its observers are set by then.
+func feed(i do.Injector, m *mirror.Mirror, onState func(error)) {
+	node, reach := do.MustInvoke[*peer.Node](i), do.MustInvoke[*reach](i)
+	store := &mirror.Follower{
+		Mirror: m,
+		Source: mirror.StoreSource{
+			Store:  do.MustInvoke[*platform.Store](i),
+			Prefix: platform.Prefix,
+			Wait:   func() time.Duration { return mirror.WatchWait(len(node.Members())) },
+		},
+		OnState: onState,
+	}
+	peers := &mirror.Follower{Mirror: m, Source: mirror.PeerSource{
+		Transport: reach,
+		Choose:    peerChooser{node: node, reach: reach}.choose,
+		Prefix:    platform.Prefix,
+		Wait:      peerWait,
+		Timeout:   peerTimeout,
+	}}
+	onStop(i, store.Start())
+	onStop(i, peers.Start())
+}
+
+// peerChooser names another router at random.
+type peerChooser struct {
+	node  *peer.Node
+	reach *reach
+}
+
+func (c peerChooser) choose() (coordination.Instance, bool) {
+	self := c.node.Self().Instance
+	others := lo.Filter(c.node.Members(), func(m membership.Member, _ int) bool {
+		return m.Instance != self && m.State != membership.Leaving && !c.reach.away(m.Instance)
+	})
+	if len(others) == 0 {
+		return "", false
+	}
+	return others[rand.IntN(len(others))].Instance, true
+}
+
+// storeWatch takes in that the store is lost or back.
+type storeWatch struct {
+	log      event.Log
+	register *endpoint.Register
+}
+
+func (s storeWatch) told(err error) {
+	if err == nil {
+		s.log.Emit(event.PlatformBack)
+		s.register.StoreBack()
+		return
+	}
+	s.log.Emit(event.PlatformLost, event.F("error", err.Error()))
+	s.register.StoreLost()
+}
+
+// newListedDirectory makes the directory of endpoints from their entries in
+// the store.
+func newListedDirectory(i do.Injector) (*endpoint.Directory, error) {
+	return &endpoint.Directory{OnLeaving: leavingLogger{logOf(i)}.tell}, nil
+}
+
+// newRegister has the entries in the store taken into the directory.
+func newRegister(i do.Injector) (*endpoint.Register, error) {
+	r := &endpoint.Register{Directory: do.MustInvoke[*endpoint.Directory](i), Log: logOf(i)}
+	do.MustInvoke[*mirror.Mirror](i).Observe(entryReader{register: r, log: logOf(i)}.take)
+	return r, nil
+}
+
+type leavingLogger struct{ log event.Log }
+
+func (l leavingLogger) tell(id coordination.Endpoint, n coordination.Incarnation) {
+	l.log.Emit(event.EndpointLeaving, event.F("endpoint", id), event.F("incarnation", n))
+}
+
+// entryReader turns items of the store into changes of endpoints.
+type entryReader struct {
+	register *endpoint.Register
+	log      event.Log
+}
+
+func (r entryReader) take(items []mirror.Item) {
+	changes := make([]endpoint.Change, 0, len(items))
+	for _, item := range items {
+		if !platform.IsEntry(item.Key) {
+			continue
+		}
+		if c, ok := r.change(item); ok {
+			changes = append(changes, c)
+		}
+	}
+	r.register.Take(changes)
+}
+
+func (r entryReader) change(item mirror.Item) (endpoint.Change, bool) {
+	if item.Deleted {
+		return endpoint.Change{Entry: legacy.Entry{ID: platform.EntryID(item.Key)}, Gone: true}, true
+	}
+	e, err := platform.DecodeEntry(item.Key, item.Value)
+	if err != nil {
+		r.log.Emit(event.EndpointMalformed, event.F("key", item.Key), event.F("revision", item.Revision), event.F("error", err.Error()))
+		return endpoint.Change{}, false
+	}
+	state := legacy.Live
+	if e.Draining {
+		state = legacy.Leaving
+	}
+	return endpoint.Change{Entry: legacy.Entry{
+		ID:          e.ID,
+		Address:     e.Address,
+		Zone:        e.Zone,
+		Kind:        legacy.PlainService,
+		Pool:        e.Pool,
+		State:       state,
+		Incarnation: e.Incarnation,
+		Capacity:    e.Slots,
+	}}, true
+}
+
+// desired holds the desired state in force.
+type desired struct {
+	log     event.Log
+	table   atomic.Pointer[route.Table]
+	place   *placing
+	relay   func() relaySettings
+	ready   chan struct{}
+	retries *poolRetries
+}
+
+type relaySettings struct {
+	factor float64
+	slack  int
+}
+
+func newDesired(i do.Injector) (*desired, error) {
+	cfg := settingsOf(i).Relay
+	d := &desired{
+		log:     logOf(i),
+		place:   do.MustInvoke[*placing](i),
+		relay:   func() relaySettings { return relaySettings{factor: cfg.LoadFactor, slack: cfg.LoadSlack} },
+		ready:   make(chan struct{}),
+		retries: do.MustInvoke[*poolRetries](i),
+	}
+	m := do.MustInvoke[*mirror.Mirror](i)
+	m.Observe(d.take)
+	watch := storeWatch{log: d.log, register: do.MustInvoke[*endpoint.Register](i)}
+	feed(i, m, watch.told)
+	return d, nil
+}
+
+// Table implements relay.Desired.
+func (d *desired) Table() *route.Table { return d.table.Load() }
+
+// take puts a new desired state in force. One that cannot be read, or that is
+// older than the one in force, changes nothing.
+func (d *desired) take(items []mirror.Item) {
+	for _, item := range items {
+		if item.Key == platform.StateKey && !item.Deleted {
+			d.apply(item)
+		}
+	}
+}
+
+func (d *desired) apply(item mirror.Item) {
+	s, err := platform.DecodeState(item.Value)
+	if err != nil {
+		d.log.Emit(event.SettingsInvalid, event.F("revision", item.Revision), event.F("error", err.Error()))
+		return
+	}
+	old := d.table.Load()
+	if old != nil && s.Version <= old.Version {
+		d.log.Emit(event.SettingsInvalid, event.F("revision", item.Revision), event.F("version", s.Version), event.F("in-force", old.Version))
+		return
+	}
+	d.table.Store(route.NewTable(s))
+	d.place.bounds(s, d.relay())
+	d.log.Emit(event.SettingsApplied, event.F("version", s.Version), event.F("revision", item.Revision), event.F("routes", len(s.Routes)))
+	if old == nil {
+		close(d.ready)
+	}
+}
+
+// newSender makes the client that sends requests to endpoints.
+func newSender(i do.Injector) (*upstream.Client, error) {
+	m := newDialMetrics(do.MustInvoke[*prometheus.Registry](i))
+	c, cleanup := upstream.NewClient(upstream.Config{Dial: platform.Dialer(dialTimeout).DialContext, DialTimeout: dialTimeout, OnDial: m})
+	onStop(i, cleanup)
+	return c, nil
+}
+
+// dialTimeout is the longest time for a connection to an endpoint. Between
+// availability zones it takes 7 ms; a first packet that is lost is sent again
+// after a second, when another endpoint has long answered.
+const dialTimeout = 400 * time.Millisecond
+
+func newRelay(i do.Injector) (*relay.Server, error) {
+	return &relay.Server{
+		Desired:  do.MustInvoke[*desired](i),
+		Placer:   do.MustInvoke[*relayPlacer](i),
+		Sender:   do.MustInvoke[*upstream.Client](i),
+		Retries:  do.MustInvoke[*poolRetries](i),
+		Log:      logOf(i),
+		Stopping: stateOf(i).leaving.Load,
+	}, nil
+}
+
+// newRelayServers serves on the listeners of a relaying router.
+func newRelayServers(i do.Injector) (*servers, error) {
+	lim := settingsOf(i).Limits
+	bound := do.MustInvoke[*listeners](i)
+	node := do.MustInvoke[*peer.Node](i)
+	s := &servers{node: node, log: logOf(i), failed: make(chan struct{}), keepIdle: true}
+	s.peers = newServer(bound.peers, peerHandler(node), lim, s.fail)
+	s.operators = newServer(bound.operators, metricsHandler(i), lim, s.fail)
+	s.readiness = newServer(bound.readiness, readinessHandler(stateOf(i)), lim, s.fail)
+	s.callers = newServer(bound.callers, do.MustInvoke[*relay.Server](i), lim, s.fail)
+	s.callers.active = &stateOf(i).inFlight
+	onStop(i, s.close)
+	for _, each := range s.all() {
+		go each.run()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	onStop(i, cancel)
+	go relayReadiness{
+		readiness: readiness{state: stateOf(i), settings: do.MustInvoke[*desired](i).ready, node: node, log: s.log},
+		entries:   do.MustInvoke[*mirror.Mirror](i),
+	}.run(ctx)
+	return s, nil
+}
+
+// relayReadiness declares the router ready once it has a desired state and has
+// read the list of endpoints.
+type relayReadiness struct {
+	readiness
+	entries *mirror.Mirror
+}
+
+func (r relayReadiness) run(ctx context.Context) {
+	r.entries.Wait(ctx, 0)
+	r.readiness.run(ctx)
+}
+
+func readinessHandler(st *state) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !st.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
--- /dev/null
+++ b/wisteriarouter/daemon/relay_placing.go
@@ -0,0 +1,200 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/membership"
+	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/coordination/placement"
+	"wisteriaspool/coordination/retry"
+	"wisteriaspool/coordination/route"
+	"wisteriaspool/wisteriarouter/endpoint"
+	"wisteriaspool/wisteriarouter/event"
+	"wisteriaspool/wisteriarouter/peer"
+	"wisteriaspool/wisteriarouter/relay"
+)
+
+// newRelayPlacing makes placing for endpoints that are not asked for their
+// loads: each such question has a price, and the owners' grants say the same.
+func newRelayPlacing(i do.Injector) (*placing, error) {
+	cfg := settingsOf(i)
+	st := stateOf(i)
+	p := &placing{
+		self:      cfg.Instance,
+		ownerCap:  cfg.Peers.OwnerCap,
+		directory: do.MustInvoke[*endpoint.Directory](i),
+		node:      do.MustInvoke[*peer.Node](i),
+		reach:     do.MustInvoke[*reach](i),
+		owner:     placement.NewOwner(cfg.Instance, relayConfig),
+		changes:   make(chan struct{}, 1),
+		lives:     lives{},
+		started:   st.started,
+	}
+	id := placement.EntryID{Instance: cfg.Instance, Incarnation: st.incarnation}
+	p.entry = placement.NewEntry(id, p.owner, p.reach, nil, relayConfig)
+	p.tuning.Store(newTuning(nil))
+	do.MustInvoke[*prometheus.Registry](i).MustRegister(&placementCollector{owner: p.owner})
+	p.handle()
+	p.update()
+	p.node.OnChange(func([]membership.Member) { p.changed() })
+	p.reach.watch(p.changed)
+	p.directory.Watch(p.changed)
+	ctx, cancel := context.WithCancel(context.Background())
+	go p.loop(ctx)
+	onStop(i, cancel)
+	onStop(i, placement.Start(p.owner, p.entry))
+	return p, nil
+}
+
+// relayConfig is what placement goes by before the first desired state. A
+// router that is killed is back within seconds; until its lease has run out,
+// its requests count at the owners.
+var relayConfig = placement.Config{
+	Grace:      250 * time.Millisecond,
+	EntryLease: 3 * time.Second,
+}
+
+// bounds puts the bounds of a desired state's pools in force.
+func (p *placing) bounds(s route.State, cfg relaySettings) {
+	c := relayConfig
+	c.Bound, c.Slack = cfg.factor, cfg.slack
+	c.Pools = make(map[coordination.Pool]placement.PoolBound)
+	for name, pool := range s.Pools {
+		if pool.Engine == nil {
+			c.Pools[name] = placement.PoolBound{Bound: plainFactor}
+		}
+	}
+	p.owner.Configure(c)
+	p.entry.Configure(c)
+	p.changed()
+}
+
+// plainFactor is the bound of a plain service, whose endpoints have nothing
+// cached: as even as can be.
+const plainFactor = 1.1
+
+// relayPlacer implements relay.Placer.
+type relayPlacer struct {
+	*placing
+	holders atomic.Pointer[placement.Holders]
+}
+
+func newRelayPlacer(i do.Injector) (*relayPlacer, error) {
+	p := &relayPlacer{placing: do.MustInvoke[*placing](i)}
+	p.directory.Watch(p.list)
+	p.list()
+	return p, nil
+}
+
+// list takes in a change of the list of endpoints.
+func (p *relayPlacer) list() {
+	all := lo.Map(p.directory.All(), func(k endpoint.Known, _ int) placement.Descriptor { return k.Descriptor })
+	if len(all) == 0 {
+		return
+	}
+	p.holders.Store(placement.NewHolders(time.Now(), all, p.holders.Load()))
+}
+
+// Place implements relay.Placer.
+func (p *relayPlacer) Place(ctx context.Context, w relay.Want) (relay.Place, *outcome.Refusal) {
+	req := placement.Request{
+		Pool:     w.Pool,
+		Key:      placement.KeyOf(coordination.Chat(w.Key)),
+		Account:  w.Account,
+		Priority: w.Priority,
+		Alone:    w.Alone,
+		Avoid:    w.Exclude,
+	}
+	if !w.Start.IsZero() {
+		req.Deadline = max(time.Until(w.Start), time.Millisecond)
+	}
+	g, refusal := p.entry.Acquire(ctx, req)
+	if g == nil {
+		return relay.Place{}, refusalOf(refusal)
+	}
+	k, ok := p.directory.Find(g.Endpoint.ID)
+	if !ok {
+		g.Release()
+		return relay.Place{}, refusalOf(placement.Refusal{Code: placement.Gone, RetryAfter: 100 * time.Millisecond})
+	}
+	return relay.Place{
+		Endpoint:    k.ID,
+		Incarnation: g.Endpoint.Incarnation,
+		Address:     k.Address,
+		Cache:       p.cache(w.Pool, req.Key, k.ID),
+		Release:     g.Release,
+	}, nil
+}
+
+// cache returns the address of the endpoint that has the request's shared
+// parts if the chosen one has not.
+func (p *relayPlacer) cache(pool coordination.Pool, key placement.Key, chosen coordination.Endpoint) string {
+	d := p.holders.Load().Source(time.Now(), pool, key, chosen)
+	if d == nil {
+		return ""
+	}
+	k, ok := p.directory.Find(d.ID)
+	if !ok {
+		return ""
+	}
+	return k.Address
+}
+
+// Heard implements relay.Placer. The owner counts what it has granted, so that
+// the word of an endpoint only tells of what it runs beyond that.
+func (p *relayPlacer) Heard(coordination.Endpoint, coordination.Incarnation, int, int) {}
+
+// poolRetries holds a retry budget for each pool. It implements relay.Retries.
+// The share is that of all requests, so that it holds for the fleet if each
+// router keeps it; of the burst each router has its part.
+type poolRetries struct {
+	share float64
+	burst int
+	log   event.Log
+
+	mu      sync.Mutex
+	routers int // the most seen: routers that are cut off do not all take more
+	budgets map[coordination.Pool]*retry.Budget
+}
+
+func newPoolRetries(i do.Injector) (*poolRetries, error) {
+	cfg := settingsOf(i).Relay
+	r := &poolRetries{share: cfg.RetryShare, burst: cfg.RetryBurst, log: logOf(i), routers: 1, budgets: make(map[coordination.Pool]*retry.Budget)}
+	do.MustInvoke[*peer.Node](i).OnChange(r.members)
+	return r, nil
+}
+
+// members takes in a new list of routers.
+func (r *poolRetries) members(all []membership.Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(all) > r.routers {
+		r.routers = len(all)
+		clear(r.budgets)
+	}
+}
+
+func (r *poolRetries) budget(p coordination.Pool) *retry.Budget {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.budgets[p]
+	if b == nil {
+		b = &retry.Budget{Share: r.share, Burst: float64(r.burst) / float64(r.routers)}
+		r.budgets[p] = b
+	}
+	return b
+}
+
+// Request implements relay.Retries.
+func (r *poolRetries) Request(p coordination.Pool) { r.budget(p).Request() }
+
+// Take implements relay.Retries.
+func (r *poolRetries) Take(p coordination.Pool) bool { return r.budget(p).Take() }
--- a/wisteriarouter/daemon/servers.go
+++ b/wisteriarouter/daemon/servers.go
@@ -44,15 +44,23 @@
 	callers   net.Listener
 	operators net.Listener
 	peers     net.Listener
+	readiness net.Listener // nil unless the router relays
+}
+
+// boundListener is a listener to be bound, and where it goes.
+type boundListener struct {
+	address string
+	bound   *net.Listener
 }
 
 func newListeners(i do.Injector) (*listeners, error) {
 	cfg := settingsOf(i).Listen
 	ls := &listeners{}
-	for _, each := range []struct {
-		address string
-		bound   *net.Listener
-	}{{cfg.Callers, &ls.callers}, {cfg.Operators, &ls.operators}, {cfg.Peers, &ls.peers}} {
+	wanted := []boundListener{{cfg.Callers, &ls.callers}, {cfg.Operators, &ls.operators}, {cfg.Peers, &ls.peers}}
+	if r := settingsOf(i).Relay; r != nil {
+		wanted = append(wanted, boundListener{r.Readiness, &ls.readiness})
+	}
+	for _, each := range wanted {
 		l, err := net.Listen("tcp", each.address)
 		if err != nil {
 			return nil, err
@@ -83,16 +91,20 @@
 	}
 }
 
-// servers are the three listeners of a router.
+// servers are the listeners of a router.
 type servers struct {
 	callers   *server
 	operators *server
 	peers     *server
-	node      *peer.Node
-	log       event.Log
-	failed    chan struct{}
-	once      sync.Once
-	cause     error
+	readiness *server // nil unless the router relays
+	// keepIdle leaves unused connections of callers open while the router is
+	// about to stop, since a request may just be on its way on one.
+	keepIdle bool
+	node     *peer.Node
+	log      event.Log
+	failed   chan struct{}
+	once     sync.Once
+	cause    error
 }
 
 // fail notes that a listener cannot go on.
@@ -115,7 +127,9 @@
 
 // leave tells the other routers that this one takes no more requests.
 func (s *servers) leave(ctx context.Context) {
-	s.callers.http.SetKeepAlivesEnabled(false)
+	if !s.keepIdle {
+		s.callers.http.SetKeepAlivesEnabled(false)
+	}
 	s.node.SetReady(false)
 	s.node.Leave(ctx)
 }
@@ -135,7 +149,15 @@
 
 // close ends all connections at once.
 func (s *servers) close() {
-	for _, each := range []*server{s.callers, s.operators, s.peers} {
+	for _, each := range s.all() {
 		each.http.Close()
 	}
 }
+
+func (s *servers) all() []*server {
+	all := []*server{s.callers, s.operators, s.peers}
+	if s.readiness != nil {
+		all = append(all, s.readiness)
+	}
+	return all
+}
--- a/wisteriarouter/endpoint/directory.go
+++ b/wisteriarouter/endpoint/directory.go
@@ -31,6 +31,9 @@
 	Address string
 }
 
+// Leaving reports whether the endpoint is stopping.
+func (k Known) Leaving() bool { return k.State == placement.Leaving }
+
 // absences is in how many lists running an endpoint has to be missing before
 // it is dropped. A single list may be cut short, and dropping a live endpoint
 // would move its chats to cold ones.
@@ -137,6 +140,19 @@
 	})
 }
 
+// Apply takes in single changes of the platform's list: entries that are new or
+// have changed, and endpoints that it no longer has.
+func (d *Directory) Apply(entries []platform.Entry, gone []coordination.Endpoint) {
+	d.change(func() {
+		for _, l := range entries {
+			d.list(l)
+		}
+		for _, id := range gone {
+			delete(d.entries, id)
+		}
+	})
+}
+
 func (d *Directory) list(l platform.Entry) {
 	e := d.entries[l.ID]
 	if e == nil {
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -46,6 +46,8 @@
 	StreamContinued   = Kind{503, "stream-continued", logrus.InfoLevel, "A stream whose endpoint was lost goes on elsewhere."}
 	StreamMalformed   = Kind{504, "stream-malformed", logrus.ErrorLevel, "An endpoint sent a chunk that cannot be read; the attempt was cancelled."}
 	CancelFailed      = Kind{505, "cancel-failed", logrus.WarnLevel, "An attempt nobody reads could not be cancelled; it ends when the endpoint's own limit passes."}
+	EndpointHeld      = Kind{512, "endpoint-held", logrus.InfoLevel, "An endpoint's entry was removed while the store was away or with very many others; the endpoint stays for a while in case the entry comes back."}
+	EndpointMalformed = Kind{513, "endpoint-malformed", logrus.WarnLevel, "An entry in the store cannot be used and names no endpoint; the error tells why. Look for another writer."}
 	RequestRefused    = Kind{506, "request-refused", logrus.DebugLevel, "A request got a final refusal."}
 	RequestSuspected  = Kind{507, "request-suspected", logrus.WarnLevel, "A request ran on an endpoint that died."}
 	RequestConvicted  = Kind{508, "request-convicted", logrus.ErrorLevel, "A request's second endpoint died. The fleet refuses it from now on; look at its fingerprint's caller."}
@@ -67,6 +69,17 @@
 	OrderGiven = Kind{700, "order-given", logrus.InfoLevel, "An engine was told to load something; the result tells whether it took the order. If many are fenced, two routers hold the pool: see the platform's leases under /wisteriaspool/orders/."}
 )
 
+// The events of relayed requests. Each names the request, and with its route
+// the version of the desired state by which it was decided.
+var (
+	RelayAttempt     = Kind{800, "relay-attempt", logrus.InfoLevel, "A request was sent to an endpoint; tells which, for which key, whether the cache of another endpoint was fetched, how it ended and when. Nothing to do."}
+	RelayAttemptLost = Kind{801, "relay-attempt-lost", logrus.WarnLevel, "An attempt got no usable answer; the error tells how far it had come. Look at the endpoint if it happens there more than elsewhere."}
+	RelayRefused     = Kind{802, "relay-refused", logrus.WarnLevel, "The router answered in its own name; tells the status, why, and when the caller was told to come back."}
+	RelayCut         = Kind{803, "relay-cut", logrus.WarnLevel, "An answer was broken off after the caller had got a part of it."}
+	RelayCallerGone  = Kind{804, "relay-caller-gone", logrus.InfoLevel, "The caller went away before its answer was complete; the endpoint was told to stop."}
+	RelayBudgetSpent = Kind{805, "relay-budget-spent", logrus.WarnLevel, "A request was not sent again because the pool's share of retries is spent. Look for endpoints that fail."}
+)
+
 // Catalogue lists every kind, in order of number.
 func Catalogue() []Kind {
 	return []Kind{
@@ -75,8 +88,9 @@
 		PlatformLost, PlatformBack,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumourShed, PeerBusy, PeerAway, PeerBack,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
-		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, ConnectionDropped,
+		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, ConnectionDropped, EndpointHeld, EndpointMalformed,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
 		OrderGiven,
+		RelayAttempt, RelayAttemptLost, RelayRefused, RelayCut, RelayCallerGone, RelayBudgetSpent,
 	}
 }
--- /dev/null
+++ b/wisteriarouter/relay/exchange.go
@@ -0,0 +1,288 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/coordination/route"
+	"wisteriaspool/platform"
+	"wisteriaspool/wisteriarouter/event"
+)
+
+// exchange is one request of a caller from its arrival to its end.
+type exchange struct {
+	server  *Server
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+	asked   platform.Request
+
+	table   *route.Table
+	route   *route.Route
+	account coordination.Account
+	rank    coordination.Priority
+	pool    coordination.Pool
+	body    []byte
+	until   time.Time // by when the answer has to be complete; zero for no limit
+
+	evidence outcome.Evidence
+	exclude  []coordination.Endpoint
+	sends    int // requests that may have reached an endpoint
+	stream   stream
+}
+
+// giveUpSlack is how long the router waits beyond the time that an endpoint
+// was given. The endpoint's own word that the time is up says more than the
+// router's; it needs one way back, of some 5 ms, and its turn.
+const giveUpSlack = 100 * time.Millisecond
+
+func (x *exchange) serve() {
+	if !x.find() || !x.allow() || !x.read() {
+		return
+	}
+	ctx := x.r.Context()
+	if !x.until.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, x.until.Add(giveUpSlack))
+		defer cancel()
+	}
+	x.server.Retries.Request(x.pool)
+	x.run(ctx)
+}
+
+// find finds the request's route and pool.
+func (x *exchange) find() bool {
+	x.table = x.server.Desired.Table()
+	if x.table == nil {
+		x.refuse(http.StatusServiceUnavailable, "no desired state is known yet", retryAfterState)
+		return false
+	}
+	x.route = x.table.Match(x.r.Host, x.r.URL.Path)
+	if x.route == nil {
+		x.refuse(http.StatusNotFound, "no route serves this host and path", 0)
+		return false
+	}
+	x.pool = x.route.Pool(xxhash.Sum64String(string(x.asked.Attempt)))
+	x.rank = x.route.Priority
+	x.until = x.limit()
+	return true
+}
+
+// limit returns when the caller, or the operator, no longer wants an answer.
+func (x *exchange) limit() time.Time {
+	wait := x.asked.Deadline
+	if t := x.route.Timeout; t > 0 && (wait == 0 || t < wait) {
+		wait = t
+	}
+	if wait == 0 {
+		return time.Time{}
+	}
+	return x.arrived.Add(wait)
+}
+
+// allow checks the caller's key.
+func (x *exchange) allow() bool {
+	if x.table.Accounts == nil || x.route.Public {
+		return true
+	}
+	tenant, ok := x.table.Tenant(x.asked.Key)
+	if !ok {
+		x.refuse(http.StatusUnauthorized, "the key is not known", 0)
+		return false
+	}
+	x.account = tenant.Account
+	if tenant.Priority != nil {
+		x.rank = *tenant.Priority
+	}
+	return true
+}
+
+// defaultBodyBytes bounds a body if the desired state does not.
+const defaultBodyBytes = 4 << 20
+
+// read reads the whole body, so that the request can be sent again where that
+// is allowed, and so that a slow caller occupies no endpoint.
+func (x *exchange) read() bool {
+	limit := int64(x.table.Limits.BodyBytes)
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if x.r.ContentLength > limit {
+		x.refuse(http.StatusRequestEntityTooLarge, "the body is too large", 0)
+		return false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		x.refuse(http.StatusRequestEntityTooLarge, "the body is too large", 0)
+		return false
+	case err != nil:
+		x.refuse(http.StatusBadRequest, "the body cannot be read", 0)
+		return false
+	}
+	x.body = body
+	return true
+}
+
+// key returns what leads the request to the endpoint that has its prompt
+// cached: the longest part of the prompt that other requests share, which is
+// the one before the request's own. A request without parts goes anywhere.
+func (x *exchange) key() string {
+	parts := x.asked.Parts
+	switch {
+	case !x.route.Sticky || len(parts) == 0:
+		return string(x.asked.Attempt)
+	case len(parts) == 1:
+		return parts[0].ID
+	default:
+		return parts[len(parts)-2].ID
+	}
+}
+
+// run makes attempts until the request has its answer or there is no more to
+// be done.
+func (x *exchange) run(ctx context.Context) {
+	for {
+		place, refusal := x.server.Placer.Place(ctx, x.want())
+		if refusal != nil {
+			x.end(refusal.Message, refusal.RetryAfter)
+			return
+		}
+		end := x.attempt(ctx, place)
+		place.Release()
+		x.note(place, end)
+		if end == delivered {
+			return
+		}
+		if ctx.Err() != nil {
+			x.expire(ctx)
+			return
+		}
+		if !x.again(end) {
+			x.fail(end)
+			return
+		}
+		x.exclude = append(x.exclude, place.Endpoint)
+	}
+}
+
+func (x *exchange) want() Want {
+	return Want{
+		Pool:     x.pool,
+		Key:      x.key(),
+		Account:  x.account,
+		Priority: x.rank,
+		Start:    x.until,
+		Exclude:  slices.Clip(x.exclude),
+	}
+}
+
+// again decides whether another attempt may be made, and takes it from the
+// budget.
+func (x *exchange) again(end ending) bool {
+	p := policy{idempotent: x.route.Idempotent(), attempts: x.route.Attempts}
+	if !p.again(end, x.sends, len(x.exclude)) {
+		return false
+	}
+	if end == unsent || x.server.Retries.Take(x.pool) {
+		return true
+	}
+	x.emit(event.RelayBudgetSpent)
+	return false
+}
+
+// expire ends a request whose time is up or whose caller has gone.
+func (x *exchange) expire(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		x.emit(event.RelayCallerGone, event.F("after-ms", time.Since(x.arrived).Milliseconds()))
+		return
+	}
+	x.answer(http.StatusGatewayTimeout, "no endpoint has answered in time", 0)
+}
+
+// retryAfterFull is when a caller may come back whose endpoint has declined:
+// some requests of a full endpoint have ended by then, at 60 ms of work each.
+const retryAfterFull = 250 * time.Millisecond
+
+// fail ends a request after its last attempt.
+func (x *exchange) fail(end ending) {
+	if end == cut {
+		x.emit(event.RelayCut)
+		panic(http.ErrAbortHandler)
+	}
+	x.end("no endpoint has answered", retryAfterFull)
+}
+
+// end tells the caller that there is no answer. Only a request that certainly
+// has not run gets the status that promises so.
+func (x *exchange) end(why string, after time.Duration) {
+	if x.stream.begun {
+		x.emit(event.RelayCut, event.F("why", why))
+		panic(http.ErrAbortHandler)
+	}
+	if x.evidence.Outcome() != outcome.NotRun {
+		x.answer(http.StatusBadGateway, why, 0)
+		return
+	}
+	x.refuse(http.StatusServiceUnavailable, why, after)
+}
+
+// refuse answers a request that has reached no endpoint.
+func (x *exchange) refuse(status int, why string, after time.Duration) {
+	x.answer(status, why, after)
+}
+
+// answer answers in the router's own name.
+func (x *exchange) answer(status int, why string, after time.Duration) {
+	if x.stream.begun {
+		x.emit(event.RelayCut, event.F("why", why))
+		panic(http.ErrAbortHandler)
+	}
+	x.emit(event.RelayRefused, event.F("status", status), event.F("why", why), event.F("retry-after-ms", after.Milliseconds()))
+	h := x.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if after > 0 {
+		platform.SetRetryAfter(h, after)
+	}
+	x.w.WriteHeader(status)
+	_, _ = io.WriteString(x.w, why+"\n") // a caller that has gone needs no answer
+}
+
+// emit logs an event of the request.
+func (x *exchange) emit(k event.Kind, fields ...event.Field) {
+	fields = append(fields, event.F("request", x.asked.Attempt))
+	if x.route != nil {
+		fields = append(fields, event.F("route", x.route.Name), event.F("version", x.table.Version))
+	}
+	x.server.Log.Emit(k, fields...)
+}
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// withoutHops returns a copy of h without the headers that concern one
+// connection only.
+func withoutHops(h http.Header) http.Header {
+	out := h.Clone()
+	for _, field := range h.Values("Connection") {
+		for name := range strings.SplitSeq(field, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/wisteriarouter/relay/metrics.go
@@ -0,0 +1,4 @@
+package relay
+
+// Metrics counts what becomes of requests.
+type Metrics struct{}
--- /dev/null
+++ b/wisteriarouter/relay/policy.go
@@ -0,0 +1,43 @@
+package relay
+
+// ending tells how an attempt ended.
+type ending uint8
+
+const (
+	delivered ending = iota // the caller has the answer
+	unsent                  // no byte has reached the endpoint
+	declined                // the endpoint says that it has not run the request
+	failed                  // the endpoint answered with a failure of its own
+	broken                  // no usable answer came; the request may have run
+	cut                     // the answer ended in its middle, after the caller had got some of it
+)
+
+var endings = [...]string{"delivered", "unsent", "declined", "failed", "broken", "cut"}
+
+// String returns the name of e as logs and metrics show it.
+func (e ending) String() string { return endings[e] }
+
+// policy says what may be repeated.
+type policy struct {
+	idempotent bool
+	attempts   int // endpoints to which the request may be sent
+}
+
+// unsentTries is how many endpoints a request that has reached none is tried
+// at. Each may cost the time of a connection that is not made.
+const unsentTries = 4
+
+// again reports whether a request that was sent a number of times, and met a
+// number of endpoints in vain, may have another attempt after one that ended so.
+func (p policy) again(e ending, sends, met int) bool {
+	switch e {
+	case unsent:
+		return met < unsentTries && (sends < p.attempts)
+	case declined:
+		return sends < p.attempts
+	case failed, broken, cut:
+		return p.idempotent && sends < p.attempts
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/wisteriarouter/upstream/conn.go
@@ -0,0 +1,225 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	readBuffer = 4 << 10 // bytes; an event of a stream has some hundred
+	// inlineBody is the size up to which a request is written before its
+	// answer is read. It fits the smallest send buffer, so that the write
+	// cannot block. A longer one is written beside the reading: an endpoint may
+	// refuse it before it has read it all.
+	inlineBody = 4 << 10
+	// longestForeign is the size of an answer to another request up to which
+	// it is read past.
+	longestForeign = 64 << 10
+	// foreignAnswers is how many of them are read past.
+	foreignAnswers = 2
+)
+
+// conn is a connection to an endpoint. It serves one request at a time.
+type conn struct {
+	client  *Client
+	address string
+	nc      net.Conn
+	r       *bufio.Reader
+	served  int
+	unused  time.Time     // since when
+	expires time.Time     // when the endpoint may close it
+	written chan struct{} // closed when the request has been written; nil if it was written inline
+	failed  atomic.Bool   // the write failed
+}
+
+func newConn(c *Client, address string, nc net.Conn) *conn {
+	return &conn{client: c, address: address, nc: nc, r: bufio.NewReaderSize(nc, readBuffer)}
+}
+
+// abort closes the connection. Bytes that have not been read make the kernel
+// reset it, which the endpoint notices at once.
+func (c *conn) abort() { _ = c.nc.Close() }
+
+// exchange writes a request and reads the head of its answer.
+func (c *conn) exchange(r *Request) (*Response, error) {
+	c.served++
+	if err := c.write(r); err != nil {
+		return nil, ErrBroken.Wrap(err, "write to endpoint %s", c.address)
+	}
+	for range foreignAnswers + 1 {
+		resp, err := c.head(r)
+		if err != nil {
+			return nil, ErrBroken.Wrap(err, "answer of endpoint %s", c.address)
+		}
+		if r.Mine == nil || r.Mine(resp.StatusCode, resp.Header) {
+			return c.answer(resp), nil
+		}
+		if err := skip(resp); err != nil {
+			return nil, ErrForeign.Wrap(err, "endpoint %s", c.address)
+		}
+	}
+	return nil, ErrForeign.New("endpoint %s", c.address)
+}
+
+func (c *conn) answer(resp *http.Response) *Response {
+	return &Response{
+		Status: resp.StatusCode,
+		Header: resp.Header,
+		Length: resp.ContentLength,
+		Body:   &Body{conn: c, resp: resp},
+		Reused: c.served > 1,
+	}
+}
+
+// head reads the head of an answer, past those that only say to go on.
+func (c *conn) head(r *Request) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+var errEndless = errors.New("upstream: an answer to another request has no end")
+
+// skip reads past an answer that belongs to another request.
+func skip(resp *http.Response) error {
+	if resp.Close || resp.ContentLength > longestForeign {
+		return errEndless
+	}
+	var buf [1 << 10]byte
+	for read := 0; read <= longestForeign; {
+		n, err := resp.Body.Read(buf[:])
+		read += n
+		if err != nil {
+			return endOf(err)
+		}
+	}
+	return errEndless
+}
+
+// write sends a request, beside the reading of the answer if it is long.
+func (c *conn) write(r *Request) error {
+	b := encode(r)
+	c.written = nil
+	if len(b) <= inlineBody {
+		_, err := c.nc.Write(b)
+		return err
+	}
+	c.written = make(chan struct{})
+	go writer{conn: c, data: b}.run()
+	return nil
+}
+
+// writer writes one request.
+type writer struct {
+	conn *conn
+	data []byte
+}
+
+func (w writer) run() {
+	defer close(w.conn.written)
+	if _, err := w.conn.nc.Write(w.data); err != nil {
+		// The reader finds the connection broken, unless the endpoint has
+		// answered before it had read everything.
+		w.conn.failed.Store(true)
+	}
+}
+
+// encode returns a request as it goes on the wire, in one piece, so that it
+// takes no more packets than it must.
+func encode(r *Request) []byte {
+	var b bytes.Buffer
+	b.Grow(len(r.Body) + 1<<10)
+	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	_ = r.Header.WriteSubset(&b, framing) // a Buffer takes all writes
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
+
+// framing are the headers that this package writes itself.
+var framing = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Connection": true}
+
+// release gives the connection back after a whole answer, unless it cannot
+// serve again: the endpoint closes it, the request was not read to its end, or
+// there are bytes that nobody asked for.
+func (c *conn) release(resp *http.Response) {
+	if resp.Close || !c.wrote() || c.r.Buffered() > 0 {
+		c.abort()
+		return
+	}
+	now := time.Now()
+	c.unused = now
+	c.expires = now.Add(c.keepAlive(resp.Header))
+	c.client.idle.put(c, c.client.cfg.PerEndpoint)
+}
+
+// wrote reports whether the whole request has been written.
+func (c *conn) wrote() bool {
+	if c.written == nil {
+		return true
+	}
+	select {
+	case <-c.written:
+		return !c.failed.Load()
+	default:
+		return false
+	}
+}
+
+// keepAliveMargin is how much earlier than the endpoint this side gives up an
+// unused connection. It covers the way there and back, some 10 ms, and a pause
+// of the process.
+const keepAliveMargin = 250 * time.Millisecond
+
+// keepAlive returns how long the connection may stay unused, by the endpoint's
+// word if it gives one.
+func (c *conn) keepAlive(h http.Header) time.Duration {
+	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if s, err := strconv.Atoi(value); err == nil && s >= 0 {
+			return time.Duration(s)*time.Second - keepAliveMargin
+		}
+	}
+	return c.client.cfg.Idle
+}
+
+// quiet reports whether an unused connection is still open and has received
+// nothing. An endpoint that has closed it, or has sent a second answer, would
+// spoil the next request.
+func (c *conn) quiet() bool {
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var readErr error
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, readErr = syscall.Read(int(fd), b[:])
+		return true
+	})
+	return err == nil && errors.Is(readErr, syscall.EAGAIN)
+}
--- /dev/null
+++ b/wisteriarouter/upstream/pool.go
@@ -0,0 +1,94 @@
+package upstream
+
+import (
+	"errors"
+	"io"
+	"sync"
+	"time"
+)
+
+// endOf returns nil for the regular end of a body.
+func endOf(err error) error {
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
+// pool holds unused connections by address, the latest used last.
+type pool struct {
+	mu    sync.Mutex
+	conns map[string][]*conn
+}
+
+// take returns the connection that was used last, if one can serve again.
+// Longest, if not zero, bounds the time for which it has been unused.
+func (p *pool) take(now time.Time, address string, longest time.Duration) *conn {
+	for {
+		c := p.pop(now, address, longest)
+		if c == nil || c.quiet() {
+			return c
+		}
+		c.abort()
+	}
+}
+
+func (p *pool) pop(now time.Time, address string, longest time.Duration) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := p.conns[address]
+	if len(all) == 0 {
+		return nil
+	}
+	c := all[len(all)-1]
+	if now.After(c.expires) || longest > 0 && now.Sub(c.unused) > longest {
+		return nil // so have all others
+	}
+	p.conns[address] = all[:len(all)-1]
+	return c
+}
+
+// put keeps a connection, and closes the one that was unused for longest if
+// there are more than limit.
+func (p *pool) put(c *conn, limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := append(p.conns[c.address], c)
+	if len(all) > limit {
+		all[0].abort()
+		all = all[1:]
+	}
+	p.conns[c.address] = all
+}
+
+// sweep closes the connections that endpoints may be about to close.
+func (p *pool) sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, all := range p.conns {
+		kept := all[:0]
+		for _, c := range all {
+			if now.After(c.expires) {
+				c.abort()
+				continue
+			}
+			kept = append(kept, c)
+		}
+		if len(kept) == 0 {
+			delete(p.conns, address)
+			continue
+		}
+		p.conns[address] = kept
+	}
+}
+
+func (p *pool) closeAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, all := range p.conns {
+		for _, c := range all {
+			c.abort()
+		}
+	}
+	clear(p.conns)
+}
