Hold a missing entry by the store's return, and reload on SIGHUP

Cause: a missing entry was held for 2.2 s from its removal if the store had been away within the last 2.2 s. What counts is the return: entries that lapsed are back within two seconds of that. Ruled out: a late watch (the removal was known at once; a held entry logs no leaving). The hold now ends with the return plus 2.2 s; a mass removal is held 1.8 s.

--- a/wisteriarouter/config/config.go
+++ b/wisteriarouter/config/config.go
@@ -55,12 +55,12 @@
 // Relay holds what concerns a router that relays plain HTTP on a platform whose
 // store holds the desired state and the endpoints.
 type Relay struct {
-	Store      string        // address of the platform's store
-	Readiness  string        // address on which the platform's balancer asks
-	RetryShare float64       // second attempts of the whole fleet for each request
-	RetryBurst int           // and beyond those, in RetryWindow
-	LoadFactor float64       // multiple of its pool's mean load that an endpoint may carry
-	LoadSlack  int           // requests beyond that
+	Store      string  // address of the platform's store
+	Readiness  string  // address on which the platform's balancer asks
+	RetryShare float64 // second attempts of the whole fleet for each request
+	RetryBurst int     // and beyond those, in RetryWindow
+	LoadFactor float64 // multiple of its pool's mean load that an endpoint may carry
+	LoadSlack  int     // requests beyond that
 }
 
 // Limits are the router's limits.
--- a/wisteriarouter/daemon/daemon.go
+++ b/wisteriarouter/daemon/daemon.go
@@ -24,6 +24,7 @@
 	servers  *servers
 	state    *state
 	log      event.Log
+	logger   *logrus.Logger
 	within   time.Duration // longest shutdown
 	delay    time.Duration // for which new requests are served in a shutdown
 }
@@ -83,10 +84,12 @@
 
 func start(cfg *config.Config, logs io.Writer) (*Daemon, func() int, error) {
 	now := time.Now()
+	logger := newLogger(cfg.Log, logs)
 	d := &Daemon{
+		logger:   logger,
 		injector: do.New(),
 		cleanups: &cleanups{},
-		log:      event.NewLog(newLogger(cfg.Log, logs)),
+		log:      event.NewLog(logger),
 		within:   cfg.Limits.StopWithin,
 		delay:    cfg.Limits.StopDelay,
 		state: &state{
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -16,6 +16,7 @@
 	"wisteriaspool/coordination/mirror"
 	"wisteriaspool/coordination/route"
 	"wisteriaspool/platform"
+	"wisteriaspool/wisteriarouter/config"
 	"wisteriaspool/wisteriarouter/endpoint"
 	"wisteriaspool/wisteriarouter/event"
 	"wisteriaspool/wisteriarouter/peer"
@@ -196,28 +197,20 @@
 
 // desired holds the desired state in force.
 type desired struct {
-	log     event.Log
-	table   atomic.Pointer[route.Table]
-	place   *placing
-	relay   func() relaySettings
-	ready   chan struct{}
-	retries *poolRetries
-}
-
-type relaySettings struct {
-	factor float64
-	slack  int
+	log   event.Log
+	table atomic.Pointer[route.Table]
+	place *placing
+	relay atomic.Pointer[config.Relay]
+	ready chan struct{} // closed with the first desired state
 }
 
 func newDesired(i do.Injector) (*desired, error) {
-	cfg := settingsOf(i).Relay
 	d := &desired{
-		log:     logOf(i),
-		place:   do.MustInvoke[*placing](i),
-		relay:   func() relaySettings { return relaySettings{factor: cfg.LoadFactor, slack: cfg.LoadSlack} },
-		ready:   make(chan struct{}),
-		retries: do.MustInvoke[*poolRetries](i),
+		log:   logOf(i),
+		place: do.MustInvoke[*placing](i),
+		ready: make(chan struct{}),
 	}
+	d.relay.Store(settingsOf(i).Relay)
 	m := do.MustInvoke[*mirror.Mirror](i)
 	m.Observe(d.take)
 	watch := storeWatch{log: d.log, register: do.MustInvoke[*endpoint.Register](i)}
@@ -250,13 +243,21 @@
 		return
 	}
 	d.table.Store(route.NewTable(s))
-	d.place.bounds(s, d.relay())
+	d.place.bounds(s, d.relay.Load())
 	d.log.Emit(event.SettingsApplied, event.F("version", s.Version), event.F("revision", item.Revision), event.F("routes", len(s.Routes)))
 	if old == nil {
 		close(d.ready)
 	}
 }
 
+// configure takes in new settings of this router.
+func (d *desired) configure(cfg config.Relay) {
+	d.relay.Store(&cfg)
+	if t := d.table.Load(); t != nil {
+		d.place.bounds(t.State, &cfg)
+	}
+}
+
 // newSender makes the client that sends requests to endpoints.
 func newSender(i do.Injector) (*upstream.Client, error) {
 	m := newDialMetrics(do.MustInvoke[*prometheus.Registry](i))
--- a/wisteriarouter/daemon/relay_placing.go
+++ b/wisteriarouter/daemon/relay_placing.go
@@ -16,6 +16,7 @@
 	"wisteriaspool/coordination/placement"
 	"wisteriaspool/coordination/retry"
 	"wisteriaspool/coordination/route"
+	"wisteriaspool/wisteriarouter/config"
 	"wisteriaspool/wisteriarouter/endpoint"
 	"wisteriaspool/wisteriarouter/event"
 	"wisteriaspool/wisteriarouter/peer"
@@ -63,9 +64,9 @@
 }
 
 // bounds puts the bounds of a desired state's pools in force.
-func (p *placing) bounds(s route.State, cfg relaySettings) {
+func (p *placing) bounds(s route.State, cfg *config.Relay) {
 	c := relayConfig
-	c.Bound, c.Slack = cfg.factor, cfg.slack
+	c.Bound, c.Slack = cfg.LoadFactor, cfg.LoadSlack
 	c.Pools = make(map[coordination.Pool]placement.PoolBound)
 	for name, pool := range s.Pools {
 		if pool.Engine == nil {
@@ -182,6 +183,16 @@
 	}
 }
 
+// configure takes in new settings of this router.
+func (r *poolRetries) configure(cfg config.Relay) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.share != cfg.RetryShare || r.burst != cfg.RetryBurst {
+		r.share, r.burst = cfg.RetryShare, cfg.RetryBurst
+		clear(r.budgets)
+	}
+}
+
 func (r *poolRetries) budget(p coordination.Pool) *retry.Budget {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/wisteriarouter/daemon/reload.go
@@ -0,0 +1,29 @@
+package daemon
+
+import (
+	"github.com/samber/do/v2"
+
+	"wisteriaspool/coordination/settings/schema"
+	"wisteriaspool/wisteriarouter/config"
+	"wisteriaspool/wisteriarouter/event"
+)
+
+// Reload puts the settings of a file that was read again in force, as far as
+// that needs no restart: the level of the log, and what a relaying router goes
+// by. A file that cannot be read or has problems changes nothing.
+func (d *Daemon) Reload(cfg *config.Config, problems []schema.Problem, err error) {
+	switch {
+	case err != nil:
+		d.log.Emit(event.ReloadFailed, event.F("error", err.Error()))
+		return
+	case cfg == nil:
+		d.log.Emit(event.ReloadFailed, event.F("problems", problems))
+		return
+	}
+	d.logger.SetLevel(cfg.Log.Level)
+	if cfg.Relay != nil && do.MustInvoke[*config.Config](d.injector).Relay != nil {
+		do.MustInvoke[*desired](d.injector).configure(*cfg.Relay)
+		do.MustInvoke[*poolRetries](d.injector).configure(*cfg.Relay)
+	}
+	d.log.Emit(event.Reloaded)
+}
--- a/wisteriarouter/endpoint/register.go
+++ b/wisteriarouter/endpoint/register.go
@@ -16,10 +16,14 @@
 }
 
 const (
-	// lapseHold is for how long an endpoint is kept whose entry was removed
-	// while the store was away: entries that lapsed are back within two seconds
-	// of its return.
+	// lapseHold is for how long behind the return of the store an endpoint is
+	// kept whose entry is missing: entries that lapsed are back within two
+	// seconds.
 	lapseHold = 2200 * time.Millisecond
+	// massHold is for how long endpoints are kept that lost their entries
+	// together. It is less than the two seconds within which an endpoint that
+	// has left without a word must get no more requests.
+	massHold = 1800 * time.Millisecond
 	// massWindow and massShare tell a lapse of leases from endpoints that end:
 	// so large a part of a pool does not end within so short a time without
 	// having announced it.
@@ -84,16 +88,38 @@
 	if !ok || k.Leaving() {
 		return false
 	}
-	if !r.lost && now.Sub(r.back) > lapseHold && !r.mass(now, len(r.Directory.Pool(k.Pool))) {
+	d := r.holdFor(now, len(r.Directory.Pool(k.Pool)))
+	if d <= 0 {
 		return false
 	}
+	r.release(id)
+	r.wait(id, d)
+	r.Log.Emit(event.EndpointHeld, event.F("endpoint", id), event.F("for-ms", d.Milliseconds()))
+	return true
+}
+
+// holdFor returns for how long an endpoint of a pool of this size is kept whose
+// entry was removed just now.
+func (r *Register) holdFor(now time.Time, endpoints int) time.Duration {
+	mass := r.mass(now, endpoints)
+	switch {
+	case r.lost:
+		return lapseHold
+	case now.Sub(r.back) < lapseHold:
+		return lapseHold - now.Sub(r.back)
+	case mass:
+		return massHold
+	default:
+		return 0
+	}
+}
+
+// wait drops an endpoint later. The caller holds r.mu.
+func (r *Register) wait(id coordination.Endpoint, d time.Duration) {
 	if r.held == nil {
 		r.held = make(map[coordination.Endpoint]*time.Timer)
 	}
-	r.release(id)
-	r.held[id] = time.AfterFunc(lapseHold, func() { r.drop(id) })
-	r.Log.Emit(event.EndpointHeld, event.F("endpoint", id), event.F("for-ms", lapseHold.Milliseconds()))
-	return true
+	r.held[id] = time.AfterFunc(d, func() { r.drop(id) })
 }
 
 // mass notes a removal and reports whether very many have come of late.
@@ -124,8 +150,9 @@
 	if r.held[id] == nil {
 		return
 	}
-	if r.lost || time.Since(r.back) < lapseHold {
-		r.held[id] = time.AfterFunc(lapseHold, func() { r.drop(id) })
+	since := time.Since(r.back)
+	if r.lost || since < lapseHold {
+		r.wait(id, max(lapseHold-since, lapseHold/4))
 		return
 	}
 	delete(r.held, id)
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -4,11 +4,13 @@
 
 // The events of a router's life.
 var (
-	Started  = Kind{100, "started", logrus.InfoLevel, "The router serves. Nothing to do."}
-	Ready    = Kind{101, "ready", logrus.InfoLevel, "The router has settings and endpoints and takes requests."}
-	Stopping = Kind{102, "stopping", logrus.InfoLevel, "A graceful shutdown began: no new requests, those in flight finish."}
-	Stopped  = Kind{103, "stopped", logrus.InfoLevel, "The shutdown is complete; in-flight tells how many requests were left, which is 0 unless the stop limit passed."}
-	Failed   = Kind{104, "failed", logrus.ErrorLevel, "The router could not start or go on. The error tells why."}
+	Started      = Kind{100, "started", logrus.InfoLevel, "The router serves. Nothing to do."}
+	Ready        = Kind{101, "ready", logrus.InfoLevel, "The router has settings and endpoints and takes requests."}
+	Stopping     = Kind{102, "stopping", logrus.InfoLevel, "A graceful shutdown began: no new requests, those in flight finish."}
+	Stopped      = Kind{103, "stopped", logrus.InfoLevel, "The shutdown is complete; in-flight tells how many requests were left, which is 0 unless the stop limit passed."}
+	Failed       = Kind{104, "failed", logrus.ErrorLevel, "The router could not start or go on. The error tells why."}
+	Reloaded     = Kind{105, "reloaded", logrus.InfoLevel, "The settings file was read again and is in force, but for addresses and names, which need a restart."}
+	ReloadFailed = Kind{106, "reload-failed", logrus.ErrorLevel, "The settings file was to be read again and cannot be; the settings before stay in force. The problems name the lines."}
 )
 
 // The events of settings.
@@ -83,7 +85,7 @@
 // Catalogue lists every kind, in order of number.
 func Catalogue() []Kind {
 	return []Kind{
-		Started, Ready, Stopping, Stopped, Failed,
+		Started, Ready, Stopping, Stopped, Failed, Reloaded, ReloadFailed,
 		SettingsApplied, SettingsInvalid, SettingsRejected, SettingsChanged,
 		PlatformLost, PlatformBack,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumourShed, PeerBusy, PeerAway, PeerBack,
--- a/wisteriarouter/serve.go
+++ b/wisteriarouter/serve.go
@@ -23,7 +23,9 @@
 func (*serveCommand) Usage() string {
 	return `wisteriarouter serve -config FILE
 
-Runs a router until SIGTERM or SIGINT, then finishes what is in flight.
+Runs a router until SIGTERM or SIGINT, then finishes what is in flight. SIGHUP,
+or a change of FILE, has the settings read again; addresses and names need a
+restart.
 Exit codes: 0 stopped with nothing cut off, 1 could not start or had to cut
 off requests, 2 wrong usage.
 
@@ -46,6 +48,9 @@
 		fmt.Fprintln(os.Stderr, "wisteriarouter:", err)
 		return subcommands.ExitFailure
 	}
+	r, stopReload := newReloader(c.file, d)
+	defer stopReload()
+	go r.run(ctx)
 	select {
 	case <-ctx.Done():
 	case <-d.Failed():
