Fetch caches from endpoints of the same age; load factor 1.8

Ruled out: loss of caches (0 preempted), routers that disagree on the order (one endpoint came first for all).

An endpoint that comes earlier in the order is now a source unless it is newer, and the factor is 1.8.

--- a/coordination/placement/holders.go
+++ b/coordination/placement/holders.go
@@ -16,9 +16,15 @@
 	since map[coordination.Endpoint]time.Time // when each was first listed
 }
 
-// settleTime is how long an endpoint has to be listed until it is taken to hold
-// the parts that lead to it: most shared parts are asked for again within it.
-const settleTime = 15 * time.Second
+const (
+	// settleTime is how long an endpoint has to be listed until it is taken to
+	// hold the parts that lead to it: most shared parts are asked for again
+	// within it.
+	settleTime = 15 * time.Second
+	// sameAge is the span within which endpoints count as of the same age, as
+	// when a whole fleet starts.
+	sameAge = 3 * time.Second
+)
 
 // holderRanks is how many endpoints are looked at. If the first two have come
 // up only now, the third has the part.
@@ -59,23 +65,32 @@
 
 // Source returns the endpoint from which the chosen one should fetch the shared
 // part of a request with this key, or nil if it is likely to have it itself.
+// A source that has nothing costs next to nothing.
 func (h *Holders) Source(now time.Time, pool coordination.Pool, key Key, chosen coordination.Endpoint) *Descriptor {
 	if h == nil || h.set == nil {
 		return nil
 	}
 	var buf [inlineCandidates]*Descriptor
 	ranked := h.set.Candidates(buf[:0], pool, key, 0, holderRanks)
-	if len(ranked) > 0 && ranked[0].ID == chosen && h.settled(now, chosen) {
+	born := h.since[chosen]
+	first := len(ranked) > 0 && ranked[0].ID == chosen
+	if first && now.Sub(born) >= settleTime {
 		return nil
 	}
 	for _, d := range ranked {
-		if d.ID != chosen && h.settled(now, d.ID) {
+		if d.ID != chosen && h.has(born, h.since[d.ID], first) {
 			return d
 		}
 	}
 	return nil
 }
 
-func (h *Holders) settled(now time.Time, id coordination.Endpoint) bool {
-	return now.Sub(h.since[id]) >= settleTime
+// has reports whether an endpoint has had the parts of a key longer than the
+// chosen one. One that comes before the chosen one in the order has, unless it
+// is newer; one that comes behind it has only if it is older.
+func (h *Holders) has(chosen, other time.Time, chosenFirst bool) bool {
+	if chosenFirst {
+		return chosen.Sub(other) > sameAge
+	}
+	return other.Sub(chosen) < sameAge
 }
--- a/wisteriarouter/config/config.go
+++ b/wisteriarouter/config/config.go
@@ -124,7 +124,7 @@
 		{Name: "readiness", Kind: schema.Address, Required: true, Doc: "Address on which the platform's balancer asks whether the router is ready."},
 		{Name: "retry-share", Kind: schema.Number, Unit: "for each request", Default: "0.15", Min: "0", Max: "1", Doc: "Second attempts of the whole fleet at a pool, for each of its requests."},
 		{Name: "retry-burst", Kind: schema.Integer, Unit: "requests", Default: "40", Min: "0", Max: "100000", Doc: "Second attempts of the whole fleet at a pool beyond its share, when many fail at once."},
-		{Name: "load-factor", Kind: schema.Number, Unit: "times the mean", Default: "1.5", Min: "1.05", Max: "10", Doc: "Load of an endpoint against the mean of its pool, at most."},
+		{Name: "load-factor", Kind: schema.Number, Unit: "times the mean", Default: "1.8", Min: "1.05", Max: "10", Doc: "Load of an endpoint against the mean of its pool, at most."},
 		{Name: "load-slack", Kind: schema.Integer, Unit: "requests", Default: "2", Min: "0", Max: "1000", Doc: "Requests that an endpoint may run beyond that."},
 	}},
 	{Name: "limits", Doc: "Limits towards callers and endpoints.", Keys: []schema.Key{
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -203,6 +203,7 @@
 func (x *exchange) note(p Place, end ending) {
 	x.emit(event.RelayAttempt,
 		event.F("endpoint", p.Endpoint),
+		event.F("address", p.Address),
 		event.F("ended", end.String()),
 		event.F("fetch", p.Cache),
 		event.F("key", x.key()),
