Follow requests that crash endpoints, and guard streams that go on elsewhere

A request that crashes each endpoint that runs it comes again through any router; the product's gates for such requests now serve the relay, too. A broken attempt counts as a crash only if its endpoint no longer takes connections: an endpoint that loses or spoils an answer still does. A stream that goes on at another endpoint is checked to begin behind the last event that the caller has; an answer that is no stream is not joined to one.

Ruled out as too strict for this use: asking a gate about every request for 30 s behind a crash.

--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -14,7 +14,9 @@
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/membership"
 	"wisteriaspool/coordination/mirror"
+	"wisteriaspool/coordination/outcome"
 	"wisteriaspool/coordination/route"
+	"wisteriaspool/coordination/suspicion"
 	"wisteriaspool/platform"
 	"wisteriaspool/wisteriarouter/config"
 	"wisteriaspool/wisteriarouter/endpoint"
@@ -277,11 +279,29 @@
 		Placer:   do.MustInvoke[*relayPlacer](i),
 		Sender:   do.MustInvoke[*upstream.Client](i),
 		Retries:  do.MustInvoke[*poolRetries](i),
+		Suspects: relaySuspects{do.MustInvoke[*suspects](i)},
 		Log:      logOf(i),
 		Stopping: stateOf(i).leaving.Load,
 	}, nil
 }
 
+// relaySuspects implements relay.Suspects.
+type relaySuspects struct{ *suspects }
+
+// Follow implements relay.Suspects.
+func (s relaySuspects) Follow(ctx context.Context, fingerprint uint64, p coordination.Pool) (relay.Trail, *outcome.Refusal) {
+	t, refusal := s.suspects.Follow(ctx, fingerprint, p)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return t, nil
+}
+
+// relaySuspicion is what suspicion goes by where endpoints crash and return
+// within seconds: a suspect waits no longer than a rumour takes through the
+// fleet, and the other requests of its pool are not held up.
+var relaySuspicion = suspicion.Config{Hold: 200 * time.Millisecond, LossWindow: time.Millisecond}
+
 // newRelayServers serves on the listeners of a relaying router.
 func newRelayServers(i do.Injector) (*servers, error) {
 	lim := settingsOf(i).Limits
--- a/wisteriarouter/daemon/suspects.go
+++ b/wisteriarouter/daemon/suspects.go
@@ -41,7 +41,11 @@
 func newSuspects(i do.Injector) (*suspects, error) {
 	st := stateOf(i)
 	node := do.MustInvoke[*peer.Node](i)
-	table := suspicion.NewTable(suspicion.Config{})
+	var cfg suspicion.Config
+	if settingsOf(i).Relay != nil {
+		cfg = relaySuspicion
+	}
+	table := suspicion.NewTable(cfg)
 	s := &suspects{
 		node:  node,
 		gate:  suspicion.NewGate(table),
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -50,7 +50,7 @@
 // mayRetry reports whether another attempt would be made after such an end, so
 // that an endpoint's own failure is handed on if it is the last word.
 func (x *exchange) mayRetry(end ending) bool {
-	p := policy{idempotent: x.route.Idempotent(), attempts: x.route.Attempts}
+	p := policy{idempotent: x.route.Idempotent() && !x.stream.unrepeatable, attempts: x.route.Attempts}
 	return p.again(end, x.sends, len(x.exclude))
 }
 
@@ -150,6 +150,9 @@
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") && resp.Status == http.StatusOK {
 		return x.handStream(resp)
 	}
+	if x.stream.begun {
+		return cut // the caller is in the middle of a stream, and this is none
+	}
 	if resp.Length > longestWhole {
 		return x.handLong(resp)
 	}
@@ -176,7 +179,7 @@
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
 	x.w.WriteHeader(resp.Status)
-	x.stream.begun = true
+	x.stream.begun, x.stream.unrepeatable = true, true
 	if _, err := x.w.Write(read); err != nil {
 		return cut
 	}
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -38,6 +38,7 @@
 	exclude  []coordination.Endpoint
 	sends    int // requests that may have reached an endpoint
 	stream   stream
+	trail    Trail // nil for a request that is not followed
 }
 
 // giveUpSlack is how long the router waits beyond the time that an endpoint
@@ -56,7 +57,12 @@
 		defer cancel()
 	}
 	x.server.Retries.Request(x.pool)
-	x.run(ctx)
+	if !x.follow(ctx) {
+		return
+	}
+	finished := false
+	defer func() { x.ended(finished) }()
+	finished = x.run(ctx)
 }
 
 // find finds the request's route and pool.
@@ -150,27 +156,32 @@
 }
 
 // run makes attempts until the request has its answer or there is no more to
-// be done.
-func (x *exchange) run(ctx context.Context) {
+// be done. It reports whether an endpoint has answered.
+func (x *exchange) run(ctx context.Context) bool {
 	for {
 		place, refusal := x.server.Placer.Place(ctx, x.want())
-		if refusal != nil {
+		if refusal != nil && ctx.Err() == nil {
 			x.end(refusal.Message, refusal.RetryAfter)
-			return
+			return false
+		}
+		if refusal != nil {
+			x.expire(ctx)
+			return false
 		}
 		end := x.attempt(ctx, place)
 		place.Release()
 		x.note(place, end)
 		if end == delivered {
-			return
+			return true
 		}
+		goOn := end != broken && end != cut || x.crashed(ctx, place)
 		if ctx.Err() != nil {
 			x.expire(ctx)
-			return
+			return false
 		}
-		if !x.again(end) {
+		if !goOn || !x.again(end) {
 			x.fail(end)
-			return
+			return false
 		}
 		x.exclude = append(x.exclude, place.Endpoint)
 	}
@@ -184,14 +195,14 @@
 		Priority: x.rank,
 		Start:    x.until,
 		Exclude:  slices.Clip(x.exclude),
+		Alone:    x.trail != nil && x.trail.Alone(),
 	}
 }
 
 // again decides whether another attempt may be made, and takes it from the
 // budget.
 func (x *exchange) again(end ending) bool {
-	p := policy{idempotent: x.route.Idempotent(), attempts: x.route.Attempts}
-	if !p.again(end, x.sends, len(x.exclude)) {
+	if !x.mayRetry(end) {
 		return false
 	}
 	if end == unsent || x.server.Retries.Take(x.pool) {
@@ -207,6 +218,10 @@
 		x.emit(event.RelayCallerGone, event.F("after-ms", time.Since(x.arrived).Milliseconds()))
 		return
 	}
+	if x.evidence.Outcome() == outcome.NotRun {
+		x.refuse(http.StatusServiceUnavailable, "no endpoint was free in time", retryAfterFull)
+		return
+	}
 	x.answer(http.StatusGatewayTimeout, "no endpoint has answered in time", 0)
 }
 
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -69,6 +69,8 @@
 // Sender sends requests to endpoints.
 type Sender interface {
 	Send(ctx context.Context, address string, r *upstream.Request) (*upstream.Response, error)
+	// Alive reports whether an endpoint takes connections.
+	Alive(ctx context.Context, address string) bool
 }
 
 // Server answers callers.
@@ -77,6 +79,7 @@
 	Placer   Placer
 	Sender   Sender
 	Retries  Retries
+	Suspects Suspects // nil if requests are not followed
 	Log      event.Log
 	Metrics  *Metrics
 	Stopping func() bool // reports whether the router is about to stop
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -13,11 +13,14 @@
 
 // stream is how far the caller has got of a series of events.
 type stream struct {
-	begun bool   // the caller has got the head of an answer
-	last  string // id of the last event that the caller has whole
-	first time.Time
-	moved time.Time     // when the last event came
-	pause time.Duration // longest between two events
+	begun bool // the caller has got the head of an answer
+	// unrepeatable says that the caller has got a part of an answer that is no
+	// series of events, which cannot go on elsewhere.
+	unrepeatable bool
+	last         string // id of the last event that the caller has whole
+	first        time.Time
+	moved        time.Time     // when the last event came
+	pause        time.Duration // longest between two events
 }
 
 func (s *stream) firstMs(arrived time.Time) int64 {
@@ -45,46 +48,64 @@
 
 // handStream hands on the events of an answer as they come, each in one piece:
 // an endpoint may stop in the middle of an event, and the caller must not get
-// a part of one that another endpoint then sends in full.
+// a part of one that another endpoint then sends in full. Nor does it get an
+// event twice, if an endpoint that is to go on begins too early.
 func (x *exchange) handStream(resp *upstream.Response) ending {
-	if !x.stream.begun {
+	goesOn := x.stream.begun
+	if !goesOn {
 		x.head(resp)
 		x.w.WriteHeader(resp.Status)
 		x.stream.begun = true
 	}
+	e := eventReader{body: resp.Body, buf: make([]byte, 0, streamBuffer)}
 	flush := http.NewResponseController(x.w).Flush
-	buf := make([]byte, 0, streamBuffer)
 	for {
-		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
-		}
-		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		ended := isEnd(err)
-		whole := wholeEvents(buf)
-		if ended {
-			whole = len(buf)
-		}
-		if whole > 0 {
-			x.stream.note(time.Now(), buf[:whole])
-			if _, werr := x.w.Write(buf[:whole]); werr != nil {
+		events, err := e.next()
+		if len(events) > 0 {
+			if goesOn && !after(firstID(events), x.stream.last) {
+				return cut
+			}
+			goesOn = false
+			x.stream.note(time.Now(), events)
+			if _, werr := x.w.Write(events); werr != nil {
 				return cut
 			}
-			buf = append(buf[:0], buf[whole:]...)
 		}
 		switch {
-		case ended:
+		case errors.Is(err, io.EOF):
 			return delivered
 		case err != nil:
 			return cut
-		case whole > 0 && !resp.Body.Buffered():
-			if flush() != nil {
-				return cut
-			}
+		case len(events) > 0 && !resp.Body.Buffered() && flush() != nil:
+			return cut
 		}
 	}
 }
 
+// eventReader reads whole events.
+type eventReader struct {
+	body *upstream.Body
+	buf  []byte
+	used int // bytes of buf that were returned
+}
+
+// next returns the whole events that one read has brought, perhaps none. With
+// io.EOF it returns all that is left.
+func (e *eventReader) next() ([]byte, error) {
+	e.buf = append(e.buf[:0], e.buf[e.used:]...)
+	e.used = 0
+	if len(e.buf) == cap(e.buf) {
+		e.buf = append(e.buf, 0)[:len(e.buf)]
+	}
+	n, err := e.body.Read(e.buf[len(e.buf):cap(e.buf)])
+	e.buf = e.buf[:len(e.buf)+n]
+	e.used = wholeEvents(e.buf)
+	if errors.Is(err, io.EOF) {
+		e.used = len(e.buf)
+	}
+	return e.buf[:e.used], err
+}
+
 // wholeEvents returns the length of the whole events at the start of b. An
 // event ends with an empty line.
 func wholeEvents(b []byte) int {
@@ -99,25 +120,31 @@
 }
 
 // lastID returns the id of the last event in b that has one.
-func lastID(b []byte) string {
-	i := bytes.LastIndex(b, []byte("\nid:"))
-	switch {
-	case i >= 0:
-		b = b[i+len("\nid:"):]
-	case bytes.HasPrefix(b, []byte("id:")):
-		b = b[len("id:"):]
-	default:
+func lastID(b []byte) string { return idAt(b, bytes.LastIndex(b, []byte("\nid:"))) }
+
+// firstID returns the id of the first event in b that has one.
+func firstID(b []byte) string {
+	if bytes.HasPrefix(b, []byte("id:")) {
+		return idAt(b, -1)
+	}
+	return idAt(b, bytes.Index(b, []byte("\nid:")))
+}
+
+// idAt returns the id whose line begins behind the line end at i. A negative i
+// stands for the start of b.
+func idAt(b []byte, i int) string {
+	line, ok := bytes.CutPrefix(b[i+1:], []byte("id:"))
+	if !ok {
 		return ""
 	}
-	line, _, _ := bytes.Cut(b, []byte("\n"))
+	line, _, _ = bytes.Cut(line, []byte("\n"))
 	return string(bytes.TrimSpace(line))
 }
 
-// after reports whether an event's id comes after another one's.
+// after reports whether an event's id comes after another one's. Ids that are
+// no numbers cannot be compared and are taken to be in order.
 func after(id, last string) bool {
 	a, errA := strconv.ParseInt(id, 10, 64)
 	b, errB := strconv.ParseInt(last, 10, 64)
 	return errA != nil || errB != nil || a > b
 }
-
-func isEnd(err error) bool { return errors.Is(err, io.EOF) }
--- /dev/null
+++ b/wisteriarouter/relay/trail.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"context"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/coordination/suspicion"
+	"wisteriaspool/wisteriarouter/event"
+)
+
+// Suspects keeps requests that crash endpoints from taking one after another.
+type Suspects interface {
+	// Follow begins to follow a request, or refuses it. It may wait until
+	// another copy of a suspect has ended.
+	Follow(ctx context.Context, fingerprint uint64, p coordination.Pool) (Trail, *outcome.Refusal)
+}
+
+// Trail follows one request. End is called once, at the end.
+type Trail interface {
+	// Alone reports whether the next attempt must run apart from suspects.
+	Alone() bool
+	// Crashed tells that the endpoint which ran the request has died. It
+	// returns when the request may go on, or with its refusal.
+	Crashed(ctx context.Context, e coordination.Endpoint, n coordination.Incarnation) *outcome.Refusal
+	// End tells whether the request has run to its end.
+	End(finished bool)
+}
+
+// follow begins to follow a request that may be one that crashes endpoints. One
+// without a body is not followed: many callers ask for the same, and the crash
+// of an endpoint beside them would have them all refused.
+func (x *exchange) follow(ctx context.Context) bool {
+	if len(x.body) == 0 || x.server.Suspects == nil {
+		return true
+	}
+	f := suspicion.FingerprintOf(string(x.account), x.r.Method, x.r.RequestURI, string(x.body))
+	trail, refusal := x.server.Suspects.Follow(ctx, uint64(f), x.pool)
+	if refusal != nil {
+		x.end(refusal.Message, refusal.RetryAfter)
+		return false
+	}
+	x.trail = trail
+	return true
+}
+
+// crashed looks whether the endpoint of an attempt that broke has died, and
+// reports whether the request may have another attempt. An endpoint that only
+// loses an answer still takes connections.
+func (x *exchange) crashed(ctx context.Context, p Place) bool {
+	if x.server.Sender.Alive(ctx, p.Address) || ctx.Err() != nil {
+		return true
+	}
+	x.server.Placer.Dead(p.Endpoint, p.Incarnation)
+	if x.trail == nil {
+		return true
+	}
+	refusal := x.trail.Crashed(ctx, p.Endpoint, p.Incarnation)
+	if refusal == nil {
+		return true
+	}
+	x.emit(event.RelayAttemptLost, event.F("endpoint", p.Endpoint), event.F("error", refusal.Message))
+	return false
+}
+
+// ended ends the following of a request.
+func (x *exchange) ended(finished bool) {
+	if x.trail != nil {
+		x.trail.End(finished)
+	}
+}
--- a/wisteriarouter/upstream/upstream.go
+++ b/wisteriarouter/upstream/upstream.go
@@ -151,6 +151,25 @@
 	return resp, nil
 }
 
+// aliveTimeout is how long an endpoint has to take a connection. A process that
+// has died refuses it at once; a machine without power does not answer.
+const aliveTimeout = 250 * time.Millisecond
+
+// Alive reports whether an endpoint takes connections. The connection that
+// shows it serves the next request.
+func (c *Client) Alive(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	cn, err := c.dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	now := time.Now()
+	cn.unused, cn.expires = now, now.Add(c.cfg.Idle)
+	c.idle.put(cn, c.cfg.PerEndpoint)
+	return true
+}
+
 func (c *Client) connect(ctx context.Context, address string, once bool) (*conn, error) {
 	longest := time.Duration(0)
 	if once {
@@ -159,6 +178,10 @@
 	if cn := c.idle.take(time.Now(), address, longest); cn != nil {
 		return cn, nil
 	}
+	return c.dial(ctx, address)
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	start := time.Now()
 	dialCtx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
 	defer cancel()
