--- /dev/null
+++ b/coordination/mirror/mirror_test.go
@@ -0,0 +1,345 @@
+package mirror_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/mirror"
+)
+
+func put(key, value string, n kv.Revision) mirror.Item {
+	return mirror.Item{Key: key, Value: []byte(value), Revision: n}
+}
+
+func gone(key string, n kv.Revision) mirror.Item {
+	return mirror.Item{Key: key, Revision: n, Deleted: true}
+}
+
+func valueOf(m *mirror.Mirror, key string) string {
+	item, ok := m.Find(key)
+	if !ok {
+		return "none"
+	}
+	return string(item.Value)
+}
+
+// A router hears of a change from the store and, later, of the one before it
+// from a peer that is behind. If the older one came into force again, a key
+// that was taken away would be good once more.
+func TestNothingReverts(t *testing.T) {
+	changes := []mirror.Item{put("a", "1", 2), put("a", "2", 5), gone("a", 7), put("a", "3", 9)}
+	for seed := range uint64(50) {
+		m := mirror.New()
+		highest := kv.Revision(0)
+		for _, i := range rand.New(rand.NewPCG(seed, 0)).Perm(len(changes)) {
+			m.Take(mirror.Update{Items: changes[i : i+1], AsOf: changes[i].Revision})
+			highest = max(highest, changes[i].Revision)
+			want := "none"
+			for _, c := range changes {
+				if c.Revision == highest && !c.Deleted {
+					want = string(c.Value)
+				}
+			}
+			assert.Equal(t, valueOf(m, "a"), want, "seed %d", seed)
+		}
+	}
+}
+
+func TestFullUpdateDropsWhatItDoesNotName(t *testing.T) {
+	m := mirror.New()
+	var news []mirror.Item
+	m.Observe(func(items []mirror.Item) { news = items })
+	m.Take(mirror.Update{Full: true, Items: []mirror.Item{put("a", "1", 1), put("b", "1", 2)}, AsOf: 2})
+	m.Take(mirror.Update{Items: []mirror.Item{put("c", "1", 6)}, AsOf: 6})
+	// The list is of revision 4: it cannot know c, which is newer.
+	m.Take(mirror.Update{Full: true, Items: []mirror.Item{put("a", "1", 1)}, AsOf: 4})
+	assert.Equal(t, valueOf(m, "a"), "1")
+	assert.Equal(t, valueOf(m, "b"), "none")
+	assert.Equal(t, valueOf(m, "c"), "1")
+	assert.DeepEqual(t, news, []mirror.Item{gone("b", 4)})
+	assert.Equal(t, m.AsOf(), kv.Revision(6))
+}
+
+// A peer was cut off for longer than deletions are remembered. If it were told
+// changes alone, it would keep endpoints that are long gone.
+func TestPeerFarBehindIsToldEverything(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := mirror.New()
+		m.Take(mirror.Update{Full: true, Items: []mirror.Item{put("a", "1", 1), put("b", "1", 2)}, AsOf: 2})
+		m.Take(mirror.Update{Items: []mirror.Item{gone("b", 3)}, AsOf: 3})
+		assert.DeepEqual(t, m.Since(2), mirror.Update{Items: []mirror.Item{gone("b", 3)}, AsOf: 3})
+		time.Sleep(2 * time.Minute)
+		m.Take(mirror.Update{Items: []mirror.Item{put("c", "1", 4)}, AsOf: 4})
+		assert.DeepEqual(t, m.Since(2), mirror.Update{Full: true, Items: []mirror.Item{put("a", "1", 1), put("c", "1", 4)}, AsOf: 4})
+	})
+}
+
+// fakeStore is a store whose watches can fall silent.
+type fakeStore struct {
+	mu      sync.Mutex
+	asOf    kv.Revision
+	pairs   map[string]kv.Pair
+	changed chan struct{}
+	mute    bool
+	down    bool
+	forgot  kv.Revision // history up to here is gone
+	calls   int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{pairs: map[string]kv.Pair{}, changed: make(chan struct{})}
+}
+
+func (s *fakeStore) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asOf++
+	s.pairs[key] = kv.Pair{Key: key, Value: []byte(value), Revision: s.asOf}
+	if !s.mute {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+func (s *fakeStore) set(fn func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fn()
+}
+
+var errDown = errors.New("down")
+
+func (s *fakeStore) List(_ context.Context, _ string) kv.Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return kv.Result{Status: kv.Unavailable, Err: errDown}
+	}
+	res := kv.Result{Status: kv.Applied, Revision: s.asOf}
+	for _, p := range s.pairs {
+		res.Pairs = append(res.Pairs, p)
+	}
+	return res
+}
+
+func (s *fakeStore) Watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) (kv.Batch, kv.Result) {
+	s.set(func() { s.calls++ })
+	timeout := time.After(wait)
+	for {
+		b, res, done := s.look(after)
+		if done {
+			return b, res
+		}
+		s.mu.Lock()
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timeout:
+			return kv.Batch{Revision: after}, kv.Result{Status: kv.Applied}
+		case <-ctx.Done():
+			return kv.Batch{}, kv.Result{Status: kv.Unavailable, Err: ctx.Err()}
+		}
+	}
+}
+
+func (s *fakeStore) look(after kv.Revision) (kv.Batch, kv.Result, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return kv.Batch{}, kv.Result{Status: kv.Unavailable, Err: errDown}, true
+	case after < s.forgot:
+		return kv.Batch{Gap: true}, kv.Result{Status: kv.Applied}, true
+	}
+	b := kv.Batch{Revision: s.asOf}
+	for _, p := range s.pairs {
+		if p.Revision > after {
+			b.Events = append(b.Events, kv.Event{Pair: p})
+		}
+	}
+	return b, kv.Result{Status: kv.Applied}, len(b.Events) > 0
+}
+
+// fleet is some routers' mirrors of one store that ask each other.
+type fleet struct {
+	store   *fakeStore
+	mirrors []*mirror.Mirror
+	cut     map[int]bool // the store turns these away
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{store: newFakeStore(), cut: map[int]bool{}}
+	for range n {
+		f.mirrors = append(f.mirrors, mirror.New())
+	}
+	for i, m := range f.mirrors {
+		toStore := &mirror.Follower{Mirror: m, Source: mirror.StoreSource{
+			Store: cutStore{f, i}, Wait: func() time.Duration { return mirror.WatchWait(n) },
+		}}
+		toPeers := &mirror.Follower{Mirror: m, Source: mirror.PeerSource{
+			Transport: f,
+			Choose:    chooser{self: i, n: n}.choose,
+			Wait:      700 * time.Millisecond,
+			Timeout:   500 * time.Millisecond,
+		}}
+		t.Cleanup(toStore.Start())
+		t.Cleanup(toPeers.Start())
+	}
+	return f
+}
+
+type chooser struct{ self, n int }
+
+func (c chooser) choose() (coordination.Instance, bool) {
+	other := (c.self + 1 + rand.IntN(c.n-1)) % c.n
+	return coordination.Instance(fmt.Sprint(other)), true
+}
+
+// Call implements mirror.Transport.
+func (f *fleet) Call(ctx context.Context, to coordination.Instance, _ string, payload []byte) ([]byte, error) {
+	var i int
+	if _, err := fmt.Sscan(string(to), &i); err != nil {
+		return nil, err
+	}
+	return mirror.Server{Mirrors: map[string]*mirror.Mirror{"": f.mirrors[i]}}.Handle(ctx, payload)
+}
+
+// cutStore is the store as one router reaches it.
+type cutStore struct {
+	fleet *fleet
+	of    int
+}
+
+func (c cutStore) List(ctx context.Context, prefix string) kv.Result {
+	if c.fleet.cut[c.of] {
+		return kv.Result{Status: kv.Unavailable, Err: errDown}
+	}
+	return c.fleet.store.List(ctx, prefix)
+}
+
+func (c cutStore) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Batch, kv.Result) {
+	if c.fleet.cut[c.of] {
+		return kv.Batch{}, kv.Result{Status: kv.Unavailable, Err: errDown}
+	}
+	return c.fleet.store.Watch(ctx, prefix, after, wait)
+}
+
+// within waits until all mirrors show a value, and returns how long it took.
+func (f *fleet) within(t *testing.T, limit time.Duration, key, want string) {
+	t.Helper()
+	start := time.Now()
+	for {
+		behind := -1
+		for i, m := range f.mirrors {
+			if valueOf(m, key) != want {
+				behind = i
+			}
+		}
+		if behind < 0 {
+			return
+		}
+		assert.Assert(t, time.Since(start) < limit, "router %d has no %s=%s after %v", behind, key, want, limit)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// The store turns some routers away while it serves the others. An operator
+// takes a key away; on the routers that were turned away it would stay good
+// until the store serves them again.
+func TestRouterThatTheStoreTurnsAwayHearsFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7)
+		f.store.put("a", "1")
+		f.within(t, 2*time.Second, "a", "1")
+		f.cut[1], f.cut[4], f.cut[5] = true, true, true
+		time.Sleep(10 * time.Second)
+		f.store.put("a", "2")
+		f.within(t, 1500*time.Millisecond, "a", "2")
+	})
+}
+
+// All watches of the store hear nothing for a second while a change is made,
+// and none of them ends. Nobody would hear of the change before the longest
+// wait of a watch is over.
+func TestChangeThatNoWatchHearsComesIntoForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7)
+		f.store.put("a", "1")
+		f.within(t, 2*time.Second, "a", "1")
+		time.Sleep(20 * time.Second)
+		f.store.set(func() { f.store.mute = true })
+		f.store.put("a", "2")
+		f.store.set(func() { f.store.mute, f.store.forgot = false, f.store.asOf })
+		f.within(t, 3*time.Second, "a", "2")
+	})
+}
+
+// The store is down for some seconds, and a router starts meanwhile. It serves
+// nobody until it has the desired state from another router.
+func TestRouterThatStartsDuringAnOutageAsksPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		f.store.put("a", "1")
+		f.within(t, 2*time.Second, "a", "1")
+		f.store.set(func() { f.store.down = true })
+		time.Sleep(5 * time.Second)
+		late := mirror.New()
+		follower := &mirror.Follower{Mirror: late, Source: mirror.PeerSource{
+			Transport: f, Choose: chooser{self: 0, n: 3}.choose, Wait: time.Second, Timeout: time.Second,
+		}}
+		defer follower.Start()()
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(t, valueOf(late, "a"), "1")
+	})
+}
+
+// A store that is down must not be called by the whole fleet again and again:
+// each call has its price, and the store needs air to come back.
+func TestOutageCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7)
+		f.store.put("a", "1")
+		f.within(t, 2*time.Second, "a", "1")
+		f.store.set(func() { f.store.down = true; close(f.store.changed); f.store.changed = make(chan struct{}) })
+		time.Sleep(5 * time.Second)
+		f.store.set(func() { f.store.calls = 0 })
+		time.Sleep(10 * time.Second)
+		f.store.set(func() { assert.Assert(t, f.store.calls < 7*15, "%d calls in 10 s", f.store.calls) })
+	})
+}
+
+// On a quiet store the fleet begins about two watches a second, whatever its
+// size.
+func TestQuietStoreIsCalledAtAFixedPace(t *testing.T) {
+	for _, routers := range []int{7, 30} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, routers)
+			f.store.put("a", "1")
+			f.within(t, 2*time.Second, "a", "1")
+			time.Sleep(30 * time.Second)
+			f.store.set(func() { f.store.calls = 0 })
+			time.Sleep(time.Minute)
+			f.store.set(func() { assert.Assert(t, f.store.calls < 200, "%d calls in a minute", f.store.calls) })
+		})
+	}
+}
+
+// The bytes of a call come from another process, which may be of another
+// version, or not a router at all.
+func TestServerRefusesWhatItCannotRead(t *testing.T) {
+	s := mirror.Server{Mirrors: map[string]*mirror.Mirror{"": mirror.New()}}
+	_, err := s.Handle(t.Context(), []byte{0xff, 0x00})
+	assert.ErrorContains(t, err, "ask")
+}
--- /dev/null
+++ b/standin/hub/hub.go
@@ -0,0 +1,231 @@
+// Package hub stands in for the store of the platform on which routers relay
+// plain HTTP: keys with revisions, lists and long polls over HTTP, and the ways
+// in which such a store fails. Tests and the soak share it.
+package hub
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Item is a key with its value, as the wire shows it.
+type Item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Created  int64  `json:"created,omitempty"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// Faults are what goes wrong at the store.
+type Faults struct {
+	Down   bool          // every call is answered 503
+	Silent bool          // no call is answered
+	Mute   bool          // waiting watches hear nothing of changes
+	Slow   time.Duration // before each answer
+	// Refuse, if set, says which callers are turned away, by their address.
+	Refuse func(remote string) bool
+}
+
+// Store is the stand-in. It is an http.Handler.
+type Store struct {
+	mu       sync.Mutex
+	revision int64
+	items    map[string]Item
+	history  []Item // in the order of revisions
+	floor    int64  // history up to here is gone
+	changed  chan struct{}
+	faults   Faults
+	calls    int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{revision: 1, floor: 1, items: make(map[string]Item), changed: make(chan struct{})}
+}
+
+// Put writes a key and returns the revision.
+func (s *Store) Put(key string, value []byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	item := Item{Key: key, Value: slices.Clone(value), Revision: s.revision, Created: s.revision}
+	if old, ok := s.items[key]; ok {
+		item.Created = old.Created
+	}
+	s.items[key] = item
+	s.record(item)
+	return s.revision
+}
+
+// Delete removes a key.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.record(Item{Key: key, Revision: s.revision, Deleted: true})
+}
+
+func (s *Store) record(item Item) {
+	s.history = append(s.history, item)
+	if !s.faults.Mute {
+		s.wake()
+	}
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Forget drops the history.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.floor = nil, s.revision
+}
+
+// Fail sets what goes wrong from now on.
+func (s *Store) Fail(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.wake()
+}
+
+// Calls returns how many calls have come.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	f := s.faults
+	s.mu.Unlock()
+	if f.Slow > 0 {
+		time.Sleep(f.Slow)
+	}
+	switch {
+	case f.Silent:
+		<-r.Context().Done()
+	case f.Down, f.Refuse != nil && f.Refuse(r.RemoteAddr):
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case r.URL.Path == "/wisteriaspool/kv-range":
+		s.list(w, r)
+	case r.URL.Path == "/wisteriaspool/kv-watch":
+		s.watch(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// pageSize is small, so that tests read several pages.
+const pageSize = 50
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, r.URL.Query().Get("prefix")) && key > r.URL.Query().Get("after") {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	page := struct {
+		Entries   []Item `json:"entries"`
+		Truncated bool   `json:"truncated"`
+		AsOf      int64  `json:"asOf"`
+	}{Truncated: len(keys) > pageSize, AsOf: s.revision}
+	for _, key := range keys[:min(len(keys), pageSize)] {
+		page.Entries = append(page.Entries, s.items[key])
+	}
+	answer(w, page)
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, errWait := strconv.ParseInt(query.Get("waitMs"), 10, 64)
+	if err != nil || errWait != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for first := true; ; first = false {
+		events, asOf, state := s.since(query.Get("prefix"), after, first)
+		switch {
+		case state == gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case state == down:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case len(events) > 0:
+			answer(w, changes{Events: events, AsOf: asOf})
+			return
+		}
+		s.mu.Lock()
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timeout:
+			answer(w, changes{Events: []Item{}, AsOf: after})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+type changes struct {
+	Events []Item `json:"events"`
+	AsOf   int64  `json:"asOf"`
+}
+
+type state int
+
+const (
+	fine state = iota
+	gone
+	down
+)
+
+func (s *Store) since(prefix string, after int64, first bool) ([]Item, int64, state) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.faults.Down || s.faults.Silent:
+		return nil, 0, down
+	case after < s.floor && first:
+		return nil, 0, gone
+	case s.faults.Mute && !first:
+		return nil, 0, fine
+	}
+	var events []Item
+	for _, item := range s.history {
+		if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
+			events = append(events, item)
+		}
+	}
+	return events, s.revision, fine
+}
+
+func answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // the caller may have gone
+}
--- /dev/null
+++ b/standin/replica/replica.go
@@ -0,0 +1,243 @@
+// Package replica stands in for an endpoint behind routers that relay plain
+// HTTP: it writes its entry into the store's stand-in, answers requests whole or
+// as a series of events, counts what arrives, and fails as told.
+package replica
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"wisteriaspool/standin/hub"
+)
+
+// Options configure a Replica.
+type Options struct {
+	ID      string
+	Service string
+	Zone    string
+	Slots   int           // requests at a time; 8 if zero
+	Events  int           // of a stream; 5 if zero
+	Pause   time.Duration // between two events, and for a whole answer
+}
+
+// Faults are what goes wrong at the replica.
+type Faults struct {
+	CutAfter int  // a stream is cut in the middle of the event behind this many; 0 is never
+	CutLate  bool // a whole answer is made and its connection is cut
+	Status   int  // of answers in place of 200
+	Full     bool // everything is turned away as not run
+	// Crash is a path whose requests crash the replica as they begin to run.
+	Crash string
+}
+
+// Arrival is one request that was run.
+type Arrival struct {
+	ID     string
+	Path   string
+	Tenant string
+	From   string // id of the last event that the caller has
+	Fetch  string
+	Ended  bool // it ran to its end
+	Left   bool // the caller went away
+}
+
+// Replica is the stand-in.
+type Replica struct {
+	opts     Options
+	store    *hub.Store
+	listener net.Listener
+	server   *http.Server
+	born     int64
+
+	mu       sync.Mutex
+	faults   Faults
+	running  int
+	arrivals []*Arrival
+	state    string
+}
+
+// Start starts a replica on loopback and lists it in the store. The function
+// that it returns ends the process that it stands for, without a word.
+func Start(store *hub.Store, o Options) (*Replica, func(), error) {
+	if o.Slots == 0 {
+		o.Slots = 8
+	}
+	if o.Events == 0 {
+		o.Events = 5
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, err
+	}
+	r := &Replica{opts: o, store: store, listener: l, born: time.Now().UnixMilli(), state: "ready"}
+	r.server = &http.Server{Handler: r}
+	go r.run()
+	r.List()
+	return r, func() { _ = r.server.Close() }, nil
+}
+
+func (r *Replica) run() { _ = r.server.Serve(r.listener) }
+
+// Address returns where the replica listens.
+func (r *Replica) Address() string { return r.listener.Addr().String() }
+
+// Key returns the key of the replica's entry.
+func (r *Replica) Key() string { return "servers/" + r.opts.ID }
+
+// List writes the replica's entry.
+func (r *Replica) List() {
+	r.mu.Lock()
+	state := r.state
+	r.mu.Unlock()
+	entry, err := json.Marshal(map[string]any{
+		"backend": r.opts.Service, "address": r.Address(), "zone": r.opts.Zone, "version": "v1",
+		"slots": r.opts.Slots, "state": state, "coldLeftMs": 0, "seqno": 1, "born": r.born,
+	})
+	if err != nil {
+		panic("replica: encoding an entry: " + err.Error())
+	}
+	r.store.Put(r.Key(), entry)
+}
+
+// Drain announces that the replica stops.
+func (r *Replica) Drain() {
+	r.mu.Lock()
+	r.state = "draining"
+	r.mu.Unlock()
+	r.List()
+}
+
+// Fail sets what goes wrong from now on.
+func (r *Replica) Fail(f Faults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = f
+}
+
+// Arrivals returns what was run.
+func (r *Replica) Arrivals() []Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]Arrival, 0, len(r.arrivals))
+	for _, a := range r.arrivals {
+		all = append(all, *a)
+	}
+	return all
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	h := w.Header()
+	h.Set("X-Instance-Id", r.opts.ID)
+	if expected := req.Header.Get("X-Expect-Instance"); expected != "" && expected != r.opts.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	a, f, ok := r.admit(req)
+	if !ok {
+		h.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer r.end()
+	if f.Crash != "" && f.Crash == a.Path {
+		_ = r.server.Close() // with all its connections
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.Copy(io.Discard, req.Body) // else the server would not notice that a caller leaves
+	h.Set("X-Attempt-Id", a.ID)
+	h.Set("X-Server-Signature", r.opts.ID+"."+a.ID)
+	h.Set("X-Instance-Load", fmt.Sprintf("%d,0,%d", r.load(), r.opts.Slots))
+	if req.Header.Get("X-Token-Usage") != "" && f.Status == 0 {
+		r.stream(w, req, a, f)
+		return
+	}
+	r.whole(w, req, a, f)
+}
+
+func (r *Replica) admit(req *http.Request) (*Arrival, Faults, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.faults.Full || r.running >= r.opts.Slots {
+		return nil, r.faults, false
+	}
+	r.running++
+	a := &Arrival{
+		ID: req.Header.Get("X-Attempt-Id"), Path: req.URL.Path, Tenant: req.Header.Get("X-Tenant"),
+		From: req.Header.Get("Last-Event-Id"), Fetch: req.Header.Get("Kv-Fetch"),
+	}
+	r.arrivals = append(r.arrivals, a)
+	return a, r.faults, true
+}
+
+func (r *Replica) load() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running
+}
+
+func (r *Replica) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
+}
+
+func (r *Replica) mark(fn func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fn()
+}
+
+// pause waits between two events and reports whether the caller is still there.
+func (r *Replica) pause(req *http.Request, a *Arrival) bool {
+	select {
+	case <-time.After(r.opts.Pause):
+		return true
+	case <-req.Context().Done():
+		r.mark(func() { a.Left = true })
+		return false
+	}
+}
+
+func (r *Replica) whole(w http.ResponseWriter, req *http.Request, a *Arrival, f Faults) {
+	if !r.pause(req, a) {
+		return
+	}
+	r.mark(func() { a.Ended = true })
+	if f.CutLate {
+		panic(http.ErrAbortHandler)
+	}
+	if f.Status != 0 {
+		w.WriteHeader(f.Status)
+	}
+	_, _ = w.Write([]byte("done " + a.ID)) // the caller may have gone
+}
+
+// stream sends events numbered from 1, behind the last one that the caller has.
+func (r *Replica) stream(w http.ResponseWriter, req *http.Request, a *Arrival, f Faults) {
+	from, _ := strconv.Atoi(a.From) // none is zero
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w).Flush
+	for n := from + 1; n <= r.opts.Events; n++ {
+		if !r.pause(req, a) {
+			return
+		}
+		event := fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n)
+		if f.CutAfter > 0 && n > f.CutAfter {
+			_, _ = w.Write([]byte(event[:len(event)/2]))
+			_ = flush()
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := w.Write([]byte(event)); err != nil || flush() != nil {
+			r.mark(func() { a.Left = true })
+			return
+		}
+	}
+	r.mark(func() { a.Ended = true })
+}
--- a/wisteriarouter/daemon/daemon.go
+++ b/wisteriarouter/daemon/daemon.go
@@ -148,6 +148,15 @@
 // PeersAddress returns the address for other routers as it was bound.
 func (d *Daemon) PeersAddress() string { return d.servers.peers.address() }
 
+// ReadinessAddress returns the address on which the platform's balancer asks,
+// or nothing if the router does not relay.
+func (d *Daemon) ReadinessAddress() string {
+	if d.servers.readiness == nil {
+		return ""
+	}
+	return d.servers.readiness.address()
+}
+
 // shutdown stops the router gracefully: it refuses new requests, tells the
 // other routers, lets what is in flight finish, and only then ends its own
 // parts. It returns how many requests were left when the limit passed.
--- a/wisteriarouter/daemon/relay_placing.go
+++ b/wisteriarouter/daemon/relay_placing.go
@@ -70,7 +70,7 @@
 	c.Pools = make(map[coordination.Pool]placement.PoolBound)
 	for name, pool := range s.Pools {
 		if pool.Engine == nil {
-			c.Pools[name] = placement.PoolBound{Bound: plainFactor}
+			c.Pools[name] = placement.PoolBound{Bound: plainFactor, Slack: plainSlack}
 		}
 	}
 	p.owner.Configure(c)
@@ -80,7 +80,10 @@
 
 // plainFactor is the bound of a plain service, whose endpoints have nothing
 // cached: as even as can be.
-const plainFactor = 1.1
+const (
+	plainFactor = 1.25
+	plainSlack  = 2
+)
 
 // relayPlacer implements relay.Placer.
 type relayPlacer struct {
--- /dev/null
+++ b/wisteriarouter/daemon/relay_test.go
@@ -0,0 +1,558 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"wisteriaspool/standin/hub"
+	"wisteriaspool/standin/replica"
+	"wisteriaspool/wisteriarouter/config"
+	"wisteriaspool/wisteriarouter/daemon"
+)
+
+// site is a store, endpoints and relaying routers on loopback.
+type site struct {
+	t        testing.TB
+	store    *hub.Store
+	address  string
+	replicas []*replica.Replica
+	kill     []func()
+	routers  []*daemon.Daemon
+	stops    []func() int
+	version  int
+	logs     *logs
+	client   *http.Client
+}
+
+// desiredState is what an operator writes; routes are by their prefix.
+type desiredState struct {
+	routes  []map[string]any
+	tenants []map[string]any
+}
+
+func plainState() desiredState {
+	return desiredState{
+		routes: []map[string]any{
+			{"prefix": "/safe/", "type": "safe", "backend": "desk", "attempts": 2, "timeoutMs": 2000},
+			{"prefix": "/unsafe/", "type": "unsafe", "backend": "desk", "attempts": 1, "timeoutMs": 2000},
+			{"prefix": "/resumable/", "type": "stream", "backend": "model", "attempts": 2, "timeoutMs": 5000, "resumable": true, "sticky": true},
+			{"prefix": "/stream/", "type": "stream", "backend": "model", "attempts": 2, "timeoutMs": 5000, "sticky": true},
+			{"prefix": "/public/", "type": "safe", "backend": "desk", "attempts": 1, "public": true},
+		},
+		tenants: []map[string]any{{"name": "acme", "apiKeys": []string{"k1"}}, {"name": "zeta", "apiKeys": []string{"k2"}}},
+	}
+}
+
+func newSite(t testing.TB, routers, desks, models int) *site {
+	s := &site{t: t, store: hub.New(), logs: &logs{}, client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+	srv := httptest.NewServer(s.store)
+	t.Cleanup(srv.Close)
+	t.Cleanup(func() { s.store.Fail(hub.Faults{Down: true}) }) // lets waiting watches go
+	s.address = strings.TrimPrefix(srv.URL, "http://")
+	for n := range desks {
+		s.addReplica(replica.Options{ID: fmt.Sprintf("d%d", n), Service: "desk", Zone: "a", Pause: 10 * time.Millisecond})
+	}
+	for n := range models {
+		s.addReplica(replica.Options{ID: fmt.Sprintf("m%d", n), Service: "model", Zone: "a", Pause: 20 * time.Millisecond})
+	}
+	s.put(plainState())
+	for range routers {
+		s.addRouter()
+	}
+	for n := range routers {
+		s.awaitReady(n)
+		s.awaitMembers(n, routers)
+	}
+	return s
+}
+
+// awaitMembers waits until a router has met all others.
+func (s *site) awaitMembers(n, routers int) {
+	want := fmt.Sprintf("wisteria_members{state=\"alive\"} %d\n", routers)
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		resp, err := http.Get("http://" + s.routers[n].OperatorsAddress() + "/metrics")
+		if err != nil {
+			return poll.Error(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		text, err := io.ReadAll(resp.Body)
+		if err == nil && strings.Contains(string(text), want) {
+			return poll.Success()
+		}
+		return poll.Continue("router %d has not met all others", n)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+func (s *site) addReplica(o replica.Options) *replica.Replica {
+	r, kill, err := replica.Start(s.store, o)
+	assert.NilError(s.t, err)
+	s.t.Cleanup(kill)
+	s.replicas, s.kill = append(s.replicas, r), append(s.kill, kill)
+	return r
+}
+
+// put writes the next version of the desired state.
+func (s *site) put(d desiredState) {
+	s.version++
+	for i, r := range d.routes {
+		r["name"], r["hostname"] = "r"+strconv.Itoa(i), "desk.example"
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": s.version, "routes": d.routes, "tenants": d.tenants,
+		"backends": []map[string]any{
+			{"name": "desk", "maxConns": 100},
+			{"name": "model", "maxConns": 100, "runtime": map[string]any{"slots": 8}},
+		},
+		"limits": map[string]any{"maxBodyBytes": 1 << 20},
+	})
+	assert.NilError(s.t, err)
+	s.store.Put("op/config", value)
+}
+
+func (s *site) addRouter() {
+	n := len(s.routers)
+	var seeds string
+	if n > 0 {
+		seeds = "seeds = " + s.routers[0].PeersAddress()
+	}
+	text := fmt.Sprintf(`
+[router]
+instance = r%d
+availability-zone = a
+[listen]
+callers = 127.0.0.1:0
+operators = 127.0.0.1:0
+peers = 127.0.0.1:0
+[peers]
+%s
+[relay]
+store = %s
+readiness = 127.0.0.1:0
+[limits]
+stop-delay = 50ms
+stop-within = 5s
+`, n, seeds, s.address)
+	cfg, problems := config.Parse("test", []byte(text))
+	assert.Equal(s.t, len(problems), 0, "%v", problems)
+	d, stop, err := daemon.StartWithLog(cfg, s.logs)
+	assert.NilError(s.t, err)
+	once := sync.OnceValue(stop)
+	s.t.Cleanup(func() { once() })
+	s.routers, s.stops = append(s.routers, d), append(s.stops, once)
+}
+
+func (s *site) ready(n int) bool {
+	resp, err := http.Get("http://" + s.routers[n].ReadinessAddress() + "/wisteriaspool/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (s *site) awaitReady(n int) {
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if s.ready(n) {
+			return poll.Success()
+		}
+		return poll.Continue("not ready")
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// gotReply is what a caller got.
+type gotReply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+}
+
+var lastID int
+var lastIDMu sync.Mutex
+
+func freshID() string {
+	lastIDMu.Lock()
+	defer lastIDMu.Unlock()
+	lastID++
+	return fmt.Sprintf("id%d", lastID)
+}
+
+func (s *site) request(ctx context.Context, router int, path string, header ...string) *http.Request {
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+s.routers[router].CallersAddress()+path, strings.NewReader("body of "+path))
+	assert.NilError(s.t, err)
+	req.Host = "desk.example"
+	req.Header.Set("X-Attempt-Id", freshID())
+	req.Header.Set("X-Deadline-Ms", "4000")
+	req.Header.Set("Authorization", "Bearer k1")
+	if strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/resumable/") {
+		req.Header.Set("X-Token-Usage", "100,10")
+		req.Header.Set("X-Prefix-Hash", "aa:50,bb:40,cc:10")
+	}
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	return req
+}
+
+func (s *site) send(router int, path string, header ...string) gotReply {
+	resp, err := s.client.Do(s.request(s.t.Context(), router, path, header...))
+	if err != nil {
+		return gotReply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return gotReply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+// runs returns how many requests a path has had at all endpoints.
+func (s *site) runs(path string) (n int) {
+	for _, r := range s.replicas {
+		for _, a := range r.Arrivals() {
+			if a.Path == path {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// events returns the whole series of events of a stream.
+func events(from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+func TestRelayServesEachKind(t *testing.T) {
+	s := newSite(t, 2, 2, 2)
+	for router := range s.routers {
+		whole := s.send(router, "/safe/1")
+		assert.NilError(t, whole.err)
+		assert.Equal(t, whole.status, 200)
+		assert.Equal(t, whole.body, "done "+whole.header.Get("X-Attempt-Id"))
+		assert.Assert(t, whole.header.Get("X-Server-Signature") != "")
+		stream := s.send(router, "/stream/1")
+		assert.NilError(t, stream.err)
+		assert.Equal(t, stream.body, events(1, 5))
+		assert.Equal(t, s.send(router, "/nowhere/").status, 404)
+		assert.Equal(t, s.send(router, "/safe/1", "Authorization", "Bearer nobody").status, 401)
+		assert.Equal(t, s.send(router, "/public/1", "Authorization", "").status, 200)
+	}
+}
+
+// A caller names a client account, and headers that only the fleet sets. The
+// endpoint must see the account that holds the caller's key.
+func TestRelayTellsEndpointsWhoCalls(t *testing.T) {
+	s := newSite(t, 1, 1, 0)
+	assert.Equal(t, s.send(0, "/safe/1", "X-Tenant", "zeta", "Kv-Fetch", "10.0.0.1:1").status, 200)
+	a := s.replicas[0].Arrivals()[0]
+	assert.Equal(t, a.Tenant, "acme")
+	assert.Equal(t, a.Fetch, "")
+}
+
+// An endpoint dies in the middle of an event of a stream that may go on
+// elsewhere. The caller gets every event once, and none in part.
+func TestRelayGoesOnWithAStreamElsewhere(t *testing.T) {
+	s := newSite(t, 1, 0, 2)
+	for _, r := range s.replicas {
+		r.Fail(replica.Faults{CutAfter: 2})
+	}
+	// The endpoint that goes on gets the id of the last whole event, and cuts
+	// nothing, since it sends the third event on.
+	first := s.send(0, "/resumable/1")
+	assert.Assert(t, first.err != nil, "both endpoints cut: the stream must not look complete")
+	assert.Assert(t, strings.HasPrefix(events(1, 5), first.body), "%q", first.body)
+	s.replicas[1].Fail(replica.Faults{})
+	s.replicas[0].Fail(replica.Faults{CutAfter: 2})
+	for range 8 {
+		got := s.send(0, "/resumable/2", "X-Prefix-Hash", freshID()+":50,cc:10")
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, events(1, 5))
+	}
+}
+
+// A stream that must not run twice breaks off. The caller sees that it is not
+// complete, and no other endpoint runs it.
+func TestRelayDoesNotRepeatAStream(t *testing.T) {
+	s := newSite(t, 1, 0, 2)
+	for _, r := range s.replicas {
+		r.Fail(replica.Faults{CutAfter: 2})
+	}
+	got := s.send(0, "/stream/1")
+	assert.Assert(t, got.err != nil)
+	assert.Equal(t, got.body, events(1, 2))
+	assert.Equal(t, s.runs("/stream/1"), 1)
+}
+
+// An endpoint runs an order and its answer is lost. Nobody can tell whether it
+// ran, so the caller must not be told that it did not, and it must not run
+// again.
+func TestRelayNeverRepeatsAnOrder(t *testing.T) {
+	s := newSite(t, 1, 2, 0)
+	for _, r := range s.replicas {
+		r.Fail(replica.Faults{CutLate: true})
+	}
+	assert.Equal(t, s.send(0, "/unsafe/1").status, 502)
+	assert.Equal(t, s.runs("/unsafe/1"), 1)
+	assert.Equal(t, s.send(0, "/safe/1").status, 502)
+	assert.Equal(t, s.runs("/safe/1"), 2)
+}
+
+func TestRelaySendsASafeRequestAgain(t *testing.T) {
+	s := newSite(t, 1, 2, 0)
+	s.replicas[0].Fail(replica.Faults{Status: 500})
+	for range 8 {
+		assert.Equal(t, s.send(0, "/safe/1").status, 200)
+	}
+}
+
+// All endpoints are full. The caller is told at once that its order was not
+// run, and when to come back.
+func TestRelayRefusesAtOnceWhenAllIsFull(t *testing.T) {
+	s := newSite(t, 1, 2, 0)
+	for _, r := range s.replicas {
+		r.Fail(replica.Faults{Full: true})
+	}
+	start := time.Now()
+	got := s.send(0, "/unsafe/1")
+	assert.Equal(t, got.status, 503)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, got.header.Get("X-Server-Signature"), "")
+	assert.Assert(t, time.Since(start) < time.Second)
+	assert.Equal(t, s.runs("/unsafe/1"), 0)
+}
+
+// An endpoint is killed. Until its entry is gone, requests meet nobody at its
+// address; they have not run there and go elsewhere.
+func TestRelayGoesRoundADeadEndpoint(t *testing.T) {
+	s := newSite(t, 2, 3, 0)
+	s.kill[1]()
+	for n := range 12 {
+		assert.Equal(t, s.send(n%2, "/unsafe/1").status, 200)
+	}
+	assert.Equal(t, s.runs("/unsafe/1"), 12)
+}
+
+// The caller goes away in the middle of a stream. The endpoint must stop
+// within half a second: nobody reads what it makes, and somebody pays.
+func TestRelayStopsTheEndpointWhenTheCallerLeaves(t *testing.T) {
+	s := newSite(t, 1, 0, 1)
+	slow := s.addReplica(replica.Options{ID: "slow", Service: "model", Zone: "a", Events: 1000, Pause: 20 * time.Millisecond})
+	s.kill[0]()
+	s.store.Delete(s.replicas[0].Key())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		resp, err := s.client.Do(s.request(ctx, 0, "/stream/1"))
+		if err != nil || resp.StatusCode != 200 {
+			return poll.Continue("not served yet")
+		}
+		_, _ = bufio.NewReader(resp.Body).ReadString('\n')
+		return poll.Success()
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, a := range slow.Arrivals() {
+			if a.Left {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("the endpoint is still at work")
+	}, poll.WithTimeout(500*time.Millisecond), poll.WithDelay(10*time.Millisecond))
+}
+
+// An operator takes a key away while the store turns one router away. A caller
+// that comes through that router must be refused like through all others.
+func TestRelayHearsOfARevokedKeyFromPeers(t *testing.T) {
+	s := newSite(t, 3, 1, 0)
+	for n := range s.routers {
+		assert.Equal(t, s.send(n, "/safe/1", "Authorization", "Bearer k2").status, 200)
+	}
+	s.store.Fail(hub.Faults{Mute: true}) // no watch hears of the change
+	next := plainState()
+	next.tenants = next.tenants[:1]
+	s.put(next)
+	s.store.Fail(hub.Faults{})
+	s.store.Forget()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for n := range s.routers {
+			if s.send(n, "/safe/1", "Authorization", "Bearer k2").status != 401 {
+				return poll.Continue("router %d takes the key", n)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(4*time.Second))
+}
+
+// Something unreadable is written over the desired state, and foreign entries
+// beside those of the endpoints. The last good state stays in force.
+func TestRelayKeepsTheLastGoodState(t *testing.T) {
+	s := newSite(t, 1, 1, 0)
+	s.store.Put("op/config", []byte("{not json"))
+	s.store.Put("servers/foreign", []byte(`{"backend":7}`))
+	s.store.Put("servers/\xff", []byte{0xff})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(s.logs.lines("settings-invalid")) > 0 && len(s.logs.lines("endpoint-malformed")) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("no word of it in the log")
+	})
+	assert.Equal(t, s.send(0, "/safe/1").status, 200)
+}
+
+// The store goes away and the leases of all entries run out. The routers serve
+// on with what they know.
+func TestRelayServesWithoutTheStore(t *testing.T) {
+	s := newSite(t, 2, 2, 1)
+	s.store.Fail(hub.Faults{Down: true})
+	time.Sleep(300 * time.Millisecond)
+	for _, r := range s.replicas {
+		s.store.Delete(r.Key())
+	}
+	assert.Equal(t, s.send(0, "/safe/1").status, 200)
+	s.store.Fail(hub.Faults{})
+	time.Sleep(500 * time.Millisecond)
+	assert.Equal(t, s.send(1, "/safe/1").status, 200)
+	for _, r := range s.replicas {
+		r.List()
+	}
+	time.Sleep(2500 * time.Millisecond)
+	assert.Equal(t, s.send(1, "/safe/1").status, 200)
+	assert.NilError(t, s.send(0, "/stream/1").err)
+}
+
+// A router is stopped while it serves. What it has begun it finishes, and it
+// says at once that it takes no new callers.
+func TestRelayStopsGracefully(t *testing.T) {
+	s := newSite(t, 2, 1, 1)
+	done := make(chan gotReply, 1)
+	go streamer{s, done}.run()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s.runs("/stream/long") > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("not begun")
+	}, poll.WithDelay(2*time.Millisecond))
+	left := make(chan int, 1)
+	go stopper{s.stops[0], left}.run()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !s.ready(0) {
+			return poll.Success()
+		}
+		return poll.Continue("still ready")
+	}, poll.WithDelay(2*time.Millisecond))
+	got := <-done
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, events(1, 5))
+	assert.Equal(t, <-left, 0)
+}
+
+type streamer struct {
+	site *site
+	done chan<- gotReply
+}
+
+func (s streamer) run() { s.done <- s.site.send(0, "/stream/long") }
+
+type stopper struct {
+	stop func() int
+	left chan<- int
+}
+
+func (s stopper) run() { s.left <- s.stop() }
+
+// An endpoint announces that it stops. Requests that it has begun end there;
+// none begins.
+func TestRelayLeavesADrainingEndpoint(t *testing.T) {
+	s := newSite(t, 2, 2, 0)
+	s.replicas[0].Drain()
+	time.Sleep(300 * time.Millisecond)
+	before := len(s.replicas[0].Arrivals())
+	for n := range 10 {
+		assert.Equal(t, s.send(n%2, "/safe/1").status, 200)
+	}
+	assert.Equal(t, len(s.replicas[0].Arrivals()), before)
+}
+
+// A route gives its answers half a second, and an endpoint takes longer. The
+// caller has a final answer in time, and the endpoint is let off.
+func TestRelayKeepsToTheRoutesTimeout(t *testing.T) {
+	s := newSite(t, 1, 1, 0)
+	next := plainState()
+	next.routes[0]["timeoutMs"] = 300
+	s.put(next)
+	slow := s.addReplica(replica.Options{ID: "slow", Service: "desk", Zone: "a", Pause: 5 * time.Second})
+	s.replicas[0].Drain()
+	time.Sleep(300 * time.Millisecond)
+	start := time.Now()
+	got := s.send(0, "/safe/1")
+	assert.Equal(t, got.status, 504)
+	assert.Assert(t, time.Since(start) < 800*time.Millisecond, "%v", time.Since(start))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if a := slow.Arrivals(); len(a) == 1 && a[0].Left {
+			return poll.Success()
+		}
+		return poll.Continue("still at work")
+	})
+}
+
+// What a caller smuggles behind a request, or with two lengths, must not run
+// as somebody's request.
+func TestRelayRefusesSmuggling(t *testing.T) {
+	s := newSite(t, 1, 1, 0)
+	head := "POST /safe/smuggled HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: a\r\nAuthorization: Bearer k1\r\n"
+	evil := "GET /safe/evil HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: b\r\n\r\n"
+	for name, text := range map[string]string{
+		"two lengths":       head + "Content-Length: 0\r\nContent-Length: 5\r\n\r\n" + evil,
+		"both framings":     head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + evil,
+		"odd encoding":      head + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" + evil,
+		"bad chunk":         head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + evil,
+		"space before name": head + "Content-Length : 5\r\n\r\n" + evil,
+		"line end in path":  "GET /safe/\x0b HTTP/1.1\r\nHost: desk.example\r\n\r\n" + evil,
+	} {
+		c, err := net.Dial("tcp", s.routers[0].CallersAddress())
+		assert.NilError(t, err)
+		_, err = io.WriteString(c, text)
+		assert.NilError(t, err)
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(300*time.Millisecond)))
+		_, _ = io.ReadAll(c)
+		_ = c.Close()
+		for _, a := range s.replicas[0].Arrivals() {
+			assert.Assert(t, a.Path != "/safe/evil" || a.Tenant == "", "%s: ran with somebody's account", name)
+		}
+	}
+	assert.Equal(t, s.runs("/safe/evil"), 0)
+}
+
+// A request crashes each endpoint that runs it, and its caller sends it again
+// and again, as soon as the routers can have heard of each other. It may take
+// two endpoints, not the whole pool.
+func TestRelayConvictsARequestThatCrashesEndpoints(t *testing.T) {
+	s := newSite(t, 2, 0, 5)
+	for _, r := range s.replicas {
+		r.Fail(replica.Faults{Crash: "/resumable/poison"})
+	}
+	for n := range 6 {
+		s.send(n%2, "/resumable/poison")
+		time.Sleep(300 * time.Millisecond)
+	}
+	assert.Equal(t, s.runs("/resumable/poison"), 2)
+	for n := range 6 {
+		assert.NilError(t, s.send(n%2, "/resumable/innocent").err)
+	}
+}
--- /dev/null
+++ b/wisteriarouter/endpoint/register_test.go
@@ -0,0 +1,130 @@
+package endpoint
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/wisteriarouter/platform"
+)
+
+func entryOf(id string, state platform.State) Change {
+	return Change{Entry: platform.Entry{
+		ID: coordination.Endpoint(id), Address: "10.0.0.1:80", Pool: "p", State: state, Incarnation: 1, Kind: platform.PlainService,
+	}}
+}
+
+func removal(id string) Change {
+	return Change{Entry: platform.Entry{ID: coordination.Endpoint(id)}, Gone: true}
+}
+
+func register(endpoints int) *Register {
+	r := &Register{Directory: &Directory{}}
+	for i := range endpoints {
+		r.Take([]Change{entryOf(fmt.Sprintf("e%d", i), platform.Live)})
+	}
+	return r
+}
+
+func listed(r *Register, id string) bool {
+	_, ok := r.Directory.Find(coordination.Endpoint(id))
+	return ok
+}
+
+func TestRemovedEndpointIsGoneAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := register(9)
+		time.Sleep(time.Minute)
+		r.Take([]Change{removal("e3")})
+		assert.Assert(t, !listed(r, "e3"))
+		assert.Assert(t, listed(r, "e4"))
+	})
+}
+
+func TestDrainingEndpointIsLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := register(3)
+		r.Take([]Change{entryOf("e1", platform.Leaving)})
+		k, ok := r.Directory.Find("e1")
+		assert.Assert(t, ok && k.Leaving())
+		r.StoreLost()
+		r.Take([]Change{removal("e1")})
+		assert.Assert(t, !listed(r, "e1"))
+	})
+}
+
+// The store is away for some seconds, and the leases of all entries run out
+// meanwhile. The endpoints live; if they were dropped, every request would be
+// refused for the two seconds until the entries are back.
+func TestEntriesThatLapseWithTheStoreAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := register(3)
+		time.Sleep(time.Minute)
+		r.StoreLost()
+		time.Sleep(5 * time.Second)
+		r.StoreBack()
+		r.Take([]Change{removal("e0"), removal("e1"), removal("e2")})
+		time.Sleep(1500 * time.Millisecond)
+		r.Take([]Change{entryOf("e0", platform.Live), entryOf("e1", platform.Live)})
+		assert.Assert(t, listed(r, "e2"), "entries may be back within two seconds")
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.Assert(t, listed(r, "e0") && listed(r, "e1"))
+		assert.Assert(t, !listed(r, "e2"), "an entry that has not come back is gone")
+	})
+}
+
+// An endpoint leaves without a word shortly after the store has come back. It
+// may get no requests two seconds later: it serves on only so long. Once, a
+// hold that began with the removal sent a request 2.12 s behind it.
+func TestHoldEndsWithTheReturnOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := register(9)
+		r.StoreLost()
+		time.Sleep(5 * time.Second)
+		r.StoreBack()
+		time.Sleep(2160 * time.Millisecond)
+		r.Take([]Change{removal("e0")})
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		assert.Assert(t, !listed(r, "e0"))
+	})
+}
+
+// This router's own watch of the store has not noticed the outage: it waited
+// all the while. It sees only that a third of the endpoints have gone at once.
+func TestVeryManyRemovalsAreHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := register(9)
+		time.Sleep(time.Minute)
+		var all []Change
+		for i := range 9 {
+			all = append(all, removal(fmt.Sprintf("e%d", i)))
+		}
+		r.Take(all)
+		assert.Assert(t, len(r.Directory.All()) >= 5, "%d are left", len(r.Directory.All()))
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		assert.Equal(t, len(r.Directory.All()), 0)
+	})
+}
+
+// While the store is away nobody can tell whether an endpoint has gone.
+func TestNothingIsDroppedWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := register(3)
+		r.StoreLost()
+		r.Take([]Change{removal("e0")})
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		assert.Assert(t, listed(r, "e0"))
+		r.StoreBack()
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		assert.Assert(t, !listed(r, "e0"))
+	})
+}
--- /dev/null
+++ b/wisteriarouter/upstream/upstream_test.go
@@ -0,0 +1,427 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/wisteriarouter/upstream"
+)
+
+// endpoint is a server that answers as a test wants, byte by byte.
+type endpoint struct {
+	listener net.Listener
+	start    sync.Once
+	conns    atomic.Int32
+	arrivals atomic.Int32
+	serve    func(c net.Conn, r *bufio.Reader, conn int)
+}
+
+func newEndpoint(t *testing.T, serve func(c net.Conn, r *bufio.Reader, conn int)) *endpoint {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return &endpoint{listener: l, serve: serve}
+}
+
+func (e *endpoint) run() {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		go served{e, c, int(e.conns.Add(1))}.run()
+	}
+}
+
+type served struct {
+	*endpoint
+	conn net.Conn
+	n    int
+}
+
+func (s served) run() {
+	defer func() { _ = s.conn.Close() }()
+	s.serve(s.conn, bufio.NewReader(s.conn), s.n)
+}
+
+// address returns where the endpoint listens. It serves from then on.
+func (e *endpoint) address() string {
+	e.start.Do(func() { go e.run() })
+	return e.listener.Addr().String()
+}
+
+// read reads one request with its body and returns its id.
+func (e *endpoint) read(r *bufio.Reader) (id string, err error) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return "", err
+	}
+	e.arrivals.Add(1)
+	_, err = io.Copy(io.Discard, req.Body)
+	return req.Header.Get("Id"), err
+}
+
+// each returns a server that answers every request of a connection.
+func (e *endpoint) each(answer func(id string) string) func(net.Conn, *bufio.Reader, int) {
+	return func(c net.Conn, r *bufio.Reader, _ int) {
+		for {
+			id, err := e.read(r)
+			if err != nil {
+				return
+			}
+			if _, err := io.WriteString(c, answer(id)); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func ok(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", id)
+}
+
+func request(id string) *upstream.Request {
+	return &upstream.Request{
+		Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Id": {id}},
+		Mine: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+// do sends a request and returns its whole answer.
+func do(c *upstream.Client, address string, r *upstream.Request) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	resp, err := c.Send(ctx, address, r)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return string(b), err
+}
+
+func newClient(t *testing.T, cfg upstream.Config) *upstream.Client {
+	c, cleanup := upstream.NewClient(cfg)
+	t.Cleanup(cleanup)
+	return c
+}
+
+func TestConnectionServesAgain(t *testing.T) {
+	e := newEndpoint(t, nil)
+	e.serve = e.each(ok)
+	c := newClient(t, upstream.Config{})
+	for i := range 5 {
+		body, err := do(c, e.address(), request(fmt.Sprint(i)))
+		assert.NilError(t, err)
+		assert.Equal(t, body, "ok")
+	}
+	assert.Equal(t, e.conns.Load(), int32(1))
+}
+
+// An endpoint closes the connection on which it has just got a request. A
+// client that sends the request again by itself books an order twice.
+func TestNothingIsSentTwice(t *testing.T) {
+	e := newEndpoint(t, nil)
+	e.serve = func(c net.Conn, r *bufio.Reader, _ int) {
+		id, err := e.read(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.WriteString(c, ok(id)); err != nil {
+			return
+		}
+		_, _ = e.read(r) // and close without an answer
+	}
+	for _, method := range []string{"GET", "POST", "HEAD"} {
+		c := newClient(t, upstream.Config{})
+		e.arrivals.Store(0)
+		_, err := do(c, e.address(), request("1"))
+		assert.NilError(t, err)
+		r := request("2")
+		r.Method = method
+		_, err = do(c, e.address(), r)
+		assert.Assert(t, errorx.IsOfType(err, upstream.ErrBroken), "%v", err)
+		assert.Assert(t, upstream.Sent(err))
+		assert.Equal(t, e.arrivals.Load(), int32(2), method)
+	}
+}
+
+// Nobody listens at an endpoint's address. The caller may be told that the
+// request has not run.
+func TestNothingWasSentIfNobodyListens(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	c := newClient(t, upstream.Config{})
+	_, err = do(c, address, request("1"))
+	assert.Assert(t, errorx.IsOfType(err, upstream.ErrDial), "%v", err)
+	assert.Assert(t, !upstream.Sent(err))
+	assert.Assert(t, !c.Alive(t.Context(), address))
+}
+
+// An endpoint sends a second answer to a request, late, where the next request
+// on the connection expects its own. The next caller would get the order of
+// somebody else.
+func TestSecondAnswerGoesToNobody(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer func(c net.Conn, id string)
+	}{
+		{"with the first", func(c net.Conn, id string) { _, _ = io.WriteString(c, ok(id)+ok(id)) }},
+		{"a little later", func(c net.Conn, id string) {
+			_, _ = io.WriteString(c, ok(id))
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(c, ok(id))
+		}},
+		{"bytes that are no answer", func(c net.Conn, id string) { _, _ = io.WriteString(c, ok(id)+"garbage") }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := newEndpoint(t, nil)
+			e.serve = func(c net.Conn, r *bufio.Reader, _ int) {
+				for {
+					id, err := e.read(r)
+					if err != nil {
+						return
+					}
+					test.answer(c, id)
+				}
+			}
+			c := newClient(t, upstream.Config{})
+			for i := range 6 {
+				body, err := do(c, e.address(), request(fmt.Sprint(i)))
+				assert.NilError(t, err)
+				assert.Equal(t, body, "ok")
+				time.Sleep(time.Duration(i%3) * 15 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// The answer to the request before stands in front of the right one, since it
+// came after that request had been given up.
+func TestAnswerToAnotherRequestIsReadPast(t *testing.T) {
+	e := newEndpoint(t, nil)
+	e.serve = e.each(func(id string) string { return ok("other") + ok(id) })
+	c := newClient(t, upstream.Config{})
+	body, err := do(c, e.address(), request("1"))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "ok")
+}
+
+func TestOnlyAnswersToOthersIsAnError(t *testing.T) {
+	e := newEndpoint(t, nil)
+	e.serve = e.each(func(string) string { return ok("a") + ok("b") + ok("c") + ok("d") })
+	c := newClient(t, upstream.Config{})
+	_, err := do(c, e.address(), request("1"))
+	assert.Assert(t, errorx.IsOfType(err, upstream.ErrForeign), "%v", err)
+	assert.Assert(t, upstream.Sent(err))
+}
+
+// An endpoint dies in the middle of an answer. What has come so far must not
+// pass for the whole.
+func TestAnswerThatBreaksOffIsAnError(t *testing.T) {
+	tests := []struct{ name, answer string }{
+		{"with a length", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf"},
+		{"in chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"},
+		{"in the middle of a chunk", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf"},
+		{"with a bad chunk", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhalf\r\n0\r\n\r\n"},
+		{"in its head", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Le"},
+		{"with no head", "what is this\r\n\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := newEndpoint(t, nil)
+			e.serve = func(c net.Conn, r *bufio.Reader, _ int) {
+				if _, err := e.read(r); err == nil {
+					_, _ = io.WriteString(c, test.answer)
+				}
+			}
+			c := newClient(t, upstream.Config{})
+			_, err := do(c, e.address(), request("1"))
+			assert.Assert(t, errorx.IsOfType(err, upstream.ErrBroken), "%v", err)
+		})
+	}
+}
+
+// An answer without a length ends with its connection. If the connection is
+// reset rather than closed, a part of the answer is missing.
+func TestAnswerWithoutLengthThatIsResetIsAnError(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		e := newEndpoint(t, nil)
+		e.serve = func(c net.Conn, r *bufio.Reader, _ int) {
+			if _, err := e.read(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf")
+			time.Sleep(20 * time.Millisecond) // a reset overtakes what has not been read
+			if reset {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+		}
+		c := newClient(t, upstream.Config{})
+		body, err := do(c, e.address(), request("1"))
+		assert.Equal(t, body, "half")
+		assert.Equal(t, err != nil, reset, "%v", err)
+	}
+}
+
+// An endpoint refuses a long request before it has read it all, keeps the
+// connection, and reads on later. Were the next request sent there, its first
+// bytes would be taken for the rest of the body.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	e := newEndpoint(t, nil)
+	e.serve = func(c net.Conn, r *bufio.Reader, _ int) {
+		if _, err := r.ReadString('\n'); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 413 Content Too Large\r\nId: 1\r\nContent-Length: 2\r\n\r\nno")
+		time.Sleep(200 * time.Millisecond)
+	}
+	c := newClient(t, upstream.Config{})
+	r := request("1")
+	r.Method, r.Body = "POST", []byte(strings.Repeat("x", 8<<20))
+	body, err := do(c, e.address(), r)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "no")
+	_, _ = do(c, e.address(), request("2"))
+	assert.Equal(t, e.conns.Load(), int32(2))
+}
+
+// The caller has gone, and the endpoint goes on with work that nobody will
+// read and somebody pays for. It notices only that the connection ends.
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	closed := make(chan time.Time, 1)
+	e := newEndpoint(t, nil)
+	e.serve = func(c net.Conn, r *bufio.Reader, _ int) {
+		if _, err := e.read(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n")
+		_, _ = r.ReadByte()
+		closed <- time.Now()
+	}
+	c := newClient(t, upstream.Config{})
+	ctx, cancel := context.WithCancel(t.Context())
+	resp, err := c.Send(ctx, e.address(), request("1"))
+	assert.NilError(t, err)
+	start := time.Now()
+	cancel()
+	assert.Assert(t, (<-closed).Sub(start) < 400*time.Millisecond)
+	_, err = io.ReadAll(resp.Body)
+	assert.Assert(t, err != nil)
+}
+
+func TestEndpointsWordOnConnections(t *testing.T) {
+	tests := []struct {
+		name, header string
+		pause        time.Duration
+		conns        int32
+	}{
+		{"kept", "Keep-Alive: timeout=5\r\n", 100 * time.Millisecond, 1},
+		{"closed", "Connection: close\r\n", 0, 2},
+		{"timeout over", "Keep-Alive: timeout=1\r\n", 900 * time.Millisecond, 2},
+		{"no timeout", "", 100 * time.Millisecond, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			e := newEndpoint(t, nil)
+			e.serve = e.each(func(id string) string {
+				return strings.Replace(ok(id), "Content-Length", test.header+"Content-Length", 1)
+			})
+			c := newClient(t, upstream.Config{})
+			_, err := do(c, e.address(), request("1"))
+			assert.NilError(t, err)
+			time.Sleep(test.pause)
+			_, err = do(c, e.address(), request("2"))
+			assert.NilError(t, err)
+			assert.Equal(t, e.conns.Load(), test.conns)
+		})
+	}
+}
+
+// An endpoint drops unused connections without a word, sooner than it says. A
+// request that must not run twice would be lost on one, since nobody can tell
+// whether it ran.
+func TestRequestThatRunsOnceTakesNoOldConnection(t *testing.T) {
+	e := newEndpoint(t, nil)
+	e.serve = e.each(ok)
+	c := newClient(t, upstream.Config{OnceIdle: 50 * time.Millisecond})
+	_, err := do(c, e.address(), request("1"))
+	assert.NilError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	once := request("2")
+	once.Once = true
+	_, err = do(c, e.address(), once)
+	assert.NilError(t, err)
+	assert.Equal(t, e.conns.Load(), int32(2))
+}
+
+// A connection that the endpoint has closed while it was unused is found out
+// before a request is sent on it.
+func TestClosedConnectionIsNotUsed(t *testing.T) {
+	e := newEndpoint(t, nil)
+	e.serve = func(c net.Conn, r *bufio.Reader, _ int) {
+		if id, err := e.read(r); err == nil {
+			_, _ = io.WriteString(c, ok(id))
+		}
+	}
+	c := newClient(t, upstream.Config{})
+	for i := range 3 {
+		_, err := do(c, e.address(), request(fmt.Sprint(i)))
+		assert.NilError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, e.arrivals.Load(), int32(3))
+}
+
+func TestInterimAnswersArePassedOver(t *testing.T) {
+	e := newEndpoint(t, nil)
+	e.serve = e.each(func(id string) string { return "HTTP/1.1 103 Early Hints\r\n\r\n" + ok(id) })
+	body, err := do(newClient(t, upstream.Config{}), e.address(), request("1"))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "ok")
+}
+
+// What a caller sends in a header or target must not become a second request
+// at the endpoint.
+func TestHeadersCannotSmuggle(t *testing.T) {
+	e := newEndpoint(t, nil)
+	e.serve = e.each(ok)
+	r := request("1")
+	r.Header.Set("X", "a\r\nContent-Length: 5\r\n\r\nGET /evil HTTP/1.1")
+	r.Header.Set("Content-Length", "99")
+	r.Header.Set("Transfer-Encoding", "chunked")
+	_, err := do(newClient(t, upstream.Config{}), e.address(), r)
+	assert.NilError(t, err)
+	assert.Equal(t, e.arrivals.Load(), int32(1))
+}
+
+func TestAliveConnectionServesTheNextRequest(t *testing.T) {
+	e := newEndpoint(t, nil)
+	e.serve = e.each(ok)
+	c := newClient(t, upstream.Config{})
+	assert.Assert(t, c.Alive(t.Context(), e.address()))
+	_, err := do(c, e.address(), request("1"))
+	assert.NilError(t, err)
+	assert.Equal(t, e.conns.Load(), int32(1))
+}
+
+func TestSentOfOtherErrors(t *testing.T) {
+	assert.Assert(t, upstream.Sent(errors.New("anything")))
+}
