Let few routers watch the store; once-only requests on connections up to 4 s old

Ruled out: lists (one for each start) and failed calls.

One router in each availability zone, and three at least, now watch the store; the others wait at these for a change, and one time in three at any router. What a router holds is confirmed through others with its age; without confirmation for three waits it asks the store itself.

--- a/coordination/mirror/follower.go
+++ b/coordination/mirror/follower.go
@@ -25,10 +25,17 @@
 	longestPause = 800 * time.Millisecond
 )
 
+// idleCheck is how often a follower that has nothing to do looks again. It is a
+// part of the time in which a change has to be in force.
+const idleCheck = 400 * time.Millisecond
+
 // Follower feeds a mirror from a source.
 type Follower struct {
 	Mirror *Mirror
 	Source Source
+	// Idle, if set, says that the source need not be asked now. It is looked at
+	// again every idleCheck.
+	Idle func() bool
 	// OnState, if set, is told when the source is lost, with why, and when it
 	// is back.
 	OnState func(err error)
@@ -52,6 +59,10 @@
 	pause := time.Duration(0)
 	lost := false
 	for ctx.Err() == nil {
+		if f.Idle != nil && f.Idle() {
+			sleep(ctx, idleCheck)
+			continue
+		}
 		u, err := f.Source.Fetch(ctx, f.Mirror.AsOf())
 		if ctx.Err() != nil {
 			return
--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -29,6 +30,8 @@
 	Full  bool        `cbor:"1,keyasint,omitempty"`
 	Items []Item      `cbor:"2,keyasint,omitempty"`
 	AsOf  kv.Revision `cbor:"3,keyasint"` // all changes up to here are in
+	// AgeMs is how long ago the store itself said so.
+	AgeMs uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // tombstoneLife is how long a deleted key is remembered. It covers the longest
@@ -42,6 +45,7 @@
 	items     map[string]Item
 	deleted   map[string]time.Time // when each tombstone was learned
 	asOf      kv.Revision
+	confirmed time.Time   // when the store said so, itself or through others
 	floor     kv.Revision // tombstones up to here may be forgotten
 	changed   chan struct{}
 	telling   sync.Mutex
@@ -69,6 +73,14 @@
 	return m.asOf
 }
 
+// Age returns how long ago the store confirmed what the mirror holds, to this
+// router or to one that told it.
+func (m *Mirror) Age() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.confirmed)
+}
+
 // Find returns the item of a key that exists.
 func (m *Mirror) Find(key string) (Item, bool) {
 	m.mu.Lock()
@@ -106,6 +118,9 @@
 	m.prune(now)
 	advanced := u.AsOf > m.asOf
 	m.asOf = max(m.asOf, u.AsOf)
+	if at := now.Add(-time.Duration(u.AgeMs) * time.Millisecond); u.AsOf >= m.asOf && at.After(m.confirmed) {
+		m.confirmed = at
+	}
 	if advanced || len(news) > 0 {
 		close(m.changed)
 		m.changed = make(chan struct{})
@@ -161,7 +176,7 @@
 func (m *Mirror) Since(after kv.Revision) Update {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	u := Update{Full: after == 0 || after < m.floor, AsOf: m.asOf}
+	u := Update{Full: after == 0 || after < m.floor, AsOf: m.asOf, AgeMs: m.ageMs()}
 	for _, item := range m.items {
 		if u.Full && !item.Deleted || !u.Full && item.Revision > after {
 			u.Items = append(u.Items, item)
@@ -171,6 +186,14 @@
 	return u
 }
 
+// longestAgeMs stands for any longer age: some 50 days.
+const longestAgeMs = math.MaxUint32
+
+// ageMs returns the age for the wire. The caller holds m.mu.
+func (m *Mirror) ageMs() uint32 {
+	return uint32(min(time.Since(m.confirmed).Milliseconds(), longestAgeMs))
+}
+
 // Wait returns once the mirror is complete beyond a revision, or ctx ends.
 func (m *Mirror) Wait(ctx context.Context, after kv.Revision) {
 	for {
--- a/coordination/mirror/pace.go
+++ b/coordination/mirror/pace.go
@@ -2,9 +2,53 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/placement"
 )
 
+// leastWatchers is how many routers watch the store at least. Each change is
+// answered to each watch and each has a price, so that in a large fleet only a
+// few watch and tell the others; one of three that is cut off, or dies, leaves
+// two.
+const leastWatchers = 3
+
+// Watchers returns the routers that watch the store for the fleet: one in each
+// availability zone, and at least three. All routers with the same list choose
+// the same.
+func Watchers(members []placement.Router) []coordination.Instance {
+	zones := make(map[coordination.Zone]bool)
+	for _, m := range members {
+		zones[m.Zone] = true
+	}
+	return placement.NewRouters(members, max(leastWatchers, len(zones))).Owners()
+}
+
+// perMemberWait is how much longer a router waits at another one for each
+// member of the fleet. The few that watch are asked by all others: at 330
+// routers and five of them this makes 17 calls a second each.
+const (
+	perMemberWait = 12 * time.Millisecond
+	leastPeerWait = time.Second
+	// staleWaits is how many waits a router goes without a confirmation of the
+	// store through others before it asks the store itself.
+	staleWaits = 3
+)
+
+// PeerWait returns for how long a router of a fleet of this size waits at
+// another one for a change.
+func PeerWait(members int) time.Duration {
+	return max(leastPeerWait, time.Duration(members)*perMemberWait)
+}
+
+// NeedsStore reports whether a router has to ask the store itself: it is one of
+// those that watch, or what it holds has not been confirmed for too long.
+func NeedsStore(self coordination.Instance, members []placement.Router, age time.Duration) bool {
+	return slices.Contains(Watchers(members), self) || age > staleWaits*PeerWait(len(members))+leastPeerWait
+}
+
 // A watch of the store may hear nothing although there are changes, and an
 // answer that never comes looks like a quiet store: a revoked key stays good.
 // Only a new watch, or a list, brings the change. Each watch is a call that has
--- a/coordination/mirror/peers.go
+++ b/coordination/mirror/peers.go
@@ -43,8 +43,8 @@
 	Transport Transport
 	Choose    func() (coordination.Instance, bool)
 	Prefix    string
-	Wait      time.Duration // for which a peer waits for a change
-	Timeout   time.Duration // beyond Wait
+	Wait      func() time.Duration // for which a peer waits for a change
+	Timeout   time.Duration        // beyond Wait
 }
 
 // Fetch implements Source.
@@ -53,9 +53,10 @@
 	if !ok {
 		return Update{}, ErrNoPeer.New("no other router is known")
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.Wait+s.Timeout)
+	wait := s.Wait()
+	ctx, cancel := context.WithTimeout(ctx, wait+s.Timeout)
 	defer cancel()
-	b, err := s.Transport.Call(ctx, to, Topic, encode(Ask{Prefix: s.Prefix, After: after, WaitMs: uint32(s.Wait.Milliseconds())}))
+	b, err := s.Transport.Call(ctx, to, Topic, encode(Ask{Prefix: s.Prefix, After: after, WaitMs: uint32(wait.Milliseconds())}))
 	if err != nil {
 		return Update{}, err
 	}
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -15,6 +15,7 @@
 	"wisteriaspool/coordination/membership"
 	"wisteriaspool/coordination/mirror"
 	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/coordination/placement"
 	"wisteriaspool/coordination/route"
 	"wisteriaspool/coordination/suspicion"
 	"wisteriaspool/platform"
@@ -56,14 +57,8 @@
 	return s, nil
 }
 
-const (
-	// peerWait is how long a router waits at another one for a change before it
-	// asks the next one. A change that one router knows reaches all others
-	// within a few of these, whatever the store does.
-	peerWait = 700 * time.Millisecond
-	// peerTimeout is how much longer an answer may take.
-	peerTimeout = 500 * time.Millisecond
-)
+// peerTimeout is how much longer than its wait another router's answer may take.
+const peerTimeout = 500 * time.Millisecond
 
 // newMirror makes the router's copy of what the store holds, and starts to feed
 // it from the store and from other routers. A router that the store turns away
@@ -80,42 +75,64 @@
 
 // feed starts to feed the mirror. Its observers are set by then.
 func feed(i do.Injector, m *mirror.Mirror, onState func(error)) {
-	node, reach := do.MustInvoke[*peer.Node](i), do.MustInvoke[*reach](i)
+	f := fleetOf{node: do.MustInvoke[*peer.Node](i), reach: do.MustInvoke[*reach](i), mirror: m}
 	store := &mirror.Follower{
-		Mirror: m,
-		Source: mirror.StoreSource{
-			Store:  do.MustInvoke[*platform.Store](i),
-			Prefix: platform.Prefix,
-			Wait:   func() time.Duration { return mirror.WatchWait(len(node.Members())) },
-		},
+		Mirror:  m,
+		Source:  mirror.StoreSource{Store: do.MustInvoke[*platform.Store](i), Prefix: platform.Prefix, Wait: f.watchWait},
+		Idle:    f.leaveToOthers,
 		OnState: onState,
 	}
 	peers := &mirror.Follower{Mirror: m, Source: mirror.PeerSource{
-		Transport: reach,
-		Choose:    peerChooser{node: node, reach: reach}.choose,
+		Transport: f.reach,
+		Choose:    f.choose,
 		Prefix:    platform.Prefix,
-		Wait:      peerWait,
+		Wait:      func() time.Duration { return mirror.PeerWait(len(f.node.Members())) },
 		Timeout:   peerTimeout,
 	}}
 	onStop(i, store.Start())
 	onStop(i, peers.Start())
 }
 
-// peerChooser names another router at random.
-type peerChooser struct {
-	node  *peer.Node
-	reach *reach
+// fleetOf tells whom a router asks for what the store holds.
+type fleetOf struct {
+	node   *peer.Node
+	reach  *reach
+	mirror *mirror.Mirror
 }
 
-func (c peerChooser) choose() (coordination.Instance, bool) {
-	self := c.node.Self().Instance
-	others := lo.Filter(c.node.Members(), func(m membership.Member, _ int) bool {
-		return m.Instance != self && m.State != membership.Leaving && !c.reach.away(m.Instance)
+// routers returns the routers that answer, as far as this one knows.
+func (f fleetOf) routers() []placement.Router {
+	return lo.FilterMap(f.node.Members(), func(m membership.Member, _ int) (placement.Router, bool) {
+		return placement.Router{ID: m.Instance, Zone: m.Zone}, m.State != membership.Leaving && !f.reach.away(m.Instance)
 	})
-	if len(others) == 0 {
+}
+
+func (f fleetOf) watchWait() time.Duration {
+	return mirror.WatchWait(len(mirror.Watchers(f.routers())))
+}
+
+// leaveToOthers reports whether the store need not be asked now. Before its
+// first answer it is, so that a router that starts is ready at once.
+func (f fleetOf) leaveToOthers() bool {
+	return f.mirror.AsOf() > 0 && !mirror.NeedsStore(f.node.Self().Instance, f.routers(), f.mirror.Age())
+}
+
+// anyEvery is how often a router asks any other one rather than one of those
+// that watch the store: these may all be cut off from it.
+const anyEvery = 3
+
+// choose names the router to ask next.
+func (f fleetOf) choose() (coordination.Instance, bool) {
+	routers := f.routers()
+	among := mirror.Watchers(routers)
+	if rand.IntN(anyEvery) == 0 {
+		among = lo.Map(routers, func(r placement.Router, _ int) coordination.Instance { return r.ID })
+	}
+	among = lo.Without(among, f.node.Self().Instance)
+	if len(among) == 0 {
 		return "", false
 	}
-	return others[rand.IntN(len(others))].Instance, true
+	return among[rand.IntN(len(among))], true
 }
 
 // storeWatch takes in that the store is lost or back.
--- a/wisteriarouter/upstream/upstream.go
+++ b/wisteriarouter/upstream/upstream.go
@@ -71,7 +71,7 @@
 	// say, 4 s.
 	Idle time.Duration
 	// OnceIdle is how long a connection may have been unused for a request
-	// that must run at most once, 1 s.
+	// that must run at most once, 4 s.
 	OnceIdle time.Duration
 	// PerEndpoint is how many unused connections are kept to an endpoint, 16.
 	PerEndpoint int
@@ -85,7 +85,7 @@
 	}
 	setDuration(&c.DialTimeout, time.Second)
 	setDuration(&c.Idle, 4*time.Second)
-	setDuration(&c.OnceIdle, time.Second)
+	setDuration(&c.OnceIdle, 4*time.Second)
 	if c.PerEndpoint == 0 {
 		c.PerEndpoint = 16
 	}
