Write log lines through a bounded queue; count and log each decision of the relay; explain a request

On call there are only logs and metrics. Each place, attempt, refusal, cut and departure of a request is now one line with the request's id, what decided it, the version of the desired state and the age of what the router knows of the store; each line names its router. Lines go through a queue that never blocks, failures apart from successes; of a kind that floods, the rest of the second is dropped and counted. wisteriactl explain puts the lines of any number of routers in order, shows what other routers knew by then, and says the cause in one sentence (golden files).

--- a/coordination/placement/entry.go
+++ b/coordination/placement/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,7 +79,7 @@
 			e.held.close(g, e.id.Instance)
 			return nil, refusal
 		}
-		g.Warm = a.endpoint == w.warm
+		g.Warm, g.Rank = a.endpoint == w.warm, slices.Index(w.list, a.endpoint)
 		r := e.put(ctx, g, req, a, cfg)
 		if !w.take(a, r) {
 			continue
--- a/coordination/placement/grants.go
+++ b/coordination/placement/grants.go
@@ -15,6 +15,7 @@
 type Grant struct {
 	Endpoint Descriptor
 	Warm     bool // the endpoint is the one that the hint named
+	Rank     int  // the endpoint's place among the request's candidates, from 0
 
 	// Lost lists the candidates that turned out to have died. Something took
 	// them, and it may have been a copy of this very request.
--- a/wisteriactl/command.go
+++ b/wisteriactl/command.go
@@ -29,11 +29,13 @@
 	synopsis string
 	args     string // as in "-file F TEAM"
 	team     bool   // whether it takes a team
+	request  bool   // whether it takes the id of a request
 	offline  bool   // whether it needs no router
 	flags    func(f *flag.FlagSet)
 	do       func(ctx context.Context, c *command) error
 
 	subject coordination.Team
+	attempt coordination.Attempt
 	client  *client
 	routers string
 	format  string
@@ -91,6 +93,15 @@
 			return errUsage.New("%q is no name of a team", c.subject)
 		}
 	}
+	if c.request {
+		if f.NArg() == 0 {
+			return errUsage.New("%s needs the id of a REQUEST; see wisteriactl %s -help", c.name, c.name)
+		}
+		c.attempt = coordination.Attempt(f.Arg(0))
+		if err := f.Parse(f.Args()[1:]); err != nil {
+			return errUsage.New("wrong flags: %v", err)
+		}
+	}
 	if f.NArg() > 0 {
 		return errUsage.New("%q is one argument too many", f.Arg(0))
 	}
--- /dev/null
+++ b/wisteriactl/explain.go
@@ -0,0 +1,307 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// The numbers of the routers' events that explain reads; docs/EVENTS.md lists
+// all.
+const (
+	eventStateApplied    = 200
+	eventStoreLost       = 300
+	eventStoreBack       = 301
+	eventEndpointLeaving = 500
+	eventEndpointHeld    = 512
+	eventRelayAttempt    = 800
+	eventRelayRefused    = 802
+	eventRelayCut        = 803
+	eventRelayGone       = 804
+	eventRelayPlaced     = 806
+)
+
+// logLine is one line of a router's log.
+type logLine struct {
+	Time     time.Time `json:"time"`
+	Router   string    `json:"router"`
+	Event    int       `json:"event"`
+	Name     string    `json:"msg"`
+	Request  string    `json:"request"`
+	Endpoint string    `json:"endpoint"`
+	Version  int64     `json:"version"`
+	AgeMs    int64     `json:"age-ms"`
+	Ended    string    `json:"ended"`
+	Attempt  int       `json:"attempt"`
+	Rank     int       `json:"rank"`
+	PlaceMs  int64     `json:"place-ms"`
+	LeftMs   int64     `json:"left-ms"`
+	FirstMs  int64     `json:"first-ms"`
+	PauseMs  int64     `json:"pause-ms"`
+	Ms       int64     `json:"ms"`
+	Fetch    string    `json:"fetch"`
+	Key      string    `json:"key"`
+	Status   int       `json:"status"`
+	Why      string    `json:"why"`
+	Error    string    `json:"error"`
+
+	fields map[string]any
+}
+
+// readLines reads the lines of routers' logs. What stands before the first
+// brace, such as the name of a file, is passed over, and so are lines that are
+// no JSON: a log may have been cut anywhere.
+func readLines(r io.Reader) ([]logLine, error) {
+	var all []logLine
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, 1<<20)
+	for s.Scan() {
+		i := bytes.IndexByte(s.Bytes(), '{')
+		if i < 0 {
+			continue
+		}
+		var l logLine
+		if json.Unmarshal(s.Bytes()[i:], &l) != nil || json.Unmarshal(s.Bytes()[i:], &l.fields) != nil || l.Event == 0 {
+			continue
+		}
+		all = append(all, l)
+	}
+	slices.SortStableFunc(all, func(a, b logLine) int { return a.Time.Compare(b.Time) })
+	return all, s.Err()
+}
+
+// explanation is what the logs tell of one request.
+type explanation struct {
+	Request string   `json:"request"`
+	Steps   []step   `json:"steps"`
+	Stale   []string `json:"stale,omitempty"` // what its routers did not know, and others did
+	Around  []step   `json:"around,omitempty"`
+	Cause   string   `json:"cause"`
+}
+
+// step is one thing that happened.
+type step struct {
+	At     time.Duration `json:"at_ns"` // from the request's first line
+	Router string        `json:"router"`
+	What   string        `json:"what"`
+}
+
+// around is how long before and after a request its endpoints and routers are
+// looked at.
+const around = 5 * time.Second
+
+func (a app) explain() *command {
+	return &command{
+		app: a, name: "explain", args: "REQUEST < LOGS", request: true, offline: true,
+		synopsis: "tell from routers' logs what became of a request, and which belief was stale",
+		do: func(_ context.Context, c *command) error {
+			lines, err := readLines(c.in)
+			if err != nil {
+				return err
+			}
+			e, ok := explainRequest(string(c.attempt), lines)
+			if !ok {
+				return errs.NewType("no_request").New("no line names the request %q", c.attempt)
+			}
+			return c.show(e, func() { c.printExplanation(e) })
+		},
+	}
+}
+
+func (c *command) printExplanation(e explanation) {
+	c.printf("request %s\n", e.Request)
+	c.printSteps(e.Steps)
+	if len(e.Around) > 0 {
+		c.printf("around it\n")
+		c.printSteps(e.Around)
+	}
+	for _, s := range e.Stale {
+		c.printf("stale: %s\n", s)
+	}
+	c.printf("cause: %s\n", e.Cause)
+}
+
+func (c *command) printSteps(steps []step) {
+	for _, s := range steps {
+		c.printf("  %+8.3f s  %-20s %s\n", s.At.Seconds(), s.Router, s.What)
+	}
+}
+
+// explainRequest tells what lines, in the order of their times, say of a
+// request. It returns false if none names it.
+func explainRequest(id string, lines []logLine) (explanation, bool) {
+	own := slices.Collect(func(yield func(logLine) bool) {
+		for _, l := range lines {
+			if l.Request == id && !yield(l) {
+				return
+			}
+		}
+	})
+	if len(own) == 0 {
+		return explanation{}, false
+	}
+	e := explanation{Request: id}
+	start := own[0].Time
+	for _, l := range own {
+		e.Steps = append(e.Steps, step{At: l.Time.Sub(start), Router: l.Router, What: l.what()})
+	}
+	near := nearby(own, lines)
+	for _, l := range near {
+		e.Around = append(e.Around, step{At: l.Time.Sub(start), Router: l.Router, What: l.what()})
+	}
+	e.Stale = stale(own, lines)
+	e.Cause = cause(own, e.Stale)
+	return e, true
+}
+
+// what says in words what a line tells.
+func (l logLine) what() string {
+	switch l.Event {
+	case eventRelayPlaced:
+		return fmt.Sprintf("placed at %s, attempt %d, rank %d for key %s, after %d ms; %d ms left; by desired state %d, confirmed %d ms before%s",
+			l.Endpoint, l.Attempt, l.Rank, l.Key, l.PlaceMs, l.LeftMs, l.Version, l.AgeMs, l.fetched())
+	case eventRelayAttempt:
+		return fmt.Sprintf("attempt at %s %s after %d ms; first event after %d ms, longest pause %d ms", l.Endpoint, l.Ended, l.Ms, l.FirstMs, l.PauseMs)
+	case eventRelayRefused:
+		return fmt.Sprintf("answered %d by the router: %s", l.Status, l.Why)
+	}
+	return l.Name + l.rest()
+}
+
+func (l logLine) fetched() string {
+	if l.Fetch == "" {
+		return ""
+	}
+	return "; fetches the cached prompt from " + l.Fetch
+}
+
+// plain are the fields that are told elsewhere or say nothing of a cause.
+var plain = []string{"time", "router", "event", "msg", "level", "request"}
+
+// rest lists the other fields of a line in order of their names.
+func (l logLine) rest() string {
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(l.fields)) {
+		if !slices.Contains(plain, name) {
+			fmt.Fprintf(&b, " %s=%v", name, l.fields[name])
+		}
+	}
+	return b.String()
+}
+
+// nearby returns what happened around a request to the endpoints that it met
+// and to its routers' view of the store.
+func nearby(own, lines []logLine) []logLine {
+	endpoints, routers := make(map[string]bool), make(map[string]bool)
+	for _, l := range own {
+		routers[l.Router] = true
+		if l.Endpoint != "" {
+			endpoints[l.Endpoint] = true
+		}
+	}
+	from, to := own[0].Time.Add(-around), own[len(own)-1].Time.Add(around)
+	var found []logLine
+	for _, l := range lines {
+		if l.Request != "" || l.Time.Before(from) || l.Time.After(to) {
+			continue
+		}
+		mine := routers[l.Router] && (l.Event < 200 || l.Event == eventStoreLost || l.Event == eventStoreBack || l.Event == eventStateApplied)
+		if mine || l.Endpoint != "" && endpoints[l.Endpoint] {
+			found = append(found, l)
+		}
+	}
+	return found
+}
+
+// stale tells what a request's router did not know when it placed it, though
+// another router did.
+func stale(own, lines []logLine) []string {
+	var found []string
+	for _, p := range own {
+		if p.Event != eventRelayPlaced && p.Event != eventRelayRefused {
+			continue
+		}
+		found = append(found, staleState(p, lines)...)
+		found = append(found, staleEndpoint(p, lines)...)
+	}
+	return slices.Compact(found)
+}
+
+func staleState(p logLine, lines []logLine) []string {
+	for _, l := range lines {
+		if l.Event == eventStateApplied && l.Version > p.Version && l.Time.Before(p.Time) {
+			return []string{fmt.Sprintf("%s decided by desired state %d; %s had %d in force %.3f s before", p.Router, p.Version, l.Router, l.Version, p.Time.Sub(l.Time).Seconds())}
+		}
+	}
+	return nil
+}
+
+func staleEndpoint(p logLine, lines []logLine) []string {
+	if p.Endpoint == "" {
+		return nil
+	}
+	for _, l := range lines {
+		if l.Event == eventEndpointLeaving && l.Endpoint == p.Endpoint && l.Time.Before(p.Time) {
+			return []string{fmt.Sprintf("%s placed at %s; %s knew %.3f s before that it is leaving", p.Router, p.Endpoint, l.Router, p.Time.Sub(l.Time).Seconds())}
+		}
+	}
+	return nil
+}
+
+// Delays from which on they are named as the cause of a late answer, in
+// milliseconds: the shortest that makes a request late by itself.
+const (
+	lateFirstMs = 300
+	latePlaceMs = 100
+	latePauseMs = 120
+)
+
+// cause says in a sentence what decided a request's end.
+func cause(own []logLine, stale []string) string {
+	last := own[len(own)-1]
+	var lost []string
+	var slowest, placed logLine
+	for _, l := range own {
+		switch {
+		case l.Event == eventRelayAttempt && l.Ended != "delivered":
+			lost = append(lost, l.Endpoint+" "+l.Ended)
+		case l.Event == eventRelayAttempt:
+			slowest = l
+		case l.Event == eventRelayPlaced && l.PlaceMs > placed.PlaceMs:
+			placed = l
+		}
+	}
+	failed := strings.Join(lost, ", ")
+	switch {
+	case last.Event == eventRelayPlaced:
+		return fmt.Sprintf("no line follows: %s ended, or its log was cut, while %s was at work", last.Router, last.Endpoint)
+	case last.Event == eventRelayGone:
+		return cmp.Or(failed, "no endpoint had answered in full") + "; the caller left after " + fmt.Sprint(last.fields["after-ms"]) + " ms"
+	case last.Event == eventRelayCut:
+		return "the answer broke off: " + failed
+	case last.Event == eventRelayRefused && failed != "":
+		return fmt.Sprintf("answered %d after %s", last.Status, failed)
+	case last.Event == eventRelayRefused:
+		return fmt.Sprintf("answered %d, sent nowhere: %s", last.Status, last.Why)
+	case placed.PlaceMs >= latePlaceMs:
+		return fmt.Sprintf("late: it waited %d ms for a place at %s", placed.PlaceMs, placed.Endpoint)
+	case failed != "":
+		return "delivered at the second endpoint; before: " + failed
+	case slowest.PauseMs >= latePauseMs:
+		return fmt.Sprintf("late: %s sent nothing for %d ms in the middle of its answer, or a packet was lost", slowest.Endpoint, slowest.PauseMs)
+	case max(slowest.FirstMs, slowest.Ms) >= lateFirstMs:
+		return fmt.Sprintf("late: %s took %d ms to its first event, %d ms in all", slowest.Endpoint, slowest.FirstMs, slowest.Ms)
+	case len(stale) > 0:
+		return "delivered, by a stale belief"
+	default:
+		return "delivered in time by this router; look at the link to the caller"
+	}
+}
--- /dev/null
+++ b/wisteriactl/explain_test.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// A user complains and names a request; the operator has the logs of all
+// routers and nothing else. Each golden file is what the operator then reads.
+func TestExplain(t *testing.T) {
+	tests := []struct {
+		name string
+		args []string
+		code exitCode
+	}{
+		{"explain-refused", []string{"explain", "a1"}, exitOK},
+		{"explain-after-sent", []string{"explain", "b2"}, exitOK},
+		{"explain-late", []string{"explain", "c3"}, exitOK},
+		{"explain-stale", []string{"explain", "d4"}, exitOK},
+		{"explain-unfinished", []string{"explain", "e5"}, exitOK},
+		{"explain-late-json", []string{"explain", "c3", "-o", "json"}, exitOK},
+		{"explain-unknown", []string{"explain", "zz"}, exitFailed},
+		{"explain-usage", []string{"explain"}, exitUsage},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			logs, err := os.Open("testdata/explain.log")
+			assert.NilError(t, err)
+			defer func() { _ = logs.Close() }()
+			var out bytes.Buffer
+			code := run(t.Context(), test.args, app{in: logs, out: &out, err: &out})
+			assert.Equal(t, code, test.code)
+			golden.Assert(t, out.String(), test.name+".golden")
+		})
+	}
+}
--- a/wisteriarouter/daemon/daemon.go
+++ b/wisteriarouter/daemon/daemon.go
@@ -25,6 +25,7 @@
 	state    *state
 	log      event.Log
 	logger   *logrus.Logger
+	stopLog  func()
 	within   time.Duration // longest shutdown
 	delay    time.Duration // for which new requests are served in a shutdown
 }
@@ -84,12 +85,14 @@
 
 func start(cfg *config.Config, logs io.Writer) (*Daemon, func() int, error) {
 	now := time.Now()
-	logger := newLogger(cfg.Log, logs)
+	writer, stopLog := event.NewWriter(logs)
+	logger := newLogger(cfg.Log, writer)
 	d := &Daemon{
 		logger:   logger,
+		stopLog:  stopLog,
 		injector: do.New(),
 		cleanups: &cleanups{},
-		log:      event.NewLog(logger),
+		log:      event.NewLog(logger, event.F("router", cfg.Instance)),
 		within:   cfg.Limits.StopWithin,
 		delay:    cfg.Limits.StopDelay,
 		state: &state{
@@ -111,6 +114,7 @@
 	if err != nil {
 		d.cleanups.run()
 		d.log.Emit(event.Failed, event.F("error", err.Error()))
+		stopLog()
 		return nil, nil, err
 	}
 	d.servers = servers
@@ -123,13 +127,13 @@
 	return d, d.shutdown, nil
 }
 
-func newLogger(cfg config.Log, w io.Writer) *logrus.Logger {
+func newLogger(cfg config.Log, w *event.Writer) *logrus.Logger {
 	l := logrus.New()
-	l.SetOutput(w)
 	l.SetLevel(cfg.Level)
 	if cfg.JSON {
 		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	}
+	w.Attach(l)
 	return l
 }
 
@@ -175,5 +179,6 @@
 	left := d.servers.drain(ctx)
 	d.cleanups.run()
 	d.log.Emit(event.Stopped, event.F("in-flight", left))
+	d.stopLog()
 	return left
 }
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -216,11 +216,12 @@
 
 // desired holds the desired state in force.
 type desired struct {
-	log   event.Log
-	table atomic.Pointer[route.Table]
-	place *placing
-	relay atomic.Pointer[config.Relay]
-	ready chan struct{} // closed with the first desired state
+	log    event.Log
+	table  atomic.Pointer[route.Table]
+	place  *placing
+	mirror *mirror.Mirror
+	relay  atomic.Pointer[config.Relay]
+	ready  chan struct{} // closed with the first desired state
 }
 
 func newDesired(i do.Injector) (*desired, error) {
@@ -231,6 +232,7 @@
 	}
 	d.relay.Store(settingsOf(i).Relay)
 	m := do.MustInvoke[*mirror.Mirror](i)
+	d.mirror = m
 	m.Observe(d.take)
 	watch := storeWatch{log: d.log, register: do.MustInvoke[*endpoint.Register](i)}
 	feed(i, m, watch.told)
@@ -240,6 +242,9 @@
 // Table implements relay.Desired.
 func (d *desired) Table() *route.Table { return d.table.Load() }
 
+// Age implements relay.Desired.
+func (d *desired) Age() time.Duration { return d.mirror.Age() }
+
 // take puts a new desired state in force. One that cannot be read, or that is
 // older than the one in force, changes nothing.
 func (d *desired) take(items []mirror.Item) {
@@ -298,6 +303,7 @@
 		Retries:  do.MustInvoke[*poolRetries](i),
 		Suspects: relaySuspects{do.MustInvoke[*suspects](i)},
 		Log:      logOf(i),
+		Metrics:  relay.NewMetrics(do.MustInvoke[*prometheus.Registry](i)),
 		Stopping: stateOf(i).leaving.Load,
 	}, nil
 }
@@ -324,6 +330,11 @@
 	lim := settingsOf(i).Limits
 	bound := do.MustInvoke[*listeners](i)
 	node := do.MustInvoke[*peer.Node](i)
+	do.MustInvoke[*prometheus.Registry](i).MustRegister(&relayCollector{
+		desired:   do.MustInvoke[*desired](i),
+		directory: do.MustInvoke[*endpoint.Directory](i),
+		retries:   do.MustInvoke[*poolRetries](i),
+	})
 	s := &servers{node: node, log: logOf(i), failed: make(chan struct{}), keepIdle: true}
 	s.peers = newServer(bound.peers, peerHandler(node), lim, s.fail)
 	s.operators = newServer(bound.operators, metricsHandler(i), lim, s.fail)
--- a/wisteriarouter/daemon/relay_metrics.go
+++ b/wisteriarouter/daemon/relay_metrics.go
@@ -10,6 +10,7 @@
 
 	"wisteriaspool/coordination/kv"
 	"wisteriaspool/platform"
+	"wisteriaspool/wisteriarouter/endpoint"
 )
 
 // callBuckets are for calls over a network, in seconds.
@@ -56,3 +57,51 @@
 	addHealth(mux, stateOf(i))
 	return mux
 }
+
+// relayCollector exports what a relaying router knows, and how old it is.
+type relayCollector struct {
+	desired   *desired
+	directory *endpoint.Directory
+	retries   *poolRetries
+}
+
+var (
+	storeAge = prometheus.NewDesc("wisteria_store_age_seconds",
+		"Time since the store confirmed what this router knows, itself or through others.", nil, nil)
+	stateVersion = prometheus.NewDesc("wisteria_desired_state_version",
+		"Version of the desired state in force.", nil, nil)
+	endpointStates = prometheus.NewDesc("wisteria_endpoints",
+		"Endpoints by pool and state.", []string{"pool", "state"}, nil)
+	retriesLeft = prometheus.NewDesc("wisteria_retries_left",
+		"Second attempts that this router could make now.", []string{"pool"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (c *relayCollector) Describe(ch chan<- *prometheus.Desc) {
+	ch <- storeAge
+	ch <- stateVersion
+	ch <- endpointStates
+	ch <- retriesLeft
+}
+
+// Collect implements prometheus.Collector.
+func (c *relayCollector) Collect(ch chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	gauge(storeAge, c.desired.Age().Seconds())
+	if t := c.desired.Table(); t != nil {
+		gauge(stateVersion, float64(t.Version))
+	}
+	type group struct{ pool, state string }
+	states := make(map[group]int)
+	for _, k := range c.directory.All() {
+		states[group{string(k.Pool), k.State.String()}]++
+	}
+	for g, n := range states {
+		gauge(endpointStates, float64(n), g.pool, g.state)
+	}
+	for pool, n := range c.retries.left() {
+		gauge(retriesLeft, float64(n), string(pool))
+	}
+}
--- a/wisteriarouter/daemon/relay_placing.go
+++ b/wisteriarouter/daemon/relay_placing.go
@@ -133,6 +133,7 @@
 		Endpoint:    k.ID,
 		Incarnation: g.Endpoint.Incarnation,
 		Address:     k.Address,
+		Rank:        g.Rank,
 		Cache:       p.cache(w.Pool, req.Key, k.ID),
 		Release:     g.Release,
 	}, nil
@@ -207,6 +208,13 @@
 	return b
 }
 
+// left returns what is left of each budget.
+func (r *poolRetries) left() map[coordination.Pool]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return lo.MapValues(r.budgets, func(b *retry.Budget, _ coordination.Pool) int { return b.Left() })
+}
+
 // Request implements relay.Retries.
 func (r *poolRetries) Request(p coordination.Pool) { r.budget(p).Request() }
 
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -10,6 +10,7 @@
 	Stopped      = Kind{103, "stopped", logrus.InfoLevel, "The shutdown is complete; in-flight tells how many requests were left, which is 0 unless the stop limit passed."}
 	Failed       = Kind{104, "failed", logrus.ErrorLevel, "The router could not start or go on. The error tells why."}
 	Reloaded     = Kind{105, "reloaded", logrus.InfoLevel, "The settings file was read again and is in force, but for addresses and names, which need a restart."}
+	LinesDropped = Kind{107, "lines-dropped", logrus.WarnLevel, "Lines of a kind were not logged, since there were too many in a second; the count tells how many. The metrics still count what they would have told."}
 	ReloadFailed = Kind{106, "reload-failed", logrus.ErrorLevel, "The settings file was to be read again and cannot be; the settings before stay in force. The problems name the lines."}
 )
 
@@ -80,12 +81,13 @@
 	RelayCut         = Kind{803, "relay-cut", logrus.WarnLevel, "An answer was broken off after the caller had got a part of it."}
 	RelayCallerGone  = Kind{804, "relay-caller-gone", logrus.InfoLevel, "The caller went away before its answer was complete; the endpoint was told to stop."}
 	RelayBudgetSpent = Kind{805, "relay-budget-spent", logrus.WarnLevel, "A request was not sent again because the pool's share of retries is spent. Look for endpoints that fail."}
+	RelayPlaced      = Kind{806, "relay-placed", logrus.InfoLevel, "A request got a place at an endpoint and is sent there; tells for which key, the endpoint's rank among those of the key, how long the place took, and how old what the router knows of the store is. Nothing to do."}
 )
 
 // Catalogue lists every kind, in order of number.
 func Catalogue() []Kind {
 	return []Kind{
-		Started, Ready, Stopping, Stopped, Failed, Reloaded, ReloadFailed,
+		Started, Ready, Stopping, Stopped, Failed, Reloaded, ReloadFailed, LinesDropped,
 		SettingsApplied, SettingsInvalid, SettingsRejected, SettingsChanged,
 		PlatformLost, PlatformBack,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumourShed, PeerBusy, PeerAway, PeerBack,
@@ -93,6 +95,6 @@
 		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, ConnectionDropped, EndpointHeld, EndpointMalformed,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
 		OrderGiven,
-		RelayAttempt, RelayAttemptLost, RelayRefused, RelayCut, RelayCallerGone, RelayBudgetSpent,
+		RelayAttempt, RelayAttemptLost, RelayRefused, RelayCut, RelayCallerGone, RelayBudgetSpent, RelayPlaced,
 	}
 }
--- a/wisteriarouter/event/event.go
+++ b/wisteriarouter/event/event.go
@@ -3,6 +3,8 @@
 package event
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 )
 
@@ -29,18 +31,37 @@
 // Log writes structured, numbered events. The zero value drops them.
 type Log struct {
 	logger *logrus.Logger
+	limits *limiter
+	always []Field
 }
 
-// NewLog returns a log that writes through logger.
-func NewLog(logger *logrus.Logger) Log { return Log{logger: logger} }
+// NewLog returns a log that writes through logger. The fields always go with
+// each line.
+func NewLog(logger *logrus.Logger, always ...Field) Log {
+	return Log{logger: logger, limits: &limiter{kinds: make(map[Number]*count)}, always: always}
+}
 
-// Emit logs one event.
+// Emit logs one event. Of a kind that comes too often the rest of the second is
+// dropped, and their number told behind it.
 func (l Log) Emit(k Kind, fields ...Field) {
 	if l.logger == nil || !l.logger.IsLevelEnabled(k.Level) {
 		return
 	}
+	ok, dropped := l.limits.allow(time.Now(), k)
+	if dropped > 0 {
+		l.write(LinesDropped, F("kind", k.Name), F("count", dropped))
+	}
+	if ok {
+		l.write(k, fields...)
+	}
+}
+
+func (l Log) write(k Kind, fields ...Field) {
 	data := make(logrus.Fields, len(fields)+1)
 	data["event"] = int(k.Number)
+	for _, f := range l.always {
+		data[f.Name] = f.Value
+	}
 	for _, f := range fields {
 		data[f.Name] = f.Value
 	}
--- a/wisteriarouter/event/event_test.go
+++ b/wisteriarouter/event/event_test.go
@@ -93,7 +93,7 @@
 		code.Write(text)
 	}
 	for _, name := range declared(t) {
-		used := regexp.MustCompile(`event\.` + name + `\b`).MatchString(code.String())
+		used := regexp.MustCompile(`(event\.|\bwrite\()` + name + `\b`).MatchString(code.String())
 		assert.Check(t, used, "nothing emits %s", name)
 	}
 }
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -202,16 +202,31 @@
 	}
 }
 
+// place logs where a request is sent and what decided it.
+func (x *exchange) place(p Place, took time.Duration) {
+	x.server.Metrics.sent(x.pool, p)
+	x.emit(event.RelayPlaced,
+		event.F("attempt", x.evidence.Attempts()+1),
+		event.F("endpoint", p.Endpoint),
+		event.F("address", p.Address),
+		event.F("key", x.key()),
+		event.F("rank", p.Rank),
+		event.F("fetch", p.Cache),
+		event.F("account", x.account),
+		event.F("place-ms", took.Milliseconds()),
+		event.F("left-ms", x.left().Milliseconds()),
+	)
+}
+
 // note logs how an attempt ended.
 func (x *exchange) note(p Place, end ending) {
 	x.emit(event.RelayAttempt,
+		event.F("attempt", x.evidence.Attempts()),
 		event.F("endpoint", p.Endpoint),
-		event.F("address", p.Address),
 		event.F("ended", end.String()),
-		event.F("fetch", p.Cache),
-		event.F("key", x.key()),
 		event.F("ms", time.Since(x.arrived).Milliseconds()),
 		event.F("first-ms", x.stream.firstMs(x.arrived)),
 		event.F("pause-ms", x.stream.pause.Milliseconds()),
+		event.F("last-event", x.stream.last),
 	)
 }
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -159,7 +159,9 @@
 // be done. It reports whether an endpoint has answered.
 func (x *exchange) run(ctx context.Context) bool {
 	for {
+		asked := time.Now()
 		place, refusal := x.server.Placer.Place(ctx, x.want())
+		x.server.Metrics.placed(x.pool, time.Since(asked))
 		if refusal != nil && ctx.Err() == nil {
 			x.end(refusal.Message, refusal.RetryAfter)
 			return false
@@ -168,10 +170,12 @@
 			x.expire(ctx)
 			return false
 		}
+		x.place(place, time.Since(asked))
 		end := x.attempt(ctx, place)
 		place.Release()
 		x.note(place, end)
 		if end == delivered {
+			x.server.Metrics.delivered(x)
 			return true
 		}
 		goOn := end != broken && end != cut || x.crashed(ctx, place)
@@ -206,6 +210,7 @@
 		return false
 	}
 	if end == unsent || x.server.Retries.Take(x.pool) {
+		x.server.Metrics.retried(x.pool, end)
 		return true
 	}
 	x.emit(event.RelayBudgetSpent)
@@ -216,6 +221,7 @@
 func (x *exchange) expire(ctx context.Context) {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		x.emit(event.RelayCallerGone, event.F("after-ms", time.Since(x.arrived).Milliseconds()))
+		x.server.Metrics.ended(x, "caller-gone")
 		return
 	}
 	if x.evidence.Outcome() == outcome.NotRun {
@@ -232,8 +238,7 @@
 // fail ends a request after its last attempt.
 func (x *exchange) fail(end ending) {
 	if end == cut {
-		x.emit(event.RelayCut)
-		panic(http.ErrAbortHandler)
+		x.cut("the answer broke off")
 	}
 	x.end("no endpoint has answered", retryAfterFull)
 }
@@ -242,8 +247,7 @@
 // has not run gets the status that promises so.
 func (x *exchange) end(why string, after time.Duration) {
 	if x.stream.begun {
-		x.emit(event.RelayCut, event.F("why", why))
-		panic(http.ErrAbortHandler)
+		x.cut(why)
 	}
 	if x.evidence.Outcome() != outcome.NotRun {
 		x.answer(http.StatusBadGateway, why, 0)
@@ -252,6 +256,14 @@
 	x.refuse(http.StatusServiceUnavailable, why, after)
 }
 
+// cut breaks off an answer of which the caller has got a part, so that it does
+// not look complete.
+func (x *exchange) cut(why string) {
+	x.emit(event.RelayCut, event.F("why", why), event.F("last-event", x.stream.last))
+	x.server.Metrics.ended(x, "cut")
+	panic(http.ErrAbortHandler)
+}
+
 // refuse answers a request that has reached no endpoint.
 func (x *exchange) refuse(status int, why string, after time.Duration) {
 	x.answer(status, why, after)
@@ -260,9 +272,9 @@
 // answer answers in the router's own name.
 func (x *exchange) answer(status int, why string, after time.Duration) {
 	if x.stream.begun {
-		x.emit(event.RelayCut, event.F("why", why))
-		panic(http.ErrAbortHandler)
+		x.cut(why)
 	}
+	x.server.Metrics.refused(x, status)
 	x.emit(event.RelayRefused, event.F("status", status), event.F("why", why), event.F("retry-after-ms", after.Milliseconds()))
 	h := x.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
@@ -276,8 +288,11 @@
 // emit logs an event of the request.
 func (x *exchange) emit(k event.Kind, fields ...event.Field) {
 	fields = append(fields, event.F("request", x.asked.Attempt))
+	if x.table != nil {
+		fields = append(fields, event.F("version", x.table.Version), event.F("age-ms", x.server.Desired.Age().Milliseconds()))
+	}
 	if x.route != nil {
-		fields = append(fields, event.F("route", x.route.Name), event.F("version", x.table.Version))
+		fields = append(fields, event.F("route", x.route.Name))
 	}
 	x.server.Log.Emit(k, fields...)
 }
--- a/wisteriarouter/relay/metrics.go
+++ b/wisteriarouter/relay/metrics.go
@@ -1,4 +1,113 @@
 package relay
 
-// Metrics counts what becomes of requests.
-type Metrics struct{}
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"wisteriaspool/coordination"
+)
+
+// Metrics counts what becomes of requests. A nil *Metrics counts nothing.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	places   *prometheus.HistogramVec
+	firsts   *prometheus.HistogramVec
+	pauses   *prometheus.HistogramVec
+	retries  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	sends    *prometheus.CounterVec
+	tokens   *prometheus.CounterVec
+}
+
+// Buckets in seconds. The longest first byte that is still on time is some
+// 1.5 s, the longest pause 0.5 s.
+var (
+	placeBuckets = []float64{.001, .005, .01, .025, .05, .1, .25, .5, 1, 2.5}
+	firstBuckets = []float64{.025, .05, .1, .2, .3, .5, .8, 1, 1.5, 3, 6, 12}
+	pauseBuckets = []float64{.02, .05, .12, .2, .3, .5, 1, 2, 4}
+)
+
+// NewMetrics returns metrics that are registered with r.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "wisteria_relay_" + name, Help: help}, labels)
+	}
+	histogram := func(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "wisteria_relay_" + name, Help: help, Buckets: buckets}, labels)
+	}
+	m := &Metrics{
+		requests: counter("requests_total", "Requests by route and what became of them: a status, cut or caller-gone.", "route", "outcome"),
+		places:   histogram("place_seconds", "Time until a request had its place at an endpoint, waits in queues included.", placeBuckets, "pool"),
+		firsts:   histogram("first_byte_seconds", "Time from a request's arrival to the first event of its stream, or to the whole answer.", firstBuckets, "pool"),
+		pauses:   histogram("pause_seconds", "Longest pause between two events of a stream.", pauseBuckets, "pool"),
+		retries:  counter("retries_total", "Attempts after the first, by how the one before ended.", "pool", "after"),
+		refusals: counter("refusals_total", "Answers in the router's own name by status.", "status"),
+		sends:    counter("sends_total", "Attempts by whether the endpoint is the first for the request's key.", "pool", "cache"),
+		tokens:   counter("fetched_prompts_total", "Attempts that ask their endpoint to fetch the cached part of the prompt from another one.", "pool"),
+	}
+	r.MustRegister(m.requests, m.places, m.firsts, m.pauses, m.retries, m.refusals, m.sends, m.tokens)
+	return m
+}
+
+func (m *Metrics) placed(p coordination.Pool, d time.Duration) {
+	if m != nil {
+		m.places.WithLabelValues(string(p)).Observe(d.Seconds())
+	}
+}
+
+func (m *Metrics) sent(pool coordination.Pool, p Place) {
+	if m == nil {
+		return
+	}
+	cache := "warm"
+	if p.Rank > 0 {
+		cache = "cold"
+	}
+	m.sends.WithLabelValues(string(pool), cache).Inc()
+	if p.Cache != "" {
+		m.tokens.WithLabelValues(string(pool)).Inc()
+	}
+}
+
+func (m *Metrics) retried(p coordination.Pool, after ending) {
+	if m != nil {
+		m.retries.WithLabelValues(string(p), after.String()).Inc()
+	}
+}
+
+func (m *Metrics) refused(x *exchange, status int) {
+	if m == nil {
+		return
+	}
+	m.refusals.WithLabelValues(strconv.Itoa(status)).Inc()
+	m.ended(x, strconv.Itoa(status))
+}
+
+// ended counts a request. One without a route counts under none, so that
+// callers cannot make up names.
+func (m *Metrics) ended(x *exchange, outcome string) {
+	if m == nil {
+		return
+	}
+	name := "none"
+	if x.route != nil {
+		name = x.route.Name
+	}
+	m.requests.WithLabelValues(name, outcome).Inc()
+}
+
+// delivered counts a request that got an endpoint's answer.
+func (m *Metrics) delivered(x *exchange) {
+	if m == nil {
+		return
+	}
+	m.ended(x, "delivered")
+	first := time.Since(x.arrived)
+	if !x.stream.first.IsZero() {
+		first = x.stream.first.Sub(x.arrived)
+		m.pauses.WithLabelValues(string(x.pool)).Observe(x.stream.pause.Seconds())
+	}
+	m.firsts.WithLabelValues(string(x.pool)).Observe(first.Seconds())
+}
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -35,6 +35,9 @@
 	Endpoint    coordination.Endpoint
 	Incarnation coordination.Incarnation
 	Address     string
+	// Rank is the endpoint's place in the order in which requests with this
+	// key try endpoints; 0 is the one that has their shared parts cached.
+	Rank int
 	// Cache is the address of another endpoint that is likely to have the
 	// request's shared parts cached while this one has not; empty if there is
 	// none.
@@ -56,6 +59,8 @@
 type Desired interface {
 	// Table returns the present table, or nil before the first.
 	Table() *route.Table
+	// Age returns how long ago the store confirmed what this router knows.
+	Age() time.Duration
 }
 
 // Retries limits second attempts to a share of each pool's requests.
