Pack large updates between routers, and ask near ones first

Ruled out: a silent watch (the watchers had the change within 0.1 s), routers that had not met.

Updates over 2 KB are compressed, once for all who ask for the same, and a router asks a watcher of its own availability zone first. A test holds the size of a state of 1,000 routes under a seventh.

--- a/coordination/mirror/mirror_test.go
+++ b/coordination/mirror/mirror_test.go
@@ -1,6 +1,7 @@
 package mirror_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -11,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"wisteriaspool/coordination"
@@ -229,7 +231,7 @@
 	if _, err := fmt.Sscan(string(to), &i); err != nil {
 		return nil, err
 	}
-	return mirror.Server{Mirrors: map[string]*mirror.Mirror{"": f.mirrors[i]}}.Handle(ctx, payload)
+	return (&mirror.Server{Mirrors: map[string]*mirror.Mirror{"": f.mirrors[i]}}).Handle(ctx, payload)
 }
 
 // cutStore is the store as one router reaches it.
@@ -386,7 +388,24 @@
 // The bytes of a call come from another process, which may be of another
 // version, or not a router at all.
 func TestServerRefusesWhatItCannotRead(t *testing.T) {
-	s := mirror.Server{Mirrors: map[string]*mirror.Mirror{"": mirror.New()}}
+	s := &mirror.Server{Mirrors: map[string]*mirror.Mirror{"": mirror.New()}}
 	_, err := s.Handle(t.Context(), []byte{0xff, 0x00})
 	assert.ErrorContains(t, err, "ask")
 }
+
+// The desired state grows to a thousand routes. Were it told as it is, a router
+// on a slow link that tells it to a third of the fleet would need seconds.
+func TestLargeStateIsToldSmall(t *testing.T) {
+	m := mirror.New()
+	var state bytes.Buffer
+	for n := range 1000 {
+		fmt.Fprintf(&state, `{"name":"r-%d","hostname":"h%d.example","prefix":"/p%d/","type":"stream","timeoutMs":12000,"priority":1,"backend":"model-%d","attempts":2,"public":false},`, n, n%7, n, n%3)
+	}
+	m.Take(mirror.Update{Full: true, Items: []mirror.Item{put("op/config", state.String(), 2)}, AsOf: 2})
+	s := &mirror.Server{Mirrors: map[string]*mirror.Mirror{"": m}}
+	ask, err := cbor.Marshal(mirror.Ask{After: 1})
+	assert.NilError(t, err)
+	answer, err := s.Handle(t.Context(), ask)
+	assert.NilError(t, err)
+	assert.Assert(t, len(answer)*7 < state.Len(), "%d bytes for %d", len(answer), state.Len())
+}
--- a/coordination/mirror/pace.go
+++ b/coordination/mirror/pace.go
@@ -33,8 +33,9 @@
 	perMemberWait = 12 * time.Millisecond
 	leastPeerWait = time.Second
 	// staleWaits is how many waits a router goes without a confirmation of the
-	// store through others before it asks the store itself.
-	staleWaits = 3
+	// store through others before it asks the store itself. A watch confirms
+	// when it ends, after two seconds, and the word takes up to two waits.
+	staleWaits = 4
 )
 
 // PeerWait returns for how long a router of a fleet of this size waits at
--- a/coordination/mirror/peers.go
+++ b/coordination/mirror/peers.go
@@ -1,7 +1,11 @@
 package mirror
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
+	"io"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -60,31 +64,96 @@
 	if err != nil {
 		return Update{}, err
 	}
-	var u Update
-	if err := cbor.Unmarshal(b, &u); err != nil {
+	u, err := decodeReply(b)
+	if err != nil {
 		return Update{}, ErrMalformed.Wrap(err, "update from %s", to)
 	}
 	return u, nil
 }
 
-func encode(v any) []byte {
-	b, err := cbor.Marshal(v)
+// reply is the answer to an Ask: an update as it was packed for all who ask for
+// the same, and its age now.
+type reply struct {
+	Packed []byte `cbor:"1,keyasint,omitempty"` // compressed
+	AgeMs  uint32 `cbor:"2,keyasint"`
+	Plain  []byte `cbor:"3,keyasint,omitempty"` // in place of Packed
+}
+
+// mostUnpacked bounds an update that another router sends: all entries of 2,000
+// endpoints and the largest value of the store, several times over.
+const mostUnpacked = 16 << 20
+
+func decodeReply(b []byte) (Update, error) {
+	var r reply
+	if err := cbor.Unmarshal(b, &r); err != nil {
+		return Update{}, err
+	}
+	text := r.Plain
+	if len(r.Packed) > 0 {
+		var err error
+		text, err = io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(r.Packed)), mostUnpacked))
+		if err != nil {
+			return Update{}, err
+		}
+	}
+	var u Update
+	if err := cbor.Unmarshal(text, &u); err != nil {
+		return Update{}, err
+	}
+	u.AgeMs = r.AgeMs
+	return u, nil
+}
+
+// packFrom is the size in bytes from which on an update is compressed: below,
+// it fits a packet or two as it is.
+const packFrom = 2 << 10
+
+// pack returns an update for the wire, compressed if it is large. A desired
+// state of a thousand routes is 250 KB; a router on a link of 10 Mbit/s that
+// told it to 26 others as it is would need 5 s, and the change would be late
+// everywhere. It packs to a tenth.
+func pack(u Update) reply {
+	u.AgeMs = 0
+	text := encode(u)
+	if len(text) < packFrom {
+		return reply{Plain: text}
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
 	if err != nil {
-		panic("mirror: encoding a message: " + err.Error())
+		panic("mirror: packing an update: " + err.Error())
 	}
-	return b
+	_, _ = w.Write(text) // a Buffer takes all writes
+	_ = w.Close()
+	return reply{Packed: b.Bytes()}
 }
 
 // Server answers the calls of other routers.
 type Server struct {
 	Mirrors map[string]*Mirror // by prefix
+
+	mu     sync.Mutex
+	packed []packedUpdate // the latest ones
 }
 
-// longestWait bounds the time for which a call is held, whatever it asks for.
-const longestWait = 10 * time.Second
+// packedUpdate is an update as it was packed. Those who wait for a change ask
+// for the same, so that it is packed once for all of them.
+type packedUpdate struct {
+	prefix      string
+	after, asOf kv.Revision
+	reply       reply
+}
+
+const (
+	// longestWait bounds the time for which a call is held, whatever it asks
+	// for.
+	longestWait = 10 * time.Second
+	// packedKept is how many packed updates are kept.
+	packedKept = 4
+)
 
 // Handle answers a call on [Topic].
-func (s Server) Handle(ctx context.Context, payload []byte) ([]byte, error) {
+func (s *Server) Handle(ctx context.Context, payload []byte) ([]byte, error) {
 	var a Ask
 	if err := cbor.Unmarshal(payload, &a); err != nil {
 		return nil, ErrMalformed.Wrap(err, "ask")
@@ -97,5 +166,33 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	m.Wait(ctx, a.After)
-	return encode(m.Since(a.After)), nil
+	u := m.Since(a.After)
+	r := s.pack(a, u)
+	r.AgeMs = u.AgeMs
+	return encode(r), nil
+}
+
+// pack returns an update packed, from the kept ones if it is among them.
+func (s *Server) pack(a Ask, u Update) reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.packed {
+		if p.prefix == a.Prefix && p.after == a.After && p.asOf == u.AsOf {
+			return p.reply
+		}
+	}
+	p := packedUpdate{prefix: a.Prefix, after: a.After, asOf: u.AsOf, reply: pack(u)}
+	s.packed = append(s.packed, p)
+	if len(s.packed) > packedKept {
+		s.packed = s.packed[1:]
+	}
+	return p.reply
+}
+
+func encode(v any) []byte {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		panic("mirror: encoding a message: " + err.Error())
+	}
+	return b
 }
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -66,7 +67,7 @@
 func newMirror(i do.Injector) (*mirror.Mirror, error) {
 	m := mirror.New()
 	node := do.MustInvoke[*peer.Node](i)
-	server := mirror.Server{Mirrors: map[string]*mirror.Mirror{platform.Prefix: m}}
+	server := &mirror.Server{Mirrors: map[string]*mirror.Mirror{platform.Prefix: m}}
 	node.Handle(mirror.Topic, func(ctx context.Context, _ coordination.Instance, payload []byte) ([]byte, error) {
 		return server.Handle(ctx, payload)
 	})
@@ -121,14 +122,21 @@
 // that watch the store: these may all be cut off from it.
 const anyEvery = 3
 
-// choose names the router to ask next.
+// choose names the router to ask next: mostly one that watches the store and is
+// of the same availability zone, for traffic between zones has a price.
 func (f fleetOf) choose() (coordination.Instance, bool) {
-	routers := f.routers()
+	routers, self := f.routers(), f.node.Self()
 	among := mirror.Watchers(routers)
-	if rand.IntN(anyEvery) == 0 {
+	near := lo.FilterMap(routers, func(r placement.Router, _ int) (coordination.Instance, bool) {
+		return r.ID, r.Zone == self.Zone && slices.Contains(among, r.ID) && r.ID != self.Instance
+	})
+	switch {
+	case rand.IntN(anyEvery) == 0:
 		among = lo.Map(routers, func(r placement.Router, _ int) coordination.Instance { return r.ID })
+	case len(near) > 0:
+		among = near
 	}
-	among = lo.Without(among, f.node.Self().Instance)
+	among = lo.Without(among, self.Instance)
 	if len(among) == 0 {
 		return "", false
 	}
