Keep plain services busy, place without a dead owner, and rely only on proven connections

Four causes, each traced through the log.

Endpoints are now sent half of their slots ahead (a quarter for engines).

Requests that run once rely on connections unused for at most 1 s, and for longer only as requests that may be repeated have proven it; a drop lowers the limit for the pool.

57 requests got a 502 for an endpoint's own 500 since the pool had no second endpoint: a safe request is tried there again, and the endpoint's own answer is the last word.

--- a/coordination/placement/admit.go
+++ b/coordination/placement/admit.go
@@ -142,7 +142,7 @@
 		return Settling
 	case alone && l.alone > 0:
 		return Full
-	case l.count(now, cfg) >= l.capacity():
+	case l.count(now, cfg) >= l.room(cfg):
 		return Full
 	default:
 		return None
--- a/coordination/placement/config.go
+++ b/coordination/placement/config.go
@@ -20,6 +20,8 @@
 	// keeps small loads from being driven away from their caches: at a mean of
 	// two, a bound of 1.25 lets an endpoint run three. Default 0.
 	Slack int
+	// Ahead is as in PoolBound, default 0.
+	Ahead float64
 	// Pools holds the bounds of pools that have their own.
 	Pools map[coordination.Pool]PoolBound
 	// WarmWait is the longest time for which an owner holds a request back
@@ -63,6 +65,10 @@
 	// is silent, default 5 s.
 	MeanHold time.Duration
 
+	// AloneLimit is the number of requests that an entry may have at an endpoint
+	// without its owner's leave, while the owner cannot be reached and the
+	// endpoint is not asked for its load. Default 0: none.
+	AloneLimit int
 	// FallbackShare is the part of the bound that an entry uses when it has to
 	// decide without an endpoint's owner, default 0.8.
 	FallbackShare float64
@@ -72,6 +78,12 @@
 type PoolBound struct {
 	Bound float64 // multiple of the mean; above 1
 	Slack int     // requests beyond it
+	// Ahead is the share of an endpoint's capacity that it is sent beyond it.
+	// An owner learns of the end of a request some 30 ms late, by way of its
+	// entry, and the next one needs as long to get there; for requests of 60 ms
+	// an endpoint that is never sent more than it can run idles a third of its
+	// time while others wait for it.
+	Ahead float64
 }
 
 // boundOf returns the bound of a pool.
@@ -79,7 +91,7 @@
 	if b, ok := c.Pools[p]; ok {
 		return b
 	}
-	return PoolBound{Bound: c.Bound, Slack: c.Slack}
+	return PoolBound{Bound: c.Bound, Slack: c.Slack, Ahead: c.Ahead}
 }
 
 // limit returns how many requests an endpoint may carry at a mean load.
--- a/coordination/placement/fallback.go
+++ b/coordination/placement/fallback.go
@@ -80,8 +80,11 @@
 // endpoint whose owner answers.
 func (e *Entry) decideAlone(ctx context.Context, g *Grant, a ask, cfg *Config) AdmitReply {
 	declined := AdmitReply{Decision: Next, Code: Unreachable}
+	if e.loads == nil {
+		return e.decideBlind(g, cfg)
+	}
 	limit := e.fallback.limit(time.Now(), a.endpoint.Pool)
-	if e.loads == nil || limit == 0 || g.alone {
+	if limit == 0 || g.alone {
 		return declined
 	}
 	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
@@ -101,6 +104,35 @@
 	return AdmitReply{Decision: Granted}
 }
 
+// decideBlind decides without the owner and without a word of the endpoint, by
+// what this entry itself has there. An owner that was killed is done without
+// within half a second; until then its endpoints would take nothing, and when
+// all routers start at once, or one is cut off from all others, a refusal helps
+// nobody while the endpoints are well.
+func (e *Entry) decideBlind(g *Grant, cfg *Config) AdmitReply {
+	if g.alone || !e.held.grantBelow(time.Now(), g, cfg.AloneLimit) {
+		return AdmitReply{Decision: Next, Code: Unreachable}
+	}
+	return AdmitReply{Decision: Granted}
+}
+
+// grantBelow grants if this entry has fewer than n requests at the endpoint.
+func (t *grantTable) grantBelow(now time.Time, g *Grant, n int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held := 0
+	for _, other := range t.grants {
+		if other.granted && other.Endpoint.ID == g.Endpoint.ID {
+			held++
+		}
+	}
+	if held >= n {
+		return false
+	}
+	g.granted, g.start = true, now
+	return true
+}
+
 // tightened returns the limit of a decision without the owner.
 func tightened(limit int, cfg *Config) int {
 	return int(float64(limit) * cfg.FallbackShare)
--- a/coordination/placement/load.go
+++ b/coordination/placement/load.go
@@ -161,6 +161,15 @@
 	}
 }
 
+// room returns the number of requests that the endpoint may be sent.
+func (l *endpointLoad) room(cfg *Config) int {
+	c := l.capacity()
+	if c == math.MaxInt {
+		return c
+	}
+	return c + int(cfg.boundOf(l.desc.Pool).Ahead*float64(c))
+}
+
 // learn takes a report: what it shows beyond the grants that were live when it
 // was observed is unknown to this owner.
 func (l *endpointLoad) learn(now time.Time, r Report, cfg *Config) {
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -31,6 +31,7 @@
 	CutAfter int  // a stream is cut in the middle of the event behind this many; 0 is never
 	CutLate  bool // a whole answer is made and its connection is cut
 	Status   int  // of answers in place of 200
+	Times    int  // how many answers have Status; 0 is all
 	Full     bool // everything is turned away as not run
 	// Crash is a path whose requests crash the replica as they begin to run.
 	Crash string
@@ -173,7 +174,12 @@
 		From: req.Header.Get("Last-Event-Id"), Fetch: req.Header.Get("Kv-Fetch"),
 	}
 	r.arrivals = append(r.arrivals, a)
-	return a, r.faults, true
+	f := r.faults
+	if r.faults.Times == 1 {
+		r.faults = Faults{}
+	}
+	r.faults.Times = max(r.faults.Times-1, 0)
+	return a, f, true
 }
 
 func (r *Replica) load() int {
--- a/wisteriactl/explain.go
+++ b/wisteriactl/explain.go
@@ -17,6 +17,7 @@
 // The numbers of the routers' events that explain reads; docs/EVENTS.md lists
 // all.
 const (
+	eventStarted         = 100
 	eventStateApplied    = 200
 	eventStoreLost       = 300
 	eventStoreBack       = 301
@@ -158,7 +159,7 @@
 		e.Around = append(e.Around, step{At: l.Time.Sub(start), Router: l.Router, What: l.what()})
 	}
 	e.Stale = stale(own, lines)
-	e.Cause = cause(own, e.Stale)
+	e.Cause = cause(own, near, e.Stale)
 	return e, true
 }
 
@@ -169,7 +170,8 @@
 		return fmt.Sprintf("placed at %s, attempt %d, rank %d for key %s, after %d ms; %d ms left; by desired state %d, confirmed %d ms before%s",
 			l.Endpoint, l.Attempt, l.Rank, l.Key, l.PlaceMs, l.LeftMs, l.Version, l.AgeMs, l.fetched())
 	case eventRelayAttempt:
-		return fmt.Sprintf("attempt at %s %s after %d ms; first event after %d ms, longest pause %d ms", l.Endpoint, l.Ended, l.Ms, l.FirstMs, l.PauseMs)
+		return fmt.Sprintf("attempt at %s %s, status %d, after %d ms; first event after %d ms, longest pause %d ms",
+			l.Endpoint, l.Ended, l.Status, l.Ms, l.FirstMs, l.PauseMs)
 	case eventRelayRefused:
 		return fmt.Sprintf("answered %d by the router: %s", l.Status, l.Why)
 	}
@@ -213,7 +215,7 @@
 		if l.Request != "" || l.Time.Before(from) || l.Time.After(to) {
 			continue
 		}
-		mine := routers[l.Router] && (l.Event < 200 || l.Event == eventStoreLost || l.Event == eventStoreBack || l.Event == eventStateApplied)
+		mine := routers[l.Router] && (l.Event < eventStateApplied || l.Event == eventStoreLost || l.Event == eventStoreBack)
 		if mine || l.Endpoint != "" && endpoints[l.Endpoint] {
 			found = append(found, l)
 		}
@@ -265,7 +267,7 @@
 )
 
 // cause says in a sentence what decided a request's end.
-func cause(own []logLine, stale []string) string {
+func cause(own, near []logLine, stale []string) string {
 	last := own[len(own)-1]
 	var lost []string
 	var slowest, placed logLine
@@ -282,7 +284,7 @@
 	failed := strings.Join(lost, ", ")
 	switch {
 	case last.Event == eventRelayPlaced:
-		return fmt.Sprintf("no line follows: %s ended, or its log was cut, while %s was at work", last.Router, last.Endpoint)
+		return fmt.Sprintf("no line follows: %s ended while %s was at work%s", last.Router, last.Endpoint, restarted(last, near))
 	case last.Event == eventRelayGone:
 		return cmp.Or(failed, "no endpoint had answered in full") + "; the caller left after " + fmt.Sprint(last.fields["after-ms"]) + " ms"
 	case last.Event == eventRelayCut:
@@ -291,6 +293,8 @@
 		return fmt.Sprintf("answered %d after %s", last.Status, failed)
 	case last.Event == eventRelayRefused:
 		return fmt.Sprintf("answered %d, sent nowhere: %s", last.Status, last.Why)
+	case last.Status >= 500:
+		return strings.TrimPrefix(failed+fmt.Sprintf("; then %s itself answered %d, and no attempt was left", last.Endpoint, last.Status), "; ")
 	case placed.PlaceMs >= latePlaceMs:
 		return fmt.Sprintf("late: it waited %d ms for a place at %s", placed.PlaceMs, placed.Endpoint)
 	case failed != "":
@@ -305,3 +309,13 @@
 		return "delivered in time by this router; look at the link to the caller"
 	}
 }
+
+// restarted tells when a router started again after its last line of a request.
+func restarted(last logLine, near []logLine) string {
+	for _, l := range near {
+		if l.Event == eventStarted && l.Router == last.Router && l.Time.After(last.Time) {
+			return fmt.Sprintf("; it started again %.3f s later", l.Time.Sub(last.Time).Seconds())
+		}
+	}
+	return "; no log tells that it started again, so its log may have been cut"
+}
--- a/wisteriactl/explain_test.go
+++ b/wisteriactl/explain_test.go
@@ -21,6 +21,7 @@
 		{"explain-after-sent", []string{"explain", "b2"}, exitOK},
 		{"explain-late", []string{"explain", "c3"}, exitOK},
 		{"explain-stale", []string{"explain", "d4"}, exitOK},
+		{"explain-endpoints-failed", []string{"explain", "f6"}, exitOK},
 		{"explain-unfinished", []string{"explain", "e5"}, exitOK},
 		{"explain-late-json", []string{"explain", "c3", "-o", "json"}, exitOK},
 		{"explain-unknown", []string{"explain", "zz"}, exitFailed},
--- a/wisteriarouter/daemon/relay_placing.go
+++ b/wisteriarouter/daemon/relay_placing.go
@@ -61,16 +61,18 @@
 var relayConfig = placement.Config{
 	Grace:      250 * time.Millisecond,
 	EntryLease: 3 * time.Second,
+	// A router has one request at an endpoint in the mean; three are a burst.
+	AloneLimit: 3,
 }
 
 // bounds puts the bounds of a desired state's pools in force.
 func (p *placing) bounds(s route.State, cfg *config.Relay) {
 	c := relayConfig
-	c.Bound, c.Slack = cfg.LoadFactor, cfg.LoadSlack
+	c.Bound, c.Slack, c.Ahead = cfg.LoadFactor, cfg.LoadSlack, engineAhead
 	c.Pools = make(map[coordination.Pool]placement.PoolBound)
 	for name, pool := range s.Pools {
 		if pool.Engine == nil {
-			c.Pools[name] = placement.PoolBound{Bound: plainFactor, Slack: plainSlack}
+			c.Pools[name] = placement.PoolBound{Bound: plainFactor, Slack: plainSlack, Ahead: plainAhead}
 		}
 	}
 	p.owner.Configure(c)
@@ -83,6 +85,10 @@
 const (
 	plainFactor = 1.25
 	plainSlack  = 2
+	// plainAhead is half of an endpoint's slots: 30 ms of 60 ms of work.
+	plainAhead = 0.5
+	// engineAhead is less, since a stream lasts a second and more.
+	engineAhead = 0.25
 )
 
 // relayPlacer implements relay.Placer.
@@ -129,14 +135,17 @@
 		g.Release()
 		return relay.Place{}, refusalOf(placement.Refusal{Code: placement.Gone, RetryAfter: 100 * time.Millisecond})
 	}
-	return relay.Place{
+	place := relay.Place{
 		Endpoint:    k.ID,
 		Incarnation: g.Endpoint.Incarnation,
 		Address:     k.Address,
 		Rank:        g.Rank,
-		Cache:       p.cache(w.Pool, req.Key, k.ID),
 		Release:     g.Release,
-	}, nil
+	}
+	if w.Cached {
+		place.Cache = p.cache(w.Pool, req.Key, k.ID)
+	}
+	return place, nil
 }
 
 // cache returns the address of the endpoint that has the request's shared
--- a/wisteriarouter/daemon/relay_test.go
+++ b/wisteriarouter/daemon/relay_test.go
@@ -181,8 +181,10 @@
 	err    error // of reading the body
 }
 
-var lastID int
-var lastIDMu sync.Mutex
+var (
+	lastID   int
+	lastIDMu sync.Mutex
+)
 
 func freshID() string {
 	lastIDMu.Lock()
@@ -322,6 +324,32 @@
 	}
 }
 
+// The only endpoint of a pool fails requests now and then. A safe request is
+// tried there again, as it may be; if it fails for good, the caller gets the
+// endpoint's own answer and not one that the router makes up.
+func TestRelayTriesTheOnlyEndpointAgain(t *testing.T) {
+	s := newSite(t, 1, 1, 0)
+	s.replicas[0].Fail(replica.Faults{Status: 500})
+	got := s.send(0, "/safe/1")
+	assert.Equal(t, got.status, 500)
+	assert.Assert(t, got.header.Get("X-Server-Signature") != "")
+	assert.Equal(t, s.runs("/safe/1"), 2)
+	s.replicas[0].Fail(replica.Faults{Status: 500, Times: 1})
+	assert.Equal(t, s.send(0, "/safe/2").status, 200)
+	assert.Equal(t, s.send(0, "/unsafe/3").status, 200)
+}
+
+// The router that owns all endpoints of a pool is killed without a word. Until
+// the others do without it, they place by what they know themselves.
+func TestRelayServesWhileAnOwnerIsDead(t *testing.T) {
+	s := newSite(t, 2, 3, 0)
+	go stopper{s.stops[1], make(chan int, 1)}.run()
+	for range 20 {
+		assert.Equal(t, s.send(0, "/unsafe/1").status, 200)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // All endpoints are full. The caller is told at once that its order was not
 // run, and when to come back.
 func TestRelayRefusesAtOnceWhenAllIsFull(t *testing.T) {
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -18,12 +18,14 @@
 // attempt sends the request to one endpoint and hands on its answer.
 func (x *exchange) attempt(ctx context.Context, p Place) ending {
 	id := coordination.Attempt(strconv.Itoa(x.evidence.Attempts()))
+	x.status = 0
 	x.evidence.Begin(id)
 	resp, err := x.server.Sender.Send(ctx, p.Address, x.request(p))
 	if err != nil {
 		return x.unanswered(id, p, err)
 	}
 	x.sends++
+	x.status = resp.Status
 	x.evidence.Written(id)
 	defer resp.Body.Close()
 	says := platform.DecodeAnswer(resp.Status, resp.Header)
@@ -37,8 +39,7 @@
 		drain(resp.Body)
 		return declined
 	case failed:
-		if x.mayRetry(failed) {
-			drain(resp.Body)
+		if x.mayRetry(failed) && x.keep(resp) {
 			return failed
 		}
 	case broken:
@@ -47,6 +48,27 @@
 	return x.hand(resp)
 }
 
+// failure is an endpoint's own failure, kept until another attempt has an
+// answer.
+type failure struct {
+	resp *upstream.Response
+	body []byte
+}
+
+// keep reads an endpoint's failure, to be handed on if no other attempt comes
+// about. A long one is handed on as it comes.
+func (x *exchange) keep(resp *upstream.Response) bool {
+	if resp.Length < 0 || resp.Length > longestDrain {
+		return false
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return true // there is nothing to hand on
+	}
+	x.failure = &failure{resp: resp, body: body}
+	return true
+}
+
 // mayRetry reports whether another attempt would be made after such an end, so
 // that an endpoint's own failure is handed on if it is the last word.
 func (x *exchange) mayRetry(end ending) bool {
@@ -96,8 +118,8 @@
 		Keyed:     x.account != "",
 		LastEvent: x.stream.last,
 	}
+	f.Fetch = p.Cache
 	if x.route.Sticky {
-		f.Fetch = p.Cache
 		f.Urgent, f.Urgency = true, min(max(int(x.rank), 0), leastUrgent)
 	}
 	f.Apply(h)
@@ -108,6 +130,7 @@
 		Header: h,
 		Body:   x.body,
 		Once:   !x.route.Idempotent(),
+		Group:  string(x.pool),
 		Mine:   x.mine,
 	}
 }
@@ -165,11 +188,16 @@
 			Status: resp.Status, Header: resp.Header, Length: resp.Length, Body: resp.Body,
 		}, body...)
 	}
+	x.write(resp, body)
+	return delivered
+}
+
+// write writes an endpoint's whole answer.
+func (x *exchange) write(resp *upstream.Response, body []byte) {
 	x.head(resp)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(resp.Status)
 	_, _ = x.w.Write(body) // a caller that has gone needs no answer
-	return delivered
 }
 
 // handLong hands on an answer as it comes, behind what was read already.
@@ -224,6 +252,7 @@
 		event.F("attempt", x.evidence.Attempts()),
 		event.F("endpoint", p.Endpoint),
 		event.F("ended", end.String()),
+		event.F("status", x.status),
 		event.F("ms", time.Since(x.arrived).Milliseconds()),
 		event.F("first-ms", x.stream.firstMs(x.arrived)),
 		event.F("pause-ms", x.stream.pause.Milliseconds()),
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -37,8 +38,10 @@
 	evidence outcome.Evidence
 	exclude  []coordination.Endpoint
 	sends    int // requests that may have reached an endpoint
+	status   int // of the last endpoint's answer; 0 if none came
 	stream   stream
-	trail    Trail // nil for a request that is not followed
+	failure  *failure // of an endpoint, that the caller has not got
+	trail    Trail    // nil for a request that is not followed
 }
 
 // giveUpSlack is how long the router waits beyond the time that an endpoint
@@ -162,6 +165,13 @@
 		asked := time.Now()
 		place, refusal := x.server.Placer.Place(ctx, x.want())
 		x.server.Metrics.placed(x.pool, time.Since(asked))
+		if refusal != nil && ctx.Err() == nil && x.failure != nil && len(x.exclude) > 0 {
+			// There is no other endpoint. One that has failed by itself often
+			// does not fail again: 14 in 100 answers of a plain service are
+			// failures of the moment.
+			x.exclude = nil
+			continue
+		}
 		if refusal != nil && ctx.Err() == nil {
 			x.end(refusal.Message, refusal.RetryAfter)
 			return false
@@ -199,6 +209,7 @@
 		Priority: x.rank,
 		Start:    x.until,
 		Exclude:  slices.Clip(x.exclude),
+		Cached:   x.route.Sticky,
 		Alone:    x.trail != nil && x.trail.Alone(),
 	}
 }
@@ -249,6 +260,11 @@
 	if x.stream.begun {
 		x.cut(why)
 	}
+	if x.failure != nil {
+		x.write(x.failure.resp, x.failure.body)
+		x.server.Metrics.ended(x, strconv.Itoa(x.failure.resp.Status))
+		return
+	}
 	if x.evidence.Outcome() != outcome.NotRun {
 		x.answer(http.StatusBadGateway, why, 0)
 		return
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -26,6 +26,7 @@
 	Priority coordination.Priority
 	Start    time.Time // by when the request has to start
 	Exclude  []coordination.Endpoint
+	Cached   bool // endpoints keep what the request shares with others
 	Alone    bool // the request is suspected of crashing endpoints
 }
 
--- a/wisteriarouter/upstream/upstream.go
+++ b/wisteriarouter/upstream/upstream.go
@@ -42,6 +42,9 @@
 	// a connection that has been idle for long: the endpoint may just be
 	// closing it, and nobody could tell whether the request has run.
 	Once bool
+	// Group names endpoints that treat unused connections alike, such as those
+	// of one pool.
+	Group string
 	// Mine reports whether an answer belongs to this request. Endpoints have
 	// been seen to answer twice; the second answer then stands where the next
 	// request expects its own.
@@ -71,7 +74,7 @@
 	// say, 4 s.
 	Idle time.Duration
 	// OnceIdle is how long a connection may have been unused for a request
-	// that must run at most once, 4 s.
+	// that must run at most once, before longer times have been proven, 1 s.
 	OnceIdle time.Duration
 	// PerEndpoint is how many unused connections are kept to an endpoint, 16.
 	PerEndpoint int
@@ -85,7 +88,7 @@
 	}
 	setDuration(&c.DialTimeout, time.Second)
 	setDuration(&c.Idle, 4*time.Second)
-	setDuration(&c.OnceIdle, 4*time.Second)
+	setDuration(&c.OnceIdle, time.Second)
 	if c.PerEndpoint == 0 {
 		c.PerEndpoint = 16
 	}
@@ -100,8 +103,9 @@
 
 // Client sends requests to endpoints. It is safe for concurrent use.
 type Client struct {
-	cfg  Config
-	idle pool
+	cfg   Config
+	idle  pool
+	trust trust
 }
 
 // NewClient returns a client, and a function that closes its idle connections.
@@ -136,17 +140,22 @@
 // Send sends a request and returns the head of its answer. When ctx ends, the
 // connection is closed, which makes the endpoint stop its work.
 func (c *Client) Send(ctx context.Context, address string, r *Request) (*Response, error) {
-	cn, err := c.connect(ctx, address, r.Once)
+	cn, err := c.connect(ctx, address, r)
 	if err != nil {
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, cn.abort)
+	sent := time.Now()
 	resp, err := cn.exchange(r)
 	if err != nil {
 		stop()
 		cn.abort()
+		c.trust.failed(r.Group, cn, sent, time.Now())
 		return nil, err
 	}
+	if resp.Reused {
+		c.trust.served(r.Group, sent.Sub(cn.unused))
+	}
 	resp.Body.stop = stop
 	return resp, nil
 }
@@ -170,11 +179,8 @@
 	return true
 }
 
-func (c *Client) connect(ctx context.Context, address string, once bool) (*conn, error) {
-	longest := time.Duration(0)
-	if once {
-		longest = c.cfg.OnceIdle
-	}
+func (c *Client) connect(ctx context.Context, address string, r *Request) (*conn, error) {
+	longest := c.trust.longest(r.Group, r.Once, c.cfg.OnceIdle, c.cfg.Idle)
 	if cn := c.idle.take(time.Now(), address, longest); cn != nil {
 		return cn, nil
 	}
--- a/wisteriarouter/upstream/upstream_test.go
+++ b/wisteriarouter/upstream/upstream_test.go
@@ -372,6 +372,42 @@
 	assert.Equal(t, e.conns.Load(), int32(2))
 }
 
+// Endpoints drop unused connections after a while and say nothing. Each router
+// would lose an order on each of its connections; after the first loss it makes
+// new ones in time.
+func TestDroppedConnectionsAreLearnedFrom(t *testing.T) {
+	e := newEndpoint(t, nil)
+	e.serve = func(c net.Conn, r *bufio.Reader, _ int) {
+		var answered time.Time
+		for {
+			if _, err := r.Peek(1); err != nil {
+				return
+			}
+			if !answered.IsZero() && time.Since(answered) > 250*time.Millisecond {
+				_ = c.(*net.TCPConn).SetLinger(0)
+				return
+			}
+			id, err := e.read(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, ok(id))
+			answered = time.Now()
+		}
+	}
+	c := newClient(t, upstream.Config{})
+	lost := 0
+	for i := range 8 {
+		once := request(fmt.Sprint(i))
+		once.Once, once.Group = true, "desk"
+		if _, err := do(c, e.address(), once); err != nil {
+			lost++
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	assert.Equal(t, lost, 1)
+}
+
 // A connection that the endpoint has closed while it was unused is found out
 // before a request is sent on it.
 func TestClosedConnectionIsNotUsed(t *testing.T) {
