A fault soak of our own

standin soak runs routers as processes on loopback, with the stand-ins of the store and of endpoints, a proxy on each link, and faults by a seed: kills, graceful stops, pauses, SIGHUP, links that delay, fall silent, go one way or refuse, resets, a store that is down, silent, slow or forgets, endpoints that crash, drain or answer wrongly, a key that is taken away. Callers keep their connections. It checks: answers whole and the caller's own, what must run once runs once, not run is true, a draining endpoint and a revoked key on routers that nothing was wrong with, exit codes of graceful stops, and that all is served six seconds behind the last fault.

--- a/standin/main.go
+++ b/standin/main.go
@@ -21,6 +21,7 @@
 	subcommands.Register(&serviceCommand{}, "")
 	subcommands.Register(&loadCommand{}, "")
 	subcommands.Register(&chartCommand{}, "")
+	subcommands.Register(&soakCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/standin/proxy/proxy.go
@@ -0,0 +1,166 @@
+// Package proxy is a TCP proxy on loopback that delays, holds up and resets what
+// passes through it, as links and machines do that fail without a word.
+package proxy
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Mode is how a proxy treats its connections.
+type Mode struct {
+	Delay  time.Duration // of each piece that passes, in both directions
+	Silent bool          // nothing passes; it does later, when the mode changes
+	OneWay bool          // as Silent, for what goes to the target only
+	Refuse bool          // new connections are reset
+}
+
+// Proxy passes connections on to a target.
+type Proxy struct {
+	target   string
+	listener net.Listener
+
+	mu      sync.Mutex
+	mode    Mode
+	changed chan struct{}
+	conns   map[net.Conn]struct{}
+}
+
+// New starts a proxy on loopback. The function that it returns ends it.
+func New(target string) (*Proxy, func(), error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, err
+	}
+	p := &Proxy{target: target, listener: l, changed: make(chan struct{}), conns: make(map[net.Conn]struct{})}
+	go p.run()
+	return p, p.stop, nil
+}
+
+// Address returns where the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Set changes the mode of all connections.
+func (p *Proxy) Set(m Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Reset resets all open connections.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *Proxy) stop() {
+	_ = p.listener.Close()
+	p.Set(Mode{})
+	p.Reset()
+}
+
+func (p *Proxy) run() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if mode, _ := p.present(); mode.Refuse {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+			continue
+		}
+		go pair{proxy: p, caller: c}.run()
+	}
+}
+
+func (p *Proxy) present() (Mode, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode, p.changed
+}
+
+func (p *Proxy) add(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c] = struct{}{}
+}
+
+func (p *Proxy) drop(c net.Conn) {
+	p.mu.Lock()
+	delete(p.conns, c)
+	p.mu.Unlock()
+	_ = c.Close()
+}
+
+// pair is a caller's connection with the one to the target.
+type pair struct {
+	proxy  *Proxy
+	caller net.Conn
+}
+
+func (c pair) run() {
+	c.proxy.add(c.caller)
+	defer c.proxy.drop(c.caller)
+	target, err := net.Dial("tcp", c.proxy.target)
+	if err != nil {
+		_ = c.caller.(*net.TCPConn).SetLinger(0)
+		return
+	}
+	c.proxy.add(target)
+	defer c.proxy.drop(target)
+	back := half{proxy: c.proxy, from: target, to: c.caller, done: make(chan struct{})}
+	go back.run()
+	half{proxy: c.proxy, from: c.caller, to: target, forth: true, done: make(chan struct{})}.run()
+	<-back.done
+}
+
+// half is one direction of a pair.
+type half struct {
+	proxy    *Proxy
+	from, to net.Conn
+	forth    bool // to the target
+	done     chan struct{}
+}
+
+// run passes on what comes until one side ends, and then ends the other.
+func (h half) run() {
+	defer close(h.done)
+	defer func() { _ = h.to.Close() }()
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := h.from.Read(buf)
+		if n > 0 {
+			h.hold()
+			if _, werr := h.to.Write(buf[:n]); werr != nil {
+				_ = h.from.Close()
+				return
+			}
+		}
+		if err != nil {
+			h.hold() // an end is held up like everything else
+			return
+		}
+	}
+}
+
+// hold waits until the mode lets a piece pass.
+func (h half) hold() {
+	for {
+		mode, changed := h.proxy.present()
+		if !mode.Silent && (!mode.OneWay || !h.forth) {
+			time.Sleep(mode.Delay)
+			return
+		}
+		<-changed
+	}
+}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -24,6 +24,8 @@
 	Slots   int           // requests at a time; 8 if zero
 	Events  int           // of a stream; 5 if zero
 	Pause   time.Duration // between two events, and for a whole answer
+	// Unlisted leaves it to the caller to list the replica.
+	Unlisted bool
 }
 
 // Faults are what goes wrong at the replica.
@@ -55,6 +57,7 @@
 	listener net.Listener
 	server   *http.Server
 	born     int64
+	listed   string // address in the entry
 
 	mu       sync.Mutex
 	faults   Faults
@@ -78,8 +81,11 @@
 	}
 	r := &Replica{opts: o, store: store, listener: l, born: time.Now().UnixMilli(), state: "ready"}
 	r.server = &http.Server{Handler: r}
+	r.listed = r.Address()
 	go r.run()
-	r.List()
+	if !o.Unlisted {
+		r.List()
+	}
 	return r, func() { _ = r.server.Close() }, nil
 }
 
@@ -91,13 +97,21 @@
 // Key returns the key of the replica's entry.
 func (r *Replica) Key() string { return "servers/" + r.opts.ID }
 
+// ListAt lists the replica at another address, such as that of a proxy.
+func (r *Replica) ListAt(address string) {
+	r.mu.Lock()
+	r.listed = address
+	r.mu.Unlock()
+	r.List()
+}
+
 // List writes the replica's entry.
 func (r *Replica) List() {
 	r.mu.Lock()
-	state := r.state
+	state, address := r.state, r.listed
 	r.mu.Unlock()
 	entry, err := json.Marshal(map[string]any{
-		"backend": r.opts.Service, "address": r.Address(), "zone": r.opts.Zone, "version": "v1",
+		"backend": r.opts.Service, "address": address, "zone": r.opts.Zone, "version": "v1",
 		"slots": r.opts.Slots, "state": state, "coldLeftMs": 0, "seqno": 1, "born": r.born,
 	})
 	if err != nil {
--- /dev/null
+++ b/standin/soak.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"wisteriaspool/standin/soak"
+)
+
+// soakCommand runs routers as processes while things fail around them.
+type soakCommand struct {
+	opts soak.Options
+}
+
+func (*soakCommand) Name() string { return "soak" }
+
+func (*soakCommand) Synopsis() string {
+	return "run routers as processes, make faults around them by a seed, and check their promises"
+}
+
+func (*soakCommand) Usage() string {
+	return `standin soak -binary FILE [-seed N] [-for 20s] [-routers 4] [-dir DIR]
+
+Starts routers as processes on loopback, with a store and endpoints of its own
+and a proxy on each link, and prints each fault and what it broke. With a seed
+the faults are the same each time; what is under way when they strike is not.
+Exit codes: 0 no promise was broken, 1 some were, or it could not run.
+
+`
+}
+
+func (c *soakCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.opts.Binary, "binary", "bin/wisteriarouter", "`file` of the router")
+	f.Uint64Var(&c.opts.Seed, "seed", uint64(time.Now().UnixNano()), "`seed` of the faults; a new one each time by default")
+	f.DurationVar(&c.opts.For, "for", 20*time.Second, "`time` in which faults are made")
+	f.IntVar(&c.opts.Routers, "routers", 4, "how many routers")
+	f.IntVar(&c.opts.Callers, "callers", 8, "how many callers")
+	f.StringVar(&c.opts.Dir, "dir", "", "`directory` for settings and logs; a new one by default, removed if nothing broke")
+}
+
+func (c *soakCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	made := c.opts.Dir == ""
+	if made {
+		dir, err := os.MkdirTemp("", "wisteria-soak-")
+		if err != nil {
+			return status(err)
+		}
+		c.opts.Dir = dir
+	}
+	c.opts.Out = os.Stdout
+	fmt.Printf("seed %d, logs in %s\n", c.opts.Seed, c.opts.Dir)
+	result, err := soak.Run(c.opts)
+	if err != nil {
+		return status(err)
+	}
+	fmt.Print(result)
+	if len(result.Broken) > 0 {
+		return subcommands.ExitFailure
+	}
+	if made {
+		_ = os.RemoveAll(c.opts.Dir) // what is left does no harm
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/standin/soak/load.go
@@ -0,0 +1,214 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// outcome is what a caller got for one request.
+type outcome struct {
+	id     string
+	path   string
+	status int // 0 if no head of an answer came
+	served bool
+	err    error
+}
+
+// repeatable reports whether the request may run more than once.
+func (o outcome) repeatable() bool {
+	return strings.HasPrefix(o.path, "/safe/") || strings.HasPrefix(o.path, "/resumable/")
+}
+
+// notRun reports whether the caller was promised that the request has not run.
+func (o outcome) notRun() bool {
+	return o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests
+}
+
+// load is the callers of a soak.
+type load struct {
+	soak   *soak
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	lastID atomic.Int64
+	ready  atomic.Pointer[[]*router] // as the balancer knows
+
+	mu  sync.Mutex
+	all []outcome
+}
+
+func newLoad(s *soak) *load {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &load{soak: s, ctx: ctx, cancel: cancel}
+	l.ready.Store(&s.routers)
+	return l
+}
+
+func (l *load) start() {
+	l.wg.Go(l.run)
+	for n := range l.soak.opts.Callers {
+		c := &caller{load: l, rng: rand.New(rand.NewPCG(l.soak.opts.Seed, uint64(100+n))), client: newClient()}
+		l.wg.Go(c.run)
+	}
+}
+
+func (l *load) stop() {
+	l.cancel()
+	l.wg.Wait()
+}
+
+// balanceInterval is how often the balancer asks the routers.
+const balanceInterval = 500 * time.Millisecond
+
+// run is the balancer.
+func (l *load) run() {
+	t := time.NewTicker(balanceInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-t.C:
+		}
+		var ready []*router
+		for _, r := range l.soak.routers {
+			if r.ready() {
+				ready = append(ready, r)
+			}
+		}
+		if len(ready) == 0 {
+			ready = l.soak.routers
+		}
+		l.ready.Store(&ready)
+	}
+}
+
+// newClient returns a client that keeps its connections, and goes on using them
+// until their router closes them.
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: time.Minute}}
+}
+
+// caller sends one request after the other.
+type caller struct {
+	load   *load
+	rng    *rand.Rand
+	client *http.Client
+}
+
+// callerPause is the mean time between two requests of a caller.
+const callerPause = 60 * time.Millisecond
+
+func (c *caller) run() {
+	paths := []string{"/safe/", "/unsafe/", "/stream/", "/resumable/"}
+	for c.load.ctx.Err() == nil {
+		ready := *c.load.ready.Load()
+		r := ready[c.rng.IntN(len(ready))]
+		path := paths[c.rng.IntN(len(paths))]
+		c.load.note(c.load.send(c.client, r, path, "steady"))
+		time.Sleep(time.Duration(c.rng.Int64N(int64(2 * callerPause))))
+	}
+}
+
+func (l *load) note(o outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, o)
+}
+
+func (l *load) outcomes() []outcome {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]outcome(nil), l.all...)
+}
+
+func (l *load) count() int { return len(l.outcomes()) }
+
+func (l *load) countServed() (n int) {
+	for _, o := range l.outcomes() {
+		if o.served {
+			n++
+		}
+	}
+	return n
+}
+
+// once sends a request on a new connection.
+func (l *load) once(r *router, path string) outcome {
+	client := newClient()
+	defer client.CloseIdleConnections()
+	o := l.send(client, r, path, "steady")
+	l.note(o)
+	return o
+}
+
+// deadline is how long a caller waits.
+const deadline = 4 * time.Second
+
+// send sends a request and checks its answer.
+func (l *load) send(client *http.Client, r *router, path, key string) outcome {
+	o := outcome{id: fmt.Sprintf("q%d", l.lastID.Add(1)), path: path}
+	ctx, cancel := context.WithTimeout(context.Background(), deadline+time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callers+path+o.id, strings.NewReader("body"))
+	if err != nil {
+		o.err = err
+		return o
+	}
+	req.GetBody = nil // so that the client sends nothing again by itself
+	req.Host = "soak.example"
+	req.Header.Set("X-Attempt-Id", o.id)
+	req.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set("Authorization", "Bearer "+key)
+	if strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/resumable/") {
+		req.Header.Set("X-Token-Usage", "100,10")
+		req.Header.Set("X-Prefix-Hash", "aa:50,bb:40,"+o.id+":10")
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		o.err = err
+		return o
+	}
+	defer func() { _ = resp.Body.Close() }()
+	o.status = resp.StatusCode
+	body, err := io.ReadAll(resp.Body)
+	o.err = err
+	l.judge(&o, resp, string(body))
+	return o
+}
+
+// judge checks what a caller got.
+func (l *load) judge(o *outcome, resp *http.Response, body string) {
+	if o.status != http.StatusOK {
+		return
+	}
+	want := "done " + o.id
+	if resp.Header.Get("Content-Type") == "text/event-stream" {
+		want = stream
+	}
+	switch {
+	case o.err != nil && !strings.HasPrefix(want, body):
+		l.soak.breaks("request %s %s got bytes that are not its answer: %q", o.id, o.path, body)
+	case o.err == nil && body != want:
+		l.soak.breaks("request %s %s got an answer that looks whole and is not: %q", o.id, o.path, body)
+	case resp.Header.Get("X-Attempt-Id") != o.id:
+		l.soak.breaks("request %s %s got the answer to %q", o.id, o.path, resp.Header.Get("X-Attempt-Id"))
+	}
+	o.served = o.err == nil && body == want
+}
+
+// stream is what a whole stream of an endpoint looks like.
+var stream = func() string {
+	var b strings.Builder
+	for n := 1; n <= 5; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", n, n)
+	}
+	return b.String()
+}()
--- /dev/null
+++ b/standin/soak/router.go
@@ -0,0 +1,231 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"wisteriaspool/standin/proxy"
+)
+
+// router is one router process with the proxies round it.
+type router struct {
+	n         int
+	soak      *soak
+	callers   string // address
+	readiness string
+	peers     *proxy.Proxy // from other routers
+	store     *proxy.Proxy // to the store
+	peerPort  string
+	operators string
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{} // closed when process has ended
+	paused  bool
+	touched time.Time // when a fault last hit it
+	leaving time.Time // when it was last told to stop
+}
+
+// Ports of routers lie below those that the kernel gives to outgoing
+// connections, so that nobody takes one between its choice and its use. Soaks of
+// different seeds that run beside each other have ranges of their own.
+const (
+	firstPort  = 20000
+	portsEach  = 100
+	portRanges = 127
+)
+
+// freeAddress returns an address that nobody listens on.
+func (s *soak) freeAddress() (string, error) {
+	base := firstPort + portsEach*int(s.opts.Seed%portRanges)
+	for s.port < portsEach {
+		address := fmt.Sprintf("127.0.0.1:%d", base+s.port)
+		s.port++
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, l.Close()
+		}
+	}
+	return "", fmt.Errorf("soak: no port is free from %d on", base)
+}
+
+func (s *soak) newRouter(n int) (*router, error) {
+	r := &router{n: n, soak: s}
+	for _, address := range []*string{&r.callers, &r.readiness, &r.peerPort, &r.operators} {
+		var err error
+		if *address, err = s.freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	var err error
+	if r.peers, err = s.proxyTo(r.peerPort); err != nil {
+		return nil, err
+	}
+	if r.store, err = s.proxyTo(strings.TrimPrefix(s.served.URL, "http://")); err != nil {
+		return nil, err
+	}
+	s.onClose(r.kill)
+	return r, nil
+}
+
+func (s *soak) proxyTo(target string) (*proxy.Proxy, error) {
+	p, stop, err := proxy.New(target)
+	if err == nil {
+		s.onClose(stop)
+	}
+	return p, err
+}
+
+func (r *router) logFile() string {
+	return filepath.Join(r.soak.opts.Dir, fmt.Sprintf("router-%d.log", r.n))
+}
+
+// start starts the process, unless it runs.
+func (r *router) start(seeds string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.process != nil {
+		return nil
+	}
+	text := fmt.Sprintf(`[router]
+instance = r%d
+availability-zone = z%d
+[listen]
+callers = %s
+operators = %s
+peers = %s
+advertise = %s
+[peers]
+seeds = %s
+[relay]
+store = %s
+readiness = %s
+[limits]
+stop-delay = 1s
+stop-within = 8s
+`, r.n, r.n%3, r.callers, r.operators, r.peerPort, r.peers.Address(), seeds, r.store.Address(), r.readiness)
+	file := filepath.Join(r.soak.opts.Dir, fmt.Sprintf("router-%d.ini", r.n))
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(r.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }() // the process has its own
+	c := exec.Command(r.soak.opts.Binary, "serve", "-config", file)
+	c.Stdout, c.Stderr = log, log
+	if err := c.Start(); err != nil {
+		return err
+	}
+	r.process, r.ended = c, make(chan struct{})
+	go life{r, c, r.ended}.run()
+	return nil
+}
+
+// life waits for the end of one process.
+type life struct {
+	router  *router
+	process *exec.Cmd
+	ended   chan struct{}
+}
+
+func (l life) run() {
+	err := l.process.Wait()
+	l.router.mu.Lock()
+	l.router.process = nil
+	l.router.mu.Unlock()
+	close(l.ended)
+	var exit *exec.ExitError
+	if errors.As(err, &exit) && exit.ExitCode() > 0 {
+		l.router.soak.breaks("router %d ended by itself or cut off requests: exit code %d; see %s", l.router.n, exit.ExitCode(), l.router.logFile())
+	}
+}
+
+// signal sends a signal and returns the channel that tells of the process's
+// end, or nil if none runs.
+func (r *router) signal(sig syscall.Signal) <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.process == nil {
+		return nil
+	}
+	_ = r.process.Process.Signal(sig) // it may have ended just now
+	return r.ended
+}
+
+func (r *router) kill() {
+	if ended := r.signal(syscall.SIGKILL); ended != nil {
+		<-ended
+	}
+}
+
+func (r *router) pause(on bool) {
+	r.mu.Lock()
+	r.paused = on
+	r.mu.Unlock()
+	if on {
+		r.signal(syscall.SIGSTOP)
+		return
+	}
+	r.signal(syscall.SIGCONT)
+}
+
+// touch notes that a fault hits the router now.
+func (r *router) touch() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.touched = time.Now()
+}
+
+// wellSince reports whether nothing has hit the router since a moment.
+func (r *router) wellSince(at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.process != nil && !r.paused && r.touched.Before(at)
+}
+
+// heal ends all faults of the router.
+func (r *router) heal(seeds string) {
+	r.pause(false)
+	r.peers.Set(proxy.Mode{})
+	r.store.Set(proxy.Mode{})
+	r.mu.Lock()
+	ended, leaving := r.ended, r.process != nil && time.Since(r.leaving) < 10*time.Second
+	r.mu.Unlock()
+	if leaving {
+		<-ended
+	}
+	if err := r.start(seeds); err != nil {
+		r.soak.breaks("router %d does not start: %v", r.n, err)
+	}
+}
+
+// readyTimeout is how long the balancer waits for a router's word.
+const readyTimeout = 300 * time.Millisecond
+
+// ready asks as the platform's balancer does.
+func (r *router) ready() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.readiness+"/wisteriaspool/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/standin/soak/soak.go
@@ -0,0 +1,278 @@
+// Package soak runs routers as processes on loopback and makes things fail
+// around them, by a seed: their links are delayed, cut and silenced, they are
+// stopped, paused, killed and restarted, their store and their endpoints fail.
+// Meanwhile it checks what callers and endpoints see against what the fleet
+// promises. What has to hold only for routers that nothing is wrong with is
+// checked only of those.
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"wisteriaspool/standin/hub"
+	"wisteriaspool/standin/proxy"
+	"wisteriaspool/standin/replica"
+)
+
+// Options say what is run.
+type Options struct {
+	Binary  string // of the router
+	Dir     string // for settings files and logs
+	Seed    uint64
+	For     time.Duration // with faults; starting and recovering come on top
+	Routers int
+	Callers int
+	Out     io.Writer // told of each fault
+}
+
+// Result is what a soak found.
+type Result struct {
+	Requests int
+	Served   int
+	Faults   int
+	Broken   []string // promises that were broken, one line each
+}
+
+// soak is one run.
+type soak struct {
+	opts    Options
+	rng     *rand.Rand // of faults
+	started time.Time
+	store   *hub.Store
+	served  *httptest.Server
+	routers []*router
+	load    *load
+	port    int // next one of its range
+
+	mu       sync.Mutex
+	backs    []*back
+	nextID   int
+	version  int
+	revoked  bool
+	storeBad time.Time // when the store last was not well for all
+	broken   []string
+	faults   int
+	cleanups []func()
+}
+
+// back is an endpoint behind a proxy.
+type back struct {
+	*replica.Replica
+	id      string
+	service string
+	proxy   *proxy.Proxy
+	kill    func()
+	drained time.Time // when it announced that it stops
+	gone    bool
+}
+
+// The sizes of a soak's pools.
+const (
+	desks  = 3
+	models = 4
+)
+
+// Run runs a soak and returns what it found.
+func Run(o Options) (Result, error) {
+	s := &soak{opts: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), store: hub.New(), started: time.Now()}
+	defer s.close()
+	s.served = httptest.NewServer(s.store)
+	s.onClose(s.served.CloseClientConnections)
+	if err := s.start(); err != nil {
+		return Result{}, err
+	}
+	s.load = newLoad(s)
+	s.load.start()
+	s.makeFaults()
+	s.recover()
+	s.load.stop()
+	s.check()
+	return Result{Requests: s.load.count(), Served: s.load.countServed(), Faults: s.faults, Broken: s.broken}, nil
+}
+
+func (s *soak) onClose(fn func()) { s.cleanups = append(s.cleanups, fn) }
+
+func (s *soak) close() {
+	s.store.Fail(hub.Faults{Down: true})
+	for i := len(s.cleanups) - 1; i >= 0; i-- {
+		s.cleanups[i]()
+	}
+}
+
+// start brings up endpoints, the desired state and routers.
+func (s *soak) start() error {
+	for range desks {
+		if _, err := s.addBack("desk"); err != nil {
+			return err
+		}
+	}
+	for range models {
+		if _, err := s.addBack("model"); err != nil {
+			return err
+		}
+	}
+	s.putState()
+	for n := range s.opts.Routers {
+		r, err := s.newRouter(n)
+		if err != nil {
+			return err
+		}
+		s.routers = append(s.routers, r)
+	}
+	for _, r := range s.routers {
+		if err := r.start(s.seeds()); err != nil {
+			return err
+		}
+	}
+	return s.awaitReady(10 * time.Second)
+}
+
+// seeds are the peer addresses of the first routers.
+func (s *soak) seeds() string {
+	var all []string
+	for _, r := range s.routers[:min(3, len(s.routers))] {
+		all = append(all, r.peers.Address())
+	}
+	return strings.Join(all, ", ")
+}
+
+func (s *soak) awaitReady(limit time.Duration) error {
+	deadline := time.Now().Add(limit)
+	for _, r := range s.routers {
+		for !r.ready() {
+			if time.Now().After(deadline) {
+				return fmt.Errorf("soak: router %d is not ready after %v; see %s", r.n, limit, r.logFile())
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// addBack starts an endpoint and lists it under its proxy's address.
+func (s *soak) addBack(service string) (*back, error) {
+	s.mu.Lock()
+	s.nextID++
+	id := fmt.Sprintf("%s-%d", service, s.nextID)
+	s.mu.Unlock()
+	o := replica.Options{ID: id, Service: service, Zone: fmt.Sprintf("z%d", s.nextID%3), Pause: 15 * time.Millisecond, Unlisted: true}
+	r, kill, err := replica.Start(s.store, o)
+	if err != nil {
+		return nil, err
+	}
+	p, stop, err := proxy.New(r.Address())
+	if err != nil {
+		return nil, err
+	}
+	b := &back{Replica: r, id: id, service: service, proxy: p, kill: kill}
+	r.ListAt(p.Address())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backs = append(s.backs, b)
+	s.onClose(kill)
+	s.onClose(stop)
+	return b, nil
+}
+
+// putState writes the next version of the desired state.
+func (s *soak) putState() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version += 1 + s.rng.IntN(3)
+	keys := []string{"steady"}
+	if !s.revoked {
+		keys = append(keys, "revocable")
+	}
+	route := func(prefix, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": prefix, "hostname": "soak.example", "prefix": prefix, "type": kind, "backend": service,
+			"attempts": attempts, "timeoutMs": 4000, "resumable": resumable, "sticky": service == "model",
+		}
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": s.version,
+		"routes": []any{
+			route("/safe/", "safe", "desk", 2, false),
+			route("/unsafe/", "unsafe", "desk", 1, false),
+			route("/stream/", "stream", "model", 1, false),
+			route("/resumable/", "stream", "model", 2, true),
+		},
+		"backends": []any{
+			map[string]any{"name": "desk", "maxConns": 200},
+			map[string]any{"name": "model", "maxConns": 200, "runtime": map[string]any{"slots": 8}},
+		},
+		"tenants": []any{map[string]any{"name": "acme", "apiKeys": keys}},
+		"limits":  map[string]any{"maxBodyBytes": 1 << 20},
+	})
+	if err != nil {
+		panic("soak: encoding a desired state: " + err.Error())
+	}
+	s.store.Put("op/config", value)
+}
+
+func (s *soak) breaks(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.broken = append(s.broken, fmt.Sprintf("%.3f s: ", time.Since(s.started).Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (s *soak) say(format string, args ...any) {
+	if s.opts.Out != nil {
+		fmt.Fprintf(s.opts.Out, "%8.3f s  %s\n", time.Since(s.started).Seconds(), fmt.Sprintf(format, args...))
+	}
+}
+
+// settled is how long behind the last fault everything has to be served again.
+const settled = 6 * time.Second
+
+// recover ends all faults and sees whether the fleet serves again.
+func (s *soak) recover() {
+	s.store.Fail(hub.Faults{})
+	for _, r := range s.routers {
+		r.heal(s.seeds())
+	}
+	s.mu.Lock()
+	backs := append([]*back(nil), s.backs...)
+	s.mu.Unlock()
+	for _, b := range backs {
+		b.Fail(replica.Faults{})
+		b.proxy.Set(proxy.Mode{})
+	}
+	time.Sleep(settled)
+	for _, r := range s.routers {
+		for n := range 10 {
+			for _, path := range []string{"/safe/", "/unsafe/", "/stream/", "/resumable/"} {
+				if o := s.load.once(r, path); !o.served {
+					s.breaks("router %d does not serve %s (try %d), %v behind the last fault: status %d %v", r.n, path, n, settled, o.status, o.err)
+				}
+			}
+		}
+	}
+}
+
+// check looks for promises that show as broken only at the end.
+func (s *soak) check() {
+	runs := make(map[string]int)
+	for _, b := range s.backs {
+		for _, a := range b.Arrivals() {
+			runs[a.ID]++
+		}
+	}
+	for _, o := range s.load.outcomes() {
+		switch n := runs[o.id]; {
+		case n > 1 && !o.repeatable():
+			s.breaks("request %s %s ran %d times", o.id, o.path, n)
+		case n > 0 && o.notRun() && !o.repeatable():
+			s.breaks("request %s %s was answered %d and has run", o.id, o.path, o.status)
+		case n > 2:
+			s.breaks("request %s %s ran at %d endpoints, of two allowed", o.id, o.path, n)
+		}
+	}
+}
