Drop what nothing reads; count late answers and shared tokens

Reading the change as a newcomer would: the load in an endpoint's answer, sizes of engines, limits on headers and idle time, and the tokens of a request were decoded and never used. They are gone from the wire's types.

--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -92,18 +92,12 @@
 	return r.Shares[len(r.Shares)-1].Pool
 }
 
-// Engine describes the model endpoints of a pool.
-type Engine struct {
-	Slots         int // requests that run at the same time
-	CacheTokens   int // tokens of memory for running requests and cached parts
-	BytesPerToken int // of a KV cache
-}
-
 // Pool describes the endpoints that serve the same requests.
 type Pool struct {
-	Name     coordination.Pool
-	MaxConns int     // connections that an endpoint accepts from all routers together; zero for no limit
-	Engine   *Engine // nil for a plain service
+	Name coordination.Pool
+	// Engine says that they are model engines, which keep cached what they
+	// have read of prompts; otherwise they are of a plain service.
+	Engine bool
 }
 
 // Tenant is a client account that holds keys.
@@ -112,21 +106,15 @@
 	Priority *coordination.Priority // goes before the route's; nil if the account has none
 }
 
-// Limits bound what a caller may send.
-type Limits struct {
-	HeaderBytes int
-	BodyBytes   int
-	HeaderWait  time.Duration // to send a request's headers
-	IdleTimeout time.Duration // between two requests of a connection
-}
-
 // State is one version of the desired state in full.
 type State struct {
 	Version  Version
 	Routes   []Route
 	Pools    map[coordination.Pool]Pool
 	Accounts map[Key]Tenant // nil if requests need no key
-	Limits   Limits
+	// BodyBytes is the size of the largest body that a caller may send; zero
+	// for no limit of the operators.
+	BodyBytes int
 }
 
 // Table answers from one version of the desired state. It never changes, so it
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -87,7 +87,9 @@
 func (s *soak) mode() proxy.Mode {
 	return []proxy.Mode{
 		{Delay: time.Duration(5+s.rng.IntN(60)) * time.Millisecond},
-		{Silent: true}, {OneWay: true}, {Refuse: true},
+		{Silent: true},
+		{OneWay: true},
+		{Refuse: true},
 	}[s.rng.IntN(4)]
 }
 
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -25,7 +25,7 @@
 	"wisteriaspool/wisteriarouter/endpoint"
 	"wisteriaspool/wisteriarouter/event"
 	"wisteriaspool/wisteriarouter/peer"
-	legacy "wisteriaspool/wisteriarouter/platform"
+	instances "wisteriaspool/wisteriarouter/platform"
 	"wisteriaspool/wisteriarouter/relay"
 	"wisteriaspool/wisteriarouter/upstream"
 )
@@ -228,22 +228,22 @@
 
 func (r entryReader) change(item mirror.Item) (endpoint.Change, bool) {
 	if item.Deleted {
-		return endpoint.Change{Entry: legacy.Entry{ID: platform.EntryID(item.Key)}, Gone: true}, true
+		return endpoint.Change{Entry: instances.Entry{ID: platform.EntryID(item.Key)}, Gone: true}, true
 	}
 	e, err := platform.DecodeEntry(item.Key, item.Value)
 	if err != nil {
 		r.log.Emit(event.EndpointMalformed, event.F("key", item.Key), event.F("revision", item.Revision), event.F("error", err.Error()))
 		return endpoint.Change{}, false
 	}
-	state := legacy.Live
+	state := instances.Live
 	if e.Draining {
-		state = legacy.Leaving
+		state = instances.Leaving
 	}
-	return endpoint.Change{Entry: legacy.Entry{
+	return endpoint.Change{Entry: instances.Entry{
 		ID:          e.ID,
 		Address:     e.Address,
 		Zone:        e.Zone,
-		Kind:        legacy.PlainService,
+		Kind:        instances.PlainService,
 		Pool:        e.Pool,
 		State:       state,
 		Incarnation: e.Incarnation,
--- a/wisteriarouter/daemon/relay_placing.go
+++ b/wisteriarouter/daemon/relay_placing.go
@@ -71,7 +71,7 @@
 	c.Bound, c.Slack, c.Ahead = cfg.LoadFactor, cfg.LoadSlack, engineAhead
 	c.Pools = make(map[coordination.Pool]placement.PoolBound)
 	for name, pool := range s.Pools {
-		if pool.Engine == nil {
+		if !pool.Engine {
 			c.Pools[name] = placement.PoolBound{Bound: plainFactor, Slack: plainSlack, Ahead: plainAhead}
 		}
 	}
@@ -162,10 +162,6 @@
 	return k.Address
 }
 
-// Heard implements relay.Placer. The owner counts what it has granted, so that
-// the word of an endpoint only tells of what it runs beyond that.
-func (p *relayPlacer) Heard(coordination.Endpoint, coordination.Incarnation, int, int) {}
-
 // poolRetries holds a retry budget for each pool. It implements relay.Retries.
 // The share is that of all requests, so that it holds for the fleet if each
 // router keeps it; of the burst each router has its part.
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -29,9 +29,6 @@
 	x.evidence.Written(id)
 	defer resp.Body.Close()
 	says := platform.DecodeAnswer(resp.Status, resp.Header)
-	if says.Load != nil {
-		x.server.Placer.Heard(p.Endpoint, p.Incarnation, says.Load.Running+says.Load.Waiting, says.Load.Slots)
-	}
 	end := classify(resp.Status, says)
 	switch end {
 	case declined:
@@ -232,7 +229,7 @@
 
 // place logs where a request is sent and what decided it.
 func (x *exchange) place(p Place, took time.Duration) {
-	x.server.Metrics.sent(x.pool, p)
+	x.server.Metrics.sent(x, p)
 	x.emit(event.RelayPlaced,
 		event.F("attempt", x.evidence.Attempts()+1),
 		event.F("endpoint", p.Endpoint),
@@ -246,6 +243,24 @@
 	)
 }
 
+// late reports whether an answer came later than the route's targets.
+func (x *exchange) late() bool {
+	first := time.Now()
+	if !x.stream.first.IsZero() {
+		first = x.stream.first
+	}
+	return x.route.FirstTarget > 0 && first.Sub(x.arrived) > x.route.FirstTarget ||
+		x.route.GapTarget > 0 && x.stream.pause > x.route.GapTarget
+}
+
+// shared returns how many tokens of the prompt other requests share.
+func (x *exchange) shared() (tokens int) {
+	for _, p := range x.asked.Parts[:max(len(x.asked.Parts)-1, 0)] {
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
 // note logs how an attempt ended.
 func (x *exchange) note(p Place, end ending) {
 	x.emit(event.RelayAttempt,
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -121,7 +121,7 @@
 // read reads the whole body, so that the request can be sent again where that
 // is allowed, and so that a slow caller occupies no endpoint.
 func (x *exchange) read() bool {
-	limit := int64(x.table.Limits.BodyBytes)
+	limit := int64(x.table.BodyBytes)
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
--- a/wisteriarouter/relay/metrics.go
+++ b/wisteriarouter/relay/metrics.go
@@ -38,14 +38,14 @@
 		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "wisteria_relay_" + name, Help: help, Buckets: buckets}, labels)
 	}
 	m := &Metrics{
-		requests: counter("requests_total", "Requests by route and what became of them: a status, cut or caller-gone.", "route", "outcome"),
+		requests: counter("requests_total", "Requests by route and what became of them: delivered, late (behind the route's targets), a status of the router's own, cut or caller-gone.", "route", "outcome"),
 		places:   histogram("place_seconds", "Time until a request had its place at an endpoint, waits in queues included.", placeBuckets, "pool"),
 		firsts:   histogram("first_byte_seconds", "Time from a request's arrival to the first event of its stream, or to the whole answer.", firstBuckets, "pool"),
 		pauses:   histogram("pause_seconds", "Longest pause between two events of a stream.", pauseBuckets, "pool"),
 		retries:  counter("retries_total", "Attempts after the first, by how the one before ended.", "pool", "after"),
 		refusals: counter("refusals_total", "Answers in the router's own name by status.", "status"),
-		sends:    counter("sends_total", "Attempts by whether the endpoint is the first for the request's key.", "pool", "cache"),
-		tokens:   counter("fetched_prompts_total", "Attempts that ask their endpoint to fetch the cached part of the prompt from another one.", "pool"),
+		sends:    counter("sends_total", "Attempts by what the endpoint is expected to have cached of the prompt: warm, fetched from another endpoint, or cold.", "pool", "cache"),
+		tokens:   counter("shared_tokens_total", "Tokens of the shared parts of prompts, by the same; those that are cold are read again.", "pool", "cache"),
 	}
 	r.MustRegister(m.requests, m.places, m.firsts, m.pauses, m.retries, m.refusals, m.sends, m.tokens)
 	return m
@@ -57,18 +57,19 @@
 	}
 }
 
-func (m *Metrics) sent(pool coordination.Pool, p Place) {
+func (m *Metrics) sent(x *exchange, p Place) {
 	if m == nil {
 		return
 	}
 	cache := "warm"
-	if p.Rank > 0 {
+	switch {
+	case p.Cache != "":
+		cache = "fetched"
+	case p.Rank > 0:
 		cache = "cold"
 	}
-	m.sends.WithLabelValues(string(pool), cache).Inc()
-	if p.Cache != "" {
-		m.tokens.WithLabelValues(string(pool)).Inc()
-	}
+	m.sends.WithLabelValues(string(x.pool), cache).Inc()
+	m.tokens.WithLabelValues(string(x.pool), cache).Add(float64(x.shared()))
 }
 
 func (m *Metrics) retried(p coordination.Pool, after ending) {
@@ -103,7 +104,11 @@
 	if m == nil {
 		return
 	}
-	m.ended(x, "delivered")
+	outcome := "delivered"
+	if x.late() {
+		outcome = "late"
+	}
+	m.ended(x, outcome)
 	first := time.Since(x.arrived)
 	if !x.stream.first.IsZero() {
 		first = x.stream.first.Sub(x.arrived)
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -52,8 +52,6 @@
 	Place(ctx context.Context, w Want) (Place, *outcome.Refusal)
 	// Dead takes in that an endpoint cannot be reached.
 	Dead(e coordination.Endpoint, n coordination.Incarnation)
-	// Heard takes in what an endpoint says of its load.
-	Heard(e coordination.Endpoint, n coordination.Incarnation, running, capacity int)
 }
 
 // Desired is the operators' desired state in force.
