Play the load that sending ahead answers, and test the relay's own decisions

The gain of sending half of the slots ahead has a test without a network: six slots of 60 ms at 80% of what they can run, with the 30 ms by which an owner learns of an end. Table tests of what may be repeated, of what an answer is worth, and of the cutting of streams into whole events.

--- /dev/null
+++ b/coordination/placement/ahead_test.go
@@ -0,0 +1,91 @@
+package placement
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+)
+
+// desk is a plain service's endpoint: it runs some requests at a time, 60 ms
+// each, and the others wait in the order in which they came.
+type desk struct {
+	slots chan struct{}
+}
+
+func (d desk) serve() {
+	d.slots <- struct{}{}
+	time.Sleep(60 * time.Millisecond)
+	<-d.slots
+}
+
+// visitor is one request from its admission to the word of its end. Between
+// them lie the way to the endpoint and back, and the time for which releases
+// gather: 10 and 20 ms.
+type visitor struct {
+	owner  *Owner
+	desk   desk
+	n      int
+	onTime *atomic.Int32
+}
+
+func (v visitor) run(ctx context.Context) {
+	start := time.Now()
+	entry := EntryID{Instance: "entry", Incarnation: 1}
+	r := v.owner.Admit(ctx, AdmitRequest{
+		Entry: entry, Sequence: Sequence(v.n + 1), Endpoint: "desk", Account: coordination.Account(fmt.Sprint(v.n % 10)),
+		Deadline: 1500, Final: true,
+	})
+	if r.Decision != Granted {
+		return
+	}
+	time.Sleep(5 * time.Millisecond)
+	v.desk.serve()
+	if time.Since(start) < 290*time.Millisecond {
+		v.onTime.Add(1)
+	}
+	time.Sleep(25 * time.Millisecond)
+	v.owner.Release(ReleaseBatch{Entry: entry, Releases: []Release{{Endpoint: "desk", Sequence: Sequence(v.n + 1)}}})
+}
+
+// servedOnTime plays 4 s of requests at a share of what an endpoint of six
+// slots can run, and returns the share that was answered within 0.3 s.
+func servedOnTime(t *testing.T, load, ahead float64) (share float64) {
+	synctest.Test(t, func(t *testing.T) {
+		o := NewOwner("self", Config{Bound: 100, Ahead: ahead})
+		set := NewSet([]Descriptor{{ID: "desk", Pool: "p", Zone: "z", Capacity: 6}})
+		o.Update(set, NewRouters([]Router{{ID: "self", Zone: "z"}}, 0))
+		time.Sleep(2 * time.Second) // until the owner has settled
+		d := desk{slots: make(chan struct{}, 6)}
+		gap := time.Duration(float64(10*time.Millisecond) / load)
+		n := int(4 * time.Second / gap)
+		var onTime atomic.Int32
+		var wg sync.WaitGroup
+		for i := range n {
+			wg.Go(func() { visitor{o, d, i, &onTime}.run(t.Context()) })
+			time.Sleep(gap)
+		}
+		wg.Wait()
+		share = float64(onTime.Load()) / float64(n)
+	})
+	return share
+}
+
+// The order desk runs at four fifths of what it can. Its owner learns 30 ms late
+// that an order of 60 ms has ended; were the desk never sent more than it runs,
+// it would idle a third of the time while orders wait, and callers are told to
+// come back though there is room.
+func TestEndpointIsKeptBusy(t *testing.T) {
+	before := servedOnTime(t, 0.8, 0)
+	after := servedOnTime(t, 0.8, 0.5)
+	t.Logf("answered in time at 80%% of the load: %.2f without, %.2f with half of the slots sent ahead", before, after)
+	assert.Assert(t, before < 0.6, "%.2f", before)
+	assert.Assert(t, after > 0.99, "%.2f", after)
+}
--- /dev/null
+++ b/wisteriarouter/relay/relay_test.go
@@ -0,0 +1,107 @@
+package relay
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/platform"
+)
+
+// What may be repeated decides whether an order is booked twice, and whether a
+// lookup that failed for a moment reaches its caller.
+func TestPolicy(t *testing.T) {
+	once, twice := policy{attempts: 2}, policy{idempotent: true, attempts: 2}
+	tests := []struct {
+		name       string
+		policy     policy
+		end        ending
+		sends, met int
+		want       bool
+	}{
+		{"an order that broke", once, broken, 1, 0, false},
+		{"an order that failed", once, failed, 1, 0, false},
+		{"a stream that was cut", once, cut, 1, 0, false},
+		{"an order that was declined", once, declined, 1, 0, true},
+		{"an order that was declined twice", once, declined, 2, 1, false},
+		{"an order that never left", once, unsent, 0, 0, true},
+		{"an order that found four endpoints dead", once, unsent, 0, 4, false},
+		{"a lookup that broke", twice, broken, 1, 0, true},
+		{"a lookup that failed", twice, failed, 1, 0, true},
+		{"a stream that may go on", twice, cut, 1, 0, true},
+		{"a lookup that failed twice", twice, failed, 2, 1, false},
+		{"an answer", twice, delivered, 1, 0, false},
+	}
+	for _, test := range tests {
+		assert.Equal(t, test.policy.again(test.end, test.sends, test.met), test.want, test.name)
+	}
+}
+
+// A status that promises "not run" is believed only with the endpoint's own
+// word, and a success only if the endpoint vouches for it.
+func TestClassify(t *testing.T) {
+	signed := platform.Answer{Signed: true}
+	tests := []struct {
+		status int
+		says   platform.Answer
+		want   ending
+	}{
+		{200, signed, delivered},
+		{200, platform.Answer{}, broken},
+		{404, signed, delivered},
+		{404, platform.Answer{}, delivered},
+		{500, signed, failed},
+		{504, signed, failed},
+		{503, platform.Answer{NotRun: true}, declined},
+		{421, platform.Answer{NotRun: true}, declined},
+		{503, signed, broken},
+		{429, platform.Answer{}, broken},
+		{408, platform.Answer{}, broken},
+	}
+	for _, test := range tests {
+		assert.Equal(t, classify(test.status, test.says), test.want, "%d %+v", test.status, test.says)
+	}
+}
+
+func TestWholeEvents(t *testing.T) {
+	tests := []struct {
+		in        string
+		whole     int
+		first, id string
+	}{
+		{"", 0, "", ""},
+		{"id: 1\ndata: a", 0, "", ""},
+		{"id: 1\ndata: a\n\n", 15, "1", "1"},
+		{"id: 1\ndata: a\n\nid: 2\nda", 15, "1", "1"},
+		{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 30, "1", "2"},
+		{"id:1\r\ndata: a\r\n\r\nid: 2", 17, "1", "1"},
+		{"data: a\n\n", 9, "", ""},
+		{": note\n\nid: 7\ndata: a\n\n", 23, "7", "7"},
+		{"data: id: 9\n\n", 13, "", ""},
+	}
+	for _, test := range tests {
+		n := wholeEvents([]byte(test.in))
+		assert.Equal(t, n, test.whole, "%q", test.in)
+		assert.Equal(t, firstID([]byte(test.in)[:n]), test.first, "%q", test.in)
+		assert.Equal(t, lastID([]byte(test.in)[:n]), test.id, "%q", test.in)
+	}
+}
+
+// An endpoint that is to go on with a stream sends an event that the caller has.
+func TestAfter(t *testing.T) {
+	assert.Assert(t, after("3", "2"))
+	assert.Assert(t, !after("2", "2"))
+	assert.Assert(t, !after("2", "10"))
+	assert.Assert(t, after("x", "2"), "ids that are no numbers cannot be compared")
+	assert.Assert(t, after("1", ""))
+}
+
+func TestWithoutHops(t *testing.T) {
+	h := http.Header{
+		"Connection": {"close, X-Mine"}, "X-Mine": {"1"}, "Keep-Alive": {"timeout=5"},
+		"Te": {"trailers"}, "Upgrade": {"h2c"}, "X-Other": {"2"},
+	}
+	assert.DeepEqual(t, withoutHops(h), http.Header{"X-Other": {"2"}})
+	assert.Equal(t, h.Get("X-Mine"), "1", "the caller's own headers stay as they are")
+}
