--- a/coordination/mirror/follower.go
+++ b/coordination/mirror/follower.go
@@ -35,7 +35,8 @@
 	Mirror *Mirror
 	Source Source
 	// Idle, if set, says that the source need not be asked now. It is looked at
-	// again every idleCheck.
+	// again every idleCheck. A source that was lost is asked until it is back:
+	// others go by what this router last knew of it.
 	Idle func() bool
 	// OnState, if set, is told when the source is lost, with why, and when it
 	// is back.
@@ -51,20 +52,18 @@
 func (f *Follower) Start() (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f.run(ctx)
-	}()
+	go f.run(ctx, done)
 	return func() {
 		cancel()
 		<-done
 	}
 }
 
-func (f *Follower) run(ctx context.Context) {
+func (f *Follower) run(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
 	pause := time.Duration(0)
 	for ctx.Err() == nil {
-		if f.Idle != nil && f.Idle() {
+		if f.Idle != nil && !f.Lost() && f.Idle() {
 			sleep(ctx, idleCheck)
 			continue
 		}
--- /dev/null
+++ b/wisteriarouter/daemon/relay_desired.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/do/v2"
+
+	"wisteriaspool/coordination/mirror"
+	"wisteriaspool/coordination/route"
+	"wisteriaspool/platform"
+	"wisteriaspool/wisteriarouter/config"
+	"wisteriaspool/wisteriarouter/endpoint"
+	"wisteriaspool/wisteriarouter/event"
+)
+
+// desired holds the desired state in force.
+type desired struct {
+	log    event.Log
+	table  atomic.Pointer[route.Table]
+	place  *placing
+	mirror *mirror.Mirror
+	relay  atomic.Pointer[config.Relay]
+	ready  chan struct{} // closed with the first desired state
+}
+
+func newDesired(i do.Injector) (*desired, error) {
+	d := &desired{
+		log:   logOf(i),
+		place: do.MustInvoke[*placing](i),
+		ready: make(chan struct{}),
+	}
+	d.relay.Store(settingsOf(i).Relay)
+	m := do.MustInvoke[*mirror.Mirror](i)
+	d.mirror = m
+	m.Observe(d.take)
+	do.MustInvoke[*endpoint.Register](i)
+	feed(i, m)
+	return d, nil
+}
+
+// Table implements relay.Desired.
+func (d *desired) Table() *route.Table { return d.table.Load() }
+
+// Age implements relay.Desired.
+func (d *desired) Age() time.Duration { return d.mirror.Age() }
+
+// take puts a new desired state in force. One that cannot be read, or that is
+// older than the one in force, changes nothing.
+func (d *desired) take(items []mirror.Item) {
+	for _, item := range items {
+		if item.Key == platform.StateKey && !item.Deleted {
+			d.apply(item)
+		}
+	}
+}
+
+func (d *desired) apply(item mirror.Item) {
+	s, err := platform.DecodeState(item.Value)
+	if err != nil {
+		d.log.Emit(event.SettingsInvalid, event.F("revision", item.Revision), event.F("error", err.Error()))
+		return
+	}
+	old := d.table.Load()
+	if old != nil && s.Version <= old.Version {
+		d.log.Emit(event.SettingsInvalid, event.F("revision", item.Revision), event.F("version", s.Version), event.F("in-force", old.Version))
+		return
+	}
+	d.table.Store(route.NewTable(s))
+	d.place.bounds(s, d.relay.Load())
+	d.log.Emit(event.SettingsApplied, event.F("version", s.Version), event.F("revision", item.Revision), event.F("routes", len(s.Routes)))
+	if old == nil {
+		close(d.ready)
+	}
+}
+
+// configure takes in new settings of this router.
+func (d *desired) configure(cfg config.Relay) {
+	d.relay.Store(&cfg)
+	if t := d.table.Load(); t != nil {
+		d.place.bounds(t.State, &cfg)
+	}
+}
--- /dev/null
+++ b/wisteriarouter/daemon/relay_entries.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"github.com/samber/do/v2"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/mirror"
+	"wisteriaspool/platform"
+	"wisteriaspool/wisteriarouter/endpoint"
+	"wisteriaspool/wisteriarouter/event"
+	instances "wisteriaspool/wisteriarouter/platform"
+)
+
+// newListedDirectory makes the directory of endpoints from their entries in
+// the store.
+func newListedDirectory(i do.Injector) (*endpoint.Directory, error) {
+	return &endpoint.Directory{OnLeaving: leavingLogger{logOf(i)}.tell}, nil
+}
+
+// newRegister has the entries in the store taken into the directory.
+func newRegister(i do.Injector) (*endpoint.Register, error) {
+	m := do.MustInvoke[*mirror.Mirror](i)
+	r := &endpoint.Register{
+		Directory: do.MustInvoke[*endpoint.Directory](i),
+		Away:      func() bool { return m.Age() > mirror.AwayAfter },
+		Log:       logOf(i),
+	}
+	m.OnReturn(r.StoreBack)
+	m.Observe(entryReader{register: r, log: logOf(i)}.take)
+	return r, nil
+}
+
+type leavingLogger struct{ log event.Log }
+
+func (l leavingLogger) tell(id coordination.Endpoint, n coordination.Incarnation) {
+	l.log.Emit(event.EndpointLeaving, event.F("endpoint", id), event.F("incarnation", n))
+}
+
+// entryReader turns items of the store into changes of endpoints.
+type entryReader struct {
+	register *endpoint.Register
+	log      event.Log
+}
+
+func (r entryReader) take(items []mirror.Item) {
+	changes := make([]endpoint.Change, 0, len(items))
+	for _, item := range items {
+		if !platform.IsEntry(item.Key) {
+			continue
+		}
+		if c, ok := r.change(item); ok {
+			changes = append(changes, c)
+		}
+	}
+	r.register.Take(changes)
+}
+
+func (r entryReader) change(item mirror.Item) (endpoint.Change, bool) {
+	if item.Deleted {
+		return endpoint.Change{Entry: instances.Entry{ID: platform.EntryID(item.Key)}, Gone: true}, true
+	}
+	e, err := platform.DecodeEntry(item.Key, item.Value)
+	if err != nil {
+		r.log.Emit(event.EndpointMalformed, event.F("key", item.Key), event.F("revision", item.Revision), event.F("error", err.Error()))
+		return endpoint.Change{}, false
+	}
+	state := instances.Live
+	if e.Draining {
+		state = instances.Leaving
+	}
+	return endpoint.Change{Entry: instances.Entry{
+		ID:          e.ID,
+		Address:     e.Address,
+		Zone:        e.Zone,
+		Kind:        instances.PlainService,
+		Pool:        e.Pool,
+		State:       state,
+		Incarnation: e.Incarnation,
+		Capacity:    e.Slots,
+	}}, true
+}
