Try an endpoint that was taken for dead again after a second, and ask it first

Traced: 375 refusals 'endpoint-lost' within five seconds. One lost packet made a connection time out; the router told the owner that the endpoint is dead, which holds until the endpoint's report proves otherwise, five seconds at most; here endpoints do not report, and it was the only one of its pool. Ruled out: killed owners (refused as 'unreachable', 8), full queues (1).

An endpoint that does not answer is asked once more before others are told, and an owner tries a dead one again after one second; where nobody listens, all are told at once as before. Test, shown failing with the five seconds.

--- a/coordination/placement/config.go
+++ b/coordination/placement/config.go
@@ -65,6 +65,10 @@
 	// is silent, default 5 s.
 	MeanHold time.Duration
 
+	// LostFor is how long an endpoint that an entry has found dead gets nothing,
+	// unless its own report proves otherwise; default ReportTTL. Where endpoints
+	// do not report, nothing else proves an entry wrong.
+	LostFor time.Duration
 	// AloneLimit is the number of requests that an entry may have at an endpoint
 	// without its owner's leave, while the owner cannot be reached and the
 	// endpoint is not asked for its load. Default 0: none.
@@ -114,6 +118,7 @@
 	setDuration(&c.Grace, time.Second)
 	setDuration(&c.EntryLease, 30*time.Second)
 	setDuration(&c.ReportTTL, 5*time.Second)
+	setDuration(&c.LostFor, c.ReportTTL)
 	setInt(&c.Candidates, 6)
 	setDuration(&c.MeanHold, 5*time.Second)
 	setFloat(&c.FallbackShare, 0.8)
--- a/coordination/placement/load.go
+++ b/coordination/placement/load.go
@@ -118,10 +118,9 @@
 }
 
 // isLost reports whether an entry has found the endpoint dead of late. Its own
-// report proves otherwise, and without any the entry's word lasts no longer
-// than a report would.
+// report proves otherwise; without any the entry's word lasts for a set time.
 func (l *endpointLoad) isLost(now time.Time, cfg *Config) bool {
-	return !l.lost.IsZero() && now.Sub(l.lost) < cfg.ReportTTL
+	return !l.lost.IsZero() && now.Sub(l.lost) < cfg.LostFor
 }
 
 // refresh brings the pool's sum in line with the count.
--- /dev/null
+++ b/coordination/placement/lost_test.go
@@ -0,0 +1,38 @@
+package placement
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A packet is lost, and a router takes the only endpoint of a pool for dead. The
+// endpoint lives, but nothing says so where endpoints do not report their load;
+// every request of the pool is refused until its owner tries again. Once that
+// took five seconds, and 375 requests.
+func TestEndpointTakenForDeadIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := NewOwner("self", Config{LostFor: time.Second})
+		d := Descriptor{ID: "only", Pool: "p", Zone: "z", Incarnation: 7}
+		o.Update(NewSet([]Descriptor{d}), NewRouters([]Router{{ID: "self", Zone: "z"}}, 0))
+		time.Sleep(2 * time.Second) // until the owner has settled
+		ask := func(n Sequence) Decision {
+			return o.Admit(context.Background(), AdmitRequest{
+				Entry: EntryID{Instance: "e", Incarnation: 1}, Sequence: n, Endpoint: "only", Incarnation: 7, Deadline: 100,
+			}).Decision
+		}
+		assert.Equal(t, ask(1), Granted)
+		o.Release(ReleaseBatch{
+			Entry: EntryID{Instance: "e", Incarnation: 1},
+			Lost:  []LostEndpoint{{Endpoint: "only", Incarnation: 7}},
+		})
+		assert.Equal(t, ask(2), Next)
+		time.Sleep(900 * time.Millisecond)
+		assert.Equal(t, ask(3), Next)
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, ask(4), Granted)
+	})
+}
--- a/wisteriarouter/daemon/relay_placing.go
+++ b/wisteriarouter/daemon/relay_placing.go
@@ -61,6 +61,10 @@
 var relayConfig = placement.Config{
 	Grace:      250 * time.Millisecond,
 	EntryLease: 3 * time.Second,
+	// An endpoint that has died is back within seconds, or its entry is gone.
+	// One that lives and was taken for dead, by a packet that was lost, would
+	// be missed; if it is the only one of its pool, all is refused meanwhile.
+	LostFor: time.Second,
 	// A router has one request at an endpoint in the mean; three are a burst.
 	AloneLimit: 3,
 }
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -77,7 +77,7 @@
 func (x *exchange) unanswered(id coordination.Attempt, p Place, err error) ending {
 	if !upstream.Sent(err) {
 		x.evidence.NothingSent(id)
-		x.server.Placer.Dead(p.Endpoint, p.Incarnation)
+		x.server.unreachable(p, err)
 		x.emit(event.RelayAttemptLost, event.F("endpoint", p.Endpoint), event.F("error", err.Error()))
 		return unsent
 	}
--- a/wisteriarouter/relay/trail.go
+++ b/wisteriarouter/relay/trail.go
@@ -7,6 +7,7 @@
 	"wisteriaspool/coordination/outcome"
 	"wisteriaspool/coordination/suspicion"
 	"wisteriaspool/wisteriarouter/event"
+	"wisteriaspool/wisteriarouter/upstream"
 )
 
 // Suspects keeps requests that crash endpoints from taking one after another.
@@ -69,3 +70,28 @@
 		x.trail.End(finished)
 	}
 }
+
+// unreachable takes in that no connection to an endpoint could be made. That
+// nobody listens there is certain, and all routers are told. That nobody answers
+// may be one lost packet: then the endpoint is asked once more, beside the
+// request. Once, a single lost packet took the only endpoint of a pool away from
+// all routers for five seconds.
+func (s *Server) unreachable(p Place, err error) {
+	if upstream.Refused(err) {
+		s.Placer.Dead(p.Endpoint, p.Incarnation)
+		return
+	}
+	go confirmation{server: s, place: p}.run()
+}
+
+// confirmation looks whether an endpoint that did not answer has died.
+type confirmation struct {
+	server *Server
+	place  Place
+}
+
+func (c confirmation) run() {
+	if !c.server.Sender.Alive(context.Background(), c.place.Address) {
+		c.server.Placer.Dead(c.place.Endpoint, c.place.Incarnation)
+	}
+}
--- a/wisteriarouter/upstream/upstream.go
+++ b/wisteriarouter/upstream/upstream.go
@@ -6,9 +6,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -31,6 +33,10 @@
 // Sent reports whether a byte of the request may have reached the endpoint.
 func Sent(err error) bool { return !errorx.IsOfType(err, ErrDial) }
 
+// Refused reports whether nobody listens at the endpoint's address: its process
+// has ended. Without an answer it may be a lost packet as well.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // Request is one request to one endpoint.
 type Request struct {
 	Method string
