--- a/wisteriarouter/daemon/placing.go
+++ b/wisteriarouter/daemon/placing.go
@@ -32,7 +32,7 @@
 	entry     *placement.Entry
 	roster    placement.Roster // damps endpoints that come and go
 	changes   chan struct{}    // a sign that lists have changed
-	polls     chan struct{}    // a sign to read the loads at once
+	polls     chan struct{}    // a sign to read the loads at once; nil if they are not read
 	view      atomic.Pointer[placement.Routers]
 	tuning    atomic.Pointer[tuning]
 	reports   sync.Map // by endpoint, the last load that each owned endpoint reported
@@ -44,47 +44,65 @@
 }
 
 func newPlacing(i do.Injector) (*placing, error) {
+	cfg := settingsOf(i)
+	engines := do.MustInvoke[*engine.Client](i)
+	loads := loadReader{directory: do.MustInvoke[*endpoint.Directory](i), engines: engines}
+	p := buildPlacing(i, loads, placement.Config{})
+	p.polls = make(chan struct{}, 1)
+	p.alone = len(cfg.Peers.Seeds) > 0
+	p.watch()
+	p.poll(i, engines, cfg.Limits.LoadInterval)
+	p.drive(i)
+	return p, nil
+}
+
+// buildPlacing makes placing with the lists as they are now. Loads may be nil,
+// if endpoints are not asked for theirs.
+func buildPlacing(i do.Injector, loads placement.LoadReader, tuned placement.Config) *placing {
 	cfg := settingsOf(i)
 	st := stateOf(i)
-	node := do.MustInvoke[*peer.Node](i)
 	p := &placing{
 		self:      cfg.Instance,
 		ownerCap:  cfg.Peers.OwnerCap,
 		directory: do.MustInvoke[*endpoint.Directory](i),
-		node:      node,
+		node:      do.MustInvoke[*peer.Node](i),
 		reach:     do.MustInvoke[*reach](i),
-		owner:     placement.NewOwner(cfg.Instance, placement.Config{}),
+		owner:     placement.NewOwner(cfg.Instance, tuned),
 		changes:   make(chan struct{}, 1),
-		polls:     make(chan struct{}, 1),
 		lives:     lives{},
 		started:   st.started,
-		alone:     len(cfg.Peers.Seeds) > 0,
 	}
-	engines := do.MustInvoke[*engine.Client](i)
 	id := placement.EntryID{Instance: cfg.Instance, Incarnation: st.incarnation}
-	p.entry = placement.NewEntry(id, p.owner, p.reach, loadReader{directory: p.directory, engines: engines}, placement.Config{})
+	p.entry = placement.NewEntry(id, p.owner, p.reach, loads, tuned)
 	p.tuning.Store(newTuning(nil))
 	do.MustInvoke[*prometheus.Registry](i).MustRegister(&placementCollector{owner: p.owner})
 	p.handle()
 	p.update()
-	p.start(i, engines, cfg.Limits.LoadInterval)
-	return p, nil
+	return p
 }
 
-// start has placing follow the lists and the loads.
-func (p *placing) start(i do.Injector, engines *engine.Client, loads time.Duration) {
+// watch has placing follow the lists.
+func (p *placing) watch() {
 	p.node.OnChange(func([]membership.Member) { p.changed() })
 	p.reach.watch(p.changed)
 	p.directory.Watch(p.changed)
+}
+
+// poll has placing follow the loads that endpoints report.
+func (p *placing) poll(i do.Injector, engines *engine.Client, interval time.Duration) {
 	poller := &endpoint.Poller{
 		Directory: p.directory,
 		Loads:     engines,
-		Interval:  loads,
+		Interval:  interval,
 		Soon:      p.polls,
 		Owned:     p.owns,
 		OnLoad:    p.report,
 	}
 	onStop(i, poller.Start(context.Background()))
+}
+
+// drive has placing do what changes and time bring about.
+func (p *placing) drive(i do.Injector) {
 	ctx, cancel := context.WithCancel(context.Background())
 	go p.loop(ctx)
 	onStop(i, cancel)
@@ -239,17 +257,9 @@
 		Alone:    w.Alone,
 		Avoid:    w.Exclude,
 	}
-	if !w.Deadline.IsZero() {
-		req.Deadline = max(time.Until(w.Deadline), time.Millisecond)
-	}
-	g, refusal := p.entry.Acquire(ctx, req)
-	if g == nil {
-		return caller.Place{}, refusalOf(refusal)
-	}
-	k, ok := p.directory.Find(g.Endpoint.ID)
-	if !ok {
-		g.Release()
-		return caller.Place{}, refusalOf(placement.Refusal{Code: placement.Gone, RetryAfter: time.Second})
+	g, k, refusal := p.acquire(ctx, req, w.Deadline)
+	if refusal != nil {
+		return caller.Place{}, refusal
 	}
 	return caller.Place{
 		Endpoint:    k.ID,
@@ -261,6 +271,24 @@
 	}, nil
 }
 
+// acquire asks for a grant for a request that has to start by a time, which may
+// be zero, and finds the endpoint that it is for.
+func (p *placing) acquire(ctx context.Context, req placement.Request, by time.Time) (*placement.Grant, endpoint.Known, *outcome.Refusal) {
+	if !by.IsZero() {
+		req.Deadline = max(time.Until(by), time.Millisecond)
+	}
+	g, refusal := p.entry.Acquire(ctx, req)
+	if g == nil {
+		return nil, endpoint.Known{}, refusalOf(refusal)
+	}
+	k, ok := p.directory.Find(g.Endpoint.ID)
+	if !ok {
+		g.Release()
+		return nil, endpoint.Known{}, refusalOf(placement.Refusal{Code: placement.Gone, RetryAfter: time.Second})
+	}
+	return g, k, nil
+}
+
 // keyOf returns what leads a chat to its endpoint; a request without a chat
 // goes by its content.
 func keyOf(w caller.Want) placement.Key {
--- a/wisteriarouter/daemon/relay_placing.go
+++ b/wisteriarouter/daemon/relay_placing.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 
@@ -26,32 +25,9 @@
 // newRelayPlacing makes placing for endpoints that are not asked for their
 // loads: each such question has a price, and the owners' grants say the same.
 func newRelayPlacing(i do.Injector) (*placing, error) {
-	cfg := settingsOf(i)
-	st := stateOf(i)
-	p := &placing{
-		self:      cfg.Instance,
-		ownerCap:  cfg.Peers.OwnerCap,
-		directory: do.MustInvoke[*endpoint.Directory](i),
-		node:      do.MustInvoke[*peer.Node](i),
-		reach:     do.MustInvoke[*reach](i),
-		owner:     placement.NewOwner(cfg.Instance, relayConfig),
-		changes:   make(chan struct{}, 1),
-		lives:     lives{},
-		started:   st.started,
-	}
-	id := placement.EntryID{Instance: cfg.Instance, Incarnation: st.incarnation}
-	p.entry = placement.NewEntry(id, p.owner, p.reach, nil, relayConfig)
-	p.tuning.Store(newTuning(nil))
-	do.MustInvoke[*prometheus.Registry](i).MustRegister(&placementCollector{owner: p.owner})
-	p.handle()
-	p.update()
-	p.node.OnChange(func([]membership.Member) { p.changed() })
-	p.reach.watch(p.changed)
-	p.directory.Watch(p.changed)
-	ctx, cancel := context.WithCancel(context.Background())
-	go p.loop(ctx)
-	onStop(i, cancel)
-	onStop(i, placement.Start(p.owner, p.entry))
+	p := buildPlacing(i, nil, relayConfig)
+	p.watch()
+	p.drive(i)
 	return p, nil
 }
 
@@ -127,17 +103,9 @@
 		Alone:    w.Alone,
 		Avoid:    w.Exclude,
 	}
-	if !w.Start.IsZero() {
-		req.Deadline = max(time.Until(w.Start), time.Millisecond)
-	}
-	g, refusal := p.entry.Acquire(ctx, req)
-	if g == nil {
-		return relay.Place{}, refusalOf(refusal)
-	}
-	k, ok := p.directory.Find(g.Endpoint.ID)
-	if !ok {
-		g.Release()
-		return relay.Place{}, refusalOf(placement.Refusal{Code: placement.Gone, RetryAfter: 100 * time.Millisecond})
+	g, k, refusal := p.acquire(ctx, req, w.Start)
+	if refusal != nil {
+		return relay.Place{}, refusal
 	}
 	place := relay.Place{
 		Endpoint:    k.ID,
