Soak: do not wait for a router that was started anew

Cause, from the last lines and the code: a router that had got SIGTERM, was killed and started again within ten seconds was taken for one that still stops, and its end was waited for. The mark is taken back at the start, and a router that nobody answers for is tried once, not forty times.

--- a/standin/soak/router.go
+++ b/standin/soak/router.go
@@ -128,7 +128,7 @@
 	if err := c.Start(); err != nil {
 		return err
 	}
-	r.process, r.ended = c, make(chan struct{})
+	r.process, r.ended, r.leaving = c, make(chan struct{}), time.Time{}
 	go life{r, c, r.ended}.run()
 	return nil
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -249,9 +249,13 @@
 	for _, r := range s.routers {
 		for n := range 10 {
 			for _, path := range []string{"/safe/", "/unsafe/", "/stream/", "/resumable/"} {
-				if o := s.load.once(r, path); !o.served {
+				o := s.load.once(r, path)
+				if !o.served {
 					s.breaks("router %d does not serve %s (try %d), %v behind the last fault: status %d %v", r.n, path, n, settled, o.status, o.err)
 				}
+				if o.status == 0 {
+					return // nobody is there; each try would wait for its deadline
+				}
 			}
 		}
 	}
