Wait a moment for the first desired state, and ask the store sooner for it

Each refused every request at once ("no desired state is known yet", 99 lines) and asked the store again only every 0.4 to 1.2 s, so callers spent their tries on a fleet that was ready within the second.

Ruled out: peers (all of them knew nothing), slow starts (40 ms).

--- a/coordination/mirror/follower.go
+++ b/coordination/mirror/follower.go
@@ -26,6 +26,13 @@
 	longestPause = 800 * time.Millisecond
 )
 
+// emptyPause is the longest pause of a follower whose mirror is still empty,
+// as on a router that started while the store was away. Without the desired
+// state it refuses every request, so each moment behind the store's return is
+// lost for all its callers; and it asks for one answer only, which it need not
+// wait for in turn.
+const emptyPause = 200 * time.Millisecond
+
 // idleCheck is how often a follower that has nothing to do looks again. It is a
 // part of the time in which a change has to be in force.
 const idleCheck = 250 * time.Millisecond
@@ -81,7 +88,7 @@
 			f.Mirror.Wake()
 			f.tell(err)
 		}
-		pause = next(pause, err)
+		pause = next(pause, f.longest(), err)
 		sleep(ctx, pause)
 	}
 }
@@ -92,12 +99,20 @@
 	}
 }
 
+// longest returns the longest pause after a fetch that failed.
+func (f *Follower) longest() time.Duration {
+	if f.Mirror.AsOf() == 0 {
+		return emptyPause
+	}
+	return longestPause
+}
+
 // next returns the pause after a fetch.
-func next(last time.Duration, err error) time.Duration {
+func next(last, longest time.Duration, err error) time.Duration {
 	if err == nil {
 		return 0
 	}
-	return min(max(2*last, firstPause), longestPause)
+	return min(max(2*last, firstPause), longest)
 }
 
 // sleep waits for about d, so that those who failed together do not come back
--- a/coordination/mirror/mirror_test.go
+++ b/coordination/mirror/mirror_test.go
@@ -365,6 +365,36 @@
 	})
 }
 
+// failingSource is away until a moment, and then tells one item.
+type failingSource struct{ until time.Time }
+
+func (s failingSource) Fetch(ctx context.Context, after kv.Revision) (mirror.Update, error) {
+	if time.Now().Before(s.until) {
+		return mirror.Update{}, errDown
+	}
+	if after > 0 {
+		<-ctx.Done()
+		return mirror.Update{}, ctx.Err()
+	}
+	return mirror.Update{AsOf: 1, Full: true, Items: []mirror.Item{put("a", "1", 1)}}, nil
+}
+
+// All routers restart while the store is down. None has the desired state, so
+// each of them refuses every request until it has asked the store again, and
+// a caller is turned away by a fleet that could long have served it.
+func TestRoutersThatStartedDuringAnOutageServeSoonBehindIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for range 50 {
+			back := time.Now().Add(5 * time.Second)
+			m := mirror.New()
+			stop := (&mirror.Follower{Mirror: m, Source: failingSource{back}}).Start()
+			m.Wait(t.Context(), 0, nil)
+			assert.Assert(t, time.Since(back) <= 300*time.Millisecond, "the desired state came %v behind the return", time.Since(back))
+			stop()
+		}
+	})
+}
+
 // A store that is down must not be called by the whole fleet again and again:
 // each call has its price, and the store needs air to come back.
 func TestOutageCostsFewCalls(t *testing.T) {
--- a/coordination/placement/messages.go
+++ b/coordination/placement/messages.go
@@ -113,12 +113,14 @@
 	Cancelled        // the entry has released the request already
 	Unreachable      // the owner could not be reached, and the fallback declined
 	Lost             // the endpoint has died, restarted or is unknown
+	Unlisted         // the pool has no endpoint that is known
 )
 
 var codeNames = [...]string{
 	None: "none", Overloaded: "overloaded", Deadline: "deadline", Gone: "leaving",
 	Poison: "poison", NotOwner: "not-owner", OverBound: "over-bound", Full: "full",
 	Settling: "settling", Cancelled: "cancelled", Unreachable: "unreachable", Lost: "endpoint-lost",
+	Unlisted: "no-endpoint-known",
 }
 
 // String returns the name of c as logs, metrics and callers see it.
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -276,12 +276,15 @@
 	}
 }
 
-// exhausted returns the refusal of a request that no endpoint takes.
+// exhausted returns the refusal of a request that no endpoint takes. A pool
+// without endpoints is told from one that is full: who looks for the cause goes
+// to the list of endpoints, not to the load.
 func (w *walk) exhausted() Refusal {
 	code := w.last
-	switch code {
-	case Unreachable, Gone, Lost:
-	default:
+	switch {
+	case w.set.Len(w.req.Pool) == 0:
+		code = Unlisted
+	case code != Unreachable && code != Gone && code != Lost:
 		code = Overloaded
 	}
 	return Refusal{Code: code, RetryAfter: noCandidateRetry}
--- a/wisteriarouter/daemon/placing.go
+++ b/wisteriarouter/daemon/placing.go
@@ -30,17 +30,19 @@
 	reach     *reach
 	owner     *placement.Owner
 	entry     *placement.Entry
-	roster    placement.Roster // damps endpoints that come and go
-	changes   chan struct{}    // a sign that lists have changed
-	polls     chan struct{}    // a sign to read the loads at once; nil if they are not read
+	changes   chan struct{} // a sign that lists have changed
+	polls     chan struct{} // a sign to read the loads at once; nil if they are not read
 	view      atomic.Pointer[placement.Routers]
 	tuning    atomic.Pointer[tuning]
 	reports   sync.Map // by endpoint, the last load that each owned endpoint reported
-	owned     map[coordination.Endpoint]bool
 	lives     lives
 	losses    losses
 	started   time.Time
 	alone     bool // it had to meet the other routers first
+
+	updating sync.Mutex       // held by update; guards the fields below
+	roster   placement.Roster // damps endpoints that come and go
+	owned    map[coordination.Endpoint]bool
 }
 
 func newPlacing(i do.Injector) (*placing, error) {
@@ -160,7 +162,10 @@
 	return placement.NewRouters(members, p.ownerCap)
 }
 
+// update takes the lists in. Requests are placed by them once it returns.
 func (p *placing) update() {
+	p.updating.Lock()
+	defer p.updating.Unlock()
 	all := p.directory.All()
 	routers := p.lists()
 	p.view.Store(routers)
--- a/wisteriarouter/daemon/relay_desired.go
+++ b/wisteriarouter/daemon/relay_desired.go
@@ -33,8 +33,10 @@
 	d.relay.Store(settingsOf(i).Relay)
 	m := do.MustInvoke[*mirror.Mirror](i)
 	d.mirror = m
-	m.Observe(d.take)
+	// Endpoints are taken in before the desired state: requests that wait for
+	// it would otherwise find their pools empty.
 	do.MustInvoke[*endpoint.Register](i)
+	m.Observe(d.take)
 	feed(i, m)
 	return d, nil
 }
@@ -42,6 +44,9 @@
 // Table implements relay.Desired.
 func (d *desired) Table() *route.Table { return d.table.Load() }
 
+// Known implements relay.Desired.
+func (d *desired) Known() <-chan struct{} { return d.ready }
+
 // Age implements relay.Desired.
 func (d *desired) Age() time.Duration { return d.mirror.Age() }
 
@@ -70,6 +75,7 @@
 	d.place.bounds(s, d.relay.Load())
 	d.log.Emit(event.SettingsApplied, event.F("version", s.Version), event.F("revision", item.Revision), event.F("routes", len(s.Routes)))
 	if old == nil {
+		d.place.update()
 		close(d.ready)
 	}
 }
--- /dev/null
+++ b/wisteriarouter/daemon/relay_site_test.go
@@ -0,0 +1,240 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"wisteriaspool/standin/hub"
+	"wisteriaspool/standin/replica"
+	"wisteriaspool/wisteriarouter/config"
+	"wisteriaspool/wisteriarouter/daemon"
+)
+
+// site is a store, endpoints and relaying routers on loopback.
+type site struct {
+	t        testing.TB
+	store    *hub.Store
+	address  string
+	replicas []*replica.Replica
+	kill     []func()
+	routers  []*daemon.Daemon
+	stops    []func() int
+	version  int
+	logs     *logs
+	client   *http.Client
+}
+
+// desiredState is what an operator writes; routes are by their prefix.
+type desiredState struct {
+	routes  []map[string]any
+	tenants []map[string]any
+}
+
+func plainState() desiredState {
+	return desiredState{
+		routes: []map[string]any{
+			{"prefix": "/safe/", "type": "safe", "backend": "desk", "attempts": 2, "timeoutMs": 2000},
+			{"prefix": "/unsafe/", "type": "unsafe", "backend": "desk", "attempts": 1, "timeoutMs": 2000},
+			{"prefix": "/resumable/", "type": "stream", "backend": "model", "attempts": 2, "timeoutMs": 5000, "resumable": true, "sticky": true},
+			{"prefix": "/stream/", "type": "stream", "backend": "model", "attempts": 2, "timeoutMs": 5000, "sticky": true},
+			{"prefix": "/public/", "type": "safe", "backend": "desk", "attempts": 1, "public": true},
+		},
+		tenants: []map[string]any{{"name": "acme", "apiKeys": []string{"k1"}}, {"name": "zeta", "apiKeys": []string{"k2"}}},
+	}
+}
+
+func newSite(t testing.TB, routers, desks, models int) *site {
+	s := &site{t: t, store: hub.New(), logs: &logs{}, client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+	srv := httptest.NewServer(s.store)
+	t.Cleanup(srv.Close)
+	t.Cleanup(func() { s.store.Fail(hub.Faults{Down: true}) }) // lets waiting watches go
+	s.address = strings.TrimPrefix(srv.URL, "http://")
+	for n := range desks {
+		s.addReplica(replica.Options{ID: fmt.Sprintf("d%d", n), Service: "desk", Zone: "a", Pause: 10 * time.Millisecond})
+	}
+	for n := range models {
+		s.addReplica(replica.Options{ID: fmt.Sprintf("m%d", n), Service: "model", Zone: "a", Pause: 20 * time.Millisecond})
+	}
+	s.put(plainState())
+	for range routers {
+		s.addRouter()
+	}
+	for n := range routers {
+		s.awaitReady(n)
+		s.awaitMembers(n, routers)
+	}
+	return s
+}
+
+// awaitMembers waits until a router has met all others.
+func (s *site) awaitMembers(n, routers int) {
+	want := fmt.Sprintf("wisteria_members{state=\"alive\"} %d\n", routers)
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		resp, err := http.Get("http://" + s.routers[n].OperatorsAddress() + "/metrics")
+		if err != nil {
+			return poll.Error(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		text, err := io.ReadAll(resp.Body)
+		if err == nil && strings.Contains(string(text), want) {
+			return poll.Success()
+		}
+		return poll.Continue("router %d has not met all others", n)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+func (s *site) addReplica(o replica.Options) *replica.Replica {
+	r, kill, err := replica.Start(s.store, o)
+	assert.NilError(s.t, err)
+	s.t.Cleanup(kill)
+	s.replicas, s.kill = append(s.replicas, r), append(s.kill, kill)
+	return r
+}
+
+// put writes the next version of the desired state.
+func (s *site) put(d desiredState) {
+	s.version++
+	for i, r := range d.routes {
+		r["name"], r["hostname"] = "r"+strconv.Itoa(i), "desk.example"
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": s.version, "routes": d.routes, "tenants": d.tenants,
+		"backends": []map[string]any{
+			{"name": "desk", "maxConns": 100},
+			{"name": "model", "maxConns": 100, "runtime": map[string]any{"slots": 8}},
+		},
+		"limits": map[string]any{"maxBodyBytes": 1 << 20},
+	})
+	assert.NilError(s.t, err)
+	s.store.Put("op/config", value)
+}
+
+func (s *site) addRouter() {
+	n := len(s.routers)
+	var seeds string
+	if n > 0 {
+		seeds = "seeds = " + s.routers[0].PeersAddress()
+	}
+	text := fmt.Sprintf(`
+[router]
+instance = r%d
+availability-zone = a
+[listen]
+callers = 127.0.0.1:0
+operators = 127.0.0.1:0
+peers = 127.0.0.1:0
+[peers]
+%s
+[relay]
+store = %s
+readiness = 127.0.0.1:0
+[limits]
+stop-delay = 50ms
+stop-within = 5s
+`, n, seeds, s.address)
+	cfg, problems := config.Parse("test", []byte(text))
+	assert.Equal(s.t, len(problems), 0, "%v", problems)
+	d, stop, err := daemon.StartWithLog(cfg, s.logs)
+	assert.NilError(s.t, err)
+	once := sync.OnceValue(stop)
+	s.t.Cleanup(func() { once() })
+	s.routers, s.stops = append(s.routers, d), append(s.stops, once)
+}
+
+func (s *site) ready(n int) bool {
+	resp, err := http.Get("http://" + s.routers[n].ReadinessAddress() + "/wisteriaspool/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (s *site) awaitReady(n int) {
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if s.ready(n) {
+			return poll.Success()
+		}
+		return poll.Continue("not ready")
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// gotReply is what a caller got.
+type gotReply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+}
+
+var (
+	lastID   int
+	lastIDMu sync.Mutex
+)
+
+func freshID() string {
+	lastIDMu.Lock()
+	defer lastIDMu.Unlock()
+	lastID++
+	return fmt.Sprintf("id%d", lastID)
+}
+
+func (s *site) request(ctx context.Context, router int, path string, header ...string) *http.Request {
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+s.routers[router].CallersAddress()+path, strings.NewReader("body of "+path))
+	assert.NilError(s.t, err)
+	req.Host = "desk.example"
+	req.Header.Set("X-Attempt-Id", freshID())
+	req.Header.Set("X-Deadline-Ms", "4000")
+	req.Header.Set("Authorization", "Bearer k1")
+	if strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/resumable/") {
+		req.Header.Set("X-Token-Usage", "100,10")
+		req.Header.Set("X-Prefix-Hash", "aa:50,bb:40,cc:10")
+	}
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	return req
+}
+
+func (s *site) send(router int, path string, header ...string) gotReply {
+	resp, err := s.client.Do(s.request(s.t.Context(), router, path, header...))
+	if err != nil {
+		return gotReply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return gotReply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+// runs returns how many requests a path has had at all endpoints.
+func (s *site) runs(path string) (n int) {
+	for _, r := range s.replicas {
+		for _, a := range r.Arrivals() {
+			if a.Path == path {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// events returns the whole series of events of a stream.
+func events(from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", n, n)
+	}
+	return b.String()
+}
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -70,7 +70,7 @@
 
 // find finds the request's route and pool.
 func (x *exchange) find() bool {
-	x.table = x.server.Desired.Table()
+	x.table = x.server.table(x.r.Context(), x.asked.Deadline)
 	if x.table == nil {
 		x.refuse(http.StatusServiceUnavailable, "no desired state is known yet", retryAfterState)
 		return false
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -58,6 +58,8 @@
 type Desired interface {
 	// Table returns the present table, or nil before the first.
 	Table() *route.Table
+	// Known returns a channel that is closed with the first table.
+	Known() <-chan struct{}
 	// Age returns how long ago the store confirmed what this router knows.
 	Age() time.Duration
 }
@@ -100,6 +102,41 @@
 	x.serve()
 }
 
-// retryAfterState is when a caller may come back to a router that has no
-// desired state yet. A router that starts reads it within some 50 ms.
-const retryAfterState = 200 * time.Millisecond
+// A router that starts reads the desired state within some 50 ms, or up to
+// 0.3 s behind the store's return if it was away. Until then a request can
+// neither be placed nor be refused for good. Sent away at once, all callers of
+// a fleet that starts anew would be back before it knows the state, and give up
+// after a few such rounds. A request therefore waits, for no more than a part
+// of its time: so long a wait still leaves its caller the time to ask elsewhere.
+// Who has not been read within a second is taken to be ignored.
+const (
+	stateWaitShare   = 8                      // of the time that the caller gives
+	longestStateWait = 500 * time.Millisecond // also of who names no time
+)
+
+// retryAfterState is when a caller may come back that has waited in vain: by
+// then the router has asked the store twice more.
+const retryAfterState = 500 * time.Millisecond
+
+// stateWait returns how long a request may wait for the first desired state.
+func stateWait(deadline time.Duration) time.Duration {
+	if deadline <= 0 {
+		return longestStateWait
+	}
+	return min(deadline/stateWaitShare, longestStateWait)
+}
+
+// table returns the table in force. It waits a moment for the first; nil if
+// there is none by then.
+func (s *Server) table(ctx context.Context, deadline time.Duration) *route.Table {
+	if t := s.Desired.Table(); t != nil {
+		return t
+	}
+	ctx, cancel := context.WithTimeout(ctx, stateWait(deadline))
+	defer cancel()
+	select {
+	case <-s.Desired.Known():
+	case <-ctx.Done():
+	}
+	return s.Desired.Table()
+}
