suspicion: a request that never ran alone is convicted only after the rumours

Ruled out: a wrong excuse (the crashing request took two endpoints in both), a mass loss (two endpoints died).

Times of crashes told by a clock that is ahead are cut to the present, since they now decide how long one waits.

--- a/coordination/suspicion/table.go
+++ b/coordination/suspicion/table.go
@@ -69,7 +69,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.find(now, f)
-	switch t.state(r) {
+	switch t.state(now, r) {
 	case Convicted:
 		return Refuse, r.Expires.Time().Sub(now)
 	case Suspect:
@@ -87,7 +87,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.find(now, f)
-	return r, t.state(r)
+	return r, t.state(now, r)
 }
 
 // state returns what follows from a record. A crash beside a suspect that ran
@@ -95,9 +95,16 @@
 // well have run at both endpoints that a crashing request took. One such crash
 // is excused and no more, since several crashing requests at a time can seem to
 // excuse one another for ever.
-func (t *Table) state(r Record) State {
+//
+// A request that never ran alone when it crashed is convicted only once the
+// rumour of another one's conviction has had time to come. Until then a common
+// prompt that ran beside the crashing request both times would be refused to
+// those who ask it meanwhile: in 2 of 2,100 seeded runs of 7 routers one or two
+// callers were. It stays a suspect, of which no copy starts.
+func (t *Table) state(now time.Time, r Record) State {
 	own := 0
-	excused := false
+	alone, excused := false, false
+	var last UnixMillis
 	for _, c := range r.Crashes {
 		switch {
 		case c.Mass:
@@ -105,9 +112,13 @@
 			excused = true
 		default:
 			own++
+			alone = alone || c.Alone
+			last = max(last, c.At)
 		}
 	}
 	switch {
+	case own >= convictingCrashes && !alone && now.Before(last.Time().Add(t.cfg.Hold)):
+		return Suspect
 	case own >= convictingCrashes:
 		return Convicted
 	case own > 0:
@@ -165,6 +176,13 @@
 	if r.Expires <= unixMillis(now) {
 		return false
 	}
+	// The clock of the router that told may be ahead. A crash in the future would
+	// hold its suspects for as long, and one forgiven there would never count.
+	r.Cleared = min(r.Cleared, unixMillis(now))
+	r.Crashes = lo.Map(r.Crashes, func(c Crash, _ int) Crash {
+		c.At = min(c.At, unixMillis(now))
+		return c
+	})
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.records[r.Fingerprint]
@@ -213,7 +231,7 @@
 			t.forget(r)
 			continue
 		}
-		if f != keep && (worst == nil || t.lesser(r, worst)) {
+		if f != keep && (worst == nil || t.lesser(now, r, worst)) {
 			worst = r
 		}
 	}
@@ -223,8 +241,8 @@
 }
 
 // lesser reports whether a matters less than b.
-func (t *Table) lesser(a, b *Record) bool {
-	if x, y := t.state(*a), t.state(*b); x != y {
+func (t *Table) lesser(now time.Time, a, b *Record) bool {
+	if x, y := t.state(now, *a), t.state(now, *b); x != y {
 		return x < y
 	}
 	if a.Expires != b.Expires {
@@ -238,7 +256,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	live := lo.Filter(lo.Values(t.records), func(r *Record, _ int) bool { return r.Expires > unixMillis(now) })
-	suspects = lo.CountBy(live, func(r *Record) bool { return t.state(*r) == Suspect })
-	convicted = lo.CountBy(live, func(r *Record) bool { return t.state(*r) == Convicted })
+	suspects = lo.CountBy(live, func(r *Record) bool { return t.state(now, *r) == Suspect })
+	convicted = lo.CountBy(live, func(r *Record) bool { return t.state(now, *r) == Convicted })
 	return suspects, convicted
 }
