soak: one checker of what callers and endpoints saw, with more promises

Cause: the soak did not look for work left behind by callers that leave, uneven loads, storms of second attempts, deadlines passed on too long, changed or unknown requests, requests run by another route's service, or a router that goes back to an older desired state; schedules could not be shortened.

Callers that leave long streams, and a prober of each router's version by a key that only one version holds. Faults have numbers and random numbers of their own; -skip leaves some out, and -regressions plays the seeds that once failed.

Ruled out: clock steps, which need privileges or a changed process; not done.

Tests: each check finds what is planted and is silent beside it (22 cases). Two mistakes of the checker were found by them: windows of requests, and endpoints without work that were left out of the mean.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -46,8 +46,12 @@
 	Tenant string
 	From   string // id of the last event that the caller has
 	Fetch  string
-	Ended  bool // it ran to its end
-	Left   bool // the caller went away
+	Body   string
+	Limit  time.Duration // in which the answer is wanted; zero if none was named
+	At     time.Time     // when it came
+	Done   time.Time     // when its run ended, in whatever way; zero while it runs
+	Ended  bool          // it ran to its end
+	Left   bool          // the caller went away
 }
 
 // Replica is the stand-in.
@@ -160,12 +164,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer r.end()
+	defer r.end(a)
 	if f.Crash != "" && f.Crash == a.Path {
 		_ = r.server.Close() // with all its connections
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = io.Copy(io.Discard, req.Body) // else the server would not notice that a caller leaves
+	r.read(req, a)
 	h.Set("X-Attempt-Id", a.ID)
 	h.Set("X-Server-Signature", r.opts.ID+"."+a.ID)
 	h.Set("X-Instance-Load", fmt.Sprintf("%d,0,%d", r.load(), r.opts.Slots))
@@ -183,7 +187,9 @@
 		return nil, r.faults, false
 	}
 	r.running++
+	left, _ := strconv.Atoi(req.Header.Get("X-Deadline-Ms")) // none is zero
 	a := &Arrival{
+		At: time.Now(), Limit: time.Duration(left) * time.Millisecond,
 		ID: req.Header.Get("X-Attempt-Id"), Path: req.URL.Path, Tenant: req.Header.Get("X-Tenant"),
 		From: req.Header.Get("Last-Event-Id"), Fetch: req.Header.Get("Kv-Fetch"),
 	}
@@ -202,10 +208,18 @@
 	return r.running
 }
 
-func (r *Replica) end() {
+func (r *Replica) end(a *Arrival) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.running--
+	a.Done = time.Now()
+}
+
+// read reads the whole body: else the server would not notice that a caller
+// leaves. A body that breaks off is kept as far as it came.
+func (r *Replica) read(req *http.Request, a *Arrival) {
+	body, _ := io.ReadAll(req.Body)
+	r.mark(func() { a.Body = string(body) })
 }
 
 func (r *Replica) mark(fn func()) {
--- a/standin/soak.go
+++ b/standin/soak.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/subcommands"
@@ -14,7 +16,9 @@
 
 // soakCommand runs routers as processes while things fail around them.
 type soakCommand struct {
-	opts soak.Options
+	opts        soak.Options
+	skip        string
+	regressions bool
 }
 
 func (*soakCommand) Name() string { return "soak" }
@@ -25,10 +29,13 @@
 
 func (*soakCommand) Usage() string {
 	return `standin soak -binary FILE [-seed N] [-for 20s] [-routers 4] [-dir DIR]
+             [-skip 3,7] [-regressions]
 
 Starts routers as processes on loopback, with a store and endpoints of its own
 and a proxy on each link, and prints each fault and what it broke. With a seed
 the faults are the same each time; what is under way when they strike is not.
+Each fault is printed with its number; -skip leaves some out, to find the few
+that break a promise.
 Exit codes: 0 no promise was broken, 1 some were, or it could not run.
 
 `
@@ -39,11 +46,35 @@
 	f.Uint64Var(&c.opts.Seed, "seed", uint64(time.Now().UnixNano()), "`seed` of the faults; a new one each time by default")
 	f.DurationVar(&c.opts.For, "for", 20*time.Second, "`time` in which faults are made")
 	f.IntVar(&c.opts.Routers, "routers", 4, "how many routers")
+	f.StringVar(&c.skip, "skip", "", "`numbers` of faults that are left out, with commas between")
+	f.BoolVar(&c.regressions, "regressions", false, "play the seeds that have failed once, and no other")
 	f.IntVar(&c.opts.Callers, "callers", 8, "how many callers")
 	f.StringVar(&c.opts.Dir, "dir", "", "`directory` for settings and logs; a new one by default, removed if nothing broke")
 }
 
 func (c *soakCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	for _, n := range strings.FieldsFunc(c.skip, func(r rune) bool { return r == ',' }) {
+		number, err := strconv.Atoi(n)
+		if err != nil {
+			return status(fmt.Errorf("-skip: %w", err))
+		}
+		c.opts.Skip = append(c.opts.Skip, number)
+	}
+	if !c.regressions {
+		return c.play()
+	}
+	worst := subcommands.ExitSuccess
+	for _, each := range soak.Regressions {
+		fmt.Printf("once failed: %s\n", each.Cause)
+		again := *c
+		again.opts.Seed, again.opts.For = each.Seed, each.For
+		worst = max(worst, again.play())
+	}
+	return worst
+}
+
+// play runs one soak.
+func (c *soakCommand) play() subcommands.ExitStatus {
 	made := c.opts.Dir == ""
 	if made {
 		dir, err := os.MkdirTemp("", "wisteria-soak-")
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -24,62 +26,183 @@
 	return s, r
 }
 
-func run(t *testing.T, r *replica.Replica, id string) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+r.Address()+"/", strings.NewReader("x"))
-	assert.NilError(t, err)
-	req.Header.Set("X-Attempt-Id", id)
-	resp, err := http.DefaultClient.Do(req)
-	assert.NilError(t, err)
-	_ = resp.Body.Close()
+// began is when the planted histories begin.
+var began = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// ran returns a run as it ought to be, at some milliseconds.
+func ran(id, path string, from, to int) arrival {
+	return arrival{
+		Arrival: replica.Arrival{
+			ID: id, Path: path + id, Body: requestBody, Tenant: account, Limit: deadline,
+			At: began.Add(time.Duration(from) * time.Millisecond), Done: began.Add(time.Duration(to) * time.Millisecond),
+		},
+		endpoint: "e1", service: services[path],
+	}
+}
+
+// with returns the arrival with a change.
+func (a arrival) with(change func(a *arrival)) arrival {
+	change(&a)
+	return a
 }
 
 // A soak that finds nothing says nothing unless it would have found something.
 // Each fault is planted as a router would commit it.
-func TestCheckFindsWhatIsPlanted(t *testing.T) {
+func TestHistoryFindsWhatIsPlanted(t *testing.T) {
+	safe, unsafe := outcome{id: "q1", path: "/safe/", status: 200}, outcome{id: "q1", path: "/unsafe/", status: 200}
+	once := func(path string) []arrival { return []arrival{ran("q1", path, 0, 20)} }
+	twice := func(path string) []arrival { return append(once(path), ran("q1", path, 30, 50)) }
+	changed := func(change func(a *arrival)) []arrival { return []arrival{ran("q1", "/safe/", 0, 20).with(change)} }
 	tests := []struct {
 		name string
 		o    outcome
-		runs int
+		runs []arrival
 		want string
 	}{
-		{"an order that ran twice", outcome{path: "/unsafe/", status: 200}, 2, "ran 2 times"},
-		{"a stream that ran twice", outcome{path: "/stream/", status: 200}, 2, "ran 2 times"},
-		{"not run, though it ran", outcome{path: "/unsafe/", status: 503}, 1, "has run"},
-		{"a safe request that ran three times", outcome{path: "/safe/", status: 200}, 3, "of two allowed"},
-		{"an order that ran once", outcome{path: "/unsafe/", status: 200}, 1, ""},
-		{"a safe request that ran twice", outcome{path: "/safe/", status: 200}, 2, ""},
-		{"not run, and it did not", outcome{path: "/unsafe/", status: 503}, 0, ""},
+		{"an order that ran once", unsafe, once("/unsafe/"), ""},
+		{"an order that ran twice", unsafe, twice("/unsafe/"), "ran 2 times"},
+		{"a stream that ran twice", outcome{id: "q1", path: "/stream/", status: 200}, twice("/stream/"), "ran 2 times"},
+		{"not run, though it ran", outcome{id: "q1", path: "/unsafe/", status: 503}, once("/unsafe/"), "has run"},
+		{"not run, and it did not", outcome{id: "q1", path: "/unsafe/", status: 503}, nil, ""},
+		{"a safe request that ran twice", safe, twice("/safe/"), ""},
+		{"a safe request that ran three times", safe, append(twice("/safe/"), once("/safe/")...), "of two allowed"},
+		{"nobody sent it", outcome{id: "q2", path: "/safe/", status: 200}, once("/safe/"), "nobody sent"},
+		{"another path", safe, changed(func(a *arrival) { a.Path = "/safe/../q1" }), "changed"},
+		{"a body that was cut", safe, changed(func(a *arrival) { a.Body = "bo" }), "changed"},
+		{"another client account", safe, changed(func(a *arrival) { a.Tenant = "zeta" }), "changed"},
+		{"the service of another route", safe, changed(func(a *arrival) { a.service = "model" }), "service model ran"},
+		{"no deadline", safe, changed(func(a *arrival) { a.Limit = 0 }), "had 0s"},
+		{"more time than its caller has", safe, changed(func(a *arrival) { a.Limit = 5 * time.Second }), "had 5s"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			s, r := planted(t)
-			test.o.id = "q1"
-			for range test.runs {
-				run(t, r, "q1")
+			h := history{outcomes: []outcome{test.o}, arrivals: test.runs}
+			expectBroken(t, h.broken(), test.want)
+		})
+	}
+}
+
+func expectBroken(t *testing.T, broken []string, want string) {
+	t.Helper()
+	if want == "" {
+		assert.Equal(t, len(broken), 0, "%v", broken)
+		return
+	}
+	assert.Equal(t, len(broken), 1, "%v", broken)
+	assert.Assert(t, strings.Contains(broken[0], want), broken[0])
+}
+
+// series returns requests of a route, one each few milliseconds, that run for a
+// while at the endpoints in turn.
+func series(n, every, lasts, endpoints int) (outcomes []outcome, arrivals []arrival) {
+	for i := range n {
+		id := fmt.Sprintf("q%d", i)
+		outcomes = append(outcomes, outcome{id: id, path: "/safe/", status: 200})
+		arrivals = append(arrivals, ran(id, "/safe/", i*every, i*every+lasts).with(func(a *arrival) { a.endpoint = fmt.Sprintf("e%d", i%endpoints) }))
+	}
+	return outcomes, arrivals
+}
+
+// A failing service gets each request again and again, and never recovers.
+func TestHistoryFindsAStormOfSecondAttempts(t *testing.T) {
+	for _, test := range []struct {
+		again int
+		want  string
+	}{{70, ""}, {100, "second attempts"}} {
+		outcomes, arrivals := series(100, 10, 5, 3)
+		for i := range test.again {
+			arrivals = append(arrivals, arrivals[i].with(func(a *arrival) { a.At = a.At.Add(time.Second) }))
+		}
+		h := history{outcomes: outcomes, arrivals: arrivals}
+		expectBroken(t, h.repeats(), test.want)
+	}
+}
+
+// All routers choose the same endpoint while the others idle.
+func TestHistoryFindsAnEndpointThatCarriesAll(t *testing.T) {
+	outcomes, arrivals := series(200, 10, 200, 4)
+	h := history{outcomes: outcomes, arrivals: arrivals}
+	for range 4 {
+		h.present = append(h.present, presence{service: "desk", from: began})
+	}
+	expectBroken(t, h.loads(), "")
+	for i := range arrivals {
+		if i%10 != 0 {
+			arrivals[i].endpoint = "e0"
+		}
+	}
+	expectBroken(t, h.loads(), "carried over")
+	h.harmed = []time.Time{began, began.Add(time.Second), began.Add(2 * time.Second)}
+	expectBroken(t, h.loads(), "")
+}
+
+// Callers leave, and endpoints go on working for nobody.
+func TestHistoryFindsWorkForCallersThatLeft(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		from, to int // of each run; the caller leaves at 100 ms
+		want     string
+	}{
+		{"stopped at once", 0, 120, ""},
+		{"went on", 0, 1500, "worked for"},
+		{"reached an endpoint late", 700, 710, "had left"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var h history
+			for i := range 8 {
+				id := fmt.Sprintf("q%d", i)
+				h.outcomes = append(h.outcomes, outcome{id: id, path: "/long/", left: began.Add(100 * time.Millisecond)})
+				h.arrivals = append(h.arrivals, ran(id, "/long/", test.from, test.to))
 			}
-			s.load.note(test.o)
-			s.check()
-			if test.want == "" {
-				assert.Equal(t, len(s.broken), 0, "%v", s.broken)
+			broken := h.leavers()
+			assert.Equal(t, len(broken) > 0, test.want != "", "%v", broken)
+			assert.Assert(t, strings.Contains(strings.Join(broken, "\n"), test.want), "%v", broken)
+		})
+	}
+}
+
+// A router goes back to an older version of the desired state: a key that was
+// taken away is good again.
+func TestProberFindsARouterThatGoesBack(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		good string // key that the router takes, behind the newest one
+		want string
+	}{{"goes on", keyOf(5), ""}, {"goes back", keyOf(3), "went back"}} {
+		s, _ := planted(t)
+		s.version, s.previous = 5, 3
+		good := keyOf(5)
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Authorization") != "Bearer "+good {
+				w.WriteHeader(http.StatusUnauthorized)
 				return
 			}
-			assert.Equal(t, len(s.broken), 1)
-			assert.Assert(t, strings.Contains(s.broken[0], test.want), s.broken[0])
-		})
+			w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+			_, _ = w.Write([]byte("done " + r.Header.Get("X-Attempt-Id")))
+		}))
+		t.Cleanup(srv.Close)
+		p := &prober{load: s.load, router: &router{callers: strings.TrimPrefix(srv.URL, "http://")}}
+		p.probe()
+		assert.Equal(t, p.seen, 5)
+		good = test.good
+		p.since = time.Now().Add(-2 * revertSlack)
+		p.probe()
+		expectBroken(t, s.broken, test.want)
 	}
 }
 
 // A caller gets a part of a stream that looks whole, an event twice, or the
 // answer to another request.
 func TestJudgeFindsWhatIsPlanted(t *testing.T) {
+	whole := streamOf(fewEvents)
 	tests := []struct {
 		name, body, id, kind string
 		broken               bool
 	}{
-		{"whole", stream, "q1", "text/event-stream", false},
-		{"an event is missing", strings.Replace(stream, "id: 3\ndata: token 3\n\n", "", 1), "q1", "text/event-stream", true},
-		{"an event comes twice", "id: 1\ndata: token 1\n\n" + stream, "q1", "text/event-stream", true},
-		{"cut and looks whole", stream[:30], "q1", "text/event-stream", true},
+		{"whole", whole, "q1", "text/event-stream", false},
+		{"an event is missing", strings.Replace(whole, "id: 3\ndata: token 3\n\n", "", 1), "q1", "text/event-stream", true},
+		{"an event comes twice", "id: 1\ndata: token 1\n\n" + whole, "q1", "text/event-stream", true},
+		{"cut and looks whole", whole[:30], "q1", "text/event-stream", true},
 		{"the answer to another request", "done q2", "q1", "text/plain", true},
 		{"the id of another request", "done q1", "q2", "text/plain", true},
 		{"an answer", "done q1", "q1", "text/plain", false},
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -12,13 +14,20 @@
 	"wisteriaspool/standin/replica"
 )
 
-// makeFaults makes one fault after the other, some while others last.
+// makeFaults makes one fault after the other, some while others last. Each has
+// random numbers of its own, so that those that are left stay as they are when
+// a schedule is shortened.
 func (s *soak) makeFaults() {
 	end := time.Now().Add(s.opts.For)
-	for time.Now().Before(end) {
-		s.fault()
-		s.faults++
-		time.Sleep(time.Duration(300+s.rng.IntN(1500)) * time.Millisecond)
+	for n := 1; time.Now().Before(end); n++ {
+		s.rng = rand.New(rand.NewPCG(s.opts.Seed, uint64(n)))
+		pause := time.Duration(300+s.rng.IntN(1500)) * time.Millisecond
+		if !slices.Contains(s.opts.Skip, n) {
+			s.number = n
+			s.fault()
+			s.faults++
+		}
+		time.Sleep(pause)
 	}
 }
 
@@ -137,7 +146,7 @@
 	defer s.mu.Unlock()
 	var up []*back
 	for _, b := range s.backs {
-		if !b.gone && b.drained.IsZero() {
+		if b.until().IsZero() && b.service != "long" {
 			up = append(up, b)
 		}
 	}
@@ -152,8 +161,9 @@
 	b := s.present()
 	s.say("endpoint %s crashes", b.id)
 	s.mu.Lock()
-	b.gone = true
+	b.crashed = time.Now()
 	s.mu.Unlock()
+	s.harm()
 	b.kill()
 	s.later(lapse, func() { s.store.Delete(b.Key()) })
 	s.later(d, func() { s.replace(b.service) })
@@ -163,6 +173,7 @@
 	if _, err := s.addBack(service); err != nil {
 		s.breaks("no new endpoint: %v", err)
 	}
+	s.harm()
 }
 
 // drainTime is how long an endpoint that stops still serves, and the time in
@@ -208,9 +219,10 @@
 		f, m = replica.Faults{}, s.mode()
 	}
 	s.say("endpoint %s is spoiled for %v: %+v %+v", b.id, d, f, m)
+	s.harm()
 	b.Fail(f)
 	b.proxy.Set(m)
-	s.later(d, func() { b.Fail(replica.Faults{}); b.proxy.Set(proxy.Mode{}) })
+	s.later(d, func() { b.Fail(replica.Faults{}); b.proxy.Set(proxy.Mode{}); s.harm() })
 }
 
 // inForce is the time within which a change of the desired state has to be in
@@ -235,6 +247,7 @@
 	for _, r := range s.routers {
 		client := newClient()
 		o := s.load.send(client, r, "/safe/", "revocable")
+		s.load.note(o)
 		client.CloseIdleConnections()
 		s.mu.Lock()
 		judged := s.revoked && s.storeBad.Before(at.Add(-inForce))
--- a/standin/soak/load.go
+++ b/standin/soak/load.go
@@ -19,11 +19,12 @@
 	status int // 0 if no head of an answer came
 	served bool
 	err    error
+	left   time.Time // when a caller that nothing was wrong with its router left; zero if it stayed
 }
 
 // repeatable reports whether the request may run more than once.
 func (o outcome) repeatable() bool {
-	return strings.HasPrefix(o.path, "/safe/") || strings.HasPrefix(o.path, "/resumable/")
+	return o.path == "/safe/" || o.path == "/resumable/" || o.path == "/long/"
 }
 
 // notRun reports whether the caller was promised that the request has not run.
@@ -57,6 +58,10 @@
 		c := &caller{load: l, rng: rand.New(rand.NewPCG(l.soak.opts.Seed, uint64(100+n))), client: newClient()}
 		l.wg.Go(c.run)
 	}
+	l.wg.Go((&leaver{load: l, rng: rand.New(rand.NewPCG(l.soak.opts.Seed, 99))}).run)
+	for _, r := range l.soak.routers {
+		l.wg.Go((&prober{load: l, router: r}).run)
+	}
 }
 
 func (l *load) stop() {
@@ -140,6 +145,39 @@
 	return n
 }
 
+// leaver asks for long streams and leaves in the middle of each.
+type leaver struct {
+	load *load
+	rng  *rand.Rand
+}
+
+// leaverPause is the mean time between two requests of a leaver.
+const leaverPause = 300 * time.Millisecond
+
+func (c *leaver) run() {
+	for c.load.ctx.Err() == nil {
+		ready := *c.load.ready.Load()
+		c.leave(ready[c.rng.IntN(len(ready))])
+		time.Sleep(time.Duration(c.rng.Int64N(int64(2 * leaverPause))))
+	}
+}
+
+// leave sends a request and leaves a moment later. What endpoints still do then
+// is judged only if nothing was wrong with the router before and behind it.
+func (c *leaver) leave(r *router) {
+	ctx, cancel := context.WithTimeout(c.load.ctx, time.Duration(50+c.rng.IntN(200))*time.Millisecond)
+	defer cancel()
+	client := newClient()
+	o := c.load.ask(ctx, client, r, "/long/", "steady")
+	client.CloseIdleConnections()
+	at := time.Now()
+	time.Sleep(2 * leaveSlack)
+	if r.wellSince(at.Add(-2 * leaveSlack)) {
+		o.left = at
+	}
+	c.load.note(o)
+}
+
 // once sends a request on a new connection.
 func (l *load) once(r *router, path string) outcome {
 	client := newClient()
@@ -152,12 +190,23 @@
 // deadline is how long a caller waits.
 const deadline = 4 * time.Second
 
+// The body of each request, and the client account that holds the keys.
+const (
+	requestBody = "body"
+	account     = "acme"
+)
+
 // send sends a request and checks its answer.
 func (l *load) send(client *http.Client, r *router, path, key string) outcome {
-	o := outcome{id: fmt.Sprintf("q%d", l.lastID.Add(1)), path: path}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callers+path+o.id, strings.NewReader("body"))
+	return l.ask(ctx, client, r, path, key)
+}
+
+// ask sends a request, and leaves when ctx ends.
+func (l *load) ask(ctx context.Context, client *http.Client, r *router, path, key string) outcome {
+	o := outcome{id: fmt.Sprintf("q%d", l.lastID.Add(1)), path: path}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callers+path+o.id, strings.NewReader(requestBody))
 	if err != nil {
 		o.err = err
 		return o
@@ -167,7 +216,7 @@
 	req.Header.Set("X-Attempt-Id", o.id)
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+key)
-	if strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/resumable/") {
+	if isStream(path) {
 		req.Header.Set("X-Token-Usage", "100,10")
 		req.Header.Set("X-Prefix-Hash", "aa:50,bb:40,"+o.id+":10")
 	}
@@ -191,7 +240,7 @@
 	}
 	want := "done " + o.id
 	if resp.Header.Get("Content-Type") == "text/event-stream" {
-		want = stream
+		want = streamOf(eventsOf(o.path))
 	}
 	switch {
 	case o.err != nil && !strings.HasPrefix(want, body):
@@ -204,11 +253,24 @@
 	o.served = o.err == nil && body == want
 }
 
-// stream is what a whole stream of an endpoint looks like.
-var stream = func() string {
+// The number of events of streams. One of many lasts for 1.5 s.
+const (
+	fewEvents  = 5
+	manyEvents = 100
+)
+
+func eventsOf(path string) int {
+	if path == "/long/" {
+		return manyEvents
+	}
+	return fewEvents
+}
+
+// streamOf is what a whole stream of an endpoint looks like.
+func streamOf(events int) string {
 	var b strings.Builder
-	for n := 1; n <= 5; n++ {
+	for n := 1; n <= events; n++ {
 		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", n, n)
 	}
 	return b.String()
-}()
+}
--- a/standin/soak/router.go
+++ b/standin/soak/router.go
@@ -129,19 +129,19 @@
 		return err
 	}
 	r.process, r.ended, r.leaving = c, make(chan struct{}), time.Time{}
-	go life{r, c, r.ended}.run()
+	go process{r, c, r.ended}.run()
 	return nil
 }
 
-// life waits for the end of one process.
-type life struct {
+// process waits for the end of one process.
+type process struct {
 	router  *router
-	process *exec.Cmd
+	command *exec.Cmd
 	ended   chan struct{}
 }
 
-func (l life) run() {
-	err := l.process.Wait()
+func (l process) run() {
+	err := l.command.Wait()
 	l.router.mu.Lock()
 	l.router.process = nil
 	l.router.mu.Unlock()
@@ -152,6 +152,14 @@
 	}
 }
 
+// life returns what is closed at the end of the present process; another one has
+// another.
+func (r *router) life() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ended
+}
+
 // signal sends a signal and returns the channel that tells of the process's
 // end, or nil if none runs.
 func (r *router) signal(sig syscall.Signal) <-chan struct{} {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -12,6 +12,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -29,6 +30,7 @@
 	For     time.Duration // with faults; starting and recovering come on top
 	Routers int
 	Callers int
+	Skip    []int     // numbers of faults that are left out
 	Out     io.Writer // told of each fault
 }
 
@@ -43,7 +45,8 @@
 // soak is one run.
 type soak struct {
 	opts    Options
-	rng     *rand.Rand // of faults
+	rng     *rand.Rand // of the present fault
+	number  int        // of the present fault
 	started time.Time
 	store   *hub.Store
 	served  *httptest.Server
@@ -54,9 +57,11 @@
 	mu       sync.Mutex
 	backs    []*back
 	nextID   int
-	version  int
+	version  int // of the desired state
+	previous int // version before it
 	revoked  bool
-	storeBad time.Time // when the store last was not well for all
+	harmed   []time.Time // when endpoints began or ceased to fail
+	storeBad time.Time   // when the store last was not well for all
 	broken   []string
 	faults   int
 	cleanups []func()
@@ -69,19 +74,30 @@
 	service string
 	proxy   *proxy.Proxy
 	kill    func()
+	added   time.Time
 	drained time.Time // when it announced that it stops
-	gone    bool
+	crashed time.Time
 }
 
-// The sizes of a soak's pools.
+// until returns when the endpoint ceased to take requests, or zero.
+func (b *back) until() time.Time {
+	if b.drained.IsZero() {
+		return b.crashed
+	}
+	return b.drained
+}
+
+// The sizes of a soak's pools. Those with long streams never fail, so that what
+// is seen there is the routers' doing.
 const (
 	desks  = 3
 	models = 4
+	longs  = 2
 )
 
 // Run runs a soak and returns what it found.
 func Run(o Options) (Result, error) {
-	s := &soak{opts: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), store: hub.New(), started: time.Now()}
+	s := &soak{opts: o, rng: rand.New(rand.NewPCG(o.Seed, 0)), store: hub.New(), started: time.Now()}
 	defer s.close()
 	s.served = httptest.NewServer(s.store)
 	s.onClose(s.served.CloseClientConnections)
@@ -118,6 +134,11 @@
 			return err
 		}
 	}
+	for range longs {
+		if _, err := s.addBack("long"); err != nil {
+			return err
+		}
+	}
 	s.putState()
 	for n := range s.opts.Routers {
 		r, err := s.newRouter(n)
@@ -162,7 +183,10 @@
 	s.nextID++
 	id := fmt.Sprintf("%s-%d", service, s.nextID)
 	s.mu.Unlock()
-	o := replica.Options{ID: id, Service: service, Zone: fmt.Sprintf("z%d", s.nextID%3), Pause: 15 * time.Millisecond, Unlisted: true}
+	o := replica.Options{ID: id, Service: service, Zone: fmt.Sprintf("z%d", s.nextID%3), Pause: 15 * time.Millisecond, Unlisted: true, Events: fewEvents}
+	if service == "long" {
+		o.Events = manyEvents
+	}
 	r, kill, err := replica.Start(s.store, o)
 	if err != nil {
 		return nil, err
@@ -171,7 +195,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &back{Replica: r, id: id, service: service, proxy: p, kill: kill}
+	b := &back{Replica: r, id: id, service: service, proxy: p, kill: kill, added: time.Now()}
 	r.ListAt(p.Address())
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -185,15 +209,16 @@
 func (s *soak) putState() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.previous = s.version
 	s.version += 1 + s.rng.IntN(3)
-	keys := []string{"steady"}
+	keys := []string{"steady", keyOf(s.version)}
 	if !s.revoked {
 		keys = append(keys, "revocable")
 	}
 	route := func(prefix, kind, service string, attempts int, resumable bool) map[string]any {
 		return map[string]any{
 			"name": prefix, "hostname": "soak.example", "prefix": prefix, "type": kind, "backend": service,
-			"attempts": attempts, "timeoutMs": 4000, "resumable": resumable, "sticky": service == "model",
+			"attempts": attempts, "timeoutMs": 4000, "resumable": resumable, "sticky": service != "desk",
 		}
 	}
 	value, err := json.Marshal(map[string]any{
@@ -203,12 +228,14 @@
 			route("/unsafe/", "unsafe", "desk", 1, false),
 			route("/stream/", "stream", "model", 1, false),
 			route("/resumable/", "stream", "model", 2, true),
+			route("/long/", "stream", "long", 2, true),
 		},
 		"backends": []any{
 			map[string]any{"name": "desk", "maxConns": 200},
 			map[string]any{"name": "model", "maxConns": 200, "runtime": map[string]any{"slots": 8}},
+			map[string]any{"name": "long", "maxConns": 200, "runtime": map[string]any{"slots": 8}},
 		},
-		"tenants": []any{map[string]any{"name": "acme", "apiKeys": keys}},
+		"tenants": []any{map[string]any{"name": account, "apiKeys": keys}},
 		"limits":  map[string]any{"maxBodyBytes": 1 << 20},
 	})
 	if err != nil {
@@ -217,6 +244,23 @@
 	s.store.Put("op/config", value)
 }
 
+// keyOf returns the key that only one version of the desired state holds.
+func keyOf(version int) string { return fmt.Sprintf("version-%d", version) }
+
+// versions returns the newest version of the desired state and the one before.
+func (s *soak) versions() (newest, before int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version, s.previous
+}
+
+// harm notes that endpoints begin or cease to fail now.
+func (s *soak) harm() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.harmed = append(s.harmed, time.Now())
+}
+
 func (s *soak) breaks(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -225,7 +269,7 @@
 
 func (s *soak) say(format string, args ...any) {
 	if s.opts.Out != nil {
-		fmt.Fprintf(s.opts.Out, "%8.3f s  %s\n", time.Since(s.started).Seconds(), fmt.Sprintf(format, args...))
+		fmt.Fprintf(s.opts.Out, "%8.3f s  %3d  %s\n", time.Since(s.started).Seconds(), s.number, fmt.Sprintf(format, args...))
 	}
 }
 
@@ -263,20 +307,15 @@
 
 // check looks for promises that show as broken only at the end.
 func (s *soak) check() {
-	runs := make(map[string]int)
+	h := history{outcomes: s.load.outcomes(), harmed: s.harmed}
 	for _, b := range s.backs {
+		h.present = append(h.present, presence{b.service, b.added, b.until()})
 		for _, a := range b.Arrivals() {
-			runs[a.ID]++
+			h.arrivals = append(h.arrivals, arrival{Arrival: a, endpoint: b.id, service: b.service})
 		}
 	}
-	for _, o := range s.load.outcomes() {
-		switch n := runs[o.id]; {
-		case n > 1 && !o.repeatable():
-			s.breaks("request %s %s ran %d times", o.id, o.path, n)
-		case n > 0 && o.notRun() && !o.repeatable():
-			s.breaks("request %s %s was answered %d and has run", o.id, o.path, o.status)
-		case n > 2:
-			s.breaks("request %s %s ran at %d endpoints, of two allowed", o.id, o.path, n)
-		}
+	slices.SortFunc(h.arrivals, func(a, b arrival) int { return a.At.Compare(b.At) })
+	for _, line := range h.broken() {
+		s.breaks("%s", line)
 	}
 }
