Product's own interface: a line for each decision on a chat, by the request's id

Cause: on the product's own interface a complaint could not be traced: only refusals (at debug level, without an id) and lost endpoints were logged.

Change: a chat has an id in logs, the caller's X-Request-Id or one of the router's, returned in the answer. Events 514 (placed, with what decided) and 515 (how an attempt ended); 503, 506, 509, 511 carry the id, 506 and 511 are logged as they happen. wisteriactl explain reads them too, and finds the restart of a router at any time behind a request, not within 5 s only.

Tests: a chat whose endpoint dies and goes on, a refusal before anything else (both by the lines alone), two golden files of explain.

Not done: actions have no line for each attempt; only refusals and unknown outcomes are logged.

--- a/wisteriactl/explain.go
+++ b/wisteriactl/explain.go
@@ -22,7 +22,11 @@
 	eventStoreLost       = 300
 	eventStoreBack       = 301
 	eventEndpointLeaving = 500
+	eventChatRefused     = 506
+	eventChatGone        = 511
 	eventEndpointHeld    = 512
+	eventChatPlaced      = 514
+	eventChatAttempt     = 515
 	eventRelayAttempt    = 800
 	eventRelayRefused    = 802
 	eventRelayCut        = 803
@@ -159,7 +163,7 @@
 		e.Around = append(e.Around, step{At: l.Time.Sub(start), Router: l.Router, What: l.what()})
 	}
 	e.Stale = stale(own, lines)
-	e.Cause = cause(own, near, e.Stale)
+	e.Cause = cause(own, lines, e.Stale)
 	return e, true
 }
 
@@ -172,7 +176,11 @@
 	case eventRelayAttempt:
 		return fmt.Sprintf("attempt at %s %s, status %d, after %d ms; first event after %d ms, longest pause %d ms",
 			l.Endpoint, l.Ended, l.Status, l.Ms, l.FirstMs, l.PauseMs)
-	case eventRelayRefused:
+	case eventChatPlaced:
+		return fmt.Sprintf("placed at %s, attempt %d, after %d ms", l.Endpoint, l.Attempt, l.PlaceMs)
+	case eventChatAttempt:
+		return fmt.Sprintf("attempt at %s %s after %d ms", l.Endpoint, l.Ended, l.Ms)
+	case eventRelayRefused, eventChatRefused:
 		return fmt.Sprintf("answered %d by the router: %s", l.Status, l.Why)
 	}
 	return l.Name + l.rest()
@@ -199,6 +207,16 @@
 	return b.String()
 }
 
+// placed, attempted, refused and gone report of what kind a line is, on either
+// interface of a router.
+func (l logLine) placed() bool { return l.Event == eventRelayPlaced || l.Event == eventChatPlaced }
+
+func (l logLine) attempted() bool { return l.Event == eventRelayAttempt || l.Event == eventChatAttempt }
+
+func (l logLine) refused() bool { return l.Event == eventRelayRefused || l.Event == eventChatRefused }
+
+func (l logLine) gone() bool { return l.Event == eventRelayGone || l.Event == eventChatGone }
+
 // nearby returns what happened around a request to the endpoints that it met
 // and to its routers' view of the store.
 func nearby(own, lines []logLine) []logLine {
@@ -228,7 +246,7 @@
 func stale(own, lines []logLine) []string {
 	var found []string
 	for _, p := range own {
-		if p.Event != eventRelayPlaced && p.Event != eventRelayRefused {
+		if !p.placed() && !p.refused() {
 			continue
 		}
 		found = append(found, staleState(p, lines)...)
@@ -238,6 +256,9 @@
 }
 
 func staleState(p logLine, lines []logLine) []string {
+	if p.Event == eventChatPlaced || p.Event == eventChatRefused {
+		return nil // teams have settings of their own
+	}
 	for _, l := range lines {
 		if l.Event == eventStateApplied && l.Version > p.Version && l.Time.Before(p.Time) {
 			return []string{fmt.Sprintf("%s decided by desired state %d; %s had %d in force %.3f s before", p.Router, p.Version, l.Router, l.Version, p.Time.Sub(l.Time).Seconds())}
@@ -267,31 +288,31 @@
 )
 
 // cause says in a sentence what decided a request's end.
-func cause(own, near []logLine, stale []string) string {
+func cause(own, lines []logLine, stale []string) string {
 	last := own[len(own)-1]
 	var lost []string
 	var slowest, placed logLine
 	for _, l := range own {
 		switch {
-		case l.Event == eventRelayAttempt && l.Ended != "delivered":
+		case l.attempted() && l.Ended != "delivered":
 			lost = append(lost, l.Endpoint+" "+l.Ended)
-		case l.Event == eventRelayAttempt:
+		case l.attempted():
 			slowest = l
-		case l.Event == eventRelayPlaced && l.PlaceMs > placed.PlaceMs:
+		case l.placed() && l.PlaceMs > placed.PlaceMs:
 			placed = l
 		}
 	}
 	failed := strings.Join(lost, ", ")
 	switch {
-	case last.Event == eventRelayPlaced:
-		return fmt.Sprintf("no line follows: %s ended while %s was at work%s", last.Router, last.Endpoint, restarted(last, near))
-	case last.Event == eventRelayGone:
+	case last.placed():
+		return fmt.Sprintf("no line follows: %s ended while %s was at work%s", last.Router, last.Endpoint, restarted(last, lines))
+	case last.gone():
 		return cmp.Or(failed, "no endpoint had answered in full") + "; the caller left after " + fmt.Sprint(last.fields["after-ms"]) + " ms"
 	case last.Event == eventRelayCut:
 		return "the answer broke off: " + failed
-	case last.Event == eventRelayRefused && failed != "":
+	case last.refused() && failed != "":
 		return fmt.Sprintf("answered %d after %s", last.Status, failed)
-	case last.Event == eventRelayRefused:
+	case last.refused():
 		return fmt.Sprintf("answered %d, sent nowhere: %s", last.Status, last.Why)
 	case last.Status >= 500:
 		return strings.TrimPrefix(failed+fmt.Sprintf("; then %s itself answered %d, and no attempt was left", last.Endpoint, last.Status), "; ")
@@ -311,8 +332,8 @@
 }
 
 // restarted tells when a router started again after its last line of a request.
-func restarted(last logLine, near []logLine) string {
-	for _, l := range near {
+func restarted(last logLine, lines []logLine) string {
+	for _, l := range lines {
 		if l.Event == eventStarted && l.Router == last.Router && l.Time.After(last.Time) {
 			return fmt.Sprintf("; it started again %.3f s later", l.Time.Sub(last.Time).Seconds())
 		}
--- a/wisteriactl/explain_test.go
+++ b/wisteriactl/explain_test.go
@@ -23,6 +23,8 @@
 		{"explain-stale", []string{"explain", "d4"}, exitOK},
 		{"explain-endpoints-failed", []string{"explain", "f6"}, exitOK},
 		{"explain-unfinished", []string{"explain", "e5"}, exitOK},
+		{"explain-chat", []string{"explain", "g7"}, exitOK},
+		{"explain-chat-refused", []string{"explain", "h8"}, exitOK},
 		{"explain-late-json", []string{"explain", "c3", "-o", "json"}, exitOK},
 		{"explain-unknown", []string{"explain", "zz"}, exitFailed},
 		{"explain-usage", []string{"explain"}, exitUsage},
--- a/wisteriarouter/caller/adopt.go
+++ b/wisteriarouter/caller/adopt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"wisteriaspool/coordination/outcome"
 	"wisteriaspool/wisteriarouter/engine"
@@ -26,7 +27,7 @@
 	if !ok {
 		return a.adoptFailed(ctx)
 	}
-	at := &attempt{id: id.Attempt, place: place}
+	at := &attempt{id: id.Attempt, place: place, begun: time.Now()}
 	a.id, a.place = at.id, place
 	at.stream, err = a.Engines.Resume(ctx, place.Address, a.request(id.Attempt, nil))
 	if err != nil {
@@ -37,7 +38,7 @@
 		return a.adoptFailed(ctx)
 	}
 	a.Metrics.adopted.Inc()
-	a.Log.Emit(event.StreamResumed, event.F("endpoint", e), event.F("offset", id.Offset), event.F("adopted", true))
+	a.emit(event.StreamResumed, event.F("endpoint", e), event.F("offset", id.Offset), event.F("adopted", true))
 	return a.settle(ctx, at, a.follow(ctx, at))
 }
 
--- a/wisteriarouter/caller/answer.go
+++ b/wisteriarouter/caller/answer.go
@@ -55,6 +55,7 @@
 	id     coordination.Attempt
 	place  Place
 	stream *engine.Stream
+	begun  time.Time
 }
 
 func (a *answer) run(ctx context.Context) {
@@ -78,7 +79,7 @@
 			return
 		}
 		if n > 0 && !a.Retries.Take(a.chat.team) {
-			a.Log.Emit(event.RetryBudgetSpent, event.F("team", a.chat.team))
+			a.emit(event.RetryBudgetSpent, event.F("team", a.chat.team))
 			break
 		}
 		if a.try(ctx) {
@@ -118,6 +119,7 @@
 // try makes one attempt and reports whether the request is over.
 func (a *answer) try(ctx context.Context) bool {
 	alone := a.trail.Alone()
+	asked := time.Now()
 	place, refusal := a.acquire(ctx)
 	if refusal != nil {
 		a.giveUp(ctx, refusal)
@@ -133,8 +135,9 @@
 		place.Release()
 		return false
 	}
-	at := &attempt{id: engine.NewAttempt(place.Endpoint, a.chat.binding), place: place}
+	at := &attempt{id: engine.NewAttempt(place.Endpoint, a.chat.binding), place: place, begun: time.Now()}
 	a.id, a.place = at.id, place
+	a.placed(at, time.Since(asked))
 	how := a.start(ctx, at)
 	if how == standing {
 		how = a.follow(ctx, at)
--- a/wisteriarouter/caller/api.go
+++ b/wisteriarouter/caller/api.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"reflect"
+	"strconv"
 	"time"
 
 	"github.com/danielgtaylor/huma/v2"
@@ -58,15 +60,19 @@
 }
 
 func (s *Server) createChat(_ context.Context, in *chatInput) (*huma.StreamResponse, error) {
+	if in.RequestID == "" {
+		in.RequestID = newRequestID()
+	}
 	if r := s.refuseWhenStopping(); r != nil {
-		return s.refused("chat", r), nil
+		return s.refusedChat(in.RequestID, r), nil
 	}
 	c, r := s.newChat(in.ChatHeaders, in.Body, in.RawBody)
 	if r != nil {
-		return s.refused("chat", r), nil
+		return s.refusedChat(in.RequestID, r), nil
 	}
 	return &huma.StreamResponse{Body: func(ctx huma.Context) {
 		_, w := humago.Unwrap(ctx)
+		w.Header().Set(headerRequest, c.request)
 		out := newWriter(w, s.Limits.WriteTimeout)
 		if c.stream {
 			s.serve(ctx.Context(), c, &streamSink{writer: out})
@@ -76,6 +82,21 @@
 	}}, nil
 }
 
+// newRequestID returns a name for a request whose caller gave it none.
+func newRequestID() string { return strconv.FormatUint(rand.Uint64(), 16) }
+
+// refusedChat answers a chat that never went anywhere, and logs that.
+func (s *Server) refusedChat(request string, r *outcome.Refusal) *huma.StreamResponse {
+	s.logRefusal(request, r)
+	res := s.refused("chat", r)
+	write := res.Body
+	res.Body = func(ctx huma.Context) {
+		ctx.SetHeader(headerRequest, request)
+		write(ctx)
+	}
+	return res
+}
+
 // refused answers a request that never went anywhere.
 func (s *Server) refused(kind string, r *outcome.Refusal) *huma.StreamResponse {
 	s.Metrics.ended(kind, r.Outcome, string(r.Code))
--- a/wisteriarouter/caller/chat.go
+++ b/wisteriarouter/caller/chat.go
@@ -26,6 +26,7 @@
 	Priority    int    `header:"X-Priority" doc:"Higher goes first; capped by the team's settings."`
 	DeadlineMs  int    `header:"X-Deadline-Ms" minimum:"0" doc:"Milliseconds in which the answer must start."`
 	LastEventID string `header:"Last-Event-ID" doc:"Continue the stream behind this event."`
+	RequestID   string `header:"X-Request-Id" maxLength:"128" doc:"Names the request in logs; made by the router if missing."`
 }
 
 // chatMessage is one message of a conversation.
@@ -47,6 +48,7 @@
 
 // chat is one checked chat request.
 type chat struct {
+	request     string // its id in logs
 	team        coordination.Team
 	account     coordination.Account
 	id          coordination.Chat
@@ -187,6 +189,7 @@
 		return nil, refuse(outcome.Malformed, err.Error())
 	}
 	c := &chat{
+		request: h.RequestID,
 		team:    coordination.Team(h.Team),
 		account: coordination.Account(h.Account),
 		id:      coordination.Chat(h.Chat),
--- a/wisteriarouter/caller/follow.go
+++ b/wisteriarouter/caller/follow.go
@@ -43,14 +43,14 @@
 		case ctx.Err() != nil, errors.Is(err, errSink):
 			return callerGone
 		case errors.Is(err, engine.ErrMalformed):
-			a.Log.Emit(event.StreamMalformed, event.F("endpoint", at.place.Endpoint), event.F("attempt", at.id))
+			a.emit(event.StreamMalformed, event.F("endpoint", at.place.Endpoint), event.F("attempt", at.id))
 			return malformed
 		}
 		if barren > maxBarren || !wait(ctx, time.Duration(barren)*barrenPause) || !a.resume(ctx, at) {
 			return lost
 		}
 		a.Metrics.resumed.Inc()
-		a.Log.Emit(event.StreamResumed, event.F("endpoint", at.place.Endpoint), event.F("offset", a.offset))
+		a.emit(event.StreamResumed, event.F("endpoint", at.place.Endpoint), event.F("offset", a.offset))
 	}
 }
 
--- a/wisteriarouter/caller/settle.go
+++ b/wisteriarouter/caller/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"wisteriaspool/coordination/outcome"
 	"wisteriaspool/wisteriarouter/event"
@@ -14,6 +15,7 @@
 	if how == lost && a.isDead(ctx, at) {
 		how = died
 	}
+	a.ended(at, how)
 	switch how {
 	case finished:
 		a.evidence.Answered(at.id)
@@ -27,7 +29,7 @@
 	case callerGone:
 		a.cancel(ctx, at)
 		a.Metrics.ended("chat", a.evidence.Outcome(), "caller-gone")
-		a.Log.Emit(event.ConnectionDropped, event.F("attempt", at.id))
+		a.emit(event.ConnectionDropped, event.F("attempt", at.id), event.F("after-ms", time.Since(a.chat.arrived).Milliseconds()))
 		return true
 	case lost, malformed:
 		a.cancel(ctx, at)
@@ -40,7 +42,7 @@
 	a.exclude = append(a.exclude, at.place.Endpoint)
 	if a.offset > 0 {
 		a.Metrics.continued.Inc()
-		a.Log.Emit(event.StreamContinued, event.F("endpoint", at.place.Endpoint), event.F("offset", a.offset))
+		a.emit(event.StreamContinued, event.F("endpoint", at.place.Endpoint), event.F("offset", a.offset))
 	}
 	return false
 }
@@ -54,7 +56,7 @@
 	if how == foundDead {
 		return a.trail.FoundDead(ctx, e)
 	}
-	a.Log.Emit(event.EndpointLost, event.F("endpoint", e), event.F("incarnation", n), event.F("attempt", at.id))
+	a.emit(event.EndpointLost, event.F("endpoint", e), event.F("incarnation", n), event.F("attempt", at.id))
 	a.cancel(ctx, at)
 	// The place is given back first: the wait for leave to go on may be long.
 	at.place.Release()
@@ -83,7 +85,7 @@
 	final := *r
 	final.Outcome = a.evidence.Outcome()
 	a.Metrics.ended("chat", final.Outcome, string(final.Code))
-	a.Log.Emit(event.RequestRefused, event.F("code", final.Code), event.F("team", a.chat.team), event.F("account", a.chat.account))
+	a.logRefusal(a.chat.request, &final, event.F("team", a.chat.team), event.F("account", a.chat.account))
 	if ctx.Err() == nil {
 		a.sink.refuse(&final)
 	}
--- a/wisteriarouter/caller/sink.go
+++ b/wisteriarouter/caller/sink.go
@@ -18,6 +18,7 @@
 const (
 	headerHint       = "X-Route-Hint"
 	headerAttempt    = "X-Attempt-Id"
+	headerRequest    = "X-Request-Id"
 	headerRetryAfter = "Retry-After"
 )
 
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -51,11 +51,13 @@
 	CancelFailed      = Kind{505, "cancel-failed", logrus.WarnLevel, "An attempt nobody reads could not be cancelled; it ends when the endpoint's own limit passes."}
 	EndpointHeld      = Kind{512, "endpoint-held", logrus.InfoLevel, "An endpoint's entry was removed while the store was away or with very many others; the endpoint stays for a while in case the entry comes back."}
 	EndpointMalformed = Kind{513, "endpoint-malformed", logrus.WarnLevel, "An entry in the store cannot be used and names no endpoint; the error tells why. Look for another writer."}
-	RequestRefused    = Kind{506, "request-refused", logrus.DebugLevel, "A request got a final refusal."}
+	RequestRefused    = Kind{506, "request-refused", logrus.WarnLevel, "A request got a final refusal; tells the code, why, whether it has run, and when the caller was told to come back."}
 	RequestSuspected  = Kind{507, "request-suspected", logrus.WarnLevel, "A request ran on an endpoint that died."}
 	RequestConvicted  = Kind{508, "request-convicted", logrus.ErrorLevel, "A request's second endpoint died. The fleet refuses it from now on; look at its fingerprint's caller."}
 	RetryBudgetSpent  = Kind{509, "retry-budget-spent", logrus.WarnLevel, "A request was not retried because the share of retries is spent. Look for endpoints that fail."}
-	ConnectionDropped = Kind{511, "caller-gone", logrus.DebugLevel, "A caller went away; its attempt was cancelled."}
+	ConnectionDropped = Kind{511, "caller-gone", logrus.InfoLevel, "A caller went away; its attempt was cancelled."}
+	ChatPlaced        = Kind{514, "chat-placed", logrus.InfoLevel, "A chat got a place at an endpoint and is sent there; tells how long the place took and how much of the time to the start is left. Nothing to do."}
+	ChatAttempt       = Kind{515, "chat-attempt", logrus.InfoLevel, "An attempt of a chat has ended; tells how, after how long, and how many tokens the caller has by then. Look at the endpoint if attempts are lost there more than elsewhere."}
 )
 
 // The events of actions.
@@ -92,7 +94,7 @@
 		PlatformLost, PlatformBack,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumourShed, PeerBusy, PeerAway, PeerBack,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
-		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, ConnectionDropped, EndpointHeld, EndpointMalformed,
+		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, ConnectionDropped, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
 		OrderGiven,
 		RelayAttempt, RelayAttemptLost, RelayRefused, RelayCut, RelayCallerGone, RelayBudgetSpent, RelayPlaced,
