soak: loads are not judged while an endpoint fails, from its beginning to its end

Cause, found by reading: only the moments at which a failure began and ended were kept, so a failure of over 3 s was taken for calm in its middle, and an uneven load there for the routers' fault.

--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -60,8 +60,8 @@
 	version  int // of the desired state
 	previous int // version before it
 	revoked  bool
-	harmed   []time.Time // when endpoints began or ceased to fail
-	storeBad time.Time   // when the store last was not well for all
+	harmed   []span
+	storeBad time.Time // when the store last was not well for all
 	broken   []string
 	faults   int
 	cleanups []func()
@@ -254,11 +254,12 @@
 	return s.version, s.previous
 }
 
-// harm notes that endpoints begin or cease to fail now.
-func (s *soak) harm() {
+// harm notes that an endpoint fails from now on for a time.
+func (s *soak) harm(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.harmed = append(s.harmed, time.Now())
+	now := time.Now()
+	s.harmed = append(s.harmed, span{now, now.Add(d)})
 }
 
 func (s *soak) breaks(format string, args ...any) {
