--- a/coordination/placement/admit.go
+++ b/coordination/placement/admit.go
@@ -72,8 +72,10 @@
 func (o *Owner) submit(now time.Time, req AdmitRequest) (AdmitReply, *waiter) {
 	o.hear(now, req.Entry)
 	for _, r := range req.Releases {
+		o.see(now, r.notice(), req.Entry)
 		o.end(now, GrantID{Entry: req.Entry, Sequence: r.Sequence}, r.Endpoint)
 	}
+	zone := o.zoneOf(req.Entry)
 	s := o.shard(req.Endpoint)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -81,6 +83,9 @@
 	if l == nil {
 		return o.disclaim(req.Endpoint), nil
 	}
+	if wait, off := l.keepsOff(now, &req, zone); off {
+		return AdmitReply{Decision: Next, Code: Outlier, RetryAfter: millis(wait)}, nil
+	}
 	return l.submit(now, req, o.cfg.Load())
 }
 
--- a/coordination/placement/entry.go
+++ b/coordination/placement/entry.go
@@ -27,6 +27,7 @@
 	cfg       atomic.Pointer[Config]
 	view      atomic.Pointer[view]
 	held      grantTable
+	doubts    doubtTable
 	fallback  fallbackTable
 }
 
@@ -71,7 +72,7 @@
 	cfg, v := e.cfg.Load(), e.view.Load()
 	g := e.held.open(e, req.Alone)
 	w := newWalk(time.Now(), req, cfg, v.set, v.routers)
-	w.latest = e.view.Load
+	w.latest, w.doubts = e.view.Load, &e.doubts
 	for {
 		sleep(ctx, w.pause(time.Now()))
 		a, refusal, ok := w.next(time.Now())
@@ -81,6 +82,9 @@
 		}
 		g.Warm, g.Rank = a.endpoint == w.warm, slices.Index(w.list, a.endpoint)
 		r := e.put(ctx, g, req, a, cfg)
+		if r.Code == Outlier {
+			e.doubts.note(time.Now(), doubt{endpoint: a.endpoint.ID, once: req.Once}, r.RetryAfter.Duration())
+		}
 		if !w.take(a, r) {
 			continue
 		}
@@ -124,6 +128,8 @@
 		Wait:        a.wait,
 		Final:       a.final,
 		Alone:       req.Alone,
+		Once:        req.Once,
+		Insist:      a.insist,
 	}
 	if a.owner == e.id.Instance {
 		r := e.local.Admit(ctx, m)
@@ -197,6 +203,23 @@
 	_, _ = e.transport.Call(ctx, to, TopicRelease, b.Encode())
 }
 
+// tell tells one owner what a request shows of its endpoint, and reports whether
+// the endpoint is taken out. An owner that does not answer knows no better.
+func (e *Entry) tell(ctx context.Context, owner coordination.Instance, n Notice) (out bool) {
+	b := ReleaseBatch{Entry: e.id, Notices: []Notice{n}}
+	if owner == e.id.Instance {
+		return slices.Contains(e.local.Release(b).Out, n.Endpoint)
+	}
+	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
+	defer cancel()
+	raw, err := e.transport.Call(ctx, owner, TopicRelease, b.Encode())
+	if err != nil {
+		return false
+	}
+	r, err := DecodeReleaseReply(raw)
+	return err == nil && slices.Contains(r.Out, n.Endpoint)
+}
+
 // Tick sends the releases that have gathered, and registers the held grants
 // when lists have changed or a third of the entry's lease has passed.
 func (e *Entry) Tick(ctx context.Context) {
--- a/coordination/placement/grants.go
+++ b/coordination/placement/grants.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/outlier"
 )
 
 // Grant is the right to run one request at one endpoint. The request counts
@@ -27,6 +29,7 @@
 
 	// The grantTable's lock guards what follows.
 	granted bool
+	seen    outlier.Weight // what the request showed of the endpoint
 	start   time.Time
 	owners  []coordination.Instance // that count it
 }
@@ -42,6 +45,27 @@
 	}
 }
 
+// Saw notes what the request showed of its endpoint, which the release tells the
+// owner.
+func (g *Grant) Saw(w outlier.Weight) {
+	t := &g.entry.held
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g.seen = w
+}
+
+// Tell tells the owner at once what the request shows of its endpoint while it
+// runs on there; zero only asks. It reports whether the endpoint is taken out for
+// its failures.
+func (g *Grant) Tell(ctx context.Context, w outlier.Weight) (out bool) {
+	e := g.entry
+	n := Notice{Endpoint: g.Endpoint.ID, Sequence: g.sequence, Seen: w}
+	for _, o := range e.held.ownersOf(g) {
+		out = e.tell(ctx, o, n) || out
+	}
+	return out
+}
+
 // Hint returns the hint that leads the next request of the chat back here.
 func (g *Grant) Hint() Hint { return HintOf(g.Endpoint.ID, g.Endpoint.Incarnation) }
 
@@ -109,7 +133,7 @@
 		return nil
 	}
 	for _, o := range g.owners {
-		r := Release{Endpoint: g.Endpoint.ID, Sequence: g.sequence}
+		r := Release{Endpoint: g.Endpoint.ID, Sequence: g.sequence, Seen: g.seen}
 		if o == self {
 			local = &r
 			continue
@@ -119,6 +143,16 @@
 	return local
 }
 
+// ownersOf returns the owners that count a grant.
+func (t *grantTable) ownersOf(g *Grant) []coordination.Instance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.grants[g.sequence] != g || !g.granted {
+		return nil
+	}
+	return slices.Clone(g.owners)
+}
+
 // add appends a release. The caller holds t.mu.
 func (t *grantTable) add(o coordination.Instance, r Release) {
 	if len(t.releases[o]) < releaseLimit {
--- a/coordination/placement/handlers.go
+++ b/coordination/placement/handlers.go
@@ -11,14 +11,18 @@
 	return o.Admit(ctx, m).Encode(), nil
 }
 
-// HandleRelease answers a message on [TopicRelease] with nothing.
+// HandleRelease answers a message on [TopicRelease], with nothing if it has no
+// notices.
 func (o *Owner) HandleRelease(_ context.Context, payload []byte) ([]byte, error) {
 	m, err := DecodeReleaseBatch(payload)
 	if err != nil {
 		return nil, err
 	}
-	o.Release(m)
-	return nil, nil
+	r := o.Release(m)
+	if len(r.Out) == 0 {
+		return nil, nil
+	}
+	return r.Encode(), nil
 }
 
 // HandleRegister answers a message on [TopicRegister] with nothing.
--- /dev/null
+++ b/coordination/placement/judging.go
@@ -0,0 +1,152 @@
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/outlier"
+)
+
+// mostOutliers is the part of a pool that may be kept off at a time, as a
+// divisor: one endpoint in three. Were more of them to fail than that, the rest
+// would drown, and what looks like many bad endpoints is more often one cause
+// behind them all.
+const mostOutliers = 3
+
+// outliersOf returns how many of n endpoints a request keeps off. Of two one is
+// kept off, since the other can take its load; a single one has no other.
+func outliersOf(n int) int {
+	if n < 2 {
+		return 0
+	}
+	return max(n/mostOutliers, 1)
+}
+
+// Judgement tells that an endpoint is taken out, or back, for the routers of a
+// zone.
+type Judgement struct {
+	Endpoint    coordination.Endpoint
+	Incarnation coordination.Incarnation
+	Pool        coordination.Pool
+	outlier.Verdict
+}
+
+// OnJudgement has fn told of each change of an own endpoint's standing. It is
+// called under a lock and must not call the owner. It is to be set before the
+// first [Owner.Update].
+func (o *Owner) OnJudgement(fn func(Judgement)) { o.onJudgement = fn }
+
+// zoneOf returns the availability zone of an entry's router. Routers that are
+// not listed yet share the zone without a name.
+func (o *Owner) zoneOf(e EntryID) coordination.Zone {
+	r, _ := o.view.Load().routers.Find(e.Instance)
+	return r.Zone
+}
+
+// see takes in what a request showed of its endpoint, and reports whether the
+// endpoint is taken out for the zone of the request's router. A request that this
+// owner does not count says nothing: it was taken in before, or at another owner.
+func (o *Owner) see(now time.Time, n Notice, from EntryID) (out bool) {
+	zone := o.zoneOf(from)
+	s := o.shard(n.Endpoint)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.loads[n.Endpoint]
+	if l == nil {
+		return false
+	}
+	if g, ok := l.grants[GrantID{Entry: from, Sequence: n.Sequence}]; ok {
+		l.judge.Hear(now, zone, g.start, n.Seen)
+	}
+	return l.judge.OutFor(zone)
+}
+
+// judged follows a change of the endpoint's standing. Requests that wait there
+// look for another place. An endpoint that gets nothing does not count in the
+// pool's mean, or the others would be held to a mean that they cannot keep.
+func (l *endpointLoad) judged(v outlier.Verdict, tell func(Judgement)) {
+	if tell != nil {
+		tell(Judgement{Endpoint: l.desc.ID, Incarnation: l.desc.Incarnation, Pool: l.desc.Pool, Verdict: v})
+	}
+	if v.Standing == outlier.Excluded {
+		l.passOn(Outlier)
+	}
+	l.setAside(l.judge.Out())
+}
+
+// setAside has the endpoint count in its pool's mean, or not.
+func (l *endpointLoad) setAside(aside bool) {
+	if l.left || l.aside == aside {
+		return
+	}
+	l.aside = aside
+	if aside {
+		l.pool.change(-l.counted, -1)
+		l.counted = 0
+		return
+	}
+	l.pool.change(0, 1) // its requests count from the next look at the load
+}
+
+// keepsOff tells whether a request is to keep off the endpoint for its failures,
+// and for how long.
+func (l *endpointLoad) keepsOff(now time.Time, req *AdmitRequest, zone coordination.Zone) (time.Duration, bool) {
+	if req.Insist {
+		return 0, false
+	}
+	standing, wait := l.judge.Standing(now, zone, len(l.grants))
+	switch standing {
+	case outlier.Excluded:
+		return wait, true
+	case outlier.Doubted, outlier.Probed:
+		return max(wait, leastDoubt), req.Once
+	default:
+		return 0, false
+	}
+}
+
+// leastDoubt is the least time for which an entry need not ask again.
+const leastDoubt = 100 * time.Millisecond
+
+// doubtTable holds which endpoints an entry need not ask about, by the word of
+// their owners. Without it each request would first be sent away by the owner
+// of its bad endpoint, 7 ms away. The zero value is ready for use.
+type doubtTable struct {
+	mu    sync.Mutex
+	until map[doubt]time.Time
+}
+
+// doubt is an endpoint that turned a request away for its failures. One that
+// takes requests which may be sent again may keep off others.
+type doubt struct {
+	endpoint coordination.Endpoint
+	once     bool
+}
+
+// longestDoubt bounds for how long an entry does not ask, so that a new owner,
+// which knows of no failures, is asked soon.
+const longestDoubt = time.Second
+
+func (t *doubtTable) note(now time.Time, d doubt, wait time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.until == nil {
+		t.until = make(map[doubt]time.Time)
+	}
+	for old, until := range t.until {
+		if now.After(until) {
+			delete(t.until, old)
+		}
+	}
+	t.until[d] = now.Add(min(wait, longestDoubt))
+}
+
+func (t *doubtTable) holds(now time.Time, d doubt) bool {
+	if t == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.until[d])
+}
--- a/coordination/placement/load.go
+++ b/coordination/placement/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/outlier"
 )
 
 // Report is an endpoint's own word on its load. It lags.
@@ -39,6 +40,8 @@
 	counted int // what the pool's sum holds for this endpoint
 	left    bool
 	lost    time.Time // when an entry last found it dead; zero if alive
+	judge   outlier.Judge
+	aside   bool // it gets nothing for its failures, and is not in the pool's sum
 
 	// A new owner does not know what its endpoint runs until entries have
 	// registered or the endpoint has reported. Counting from zero would put a
@@ -126,7 +129,7 @@
 // refresh brings the pool's sum in line with the count.
 func (l *endpointLoad) refresh(now time.Time, cfg *Config) {
 	n := l.sure(now, cfg)
-	if l.left {
+	if l.left || l.aside {
 		n = 0
 	}
 	if n != l.counted {
@@ -140,6 +143,7 @@
 	if l.left {
 		return
 	}
+	l.setAside(false)
 	l.left = true
 	l.pool.change(-l.counted, -1)
 	l.counted = 0
--- a/coordination/placement/messages.go
+++ b/coordination/placement/messages.go
@@ -5,8 +5,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
+	"github.com/samber/lo"
 
 	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/outlier"
 )
 
 // The topics of the messages between entries and owners.
@@ -72,6 +74,18 @@
 	// Releases are grants of this entry that have ended, at any endpoint of
 	// this owner.
 	Releases []Release `cbor:"11,keyasint,omitempty"`
+
+	// Once says that a failure of the request could not be mended by another
+	// attempt, so that it keeps away from endpoints in doubt.
+	Once bool `cbor:"12,keyasint,omitempty"`
+
+	// Insist says that so much of the pool is in doubt that the request is to
+	// be placed there all the same.
+	Insist bool `cbor:"13,keyasint,omitempty"`
+
+	// Seen tells for each of Releases what the request showed of its endpoint.
+	// It is empty if none showed anything.
+	Seen []outlier.Weight `cbor:"14,keyasint,omitempty"`
 }
 
 // Decision is an owner's answer to a request for a grant.
@@ -114,13 +128,14 @@
 	Unreachable      // the owner could not be reached, and the fallback declined
 	Lost             // the endpoint has died, restarted or is unknown
 	Unlisted         // the pool has no endpoint that is known
+	Outlier          // the endpoint fails requests that others of its pool serve
 )
 
 var codeNames = [...]string{
 	None: "none", Overloaded: "overloaded", Deadline: "deadline", Gone: "leaving",
 	Poison: "poison", NotOwner: "not-owner", OverBound: "over-bound", Full: "full",
 	Settling: "settling", Cancelled: "cancelled", Unreachable: "unreachable", Lost: "endpoint-lost",
-	Unlisted: "no-endpoint-known",
+	Unlisted: "no-endpoint-known", Outlier: "outlier",
 }
 
 // String returns the name of c as logs, metrics and callers see it.
@@ -153,6 +168,17 @@
 	_        struct{} `cbor:",toarray"`
 	Endpoint coordination.Endpoint
 	Sequence Sequence
+	// Seen is what the request showed of its endpoint. It travels beside the
+	// releases, since older routers know a release by its two fields.
+	Seen outlier.Weight `cbor:"-"`
+}
+
+// Notice tells what a request shows of its endpoint while it still runs there.
+type Notice struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint coordination.Endpoint
+	Sequence Sequence
+	Seen     outlier.Weight
 }
 
 // LostEndpoint names an incarnation of an endpoint that an entry found dead.
@@ -168,6 +194,47 @@
 	Entry    EntryID        `cbor:"1,keyasint"`
 	Releases []Release      `cbor:"2,keyasint,omitempty"`
 	Lost     []LostEndpoint `cbor:"3,keyasint,omitempty"`
+	// Seen is as in AdmitRequest.
+	Seen    []outlier.Weight `cbor:"4,keyasint,omitempty"`
+	Notices []Notice         `cbor:"5,keyasint,omitempty"`
+}
+
+// ReleaseReply answers a ReleaseBatch that has notices. Older routers answer with
+// nothing.
+type ReleaseReply struct {
+	// Out lists the endpoints of the notices that are taken out for the entry's
+	// availability zone.
+	Out []coordination.Endpoint `cbor:"1,keyasint,omitempty"`
+}
+
+// Encode returns m as CBOR.
+func (m ReleaseReply) Encode() []byte { return encode(m) }
+
+// DecodeReleaseReply returns the reply in b, which may be empty.
+func DecodeReleaseReply(b []byte) (m ReleaseReply, err error) {
+	if len(b) == 0 {
+		return m, nil
+	}
+	err = decode(b, &m)
+	return m, err
+}
+
+// seenOf returns what releases say of their endpoints, or nil for nothing.
+func seenOf(rs []Release) []outlier.Weight {
+	if !lo.SomeBy(rs, func(r Release) bool { return r.Seen != 0 }) {
+		return nil
+	}
+	return lo.Map(rs, func(r Release, _ int) outlier.Weight { return r.Seen })
+}
+
+// see gives releases what was told beside them.
+func see(rs []Release, seen []outlier.Weight) {
+	if len(seen) != len(rs) {
+		return // an older router tells nothing
+	}
+	for i := range rs {
+		rs[i].Seen = seen[i]
+	}
 }
 
 // Register lists all that an entry holds or has asked for at endpoints which
@@ -206,13 +273,19 @@
 )
 
 // Encode returns m as CBOR.
-func (m AdmitRequest) Encode() []byte { return encode(m) }
+func (m AdmitRequest) Encode() []byte {
+	m.Seen = seenOf(m.Releases)
+	return encode(m)
+}
 
 // Encode returns m as CBOR.
 func (m AdmitReply) Encode() []byte { return encode(m) }
 
 // Encode returns m as CBOR.
-func (m ReleaseBatch) Encode() []byte { return encode(m) }
+func (m ReleaseBatch) Encode() []byte {
+	m.Seen = seenOf(m.Releases)
+	return encode(m)
+}
 
 // Encode returns m as CBOR.
 func (m Register) Encode() []byte { return encode(m) }
@@ -220,6 +293,7 @@
 // DecodeAdmitRequest returns the request in b.
 func DecodeAdmitRequest(b []byte) (m AdmitRequest, err error) {
 	err = decode(b, &m)
+	see(m.Releases, m.Seen)
 	return m, err
 }
 
@@ -232,6 +306,7 @@
 // DecodeReleaseBatch returns the batch in b.
 func DecodeReleaseBatch(b []byte) (m ReleaseBatch, err error) {
 	err = decode(b, &m)
+	see(m.Releases, m.Seen)
 	return m, err
 }
 
--- a/coordination/placement/owner.go
+++ b/coordination/placement/owner.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/outlier"
 )
 
 // ownerShards is the number of locks over the endpoints of an owner.
@@ -33,6 +34,8 @@
 
 	entriesMu sync.Mutex
 	heard     map[EntryID]time.Time
+
+	onJudgement func(Judgement) // nil if nobody wants to know
 }
 
 // ownerShard holds a part of the endpoints under its own lock.
@@ -125,7 +128,9 @@
 	if seen || last.routers.Len() == 0 {
 		settled = now.Add(cfg.Grace)
 	}
-	s.loads[d.ID] = newEndpointLoad(d, o.poolLoad(d.Pool), settled)
+	l = newEndpointLoad(d, o.poolLoad(d.Pool), settled)
+	l.judge.OnVerdict = func(v outlier.Verdict) { l.judged(v, o.onJudgement) }
+	s.loads[d.ID] = l
 }
 
 // disown forgets the endpoints that are gone or not owned by self.
--- a/coordination/placement/release.go
+++ b/coordination/placement/release.go
@@ -8,17 +8,30 @@
 	"wisteriaspool/coordination"
 )
 
-// Release ends grants, and withdraws requests that still wait.
-func (o *Owner) Release(b ReleaseBatch) { o.release(time.Now(), b) }
+// Release ends grants, and withdraws requests that still wait. It answers the
+// notices in the batch.
+func (o *Owner) Release(b ReleaseBatch) ReleaseReply { return o.release(time.Now(), b) }
 
-func (o *Owner) release(now time.Time, b ReleaseBatch) {
+func (o *Owner) release(now time.Time, b ReleaseBatch) (r ReleaseReply) {
 	o.hear(now, b.Entry)
+	for _, n := range b.Notices {
+		if o.see(now, n, b.Entry) {
+			r.Out = append(r.Out, n.Endpoint)
+		}
+	}
 	for _, r := range b.Releases {
+		o.see(now, r.notice(), b.Entry)
 		o.end(now, GrantID{Entry: b.Entry, Sequence: r.Sequence}, r.Endpoint)
 	}
 	for _, e := range b.Lost {
 		o.lose(now, e)
 	}
+	return r
+}
+
+// notice returns what a release tells of its endpoint.
+func (r Release) notice() Notice {
+	return Notice{Endpoint: r.Endpoint, Sequence: r.Sequence, Seen: r.Seen}
 }
 
 // lose takes an entry's word that an endpoint is dead, before any list says so.
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -22,6 +22,13 @@
 	// Alone says that the request is suspected of crashing endpoints.
 	Alone bool
 
+	// Once says that a failure of the request could not be mended by another
+	// attempt, so that it keeps away from endpoints in doubt.
+	Once bool
+
+	// Now says that the request is not to wait in a queue.
+	Now bool
+
 	// Avoid lists endpoints that have failed this request already.
 	Avoid []coordination.Endpoint
 }
@@ -39,6 +46,7 @@
 	deadline Millis
 	wait     Millis
 	final    bool
+	insist   bool
 }
 
 const (
@@ -61,6 +69,7 @@
 	set     *Set
 	routers *Routers
 	latest  func() *view // nil if the lists do not change
+	doubts  *doubtTable  // nil if nothing is known of outliers
 	started time.Time
 
 	list []*Descriptor
@@ -75,6 +84,8 @@
 	stage    stage
 	full     int
 	other    bool // some answer was not that the endpoint is full
+	outliers int  // endpoints that were kept off for their failures
+	insist   bool // there are too many outliers to keep off them
 	over     bool // some endpoint was over its bound, or its owner settling
 	queue    *Descriptor
 	wait     Millis // expected in that queue
@@ -109,10 +120,13 @@
 		a.owner, w.redirect = w.redirect, ""
 		return a, Refusal{}, true
 	}
-	if d := w.advance(); d != nil {
+	if d := w.advance(now); d != nil {
 		return w.ask(d, deadline), Refusal{}, true
 	}
-	if w.queue != nil {
+	if w.insistOn() {
+		return w.next(now)
+	}
+	if w.queue != nil && !w.req.Now {
 		return w.settleFor(now, w.queue, deadline), Refusal{}, true
 	}
 	return ask{}, w.exhausted(), false
@@ -172,11 +186,26 @@
 	w.sent = -1
 	w.stage, w.at, w.full = asking, -1, 0
 	w.other, w.over, w.queue = false, false, nil
+	w.outliers, w.insist = 0, false
+}
+
+// insistOn begins the walk anew, without regard to outliers, if there are more
+// than a pool may do without, or if no other endpoint is left even to wait for.
+func (w *walk) insistOn() bool {
+	if w.insist || w.outliers == 0 {
+		return false
+	}
+	if !w.crowded() && w.queue != nil {
+		return false
+	}
+	w.insist = true
+	w.at, w.full, w.queue = -1, 0, nil
+	return true
 }
 
 // advance moves on to the next candidate that is worth a question.
-func (w *walk) advance() *Descriptor {
-	if w.full >= fullTries && w.queue != nil {
+func (w *walk) advance(now time.Time) *Descriptor {
+	if w.full >= fullTries && w.queue != nil || w.crowded() {
 		return nil
 	}
 	for {
@@ -184,12 +213,31 @@
 		if w.at >= len(w.list) && !w.extend() {
 			return nil
 		}
-		if d := w.list[w.at]; !slices.Contains(w.req.Avoid, d.ID) {
+		d := w.list[w.at]
+		if slices.Contains(w.req.Avoid, d.ID) {
+			continue
+		}
+		if w.insist || !w.doubts.holds(now, doubt{endpoint: d.ID, once: w.req.Once}) {
 			return d
 		}
+		w.keepOff()
+		if w.crowded() {
+			return nil
+		}
 	}
 }
 
+// crowded reports whether more endpoints fail than the pool may do without.
+func (w *walk) crowded() bool {
+	return !w.insist && w.outliers > outliersOf(w.set.Len(w.req.Pool))
+}
+
+// keepOff notes that the present candidate is kept off for its failures.
+func (w *walk) keepOff() {
+	w.outliers++
+	w.other = true
+}
+
 // extendFactor is how many times its usual candidates a request asks in the
 // first round, and more in each round after.
 const extendFactor = 2
@@ -215,6 +263,7 @@
 		endpoint: d,
 		owner:    w.routers.Owner(d.ID, d.Zone),
 		deadline: deadline,
+		insist:   w.insist,
 	}
 	if w.at == 0 && d == w.warm {
 		a.wait = millis(w.cfg.WarmWait)
@@ -246,6 +295,8 @@
 	case NotOwner:
 		w.other = true
 		w.follow(a, r.Owner)
+	case Outlier:
+		w.outlier()
 	case Lost:
 		w.other = true
 		w.lost = append(w.lost, LostEndpoint{Endpoint: a.endpoint.ID, Incarnation: a.endpoint.Incarnation})
@@ -255,6 +306,16 @@
 	return false
 }
 
+// outlier takes in that an endpoint is kept off. A request that waited there
+// looks anew.
+func (w *walk) outlier() {
+	if w.stage == queueing {
+		w.restart()
+		return
+	}
+	w.keepOff()
+}
+
 // follow goes on to the router that the asked one takes for the owner, once for
 // each candidate: while lists differ, two routers may name each other.
 func (w *walk) follow(a ask, owner coordination.Instance) {
--- a/wisteriarouter/daemon/relay_placing.go
+++ b/wisteriarouter/daemon/relay_placing.go
@@ -12,6 +12,7 @@
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/membership"
 	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/coordination/outlier"
 	"wisteriaspool/coordination/placement"
 	"wisteriaspool/coordination/retry"
 	"wisteriaspool/coordination/route"
@@ -75,6 +76,7 @@
 type relayPlacer struct {
 	*placing
 	holders atomic.Pointer[placement.Holders]
+	watched outlier.Watch
 }
 
 func newRelayPlacer(i do.Injector) (*relayPlacer, error) {
@@ -102,12 +104,17 @@
 		Priority: w.Priority,
 		Alone:    w.Alone,
 		Avoid:    w.Exclude,
+		Once:     w.Once,
+		Now:      w.Now,
 	}
 	g, k, refusal := p.acquire(ctx, req, w.Start)
 	if refusal != nil {
 		return relay.Place{}, refusal
 	}
+	seen := &witness{watch: &p.watched, grant: g, sight: outlier.Sight{Pool: w.Pool, Endpoint: k.ID, Kind: w.Kind}}
 	place := relay.Place{
+		Patience:    p.watched.Patience(time.Now(), seen.sight),
+		Witness:     seen,
 		Endpoint:    k.ID,
 		Incarnation: g.Endpoint.Incarnation,
 		Address:     k.Address,
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -58,6 +58,7 @@
 	ConnectionDropped = Kind{511, "caller-gone", logrus.InfoLevel, "A caller went away; its attempt was cancelled."}
 	ChatPlaced        = Kind{514, "chat-placed", logrus.InfoLevel, "A chat got a place at an endpoint and is sent there; tells how long the place took and how much of the time to the start is left. Nothing to do."}
 	ChatAttempt       = Kind{515, "chat-attempt", logrus.InfoLevel, "An attempt of a chat has ended; tells how, after how long, and how many tokens the caller has by then. Look at the endpoint if attempts are lost there more than elsewhere."}
+	EndpointJudged    = Kind{516, "endpoint-judged", logrus.WarnLevel, "An endpoint that this router counts gets no requests of an availability zone's routers, or gets them again, by what requests showed of it; tells the sum of the evidence and the pause before it is probed. Look at the endpoint: its own health check may be good."}
 )
 
 // The events of actions.
@@ -84,6 +85,7 @@
 	RelayCallerGone  = Kind{804, "relay-caller-gone", logrus.InfoLevel, "The caller went away before its answer was complete; the endpoint was told to stop."}
 	RelayBudgetSpent = Kind{805, "relay-budget-spent", logrus.WarnLevel, "A request was not sent again because the pool's share of retries is spent. Look for endpoints that fail."}
 	RelayPlaced      = Kind{806, "relay-placed", logrus.InfoLevel, "A request got a place at an endpoint and is sent there; tells for which key, the endpoint's rank among those of the key, how long the place took, and how old what the router knows of the store is. Nothing to do."}
+	RelayOverdue     = Kind{807, "relay-overdue", logrus.InfoLevel, "An endpoint has sent no byte of an answer for longer than others take; tells after how long, and whether the request may go on elsewhere. Look at the endpoint if it happens there more than elsewhere."}
 )
 
 // Catalogue lists every kind, in order of number.
@@ -94,9 +96,9 @@
 		PlatformLost, PlatformBack,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumourShed, PeerBusy, PeerAway, PeerBack,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
-		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, ConnectionDropped, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt,
+		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, ConnectionDropped, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointJudged,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
 		OrderGiven,
-		RelayAttempt, RelayAttemptLost, RelayRefused, RelayCut, RelayCallerGone, RelayBudgetSpent, RelayPlaced,
+		RelayAttempt, RelayAttemptLost, RelayRefused, RelayCut, RelayCallerGone, RelayBudgetSpent, RelayPlaced, RelayOverdue,
 	}
 }
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -20,6 +20,8 @@
 	id := coordination.Attempt(strconv.Itoa(x.evidence.Attempts()))
 	x.status = 0
 	x.evidence.Begin(id)
+	ctx, stop := x.listen(ctx, p)
+	defer stop()
 	resp, err := x.server.Sender.Send(ctx, p.Address, x.request(p))
 	if err != nil {
 		return x.unanswered(id, p, err)
@@ -28,6 +30,9 @@
 	x.status = resp.Status
 	x.evidence.Written(id)
 	defer resp.Body.Close()
+	if !isStream(resp) {
+		x.silence.broken(time.Now())
+	}
 	says := platform.DecodeAnswer(resp.Status, resp.Header)
 	end := classify(resp.Status, says)
 	switch end {
@@ -69,8 +74,11 @@
 // mayRetry reports whether another attempt would be made after such an end, so
 // that an endpoint's own failure is handed on if it is the last word.
 func (x *exchange) mayRetry(end ending) bool {
-	p := policy{idempotent: x.route.Idempotent() && !x.stream.unrepeatable, attempts: x.route.Attempts}
-	return p.again(end, x.sends, len(x.exclude))
+	return x.policy().again(end, x.sends, len(x.exclude))
+}
+
+func (x *exchange) policy() policy {
+	return policy{idempotent: x.route.Idempotent() && !x.stream.unrepeatable, attempts: x.route.Attempts}
 }
 
 // unanswered ends an attempt that got no answer.
@@ -84,7 +92,7 @@
 	x.sends++
 	x.evidence.Written(id)
 	x.emit(event.RelayAttemptLost, event.F("endpoint", p.Endpoint), event.F("error", err.Error()))
-	return broken
+	return x.silence.ending(broken)
 }
 
 // classify tells what an answer is worth. A status that promises that the
@@ -167,7 +175,7 @@
 
 // hand hands an answer on to the caller.
 func (x *exchange) hand(resp *upstream.Response) ending {
-	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") && resp.Status == http.StatusOK {
+	if isStream(resp) {
 		return x.handStream(resp)
 	}
 	if x.stream.begun {
@@ -178,7 +186,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, longestWhole+1))
 	if err != nil {
-		return broken
+		return x.silence.ending(broken)
 	}
 	if len(body) > longestWhole {
 		return x.handLong(&upstream.Response{
@@ -189,6 +197,11 @@
 	return delivered
 }
 
+// isStream reports whether an answer is a series of events.
+func isStream(resp *upstream.Response) bool {
+	return resp.Status == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+}
+
 // write writes an endpoint's whole answer.
 func (x *exchange) write(resp *upstream.Response, body []byte) {
 	x.head(resp)
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -41,6 +41,8 @@
 	status   int // of the last endpoint's answer; 0 if none came
 	stream   stream
 	failure  *failure // of an endpoint, that the caller has not got
+	silence  *silence // of the endpoint that is asked
+	spare    *Place   // for the next attempt, where the last one met silence
 	trail    Trail    // nil for a request that is not followed
 }
 
@@ -161,27 +163,14 @@
 // run makes attempts until the request has its answer or there is no more to
 // be done. It reports whether an endpoint has answered.
 func (x *exchange) run(ctx context.Context) bool {
+	defer x.dropSpare()
 	for {
-		asked := time.Now()
-		place, refusal := x.server.Placer.Place(ctx, x.want())
-		x.server.Metrics.placed(x.pool, time.Since(asked))
-		if refusal != nil && ctx.Err() == nil && x.failure != nil && len(x.exclude) > 0 {
-			// There is no other endpoint. One that has failed by itself often
-			// does not fail again: 14 in 100 answers of a plain service are
-			// failures of the moment.
-			x.exclude = nil
-			continue
-		}
-		if refusal != nil && ctx.Err() == nil {
-			x.end(refusal.Message, refusal.RetryAfter)
-			return false
-		}
-		if refusal != nil {
-			x.expire(ctx)
+		place, ok := x.acquire(ctx)
+		if !ok {
 			return false
 		}
-		x.place(place, time.Since(asked))
 		end := x.attempt(ctx, place)
+		x.testify(ctx, place, end)
 		place.Release()
 		x.note(place, end)
 		if end == delivered {
@@ -201,6 +190,45 @@
 	}
 }
 
+// dropSpare gives back a place that was got for an attempt that is not made.
+func (x *exchange) dropSpare() {
+	if x.spare != nil {
+		x.spare.Release()
+		x.spare = nil
+	}
+}
+
+// acquire gets a place for the next attempt. If there is none it ends the
+// request.
+func (x *exchange) acquire(ctx context.Context) (Place, bool) {
+	asked := time.Now()
+	if x.spare != nil {
+		place := *x.spare
+		x.spare = nil
+		x.place(place, 0)
+		return place, true
+	}
+	place, refusal := x.server.Placer.Place(ctx, x.want())
+	x.server.Metrics.placed(x.pool, time.Since(asked))
+	if refusal != nil && ctx.Err() == nil && x.failure != nil && len(x.exclude) > 0 {
+		// There is no other endpoint. One that has failed by itself often
+		// does not fail again: 14 in 100 answers of a plain service are
+		// failures of the moment.
+		x.exclude = nil
+		place, refusal = x.server.Placer.Place(ctx, x.want())
+	}
+	switch {
+	case refusal != nil && ctx.Err() != nil:
+		x.expire(ctx)
+		return Place{}, false
+	case refusal != nil:
+		x.end(refusal.Message, refusal.RetryAfter)
+		return Place{}, false
+	}
+	x.place(place, time.Since(asked))
+	return place, true
+}
+
 func (x *exchange) want() Want {
 	return Want{
 		Pool:     x.pool,
@@ -211,6 +239,8 @@
 		Exclude:  slices.Clip(x.exclude),
 		Cached:   x.route.Sticky,
 		Alone:    x.trail != nil && x.trail.Alone(),
+		Kind:     x.route.Name,
+		Once:     !x.policy().again(broken, x.sends+1, len(x.exclude)+1),
 	}
 }
 
@@ -220,7 +250,7 @@
 	if !x.mayRetry(end) {
 		return false
 	}
-	if end == unsent || x.server.Retries.Take(x.pool) {
+	if end == unsent || x.spare != nil || x.server.Retries.Take(x.pool) {
 		x.server.Metrics.retried(x.pool, end)
 		return true
 	}
--- a/wisteriarouter/relay/policy.go
+++ b/wisteriarouter/relay/policy.go
@@ -9,10 +9,11 @@
 	declined                // the endpoint says that it has not run the request
 	failed                  // the endpoint answered with a failure of its own
 	broken                  // no usable answer came; the request may have run
+	silent                  // no byte of an answer came for so long that the request goes on elsewhere
 	cut                     // the answer ended in its middle, after the caller had got some of it
 )
 
-var endings = [...]string{"delivered", "unsent", "declined", "failed", "broken", "cut"}
+var endings = [...]string{"delivered", "unsent", "declined", "failed", "broken", "silent", "cut"}
 
 // String returns the name of e as logs and metrics show it.
 func (e ending) String() string { return endings[e] }
@@ -35,7 +36,7 @@
 		return met < unsentTries && (sends < p.attempts)
 	case declined:
 		return sends < p.attempts
-	case failed, broken, cut:
+	case failed, broken, silent, cut:
 		return p.idempotent && sends < p.attempts
 	default:
 		return false
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -26,8 +26,13 @@
 	Priority coordination.Priority
 	Start    time.Time // by when the request has to start
 	Exclude  []coordination.Endpoint
-	Cached   bool // endpoints keep what the request shares with others
-	Alone    bool // the request is suspected of crashing endpoints
+	Cached   bool   // endpoints keep what the request shares with others
+	Alone    bool   // the request is suspected of crashing endpoints
+	Kind     string // requests of one kind take alike and fail alike
+	// Once says that no further attempt could mend a failure of this one.
+	Once bool
+	// Now says that the attempt is not to wait for a place.
+	Now bool
 }
 
 // Place is a granted place at an endpoint. Release gives it back and may be
@@ -44,6 +49,26 @@
 	// none.
 	Cache   string
 	Release func()
+	// Patience is how long a good endpoint takes for the first byte of an answer
+	// to such a request, at most; zero if that is not known.
+	Patience time.Duration
+	// Witness is told what the attempt shows of the endpoint; nil if nobody
+	// wants to know.
+	Witness Witness
+}
+
+// Witness takes in what an attempt shows of its endpoint, before the place is
+// released.
+type Witness interface {
+	// Answered tells when the first byte of the answer came.
+	Answered(took time.Duration)
+	// Overdue tells at once that none has come within the place's patience, and
+	// reports whether the endpoint is known to fail. It may be called again.
+	Overdue(ctx context.Context) (out bool)
+	// Served and Failed tell how the attempt has ended. An attempt that ended
+	// for other reasons than the endpoint's tells neither.
+	Served()
+	Failed()
 }
 
 // Placer grants places.
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -66,7 +66,9 @@
 				return cut
 			}
 			goesOn = false
-			x.stream.note(time.Now(), events)
+			now := time.Now()
+			x.silence.broken(now)
+			x.stream.note(now, events)
 			if _, werr := x.w.Write(events); werr != nil {
 				return cut
 			}
@@ -75,7 +77,7 @@
 		case errors.Is(err, io.EOF):
 			return delivered
 		case err != nil:
-			return cut
+			return x.silence.ending(cut)
 		case len(events) > 0 && !resp.Body.Buffered() && flush() != nil:
 			return cut
 		}
