--- a/coordination/outlier/judge.go
+++ b/coordination/outlier/judge.go
@@ -20,7 +20,8 @@
 	zones map[coordination.Zone]*trial
 	// failed is when the last failure was heard of. One long prompt holds up all
 	// requests at an engine, and one reset breaks all its streams: requests that
-	// were begun before such a moment say it once.
+	// were begun before such a moment say it once. Nor do those that were begun
+	// before and are served speak for the endpoint as it is now.
 	failed time.Time
 }
 
@@ -41,10 +42,10 @@
 func (s Standing) String() string { return standings[s] }
 
 const (
-	// credit bounds how much served requests count for an endpoint: an endpoint
-	// that has served for hours must not be given longer to fail than one that
-	// has just come up. It takes one more failure to use it up.
-	credit = 3 * -Served
+	// credit bounds how much served requests count for an endpoint: one that has
+	// served for hours must not be given longer to fail than one that has just
+	// come up.
+	credit = -Served
 	// scoreHalfLife is the half-life of a sum, so that a few failures far apart
 	// convict nobody.
 	scoreHalfLife = 10 * time.Second
@@ -96,7 +97,7 @@
 		j.probe(now, zone, t, begun, w)
 		return
 	}
-	if w > 0 && !begun.After(j.failed) {
+	if !begun.After(j.failed) {
 		return
 	}
 	if w > 0 {
--- a/coordination/outlier/pace.go
+++ b/coordination/outlier/pace.go
@@ -30,6 +30,11 @@
 	// paceShare is one in how many answers may take longer than the limit, so
 	// that a single one that was held up by a lost packet does not set it.
 	paceShare = 50
+	// paceMargin is how many times the limit an answer may take before it is
+	// overdue. On a calm day, 24 requests of 2,000 were taken for overdue
+	// without it and answered within twice the time; a lookup that was sent
+	// again then had no attempt left for a failure.
+	paceMargin = 2
 	// fewAnswers is the number of answers below which nothing is known.
 	fewAnswers = 8
 )
@@ -59,8 +64,8 @@
 	p.now = paceSpan{began: now}
 }
 
-// limit returns the time that one answer in paceShare has exceeded, or the
-// longest if there were fewer; zero if too few were seen.
+// limit returns paceMargin times the time that one answer in paceShare has
+// exceeded, or the longest if there were fewer; zero if too few were seen.
 func (p *pace) limit(now time.Time) time.Duration {
 	p.turn(now)
 	n := p.now.n + p.before.n
@@ -70,5 +75,5 @@
 	all := append(p.now.longest[:], p.before.longest[:]...)
 	slices.Sort(all)
 	rank := min(n/paceShare, paceRanks-1)
-	return all[len(all)-1-rank]
+	return paceMargin * all[len(all)-1-rank]
 }
--- a/wisteriarouter/relay/silence.go
+++ b/wisteriarouter/relay/silence.go
@@ -30,6 +30,7 @@
 	want     Want
 	again    bool // the request may have another attempt
 	began    time.Time
+	due      time.Duration
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	timer    *time.Timer // nil if it is not known how long answers take
@@ -48,12 +49,22 @@
 	s.again = x.policy().again(silent, x.sends+1, len(x.exclude)+1)
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	x.silence = s
-	if p.Patience > 0 {
-		s.timer = time.AfterFunc(p.Patience, s.run)
+	s.due = dueOf(p.Patience, x.route.FirstTarget)
+	if s.due > 0 {
+		s.timer = time.AfterFunc(s.due, s.run)
 	}
 	return s.ctx, s.stop
 }
 
+// dueOf returns when an answer is overdue: later than others of the pool have
+// begun of late, or later than the operator wants it. Zero is never.
+func dueOf(patience, target time.Duration) time.Duration {
+	if patience == 0 || target == 0 {
+		return max(patience, target)
+	}
+	return min(patience, target)
+}
+
 // stop ends the watch. A place for another attempt is kept only if this one
 // ended by its silence.
 func (s *silence) stop() {
@@ -110,10 +121,13 @@
 		if (out || s.lasted()) && s.move() {
 			return
 		}
-		s.sleep(s.place.Patience / looks)
+		s.sleep(s.due / looks)
 	}
 }
 
+// Before half of the time in which an answer has to begin has passed, nothing is
+// gained by another attempt: what is left suffices for one that begins then.
+//
 // An attempt that an engine may still be reading the prompt for costs that work
 // again if it is moved, and while many long prompts are read all of them are
 // overdue. It is moved when the endpoint is found to fail, for which the owner is
@@ -124,11 +138,19 @@
 const (
 	looks        = 4
 	engineFactor = 2
+	targetShare  = 2
 )
 
 // lasted reports whether the silence itself is enough to move the request.
 func (s *silence) lasted() bool {
-	return !s.want.Cached || time.Since(s.began) >= engineFactor*s.place.Patience
+	if s.place.Patience == 0 {
+		return false
+	}
+	enough := s.exchange.route.FirstTarget / targetShare
+	if s.want.Cached {
+		enough = max(enough, engineFactor*s.place.Patience)
+	}
+	return time.Since(s.began) >= enough
 }
 
 // move gets a place at another endpoint that has room now, and ends the attempt
@@ -180,6 +202,7 @@
 		event.F("request", s.exchange.asked.Attempt),
 		event.F("endpoint", s.place.Endpoint),
 		event.F("patience-ms", s.place.Patience.Milliseconds()),
+		event.F("due-ms", s.due.Milliseconds()),
 		event.F("again", s.again),
 	}
 }
