Endpoints that fail, hang or fall mute are found out by what requests see there

Cause: placement kept no memory of what requests met.

coordination/outlier weighs a failure by how the same kind of request fares at the pool's other endpoints, and adds the weights up for each availability zone of routers; the router that counts an endpoint's load judges it, since all routers ask it anyway, and releases carry the weights. An attempt whose answer is overdue is told at once; a repeatable one moves on when the endpoint is found to fail, or after twice the time that others take, to an endpoint with room and within the budget. Not more than a third of a pool is kept off.

--- /dev/null
+++ b/coordination/outlier/judge_test.go
@@ -0,0 +1,164 @@
+package outlier
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+)
+
+// trialRun plays requests to one endpoint, one after the other.
+type trialRun struct {
+	judge    Judge
+	now      time.Time
+	verdicts []Verdict
+}
+
+func newTrialRun() *trialRun {
+	r := &trialRun{now: time.Unix(1000, 0)}
+	r.judge.OnVerdict = func(v Verdict) { r.verdicts = append(r.verdicts, v) }
+	return r
+}
+
+// hear plays a request of 50 ms, 50 ms behind the last one.
+func (r *trialRun) hear(zone coordination.Zone, w Weight) {
+	begun := r.now.Add(50 * time.Millisecond)
+	r.now = begun.Add(50 * time.Millisecond)
+	r.judge.Hear(r.now, zone, begun, w)
+}
+
+func (r *trialRun) standing(zone coordination.Zone) Standing {
+	s, _ := r.judge.Standing(r.now, zone, 0)
+	return s
+}
+
+const (
+	seldom = Weight(390) // a failure of a kind that fails once in a hundred times
+	often  = Weight(140) // of one that fails 14 times
+)
+
+// An endpoint fails half of its requests while its health check is good. Callers
+// get its failures until it is taken out.
+func TestFailingEndpointIsTakenOut(t *testing.T) {
+	tests := []struct {
+		name   string
+		weight Weight
+		most   int // requests until it is out
+	}{
+		{"of a kind that seldom fails", seldom, 6},
+		{"of a kind that often fails", often, 30},
+	}
+	for _, test := range tests {
+		r := newTrialRun()
+		n := 0
+		for ; r.standing("a") != Excluded && n < 100; n++ {
+			w := Served
+			if n%2 == 0 {
+				w = test.weight
+			}
+			r.hear("a", w)
+		}
+		assert.Assert(t, n <= test.most, "%s: out after %d requests", test.name, n)
+	}
+}
+
+// A good endpoint fails as often as the others of its pool. Taken out, it would
+// be missed, and its callers would find their prompts uncached elsewhere.
+func TestEndpointAsGoodAsOthersStays(t *testing.T) {
+	r := newTrialRun()
+	for n := range 2000 {
+		w := Served
+		if n%7 == 0 {
+			w = often
+		}
+		r.hear("a", w)
+	}
+	assert.Equal(t, len(r.verdicts), 0)
+}
+
+// One long prompt holds up all that runs at an engine, and one reset breaks all
+// its streams. Each of these requests tells of the same moment, and an engine
+// taken out for it would lose what it has cached.
+func TestOneMomentIsHeardOnce(t *testing.T) {
+	r := newTrialRun()
+	begun := r.now
+	for range 20 {
+		r.now = r.now.Add(time.Millisecond)
+		r.judge.Hear(r.now, "a", begun, seldom)
+	}
+	assert.Equal(t, len(r.verdicts), 0)
+	assert.Equal(t, r.standing("a"), Doubted)
+}
+
+// An endpoint fails only for routers of one availability zone. The others' own
+// requests are served, and they go on sending them.
+func TestFailureForOneZoneConcernsThatZone(t *testing.T) {
+	r := newTrialRun()
+	for range 3 {
+		r.hear("b", Served)
+		r.hear("a", seldom)
+		r.hear("b", Served)
+	}
+	assert.Equal(t, r.standing("a"), Excluded)
+	assert.Equal(t, r.standing("b"), In)
+	assert.Assert(t, !r.judge.Out())
+}
+
+// Routers of another zone that have not met the endpoint of late go by those
+// that have.
+func TestZoneWithoutRequestsGoesByTheOthers(t *testing.T) {
+	r := newTrialRun()
+	r.hear("a", seldom)
+	r.hear("a", seldom)
+	assert.Equal(t, r.standing("a"), Excluded)
+	assert.Equal(t, r.standing("b"), Excluded)
+	assert.Assert(t, r.judge.Out())
+}
+
+// An endpoint that serves again is taken back by a few probes; one that goes on
+// failing is probed more and more seldom, so that few callers meet it.
+func TestProbesTakeBackAnEndpoint(t *testing.T) {
+	r := newTrialRun()
+	r.hear("a", seldom)
+	r.hear("a", seldom)
+	assert.Equal(t, r.verdicts[0].Pause, firstPause)
+
+	r.now = r.now.Add(firstPause)
+	assert.Equal(t, r.standing("a"), Probed)
+	s, wait := r.judge.Standing(r.now, "a", probesAtOnce)
+	assert.Equal(t, s, Excluded)
+	assert.Equal(t, wait, probeWait)
+
+	r.hear("a", seldom)
+	assert.Equal(t, r.verdicts[1].Pause, 2*firstPause)
+	r.hear("a", Served)
+	assert.Equal(t, len(r.verdicts), 2, "a request from before the pause says nothing")
+
+	r.now = r.now.Add(2 * firstPause)
+	for range probesServed {
+		r.hear("a", Served)
+	}
+	assert.Equal(t, r.standing("a"), In)
+}
+
+// Where no request may be sent twice nothing can probe an endpoint. It comes
+// back untried after a while.
+func TestEndpointThatNothingProbesComesBack(t *testing.T) {
+	r := newTrialRun()
+	r.hear("a", seldom)
+	r.hear("a", seldom)
+	r.now = r.now.Add(firstPause + unprobed + time.Millisecond)
+	assert.Equal(t, r.standing("a"), In)
+}
+
+// A failure each minute is chance, however long it goes on.
+func TestFailuresFarApartConvictNobody(t *testing.T) {
+	r := newTrialRun()
+	for range 60 {
+		r.hear("a", seldom)
+		r.now = r.now.Add(time.Minute)
+	}
+	assert.Equal(t, len(r.verdicts), 0)
+}
--- /dev/null
+++ b/coordination/outlier/watch_test.go
@@ -0,0 +1,152 @@
+package outlier
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+)
+
+func sight(endpoint coordination.Endpoint, kind string) Sight {
+	return Sight{Pool: "p", Endpoint: endpoint, Kind: kind}
+}
+
+// fill has endpoints e0 to e4 answer requests of a kind, of which some fail.
+func fill(w *Watch, now time.Time, kind string, n, failEvery int) {
+	for i := range n {
+		s := sight(coordination.Endpoint(fmt.Sprintf("e%d", i%5)), kind)
+		if failEvery > 0 && i%failEvery == 0 {
+			w.Failed(now, s)
+			continue
+		}
+		w.Served(now, s)
+	}
+}
+
+// What a failure says depends on how the same kind of request fares elsewhere.
+func TestWeightOfAFailure(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name      string
+		failEvery int // of the requests at other endpoints
+		n         int
+		least     Weight
+		most      Weight
+	}{
+		{"nothing is known", 0, 0, 0, 0},
+		{"others never fail", 0, 100, 350, 395},
+		{"others fail one in seven", 7, 100, 110, 150},
+		{"the kind fails everywhere", 1, 100, 0, 5},
+		{"few requests elsewhere", 0, 2, 100, 200},
+	}
+	for _, test := range tests {
+		var w Watch
+		fill(&w, now, "k", test.n, test.failEvery)
+		got := w.Failed(now, sight("bad", "k"))
+		assert.Assert(t, got >= test.least && got <= test.most, "%s: %d", test.name, got)
+	}
+}
+
+// All endpoints of a pool fail at once, as when what stands behind them all is
+// down. Nothing is gained by taking any out: after the first few failures each
+// says next to nothing.
+func TestFailureOfAWholePoolSaysLittle(t *testing.T) {
+	var w Watch
+	now := time.Unix(1000, 0)
+	fill(&w, now, "k", 100, 0)
+	for range 60 {
+		now = now.Add(10 * time.Millisecond)
+		fill(&w, now, "k", 5, 1)
+	}
+	got := w.Failed(now, sight("e0", "k"))
+	assert.Assert(t, got < 20, "%d", got)
+}
+
+// An endpoint's own failures are not held against the others, nor do they make
+// its next failure look usual.
+func TestOwnFailuresAreNoMeasure(t *testing.T) {
+	var w Watch
+	now := time.Unix(1000, 0)
+	fill(&w, now, "k", 100, 0)
+	var last Weight
+	for range 50 {
+		last = w.Failed(now, sight("bad", "k"))
+	}
+	assert.Assert(t, last > 350, "%d", last)
+	assert.Assert(t, w.Failed(now, sight("e0", "k")) < last)
+}
+
+// A lookup that fails one time in seven does not make an order's failure usual.
+func TestKindsAreApart(t *testing.T) {
+	var w Watch
+	now := time.Unix(1000, 0)
+	fill(&w, now, "lookup", 100, 7)
+	fill(&w, now, "order", 100, 0)
+	assert.Assert(t, w.Failed(now, sight("e0", "order")) > 2*w.Failed(now, sight("e0", "lookup")))
+}
+
+func TestPatience(t *testing.T) {
+	start := time.Unix(1000, 0)
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	tests := []struct {
+		name  string
+		times []int // in milliseconds, one each second
+		want  time.Duration
+	}{
+		{"nothing seen", nil, 0},
+		{"too few", []int{50, 50, 50}, 0},
+		{"twice the longest", []int{50, 60, 50, 400, 50, 50, 50, 50, 50}, ms(800)},
+		{"old ones are forgotten", append([]int{900, 50, 50, 50, 50, 50, 50, 50}, repeat(70, 40)...), ms(140)},
+	}
+	for _, test := range tests {
+		var w Watch
+		now := start
+		for _, n := range test.times {
+			now = now.Add(time.Second)
+			w.Answered(now, sight("e", "k"), ms(n))
+		}
+		assert.Equal(t, w.Patience(now, sight("f", "k")), test.want, test.name)
+	}
+}
+
+// One answer that a lost packet held up does not set the limit for all.
+func TestPatienceLeavesOutTheFewLongest(t *testing.T) {
+	var w Watch
+	now := time.Unix(1000, 0)
+	for n := range 100 {
+		took := 50 * time.Millisecond
+		if n == 30 {
+			took = 5 * time.Second
+		}
+		w.Answered(now, sight("e", "k"), took)
+	}
+	assert.Equal(t, w.Patience(now, sight("e", "k")), 100*time.Millisecond)
+}
+
+func repeat(n, times int) []int {
+	all := make([]int, times)
+	for i := range all {
+		all[i] = n
+	}
+	return all
+}
+
+func ExampleWatch() {
+	var w Watch
+	now := time.Unix(1000, 0)
+	for range 100 {
+		w.Served(now, Sight{Pool: "engines", Endpoint: "e1", Kind: "draft"})
+	}
+	var j Judge
+	for range 2 {
+		begun := now.Add(50 * time.Millisecond)
+		now = begun.Add(50 * time.Millisecond)
+		j.Hear(now, "zone-a", begun, w.Failed(now, Sight{Pool: "engines", Endpoint: "e2", Kind: "draft"}))
+	}
+	standing, wait := j.Standing(now, "zone-a", 0)
+	fmt.Println(standing, wait)
+	// Output: excluded 1s
+}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -35,6 +36,9 @@
 	Status   int  // of answers in place of 200
 	Times    int  // how many answers have Status; 0 is all
 	Full     bool // everything is turned away as not run
+	Mute     bool // a request is run, and no answer ever comes
+	// Only limits these faults to requests whose path begins so; all if empty.
+	Only string
 	// Crash is a path whose requests crash the replica as they begin to run.
 	Crash string
 }
@@ -170,6 +174,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	r.read(req, a)
+	if f.Mute {
+		<-req.Context().Done()
+		r.mark(func() { a.Left = true })
+		return
+	}
 	h.Set("X-Attempt-Id", a.ID)
 	h.Set("X-Server-Signature", r.opts.ID+"."+a.ID)
 	h.Set("X-Instance-Load", fmt.Sprintf("%d,0,%d", r.load(), r.opts.Slots))
@@ -195,6 +204,9 @@
 	}
 	r.arrivals = append(r.arrivals, a)
 	f := r.faults
+	if !strings.HasPrefix(a.Path, f.Only) {
+		return a, Faults{}, true
+	}
 	if r.faults.Times == 1 {
 		r.faults = Faults{}
 	}
--- /dev/null
+++ b/wisteriarouter/daemon/relay_outlier_test.go
@@ -0,0 +1,154 @@
+package daemon_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/standin/replica"
+)
+
+// warm sends requests to each router, so that it knows how a kind of request
+// usually fares.
+func (s *site) warm(path string, n int) {
+	s.t.Helper()
+	for router := range s.routers {
+		for i := range n {
+			got := s.send(router, fmt.Sprintf("%s%d", path, i))
+			assert.Equal(s.t, got.status, 200)
+		}
+	}
+}
+
+// busiest returns the endpoint that has got most requests: the one that has
+// their prompts cached.
+func (s *site) busiest() *replica.Replica {
+	return lo.MaxBy(s.replicas, func(a, b *replica.Replica) bool { return len(a.Arrivals()) > len(b.Arrivals()) })
+}
+
+// One of three endpoints fails all it gets while its health check is good. A
+// lookup that fails there is sent again; an order cannot be, and its caller gets
+// the failure. After some lookups no order may meet that endpoint any more.
+func TestOrdersKeepOffAFailingEndpoint(t *testing.T) {
+	s := newSite(t, 2, 3, 0)
+	s.warm("/safe/", 12)
+	s.warm("/unsafe/", 12)
+	s.replicas[0].Fail(replica.Faults{Status: 500})
+	for n := range 40 {
+		assert.Equal(t, s.send(n%2, fmt.Sprintf("/safe/%d", n)).status, 200)
+	}
+	failed := 0
+	for n := range 30 {
+		if s.send(n%2, fmt.Sprintf("/unsafe/%d", n)).status != 200 {
+			failed++
+		}
+	}
+	assert.Assert(t, failed <= 1, "%d of 30 orders failed", failed)
+}
+
+// The endpoint serves again. It gets its share back within seconds, by lookups
+// first.
+func TestFailingEndpointComesBack(t *testing.T) {
+	s := newSite(t, 1, 3, 0)
+	s.warm("/safe/", 12)
+	s.replicas[0].Fail(replica.Faults{Status: 500})
+	for n := range 20 {
+		assert.Equal(t, s.send(0, fmt.Sprintf("/safe/%d", n)).status, 200)
+	}
+	s.replicas[0].Fail(replica.Faults{})
+	before := len(s.replicas[0].Arrivals())
+	until := time.Now().Add(10 * time.Second)
+	for n := 0; len(s.replicas[0].Arrivals()) < before+10; n++ {
+		assert.Assert(t, time.Now().Before(until), "%d requests since", len(s.replicas[0].Arrivals())-before)
+		assert.Equal(t, s.send(0, fmt.Sprintf("/safe/%d", n)).status, 200)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// One of three engines takes requests and never answers. A stream that may go on
+// elsewhere waited for its deadline, 5 s away, and its caller got nothing. Now it
+// moves on while there is time.
+func TestSilentStreamMovesOn(t *testing.T) {
+	s := newSite(t, 2, 0, 3)
+	s.warm("/resumable/", 12)
+	s.busiest().Fail(replica.Faults{Mute: true})
+	for n := range 12 {
+		start := time.Now()
+		got := s.send(n%2, fmt.Sprintf("/resumable/%d", n))
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, events(1, 5))
+		assert.Assert(t, time.Since(start) < 2*time.Second, "took %v", time.Since(start))
+	}
+}
+
+// A stream that may run only once meets an engine that never answers. It must
+// not be sent to a second one, however long the silence lasts.
+func TestSilentStreamThatMayRunOnceStays(t *testing.T) {
+	s := newSite(t, 1, 0, 2)
+	s.warm("/stream/", 12)
+	for _, r := range s.replicas {
+		r.Fail(replica.Faults{Mute: true, Only: "/stream/once"})
+	}
+	got := s.send(0, "/stream/once")
+	assert.Equal(t, got.status, 504)
+	assert.Equal(t, s.runs("/stream/once"), 1)
+}
+
+// All engines are silent. Moving the requests to and fro would double the work
+// of a pool that is in trouble, so that an attempt is given up only for a place
+// at an engine that is not known to fail, and only within the budget.
+func TestSilenceOfAllEnginesIsNotAnsweredByMoves(t *testing.T) {
+	s := newSite(t, 1, 0, 3)
+	s.warm("/resumable/", 12)
+	for _, r := range s.replicas {
+		r.Fail(replica.Faults{Mute: true, Only: "/resumable/silent"})
+	}
+	const n = 12
+	done := make(chan int, n)
+	for i := range n {
+		go sender{site: s, path: fmt.Sprintf("/resumable/silent-%d", i), done: done}.run()
+	}
+	for range n {
+		<-done
+	}
+	runs := 0
+	for i := range n {
+		runs += s.runs(fmt.Sprintf("/resumable/silent-%d", i))
+	}
+	assert.Assert(t, runs <= 2*n, "%d runs of %d requests", runs, n)
+}
+
+// sender sends one request.
+type sender struct {
+	site *site
+	path string
+	done chan int
+}
+
+func (s sender) run() { s.done <- s.site.send(0, s.path).status }
+
+// One kind of request fails wherever it is sent. No endpoint is to blame, and
+// other requests find all of them in use.
+func TestKindThatFailsEverywhereBlamesNobody(t *testing.T) {
+	s := newSite(t, 1, 3, 0)
+	s.warm("/safe/", 12)
+	for _, r := range s.replicas {
+		r.Fail(replica.Faults{Status: 500, Only: "/unsafe/"})
+	}
+	for n := range 60 {
+		assert.Equal(t, s.send(0, fmt.Sprintf("/unsafe/%d", n)).status, 500)
+	}
+	arrived := make([]int, len(s.replicas))
+	for i, r := range s.replicas {
+		arrived[i] = len(r.Arrivals())
+	}
+	for n := range 30 {
+		assert.Equal(t, s.send(0, fmt.Sprintf("/safe/%d", n)).status, 200)
+	}
+	for i, r := range s.replicas {
+		assert.Assert(t, len(r.Arrivals()) > arrived[i], "endpoint %d gets nothing", i)
+	}
+}
