--- a/coordination/placement/holders.go
+++ b/coordination/placement/holders.go
@@ -16,15 +16,9 @@
 	since map[coordination.Endpoint]time.Time // when each was first listed
 }
 
-const (
-	// settleTime is how long an endpoint has to be listed until it is taken to
-	// hold the parts that lead to it: most shared parts are asked for again
-	// within it.
-	settleTime = 15 * time.Second
-	// sameAge is the span within which endpoints count as of the same age, as
-	// when a whole fleet starts.
-	sameAge = 3 * time.Second
-)
+// sameAge is the span within which endpoints count as of the same age, as when a
+// whole fleet starts.
+const sameAge = 3 * time.Second
 
 // holderRanks is how many endpoints are looked at. If the first two have come
 // up only now, the third has the part.
@@ -52,9 +46,7 @@
 // seen returns since when an incarnation of an endpoint is known.
 func (h *Holders) seen(d Descriptor) (time.Time, bool) {
 	if h == nil || h.set == nil {
-		// The first list of a router that has just started: the endpoints were
-		// there before it.
-		return time.Time{}, true
+		return time.Time{}, false
 	}
 	old := h.set.Find(d.ID)
 	if old == nil || old.Incarnation != d.Incarnation {
@@ -63,34 +55,44 @@
 	return h.since[d.ID], true
 }
 
-// Source returns the endpoint from which the chosen one should fetch the shared
-// part of a request with this key, or nil if it is likely to have it itself.
-// A source that has nothing costs next to nothing.
-func (h *Holders) Source(now time.Time, pool coordination.Pool, key Key, chosen coordination.Endpoint) *Descriptor {
+// Source returns the endpoint from which the chosen one should fetch what it
+// lacks of the shared part of a request with this key, or nil if no other is
+// likely to have any. A source that has nothing costs next to nothing.
+//
+// The endpoint that comes first has a source too, the second in the order: what
+// was asked for while the first was busy went there. Without it 9 of 20 parts
+// that were read again on a calm day of nine engines were read by the endpoint
+// that came first; with it the price of parts read again falls by 0.006 of a
+// day's worth (36 days each, standard error of the worth 0.0015).
+func (h *Holders) Source(pool coordination.Pool, key Key, chosen coordination.Endpoint) *Descriptor {
 	if h == nil || h.set == nil {
 		return nil
 	}
 	var buf [inlineCandidates]*Descriptor
 	ranked := h.set.Candidates(buf[:0], pool, key, 0, holderRanks)
-	born := h.since[chosen]
-	first := len(ranked) > 0 && ranked[0].ID == chosen
-	if first && now.Sub(born) >= settleTime {
-		return nil
+	if len(ranked) > 0 && ranked[0].ID == chosen {
+		if d := h.firstOf(ranked, chosen, h.older); d != nil {
+			return d
+		}
 	}
+	return h.firstOf(ranked, chosen, h.asOld)
+}
+
+// firstOf returns the first endpoint but the chosen one whose age against it
+// meets a condition, or nil.
+func (h *Holders) firstOf(ranked []*Descriptor, chosen coordination.Endpoint, meets func(age, chosen time.Time) bool) *Descriptor {
 	for _, d := range ranked {
-		if d.ID != chosen && h.has(born, h.since[d.ID], first) {
+		if d.ID != chosen && meets(h.since[d.ID], h.since[chosen]) {
 			return d
 		}
 	}
 	return nil
 }
 
-// has reports whether an endpoint has had the parts of a key longer than the
-// chosen one. One that comes before the chosen one in the order has, unless it
-// is newer; one that comes behind it has only if it is older.
-func (h *Holders) has(chosen, other time.Time, chosenFirst bool) bool {
-	if chosenFirst {
-		return chosen.Sub(other) > sameAge
-	}
-	return other.Sub(chosen) < sameAge
-}
+// older reports whether an endpoint is older than the chosen one. If the chosen
+// one comes first in the order, then it came up only now, and one behind it has
+// had the parts that now lead to it.
+func (h *Holders) older(other, chosen time.Time) bool { return chosen.Sub(other) > sameAge }
+
+// asOld reports whether an endpoint is no newer than the chosen one.
+func (h *Holders) asOld(other, chosen time.Time) bool { return other.Sub(chosen) < sameAge }
--- a/wisteriarouter/daemon/relay_placing.go
+++ b/wisteriarouter/daemon/relay_placing.go
@@ -130,7 +130,7 @@
 // cache returns the address of the endpoint that has the request's shared
 // parts if the chosen one has not.
 func (p *relayPlacer) cache(pool coordination.Pool, key placement.Key, chosen coordination.Endpoint) string {
-	d := p.holders.Load().Source(time.Now(), pool, key, chosen)
+	d := p.holders.Load().Source(pool, key, chosen)
 	if d == nil {
 		return ""
 	}
