--- a/wisteriactl/explain.go
+++ b/wisteriactl/explain.go
@@ -57,6 +57,8 @@
 	Status   int       `json:"status"`
 	Why      string    `json:"why"`
 	Error    string    `json:"error"`
+	Late     string    `json:"late"`
+	Route    string    `json:"route"`
 
 	fields map[string]any
 }
--- a/wisteriactl/main.go
+++ b/wisteriactl/main.go
@@ -23,6 +23,7 @@
   wisteriactl settings history [flags] TEAM   who changed what, when and why
   wisteriactl status [flags]                  a router, its peers and endpoints
   wisteriactl explain REQUEST < LOGS          what became of a request, from routers' logs
+  wisteriactl losses < LOGS                   how many requests were late, failed or refused, and by what
 
 A command with -help tells its flags.
 
@@ -45,7 +46,7 @@
 
 // run executes the command that args name and returns its exit code.
 func run(ctx context.Context, args []string, a app) exitCode {
-	return execute(ctx, a, "wisteriactl", args, a.status(), a.explain(), group{a})
+	return execute(ctx, a, "wisteriactl", args, a.status(), a.explain(), a.losses(), group{a})
 }
 
 // execute executes the one of cmds that args name.
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -256,14 +256,22 @@
 	)
 }
 
-// late reports whether an answer came later than the route's targets.
-func (x *exchange) late() bool {
+// late tells by which of the route's targets an answer came late: "first" for
+// the time to its first byte, "pause" for a pause between its events, or "" for
+// none.
+func (x *exchange) late() string {
 	first := time.Now()
 	if !x.stream.first.IsZero() {
 		first = x.stream.first
 	}
-	return x.route.FirstTarget > 0 && first.Sub(x.arrived) > x.route.FirstTarget ||
-		x.route.GapTarget > 0 && x.stream.pause > x.route.GapTarget
+	switch {
+	case x.route.FirstTarget > 0 && first.Sub(x.arrived) > x.route.FirstTarget:
+		return "first"
+	case x.route.GapTarget > 0 && x.stream.pause > x.route.GapTarget:
+		return "pause"
+	default:
+		return ""
+	}
 }
 
 // shared returns how many tokens of the prompt other requests share.
@@ -285,5 +293,6 @@
 		event.F("first-ms", x.stream.firstMs(x.arrived)),
 		event.F("pause-ms", x.stream.pause.Milliseconds()),
 		event.F("last-event", x.stream.last),
+		event.F("late", x.late()),
 	)
 }
--- a/wisteriarouter/relay/metrics.go
+++ b/wisteriarouter/relay/metrics.go
@@ -105,7 +105,7 @@
 		return
 	}
 	outcome := "delivered"
-	if x.late() {
+	if x.late() != "" {
 		outcome = "late"
 	}
 	m.ended(x, outcome)
