--- a/demo.sh
+++ b/demo.sh
@@ -10,7 +10,7 @@
 cd "$(dirname "$0")"
 
 keep=no
-if [ "${1:-}" = "-keep" ]; then
+if [ $# -eq 1 ] && [ "$1" = "-keep" ]; then
   keep=yes
 elif [ $# -gt 0 ]; then
   echo "usage: ./demo.sh [-keep]" >&2
--- a/measure.sh
+++ b/measure.sh
@@ -10,6 +10,18 @@
 # router (a router killed), surge (three client accounts at ten times their rate).
 set -euo pipefail
 cd "$(dirname "$0")"
+
+cases="steady churn moved crash router surge"
+for each in "$@"; do
+  case " $cases " in
+  *" $each "*) ;;
+  *)
+    echo "usage: ./measure.sh [CASE...], of: $cases" >&2
+    exit 2
+    ;;
+  esac
+done
+
 . ./fleet.sh
 
 routers=7
@@ -91,5 +103,6 @@
 [service "order-desk"]
 non-idempotent = confirm
 INI
-if [ $# -eq 0 ]; then set -- steady churn moved crash router surge; fi
+# shellcheck disable=SC2086 # one word for each case
+if [ $# -eq 0 ]; then set -- $cases; fi
 for each in "$@"; do measure "$each"; done
