outlier: hung requests are no probes, two clear failures convict, half of the target is overdue

Requests that may run only once hung there until their callers left, counted as probes, kept probes away, and after 5 s without a probe the engine came back untried. One of the three engines was convicted 3.4 s after it fell mute: two clear failures summed to 660 of 690. And drafts that moved on began 50 to 170 ms behind their target, since they were overdue only at the target itself.

Probes are counted by when they began, the first runs alone, conviction is at 600 (four hundred to one), and an answer is overdue at half of its target at the latest.

--- a/coordination/outlier/judge.go
+++ b/coordination/outlier/judge.go
@@ -55,9 +55,10 @@
 	// one request in eight seconds.
 	firstPause   = time.Second
 	longestPause = 8 * time.Second
-	// probesAtOnce is how many probes run at the same time, and probesServed how
-	// many have to be served before the endpoint is taken back. One that fails
-	// half of its requests passes once in eight times.
+	// probesAtOnce is how many probes run at the same time behind the first,
+	// which runs alone: while an endpoint fails, one caller has to wait for each
+	// try. probesServed is how many have to be served before the endpoint is
+	// taken back; one that fails half of its requests passes once in eight times.
 	probesAtOnce = 3
 	probesServed = 3
 	// steadyAfter is how long an endpoint has to serve behind its return before
@@ -108,26 +109,26 @@
 	j.convict(now, zone, t)
 }
 
-// Standing returns what the endpoint may be sent by routers of a zone, while a
-// number of requests run there. If the next probe is to wait, it also returns
-// for how long.
-func (j *Judge) Standing(now time.Time, zone coordination.Zone, running int) (Standing, time.Duration) {
+// Runs tells how many requests run at the endpoint that were begun since a time.
+// Those that were begun before it was taken out are no probes: they may hang there
+// until their callers leave.
+type Runs interface {
+	Since(begun time.Time) int
+}
+
+// Standing returns what the endpoint may be sent by routers of a zone. If a
+// request is to wait for its turn, it also returns for how long.
+func (j *Judge) Standing(now time.Time, zone coordination.Zone, runs Runs) (Standing, time.Duration) {
 	if len(j.zones) == 0 {
 		return In, 0
 	}
 	t := j.trial(zone)
 	t.age(now)
 	j.convict(now, zone, t)
-	if t.out && now.Sub(t.probeAt) > unprobed {
-		j.restore(now, zone, t)
+	if t.out {
+		return j.probation(now, zone, t, runs)
 	}
 	switch {
-	case t.out && now.Before(t.probeAt):
-		return Excluded, t.probeAt.Sub(now)
-	case t.out && running >= probesAtOnce:
-		return Excluded, probeWait
-	case t.out:
-		return Probed, 0
 	case t.score >= float64(Doubt):
 		return Doubted, doubtWait
 	default:
@@ -135,6 +136,23 @@
 	}
 }
 
+// probation returns the standing of an endpoint that is taken out.
+func (j *Judge) probation(now time.Time, zone coordination.Zone, t *trial, runs Runs) (Standing, time.Duration) {
+	if now.Before(t.probeAt) {
+		return Excluded, t.probeAt.Sub(now)
+	}
+	running := runs.Since(t.probeAt)
+	switch {
+	case running >= t.probes():
+		return Excluded, probeWait
+	case running == 0 && t.served == 0 && now.Sub(t.probeAt) > unprobed:
+		j.restore(now, zone, t)
+		return In, 0
+	default:
+		return Probed, 0
+	}
+}
+
 const (
 	// probeWait is when to look again at an endpoint that runs its probes.
 	probeWait = 200 * time.Millisecond
@@ -230,6 +248,14 @@
 	}
 }
 
+// probes returns how many probes may run now.
+func (t *trial) probes() int {
+	if t.served == 0 {
+		return 1
+	}
+	return probesAtOnce
+}
+
 // rest begins a pause without requests.
 func (t *trial) rest(now time.Time) {
 	t.served, t.probeAt = 0, now.Add(t.pause)
--- a/coordination/outlier/judge_test.go
+++ b/coordination/outlier/judge_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"gotest.tools/v3/assert"
 
 	"wisteriaspool/coordination"
@@ -29,8 +30,13 @@
 	r.judge.Hear(r.now, zone, begun, w)
 }
 
+// nRuns implements Runs.
+type nRuns int
+
+func (n nRuns) Since(time.Time) int { return int(n) }
+
 func (r *trialRun) standing(zone coordination.Zone) Standing {
-	s, _ := r.judge.Standing(r.now, zone, 0)
+	s, _ := r.judge.Standing(r.now, zone, nRuns(0))
 	return s
 }
 
@@ -127,8 +133,8 @@
 
 	r.now = r.now.Add(firstPause)
 	assert.Equal(t, r.standing("a"), Probed)
-	s, wait := r.judge.Standing(r.now, "a", probesAtOnce)
-	assert.Equal(t, s, Excluded)
+	s, wait := r.judge.Standing(r.now, "a", nRuns(1))
+	assert.Equal(t, s, Excluded, "the first probe runs alone")
 	assert.Equal(t, wait, probeWait)
 
 	r.hear("a", seldom)
@@ -137,7 +143,12 @@
 	assert.Equal(t, len(r.verdicts), 2, "a request from before the pause says nothing")
 
 	r.now = r.now.Add(2 * firstPause)
-	for range probesServed {
+	r.hear("a", Served)
+	s, _ = r.judge.Standing(r.now, "a", nRuns(probesAtOnce-1))
+	assert.Equal(t, s, Probed)
+	s, _ = r.judge.Standing(r.now, "a", nRuns(probesAtOnce))
+	assert.Equal(t, s, Excluded)
+	for range probesServed - 1 {
 		r.hear("a", Served)
 	}
 	assert.Equal(t, r.standing("a"), In)
@@ -153,6 +164,28 @@
 	assert.Equal(t, r.standing("a"), In)
 }
 
+// Requests that may run only once hang at a mute endpoint until their callers
+// leave, 3 s later. They are no probes: taken for such, they kept real ones away,
+// and the endpoint came back untried while it was still mute.
+func TestRequestsOfBeforeAreNoProbes(t *testing.T) {
+	r := newTrialRun()
+	r.hear("a", seldom)
+	r.hear("a", seldom)
+	out := r.now
+	r.now = r.now.Add(firstPause)
+	s, _ := r.judge.Standing(r.now, "a", runsBegun{out.Add(-time.Millisecond)})
+	assert.Equal(t, s, Probed)
+	s, _ = r.judge.Standing(r.now.Add(unprobed+time.Second), "a", runsBegun{r.now})
+	assert.Equal(t, s, Excluded, "a probe still runs")
+}
+
+// runsBegun implements Runs by the times of their beginning.
+type runsBegun []time.Time
+
+func (r runsBegun) Since(begun time.Time) int {
+	return lo.CountBy(r, func(at time.Time) bool { return !at.Before(begun) })
+}
+
 // A failure each minute is chance, however long it goes on.
 func TestFailuresFarApartConvictNobody(t *testing.T) {
 	r := newTrialRun()
--- a/coordination/outlier/outlier.go
+++ b/coordination/outlier/outlier.go
@@ -29,10 +29,10 @@
 const Served Weight = -69
 
 // Conviction is the sum of weights at which an endpoint is taken out: it is then
-// a thousand times likelier that it fails than that it is as good as the others.
-// Two failures of a kind that seldom fails say so, or five of one of which 14 in
-// 100 fail anyway.
-const Conviction Weight = 690
+// four hundred times likelier that it fails than that it is as good as the others.
+// Two failures of a kind that seldom fails say so, behind a request that was
+// served, or five of one of which 14 in 100 fail anyway.
+const Conviction Weight = 600
 
 // Doubt is the sum of weights at which an endpoint gets no more requests of
 // which a failure cannot be mended. One failure of a kind that seldom fails
--- a/coordination/outlier/watch_test.go
+++ b/coordination/outlier/watch_test.go
@@ -146,7 +146,7 @@
 		now = begun.Add(50 * time.Millisecond)
 		j.Hear(now, "zone-a", begun, w.Failed(now, Sight{Pool: "engines", Endpoint: "e2", Kind: "draft"}))
 	}
-	standing, wait := j.Standing(now, "zone-a", 0)
+	standing, wait := j.Standing(now, "zone-a", nRuns(0))
 	fmt.Println(standing, wait)
 	// Output: excluded 1s
 }
--- a/coordination/placement/judging.go
+++ b/coordination/placement/judging.go
@@ -95,7 +95,7 @@
 	if req.Insist {
 		return 0, false
 	}
-	standing, wait := l.judge.Standing(now, zone, len(l.grants))
+	standing, wait := l.judge.Standing(now, zone, l)
 	switch standing {
 	case outlier.Excluded:
 		return wait, true
@@ -106,6 +106,17 @@
 	}
 }
 
+// Since implements outlier.Runs.
+func (l *endpointLoad) Since(begun time.Time) int {
+	n := 0
+	for _, g := range l.grants {
+		if !g.start.Before(begun) {
+			n++
+		}
+	}
+	return n
+}
+
 // leastDoubt is the least time for which an entry need not ask again.
 const leastDoubt = 100 * time.Millisecond
 
--- a/wisteriarouter/relay/silence.go
+++ b/wisteriarouter/relay/silence.go
@@ -59,12 +59,16 @@
 }
 
 // dueOf returns when an answer is overdue: later than others of the pool have
-// begun of late, or later than the operator wants it. Zero is never.
+// begun of late, or when half of the time has passed in which the operator wants
+// it to begin. What is left then suffices for another attempt: moved at the end of
+// that time, a request is late however soon the next endpoint answers. Zero is
+// never.
 func dueOf(patience, target time.Duration) time.Duration {
-	if patience == 0 || target == 0 {
-		return max(patience, target)
+	due := target / targetShare
+	if patience == 0 || due == 0 {
+		return max(patience, due)
 	}
-	return min(patience, target)
+	return min(patience, due)
 }
 
 // stop ends the watch. A place for another attempt is kept only if this one
@@ -127,16 +131,14 @@
 	}
 }
 
-// Before half of the time in which an answer has to begin has passed, nothing is
-// gained by another attempt: what is left suffices for one that begins then.
-//
 // An attempt that an engine may still be reading the prompt for costs that work
 // again if it is moved, and while many long prompts are read all of them are
 // overdue. It is moved when the endpoint is found to fail, for which the owner is
 // asked, at first after a quarter of the time that answers take and then more and
-// more seldom, or when the silence has lasted for twice that time. Moved at once, a day's shared parts that are read
-// again went from 100,000 tokens to 600,000 in one play of three. A plain
-// service has no such work, and its requests are moved at once.
+// more seldom, or when the silence has lasted for twice that time. Moved at once,
+// a day's shared parts that are read again went from 100,000 tokens to 600,000 in
+// one play of three. A plain service has no such work, and its requests are moved
+// as soon as good endpoints would have answered.
 const (
 	looks        = 4
 	engineFactor = 2
@@ -148,7 +150,7 @@
 	if s.place.Patience == 0 {
 		return false
 	}
-	enough := s.exchange.route.FirstTarget / targetShare
+	enough := max(s.place.Patience, s.exchange.route.FirstTarget/targetShare)
 	if s.want.Cached {
 		enough = max(enough, engineFactor*s.place.Patience)
 	}
