--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -31,7 +31,7 @@
 	x.evidence.Written(id)
 	defer resp.Body.Close()
 	if !isStream(resp) {
-		x.silence.broken(time.Now())
+		x.silence.answered(time.Now())
 	}
 	says := platform.DecodeAnswer(resp.Status, resp.Header)
 	end := classify(resp.Status, says)
--- a/wisteriarouter/relay/silence.go
+++ b/wisteriarouter/relay/silence.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// broken takes in that a part of the answer has come.
-func (s *silence) broken(now time.Time) {
+// answered takes in that the answer has begun.
+func (s *silence) answered(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.heard {
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -67,7 +67,7 @@
 			}
 			goesOn = false
 			now := time.Now()
-			x.silence.broken(now)
+			x.silence.answered(now)
 			x.stream.note(now, events)
 			if _, werr := x.w.Write(events); werr != nil {
 				return cut
