--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -37,6 +37,10 @@
 	Times    int  // how many answers have Status; 0 is all
 	Full     bool // everything is turned away as not run
 	Mute     bool // a request is run, and no answer ever comes
+	// Slow is how much longer an answer, or the first event of one, takes.
+	Slow time.Duration
+	// Every limits these faults to each so-manieth request; all if zero.
+	Every int
 	// Only limits these faults to requests whose path begins so; all if empty.
 	Only string
 	// Crash is a path whose requests crash the replica as they begin to run.
@@ -69,6 +73,7 @@
 
 	mu       sync.Mutex
 	faults   Faults
+	met      int // requests since the start
 	running  int
 	arrivals []*Arrival
 	state    string
@@ -179,6 +184,9 @@
 		r.mark(func() { a.Left = true })
 		return
 	}
+	if f.Slow > 0 && !r.wait(req, a, f.Slow) {
+		return
+	}
 	h.Set("X-Attempt-Id", a.ID)
 	h.Set("X-Server-Signature", r.opts.ID+"."+a.ID)
 	h.Set("X-Instance-Load", fmt.Sprintf("%d,0,%d", r.load(), r.opts.Slots))
@@ -204,7 +212,8 @@
 	}
 	r.arrivals = append(r.arrivals, a)
 	f := r.faults
-	if !strings.HasPrefix(a.Path, f.Only) {
+	r.met++
+	if !strings.HasPrefix(a.Path, f.Only) || f.Every > 0 && r.met%f.Every != 0 {
 		return a, Faults{}, true
 	}
 	if r.faults.Times == 1 {
@@ -242,8 +251,13 @@
 
 // pause waits between two events and reports whether the caller is still there.
 func (r *Replica) pause(req *http.Request, a *Arrival) bool {
+	return r.wait(req, a, r.opts.Pause)
+}
+
+// wait waits and reports whether the caller is still there.
+func (r *Replica) wait(req *http.Request, a *Arrival, d time.Duration) bool {
 	select {
-	case <-time.After(r.opts.Pause):
+	case <-time.After(d):
 		return true
 	case <-req.Context().Done():
 		r.mark(func() { a.Left = true })
--- a/wisteriarouter/daemon/relay_outlier_test.go
+++ b/wisteriarouter/daemon/relay_outlier_test.go
@@ -49,6 +49,42 @@
 	assert.Assert(t, failed <= 1, "%d of 30 orders failed", failed)
 }
 
+// One of three endpoints fails every second request, by the endpoint's own hidden
+// fault. Its callers get a failure each second time until it is found out.
+func TestOrdersKeepOffAnEndpointThatFailsByHalf(t *testing.T) {
+	s := newSite(t, 2, 3, 0)
+	s.warm("/safe/", 12)
+	s.warm("/unsafe/", 12)
+	s.replicas[0].Fail(replica.Faults{Status: 500, Every: 2})
+	for n := range 60 {
+		assert.Equal(t, s.send(n%2, fmt.Sprintf("/safe/%d", n)).status, 200)
+	}
+	failed := 0
+	for n := range 30 {
+		if s.send(n%2, fmt.Sprintf("/unsafe/%d", n)).status != 200 {
+			failed++
+		}
+	}
+	assert.Assert(t, failed <= 2, "%d of 30 orders failed", failed)
+}
+
+// One of three endpoints takes forty times as long as the others. Lookups that
+// meet it are answered by another one, and soon hardly any meet it.
+func TestLookupsLeaveASlowEndpoint(t *testing.T) {
+	s := newSite(t, 1, 3, 0)
+	s.warm("/safe/", 20)
+	s.replicas[0].Fail(replica.Faults{Slow: 400 * time.Millisecond})
+	slow := 0
+	for n := range 40 {
+		start := time.Now()
+		assert.Equal(t, s.send(0, fmt.Sprintf("/safe/%d", n)).status, 200)
+		if time.Since(start) > 300*time.Millisecond {
+			slow++
+		}
+	}
+	assert.Assert(t, slow <= 4, "%d of 40 lookups were slow", slow)
+}
+
 // The endpoint serves again. It gets its share back within seconds, by lookups
 // first.
 func TestFailingEndpointComesBack(t *testing.T) {
