placement: an outlier counts in its pool's mean, and no more than a third is kept off

A walk counted only the outliers that it met itself, and so kept off more than a third.

Ruled out: an owner that changes, a stop of routers in those seconds (roll_term had ended at 21.5 s).

Changed: the mean counts all; a walk begins without regard to outliers if more than a third of the pool is known to be out, and ends so if the others are over their bound. TestOutlierDoesNotCountInTheMean asserted the fault; TestOutlierCountsInTheMean and TestOutlierIsUsedBeforeOthersAreOverTheirBound replace it, and all six endpoints have to be used in TestNoMoreThanAThirdOfAPoolIsKeptOff, where four were enough.

--- a/coordination/outlier/judge.go
+++ b/coordination/outlier/judge.go
@@ -166,17 +166,6 @@
 	return t != nil && t.out
 }
 
-// Out reports whether the endpoint is taken out for all zones that sent it
-// requests.
-func (j *Judge) Out() bool {
-	for _, t := range j.zones {
-		if !t.out {
-			return false
-		}
-	}
-	return len(j.zones) > 0
-}
-
 func (j *Judge) trial(zone coordination.Zone) *trial {
 	t := j.zones[zone]
 	if t == nil {
--- a/coordination/outlier/judge_test.go
+++ b/coordination/outlier/judge_test.go
@@ -109,7 +109,7 @@
 	}
 	assert.Equal(t, r.standing("a"), Excluded)
 	assert.Equal(t, r.standing("b"), In)
-	assert.Assert(t, !r.judge.Out())
+	assert.Assert(t, r.judge.OutFor("a") && !r.judge.OutFor("b"))
 }
 
 // Routers of another zone that have not met the endpoint of late go by those
@@ -120,7 +120,7 @@
 	r.hear("a", seldom)
 	assert.Equal(t, r.standing("a"), Excluded)
 	assert.Equal(t, r.standing("b"), Excluded)
-	assert.Assert(t, r.judge.Out())
+	assert.Assert(t, r.judge.OutFor("a") && r.judge.OutFor("b"))
 }
 
 // An endpoint that serves again is taken back by a few probes; one that goes on
--- a/coordination/placement/judging.go
+++ b/coordination/placement/judging.go
@@ -63,8 +63,10 @@
 }
 
 // judged follows a change of the endpoint's standing. Requests that wait there
-// look for another place. An endpoint that gets nothing does not count in the
-// pool's mean, or the others would be held to a mean that they cannot keep.
+// look for another place. The endpoint goes on counting in its pool's mean: else
+// the others would be let over the bound for the load that it does not take. On a
+// day with eight of twelve engines that lost 3 of 10 answers, most were taken out,
+// and 21 of 566 requests met an engine over twice the mean load.
 func (l *endpointLoad) judged(v outlier.Verdict, tell func(Judgement)) {
 	if tell != nil {
 		tell(Judgement{Endpoint: l.desc.ID, Incarnation: l.desc.Incarnation, Pool: l.desc.Pool, Verdict: v})
@@ -72,21 +74,6 @@
 	if v.Standing == outlier.Excluded {
 		l.passOn(Outlier)
 	}
-	l.setAside(l.judge.Out())
-}
-
-// setAside has the endpoint count in its pool's mean, or not.
-func (l *endpointLoad) setAside(aside bool) {
-	if l.left || l.aside == aside {
-		return
-	}
-	l.aside = aside
-	if aside {
-		l.pool.change(-l.counted, -1)
-		l.counted = 0
-		return
-	}
-	l.pool.change(0, 1) // its requests count from the next look at the load
 }
 
 // keepsOff tells whether a request is to keep off the endpoint for its failures,
@@ -131,6 +118,7 @@
 // doubt is an endpoint that turned a request away for its failures. One that
 // takes requests which may be sent again may keep off others.
 type doubt struct {
+	pool     coordination.Pool
 	endpoint coordination.Endpoint
 	once     bool
 }
@@ -153,6 +141,23 @@
 	t.until[d] = now.Add(min(wait, longestDoubt))
 }
 
+// outliers returns how many endpoints of a pool are known to take no requests at
+// all.
+func (t *doubtTable) outliers(now time.Time, p coordination.Pool) int {
+	if t == nil {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for d, until := range t.until {
+		if d.pool == p && !d.once && now.Before(until) {
+			n++
+		}
+	}
+	return n
+}
+
 func (t *doubtTable) holds(now time.Time, d doubt) bool {
 	if t == nil {
 		return false
--- a/coordination/placement/judging_test.go
+++ b/coordination/placement/judging_test.go
@@ -48,16 +48,46 @@
 	assert.Equal(t, admit(o, now, 2, "e1").Decision, Granted)
 }
 
-// An endpoint that gets nothing would hold down the mean of its pool, and the
-// others would turn away what they can well take.
-func TestOutlierDoesNotCountInTheMean(t *testing.T) {
+// An endpoint that gets nothing still counts in the mean of its pool. Were it left
+// out, the others would be let over the bound for the load that it does not take,
+// and with several outliers they would drown.
+func TestOutlierCountsInTheMean(t *testing.T) {
 	o, now := newTestOwner(t, testEndpoints(2), Config{})
 	now = fail(t, o, now, "e0")
-	// Of two endpoints one may run 1.25 times the mean: two of two requests are
-	// too many, but not if the other endpoint is out.
-	for seq := Sequence(1); seq <= 4; seq++ {
-		assert.Equal(t, admit(o, now, seq, "e1").Decision, Granted, "request %d", seq)
-	}
+	// Of two endpoints one may run ceil(1.25 times the mean): two requests of two,
+	// and no third one, which would make the mean 1.5.
+	assert.Equal(t, admit(o, now, 1, "e1").Decision, Granted)
+	assert.Equal(t, admit(o, now, 2, "e1").Decision, Granted)
+	assert.Equal(t, admit(o, now, 3, "e1").Code, OverBound)
+}
+
+// The others of a pool are over their bound for the load that an outlier does not
+// take. Requests go to the outlier then, rather than wait or drown the others.
+func TestOutlierIsUsedBeforeOthersAreOverTheirBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		es := testEndpoints(2)
+		f := newFleet(testRouters(1), es, Config{})
+		time.Sleep(2 * time.Second)
+		n := f.nodes["r0"]
+		id := EntryID{Instance: "r0", Incarnation: n.entry.id.Incarnation}
+		for seq := range Sequence(4) {
+			time.Sleep(10 * time.Millisecond)
+			n.owner.Admit(t.Context(), AdmitRequest{Entry: id, Sequence: 1000 + seq, Endpoint: "e0"})
+			time.Sleep(10 * time.Millisecond)
+			n.owner.Release(ReleaseBatch{Entry: id, Releases: []Release{{Endpoint: "e0", Sequence: 1000 + seq, Seen: clearFailure}}})
+		}
+		for range 2 {
+			g, _ := n.entry.Acquire(t.Context(), Request{Pool: es[0].Pool})
+			assert.Equal(t, g.Endpoint.ID, coordination.Endpoint("e1"))
+			defer g.Release()
+		}
+		start := time.Now()
+		third, refusal := n.entry.Acquire(t.Context(), Request{Pool: es[0].Pool})
+		assert.Assert(t, third != nil, "%v", refusal)
+		assert.Equal(t, third.Endpoint.ID, coordination.Endpoint("e0"))
+		assert.Assert(t, time.Since(start) < 50*time.Millisecond)
+		third.Release()
+	})
 }
 
 // The count of a pool must come out even however an endpoint goes.
@@ -194,7 +224,7 @@
 				g.Release()
 			}
 		}
-		assert.Assert(t, len(met) >= 4, "%d endpoints of six are used", len(met))
+		assert.Equal(t, len(met), 6, "endpoints that are used")
 	})
 }
 
--- a/coordination/placement/load.go
+++ b/coordination/placement/load.go
@@ -41,7 +41,6 @@
 	left    bool
 	lost    time.Time // when an entry last found it dead; zero if alive
 	judge   outlier.Judge
-	aside   bool // it gets nothing for its failures, and is not in the pool's sum
 
 	// A new owner does not know what its endpoint runs until entries have
 	// registered or the endpoint has reported. Counting from zero would put a
@@ -129,7 +128,7 @@
 // refresh brings the pool's sum in line with the count.
 func (l *endpointLoad) refresh(now time.Time, cfg *Config) {
 	n := l.sure(now, cfg)
-	if l.left || l.aside {
+	if l.left {
 		n = 0
 	}
 	if n != l.counted {
@@ -143,7 +142,6 @@
 	if l.left {
 		return
 	}
-	l.setAside(false)
 	l.left = true
 	l.pool.change(-l.counted, -1)
 	l.counted = 0
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -190,16 +190,18 @@
 }
 
 // insistOn begins the walk anew, without regard to outliers, if there are more
-// than a pool may do without, or if no other endpoint is left even to wait for.
+// than a pool may do without, if the others are over their bound for it, or if no
+// other endpoint is left even to wait for.
 func (w *walk) insistOn() bool {
 	if w.insist || w.outliers == 0 {
 		return false
 	}
-	if !w.crowded() && w.queue != nil {
+	if !w.crowded() && !w.over && w.queue != nil {
 		return false
 	}
 	w.insist = true
 	w.at, w.full, w.queue = -1, 0, nil
+	w.over = false
 	return true
 }
 
@@ -208,6 +210,9 @@
 	if w.full >= fullTries && w.queue != nil || w.crowded() {
 		return nil
 	}
+	if w.at < 0 && w.doubts.outliers(now, w.req.Pool) > outliersOf(w.set.Len(w.req.Pool)) {
+		w.insist = true
+	}
 	for {
 		w.at++
 		if w.at >= len(w.list) && !w.extend() {
@@ -217,7 +222,7 @@
 		if slices.Contains(w.req.Avoid, d.ID) {
 			continue
 		}
-		if w.insist || !w.doubts.holds(now, doubt{endpoint: d.ID, once: w.req.Once}) {
+		if w.insist || !w.doubts.holds(now, doubt{pool: w.req.Pool, endpoint: d.ID, once: w.req.Once}) {
 			return d
 		}
 		w.keepOff()
