--- a/coordination/outlier/judge.go
+++ b/coordination/outlier/detector.go
@@ -6,18 +6,18 @@
 	"wisteriaspool/coordination"
 )
 
-// Judge adds up what the requests of all routers showed at one endpoint, and
+// Detector adds up what the requests of all routers showed at one endpoint, and
 // decides which requests it gets. Endpoints have been seen to fail for callers
 // of one availability zone only, so that each zone of routers has its own sum.
-// A zone follows the others' judgement unless its own requests were served of
+// A zone follows what the others found unless its own requests were served of
 // late.
 //
-// The zero value takes the endpoint for good. Whoever owns a Judge guards it.
-type Judge struct {
-	// OnVerdict, if set, is told of each change of standing.
-	OnVerdict func(Verdict)
+// The zero value takes the endpoint for good. Whoever owns a Detector guards it.
+type Detector struct {
+	// OnChange, if set, is told of each change of standing.
+	OnChange func(Change)
 
-	zones map[coordination.Zone]*trial
+	zones map[coordination.Zone]*zoneState
 	// failed is when the last failure was heard of. One long prompt holds up all
 	// requests at an engine, and one reset breaks all its streams: requests that
 	// were begun before such a moment say it once. Nor do those that were begun
@@ -30,13 +30,13 @@
 
 // The standings of an endpoint. The zero value is that of a good one.
 const (
-	In       Standing = iota // all requests
-	Doubted                  // requests of which a failure can be mended
-	Probed                   // a few of these, to see whether it serves again
-	Excluded                 // none
+	In      Standing = iota // all requests
+	Doubted                 // requests of which a failure can be mended
+	Probed                  // a few of these, to see whether it serves again
+	Ejected                 // none
 )
 
-var standings = [...]string{"in", "doubted", "probed", "excluded"}
+var standings = [...]string{"in", "doubted", "probed", "ejected"}
 
 // String returns the name of s as logs show it.
 func (s Standing) String() string { return standings[s] }
@@ -47,11 +47,11 @@
 	// come up.
 	credit = -Served
 	// scoreHalfLife is the half-life of a sum, so that a few failures far apart
-	// convict nobody.
+	// eject nobody.
 	scoreHalfLife = 10 * time.Second
 	// firstPause is how long an endpoint that was taken out gets nothing. Each
 	// time that a probe fails it is doubled, up to longestPause: a wrong
-	// judgement costs an endpoint a second, and one that goes on failing costs
+	// ejection costs an endpoint a second, and one that goes on failing costs
 	// one request in eight seconds.
 	firstPause   = time.Second
 	longestPause = 8 * time.Second
@@ -69,8 +69,8 @@
 	unprobed = 5 * time.Second
 )
 
-// trial is the case of one endpoint in one zone of routers.
-type trial struct {
+// zoneState is what routers of one availability zone saw of the endpoint.
+type zoneState struct {
 	score   float64 // sum of weights, in units of Weight
 	aged    time.Time
 	out     bool
@@ -80,8 +80,8 @@
 	back    time.Time
 }
 
-// Verdict tells that an endpoint's standing changes for a zone.
-type Verdict struct {
+// Change tells that an endpoint's standing changes for a zone.
+type Change struct {
 	Zone     coordination.Zone
 	Standing Standing
 	Score    Weight        // what decided it
@@ -89,24 +89,24 @@
 }
 
 // Hear takes in what a request of a zone showed that was begun at a time.
-func (j *Judge) Hear(now time.Time, zone coordination.Zone, begun time.Time, w Weight) {
+func (d *Detector) Hear(now time.Time, zone coordination.Zone, begun time.Time, w Weight) {
 	if w == 0 {
 		return
 	}
-	t := j.trial(zone)
-	if t.out {
-		j.probe(now, zone, t, begun, w)
+	z := d.zone(zone)
+	if z.out {
+		d.probe(now, zone, z, begun, w)
 		return
 	}
-	if !begun.After(j.failed) {
+	if !begun.After(d.failed) {
 		return
 	}
 	if w > 0 {
-		j.failed = now
+		d.failed = now
 	}
-	t.age(now)
-	t.score = max(t.score+float64(w), float64(-credit))
-	j.convict(now, zone, t)
+	z.age(now)
+	z.score = max(z.score+float64(w), float64(-credit))
+	d.eject(now, zone, z)
 }
 
 // Runs tells how many requests run at the endpoint that were begun since a time.
@@ -118,35 +118,35 @@
 
 // Standing returns what the endpoint may be sent by routers of a zone. If a
 // request is to wait for its turn, it also returns for how long.
-func (j *Judge) Standing(now time.Time, zone coordination.Zone, runs Runs) (Standing, time.Duration) {
-	if len(j.zones) == 0 {
+func (d *Detector) Standing(now time.Time, zone coordination.Zone, runs Runs) (Standing, time.Duration) {
+	if len(d.zones) == 0 {
 		return In, 0
 	}
-	t := j.trial(zone)
-	t.age(now)
-	j.convict(now, zone, t)
-	if t.out {
-		return j.probation(now, zone, t, runs)
+	z := d.zone(zone)
+	z.age(now)
+	d.eject(now, zone, z)
+	if z.out {
+		return d.probing(now, zone, z, runs)
 	}
 	switch {
-	case t.score >= float64(Doubt):
+	case z.score >= float64(DoubtAt):
 		return Doubted, doubtWait
 	default:
 		return In, 0
 	}
 }
 
-// probation returns the standing of an endpoint that is taken out.
-func (j *Judge) probation(now time.Time, zone coordination.Zone, t *trial, runs Runs) (Standing, time.Duration) {
-	if now.Before(t.probeAt) {
-		return Excluded, t.probeAt.Sub(now)
+// probing returns the standing of an endpoint that is taken out.
+func (d *Detector) probing(now time.Time, zone coordination.Zone, z *zoneState, runs Runs) (Standing, time.Duration) {
+	if now.Before(z.probeAt) {
+		return Ejected, z.probeAt.Sub(now)
 	}
-	running := runs.Since(t.probeAt)
+	running := runs.Since(z.probeAt)
 	switch {
-	case running >= t.probes():
-		return Excluded, probeWait
-	case running == 0 && t.served == 0 && now.Sub(t.probeAt) > unprobed:
-		j.restore(now, zone, t)
+	case running >= z.probes():
+		return Ejected, probeWait
+	case running == 0 && z.served == 0 && now.Sub(z.probeAt) > unprobed:
+		d.restore(now, zone, z)
 		return In, 0
 	default:
 		return Probed, 0
@@ -161,96 +161,96 @@
 )
 
 // OutFor reports whether the endpoint is taken out for a zone.
-func (j *Judge) OutFor(zone coordination.Zone) bool {
-	t := j.zones[zone]
-	return t != nil && t.out
+func (d *Detector) OutFor(zone coordination.Zone) bool {
+	z := d.zones[zone]
+	return z != nil && z.out
 }
 
-func (j *Judge) trial(zone coordination.Zone) *trial {
-	t := j.zones[zone]
-	if t == nil {
-		if j.zones == nil {
-			j.zones = make(map[coordination.Zone]*trial)
+func (d *Detector) zone(zone coordination.Zone) *zoneState {
+	z := d.zones[zone]
+	if z == nil {
+		if d.zones == nil {
+			d.zones = make(map[coordination.Zone]*zoneState)
 		}
-		t = &trial{}
-		j.zones[zone] = t
+		z = &zoneState{}
+		d.zones[zone] = z
 	}
-	return t
+	return z
 }
 
-// convict takes the endpoint out for a zone if what all zones saw suffices and
+// eject takes the endpoint out for a zone if what all zones saw suffices and
 // the zone's own requests do not speak for the endpoint.
-func (j *Judge) convict(now time.Time, zone coordination.Zone, t *trial) {
-	if t.out || t.score < 0 {
+func (d *Detector) eject(now time.Time, zone coordination.Zone, z *zoneState) {
+	if z.out || z.score < 0 {
 		return
 	}
 	others := 0.0
-	for _, o := range j.zones {
-		if o != t {
+	for _, o := range d.zones {
+		if o != z {
 			o.age(now)
 			others += max(o.score, 0)
 		}
 	}
-	score := t.score + min(others, float64(Conviction))
-	if score < float64(Conviction) {
+	score := z.score + min(others, float64(EjectAt))
+	if score < float64(EjectAt) {
 		return
 	}
-	if t.pause == 0 || now.Sub(t.back) > steadyAfter {
-		t.pause = firstPause
+	if z.pause == 0 || now.Sub(z.back) > steadyAfter {
+		z.pause = firstPause
 	} else {
-		t.pause = min(2*t.pause, longestPause)
+		z.pause = min(2*z.pause, longestPause)
 	}
-	t.out = true
-	t.rest(now)
-	j.tell(Verdict{Zone: zone, Standing: Excluded, Score: Weight(min(score, float64(2*Conviction))), Pause: t.pause})
+	z.out = true
+	z.rest(now)
+	d.tell(Change{Zone: zone, Standing: Ejected, Score: Weight(min(score, float64(2*EjectAt))), Pause: z.pause})
 }
 
 // probe takes in what a request showed while the endpoint is out. Those that
 // were begun before say nothing new.
-func (j *Judge) probe(now time.Time, zone coordination.Zone, t *trial, begun time.Time, w Weight) {
-	if begun.Before(t.probeAt) {
+func (d *Detector) probe(now time.Time, zone coordination.Zone, z *zoneState, begun time.Time, w Weight) {
+	if begun.Before(z.probeAt) {
 		return
 	}
 	if w > 0 {
-		t.pause = min(2*t.pause, longestPause)
-		t.rest(now)
-		j.tell(Verdict{Zone: zone, Standing: Excluded, Score: w, Pause: t.pause})
+		z.pause = min(2*z.pause, longestPause)
+		z.rest(now)
+		d.tell(Change{Zone: zone, Standing: Ejected, Score: w, Pause: z.pause})
 		return
 	}
-	t.served++
-	if t.served == probesServed {
-		j.restore(now, zone, t)
+	z.served++
+	if z.served == probesServed {
+		d.restore(now, zone, z)
 	}
 }
 
 // restore takes the endpoint back. Its probes speak for it, so that it is not
 // taken out again on the word of zones that have not probed it yet.
-func (j *Judge) restore(now time.Time, zone coordination.Zone, t *trial) {
-	t.out, t.back = false, now
-	t.score, t.aged = float64(probesServed*Served), now
-	j.tell(Verdict{Zone: zone, Standing: In})
+func (d *Detector) restore(now time.Time, zone coordination.Zone, z *zoneState) {
+	z.out, z.back = false, now
+	z.score, z.aged = float64(probesServed*Served), now
+	d.tell(Change{Zone: zone, Standing: In})
 }
 
-func (j *Judge) tell(v Verdict) {
-	if j.OnVerdict != nil {
-		j.OnVerdict(v)
+func (d *Detector) tell(c Change) {
+	if d.OnChange != nil {
+		d.OnChange(c)
 	}
 }
 
 // probes returns how many probes may run now.
-func (t *trial) probes() int {
-	if t.served == 0 {
+func (z *zoneState) probes() int {
+	if z.served == 0 {
 		return 1
 	}
 	return probesAtOnce
 }
 
 // rest begins a pause without requests.
-func (t *trial) rest(now time.Time) {
-	t.served, t.probeAt = 0, now.Add(t.pause)
+func (z *zoneState) rest(now time.Time) {
+	z.served, z.probeAt = 0, now.Add(z.pause)
 }
 
-func (t *trial) age(now time.Time) {
-	t.score *= halving(now.Sub(t.aged), scoreHalfLife)
-	t.aged = now
+func (z *zoneState) age(now time.Time) {
+	z.score *= halving(now.Sub(z.aged), scoreHalfLife)
+	z.aged = now
 }
--- a/coordination/outlier/judge_test.go
+++ b/coordination/outlier/detector_test.go
@@ -10,24 +10,24 @@
 	"wisteriaspool/coordination"
 )
 
-// trialRun plays requests to one endpoint, one after the other.
-type trialRun struct {
-	judge    Judge
+// play plays requests to one endpoint, one after the other.
+type play struct {
+	detector Detector
 	now      time.Time
-	verdicts []Verdict
+	changes  []Change
 }
 
-func newTrialRun() *trialRun {
-	r := &trialRun{now: time.Unix(1000, 0)}
-	r.judge.OnVerdict = func(v Verdict) { r.verdicts = append(r.verdicts, v) }
+func newPlay() *play {
+	r := &play{now: time.Unix(1000, 0)}
+	r.detector.OnChange = func(c Change) { r.changes = append(r.changes, c) }
 	return r
 }
 
 // hear plays a request of 50 ms, 50 ms behind the last one.
-func (r *trialRun) hear(zone coordination.Zone, w Weight) {
+func (r *play) hear(zone coordination.Zone, w Weight) {
 	begun := r.now.Add(50 * time.Millisecond)
 	r.now = begun.Add(50 * time.Millisecond)
-	r.judge.Hear(r.now, zone, begun, w)
+	r.detector.Hear(r.now, zone, begun, w)
 }
 
 // nRuns implements Runs.
@@ -35,8 +35,8 @@
 
 func (n nRuns) Since(time.Time) int { return int(n) }
 
-func (r *trialRun) standing(zone coordination.Zone) Standing {
-	s, _ := r.judge.Standing(r.now, zone, nRuns(0))
+func (r *play) standing(zone coordination.Zone) Standing {
+	s, _ := r.detector.Standing(r.now, zone, nRuns(0))
 	return s
 }
 
@@ -57,9 +57,9 @@
 		{"of a kind that often fails", often, 30},
 	}
 	for _, test := range tests {
-		r := newTrialRun()
+		r := newPlay()
 		n := 0
-		for ; r.standing("a") != Excluded && n < 100; n++ {
+		for ; r.standing("a") != Ejected && n < 100; n++ {
 			w := Served
 			if n%2 == 0 {
 				w = test.weight
@@ -73,7 +73,7 @@
 // A good endpoint fails as often as the others of its pool. Taken out, it would
 // be missed, and its callers would find their prompts uncached elsewhere.
 func TestEndpointAsGoodAsOthersStays(t *testing.T) {
-	r := newTrialRun()
+	r := newPlay()
 	for n := range 2000 {
 		w := Served
 		if n%7 == 0 {
@@ -81,73 +81,73 @@
 		}
 		r.hear("a", w)
 	}
-	assert.Equal(t, len(r.verdicts), 0)
+	assert.Equal(t, len(r.changes), 0)
 }
 
 // One long prompt holds up all that runs at an engine, and one reset breaks all
 // its streams. Each of these requests tells of the same moment, and an engine
 // taken out for it would lose what it has cached.
 func TestOneMomentIsHeardOnce(t *testing.T) {
-	r := newTrialRun()
+	r := newPlay()
 	begun := r.now
 	for range 20 {
 		r.now = r.now.Add(time.Millisecond)
-		r.judge.Hear(r.now, "a", begun, seldom)
+		r.detector.Hear(r.now, "a", begun, seldom)
 	}
-	assert.Equal(t, len(r.verdicts), 0)
+	assert.Equal(t, len(r.changes), 0)
 	assert.Equal(t, r.standing("a"), Doubted)
 }
 
 // An endpoint fails only for routers of one availability zone. The others' own
 // requests are served, and they go on sending them.
 func TestFailureForOneZoneConcernsThatZone(t *testing.T) {
-	r := newTrialRun()
+	r := newPlay()
 	for range 3 {
 		r.hear("b", Served)
 		r.hear("a", seldom)
 		r.hear("b", Served)
 	}
-	assert.Equal(t, r.standing("a"), Excluded)
+	assert.Equal(t, r.standing("a"), Ejected)
 	assert.Equal(t, r.standing("b"), In)
-	assert.Assert(t, r.judge.OutFor("a") && !r.judge.OutFor("b"))
+	assert.Assert(t, r.detector.OutFor("a") && !r.detector.OutFor("b"))
 }
 
 // Routers of another zone that have not met the endpoint of late go by those
 // that have.
 func TestZoneWithoutRequestsGoesByTheOthers(t *testing.T) {
-	r := newTrialRun()
+	r := newPlay()
 	r.hear("a", seldom)
 	r.hear("a", seldom)
-	assert.Equal(t, r.standing("a"), Excluded)
-	assert.Equal(t, r.standing("b"), Excluded)
-	assert.Assert(t, r.judge.OutFor("a") && r.judge.OutFor("b"))
+	assert.Equal(t, r.standing("a"), Ejected)
+	assert.Equal(t, r.standing("b"), Ejected)
+	assert.Assert(t, r.detector.OutFor("a") && r.detector.OutFor("b"))
 }
 
 // An endpoint that serves again is taken back by a few probes; one that goes on
 // failing is probed more and more seldom, so that few callers meet it.
 func TestProbesTakeBackAnEndpoint(t *testing.T) {
-	r := newTrialRun()
+	r := newPlay()
 	r.hear("a", seldom)
 	r.hear("a", seldom)
-	assert.Equal(t, r.verdicts[0].Pause, firstPause)
+	assert.Equal(t, r.changes[0].Pause, firstPause)
 
 	r.now = r.now.Add(firstPause)
 	assert.Equal(t, r.standing("a"), Probed)
-	s, wait := r.judge.Standing(r.now, "a", nRuns(1))
-	assert.Equal(t, s, Excluded, "the first probe runs alone")
+	s, wait := r.detector.Standing(r.now, "a", nRuns(1))
+	assert.Equal(t, s, Ejected, "the first probe runs alone")
 	assert.Equal(t, wait, probeWait)
 
 	r.hear("a", seldom)
-	assert.Equal(t, r.verdicts[1].Pause, 2*firstPause)
+	assert.Equal(t, r.changes[1].Pause, 2*firstPause)
 	r.hear("a", Served)
-	assert.Equal(t, len(r.verdicts), 2, "a request from before the pause says nothing")
+	assert.Equal(t, len(r.changes), 2, "a request from before the pause says nothing")
 
 	r.now = r.now.Add(2 * firstPause)
 	r.hear("a", Served)
-	s, _ = r.judge.Standing(r.now, "a", nRuns(probesAtOnce-1))
+	s, _ = r.detector.Standing(r.now, "a", nRuns(probesAtOnce-1))
 	assert.Equal(t, s, Probed)
-	s, _ = r.judge.Standing(r.now, "a", nRuns(probesAtOnce))
-	assert.Equal(t, s, Excluded)
+	s, _ = r.detector.Standing(r.now, "a", nRuns(probesAtOnce))
+	assert.Equal(t, s, Ejected)
 	for range probesServed - 1 {
 		r.hear("a", Served)
 	}
@@ -157,7 +157,7 @@
 // Where no request may be sent twice nothing can probe an endpoint. It comes
 // back untried after a while.
 func TestEndpointThatNothingProbesComesBack(t *testing.T) {
-	r := newTrialRun()
+	r := newPlay()
 	r.hear("a", seldom)
 	r.hear("a", seldom)
 	r.now = r.now.Add(firstPause + unprobed + time.Millisecond)
@@ -168,15 +168,15 @@
 // leave, 3 s later. They are no probes: taken for such, they kept real ones away,
 // and the endpoint came back untried while it was still mute.
 func TestRequestsOfBeforeAreNoProbes(t *testing.T) {
-	r := newTrialRun()
+	r := newPlay()
 	r.hear("a", seldom)
 	r.hear("a", seldom)
 	out := r.now
 	r.now = r.now.Add(firstPause)
-	s, _ := r.judge.Standing(r.now, "a", runsBegun{out.Add(-time.Millisecond)})
+	s, _ := r.detector.Standing(r.now, "a", runsBegun{out.Add(-time.Millisecond)})
 	assert.Equal(t, s, Probed)
-	s, _ = r.judge.Standing(r.now.Add(unprobed+time.Second), "a", runsBegun{r.now})
-	assert.Equal(t, s, Excluded, "a probe still runs")
+	s, _ = r.detector.Standing(r.now.Add(unprobed+time.Second), "a", runsBegun{r.now})
+	assert.Equal(t, s, Ejected, "a probe still runs")
 }
 
 // runsBegun implements Runs by the times of their beginning.
@@ -187,11 +187,11 @@
 }
 
 // A failure each minute is chance, however long it goes on.
-func TestFailuresFarApartConvictNobody(t *testing.T) {
-	r := newTrialRun()
+func TestFailuresFarApartEjectNobody(t *testing.T) {
+	r := newPlay()
 	for range 60 {
 		r.hear("a", seldom)
 		r.now = r.now.Add(time.Minute)
 	}
-	assert.Equal(t, len(r.verdicts), 0)
+	assert.Equal(t, len(r.changes), 0)
 }
--- a/coordination/outlier/outlier.go
+++ b/coordination/outlier/outlier.go
@@ -7,7 +7,7 @@
 // answer, and so what one failure says: a kind that fails everywhere says
 // nothing of an endpoint, nor does a failure of all endpoints at once. What a
 // request showed goes as a [Weight] to the router that counts the endpoint's
-// load, which adds up the weights of all routers ([Judge]) and takes the
+// load, which adds up the weights of all routers ([Detector]) and takes the
 // endpoint out for new requests, or back after a few probes.
 //
 // The package does no I/O.
@@ -28,19 +28,19 @@
 // that each served request halves the odds.
 const Served Weight = -69
 
-// Conviction is the sum of weights at which an endpoint is taken out: it is then
+// EjectAt is the sum of weights at which an endpoint is taken out: it is then
 // four hundred times likelier that it fails than that it is as good as the others.
 // Two failures of a kind that seldom fails say so, behind a request that was
 // served, or five of one of which 14 in 100 fail anyway.
-const Conviction Weight = 600
+const EjectAt Weight = 600
 
-// Doubt is the sum of weights at which an endpoint gets no more requests of
+// DoubtAt is the sum of weights at which an endpoint gets no more requests of
 // which a failure cannot be mended. One failure of a kind that seldom fails
 // raises it: other endpoints of the pool cost such a request nothing.
-const Doubt Weight = 300
+const DoubtAt Weight = 300
 
 // leastRate is the lowest share of failures that is taken for a good endpoint's.
-// Lower ones would convict by a single failure.
+// Lower ones would eject by a single failure.
 const leastRate = 0.01
 
 // weightOf returns what a failure says if a share of such requests fails at good
--- a/coordination/outlier/watch_test.go
+++ b/coordination/outlier/watch_test.go
@@ -140,7 +140,7 @@
 	for range 100 {
 		w.Served(now, Sight{Pool: "engines", Endpoint: "e1", Kind: "draft"})
 	}
-	var j Judge
+	var j Detector
 	for range 2 {
 		begun := now.Add(50 * time.Millisecond)
 		now = begun.Add(50 * time.Millisecond)
@@ -148,5 +148,5 @@
 	}
 	standing, wait := j.Standing(now, "zone-a", nRuns(0))
 	fmt.Println(standing, wait)
-	// Output: excluded 1s
+	// Output: ejected 1s
 }
--- a/coordination/placement/load.go
+++ b/coordination/placement/load.go
@@ -30,17 +30,17 @@
 // endpointLoad is the exact count of one endpoint, kept by its owner. A shard's
 // lock guards it.
 type endpointLoad struct {
-	desc    Descriptor
-	pool    *poolLoad
-	grants  map[GrantID]held
-	alone   int // grants of suspects
-	queue   fairQueue
-	arrived uint64
-	service serviceTime
-	counted int // what the pool's sum holds for this endpoint
-	left    bool
-	lost    time.Time // when an entry last found it dead; zero if alive
-	judge   outlier.Judge
+	desc     Descriptor
+	pool     *poolLoad
+	grants   map[GrantID]held
+	alone    int // grants of suspects
+	queue    fairQueue
+	arrived  uint64
+	service  serviceTime
+	counted  int // what the pool's sum holds for this endpoint
+	left     bool
+	lost     time.Time // when an entry last found it dead; zero if alive
+	detector outlier.Detector
 
 	// A new owner does not know what its endpoint runs until entries have
 	// registered or the endpoint has reported. Counting from zero would put a
--- a/coordination/placement/judging.go
+++ b/coordination/placement/outliers.go
@@ -23,19 +23,19 @@
 	return max(n/mostOutliers, 1)
 }
 
-// Judgement tells that an endpoint is taken out, or back, for the routers of a
+// OutlierChange tells that an endpoint is taken out, or back, for the routers of a
 // zone.
-type Judgement struct {
+type OutlierChange struct {
 	Endpoint    coordination.Endpoint
 	Incarnation coordination.Incarnation
 	Pool        coordination.Pool
-	outlier.Verdict
+	outlier.Change
 }
 
-// OnJudgement has fn told of each change of an own endpoint's standing. It is
+// OnOutlier has fn told of each change of an own endpoint's standing. It is
 // called under a lock and must not call the owner. It is to be set before the
 // first [Owner.Update].
-func (o *Owner) OnJudgement(fn func(Judgement)) { o.onJudgement = fn }
+func (o *Owner) OnOutlier(fn func(OutlierChange)) { o.onOutlier = fn }
 
 // zoneOf returns the availability zone of an entry's router. Routers that are
 // not listed yet share the zone without a name.
@@ -57,21 +57,21 @@
 		return false
 	}
 	if g, ok := l.grants[GrantID{Entry: from, Sequence: n.Sequence}]; ok {
-		l.judge.Hear(now, zone, g.start, n.Seen)
+		l.detector.Hear(now, zone, g.start, n.Seen)
 	}
-	return l.judge.OutFor(zone)
+	return l.detector.OutFor(zone)
 }
 
-// judged follows a change of the endpoint's standing. Requests that wait there
+// outlierChanged follows a change of the endpoint's standing. Requests that wait there
 // look for another place. The endpoint goes on counting in its pool's mean: else
 // the others would be let over the bound for the load that it does not take. On a
 // day with eight of twelve engines that lost 3 of 10 answers, most were taken out,
 // and 21 of 566 requests met an engine over twice the mean load.
-func (l *endpointLoad) judged(v outlier.Verdict, tell func(Judgement)) {
+func (l *endpointLoad) outlierChanged(v outlier.Change, tell func(OutlierChange)) {
 	if tell != nil {
-		tell(Judgement{Endpoint: l.desc.ID, Incarnation: l.desc.Incarnation, Pool: l.desc.Pool, Verdict: v})
+		tell(OutlierChange{Endpoint: l.desc.ID, Incarnation: l.desc.Incarnation, Pool: l.desc.Pool, Change: v})
 	}
-	if v.Standing == outlier.Excluded {
+	if v.Standing == outlier.Ejected {
 		l.passOn(Outlier)
 	}
 }
@@ -82,9 +82,9 @@
 	if req.Insist {
 		return 0, false
 	}
-	standing, wait := l.judge.Standing(now, zone, l)
+	standing, wait := l.detector.Standing(now, zone, l)
 	switch standing {
-	case outlier.Excluded:
+	case outlier.Ejected:
 		return wait, true
 	case outlier.Doubted, outlier.Probed:
 		return max(wait, leastDoubt), req.Once
--- a/coordination/placement/judging_test.go
+++ b/coordination/placement/outliers_test.go
@@ -35,8 +35,8 @@
 // routers ask, so that all of them keep off it as soon as the owner does.
 func TestOwnerKeepsRequestsOffAnOutlier(t *testing.T) {
 	o, now := newTestOwner(t, testEndpoints(3), Config{Bound: 2, Slack: 3})
-	var told []Judgement
-	o.OnJudgement(func(j Judgement) { told = append(told, j) })
+	var told []OutlierChange
+	o.OnOutlier(func(j OutlierChange) { told = append(told, j) })
 	now = fail(t, o, now, "e0")
 	assert.Equal(t, len(told), 1)
 	assert.Equal(t, told[0].Endpoint, coordination.Endpoint("e0"))
--- a/coordination/placement/owner.go
+++ b/coordination/placement/owner.go
@@ -35,7 +35,7 @@
 	entriesMu sync.Mutex
 	heard     map[EntryID]time.Time
 
-	onJudgement func(Judgement) // nil if nobody wants to know
+	onOutlier func(OutlierChange) // nil if nobody wants to know
 }
 
 // ownerShard holds a part of the endpoints under its own lock.
@@ -129,7 +129,7 @@
 		settled = now.Add(cfg.Grace)
 	}
 	l = newEndpointLoad(d, o.poolLoad(d.Pool), settled)
-	l.judge.OnVerdict = func(v outlier.Verdict) { l.judged(v, o.onJudgement) }
+	l.detector.OnChange = func(v outlier.Change) { l.outlierChanged(v, o.onOutlier) }
 	s.loads[d.ID] = l
 }
 
--- /dev/null
+++ b/wisteriarouter/daemon/observer.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"wisteriaspool/coordination/outlier"
+	"wisteriaspool/coordination/placement"
+	"wisteriaspool/wisteriarouter/event"
+)
+
+// observer implements relay.Observer: it weighs what one attempt shows by what
+// this router has seen elsewhere in the pool, and has the grant tell the
+// endpoint's owner.
+type observer struct {
+	watch *outlier.Watch
+	grant *placement.Grant
+	sight outlier.Sight
+	told  atomic.Bool // that the answer is overdue; an attempt speaks once
+}
+
+// Answered implements relay.Observer.
+func (o *observer) Answered(took time.Duration) { o.watch.Answered(time.Now(), o.sight, took) }
+
+// Overdue implements relay.Observer.
+func (o *observer) Overdue(ctx context.Context) (out bool) {
+	if o.told.Swap(true) {
+		return o.grant.Tell(ctx, 0)
+	}
+	return o.grant.Tell(ctx, o.watch.Failed(time.Now(), o.sight))
+}
+
+// Served implements relay.Observer.
+func (o *observer) Served() {
+	if !o.told.Swap(true) {
+		o.grant.Saw(o.watch.Served(time.Now(), o.sight))
+	}
+}
+
+// Failed implements relay.Observer.
+func (o *observer) Failed() {
+	if !o.told.Swap(true) {
+		o.grant.Saw(o.watch.Failed(time.Now(), o.sight))
+	}
+}
+
+// outlierLogger logs that an endpoint is taken out for its failures, or back.
+type outlierLogger struct{ log event.Log }
+
+func (l outlierLogger) tell(j placement.OutlierChange) {
+	l.log.Emit(event.EndpointOutlier,
+		event.F("endpoint", j.Endpoint), event.F("incarnation", j.Incarnation), event.F("pool", j.Pool),
+		event.F("zone", j.Zone), event.F("standing", j.Standing.String()),
+		event.F("evidence", int(j.Score)), event.F("pause-ms", j.Pause.Milliseconds()))
+}
--- a/wisteriarouter/daemon/placing.go
+++ b/wisteriarouter/daemon/placing.go
@@ -75,7 +75,7 @@
 		started:   st.started,
 	}
 	id := placement.EntryID{Instance: cfg.Instance, Incarnation: st.incarnation}
-	p.owner.OnJudgement(judgementLogger{logOf(i)}.tell)
+	p.owner.OnOutlier(outlierLogger{logOf(i)}.tell)
 	p.entry = placement.NewEntry(id, p.owner, p.reach, loads, tuned)
 	p.tuning.Store(newTuning(nil))
 	do.MustInvoke[*prometheus.Registry](i).MustRegister(&placementCollector{owner: p.owner})
--- a/wisteriarouter/daemon/relay_placing.go
+++ b/wisteriarouter/daemon/relay_placing.go
@@ -111,10 +111,10 @@
 	if refusal != nil {
 		return relay.Place{}, refusal
 	}
-	seen := &witness{watch: &p.watched, grant: g, sight: outlier.Sight{Pool: w.Pool, Endpoint: k.ID, Kind: w.Kind}}
+	seen := &observer{watch: &p.watched, grant: g, sight: outlier.Sight{Pool: w.Pool, Endpoint: k.ID, Kind: w.Kind}}
 	place := relay.Place{
 		Patience:    p.watched.Patience(time.Now(), seen.sight),
-		Witness:     seen,
+		Observer:    seen,
 		Endpoint:    k.ID,
 		Incarnation: g.Endpoint.Incarnation,
 		Address:     k.Address,
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -58,7 +58,7 @@
 	ConnectionDropped = Kind{511, "caller-gone", logrus.InfoLevel, "A caller went away; its attempt was cancelled."}
 	ChatPlaced        = Kind{514, "chat-placed", logrus.InfoLevel, "A chat got a place at an endpoint and is sent there; tells how long the place took and how much of the time to the start is left. Nothing to do."}
 	ChatAttempt       = Kind{515, "chat-attempt", logrus.InfoLevel, "An attempt of a chat has ended; tells how, after how long, and how many tokens the caller has by then. Look at the endpoint if attempts are lost there more than elsewhere."}
-	EndpointJudged    = Kind{516, "endpoint-judged", logrus.WarnLevel, "An endpoint that this router counts gets no requests of an availability zone's routers, or gets them again, by what requests showed of it; tells the sum of the evidence and the pause before it is probed. Look at the endpoint: its own health check may be good."}
+	EndpointOutlier   = Kind{516, "endpoint-outlier", logrus.WarnLevel, "An endpoint that this router counts gets no requests of an availability zone's routers, or gets them again, by what requests showed of it; tells the sum of the evidence and the pause before it is probed. Look at the endpoint: its own health check may be good."}
 )
 
 // The events of actions.
@@ -96,7 +96,7 @@
 		PlatformLost, PlatformBack,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumourShed, PeerBusy, PeerAway, PeerBack,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
-		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, ConnectionDropped, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointJudged,
+		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, ConnectionDropped, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
 		OrderGiven,
 		RelayAttempt, RelayAttemptLost, RelayRefused, RelayCut, RelayCallerGone, RelayBudgetSpent, RelayPlaced, RelayOverdue,
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -170,7 +170,7 @@
 			return false
 		}
 		end := x.attempt(ctx, place)
-		x.testify(ctx, place, end)
+		x.observe(ctx, place, end)
 		place.Release()
 		x.note(place, end)
 		if end == delivered {
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -52,14 +52,14 @@
 	// Patience is how long a good endpoint takes for the first byte of an answer
 	// to such a request, at most; zero if that is not known.
 	Patience time.Duration
-	// Witness is told what the attempt shows of the endpoint; nil if nobody
+	// Observer is told what the attempt shows of the endpoint; nil if nobody
 	// wants to know.
-	Witness Witness
+	Observer Observer
 }
 
-// Witness takes in what an attempt shows of its endpoint, before the place is
+// Observer takes in what an attempt shows of its endpoint, before the place is
 // released.
-type Witness interface {
+type Observer interface {
 	// Answered tells when the first byte of the answer came.
 	Answered(took time.Duration)
 	// Overdue tells at once that none has come within the place's patience, and
--- a/wisteriarouter/relay/silence.go
+++ b/wisteriarouter/relay/silence.go
@@ -97,8 +97,8 @@
 	if s.timer != nil {
 		s.timer.Stop()
 	}
-	if s.place.Witness != nil {
-		s.place.Witness.Answered(now.Sub(s.began))
+	if s.place.Observer != nil {
+		s.place.Observer.Answered(now.Sub(s.began))
 	}
 }
 
@@ -120,7 +120,7 @@
 	}
 	s.exchange.server.Log.Emit(event.RelayOverdue, s.fields()...)
 	for pause := s.due / looks; s.waits(); pause *= 2 {
-		out := s.place.Witness != nil && s.place.Witness.Overdue(s.ctx)
+		out := s.place.Observer != nil && s.place.Observer.Overdue(s.ctx)
 		if !s.again || s.ctx.Err() != nil {
 			return
 		}
@@ -211,19 +211,19 @@
 	}
 }
 
-// testify tells what an attempt showed of its endpoint. Who has left, or whose
+// observe tells what an attempt showed of its endpoint. Who has left, or whose
 // time is up, shows nothing: an endpoint that kept it waiting was reported when
 // the answer was overdue.
-func (x *exchange) testify(ctx context.Context, p Place, end ending) {
-	if p.Witness == nil {
+func (x *exchange) observe(ctx context.Context, p Place, end ending) {
+	if p.Observer == nil {
 		return
 	}
 	switch {
 	case end == unsent || end == silent:
 	case end == delivered && !failedOf(x.status):
-		p.Witness.Served()
+		p.Observer.Served()
 	case ctx.Err() == nil && x.status != http.StatusGatewayTimeout:
-		p.Witness.Failed()
+		p.Observer.Failed()
 	}
 }
 
