--- a/coordination/placement/outliers.go
+++ b/coordination/placement/outliers.go
@@ -62,16 +62,16 @@
 	return l.detector.OutFor(zone)
 }
 
-// outlierChanged follows a change of the endpoint's standing. Requests that wait there
-// look for another place. The endpoint goes on counting in its pool's mean: else
-// the others would be let over the bound for the load that it does not take. On a
-// day with eight of twelve engines that lost 3 of 10 answers, most were taken out,
-// and 21 of 566 requests met an engine over twice the mean load.
-func (l *endpointLoad) outlierChanged(v outlier.Change, tell func(OutlierChange)) {
+// outlierChanged follows a change of the endpoint's standing. Requests that wait
+// there look for another place. The endpoint goes on counting in its pool's mean:
+// else the others would be let over the bound for the load that it does not take.
+// On a day with eight of twelve engines that lost 3 of 10 answers, most were taken
+// out, and 21 of 566 requests met an engine over twice the mean load.
+func (l *endpointLoad) outlierChanged(c outlier.Change, tell func(OutlierChange)) {
 	if tell != nil {
-		tell(OutlierChange{Endpoint: l.desc.ID, Incarnation: l.desc.Incarnation, Pool: l.desc.Pool, Change: v})
+		tell(OutlierChange{Endpoint: l.desc.ID, Incarnation: l.desc.Incarnation, Pool: l.desc.Pool, Change: c})
 	}
-	if v.Standing == outlier.Ejected {
+	if c.Standing == outlier.Ejected {
 		l.passOn(Outlier)
 	}
 }
--- a/wisteriarouter/relay/silence.go
+++ b/wisteriarouter/relay/silence.go
@@ -24,7 +24,7 @@
 //
 // On a day with a third of the engines mute for 12 s, and a third of the plain
 // service failing 7 of 10 before, 8.3 of 100 requests failed without it and
-// without the judgement of endpoints, and 3.4 with both; 2 of these are lost with
+// without the ejection of endpoints, and 3.2 with both; 2 of these are lost with
 // their routers (mean of five plays each).
 type silence struct {
 	exchange *exchange
@@ -32,7 +32,7 @@
 	want     Want
 	again    bool // the request may have another attempt
 	began    time.Time
-	due      time.Duration
+	due      time.Duration // behind began, when the answer is overdue
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	timer    *time.Timer // nil if it is not known how long answers take
