Sight: who told of a change, how late, and where a router waited meanwhile

A line of event 200 said that a version is in force, not how long others had had it. It now tells the source, the time since the store told the first router (carried from router to router in replies), and how long nobody had heard from the store.

--- /dev/null
+++ b/coordination/mirror/asked_test.go
@@ -0,0 +1,73 @@
+package mirror_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/mirror"
+)
+
+// serverOf is one other router.
+type serverOf struct{ server *mirror.Server }
+
+// Call implements mirror.Transport.
+func (s serverOf) Call(ctx context.Context, _ coordination.Instance, _ string, payload []byte) ([]byte, error) {
+	return s.server.Handle(ctx, payload)
+}
+
+// A change came late, and callers were answered by what went before. Whoever
+// looks for the cause has to see from the late router alone how long another
+// one had known, which one told, and where this one had waited instead.
+func TestNewsTellsHowFarBehindItIsAndWhoWasAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, late := mirror.New(), mirror.New()
+		first.Take(mirror.Update{Full: true, Items: []mirror.Item{put("a", "1", 1)}, AsOf: 1})
+		late.Take(first.Since(0))
+		var news []mirror.News
+		late.Observe(func(n mirror.News) { news = append(news, n) })
+		asked := new(mirror.Asked)
+		source := mirror.PeerSource{
+			Transport: serverOf{&mirror.Server{Mirrors: map[string]*mirror.Mirror{"": first}}},
+			Choose:    func() (coordination.Instance, bool) { return "one", true },
+			Wait:      func() time.Duration { return time.Second },
+			Timeout:   time.Second,
+			Asked:     asked,
+		}
+		_, err := source.Fetch(t.Context(), late.AsOf())
+		assert.NilError(t, err)
+		first.Take(mirror.Update{Items: []mirror.Item{put("a", "2", 2)}, AsOf: 2})
+		time.Sleep(700 * time.Millisecond)
+		first.Take(mirror.Update{Items: []mirror.Item{put("b", "1", 3)}, AsOf: 3})
+		u, err := source.Fetch(t.Context(), late.AsOf())
+		assert.NilError(t, err)
+		late.Take(u)
+
+		assert.Equal(t, len(news), 1)
+		assert.Equal(t, news[0].From, coordination.Instance("one"))
+		assert.Equal(t, news[0].Behind, 700*time.Millisecond)
+		assert.Equal(t, news[0].Unconfirmed, 1700*time.Millisecond)
+		assert.Equal(t, asked.String(), "one 1000 nothing, one 0 news")
+	})
+}
+
+// A router that was told late tells the next one, which is later still: the
+// time counts from the store's word to the first of them.
+func TestBehindAddsUpFromRouterToRouter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mirrors := []*mirror.Mirror{mirror.New(), mirror.New(), mirror.New()}
+		mirrors[0].Take(mirror.Update{Items: []mirror.Item{put("a", "1", 1)}, AsOf: 1})
+		var behind time.Duration
+		mirrors[2].Observe(func(n mirror.News) { behind = n.Behind })
+		mirrors[0].Take(mirror.Update{Items: []mirror.Item{put("a", "2", 2)}, AsOf: 2})
+		for i := range 2 {
+			time.Sleep(400 * time.Millisecond)
+			mirrors[i+1].Take(mirrors[i].Since(1))
+		}
+		assert.Equal(t, behind, 800*time.Millisecond)
+	})
+}
--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/kv"
 )
 
@@ -32,10 +33,28 @@
 	AsOf  kv.Revision `cbor:"3,keyasint"` // all changes up to here are in
 	// AgeMs is how long ago the store itself said so.
 	AgeMs uint32 `cbor:"4,keyasint,omitempty"`
+	// BehindMs is how long ago the store told the first router of the oldest of
+	// the items; zero if it is the store that tells, or if Full.
+	BehindMs uint32 `cbor:"-"`
+	// From is the router that told; empty for the store.
+	From coordination.Instance `cbor:"-"`
 	// Lost says that the source does not reach the store itself at the moment.
 	Lost bool `cbor:"-"`
 }
 
+// News is what an update has changed, for those who observe a mirror.
+type News struct {
+	Items []Item
+	// From is the router that told of it; empty for the store.
+	From coordination.Instance
+	// Behind is how long ago the store told the first router of the oldest of
+	// the items, as far as that is known.
+	Behind time.Duration
+	// Unconfirmed is how long before the update the store had last confirmed
+	// to any router, as far as this one knows, what the mirror held.
+	Unconfirmed time.Duration
+}
+
 // tombstoneLife is how long a deleted key is remembered. It covers the longest
 // time for which a peer may be behind and still be told changes alone: its
 // fetch waits for a few seconds, and a pause of its process lasts longer.
@@ -46,12 +65,13 @@
 	mu        sync.Mutex
 	items     map[string]Item
 	deleted   map[string]time.Time // when each tombstone was learned
+	learned   map[string]time.Time // when the store told the first router of each key's last change
 	asOf      kv.Revision
 	confirmed time.Time   // when the store said so, itself or through others
 	floor     kv.Revision // tombstones up to here may be forgotten
 	changed   chan struct{}
 	telling   sync.Mutex
-	observers []func([]Item)
+	observers []func(News)
 	onReturn  []func()
 }
 
@@ -60,13 +80,14 @@
 	return &Mirror{
 		items:   make(map[string]Item),
 		deleted: make(map[string]time.Time),
+		learned: make(map[string]time.Time),
 		changed: make(chan struct{}),
 	}
 }
 
-// Observe has fn called with the items that each update has changed. It has to
-// be set before the first update.
-func (m *Mirror) Observe(fn func([]Item)) { m.observers = append(m.observers, fn) }
+// Observe has fn called with what each update has changed. It has to be set
+// before the first update.
+func (m *Mirror) Observe(fn func(News)) { m.observers = append(m.observers, fn) }
 
 // OnReturn has fn called when the store answers again after it has been away
 // for everybody that this router hears from. It has to be set before the first
@@ -114,7 +135,7 @@
 			fn()
 		}
 	}
-	if len(news) == 0 {
+	if len(news.Items) == 0 {
 		return
 	}
 	for _, fn := range m.observers {
@@ -122,16 +143,22 @@
 	}
 }
 
-func (m *Mirror) apply(now time.Time, u Update) (news []Item, returned bool) {
+func (m *Mirror) apply(now time.Time, u Update) (news News, returned bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	news = News{From: u.From, Behind: time.Duration(u.BehindMs) * time.Millisecond}
+	if !m.confirmed.IsZero() {
+		news.Unconfirmed = now.Sub(m.confirmed)
+	}
+	learned := now.Add(-news.Behind)
 	for _, item := range u.Items {
 		if m.put(now, item) {
-			news = append(news, item)
+			m.learned[item.Key] = learned
+			news.Items = append(news.Items, item)
 		}
 	}
 	if u.Full {
-		news = append(news, m.sweep(now, u)...)
+		news.Items = append(news.Items, m.sweep(now, u)...)
 	}
 	m.prune(now)
 	advanced := u.AsOf > m.asOf
@@ -140,7 +167,7 @@
 		returned = !m.confirmed.IsZero() && at.Sub(m.confirmed) > AwayAfter
 		m.confirmed = at
 	}
-	if advanced || len(news) > 0 {
+	if advanced || len(news.Items) > 0 {
 		m.wake()
 	}
 	return news, returned
@@ -173,6 +200,7 @@
 		}
 		tombstone := Item{Key: key, Revision: u.AsOf, Deleted: true}
 		m.put(now, tombstone)
+		m.learned[key] = now
 		gone = append(gone, tombstone)
 	}
 	return gone
@@ -185,6 +213,7 @@
 			m.floor = max(m.floor, m.items[key].Revision)
 			delete(m.items, key)
 			delete(m.deleted, key)
+			delete(m.learned, key)
 		}
 	}
 }
@@ -194,11 +223,14 @@
 func (m *Mirror) Since(after kv.Revision) Update {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	u := Update{Full: after == 0 || after < m.floor, AsOf: m.asOf, AgeMs: m.ageMs()}
+	u := Update{Full: after == 0 || after < m.floor, AsOf: m.asOf, AgeMs: wireMs(m.confirmed)}
 	for _, item := range m.items {
 		if u.Full && !item.Deleted || !u.Full && item.Revision > after {
 			u.Items = append(u.Items, item)
 		}
+		if !u.Full && item.Revision > after {
+			u.BehindMs = max(u.BehindMs, wireMs(m.learned[item.Key]))
+		}
 	}
 	slices.SortFunc(u.Items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
 	return u
@@ -207,9 +239,9 @@
 // longestAgeMs stands for any longer age: some 50 days.
 const longestAgeMs = math.MaxUint32
 
-// ageMs returns the age for the wire. The caller holds m.mu.
-func (m *Mirror) ageMs() uint32 {
-	return uint32(min(time.Since(m.confirmed).Milliseconds(), longestAgeMs))
+// wireMs returns the time since t in milliseconds, for the wire.
+func wireMs(t time.Time) uint32 {
+	return uint32(min(time.Since(t).Milliseconds(), longestAgeMs))
 }
 
 // Wait returns once the mirror is complete beyond a revision, giveUp reports
--- a/coordination/mirror/mirror_test.go
+++ b/coordination/mirror/mirror_test.go
@@ -63,7 +63,7 @@
 func TestFullUpdateDropsWhatItDoesNotName(t *testing.T) {
 	m := mirror.New()
 	var news []mirror.Item
-	m.Observe(func(items []mirror.Item) { news = items })
+	m.Observe(func(n mirror.News) { news = n.Items })
 	m.Take(mirror.Update{Full: true, Items: []mirror.Item{put("a", "1", 1), put("b", "1", 2)}, AsOf: 2})
 	m.Take(mirror.Update{Items: []mirror.Item{put("c", "1", 6)}, AsOf: 6})
 	// The list is of revision 4: it cannot know c, which is newer.
--- a/coordination/mirror/peers.go
+++ b/coordination/mirror/peers.go
@@ -52,6 +52,8 @@
 	// OnLost, if set, is told of a router that does not reach the store itself:
 	// it hears of changes no sooner than this one.
 	OnLost func(coordination.Instance)
+	// Asked, if set, remembers the calls.
+	Asked *Asked
 }
 
 // Fetch implements Source.
@@ -60,7 +62,21 @@
 	if !ok {
 		return Update{}, ErrNoPeer.New("no other router is known")
 	}
-	wait := s.Wait()
+	start := time.Now()
+	u, err := s.ask(ctx, to, after, s.Wait())
+	if s.Asked != nil {
+		s.Asked.note(to, time.Since(start), u, err)
+	}
+	if err != nil {
+		return Update{}, err
+	}
+	if u.Lost && s.OnLost != nil {
+		s.OnLost(to)
+	}
+	return u, nil
+}
+
+func (s PeerSource) ask(ctx context.Context, to coordination.Instance, after kv.Revision, wait time.Duration) (Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+s.Timeout)
 	defer cancel()
 	b, err := s.Transport.Call(ctx, to, Topic, encode(Ask{Prefix: s.Prefix, After: after, WaitMs: uint32(wait.Milliseconds())}))
@@ -71,9 +87,7 @@
 	if err != nil {
 		return Update{}, ErrMalformed.Wrap(err, "update from %s", to)
 	}
-	if u.Lost && s.OnLost != nil {
-		s.OnLost(to)
-	}
+	u.From = to
 	return u, nil
 }
 
@@ -84,6 +98,8 @@
 	AgeMs  uint32 `cbor:"2,keyasint"`
 	Plain  []byte `cbor:"3,keyasint,omitempty"` // in place of Packed
 	Lost   bool   `cbor:"4,keyasint,omitempty"` // this router does not reach the store
+	// BehindMs is that of the update, now.
+	BehindMs uint32 `cbor:"5,keyasint,omitempty"`
 }
 
 // mostUnpacked bounds an update that another router sends: all entries of 2,000
@@ -107,7 +123,7 @@
 	if err := cbor.Unmarshal(text, &u); err != nil {
 		return Update{}, err
 	}
-	u.AgeMs, u.Lost = r.AgeMs, r.Lost
+	u.AgeMs, u.BehindMs, u.Lost = r.AgeMs, r.BehindMs, r.Lost
 	return u, nil
 }
 
@@ -178,7 +194,7 @@
 	m.Wait(ctx, a.After, s.Lost)
 	u := m.Since(a.After)
 	r := s.pack(a, u)
-	r.AgeMs, r.Lost = u.AgeMs, s.Lost != nil && s.Lost()
+	r.AgeMs, r.BehindMs, r.Lost = u.AgeMs, u.BehindMs, s.Lost != nil && s.Lost()
 	return encode(r), nil
 }
 
--- a/wisteriarouter/daemon/relay_desired.go
+++ b/wisteriarouter/daemon/relay_desired.go
@@ -4,8 +4,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/do/v2"
 
+	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/mirror"
 	"wisteriaspool/coordination/route"
 	"wisteriaspool/platform"
@@ -20,6 +22,7 @@
 	table  atomic.Pointer[route.Table]
 	place  *placing
 	mirror *mirror.Mirror
+	asked  *mirror.Asked
 	relay  atomic.Pointer[config.Relay]
 	ready  chan struct{} // closed with the first desired state
 }
@@ -28,6 +31,7 @@
 	d := &desired{
 		log:   logOf(i),
 		place: do.MustInvoke[*placing](i),
+		asked: new(mirror.Asked),
 		ready: make(chan struct{}),
 	}
 	d.relay.Store(settingsOf(i).Relay)
@@ -37,7 +41,8 @@
 	// it would otherwise find their pools empty.
 	do.MustInvoke[*endpoint.Register](i)
 	m.Observe(d.take)
-	feed(i, m)
+	m.Observe(newBehindMetric(do.MustInvoke[*prometheus.Registry](i)))
+	feed(i, m, d.asked)
 	return d, nil
 }
 
@@ -52,15 +57,15 @@
 
 // take puts a new desired state in force. One that cannot be read, or that is
 // older than the one in force, changes nothing.
-func (d *desired) take(items []mirror.Item) {
-	for _, item := range items {
+func (d *desired) take(n mirror.News) {
+	for _, item := range n.Items {
 		if item.Key == platform.StateKey && !item.Deleted {
-			d.apply(item)
+			d.apply(item, n)
 		}
 	}
 }
 
-func (d *desired) apply(item mirror.Item) {
+func (d *desired) apply(item mirror.Item, n mirror.News) {
 	s, err := platform.DecodeState(item.Value)
 	if err != nil {
 		d.log.Emit(event.SettingsInvalid, event.F("revision", item.Revision), event.F("error", err.Error()))
@@ -73,11 +78,46 @@
 	}
 	d.table.Store(route.NewTable(s))
 	d.place.bounds(s, d.relay.Load())
-	d.log.Emit(event.SettingsApplied, event.F("version", s.Version), event.F("revision", item.Revision), event.F("routes", len(s.Routes)))
+	d.log.Emit(event.SettingsApplied,
+		event.F("version", s.Version),
+		event.F("revision", item.Revision),
+		event.F("routes", len(s.Routes)),
+		event.F("from", sourceName(n.From)),
+		event.F("behind-ms", n.Behind.Milliseconds()),
+		event.F("unconfirmed-ms", n.Unconfirmed.Milliseconds()),
+	)
 	if old == nil {
 		d.place.update()
 		close(d.ready)
+		return
+	}
+	d.warnLate(s.Version, n)
+}
+
+// lateAfter is how long behind the first router a change is logged as late: a
+// quarter of the two seconds in which it has to be in force.
+const lateAfter = 500 * time.Millisecond
+
+// warnLate logs a version that other routers have had for long, with whom this
+// router asked meanwhile.
+func (d *desired) warnLate(v route.Version, n mirror.News) {
+	if n.Behind < lateAfter {
+		return
+	}
+	d.log.Emit(event.SettingsLate,
+		event.F("version", v),
+		event.F("from", sourceName(n.From)),
+		event.F("behind-ms", n.Behind.Milliseconds()),
+		event.F("asked", d.asked.String()),
+	)
+}
+
+// sourceName is the name of a mirror's source in the log.
+func sourceName(from coordination.Instance) string {
+	if from == "" {
+		return "store"
 	}
+	return string(from)
 }
 
 // configure takes in new settings of this router.
--- a/wisteriarouter/daemon/relay_entries.go
+++ b/wisteriarouter/daemon/relay_entries.go
@@ -42,9 +42,9 @@
 	log      event.Log
 }
 
-func (r entryReader) take(items []mirror.Item) {
-	changes := make([]endpoint.Change, 0, len(items))
-	for _, item := range items {
+func (r entryReader) take(n mirror.News) {
+	changes := make([]endpoint.Change, 0, len(n.Items))
+	for _, item := range n.Items {
 		if !platform.IsEntry(item.Key) {
 			continue
 		}
--- a/wisteriarouter/daemon/relay_metrics.go
+++ b/wisteriarouter/daemon/relay_metrics.go
@@ -9,6 +9,7 @@
 	"github.com/samber/do/v2"
 
 	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/mirror"
 	"wisteriaspool/platform"
 	"wisteriaspool/wisteriarouter/endpoint"
 )
@@ -34,6 +35,22 @@
 	}
 }
 
+// behindBuckets are for the time by which a change is later here than at the
+// first router, in seconds.
+var behindBuckets = []float64{.01, .03, .1, .3, .5, 1, 1.5, 2, 3}
+
+// newBehindMetric returns what counts how late changes of the store reach this
+// router.
+func newBehindMetric(r *prometheus.Registry) func(mirror.News) {
+	behind := prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name:    "wisteria_mirror_behind_seconds",
+		Help:    "Time from when the store told the first router of a change until this one had it.",
+		Buckets: behindBuckets,
+	})
+	r.MustRegister(behind)
+	return func(n mirror.News) { behind.Observe(n.Behind.Seconds()) }
+}
+
 // newDialMetrics returns what counts new connections to endpoints.
 func newDialMetrics(r *prometheus.Registry) func(string, error, time.Duration) {
 	dials := prometheus.NewCounterVec(prometheus.CounterOpts{
--- a/wisteriarouter/daemon/relay_store.go
+++ b/wisteriarouter/daemon/relay_store.go
@@ -42,7 +42,7 @@
 // feed starts to feed the mirror, whose observers are set by then, from the
 // store and from other routers. A router that the store turns away still hears
 // of changes from those that it serves.
-func feed(i do.Injector, m *mirror.Mirror) {
+func feed(i do.Injector, m *mirror.Mirror, asked *mirror.Asked) {
 	node := do.MustInvoke[*peer.Node](i)
 	f := &fleetOf{node: node, reach: do.MustInvoke[*reach](i), mirror: m, lost: make(map[coordination.Instance]time.Time)}
 	f.store = &mirror.Follower{
@@ -58,6 +58,7 @@
 		Wait:      func() time.Duration { return mirror.PeerWait(len(f.node.Members())) },
 		Timeout:   peerTimeout,
 		OnLost:    f.avoid,
+		Asked:     asked,
 	}}
 	server := &mirror.Server{Mirrors: map[string]*mirror.Mirror{platform.Prefix: m}, Lost: f.store.Lost}
 	node.Handle(mirror.Topic, func(ctx context.Context, _ coordination.Instance, payload []byte) ([]byte, error) {
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -16,10 +16,11 @@
 
 // The events of settings.
 var (
-	SettingsApplied  = Kind{200, "settings-applied", logrus.InfoLevel, "A team's settings revision is in force on this router."}
+	SettingsApplied  = Kind{200, "settings-applied", logrus.InfoLevel, "A team's settings revision, or a version of the desired state, is in force on this router. Of a desired state it tells who told of it (the store or a router), how long before the store had told the first router (behind-ms), and how long nobody had heard from the store (unconfirmed-ms)."}
 	SettingsInvalid  = Kind{201, "settings-invalid", logrus.WarnLevel, "The platform holds a value that this router refuses; the last good one stays in force. Put a valid change on top."}
 	SettingsRejected = Kind{202, "settings-rejected", logrus.WarnLevel, "An operator's change was refused; the outcome tells whether it conflicted, was invalid or could not be written."}
 	SettingsChanged  = Kind{203, "settings-changed", logrus.InfoLevel, "An operator's change was accepted through this router."}
+	SettingsLate     = Kind{205, "settings-late", logrus.WarnLevel, "A version of the desired state came into force more than half a second behind the first router; tells whom this router asked last, how many milliseconds it was kept waiting there, and what came of it. Look whether those routers had lost the store (300)."}
 )
 
 // The events of the platform's service.
@@ -92,7 +93,7 @@
 func Catalogue() []Kind {
 	return []Kind{
 		Started, Ready, Stopping, Stopped, Failed, Reloaded, ReloadFailed, LinesDropped,
-		SettingsApplied, SettingsInvalid, SettingsRejected, SettingsChanged,
+		SettingsApplied, SettingsInvalid, SettingsRejected, SettingsChanged, SettingsLate,
 		PlatformLost, PlatformBack,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumourShed, PeerBusy, PeerAway, PeerBack,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
