mirror: who asks whom is decided in the library

fleetOf, from the daemon, becomes mirror.Feed, and the tests' fleet of stand-ins uses it in place of a copy that had drifted: it did not ask the near watcher first. The package's tests pass with the race detector.

--- a/coordination/mirror/mirror_test.go
+++ b/coordination/mirror/mirror_test.go
@@ -186,85 +186,37 @@
 	mirrors []*mirror.Mirror
 	routers []placement.Router
 	cut     map[int]bool // the store turns these away
-	servers []*mirror.Server
-	lost    []map[coordination.Instance]time.Time // by router, whom it found not to reach the store
+	feeds   []*mirror.Feed
 }
 
 func newFleet(t *testing.T, n int) *fleet {
 	f := &fleet{store: newFakeStore(), cut: map[int]bool{}}
-	for range n {
-		f.mirrors = append(f.mirrors, mirror.New())
-		f.lost = append(f.lost, map[coordination.Instance]time.Time{})
-	}
 	for i := range n {
+		f.mirrors = append(f.mirrors, mirror.New())
 		f.routers = append(f.routers, placement.Router{ID: coordination.Instance(fmt.Sprint(i)), Zone: coordination.Zone(fmt.Sprint(i % 3))})
 	}
-	var followers []*mirror.Follower
 	for i, m := range f.mirrors {
-		toStore := &mirror.Follower{Mirror: m}
-		toStore.Source = mirror.StoreSource{Store: cutStore{f, i}, Wait: func() time.Duration { return mirror.WatchWait(3, toStore.Lost()) }}
-		toStore.Idle = func() bool { return m.AsOf() > 0 && !mirror.NeedsStore(f.routers[i].ID, f.reaching(i), m.Age()) }
-		toPeers := &mirror.Follower{Mirror: m, Source: mirror.PeerSource{
+		f.feeds = append(f.feeds, mirror.NewFeed(mirror.FeedConfig{
+			Self:      f.routers[i].ID,
+			Mirror:    m,
+			Store:     cutStore{f, i},
 			Transport: f,
-			Choose:    chooser{fleet: f, self: i, n: n}.choose,
-			Wait:      func() time.Duration { return mirror.PeerWait(n) },
-			Timeout:   500 * time.Millisecond,
-			OnLost:    noter{f, i}.note,
-		}}
-		f.servers = append(f.servers, &mirror.Server{Mirrors: map[string]*mirror.Mirror{"": m}, Lost: toStore.Lost})
-		followers = append(followers, toStore, toPeers)
+			Routers:   func() []placement.Router { return f.routers },
+		}))
 	}
-	for _, follower := range followers {
-		t.Cleanup(follower.Start())
+	for _, feed := range f.feeds {
+		t.Cleanup(feed.Start())
 	}
 	return f
 }
 
-// noter notes whom a router found not to reach the store.
-type noter struct {
-	fleet *fleet
-	by    int
-}
-
-func (n noter) note(of coordination.Instance) {
-	n.fleet.store.set(func() { n.fleet.lost[n.by][of] = time.Now() })
-}
-
-// reaching returns the routers that reach the store, as one of them knows.
-func (f *fleet) reaching(by int) (all []placement.Router) {
-	f.store.set(func() {
-		for _, r := range f.routers {
-			if time.Since(f.lost[by][r.ID]) > 2*time.Second {
-				all = append(all, r)
-			}
-		}
-	})
-	return all
-}
-
-type chooser struct {
-	fleet   *fleet // nil to ask any router
-	self, n int
-}
-
-func (c chooser) choose() (coordination.Instance, bool) {
-	if c.fleet != nil && rand.IntN(3) > 0 {
-		w := mirror.Watchers(c.fleet.reaching(c.self))
-		if id := w[rand.IntN(len(w))]; id != coordination.Instance(fmt.Sprint(c.self)) {
-			return id, true
-		}
-	}
-	other := (c.self + 1 + rand.IntN(c.n-1)) % c.n
-	return coordination.Instance(fmt.Sprint(other)), true
-}
-
 // Call implements mirror.Transport.
 func (f *fleet) Call(ctx context.Context, to coordination.Instance, _ string, payload []byte) ([]byte, error) {
 	var i int
 	if _, err := fmt.Sscan(string(to), &i); err != nil {
 		return nil, err
 	}
-	return f.servers[i].Handle(ctx, payload)
+	return f.feeds[i].Handle(ctx, payload)
 }
 
 // cutStore is the store as one router reaches it.
@@ -357,7 +309,7 @@
 		time.Sleep(5 * time.Second)
 		late := mirror.New()
 		follower := &mirror.Follower{Mirror: late, Source: mirror.PeerSource{
-			Transport: f, Choose: chooser{self: 0, n: 3}.choose, Wait: func() time.Duration { return time.Second }, Timeout: time.Second,
+			Transport: f, Choose: func() (coordination.Instance, bool) { return "1", true }, Wait: func() time.Duration { return time.Second }, Timeout: time.Second,
 		}}
 		defer follower.Start()()
 		time.Sleep(50 * time.Millisecond)
