--- a/coordination/mirror/mirror_test.go
+++ b/coordination/mirror/mirror_test.go
@@ -116,6 +116,11 @@
 	}
 }
 
+func (s *fakeStore) revision() (n kv.Revision) {
+	s.set(func() { n = s.asOf })
+	return n
+}
+
 func (s *fakeStore) set(fn func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -185,14 +190,24 @@
 	store   *fakeStore
 	mirrors []*mirror.Mirror
 	routers []placement.Router
-	cut     map[int]bool // the store turns these away
+	cut     map[int]bool  // the store turns these away
+	silent  map[int]bool  // the store leaves these without an answer
+	delay   time.Duration // of each call and each answer, between routers and with the store
 	feeds   []*mirror.Feed
 }
 
 func newFleet(t *testing.T, n int) *fleet {
-	f := &fleet{store: newFakeStore(), cut: map[int]bool{}}
+	return newDistantFleet(t, n, 0, func(int, mirror.News) {})
+}
+
+// newDistantFleet returns a fleet whose calls and answers take a time, and of
+// which observe is told what each router hears.
+func newDistantFleet(t *testing.T, n int, delay time.Duration, observe func(router int, n mirror.News)) *fleet {
+	f := &fleet{store: newFakeStore(), cut: map[int]bool{}, silent: map[int]bool{}, delay: delay}
 	for i := range n {
-		f.mirrors = append(f.mirrors, mirror.New())
+		m := mirror.New()
+		m.Observe(func(n mirror.News) { observe(i, n) })
+		f.mirrors = append(f.mirrors, m)
 		f.routers = append(f.routers, placement.Router{ID: coordination.Instance(fmt.Sprint(i)), Zone: coordination.Zone(fmt.Sprint(i % 3))})
 	}
 	for i, m := range f.mirrors {
@@ -216,7 +231,10 @@
 	if _, err := fmt.Sscan(string(to), &i); err != nil {
 		return nil, err
 	}
-	return f.feeds[i].Handle(ctx, payload)
+	time.Sleep(f.delay)
+	b, err := f.feeds[i].Handle(ctx, payload)
+	time.Sleep(f.delay)
+	return b, err
 }
 
 // cutStore is the store as one router reaches it.
@@ -230,19 +248,50 @@
 	return cut
 }
 
-func (c cutStore) List(ctx context.Context, prefix string) kv.Result {
+func (c cutStore) isSilent() (silent bool) {
+	c.fleet.store.set(func() { silent = c.fleet.silent[c.of] })
+	return silent
+}
+
+// storeTimeout is how long a call that the store leaves without an answer
+// takes, beyond the time for which it may wait.
+const storeTimeout = time.Second
+
+// answer returns whether the store's answer to a call reaches the router. If it
+// does not, it returns when the call has run out.
+func (c cutStore) answer(ctx context.Context, timeout <-chan time.Time) bool {
 	if c.isCut() {
+		return false
+	}
+	if !c.isSilent() {
+		return true
+	}
+	select {
+	case <-timeout:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func (c cutStore) List(ctx context.Context, prefix string) kv.Result {
+	timeout := time.After(storeTimeout)
+	time.Sleep(2 * c.fleet.delay)
+	res := c.fleet.store.List(ctx, prefix)
+	if !c.answer(ctx, timeout) {
 		return kv.Result{Status: kv.Unavailable, Err: errDown}
 	}
-	return c.fleet.store.List(ctx, prefix)
+	return res
 }
 
 func (c cutStore) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Batch, kv.Result) {
+	timeout := time.After(wait + storeTimeout)
 	if c.isCut() {
 		return kv.Batch{}, kv.Result{Status: kv.Unavailable, Err: errDown}
 	}
+	time.Sleep(c.fleet.delay)
 	b, res := c.fleet.store.Watch(ctx, prefix, after, wait)
-	if c.isCut() {
+	time.Sleep(c.fleet.delay)
+	if !c.answer(ctx, timeout) {
 		return kv.Batch{}, kv.Result{Status: kv.Unavailable, Err: errDown}
 	}
 	return b, res
