settings: the platform counts as seen only behind a sign of life

What operators saw: settings confirmed a second ago on every router, for up to a minute and a half, while the platform had been silent to all that watch it and no other router looked for changes.

A watcher confirmed every two to four seconds whether or not the platform had said anything; only the next reading of everything, 30 to 90 s on, showed it.

A watcher now reads one key before each confirmation, and leaves a watch whose platform does not answer that within a second. It holds since nothing but an answer of the platform confirms any more, and the others look for it themselves after ten seconds without one, as they did. Price: a read every two to four seconds for each of at most four watchers, of 300 calls a second.

What stays: a change whose editor dies at once, while the platform is silent to all that watch, is found by the others only after ten to thirty seconds.

--- /dev/null
+++ b/coordination/settings/silent_test.go
@@ -0,0 +1,77 @@
+package settings
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/kv/kvtest"
+)
+
+// silentStore is a platform that can fall silent: its watches stay open and
+// hear nothing, and reads have no answer.
+type silentStore struct {
+	*kvtest.Store
+	silent atomic.Bool
+}
+
+func (s *silentStore) setSilent(silent bool) {
+	s.silent.Store(silent)
+	s.SetFaults(kvtest.Faults{DropWatch: silent})
+}
+
+func (s *silentStore) wait(ctx context.Context) (kv.Result, bool) {
+	if !s.silent.Load() {
+		return kv.Result{}, true
+	}
+	<-ctx.Done()
+	return kv.Result{Status: kv.Unknown, Err: ctx.Err()}, false
+}
+
+func (s *silentStore) Get(ctx context.Context, key string) kv.Result {
+	if res, ok := s.wait(ctx); !ok {
+		return res
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *silentStore) List(ctx context.Context, prefix string) kv.Result {
+	if res, ok := s.wait(ctx); !ok {
+		return res
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+// The platform falls silent to the routers that watch it, and their watches
+// stay open. They went on to tell the fleet that it had confirmed the settings,
+// so that nobody else looked for a change: an operator saw fresh settings on
+// every router for a minute and a half, while none of them had heard anything.
+//
+// A watch that waits was taken for a sign of life. The confirmations of a fleet
+// without any answer of the platform prove it.
+func TestSilentPlatformIsNotConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &silentStore{Store: kvtest.New()}
+		f := newFleetOn(t, 9, 7, store.Store, store)
+		time.Sleep(10 * time.Second)
+		store.setSilent(true)
+		started := time.Now()
+		time.Sleep(20 * time.Second)
+		for _, r := range f.routers {
+			age, ever := r.sync.Fresh()
+			assert.Assert(t, ever)
+			assert.Assert(t, age >= time.Since(started)-signTimeout, "%s has settings confirmed %v ago", r.member.Instance, age)
+		}
+		store.setSilent(false)
+		time.Sleep(10 * time.Second)
+		for _, r := range f.routers {
+			age, _ := r.sync.Fresh()
+			assert.Assert(t, age <= 2*confirmEvery+signTimeout, "%s has settings confirmed %v ago", r.member.Instance, age)
+		}
+	})
+}
--- a/coordination/settings/sync.go
+++ b/coordination/settings/sync.go
@@ -37,6 +37,8 @@
 
 // SyncStore is the part of the platform's service that Sync needs.
 type SyncStore interface {
+	// Get reads one key, as a sign of life.
+	Get(ctx context.Context, key string) kv.Result
 	List(ctx context.Context, prefix string) kv.Result
 	Watch(ctx context.Context, prefix string, from kv.Revision) (<-chan kv.Batch, kv.Result)
 }
@@ -51,6 +53,7 @@
 	driftAfter   = 1500 * time.Millisecond // a difference this old is no mere delay
 	driftPause   = 30 * time.Second        // after asking about a difference in vain
 	listTimeout  = 3 * time.Second
+	signTimeout  = time.Second            // for a sign of life of the platform
 	checkEach    = 200 * time.Millisecond // between two routers that look at the platform
 )
 
@@ -100,6 +103,7 @@
 	Indexes   int // indexes asked of peers
 	Served    int // values given to peers
 	Confirmed int // confirmations spread
+	Signs     int // signs of life asked of the platform
 }
 
 // NewSync returns a Sync at work, and a function that stops it.
--- a/coordination/settings/watch.go
+++ b/coordination/settings/watch.go
@@ -67,7 +67,7 @@
 			ok = w.take(ctx, b)
 		case <-confirm.C:
 			confirm.Reset(confirmPause())
-			w.s.confirm(revision)
+			ok = w.confirm(ctx, revision)
 		case <-reread.C:
 			reread.Reset(rereadEvery/2 + rand.N(rereadEvery))
 			_, ok = w.s.list(ctx)
@@ -80,6 +80,26 @@
 	}
 }
 
+// confirm tells the fleet that the platform was seen, behind a sign of life. A
+// watch that waits looks the same whether nothing changes or the platform has
+// fallen silent; told without a sign, the fleet would count settings as fresh
+// that nobody had asked for, and no other router would look. It reports whether
+// the watch is still good.
+func (w *watcher) confirm(ctx context.Context, revision kv.Revision) bool {
+	ctx, cancel := context.WithTimeout(ctx, signTimeout)
+	defer cancel()
+	w.s.count(func(st *Stats) { st.Signs++ })
+	switch w.s.store.Get(ctx, Prefix).Status {
+	case kv.Applied:
+		w.s.confirm(revision)
+		return true
+	case kv.Throttled: // this router may make no call now
+		return true
+	default:
+		return false
+	}
+}
+
 // confirmPause spreads the confirmations of the watchers, so that most of them
 // find that another has just spread one.
 func confirmPause() time.Duration { return confirmEvery + rand.N(confirmEvery) }
