--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -96,7 +96,7 @@
 
 // AwayAfter is the time without a confirmation of the store, by any router,
 // from which on it is taken to be away. A watch confirms when it ends, after
-// 1.9 s at most, and the word takes up to two waits of a second; an outage in
+// 2.1 s at most, and the word takes up to two waits of a second; an outage in
 // which the leases of entries run out is longer.
 const AwayAfter = 4200 * time.Millisecond
 
