--- a/wisteriarouter/daemon/parts.go
+++ b/wisteriarouter/daemon/parts.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/samber/do/v2"
 
+	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/budget"
 	"wisteriaspool/coordination/kv"
 	"wisteriaspool/coordination/membership"
@@ -169,3 +170,21 @@
 	onStop(i, r.Start(context.Background()))
 	return d, nil
 }
+
+// newReach makes what notices routers that do not answer.
+func newReach(i do.Injector) (*peer.Reach, error) {
+	r, cleanup := peer.NewReach(do.MustInvoke[*peer.Node](i), reachLogger{logOf(i)}.told)
+	onStop(i, cleanup)
+	return r, nil
+}
+
+// reachLogger logs that a router has gone away or is back.
+type reachLogger struct{ log event.Log }
+
+func (l reachLogger) told(id coordination.Instance, away bool) {
+	kind := event.PeerBack
+	if away {
+		kind = event.PeerAway
+	}
+	l.log.Emit(kind, event.F("peer", id))
+}
--- a/wisteriarouter/daemon/placing.go
+++ b/wisteriarouter/daemon/placing.go
@@ -27,7 +27,7 @@
 	ownerCap  int
 	directory *endpoint.Directory
 	node      *peer.Node
-	reach     *reach
+	reach     *peer.Reach
 	owner     *placement.Owner
 	entry     *placement.Entry
 	changes   chan struct{} // a sign that lists have changed
@@ -68,7 +68,7 @@
 		ownerCap:  cfg.Peers.OwnerCap,
 		directory: do.MustInvoke[*endpoint.Directory](i),
 		node:      do.MustInvoke[*peer.Node](i),
-		reach:     do.MustInvoke[*reach](i),
+		reach:     do.MustInvoke[*peer.Reach](i),
 		owner:     placement.NewOwner(cfg.Instance, tuned),
 		changes:   make(chan struct{}, 1),
 		lives:     lives{},
@@ -87,7 +87,7 @@
 // watch has placing follow the lists.
 func (p *placing) watch() {
 	p.node.OnChange(func([]membership.Member) { p.changed() })
-	p.reach.watch(p.changed)
+	p.reach.Watch(p.changed)
 	p.directory.Watch(p.changed)
 }
 
@@ -158,7 +158,7 @@
 		// Without the incarnation: a router that was frozen returns with a higher
 		// one, and its grants are still held by the same process.
 		r := placement.Router{ID: m.Instance, Zone: m.Zone}
-		return r, m.Owner && m.State != membership.Leaving && !p.reach.away(m.Instance)
+		return r, m.Owner && m.State != membership.Leaving && !p.reach.Away(m.Instance)
 	})
 	return placement.NewRouters(members, p.ownerCap)
 }
--- a/wisteriarouter/daemon/relay_store.go
+++ b/wisteriarouter/daemon/relay_store.go
@@ -37,7 +37,7 @@
 // store and from other routers.
 func feed(i do.Injector, m *mirror.Mirror, asked *mirror.Asked) {
 	node := do.MustInvoke[*peer.Node](i)
-	away := do.MustInvoke[*reach](i)
+	away := do.MustInvoke[*peer.Reach](i)
 	f := mirror.NewFeed(mirror.FeedConfig{
 		Self:      node.Self().Instance,
 		Prefix:    platform.Prefix,
@@ -77,12 +77,12 @@
 // answering tells which routers answer.
 type answering struct {
 	node  *peer.Node
-	reach *reach
+	reach *peer.Reach
 }
 
 // routers returns the routers that answer, as far as this one knows.
 func (a answering) routers() []placement.Router {
 	return lo.FilterMap(a.node.Members(), func(m membership.Member, _ int) (placement.Router, bool) {
-		return placement.Router{ID: m.Instance, Zone: m.Zone}, m.State != membership.Leaving && !a.reach.away(m.Instance)
+		return placement.Router{ID: m.Instance, Zone: m.Zone}, m.State != membership.Leaving && !a.reach.Away(m.Instance)
 	})
 }
--- a/wisteriarouter/daemon/suspects.go
+++ b/wisteriarouter/daemon/suspects.go
@@ -61,7 +61,7 @@
 	})
 	node.OnRumor(suspicion.TopicRecord, s.hear)
 	node.OnChange(s.members)
-	s.place.reach.watch(s.moved)
+	s.place.reach.Watch(s.moved)
 	directory := do.MustInvoke[*endpoint.Directory](i)
 	directory.Watch(func() { s.lists(directory.All()) })
 	ctx, cancel := context.WithCancel(context.Background())
--- a/wisteriarouter/daemon/reach.go
+++ b/wisteriarouter/peer/reach.go
@@ -1,4 +1,4 @@
-package daemon
+package peer
 
 import (
 	"context"
@@ -7,13 +7,10 @@
 	"sync"
 	"time"
 
-	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/membership"
-	"wisteriaspool/wisteriarouter/event"
-	"wisteriaspool/wisteriarouter/peer"
 )
 
 // topicProbe asks a router for a sign of life.
@@ -34,14 +31,15 @@
 	backAfter = 3
 )
 
-// fleet is the node as reach sees it.
-type fleet interface {
+// Fleet is the part of a [Node] that a Reach needs.
+type Fleet interface {
 	Call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error)
 	Notify(ctx context.Context, to coordination.Instance, topic string, payload []byte) error
 	Members() []membership.Member
+	Handle(topic string, fn Handler)
 }
 
-// reach makes calls to other routers and remembers which of them do not answer.
+// Reach makes calls to other routers and remembers which of them do not answer.
 //
 // The members of the fleet are slow to be declared dead, so that a short pause
 // does not look like a death everywhere. For those ten seconds the endpoints of
@@ -50,10 +48,10 @@
 // without a router that is away; each of the others soon finds out, too. If
 // only the way between two is broken, the owner that is asked instead declines,
 // and nothing is worse than before.
-type reach struct {
-	node fleet
-	ctx  context.Context // ends with the router
-	log  event.Log
+type Reach struct {
+	fleet  Fleet
+	onTurn func(id coordination.Instance, away bool)
+	ctx    context.Context // ends with the router
 
 	mu       sync.Mutex
 	silent   map[coordination.Instance]*silence
@@ -66,29 +64,23 @@
 	away  bool
 }
 
-func newReach(i do.Injector) (*reach, error) {
-	node := do.MustInvoke[*peer.Node](i)
-	node.Handle(topicProbe, func(context.Context, coordination.Instance, []byte) ([]byte, error) { return nil, nil })
+// NewReach returns a Reach that answers the probes of others, and a function
+// that ends its own. It calls onTurn when a router has gone away or is back.
+func NewReach(f Fleet, onTurn func(id coordination.Instance, away bool)) (*Reach, func()) {
+	f.Handle(topicProbe, func(context.Context, coordination.Instance, []byte) ([]byte, error) { return nil, nil })
 	ctx, cancel := context.WithCancel(context.Background())
-	onStop(i, cancel)
-	r := reachOf(ctx, node)
-	r.log = logOf(i)
-	return r, nil
+	return &Reach{fleet: f, onTurn: onTurn, ctx: ctx, silent: make(map[coordination.Instance]*silence)}, cancel
 }
 
-func reachOf(ctx context.Context, f fleet) *reach {
-	return &reach{node: f, ctx: ctx, silent: make(map[coordination.Instance]*silence)}
-}
-
-// watch has fn called when a router has gone away or is back.
-func (r *reach) watch(fn func()) {
+// Watch has fn called when a router has gone away or is back.
+func (r *Reach) Watch(fn func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.watchers = append(r.watchers, fn)
 }
 
-// away reports whether a router is known not to answer.
-func (r *reach) away(id coordination.Instance) bool {
+// Away reports whether a router is known not to answer.
+func (r *Reach) Away(id coordination.Instance) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.silent[id]
@@ -96,8 +88,8 @@
 }
 
 // Call implements placement.Transport and suspicion.Transport.
-func (r *reach) Call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error) {
-	answer, err := r.node.Call(ctx, to, topic, payload)
+func (r *Reach) Call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error) {
+	answer, err := r.fleet.Call(ctx, to, topic, payload)
 	if unanswered(err) && !errors.Is(ctx.Err(), context.Canceled) {
 		r.suspect(to)
 	}
@@ -106,8 +98,8 @@
 
 // Notify implements mirror.Transport. No error does not mean that the router
 // has been reached.
-func (r *reach) Notify(ctx context.Context, to coordination.Instance, topic string, payload []byte) error {
-	err := r.node.Notify(ctx, to, topic, payload)
+func (r *Reach) Notify(ctx context.Context, to coordination.Instance, topic string, payload []byte) error {
+	err := r.fleet.Notify(ctx, to, topic, payload)
 	if unanswered(err) && !errors.Is(ctx.Err(), context.Canceled) {
 		r.suspect(to)
 	}
@@ -116,24 +108,24 @@
 
 // unanswered reports whether a call's error may mean that its router is dead.
 func unanswered(err error) bool {
-	var failure *peer.CallError
-	return errors.As(err, &failure) && (failure.Failure == peer.NotConnected || failure.Failure == peer.Lost)
+	var failure *CallError
+	return errors.As(err, &failure) && (failure.Failure == NotConnected || failure.Failure == Lost)
 }
 
 // suspect begins to probe a router.
-func (r *reach) suspect(id coordination.Instance) {
+func (r *Reach) suspect(id coordination.Instance) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.silent[id] != nil {
 		return
 	}
 	r.silent[id] = &silence{since: time.Now()}
-	go probe{reach: r, id: id}.run(r.ctx)
+	go probe{Reach: r, id: id}.run(r.ctx)
 }
 
 // probe watches one router that has not answered.
 type probe struct {
-	*reach
+	*Reach
 	id coordination.Instance
 }
 
@@ -147,7 +139,7 @@
 			answers = 0
 			p.missed(time.Now())
 		}
-		if answers >= backAfter || answers > 0 && !p.away(p.id) {
+		if answers >= backAfter || answers > 0 && !p.Away(p.id) {
 			break
 		}
 		select {
@@ -160,13 +152,13 @@
 }
 
 func (p probe) member() bool {
-	return lo.SomeBy(p.node.Members(), func(m membership.Member) bool { return m.Instance == p.id })
+	return lo.SomeBy(p.fleet.Members(), func(m membership.Member) bool { return m.Instance == p.id })
 }
 
 func (p probe) answers(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, err := p.node.Call(ctx, p.id, topicProbe, nil)
+	_, err := p.fleet.Call(ctx, p.id, topicProbe, nil)
 	return !unanswered(err)
 }
 
@@ -178,8 +170,7 @@
 	s.away = s.away || turned
 	p.mu.Unlock()
 	if turned {
-		p.log.Emit(event.PeerAway, event.F("peer", p.id))
-		p.changed()
+		p.changed(true)
 	}
 }
 
@@ -190,15 +181,15 @@
 	delete(p.silent, p.id)
 	p.mu.Unlock()
 	if was {
-		p.log.Emit(event.PeerBack, event.F("peer", p.id))
-		p.changed()
+		p.changed(false)
 	}
 }
 
-func (r *reach) changed() {
-	r.mu.Lock()
-	watchers := slices.Clone(r.watchers)
-	r.mu.Unlock()
+func (p probe) changed(away bool) {
+	p.onTurn(p.id, away)
+	p.mu.Lock()
+	watchers := slices.Clone(p.watchers)
+	p.mu.Unlock()
 	for _, fn := range watchers {
 		fn()
 	}
--- a/wisteriarouter/daemon/reach_test.go
+++ b/wisteriarouter/peer/reach_test.go
@@ -1,4 +1,4 @@
-package daemon
+package peer
 
 import (
 	"context"
@@ -13,7 +13,6 @@
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/membership"
-	"wisteriaspool/wisteriarouter/peer"
 )
 
 // oneRouter is a fleet with one other router, r2.
@@ -47,14 +46,17 @@
 	f.mu.Unlock()
 	switch {
 	case dead:
-		return nil, &peer.CallError{Failure: peer.NotConnected, Peer: to, Topic: topic, Err: errors.New("refused")}
+		return nil, &CallError{Failure: NotConnected, Peer: to, Topic: topic, Err: errors.New("refused")}
 	case frozen:
 		<-ctx.Done()
-		return nil, &peer.CallError{Failure: peer.Lost, Peer: to, Topic: topic, Err: ctx.Err()}
+		return nil, &CallError{Failure: Lost, Peer: to, Topic: topic, Err: ctx.Err()}
 	}
 	return nil, nil
 }
 
+// Handle is not needed: nobody probes this router.
+func (f *oneRouter) Handle(string, Handler) {}
+
 // Notify reaches a router that stands still, which reads it later.
 func (f *oneRouter) Notify(ctx context.Context, to coordination.Instance, topic string, payload []byte) error {
 	f.mu.Lock()
@@ -67,8 +69,15 @@
 	return err
 }
 
+// reachOf returns a Reach that ends with the test.
+func reachOf(t *testing.T, f *oneRouter) *Reach {
+	r, stop := NewReach(f, func(coordination.Instance, bool) {})
+	t.Cleanup(stop)
+	return r
+}
+
 // ask makes a call as placement does.
-func ask(r *reach) {
+func ask(r *Reach) {
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	_, _ = r.Call(ctx, "r2", "place-admit", nil)
@@ -86,20 +95,20 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := &oneRouter{}
-				r := reachOf(t.Context(), f)
+				r := reachOf(t, f)
 				var changes atomic.Int32
-				r.watch(func() { changes.Add(1) })
+				r.Watch(func() { changes.Add(1) })
 				ask(r)
 				f.set(fail)
 				ask(r)
-				assert.Assert(t, !r.away("r2"), "away after one call")
+				assert.Assert(t, !r.Away("r2"), "away after one call")
 				time.Sleep(2 * awayAfter)
-				assert.Assert(t, r.away("r2"))
+				assert.Assert(t, r.Away("r2"))
 				time.Sleep(5 * time.Second)
 				assert.Equal(t, changes.Load(), int32(1))
 				f.set(func(f *oneRouter) { f.dead, f.frozen = false, false })
 				time.Sleep(2 * time.Second)
-				assert.Assert(t, !r.away("r2"))
+				assert.Assert(t, !r.Away("r2"))
 				assert.Equal(t, changes.Load(), int32(2))
 			})
 		})
@@ -112,8 +121,8 @@
 func TestShortSilenceChangesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &oneRouter{frozen: true}
-		r := reachOf(t.Context(), f)
-		r.watch(func() { t.Error("taken for away") })
+		r := reachOf(t, f)
+		r.Watch(func() { t.Error("taken for away") })
 		ask(r)
 		time.Sleep(150 * time.Millisecond)
 		f.set(func(f *oneRouter) { f.frozen = false })
@@ -127,7 +136,7 @@
 func TestDeadRouterIsProbedNoMore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &oneRouter{dead: true}
-		r := reachOf(t.Context(), f)
+		r := reachOf(t, f)
 		ask(r)
 		time.Sleep(10 * time.Second)
 		f.set(func(f *oneRouter) { f.gone = true })
