mirror: a router that no longer answers has the others look at once who watches

If all that watch the store lose power together, nobody hears of a change until others watch in their place. A router noticed within half a second that they were away, and looked up to 0.4 s later whether it had to watch. It now looks at once. What is known of routers that no longer answer is forgotten; the part that fetches behind hints has a file of its own.

--- a/coordination/mirror/feed.go
+++ b/coordination/mirror/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -103,6 +104,11 @@
 	}
 }
 
+// Look has the feed look at once whether this router has to ask the store
+// itself, as when another one no longer answers. If all that watch lose their
+// power together, nobody else hears of a change before that.
+func (f *Feed) Look() { signal(f.store.Wake) }
+
 // Handle answers a call of another router on [Topic].
 func (f *Feed) Handle(ctx context.Context, from coordination.Instance, payload []byte) ([]byte, error) {
 	b, asOf, err := f.server.handle(ctx, payload)
@@ -164,6 +170,15 @@
 	return f.sure[id].After(f.fell) && time.Since(f.sure[id]) <= lostFor
 }
 
+// forget forgets what has been known for too long to count.
+func (f *Feed) forget() {
+	old := func(_ coordination.Instance, at time.Time) bool { return time.Since(at) > lostFor }
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	maps.DeleteFunc(f.lost, old)
+	maps.DeleteFunc(f.sure, old)
+}
+
 // reaching returns the routers that answer and, as far as is known, reach the
 // store.
 func (f *Feed) reaching() []placement.Router {
--- /dev/null
+++ b/coordination/mirror/fetcher.go
@@ -0,0 +1,93 @@
+package mirror
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/kv"
+)
+
+// fetchTimeout bounds a fetch from a router that has told of a change; another
+// one has told too, and is asked next.
+const fetchTimeout = 300 * time.Millisecond
+
+// fetcher fetches what other routers have told of and this one still lacks.
+type fetcher struct {
+	feed *Feed
+	due  chan struct{} // holds one if there is something to fetch
+
+	mu      sync.Mutex
+	sources map[coordination.Instance]kv.Revision // who has told of what
+}
+
+func newFetcher(f *Feed) *fetcher {
+	return &fetcher{feed: f, due: make(chan struct{}, 1), sources: make(map[coordination.Instance]kv.Revision)}
+}
+
+func (f *fetcher) want(from coordination.Instance, asOf kv.Revision) {
+	if f.feed.cfg.Mirror.AsOf() >= asOf {
+		return
+	}
+	f.mu.Lock()
+	f.sources[from] = asOf
+	f.mu.Unlock()
+	signal(f.due)
+}
+
+func (f *fetcher) run(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	for {
+		select {
+		case <-f.due:
+		case <-ctx.Done():
+			return
+		}
+		pause(ctx, hintGrace)
+		for ctx.Err() == nil {
+			from, ok := f.next()
+			if !ok {
+				break
+			}
+			f.fetch(ctx, from)
+		}
+	}
+}
+
+// next takes a router that has told of more than the mirror holds, and forgets
+// those that have not.
+func (f *fetcher) next() (from coordination.Instance, ok bool) {
+	asOf := f.feed.cfg.Mirror.AsOf()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, n := range f.sources {
+		delete(f.sources, id)
+		if n > asOf {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// fetch asks one router for what it has, without waiting there. If it does not
+// answer, another one has told too, and the usual call goes on meanwhile.
+func (f *fetcher) fetch(ctx context.Context, from coordination.Instance) {
+	cfg := f.feed.cfg
+	source := PeerSource{
+		Transport: cfg.Transport,
+		Choose:    func() (coordination.Instance, bool) { return from, true },
+		Prefix:    cfg.Prefix,
+		Wait:      func() time.Duration { return 0 },
+		Timeout:   fetchTimeout,
+		OnReach:   f.feed.note,
+		Asked:     cfg.Asked,
+	}
+	u, err := source.Fetch(ctx, cfg.Mirror.AsOf())
+	switch {
+	case err == nil:
+		cfg.Mirror.Take(u)
+	case ctx.Err() == nil:
+		f.feed.untold(from, err)
+	}
+}
--- a/coordination/mirror/hint.go
+++ b/coordination/mirror/hint.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +12,7 @@
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/placement"
 )
 
 // TopicHint is the topic of hints.
@@ -46,9 +49,6 @@
 	// hintTimeout bounds the sending of one hint, for which a connection may
 	// have to be made.
 	hintTimeout = time.Second
-	// fetchTimeout bounds a fetch from a router that has told; another one has
-	// told too, and is asked next.
-	fetchTimeout = 300 * time.Millisecond
 )
 
 // teller tells the other routers how far this one's copy goes.
@@ -75,7 +75,7 @@
 	}
 }
 
-// tell has a revision told that came from the store.
+// tell has the others told of a revision that came from the store.
 func (t *teller) tell(asOf kv.Revision) {
 	t.mu.Lock()
 	t.asOf = max(t.asOf, asOf)
@@ -98,7 +98,7 @@
 	t.has[to] = max(t.has[to], asOf)
 }
 
-// tellState has told that the store has been lost or is back.
+// tellState has the others told that the store has been lost or is back.
 func (t *teller) tellState() { signal(t.turn) }
 
 func (t *teller) run(ctx context.Context, done chan<- struct{}) {
@@ -114,6 +114,8 @@
 			t.sendState(ctx)
 		case <-again.C:
 			t.sendState(ctx)
+			t.forget()
+			t.feed.forget()
 		case <-ctx.Done():
 		}
 	}
@@ -175,6 +177,18 @@
 	return t.heard[id] >= asOf || t.has[id] >= asOf
 }
 
+// forget forgets what is known of routers that no longer answer.
+func (t *teller) forget() {
+	routers := t.feed.cfg.Routers()
+	gone := func(id coordination.Instance, _ kv.Revision) bool {
+		return !slices.ContainsFunc(routers, func(r placement.Router) bool { return r.ID == id })
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.heard, gone)
+	maps.DeleteFunc(t.has, gone)
+}
+
 // notice is one hint on its way. Each has a goroutine, so that a router to which
 // no connection can be made holds up no other.
 type notice struct {
@@ -211,85 +225,6 @@
 	return nil
 }
 
-// fetcher fetches what other routers have told of and this one still lacks.
-type fetcher struct {
-	feed *Feed
-	due  chan struct{} // holds one if there is something to fetch
-
-	mu      sync.Mutex
-	sources map[coordination.Instance]kv.Revision // who has told of what
-}
-
-func newFetcher(f *Feed) *fetcher {
-	return &fetcher{feed: f, due: make(chan struct{}, 1), sources: make(map[coordination.Instance]kv.Revision)}
-}
-
-func (f *fetcher) want(from coordination.Instance, asOf kv.Revision) {
-	if f.feed.cfg.Mirror.AsOf() >= asOf {
-		return
-	}
-	f.mu.Lock()
-	f.sources[from] = asOf
-	f.mu.Unlock()
-	signal(f.due)
-}
-
-func (f *fetcher) run(ctx context.Context, done chan<- struct{}) {
-	defer close(done)
-	for {
-		select {
-		case <-f.due:
-		case <-ctx.Done():
-			return
-		}
-		pause(ctx, hintGrace)
-		for ctx.Err() == nil {
-			from, ok := f.next()
-			if !ok {
-				break
-			}
-			f.fetch(ctx, from)
-		}
-	}
-}
-
-// next takes a router that has told of more than the mirror holds, and forgets
-// those that have not.
-func (f *fetcher) next() (from coordination.Instance, ok bool) {
-	asOf := f.feed.cfg.Mirror.AsOf()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for id, n := range f.sources {
-		delete(f.sources, id)
-		if n > asOf {
-			return id, true
-		}
-	}
-	return "", false
-}
-
-// fetch asks one router for what it has, without waiting there. If it does not
-// answer, another one has told too, and the usual call goes on meanwhile.
-func (f *fetcher) fetch(ctx context.Context, from coordination.Instance) {
-	cfg := f.feed.cfg
-	source := PeerSource{
-		Transport: cfg.Transport,
-		Choose:    func() (coordination.Instance, bool) { return from, true },
-		Prefix:    cfg.Prefix,
-		Wait:      func() time.Duration { return 0 },
-		Timeout:   fetchTimeout,
-		OnReach:   f.feed.note,
-		Asked:     cfg.Asked,
-	}
-	u, err := source.Fetch(ctx, cfg.Mirror.AsOf())
-	switch {
-	case err == nil:
-		cfg.Mirror.Take(u)
-	case ctx.Err() == nil:
-		f.feed.untold(from, err)
-	}
-}
-
 func (f *Feed) untold(id coordination.Instance, err error) {
 	if f.cfg.OnUntold != nil {
 		f.cfg.OnUntold(id, err)
--- a/coordination/mirror/mirror_test.go
+++ b/coordination/mirror/mirror_test.go
@@ -213,12 +213,13 @@
 	store   *fakeStore
 	mirrors []*mirror.Mirror
 	routers []placement.Router
-	cut     map[int]bool  // the store turns these away
-	silent  map[int]bool  // the store leaves these without an answer
-	delay   time.Duration // of each call and each answer, between routers and with the store
-	slow    time.Duration // beyond delay, of each answer of the store
-	turns   atomic.Int32  // how often a router has lost the store or had it back
-	losses  atomic.Int32  // how often a router has been told that another one has lost the store
+	cut     map[int]bool                   // the store turns these away
+	gone    map[coordination.Instance]bool // these have lost power, and all know it
+	silent  map[int]bool                   // the store leaves these without an answer
+	delay   time.Duration                  // of each call and each answer, between routers and with the store
+	slow    time.Duration                  // beyond delay, of each answer of the store
+	turns   atomic.Int32                   // how often a router has lost the store or had it back
+	losses  atomic.Int32                   // how often a router has been told that another one has lost the store
 	feeds   []*mirror.Feed
 }
 
@@ -243,7 +244,7 @@
 			Store:     cutStore{f, i},
 			Transport: line{f, i},
 			OnState:   func(error) { f.turns.Add(1) },
-			Routers:   func() []placement.Router { return f.routers },
+			Routers:   f.answering,
 		}))
 	}
 	for _, feed := range f.feeds {
@@ -252,6 +253,18 @@
 	return f
 }
 
+// answering returns the routers that have not lost power.
+func (f *fleet) answering() (all []placement.Router) {
+	f.store.set(func() {
+		for _, r := range f.routers {
+			if !f.gone[r.ID] {
+				all = append(all, r)
+			}
+		}
+	})
+	return all
+}
+
 // line is how one router reaches the others.
 type line struct {
 	fleet *fleet
--- a/coordination/mirror/pace_test.go
+++ b/coordination/mirror/pace_test.go
@@ -135,3 +135,38 @@
 		assert.Assert(t, told >= 6*10 && told <= 6*20, "%d hints in a minute", told)
 	})
 }
+
+// All routers that watch the store lose power together, and the others have just
+// noticed. Until another one watches, a key that is taken away stays good.
+func TestOthersWatchAtOnceWhenThoseThatDidAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7)
+		f.store.put("a", "1")
+		f.within(t, 2*time.Second, "a", "1")
+		watch := mirror.Watchers(f.routers)
+		var rest []*mirror.Mirror
+		f.store.set(func() {
+			f.gone = make(map[coordination.Instance]bool)
+			for i, r := range f.routers {
+				f.gone[r.ID] = slices.Contains(watch, r.ID)
+				f.cut[i], f.silent[i] = f.gone[r.ID], f.gone[r.ID]
+				if !f.gone[r.ID] {
+					rest = append(rest, f.mirrors[i])
+				}
+			}
+		})
+		for _, feed := range f.feeds {
+			feed.Look()
+		}
+		time.Sleep(10 * time.Millisecond)
+		f.store.put("a", "2")
+		time.Sleep(10 * time.Millisecond)
+		known := 0
+		for _, m := range rest {
+			if valueOf(m, "a") == "2" {
+				known++
+			}
+		}
+		assert.Assert(t, known >= 3, "%d routers know of the change", known)
+	})
+}
--- a/wisteriarouter/daemon/relay_store.go
+++ b/wisteriarouter/daemon/relay_store.go
@@ -53,6 +53,7 @@
 	node.Handle(mirror.TopicHint, func(_ context.Context, from coordination.Instance, payload []byte) ([]byte, error) {
 		return nil, f.HandleHint(from, payload)
 	})
+	away.Watch(f.Look)
 	onStop(i, f.Start())
 }
 
