--- a/coordination/mirror/mirror_test.go
+++ b/coordination/mirror/mirror_test.go
@@ -554,6 +554,15 @@
 	assert.ErrorContains(t, err, "ask")
 }
 
+// A hint comes without an answer; what cannot be read must change nothing.
+func TestFeedRefusesHintsThatItCannotRead(t *testing.T) {
+	f := mirror.NewFeed(mirror.FeedConfig{Self: "a", Prefix: "op/", Mirror: mirror.New()})
+	assert.ErrorContains(t, f.HandleHint("b", []byte{0xff, 0x00}), "hint")
+	other, err := cbor.Marshal(mirror.Hint{Prefix: "else/", AsOf: 9, Lost: true})
+	assert.NilError(t, err)
+	assert.ErrorContains(t, f.HandleHint("b", other), "no mirror")
+}
+
 // The desired state grows to a thousand routes. Were it told as it is, a router
 // on a slow link that tells it to a third of the fleet would need seconds.
 func TestLargeStateIsToldSmall(t *testing.T) {
