suspicion: copies that begin beside a rumour, or run at their gate, are claimed

Two orders of events let a crashing request take a third endpoint: - Begin looked the content up and entered the copy into the runs afterwards. A rumour between the two found no copy to claim, and the copy did not ask. The copy is now entered first. - The router that is the gate of a content learns of a crash from the step that reports it, not from a rumour, so that copies of its own that ran already were never claimed, and the gate let another one start beside them. What changes a record at the gate now claims them.

--- a/coordination/suspicion/guard.go
+++ b/coordination/suspicion/guard.go
@@ -94,14 +94,21 @@
 	if !g.table.Merge(time.Now(), r) {
 		return false, nil
 	}
-	if _, state := g.table.Find(time.Now(), r.Fingerprint); state == Suspect {
-		for _, f := range g.claimable(r.Fingerprint) {
-			g.step(ctx, f, Claim, nil)
-		}
-	}
+	g.claim(ctx, r.Fingerprint)
 	return true, nil
 }
 
+// claim claims at the gate the copies of a suspect that run here and of which
+// the gate does not know.
+func (g *Guard) claim(ctx context.Context, fp Fingerprint) {
+	if _, state := g.table.Find(time.Now(), fp); state != Suspect {
+		return
+	}
+	for _, f := range g.claimable(fp) {
+		g.step(ctx, f, Claim, nil)
+	}
+}
+
 // claimable marks the runs of a fingerprint as known to the gate and returns
 // those that were not.
 func (g *Guard) claimable(f Fingerprint) []*Follow {
@@ -115,18 +122,21 @@
 }
 
 // HandleGate answers a message on [TopicGate].
-func (g *Guard) HandleGate(_ context.Context, payload []byte) ([]byte, error) {
+func (g *Guard) HandleGate(ctx context.Context, payload []byte) ([]byte, error) {
 	m, err := DecodeGateRequest(payload)
 	if err != nil {
 		return nil, err
 	}
-	return g.handle(m).Encode(), nil
+	return g.handle(ctx, m).Encode(), nil
 }
 
-func (g *Guard) handle(m GateRequest) GateReply {
+// handle answers a step. What it changes is news to this router too, whose own
+// copies no rumour reaches.
+func (g *Guard) handle(ctx context.Context, m GateRequest) GateReply {
 	reply, r := g.gate.Handle(time.Now(), m)
 	if r != nil {
 		g.spreader.Spread(TopicRecord, r.Encode())
+		g.claim(ctx, r.Fingerprint)
 	}
 	return reply
 }
@@ -158,14 +168,18 @@
 // Begin starts to follow a request. For a suspect it waits until no other copy
 // runs, or ctx ends; it returns nil and a refusal if the request must not run.
 func (g *Guard) Begin(ctx context.Context, fp Fingerprint, p coordination.Pool) (*Follow, Refusal) {
+	// Followed before it is checked, so that a rumour that comes meanwhile finds
+	// either a copy to claim or a suspect that has to ask.
+	f := g.open(fp)
 	advice, after := g.table.Check(time.Now(), fp, p)
 	if advice == Refuse {
+		f.Abandoned(context.WithoutCancel(ctx))
 		return nil, Refusal{Poison: true, RetryAfter: after}
 	}
-	f := g.open(fp, advice == Ask)
 	if advice == Run {
 		return f, Refusal{}
 	}
+	g.mark(f)
 	if refusal, ok := f.enter(ctx); !ok {
 		f.Abandoned(context.WithoutCancel(ctx))
 		return nil, refusal
@@ -173,7 +187,7 @@
 	return f, Refusal{}
 }
 
-func (g *Guard) open(fp Fingerprint, asked bool) *Follow {
+func (g *Guard) open(fp Fingerprint) *Follow {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.last++
@@ -181,7 +195,6 @@
 		guard:       g,
 		fingerprint: fp,
 		copy:        Copy{Instance: g.instance, Incarnation: g.incarnation, Number: g.last},
-		asked:       asked,
 	}
 	g.runs[fp] = append(g.runs[fp], f)
 	return f
@@ -280,7 +293,7 @@
 	m := GateRequest{Fingerprint: f.fingerprint, Copy: f.copy, Step: s, Crash: c}
 	to := g.place(f.fingerprint)
 	if to == g.instance || to == "" {
-		return g.handle(m)
+		return g.handle(ctx, m)
 	}
 	ctx, cancel := context.WithTimeout(ctx, gateTimeout)
 	defer cancel()
@@ -290,7 +303,7 @@
 			return reply
 		}
 	}
-	return g.withoutGate(m)
+	return g.withoutGate(ctx, m)
 }
 
 func (g *Guard) place(f Fingerprint) coordination.Instance {
@@ -301,9 +314,9 @@
 }
 
 // withoutGate answers a step whose gate is silent.
-func (g *Guard) withoutGate(m GateRequest) GateReply {
+func (g *Guard) withoutGate(ctx context.Context, m GateRequest) GateReply {
 	if m.Step != Enter {
-		return g.handle(m)
+		return g.handle(ctx, m)
 	}
 	switch r, state := g.table.Find(time.Now(), m.Fingerprint); state {
 	case Convicted:
