mirror: changes of a burst come as one; routers ask few others

Asking any router each third time opens a connection to nearly each other: 66 of 79 at rest, before any traffic.

A router that watches gathers changes for about 0.15 s behind one that it has told, and each router asks four others of its own.

--- /dev/null
+++ b/coordination/mirror/burst_test.go
@@ -0,0 +1,71 @@
+package mirror_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/mirror"
+	"wisteriaspool/coordination/placement"
+)
+
+// Hundreds of endpoints that register within seconds, as when all start, cost a
+// call of each router that watches the store, and a message to all others, each.
+func TestBurstOfChangesComesInFewUpdates(t *testing.T) {
+	const (
+		changes = 250
+		pause   = 20 * time.Millisecond
+	)
+	for _, routers := range []int{7, 64, 295} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var updates int
+				f := newDistantFleet(t, routers, 4*time.Millisecond, func(router int, _ mirror.News) {
+					if router == 0 {
+						updates++
+					}
+				})
+				f.store.put("a", "0")
+				f.within(t, 5*time.Second, "a", "0")
+				time.Sleep(5 * time.Second)
+				f.store.forget()
+				updates = 0
+				for i := range changes {
+					f.store.put(fmt.Sprint("servers/", i), "x")
+					time.Sleep(pause)
+				}
+				f.within(t, time.Second, fmt.Sprint("servers/", changes-1), "x")
+				seconds := (changes * pause).Seconds()
+				watchers := len(mirror.Watchers(f.routers))
+				t.Logf("%d calls and %d updates at one router for %d changes in %.0f s", f.store.price(), updates, changes, seconds)
+				assert.Check(t, f.store.price() <= 10*watchers*int(seconds+1))
+				assert.Check(t, updates <= 20*int(seconds+1))
+			})
+		})
+	}
+}
+
+// A router that asks any other one for changes comes to hold a connection to each,
+// and all of them to look after.
+func TestRoutersAskFewOthers(t *testing.T) {
+	for _, n := range []int{7, 64, 330, 1000} {
+		var routers []placement.Router
+		for i := range n {
+			routers = append(routers, placement.Router{ID: coordination.Instance(fmt.Sprint("edge-", i))})
+		}
+		askedBy := make(map[coordination.Instance]int)
+		for _, r := range routers {
+			for _, id := range mirror.Others(r.ID, routers) {
+				assert.Assert(t, id != r.ID)
+				askedBy[id]++
+			}
+		}
+		for id, by := range askedBy {
+			assert.Check(t, by <= 20, "%s is asked by %d of %d routers", id, by, n)
+		}
+	}
+}
--- a/coordination/mirror/feed.go
+++ b/coordination/mirror/feed.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -8,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
 	"wisteriaspool/coordination"
@@ -57,6 +59,11 @@
 // peerTimeout is how much longer than its wait another router's answer may take.
 const peerTimeout = 500 * time.Millisecond
 
+// gather is for about how long a router that watches the store gathers changes
+// behind one that it has told. Each watch that ends is a call, and a message to
+// each other router; hundreds of endpoints may start or end within seconds.
+const gather = 150 * time.Millisecond
+
 // NewFeed returns a feed, which answers other routers and does nothing else
 // before its start.
 func NewFeed(cfg FeedConfig) *Feed {
@@ -72,6 +79,7 @@
 		Idle:    f.leaveToOthers,
 		Wake:    make(chan struct{}, 1),
 		OnState: f.stateChanged,
+		Gather:  gather,
 		OnNews:  f.teller.tell,
 	}
 	f.peers = &Follower{Mirror: cfg.Mirror, Source: PeerSource{
@@ -236,9 +244,14 @@
 	}
 }
 
-// anyEvery is how often a router asks any other one rather than one of those
-// that watch the store: these may all be cut off from it.
-const anyEvery = 3
+const (
+	// otherEvery is how often a router asks one of a few others rather than one
+	// of those that watch the store: these may all be cut off from it.
+	otherEvery = 3
+	// others is how many these are. Each router keeps to its own few, or each
+	// would come to hold a connection to each other one.
+	others = 4
+)
 
 // choose names the router to ask next: mostly one that watches the store and is
 // of the same availability zone, for traffic between zones has a price.
@@ -250,8 +263,8 @@
 		return r.ID, r.Zone == zone && slices.Contains(among, r.ID) && r.ID != f.cfg.Self
 	})
 	switch {
-	case rand.IntN(anyEvery) == 0:
-		among = lo.Map(routers, func(r placement.Router, _ int) coordination.Instance { return r.ID })
+	case rand.IntN(otherEvery) == 0:
+		among = Others(f.cfg.Self, routers)
 	case len(near) > 0:
 		among = near
 	}
@@ -262,6 +275,18 @@
 	return among[rand.IntN(len(among))], true
 }
 
+// Others returns the few routers that a router asks whoever watches the store,
+// by rendezvous hashing: each is asked by about as many, and one that goes is
+// followed by the next.
+func Others(self coordination.Instance, routers []placement.Router) []coordination.Instance {
+	weight := func(r placement.Router) uint64 { return xxhash.Sum64String(string(self) + "\x00" + string(r.ID)) }
+	rest := lo.Reject(routers, func(r placement.Router, _ int) bool { return r.ID == self })
+	weights := lo.SliceToMap(rest, func(r placement.Router) (coordination.Instance, uint64) { return r.ID, weight(r) })
+	slices.SortFunc(rest, func(a, b placement.Router) int { return cmp.Compare(weights[a.ID], weights[b.ID]) })
+	rest = rest[:min(len(rest), others)]
+	return lo.Map(rest, func(r placement.Router, _ int) coordination.Instance { return r.ID })
+}
+
 // zone returns the availability zone of this router.
 func (f *Feed) zone(routers []placement.Router) coordination.Zone {
 	self, _ := lo.Find(routers, func(r placement.Router) bool { return r.ID == f.cfg.Self })
--- a/coordination/mirror/follower.go
+++ b/coordination/mirror/follower.go
@@ -51,6 +51,9 @@
 	// OnState, if set, is told when the source is lost, with why, and when it
 	// is back.
 	OnState func(err error)
+	// Gather is the pause behind an update that brought news. Those of a burst come
+	// as one, and the first at once.
+	Gather time.Duration
 	// OnNews, if set, is told up to which revision the mirror is complete, each
 	// time that the source has brought it further. The first update is none.
 	OnNews func(kv.Revision)
@@ -84,8 +87,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil {
-			f.take(u)
+		if err == nil && f.take(u) {
+			f.wait(ctx, f.Gather)
 		}
 		if u.Lost {
 			sleep(ctx, firstPause)
@@ -113,12 +116,15 @@
 	}
 }
 
-func (f *Follower) take(u Update) {
+// take takes in an update and reports whether it brought news.
+func (f *Follower) take(u Update) (news bool) {
 	before := f.Mirror.AsOf()
 	f.Mirror.Take(u)
-	if f.OnNews != nil && before > 0 && u.AsOf > before {
+	news = before > 0 && u.AsOf > before
+	if news && f.OnNews != nil {
 		f.OnNews(u.AsOf)
 	}
+	return news
 }
 
 func (f *Follower) tell(err error) {
