peer: only connections on which something is awaited are pinged

Neighbours of the mesh, calls under way and notices on a quiet connection are looked after as before; a silent connection is found by its next use.

--- a/wisteriarouter/peer/api.go
+++ b/wisteriarouter/peer/api.go
@@ -106,6 +106,7 @@
 	if err == nil {
 		c.used.Store(time.Now().UnixNano())
 		err = c.post(&message{Kind: kindNotice, Topic: topic, Payload: payload})
+		c.check(time.Now())
 	}
 	if err != nil {
 		return &CallError{Failure: NotConnected, Peer: to, Topic: topic, Err: err}
--- a/wisteriarouter/peer/conn.go
+++ b/wisteriarouter/peer/conn.go
@@ -29,6 +29,7 @@
 	queued  atomic.Int64 // bytes
 	heard   atomic.Int64 // unix nanoseconds of the last message
 	used    atomic.Int64 // unix nanoseconds of the last call
+	asked   atomic.Int64 // unix nanoseconds of the first message behind the last one heard that wants a sign of life
 	pinged  atomic.Int64 // unix nanoseconds of the last ping
 	serving atomic.Int64 // calls being handled for the peer
 
@@ -221,6 +222,30 @@
 	return len(c.calls) == 0 && c.serving.Load() == 0 && c.queued.Load() == 0
 }
 
+// ask notes that something has been sent that wants a sign of life.
+func (c *conn) ask() {
+	if asked := c.asked.Load(); asked <= c.heard.Load() {
+		c.asked.CompareAndSwap(asked, time.Now().UnixNano())
+	}
+}
+
+// waits reports whether the peer owes a sign of life.
+func (c *conn) waits() bool { return !c.idle() || c.asked.Load() > c.heard.Load() }
+
+// silence returns for how long the peer has owed one.
+func (c *conn) silence(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, max(c.heard.Load(), c.asked.Load())))
+}
+
+// check has the peer answer if nothing has been heard of it for long, as where a
+// message is posted that has no answer.
+func (c *conn) check(now time.Time) {
+	if now.Sub(time.Unix(0, c.heard.Load())) > c.node.cfg.DeadAfter/3 && c.pingDue(now) {
+		c.ask()
+		_ = c.post(&message{Kind: kindPing})
+	}
+}
+
 // call sends a request and waits for its answer.
 func (c *conn) call(ctx context.Context, topic string, payload []byte) ([]byte, Failure, error) {
 	c.used.Store(time.Now().UnixNano())
@@ -255,6 +280,7 @@
 	if err := c.enqueue(waiting.frame); err != nil {
 		return nil, 0, err
 	}
+	c.ask()
 	c.calls[id] = waiting
 	return waiting, id, nil
 }
--- a/wisteriarouter/peer/dial.go
+++ b/wisteriarouter/peer/dial.go
@@ -201,7 +201,9 @@
 
 // register makes c the connection to its peer. If two stand, because both
 // sides dialled at once, both sides keep the one that the member with the
-// lower name dialled; register returns the one that is kept.
+// lower name dialled; register returns the one that is kept. An old one of which
+// nothing has been heard for a while may be broken, and known to be so by the
+// other side alone.
 func (n *Node) register(c *conn) (*conn, error) {
 	n.connMu.Lock()
 	if n.stopped {
@@ -211,7 +213,7 @@
 	}
 	id := c.peer.Instance
 	old := n.conns[id]
-	if old != nil && old.peer.Incarnation == c.peer.Incarnation && old.preferred() && !c.preferred() {
+	if old != nil && old.peer.Incarnation == c.peer.Incarnation && old.preferred() && !c.preferred() && !old.quiet(time.Now()) {
 		n.connMu.Unlock()
 		c.ws.Close(websocket.StatusNormalClosure, errDuplicate.Error())
 		return old, nil
@@ -233,6 +235,12 @@
 	return c.dialled == (c.node.cfg.Self.Instance < c.peer.Instance)
 }
 
+// quiet reports whether nothing has been heard for longer than two sides may take
+// to connect at once.
+func (c *conn) quiet(now time.Time) bool {
+	return now.Sub(time.Unix(0, c.heard.Load())) > c.node.cfg.DialTimeout
+}
+
 // drain marks c as one that takes no new calls.
 func (c *conn) drain() {
 	c.mu.Lock()
--- /dev/null
+++ b/wisteriarouter/peer/idle_test.go
@@ -0,0 +1,108 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+)
+
+// polite answers the pings on a connection until it is muted.
+type polite struct {
+	ws     *websocket.Conn
+	pinged atomic.Bool
+	muted  atomic.Bool
+}
+
+func (p *polite) run(ctx context.Context) {
+	for {
+		_, b, err := p.ws.Read(ctx)
+		if err != nil {
+			return
+		}
+		if m, err := decode(b); err == nil && m.Kind == kindPing {
+			p.pinged.Store(true)
+			if p.muted.Load() {
+				continue
+			}
+			_ = p.ws.Write(ctx, websocket.MessageBinary, encode(&message{Kind: kindPong}))
+		}
+	}
+}
+
+const (
+	manyPeers  = 40
+	shortDeath = 600 * time.Millisecond
+)
+
+// crowd connects as many routers that answer pings.
+func crowd(t *testing.T, r *router) []*polite {
+	var all []*polite
+	for i := range manyPeers {
+		p := &polite{ws: raw(t, r, helloOf(fmt.Sprint("x", i)))}
+		go p.run(t.Context())
+		all = append(all, p)
+	}
+	eventually(t, "connections", func() bool { return r.Stats().Conns == manyPeers })
+	return all
+}
+
+// A router of a large fleet has a connection to nearly every other one and seldom
+// uses each. One that keeps all of them awake does little else.
+func TestIdleConnectionsAreNotPinged(t *testing.T) {
+	r := start(t, listen(t), "r00", nil, func(cfg *Config) { cfg.DeadAfter = shortDeath })
+	all := crowd(t, r)
+	time.Sleep(3 * shortDeath)
+	pinged := 0
+	for _, p := range all {
+		if p.pinged.Load() {
+			pinged++
+		}
+	}
+	const mostNeighbors = 8
+	assert.Assert(t, pinged <= mostNeighbors, "%d of %d", pinged, manyPeers)
+	assert.Equal(t, r.Stats().Conns, manyPeers, "idle connections stay")
+}
+
+// mute mutes a router that is no neighbour of r, and returns its name.
+func mute(t *testing.T, r *router, all []*polite) coordination.Instance {
+	for _, c := range r.connections() {
+		if r.isNeighbor(c) {
+			continue
+		}
+		var i int
+		_, err := fmt.Sscanf(string(c.peer.Instance), "x%d", &i)
+		assert.NilError(t, err)
+		all[i].muted.Store(true)
+		return c.peer.Instance
+	}
+	t.Fatal("all are neighbours")
+	return ""
+}
+
+// A connection that has fallen silent without an end stays in use for good, and
+// each call on it is in vain, unless what is sent on it has the peer answer.
+func TestSilentConnectionIsFoundByItsUse(t *testing.T) {
+	uses := map[string]func(ctx context.Context, r *router, to coordination.Instance){
+		"call":   func(ctx context.Context, r *router, to coordination.Instance) { _, _ = r.Call(ctx, to, "echo", nil) },
+		"notice": func(ctx context.Context, r *router, to coordination.Instance) { _ = r.Notify(ctx, to, "echo", nil) },
+	}
+	for name, use := range uses {
+		t.Run(name, func(t *testing.T) {
+			r := start(t, listen(t), "r00", nil, func(cfg *Config) { cfg.DeadAfter = shortDeath })
+			to := mute(t, r, crowd(t, r))
+			time.Sleep(shortDeath)
+			assert.Assert(t, r.current(to) != nil, "nothing is awaited")
+			used := time.Now()
+			use(within(t, shortDeath/2), r, to)
+			eventually(t, "end of the connection", func() bool { return r.current(to) == nil })
+			assert.Assert(t, time.Since(used) < 3*shortDeath)
+		})
+	}
+}
--- a/wisteriarouter/peer/node.go
+++ b/wisteriarouter/peer/node.go
@@ -191,18 +191,21 @@
 }
 
 // tend pings quiet connections, ends broken ones, and retires those that were
-// made for calls and are no longer used.
+// made for calls and are no longer used. Of these, only one on which something is
+// awaited is looked after: a router of a large fleet has one to nearly every
+// other, seldom uses each, and would send little but pings.
 func (n *Node) tend(now time.Time) {
 	var spare []*conn
 	for _, c := range n.connections() {
-		silent := now.Sub(time.Unix(0, c.heard.Load()))
+		neighbor := n.isNeighbor(c)
 		switch {
-		case silent > n.cfg.DeadAfter:
+		case !neighbor && !c.waits():
+		case c.silence(now) > n.cfg.DeadAfter:
 			c.cancel(errSilent)
-		case silent > n.cfg.DeadAfter/3 && c.queued.Load() == 0 && c.pingDue(now):
-			_ = c.post(&message{Kind: kindPing})
+		case c.queued.Load() == 0:
+			c.check(now)
 		}
-		if !n.isNeighbor(c) && now.Sub(c.since) > min(n.cfg.IdleTimeout, drainMost) && c.idle() {
+		if !neighbor && now.Sub(c.since) > min(n.cfg.IdleTimeout, drainMost) && c.idle() {
 			spare = append(spare, c)
 		}
 	}
