placement: an entry registers only what owners do not know already

Owners are registered with while they count a grant and have not heard of the entry for half a third of the lease, when routers have changed, or when releases to them were dropped.

--- a/coordination/placement/entry.go
+++ b/coordination/placement/entry.go
@@ -45,6 +45,7 @@
 	e.held.grants = make(map[Sequence]*Grant)
 	e.held.releases = make(map[coordination.Instance][]Release)
 	e.held.asked = make(map[coordination.Instance]time.Time)
+	e.held.owed = make(map[coordination.Instance]bool)
 	e.held.due = make(chan struct{}, 1)
 	e.view.Store(&view{set: NewSet(nil), routers: NewRouters(nil, 0)})
 	e.Configure(cfg)
@@ -57,11 +58,12 @@
 	e.cfg.Store(&cfg)
 }
 
-// Update takes new lists of endpoints and routers. The next [Entry.Tick]
-// registers the held grants with the owners that have changed.
+// Update takes new lists of endpoints and routers. If the routers have changed,
+// and with them perhaps owners, the next [Entry.Tick] registers the held grants.
 func (e *Entry) Update(set *Set, routers *Routers) {
-	e.view.Store(&view{set: set, routers: routers})
-	e.held.registerAgain()
+	if old := e.view.Swap(&view{set: set, routers: routers}); old.routers != routers {
+		e.held.registerAgain()
+	}
 }
 
 // Acquire asks for a grant at the best endpoint that will take the request. It
--- a/coordination/placement/grants.go
+++ b/coordination/placement/grants.go
@@ -77,11 +77,15 @@
 	releases   map[coordination.Instance][]Release
 	registered time.Time // zero when owners may have changed
 
-	// asked tells when each owner was last asked. A registration goes to all
-	// asked of late, also when it has nothing to list: if the release of the
-	// last grant was lost, nothing else would tell the owner.
+	// asked tells when each owner was last asked, or registered with. When owners
+	// may have changed, a registration goes to all asked of late, also when it has
+	// nothing to list.
 	asked map[coordination.Instance]time.Time
 
+	// owed holds the owners to which releases were dropped. The next registration
+	// that reaches them says the same.
+	owed map[coordination.Instance]bool
+
 	due chan struct{} // holds one if there is something to send
 }
 
@@ -167,6 +171,8 @@
 func (t *grantTable) add(o coordination.Instance, r Release) {
 	if len(t.releases[o]) < releaseLimit {
 		t.releases[o] = append(t.releases[o], r)
+	} else {
+		t.owed[o] = true
 	}
 	t.notify()
 }
@@ -213,41 +219,34 @@
 	for o, rs := range t.releases {
 		if _, live := v.routers.Find(o); live {
 			all = append(all, dispatch{to: o, releases: rs})
+		} else {
+			t.owed[o] = true
 		}
 	}
 	clear(t.releases)
 	if now.Sub(t.registered) < cfg.EntryLease/leaseParts {
 		return all
 	}
-	t.registered = now
 	for o, m := range t.registers(now, id, v, cfg) {
 		all = append(all, dispatch{to: o, register: m})
+		t.asked[o] = now
+		delete(t.owed, o)
 	}
+	t.registered = now
 	return all
 }
 
-// registers returns what each owner is to know. A grant is listed for the
-// owner of its endpoint by the present lists and for those that gave it: while
-// lists differ, each of them may count the endpoint.
+// registers returns what each owner is to know that does not know it already. A
+// grant is listed for the owner of its endpoint by the present lists and for those
+// that gave it: while lists differ, each of them may count the endpoint.
 func (t *grantTable) registers(now time.Time, id EntryID, v *view, cfg *Config) map[coordination.Instance]*Register {
 	all := make(map[coordination.Instance]*Register)
-	for o, at := range t.asked {
-		if _, live := v.routers.Find(o); !live || now.Sub(at) > cfg.EntryLease {
-			delete(t.asked, o)
-			continue
-		}
+	for _, o := range t.uncertain(now, v, cfg) {
 		all[o] = &Register{Entry: id, UpTo: t.last}
 	}
 	for _, seq := range sortedKeys(t.grants) {
 		g := t.grants[seq]
-		owner := v.routers.Owner(g.Endpoint.ID, g.Endpoint.Zone)
-		if g.granted && owner != "" && !slices.Contains(g.owners, owner) {
-			g.owners = append(g.owners, owner)
-		}
-		g.owners = lo.Filter(g.owners, func(o coordination.Instance, _ int) bool {
-			_, live := v.routers.Find(o)
-			return live
-		})
+		t.follow(g, v)
 		for _, o := range g.owners {
 			if all[o] == nil {
 				all[o] = &Register{Entry: id, UpTo: t.last}
@@ -255,9 +254,47 @@
 			all[o].list(now, g)
 		}
 	}
+	return lo.OmitBy(all, func(o coordination.Instance, _ *Register) bool { return t.renewed(now, o, cfg) })
+}
+
+// uncertain returns the owners that may hold for granted what has ended.
+func (t *grantTable) uncertain(now time.Time, v *view, cfg *Config) []coordination.Instance {
+	live := func(o coordination.Instance, _ bool) bool {
+		_, ok := v.routers.Find(o)
+		return ok
+	}
+	all := lo.Keys(lo.PickBy(t.owed, live))
+	for o, at := range t.asked {
+		switch {
+		case !live(o, true) || now.Sub(at) > cfg.EntryLease:
+			delete(t.asked, o)
+		case t.registered.IsZero():
+			all = append(all, o)
+		}
+	}
 	return all
 }
 
+// follow has the owner of a grant's endpoint by the present lists count it, and
+// forgets owners that are gone.
+func (t *grantTable) follow(g *Grant, v *view) {
+	owner := v.routers.Owner(g.Endpoint.ID, g.Endpoint.Zone)
+	if g.granted && owner != "" && !slices.Contains(g.owners, owner) {
+		g.owners = append(g.owners, owner)
+	}
+	g.owners = lo.Filter(g.owners, func(o coordination.Instance, _ int) bool {
+		_, live := v.routers.Find(o)
+		return live
+	})
+}
+
+// renewed reports whether an owner has heard from this entry so lately that its
+// lease needs no renewal before the next turn. Each admission renews it, and most
+// requests have ended by then.
+func (t *grantTable) renewed(now time.Time, o coordination.Instance, cfg *Config) bool {
+	return !t.registered.IsZero() && !t.owed[o] && now.Sub(t.asked[o]) < cfg.EntryLease/(2*leaseParts)
+}
+
 func sortedKeys(m map[Sequence]*Grant) []Sequence {
 	keys := lo.Keys(m)
 	slices.Sort(keys)
