A fleet that starts at once meets in three seconds; observers of endpoints gather

Cause: records of members go at twice the byte budget, so that 295 routers that start together know each other only after 7 s, and ask the wrong owners meanwhile.

--- a/coordination/membership/config.go
+++ b/coordination/membership/config.go
@@ -64,7 +64,7 @@
 	maxRumorBytes = 16 << 10 // payloads of rumours in one message
 	// recordPace is the rate of records of members over the byte budget, when
 	// a large part of the fleet is new or back.
-	recordPace   = 2
+	recordPace   = 10
 	linger       = 10 * time.Second // for which an unwanted neighbour stays one
 	backoffFirst = 500 * time.Millisecond
 	backoffMost  = 15 * time.Second
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -353,3 +353,15 @@
 		assert.Equal(t, m.Self().Incarnation, coordination.Incarnation(1), name)
 	}
 }
+
+// All machines lose power, as many as a large fleet has. As long as a router knows
+// a part of the others only, it asks the wrong ones who may run a request, and
+// callers wait.
+func TestLargeFleetMeetsSoon(t *testing.T) {
+	const aim = 3 * time.Second
+	f := newFabric(1)
+	f.fill(295, 1, 5, Config{Topics: testTopics})
+	took := f.up(t)
+	t.Logf("agreed %v after the last start", took)
+	assert.Assert(t, took <= aim, "%v", took)
+}
--- a/wisteriarouter/daemon/placing.go
+++ b/wisteriarouter/daemon/placing.go
@@ -40,9 +40,11 @@
 	started   time.Time
 	alone     bool // it had to meet the other routers first
 
-	updating sync.Mutex       // held by update; guards the fields below
-	roster   placement.Roster // damps endpoints that come and go
-	owned    map[coordination.Endpoint]bool
+	updating  sync.Mutex       // held by update; guards the fields below
+	roster    placement.Roster // damps endpoints that come and go
+	owned     map[coordination.Endpoint]bool
+	listed    []endpoint.Known // the list of the last update
+	observers []func(all []endpoint.Known)
 }
 
 func newPlacing(i do.Injector) (*placing, error) {
@@ -168,12 +170,34 @@
 // went has been steady for long enough to get its share of chats again.
 const steadyInterval = 15 * time.Second
 
+// observe has fn called with the list of endpoints now and, before requests are
+// placed by it, with each that differs.
+func (p *placing) observe(fn func(all []endpoint.Known)) {
+	p.updating.Lock()
+	defer p.updating.Unlock()
+	p.observers = append(p.observers, fn)
+	fn(p.listed)
+}
+
+// tell tells the observers of a list that differs from the last one. The caller
+// holds p.updating.
+func (p *placing) tell(all []endpoint.Known) {
+	if len(all) == len(p.listed) && (len(all) == 0 || &all[0] == &p.listed[0]) {
+		return
+	}
+	p.listed = all
+	for _, fn := range p.observers {
+		fn(all)
+	}
+}
+
 // update takes the lists in. Requests are placed by them once it returns.
 func (p *placing) update() {
 	p.updating.Lock()
 	defer p.updating.Unlock()
 	all := p.directory.All()
 	routers := p.fleet.owners()
+	p.tell(all)
 	p.view.Store(routers)
 	p.owner.Update(placement.NewSet(p.served(all)), routers)
 	p.pollNew(all)
@@ -185,6 +209,9 @@
 // pollNew has the loads read at once if this router has become the owner of an
 // endpoint: it grants nothing there until it knows what the endpoint runs.
 func (p *placing) pollNew(all []endpoint.Known) {
+	if p.polls == nil {
+		return
+	}
 	owned := make(map[coordination.Endpoint]bool)
 	fresh := false
 	for _, k := range all {
--- a/wisteriarouter/daemon/relay_placing.go
+++ b/wisteriarouter/daemon/relay_placing.go
@@ -81,17 +81,16 @@
 
 func newRelayPlacer(i do.Injector) (*relayPlacer, error) {
 	p := &relayPlacer{placing: do.MustInvoke[*placing](i)}
-	p.directory.Watch(p.list)
-	p.list()
+	p.observe(p.list)
 	return p, nil
 }
 
 // list takes in a change of the list of endpoints.
-func (p *relayPlacer) list() {
-	all := lo.Map(p.directory.All(), func(k endpoint.Known, _ int) placement.Descriptor { return k.Descriptor })
-	if len(all) == 0 {
+func (p *relayPlacer) list(listed []endpoint.Known) {
+	if len(listed) == 0 {
 		return
 	}
+	all := lo.Map(listed, func(k endpoint.Known, _ int) placement.Descriptor { return k.Descriptor })
 	p.holders.Store(placement.NewHolders(time.Now(), all, p.holders.Load()))
 }
 
