mirror: one router for each 64 watches the store, three at least

Three of them in different zones do as well; in large fleets more are needed for a large state, which goes from one watcher to each router that asks it.

--- a/coordination/membership/config.go
+++ b/coordination/membership/config.go
@@ -60,7 +60,7 @@
 	maxName       = 256      // bytes of an instance, address, topic or key
 	maxCount      = 1 << 62  // incarnation and version, which must be able to rise
 	maxRecords    = 64       // records of members in one message
-	leastRecords  = 8       // the same, where many wait for more
+	leastRecords  = 8        // the same, where many wait for more
 	usualRecord   = 90       // bytes of a record of a live member
 	maxRumors     = 64       // rumours in one message
 	maxRumorBytes = 16 << 10 // payloads of rumours in one message
--- a/coordination/mirror/pace.go
+++ b/coordination/mirror/pace.go
@@ -11,21 +11,22 @@
 	"wisteriaspool/coordination/placement"
 )
 
-// leastWatchers is how many routers watch the store at least. Each change is
-// answered to each watch and each has a price, so that in a large fleet only a
-// few watch and tell the others; one of three that is cut off, or dies, leaves
-// two.
-const leastWatchers = 3
+const (
+	// leastWatchers is how many routers watch the store at least. Each change is
+	// answered to each watch and each has a price, so that only a few watch and
+	// tell the others; one of three that is cut off, or dies, leaves two.
+	leastWatchers = 3
+	// perWatcher is for how many routers there is one that watches. A large desired
+	// state goes from it to each of them.
+	perWatcher = 64
+)
 
 // Watchers returns the routers that watch the store for the fleet as long as it
-// serves them: one in each availability zone, and at least three. All routers
+// serves them, in different availability zones as far as there are. All routers
 // with the same list choose the same.
 func Watchers(members []placement.Router) []coordination.Instance {
-	zones := make(map[coordination.Zone]bool)
-	for _, m := range members {
-		zones[m.Zone] = true
-	}
-	return placement.NewRouters(members, max(leastWatchers, len(zones))).Owners()
+	n := max(leastWatchers, (len(members)+perWatcher-1)/perWatcher)
+	return placement.NewRouters(members, n).Owners()
 }
 
 // standIns is how many routers watch the store if it serves none of those that
