Tests of what a fleet costs at rest, at 7, 64, 330 and 1,000 routers

Counts on simulated time: what a member of the mesh sends (10 messages and 256 bytes a second at most, at any size), what a router asks others and is asked, and calls to the store.

--- a/coordination/membership/fabric_test.go
+++ b/coordination/membership/fabric_test.go
@@ -365,6 +365,18 @@
 	return f.runUntil(t, time.Minute, "agreement after the start", f.agreed)
 }
 
+// acquaint starts all nodes with full lists of each other.
+func (f *fabric) acquaint() {
+	for _, n := range f.nodes {
+		n.start()
+	}
+	for _, n := range f.nodes {
+		for _, other := range f.nodes {
+			n.machine.apply("", other.self)
+		}
+	}
+}
+
 func (f *fabric) deaths() uint64 {
 	var sum uint64
 	for _, n := range f.nodes {
--- a/coordination/mirror/fleet_test.go
+++ b/coordination/mirror/fleet_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/samber/lo"
 	"gotest.tools/v3/assert"
 
 	"wisteriaspool/coordination"
@@ -30,6 +32,30 @@
 	turns   atomic.Int32                   // how often a router has lost the store or had it back
 	losses  atomic.Int32                   // how often a router has been told that another one has lost the store
 	feeds   []*mirror.Feed
+
+	calls sync.Mutex // guards asks and asked
+	asks  map[coordination.Instance]int
+	asked map[coordination.Instance]int
+}
+
+// count returns how often one router has asked others at most, and has been asked,
+// and counts anew.
+func (f *fleet) count() (asks, asked int) {
+	f.calls.Lock()
+	defer f.calls.Unlock()
+	asks, asked = lo.Max(lo.Values(f.asks)), lo.Max(lo.Values(f.asked))
+	f.asks, f.asked = make(map[coordination.Instance]int), make(map[coordination.Instance]int)
+	return asks, asked
+}
+
+// note counts a call. Nothing is counted before the first count.
+func (f *fleet) note(from, to coordination.Instance) {
+	f.calls.Lock()
+	defer f.calls.Unlock()
+	if f.asks != nil {
+		f.asks[from]++
+		f.asked[to]++
+	}
 }
 
 func newFleet(t *testing.T, n int) *fleet {
@@ -95,6 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.fleet.note(l.fleet.routers[l.of].ID, to)
 	time.Sleep(l.fleet.delay)
 	b, err := feed.Handle(ctx, l.fleet.routers[l.of].ID, payload)
 	time.Sleep(l.fleet.delay)
--- a/coordination/mirror/pace.go
+++ b/coordination/mirror/pace.go
@@ -19,14 +19,16 @@
 	// perWatcher is for how many routers there is one that watches. A large desired
 	// state goes from it to each of them.
 	perWatcher = 64
+	// mostWatchers bounds what the store is called at rest, however large the fleet.
+	mostWatchers = 8
 )
 
 // Watchers returns the routers that watch the store for the fleet as long as it
 // serves them, in different availability zones as far as there are. All routers
 // with the same list choose the same.
 func Watchers(members []placement.Router) []coordination.Instance {
-	n := max(leastWatchers, (len(members)+perWatcher-1)/perWatcher)
-	return placement.NewRouters(members, n).Owners()
+	n := (len(members) + perWatcher - 1) / perWatcher
+	return placement.NewRouters(members, min(max(n, leastWatchers), mostWatchers)).Owners()
 }
 
 // standIns is how many routers watch the store if it serves none of those that
