--- a/wisteriarouter/engine/silence.go
+++ b/wisteriarouter/engine/silence.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"wisteriaspool/coordination"
 )
 
 // silence ends a request whose engine stays silent for too long. A frozen
@@ -24,8 +26,8 @@
 	idle   time.Duration
 	alive  func(context.Context) bool // nil for no question
 	wrote  atomic.Bool
-	last   atomic.Int64 // unix nanoseconds of the last event
-	pace   atomic.Int64 // nanoseconds between two events, as a moving mean
+	last   coordination.Moment // of the last event
+	pace   atomic.Int64        // nanoseconds between two events, as a moving mean
 	events atomic.Int32
 	asked  atomic.Int32 // questions since the last event
 }
@@ -61,7 +63,7 @@
 	}
 	w := &silence{idle: idle, alive: alive}
 	w.ctx, w.cancel = context.WithCancel(ctx)
-	w.last.Store(time.Now().UnixNano())
+	w.last.Set(time.Now())
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(w.quiet(), w.run)
@@ -86,21 +88,19 @@
 	if w.ctx.Err() != nil {
 		return
 	}
-	last := w.last.Load()
-	if w.left(last) <= 0 || w.alive != nil && !w.alive(w.ctx) && w.last.Load() == last {
+	last := w.last.Offset()
+	if w.left() <= 0 || w.alive != nil && !w.alive(w.ctx) && w.last.Offset() == last {
 		w.cancel()
 		return
 	}
 	w.asked.Add(1)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer.Reset(max(min(w.quiet(), w.left(w.last.Load())), time.Millisecond))
+	w.timer.Reset(max(min(w.quiet(), w.left()), time.Millisecond))
 }
 
 // left returns what is left of the limit.
-func (w *silence) left(last int64) time.Duration {
-	return w.idle - time.Since(time.Unix(0, last))
-}
+func (w *silence) left() time.Duration { return w.idle - w.last.Ago(time.Now()) }
 
 // trace returns a context that notes when a byte of the request may have left.
 // A connection that was made but not written to has told the engine nothing.
@@ -112,8 +112,7 @@
 
 // heard notes an event.
 func (w *silence) heard() {
-	now := time.Now().UnixNano()
-	gap := now - w.last.Swap(now)
+	gap := w.last.Set(time.Now())
 	if w.events.Add(1) > 1 { // the first gap is the time to the first token
 		w.pace.Store(int64((1-paceShare)*float64(w.pace.Load()) + paceShare*float64(gap)))
 	}
--- a/wisteriarouter/peer/api.go
+++ b/wisteriarouter/peer/api.go
@@ -104,7 +104,7 @@
 func (n *Node) Notify(ctx context.Context, to coordination.Instance, topic string, payload []byte) error {
 	c, err := n.connTo(ctx, to)
 	if err == nil {
-		c.used.Store(time.Now().UnixNano())
+		c.used.Set(time.Now())
 		err = c.post(&message{Kind: kindNotice, Topic: topic, Payload: payload})
 		c.check(time.Now())
 	}
--- a/wisteriarouter/peer/conn.go
+++ b/wisteriarouter/peer/conn.go
@@ -10,6 +10,7 @@
 
 	"github.com/coder/websocket"
 
+	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/membership"
 )
 
@@ -26,12 +27,12 @@
 	cancel context.CancelCauseFunc
 
 	queue   chan *frame
-	queued  atomic.Int64 // bytes
-	heard   atomic.Int64 // unix nanoseconds of the last message
-	used    atomic.Int64 // unix nanoseconds of the last call
-	asked   atomic.Int64 // unix nanoseconds of the first message behind the last one heard that wants a sign of life
-	pinged  atomic.Int64 // unix nanoseconds of the last ping
-	serving atomic.Int64 // calls being handled for the peer
+	queued  atomic.Int64        // bytes
+	heard   coordination.Moment // of the last message
+	used    coordination.Moment // of the last call
+	asked   coordination.Moment // of the first message behind the last one heard that wants a sign of life
+	pinged  coordination.Moment // of the last ping
+	serving atomic.Int64        // calls being handled for the peer
 
 	mu       sync.Mutex
 	calls    map[uint64]*call
@@ -78,8 +79,8 @@
 		queue:   make(chan *frame, queueFrames),
 		calls:   make(map[uint64]*call),
 	}
-	c.heard.Store(now.UnixNano())
-	c.used.Store(now.UnixNano())
+	c.heard.Set(now)
+	c.used.Set(now)
 	return c
 }
 
@@ -166,7 +167,7 @@
 		if err != nil {
 			return c.readError(err)
 		}
-		c.heard.Store(time.Now().UnixNano())
+		c.heard.Set(time.Now())
 		m, err := decode(data)
 		if err != nil {
 			c.node.malformed.Add(1)
@@ -194,7 +195,7 @@
 			c.node.gossip(c, *m.Gossip)
 		}
 	case kindRequest, kindNotice:
-		c.used.Store(time.Now().UnixNano())
+		c.used.Set(time.Now())
 		c.serve(m)
 	case kindAnswer:
 		c.answer(m)
@@ -223,32 +224,35 @@
 }
 
 // ask notes that something has been sent that wants a sign of life.
-func (c *conn) ask() {
-	if asked := c.asked.Load(); asked <= c.heard.Load() {
-		c.asked.CompareAndSwap(asked, time.Now().UnixNano())
+func (c *conn) ask(now time.Time) {
+	if !c.owes(now) {
+		c.asked.Set(now)
 	}
 }
 
-// waits reports whether the peer owes a sign of life.
-func (c *conn) waits() bool { return !c.idle() || c.asked.Load() > c.heard.Load() }
+// owes reports whether nothing has been heard since a sign of life was asked for.
+func (c *conn) owes(now time.Time) bool { return c.asked.Ago(now) < c.heard.Ago(now) }
 
-// silence returns for how long the peer has owed one.
+// waits reports whether something is awaited from the peer.
+func (c *conn) waits(now time.Time) bool { return !c.idle() || c.owes(now) }
+
+// silence returns for how long the peer has owed a sign of life.
 func (c *conn) silence(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, max(c.heard.Load(), c.asked.Load())))
+	return min(c.heard.Ago(now), c.asked.Ago(now))
 }
 
 // check has the peer answer if nothing has been heard of it for long, as where a
 // message is posted that has no answer.
 func (c *conn) check(now time.Time) {
-	if now.Sub(time.Unix(0, c.heard.Load())) > c.node.cfg.DeadAfter/3 && c.pingDue(now) {
-		c.ask()
+	if c.heard.Ago(now) > c.node.cfg.DeadAfter/3 && c.pingDue(now) {
+		c.ask(now)
 		_ = c.post(&message{Kind: kindPing})
 	}
 }
 
 // call sends a request and waits for its answer.
 func (c *conn) call(ctx context.Context, topic string, payload []byte) ([]byte, Failure, error) {
-	c.used.Store(time.Now().UnixNano())
+	c.used.Set(time.Now())
 	waiting, id, err := c.begin(ctx, topic, payload)
 	if err != nil {
 		return nil, NotConnected, err
@@ -280,7 +284,7 @@
 	if err := c.enqueue(waiting.frame); err != nil {
 		return nil, 0, err
 	}
-	c.ask()
+	c.ask(time.Now())
 	c.calls[id] = waiting
 	return waiting, id, nil
 }
--- a/wisteriarouter/peer/dial.go
+++ b/wisteriarouter/peer/dial.go
@@ -238,7 +238,7 @@
 // quiet reports whether nothing has been heard for longer than two sides may take
 // to connect at once.
 func (c *conn) quiet(now time.Time) bool {
-	return now.Sub(time.Unix(0, c.heard.Load())) > c.node.cfg.DialTimeout
+	return c.heard.Ago(now) > c.node.cfg.DialTimeout
 }
 
 // drain marks c as one that takes no new calls.
--- a/wisteriarouter/peer/dispatch.go
+++ b/wisteriarouter/peer/dispatch.go
@@ -182,16 +182,15 @@
 }
 
 func sortByUse(conns []*conn) {
-	slices.SortFunc(conns, func(a, b *conn) int { return cmp.Compare(a.used.Load(), b.used.Load()) })
+	slices.SortFunc(conns, func(a, b *conn) int { return cmp.Compare(a.used.Offset(), b.used.Offset()) })
 }
 
 // pingDue reports whether c may be pinged, and if so notes it.
 func (c *conn) pingDue(now time.Time) bool {
-	last := c.pinged.Load()
-	if now.Sub(time.Unix(0, last)) < c.node.cfg.DeadAfter/3 {
+	if c.pinged.Ago(now) < c.node.cfg.DeadAfter/3 {
 		return false
 	}
-	c.pinged.Store(now.UnixNano())
+	c.pinged.Set(now)
 	return true
 }
 
--- a/wisteriarouter/peer/node.go
+++ b/wisteriarouter/peer/node.go
@@ -199,7 +199,7 @@
 	for _, c := range n.connections() {
 		neighbor := n.isNeighbor(c)
 		switch {
-		case !neighbor && !c.waits():
+		case !neighbor && !c.waits(now):
 		case c.silence(now) > n.cfg.DeadAfter:
 			c.cancel(errSilent)
 		case c.queued.Load() == 0:
@@ -218,7 +218,7 @@
 func (n *Node) retireIdle(now time.Time, spare []*conn) {
 	sortByUse(spare)
 	for i, c := range spare {
-		unused := now.Sub(time.Unix(0, c.used.Load()))
+		unused := c.used.Ago(now)
 		if unused > n.cfg.IdleTimeout || len(spare)-i > n.cfg.MaxOnDemand {
 			n.retire(c, true)
 		}
