mirror: compressors are kept

A profile of 295 routers while they start has 3.8% of the processor in packing updates, most of it in making a compressor of a megabyte each time, and 19% in the garbage collector.

--- a/coordination/mirror/peers.go
+++ b/coordination/mirror/peers.go
@@ -144,15 +144,23 @@
 		return reply{Plain: text}
 	}
 	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
-	if err != nil {
-		panic("mirror: packing an update: " + err.Error())
-	}
+	w := packers.Get().(*flate.Writer)
+	defer packers.Put(w)
+	w.Reset(&b)
 	_, _ = w.Write(text) // a Buffer takes all writes
 	_ = w.Close()
 	return reply{Packed: b.Bytes()}
 }
 
+// packers holds compressors, each of which takes a megabyte.
+var packers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		panic("mirror: packing an update: " + err.Error())
+	}
+	return w
+}}
+
 // Server answers the calls of other routers.
 type Server struct {
 	Mirrors map[string]*Mirror // by prefix
