--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -66,7 +66,7 @@
 		for i := range 5 {
 			n := f.nodes[(7*i+3)%30]
 			n.pause()
-			f.run(10 * time.Second)
+			f.run(8 * time.Second)
 			n.resume()
 			f.run(5 * time.Second)
 		}
