Read as a newcomer: one function to wait, one to rest, one to compare lists

Cause: five packages each had their own wait for a time or the end of a context, two the same pause behind work that grows with the fleet with its constants, and three the look whether two slices are one. coordination.Sleep, Spread and Rest and membership.SameList stand in their place; the list of endpoints is compared by what it holds.

No decision changes; ruled out as worth it: the four-line signal on a channel that holds one, which stands in several packages as an idiom, and tests that share their imports.

--- a/coordination/execution/ledger.go
+++ b/coordination/execution/ledger.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/kv"
 	"wisteriaspool/coordination/outcome"
 )
@@ -163,7 +164,7 @@
 // mayRetry waits before another try, unless the last one found a free key, and
 // tells whether it may be made.
 func (l *Ledger) mayRetry(ctx context.Context, last kv.Status, try int) bool {
-	if last != kv.Conflict && !pause(ctx, backoff(try-1)) {
+	if last != kv.Conflict && !coordination.Sleep(ctx, backoff(try-1)) {
 		return false
 	}
 	ok, _ := l.allow()
@@ -227,13 +228,3 @@
 	d := min(firstBackoff<<min(try, 10), longestBackoff)
 	return d/2 + rand.N(d/2)
 }
-
-// pause waits for d, and tells whether ctx lasted.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/coordination/execution/settlement.go
+++ b/coordination/execution/settlement.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/kv"
 	"wisteriaspool/coordination/outcome"
 )
@@ -80,7 +81,7 @@
 	value := s.record.encode()
 	start := time.Now()
 	for try := 0; elapsed(start) < l.cfg.life(); try++ {
-		if try > 0 && !pause(l.ctx, backoff(try)) {
+		if try > 0 && !coordination.Sleep(l.ctx, backoff(try)) {
 			break
 		}
 		if !l.mayTry(try) {
--- a/coordination/membership/machine.go
+++ b/coordination/membership/machine.go
@@ -109,6 +109,12 @@
 	return m.live
 }
 
+// SameList reports whether a and b are one list of [Machine.Members], without a look
+// at what they hold.
+func SameList(a, b []Member) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 func (m *Machine) liveMembers() []Member {
 	live := make([]Member, 0, len(m.table)+1)
 	live = append(live, m.self)
--- a/coordination/mirror/burst_test.go
+++ b/coordination/mirror/burst_test.go
@@ -62,7 +62,7 @@
 		}
 		askedBy := make(map[coordination.Instance]int)
 		for _, r := range routers {
-			for _, id := range mirror.Others(r.ID, routers) {
+			for _, id := range mirror.Alternates(r.ID, routers) {
 				assert.Assert(t, id != r.ID)
 				askedBy[id]++
 			}
--- a/coordination/mirror/feed.go
+++ b/coordination/mirror/feed.go
@@ -245,12 +245,12 @@
 }
 
 const (
-	// otherEvery is how often a router asks one of a few others rather than one
-	// of those that watch the store: these may all be cut off from it.
-	otherEvery = 3
-	// others is how many these are. Each router keeps to its own few, or each
+	// alternateEvery is how often a router asks one of its alternates rather than
+	// one of those that watch the store: these may all be cut off from it.
+	alternateEvery = 3
+	// alternates is how many these are. Each router keeps to its own few, or each
 	// would come to hold a connection to each other one.
-	others = 4
+	alternates = 4
 )
 
 // choose names the router to ask next: mostly one that watches the store and is
@@ -263,8 +263,8 @@
 		return r.ID, r.Zone == zone && slices.Contains(among, r.ID) && r.ID != f.cfg.Self
 	})
 	switch {
-	case rand.IntN(otherEvery) == 0:
-		among = Others(f.cfg.Self, routers)
+	case rand.IntN(alternateEvery) == 0:
+		among = Alternates(f.cfg.Self, routers)
 	case len(near) > 0:
 		among = near
 	}
@@ -275,15 +275,15 @@
 	return among[rand.IntN(len(among))], true
 }
 
-// Others returns the few routers that a router asks whoever watches the store,
+// Alternates returns the few routers that a router asks whoever watches the store,
 // by rendezvous hashing: each is asked by about as many, and one that goes is
 // followed by the next.
-func Others(self coordination.Instance, routers []placement.Router) []coordination.Instance {
+func Alternates(self coordination.Instance, routers []placement.Router) []coordination.Instance {
 	weight := func(r placement.Router) uint64 { return xxhash.Sum64String(string(self) + "\x00" + string(r.ID)) }
 	rest := lo.Reject(routers, func(r placement.Router, _ int) bool { return r.ID == self })
 	weights := lo.SliceToMap(rest, func(r placement.Router) (coordination.Instance, uint64) { return r.ID, weight(r) })
 	slices.SortFunc(rest, func(a, b placement.Router) int { return cmp.Compare(weights[a.ID], weights[b.ID]) })
-	rest = rest[:min(len(rest), others)]
+	rest = rest[:min(len(rest), alternates)]
 	return lo.Map(rest, func(r placement.Router, _ int) coordination.Instance { return r.ID })
 }
 
--- a/coordination/mirror/fetcher.go
+++ b/coordination/mirror/fetcher.go
@@ -44,7 +44,7 @@
 		case <-ctx.Done():
 			return
 		}
-		pause(ctx, hintGrace)
+		coordination.Sleep(ctx, hintGrace)
 		for ctx.Err() == nil {
 			from, ok := f.next()
 			if !ok {
--- a/coordination/mirror/follower.go
+++ b/coordination/mirror/follower.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/kv"
 )
 
@@ -91,7 +91,7 @@
 			f.wait(ctx, f.Gather)
 		}
 		if u.Lost {
-			sleep(ctx, firstPause)
+			coordination.Sleep(ctx, coordination.Spread(firstPause))
 		}
 		if f.lost.Swap(err != nil) != (err != nil) {
 			f.Mirror.Wake()
@@ -107,7 +107,7 @@
 	if d <= 0 {
 		return
 	}
-	t := time.NewTimer(spread(d))
+	t := time.NewTimer(coordination.Spread(d))
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -148,24 +148,3 @@
 	}
 	return min(max(2*last, firstPause), longest)
 }
-
-// sleep waits for about d, so that those who failed together do not come back
-// together.
-func sleep(ctx context.Context, d time.Duration) {
-	if d > 0 {
-		pause(ctx, spread(d))
-	}
-}
-
-// spread returns a time between half of d and one and a half of it.
-func spread(d time.Duration) time.Duration { return d/2 + rand.N(d) }
-
-// pause waits for d.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/coordination/mirror/hint.go
+++ b/coordination/mirror/hint.go
@@ -108,7 +108,7 @@
 	for ctx.Err() == nil {
 		select {
 		case <-t.due:
-			pause(ctx, rand.N(hintSpread))
+			coordination.Sleep(ctx, rand.N(hintSpread))
 			t.sendNews(ctx)
 		case <-t.turn:
 			t.sendState(ctx)
--- a/coordination/mirror/store.go
+++ b/coordination/mirror/store.go
@@ -6,6 +6,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/kv"
 )
 
@@ -75,8 +76,7 @@
 
 func (p pinger) run(ctx context.Context) {
 	for {
-		pause(ctx, pingPace)
-		if ctx.Err() != nil {
+		if !coordination.Sleep(ctx, pingPace) {
 			return
 		}
 		err := p.ping(ctx)
--- a/coordination/placement/entry.go
+++ b/coordination/placement/entry.go
@@ -75,7 +75,7 @@
 	w := newWalk(time.Now(), req, cfg, v.set, v.routers)
 	w.latest, w.doubts = e.view.Load, &e.doubts
 	for {
-		sleep(ctx, w.pause(time.Now()))
+		coordination.Sleep(ctx, w.pause(time.Now()))
 		a, refusal, ok := w.next(time.Now())
 		if !ok {
 			e.held.close(g, e.id.Instance)
@@ -102,19 +102,6 @@
 	}
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // put puts one question to one owner.
 func (e *Entry) put(ctx context.Context, g *Grant, req Request, a ask, cfg *Config) AdmitReply {
 	e.held.aim(time.Now(), g, a)
--- a/coordination/placement/grants.go
+++ b/coordination/placement/grants.go
@@ -288,9 +288,9 @@
 	})
 }
 
-// renewed reports whether an owner has heard from this entry so lately that its
-// lease needs no renewal before the next turn. Each admission renews it, and most
-// requests have ended by then.
+// renewed reports whether an owner has heard from this entry within half a turn, so
+// that its lease needs no renewal before the next one. Each admission renews it, and
+// most requests have ended by then.
 func (t *grantTable) renewed(now time.Time, o coordination.Instance, cfg *Config) bool {
 	return !t.registered.IsZero() && !t.owed[o] && now.Sub(t.asked[o]) < cfg.EntryLease/(2*leaseParts)
 }
--- a/coordination/placement/start.go
+++ b/coordination/placement/start.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"wisteriaspool/coordination"
 )
 
 const (
@@ -50,7 +52,7 @@
 		select {
 		case <-t.C:
 		case <-due:
-			sleep(ctx, releaseInterval)
+			coordination.Sleep(ctx, releaseInterval)
 		case <-ctx.Done():
 			return
 		}
--- a/coordination/settings/editor.go
+++ b/coordination/settings/editor.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"wisteriaspool/coordination"
@@ -156,7 +155,7 @@
 		default:
 			lost = true
 		}
-		if !sleep(ctx, wait) {
+		if !coordination.Sleep(ctx, coordination.Spread(wait)) {
 			return Outcome{Status: Undecided, Err: res.Err, RetryAfter: unwrittenWait}
 		}
 	}
@@ -250,15 +249,3 @@
 	}
 	return Standing{}, !failed
 }
-
-// sleep waits for about d and reports whether ctx still lasts.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d/2 + rand.N(d))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/coordination/settings/watch.go
+++ b/coordination/settings/watch.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/kv"
 )
 
@@ -23,7 +24,7 @@
 		if w.follow(ctx) {
 			wait = firstBackoff
 		}
-		if !sleep(ctx, wait) {
+		if !coordination.Sleep(ctx, coordination.Spread(wait)) {
 			return
 		}
 		wait = min(2*wait, 2*time.Second)
--- a/wisteriarouter/daemon/fleet.go
+++ b/wisteriarouter/daemon/fleet.go
@@ -23,7 +23,7 @@
 	answering []membership.Member // of which the others are made
 	all       []placement.Router
 	owning    []placement.Router // those that may own endpoints
-	placing   *placement.Routers // the same
+	snapshot  *placement.Routers // of owning
 }
 
 func newFleet(i do.Injector) (*fleet, error) {
@@ -44,22 +44,22 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refresh()
-	return f.placing
+	return f.snapshot
 }
 
 // refresh takes in a change. The caller holds f.mu.
 func (f *fleet) refresh() {
 	members := f.reach.Answering()
-	if f.placing != nil && len(members) == len(f.answering) && (len(members) == 0 || &members[0] == &f.answering[0]) {
+	if f.snapshot != nil && membership.SameList(members, f.answering) {
 		return
 	}
 	f.answering = members
 	all := lo.Map(members, routerOf)
 	owning := lo.FilterMap(members, func(m membership.Member, i int) (placement.Router, bool) { return all[i], m.Owner })
-	if f.placing != nil && slices.Equal(all, f.all) && slices.Equal(owning, f.owning) {
+	if f.snapshot != nil && slices.Equal(all, f.all) && slices.Equal(owning, f.owning) {
 		return
 	}
-	f.all, f.owning, f.placing = all, owning, placement.NewRouters(owning, f.ownerCap)
+	f.all, f.owning, f.snapshot = all, owning, placement.NewRouters(owning, f.ownerCap)
 }
 
 // routerOf leaves out the incarnation: a router that was frozen returns with a
--- a/wisteriarouter/daemon/placing.go
+++ b/wisteriarouter/daemon/placing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -148,25 +149,7 @@
 		}
 		begun := time.Now()
 		p.update()
-		pause(ctx, min(updateShare*time.Since(begun), longestPause))
-	}
-}
-
-// While a large fleet starts, hundreds of routers and endpoints join within
-// seconds, and an update takes longer the more there are. So the pause behind one
-// is many times as long as it took.
-const (
-	updateShare  = 20
-	longestPause = 200 * time.Millisecond
-)
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		coordination.Sleep(ctx, coordination.Rest(time.Since(begun)))
 	}
 }
 
@@ -186,7 +169,7 @@
 // tell tells the observers of a list that differs from the last one. The caller
 // holds p.updating.
 func (p *placing) tell(all []endpoint.Known) {
-	if len(all) == len(p.listed) && (len(all) == 0 || &all[0] == &p.listed[0]) {
+	if slices.Equal(all, p.listed) {
 		return
 	}
 	p.listed = all
--- a/wisteriarouter/peer/api.go
+++ b/wisteriarouter/peer/api.go
@@ -106,7 +106,7 @@
 	if err == nil {
 		c.used.Set(time.Now())
 		err = c.post(&message{Kind: kindNotice, Topic: topic, Payload: payload})
-		c.check(time.Now())
+		c.pingIfQuiet(time.Now())
 	}
 	if err != nil {
 		return &CallError{Failure: NotConnected, Peer: to, Topic: topic, Err: err}
--- a/wisteriarouter/peer/conn.go
+++ b/wisteriarouter/peer/conn.go
@@ -241,9 +241,9 @@
 	return min(c.heard.Ago(now), c.asked.Ago(now))
 }
 
-// check has the peer answer if nothing has been heard of it for long, as where a
+// pingIfQuiet has the peer answer if nothing has been heard of it for long, as where a
 // message is posted that has no answer.
-func (c *conn) check(now time.Time) {
+func (c *conn) pingIfQuiet(now time.Time) {
 	if c.heard.Ago(now) > c.node.cfg.DeadAfter/3 && c.pingDue(now) {
 		c.ask(now)
 		_ = c.post(&message{Kind: kindPing})
--- a/wisteriarouter/peer/dispatch.go
+++ b/wisteriarouter/peer/dispatch.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/membership"
 )
 
@@ -93,7 +94,8 @@
 	}
 }
 
-// change calls the watchers and reports an event for each member that changed.
+// change calls the watchers and reports an event for each member that changed. A
+// change that comes soon behind it is told with a later message or tick.
 func (d *dispatcher) change(members []membership.Member) {
 	n := d.node
 	n.topicMu.RLock()
@@ -106,18 +108,9 @@
 	d.compare(d.seen, members)
 	d.seen = members
 	now := time.Now()
-	d.nextChange = now.Add(min(changeShare*now.Sub(begun), longestPause))
+	d.nextChange = now.Add(coordination.Rest(now.Sub(begun)))
 }
 
-// While a large fleet starts, each message brings some members, and what follows
-// from a list of them takes longer the more there are. So the pause behind a
-// change that was told is many times as long as the telling took; a change that
-// comes meanwhile is told with the next message or tick.
-const (
-	changeShare  = 20
-	longestPause = 200 * time.Millisecond
-)
-
 // compare tells of what differs between two lists, both in order of their
 // instances.
 func (d *dispatcher) compare(old, now []membership.Member) {
--- a/wisteriarouter/peer/node.go
+++ b/wisteriarouter/peer/node.go
@@ -203,7 +203,7 @@
 		case c.silence(now) > n.cfg.DeadAfter:
 			c.cancel(errSilent)
 		case c.queued.Load() == 0:
-			c.check(now)
+			c.pingIfQuiet(now)
 		}
 		if !neighbor && now.Sub(c.since) > min(n.cfg.IdleTimeout, drainMost) && c.idle() {
 			spare = append(spare, c)
--- a/wisteriarouter/peer/reach.go
+++ b/wisteriarouter/peer/reach.go
@@ -96,7 +96,7 @@
 	members := r.fleet.Members()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.answering == nil || !sameSlice(members, r.of) {
+	if r.answering == nil || !membership.SameList(members, r.of) {
 		r.of = members
 		r.answering = lo.Filter(members, func(m membership.Member, _ int) bool {
 			s := r.silent[m.Instance]
@@ -106,11 +106,6 @@
 	return r.answering
 }
 
-// sameSlice reports whether a and b are one slice.
-func sameSlice(a, b []membership.Member) bool {
-	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
-}
-
 // Call implements placement.Transport and suspicion.Transport.
 func (r *Reach) Call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error) {
 	answer, err := r.fleet.Call(ctx, to, topic, payload)
