A request that was read and gets no answer leaves a line and is counted

Callers of a stopping router saw their connection end without an answer, and the router's log had nothing of it: in-flight counts requests that have reached their handler. Connections now know whether bytes have been read on them that no handler has taken and no answer was written for, and tell it as they close: event 108 and wisteria_requests_dropped_total, with the bytes, their age, whether it was the connection's first request, and whether the other side had gone.

The server of each listener moves from daemon to package downstream; when it closes what is unchanged.

--- a/wisteriarouter/daemon/callers.go
+++ b/wisteriarouter/daemon/callers.go
@@ -44,15 +44,15 @@
 
 // newServers serves on the three listeners when all that they serve stands.
 func newServers(i do.Injector) (*servers, error) {
-	lim := settingsOf(i).Limits
+	cfg := newServerConfig(i)
 	bound := do.MustInvoke[*listeners](i)
 	node := do.MustInvoke[*peer.Node](i)
 	do.MustInvoke[*order.Giver](i)
 	s := &servers{node: node, log: logOf(i), failed: make(chan struct{})}
-	s.peers = newServer(bound.peers, peerHandler(node), lim, s.fail)
-	s.operators = newServer(bound.operators, operatorHandler(i), lim, s.fail)
-	s.callers = newServer(bound.callers, do.MustInvoke[*transfers](i).named(callerHandler(i)), lim, s.fail)
-	s.callers.active = &stateOf(i).inFlight
+	s.peers = newServer(bound.peers, peerHandler(node), cfg, s.fail)
+	s.operators = newServer(bound.operators, operatorHandler(i), cfg, s.fail)
+	s.callers = newServer(bound.callers, do.MustInvoke[*transfers](i).named(callerHandler(i)), cfg, s.fail)
+	stateOf(i).inFlight = s.callers.Active
 	onStop(i, s.close)
 	for _, each := range []*server{s.peers, s.operators, s.callers} {
 		go each.run()
--- a/wisteriarouter/daemon/daemon.go
+++ b/wisteriarouter/daemon/daemon.go
@@ -38,7 +38,7 @@
 	ready       atomic.Bool // has settings and endpoints
 	leaving     atomic.Bool // told the balancer and the other routers so
 	stopping    atomic.Bool // refuses new requests
-	inFlight    atomic.Int64
+	inFlight    func() int  // requests of callers; set before the listeners serve
 }
 
 // String returns the state as operators see it.
--- a/wisteriarouter/daemon/operators.go
+++ b/wisteriarouter/daemon/operators.go
@@ -76,7 +76,7 @@
 		Zone:        s.zone,
 		State:       s.state.String(),
 		Started:     s.state.started,
-		InFlight:    int(s.state.inFlight.Load()),
+		InFlight:    s.state.inFlight(),
 		Settings:    s.teams.replica.Status(),
 		Platform:    s.platform(),
 		Peers: lo.Map(s.node.Members(), func(m membership.Member, _ int) operator.PeerStatus {
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -81,7 +81,7 @@
 
 // newRelayServers serves on the listeners of a relaying router.
 func newRelayServers(i do.Injector) (*servers, error) {
-	lim := settingsOf(i).Limits
+	cfg := newServerConfig(i)
 	bound := do.MustInvoke[*listeners](i)
 	node := do.MustInvoke[*peer.Node](i)
 	do.MustInvoke[*prometheus.Registry](i).MustRegister(&relayCollector{
@@ -90,11 +90,11 @@
 		retries:   do.MustInvoke[*poolRetries](i),
 	})
 	s := &servers{node: node, log: logOf(i), failed: make(chan struct{}), keepIdle: true}
-	s.peers = newServer(bound.peers, peerHandler(node), lim, s.fail)
-	s.operators = newServer(bound.operators, metricsHandler(i), lim, s.fail)
-	s.readiness = newServer(bound.readiness, readinessHandler(stateOf(i)), lim, s.fail)
-	s.callers = newServer(bound.callers, do.MustInvoke[*relay.Server](i), lim, s.fail)
-	s.callers.active = &stateOf(i).inFlight
+	s.peers = newServer(bound.peers, peerHandler(node), cfg, s.fail)
+	s.operators = newServer(bound.operators, metricsHandler(i), cfg, s.fail)
+	s.readiness = newServer(bound.readiness, readinessHandler(stateOf(i)), cfg, s.fail)
+	s.callers = newServer(bound.callers, do.MustInvoke[*relay.Server](i), cfg, s.fail)
+	stateOf(i).inFlight = s.callers.Active
 	onStop(i, s.close)
 	for _, each := range s.all() {
 		go each.run()
--- a/wisteriarouter/daemon/servers.go
+++ b/wisteriarouter/daemon/servers.go
@@ -6,36 +6,64 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/do/v2"
 
-	"wisteriaspool/wisteriarouter/config"
+	"wisteriaspool/wisteriarouter/downstream"
 	"wisteriaspool/wisteriarouter/event"
 	"wisteriaspool/wisteriarouter/peer"
 )
 
 // server is one bound listener with what it serves.
 type server struct {
-	http     *http.Server
-	listener net.Listener
-	active   *atomic.Int64
-	onFail   func(error)
-}
-
-// newServer serves h on l. Headers have a limit in bytes and in time, so that a
-// caller who sends them very slowly holds nothing but one connection for a
-// short while.
-func newServer(l net.Listener, h http.Handler, lim config.Limits, onFail func(error)) *server {
-	s := &server{listener: l, active: new(atomic.Int64), onFail: onFail}
-	s.http = &http.Server{
-		Handler:           s.count(h),
-		ReadHeaderTimeout: lim.HeaderWait,
-		MaxHeaderBytes:    lim.HeaderBytes,
-		IdleTimeout:       idleTimeout,
+	*downstream.Server
+	close  func()
+	onFail func(error)
+}
+
+// newServer serves h on l.
+func newServer(l net.Listener, h http.Handler, cfg downstream.Config, onFail func(error)) *server {
+	s, closeAll := downstream.NewServer(l, h, cfg)
+	return &server{Server: s, close: closeAll, onFail: onFail}
+}
+
+// newServerConfig returns the limits of all listeners.
+func newServerConfig(i do.Injector) downstream.Config {
+	lim := settingsOf(i).Limits
+	return downstream.Config{
+		HeaderWait:  lim.HeaderWait,
+		HeaderBytes: lim.HeaderBytes,
+		IdleTimeout: idleTimeout,
+		Observer:    newDrops(i),
 	}
-	return s
+}
+
+// drops implements downstream.Observer.
+type drops struct {
+	log   event.Log
+	count prometheus.Counter
+}
+
+func newDrops(i do.Injector) *drops {
+	d := &drops{log: logOf(i), count: prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "wisteria_requests_dropped_total",
+		Help: "Requests that were read, in part or whole, on connections that ended without an answer.",
+	})}
+	do.MustInvoke[*prometheus.Registry](i).MustRegister(d.count)
+	return d
+}
+
+// Dropped implements downstream.Observer.
+func (d *drops) Dropped(each downstream.Drop) {
+	d.count.Inc()
+	d.log.Emit(event.RequestDropped,
+		event.F("bytes", each.Read),
+		event.F("waited-ms", each.Waited.Milliseconds()),
+		event.F("first", each.First),
+		event.F("gone", each.Gone),
+		event.F("stopping", each.Stopping))
 }
 
 // listeners are bound before anything else is made, so that a port in use is
@@ -74,19 +102,10 @@
 // idleTimeout is how long a connection without a request stays open.
 const idleTimeout = 90 * time.Second
 
-// count counts the requests in flight.
-func (s *server) count(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.active.Add(1)
-		defer s.active.Add(-1)
-		h.ServeHTTP(w, r)
-	})
-}
-
-func (s *server) address() string { return s.listener.Addr().String() }
+func (s *server) address() string { return s.Addr().String() }
 
 func (s *server) run() {
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(); !errors.Is(err, http.ErrServerClosed) {
 		s.onFail(err)
 	}
 }
@@ -128,7 +147,7 @@
 // leave tells the other routers that this one takes no more requests.
 func (s *servers) leave(ctx context.Context) {
 	if !s.keepIdle {
-		s.callers.http.SetKeepAlivesEnabled(false)
+		s.callers.SetKeepAlivesEnabled(false)
 	}
 	s.node.SetReady(false)
 	s.node.Leave(ctx)
@@ -137,20 +156,15 @@
 // drain waits until no request is in flight, then closes the listeners. It
 // returns how many requests were left when ctx ended.
 func (s *servers) drain(ctx context.Context) int {
-	err := s.callers.http.Shutdown(ctx)
-	left := 0
-	if err != nil {
-		left = int(s.callers.active.Load())
-		s.callers.http.Close()
-	}
-	s.operators.http.Close()
+	left := s.callers.Drain(ctx)
+	s.operators.close()
 	return left
 }
 
 // close ends all connections at once.
 func (s *servers) close() {
 	for _, each := range s.all() {
-		each.http.Close()
+		each.close()
 	}
 }
 
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -4,14 +4,15 @@
 
 // The events of a router's life.
 var (
-	Started      = Kind{100, "started", logrus.InfoLevel, "The router serves. Nothing to do."}
-	Ready        = Kind{101, "ready", logrus.InfoLevel, "The router has settings and endpoints and takes requests."}
-	Stopping     = Kind{102, "stopping", logrus.InfoLevel, "A graceful shutdown began: no new requests, those in flight finish."}
-	Stopped      = Kind{103, "stopped", logrus.InfoLevel, "The shutdown is complete; in-flight tells how many requests were left, which is 0 unless the stop limit passed."}
-	Failed       = Kind{104, "failed", logrus.ErrorLevel, "The router could not start or go on. The error tells why."}
-	Reloaded     = Kind{105, "reloaded", logrus.InfoLevel, "The settings file was read again and is in force, but for addresses and names, which need a restart."}
-	LinesDropped = Kind{107, "lines-dropped", logrus.WarnLevel, "Lines of a kind were not logged, since there were too many in a second; the count tells how many. The metrics still count what they would have told."}
-	ReloadFailed = Kind{106, "reload-failed", logrus.ErrorLevel, "The settings file was to be read again and cannot be; the settings before stay in force. The problems name the lines."}
+	Started        = Kind{100, "started", logrus.InfoLevel, "The router serves. Nothing to do."}
+	Ready          = Kind{101, "ready", logrus.InfoLevel, "The router has settings and endpoints and takes requests."}
+	Stopping       = Kind{102, "stopping", logrus.InfoLevel, "A graceful shutdown began: no new requests, those in flight finish."}
+	Stopped        = Kind{103, "stopped", logrus.InfoLevel, "The shutdown is complete; in-flight tells how many requests were left, which is 0 unless the stop limit passed."}
+	Failed         = Kind{104, "failed", logrus.ErrorLevel, "The router could not start or go on. The error tells why."}
+	Reloaded       = Kind{105, "reloaded", logrus.InfoLevel, "The settings file was read again and is in force, but for addresses and names, which need a restart."}
+	LinesDropped   = Kind{107, "lines-dropped", logrus.WarnLevel, "Lines of a kind were not logged, since there were too many in a second; the count tells how many. The metrics still count what they would have told."}
+	RequestDropped = Kind{108, "request-dropped", logrus.WarnLevel, "A connection ended though a part of a request, or all of it, had been read and nobody answers it; tells how many bytes, since when, whether it was the first request on its connection, whether the other side had gone, and whether the router was closing its connections. If it had not gone, its request is lost."}
+	ReloadFailed   = Kind{106, "reload-failed", logrus.ErrorLevel, "The settings file was to be read again and cannot be; the settings before stay in force. The problems name the lines."}
 )
 
 // The events of settings.
@@ -93,7 +94,7 @@
 // Catalogue lists every kind, in order of number.
 func Catalogue() []Kind {
 	return []Kind{
-		Started, Ready, Stopping, Stopped, Failed, Reloaded, ReloadFailed, LinesDropped,
+		Started, Ready, Stopping, Stopped, Failed, Reloaded, ReloadFailed, LinesDropped, RequestDropped,
 		SettingsApplied, SettingsInvalid, SettingsRejected, SettingsChanged, SettingsLate,
 		PlatformLost, PlatformBack,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumourShed, PeerBusy, PeerAway, PeerBack, HintFailed,
