A stopping router answers each request that it has read

Callers saw their connection closed with no answer, some 2.5 s behind the SIGTERM of their router, for requests that may run once too.

Cause: http.Server.Shutdown. From its call on a connection that has read a head ends without an answer, whether it is the connection's first request or a later one; and a connection on which a part of a head has come still counts as idle and is closed. What comes behind a lost packet in the milliseconds in which dozens of connections are closed meets it.

Change: package downstream no longer shuts the HTTP server down while it has connections. Nothing but the goroutine that reads a connection ends it: behind an answer with Connection: close, or when a read has returned nothing by a deadline, a second behind the last request. So no bytes that were read can be without an answer. A deadline that passed while the process had no processor lets it look once more, for connections to be accepted too. Answers that begin after SIGTERM end their connections, in whatever handler they are written.

The same fault elsewhere: routers with teams' settings closed idle connections at once at SIGTERM (SetKeepAlivesEnabled), and operators' requests were cut off at the end of a stop; both go the same way now.

--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -223,3 +223,13 @@
 		})
 	}
 }
+
+func TestDroppedLinesFindsWhatIsPlanted(t *testing.T) {
+	log := strings.Join([]string{
+		`{"event":108,"gone":true,"time":"a","msg":"request-dropped"}`,
+		`{"event":108,"gone":false,"time":"b","msg":"request-dropped"}`,
+		`not a line of a router`,
+		`{"event":103,"in-flight":0,"time":"c"}`,
+	}, "\n")
+	assert.DeepEqual(t, droppedLines(strings.NewReader(log)), []logLine{{Event: 108, Time: "b"}})
+}
--- /dev/null
+++ b/standin/soak/dropped.go
@@ -0,0 +1,92 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"time"
+)
+
+// droppedEvent is the number of the line by which a router tells that a connection
+// has ended with a request that was read and not answered.
+const droppedEvent = 108
+
+// logLine is what is read of a router's line.
+type logLine struct {
+	Event int    `json:"event"`
+	Gone  bool   `json:"gone"`
+	Time  string `json:"time"`
+}
+
+// checkDropped finds requests that a router has read and dropped by its own word.
+func (s *soak) checkDropped() {
+	for _, r := range s.routers {
+		f, err := os.Open(r.logFile())
+		if err != nil {
+			s.breaks("the log of router %d cannot be read: %v", r.n, err)
+			continue
+		}
+		for _, line := range droppedLines(f) {
+			s.breaks("router %d read a request and dropped it at %s; see %s", r.n, line.Time, r.logFile())
+		}
+		_ = f.Close() // it was only read
+	}
+}
+
+// droppedLines returns the lines of requests whose callers had not gone.
+func droppedLines(log io.Reader) (found []logLine) {
+	for lines := bufio.NewScanner(log); lines.Scan(); {
+		var line logLine
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Event == droppedEvent && !line.Gone {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+// straggler opens a connection, lets some time pass, and sends its request in two
+// parts, as a caller behind lost packets does.
+type straggler struct {
+	load *load
+	rng  *rand.Rand
+}
+
+// The longest pauses of a straggler before each part of its request.
+const (
+	stragglerOpen = 900 * time.Millisecond
+	stragglerPart = 400 * time.Millisecond
+)
+
+func (c *straggler) run() {
+	for c.load.ctx.Err() == nil {
+		ready := *c.load.ready.Load()
+		c.send(ready[c.rng.IntN(len(ready))])
+	}
+}
+
+// send sends one request, whose answer does not matter. What its router drops, the
+// router's log tells.
+func (c *straggler) send(r *router) {
+	conn, err := net.DialTimeout("tcp", r.callers, deadline)
+	if err != nil {
+		time.Sleep(time.Duration(c.rng.Int64N(int64(stragglerOpen)))) // the router is down
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(deadline)) // a write shows if it failed
+	text := "GET /healthz HTTP/1.1\r\nHost: soak.example\r\n\r\n"
+	part := 1 + c.rng.IntN(len(text)-1)
+	for _, each := range []struct {
+		text  string
+		pause time.Duration
+	}{{text[:part], stragglerOpen}, {text[part:], stragglerPart}} {
+		time.Sleep(time.Duration(c.rng.Int64N(int64(each.pause))))
+		if _, err := io.WriteString(conn, each.text); err != nil {
+			return // the router has closed the connection, or was killed
+		}
+	}
+	_, _ = conn.Read(make([]byte, 1)) // waits for the answer or the end
+}
--- a/standin/soak/load.go
+++ b/standin/soak/load.go
@@ -59,11 +59,17 @@
 		l.wg.Go(c.run)
 	}
 	l.wg.Go((&leaver{load: l, rng: rand.New(rand.NewPCG(l.soak.opts.Seed, 99))}).run)
+	for n := range stragglers {
+		l.wg.Go((&straggler{load: l, rng: rand.New(rand.NewPCG(l.soak.opts.Seed, uint64(50+n)))}).run)
+	}
 	for _, r := range l.soak.routers {
 		l.wg.Go((&prober{load: l, router: r}).run)
 	}
 }
 
+// stragglers is how many callers send their requests late.
+const stragglers = 8
+
 func (l *load) stop() {
 	l.cancel()
 	l.wg.Wait()
--- a/standin/soak/regressions.go
+++ b/standin/soak/regressions.go
@@ -17,4 +17,5 @@
 	{107, 14 * time.Second, "as seed 102"},
 	{114, 14 * time.Second, "as seed 102"},
 	{148, 14 * time.Second, "as seed 102"},
+	{23, 20 * time.Second, "a router that was told to stop read a request as it closed its connections, and dropped it"},
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -319,4 +319,5 @@
 	for _, line := range h.broken() {
 		s.breaks("%s", line)
 	}
+	s.checkDropped()
 }
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -58,7 +58,6 @@
 		Suspects: relaySuspects{do.MustInvoke[*suspects](i)},
 		Log:      logOf(i),
 		Metrics:  relay.NewMetrics(do.MustInvoke[*prometheus.Registry](i)),
-		Stopping: stateOf(i).leaving.Load,
 	}, nil
 }
 
@@ -89,7 +88,7 @@
 		directory: do.MustInvoke[*endpoint.Directory](i),
 		retries:   do.MustInvoke[*poolRetries](i),
 	})
-	s := &servers{node: node, log: logOf(i), failed: make(chan struct{}), keepIdle: true}
+	s := &servers{node: node, log: logOf(i), failed: make(chan struct{})}
 	s.peers = newServer(bound.peers, peerHandler(node), cfg, s.fail)
 	s.operators = newServer(bound.operators, metricsHandler(i), cfg, s.fail)
 	s.readiness = newServer(bound.readiness, readinessHandler(stateOf(i)), cfg, s.fail)
--- a/wisteriarouter/daemon/relay_site_test.go
+++ b/wisteriarouter/daemon/relay_site_test.go
@@ -71,6 +71,7 @@
 	for range routers {
 		s.addRouter()
 	}
+	t.Cleanup(s.client.CloseIdleConnections) // the routers' stops need not wait for them
 	for n := range routers {
 		s.awaitReady(n)
 		s.awaitMembers(n, routers)
--- a/wisteriarouter/daemon/servers.go
+++ b/wisteriarouter/daemon/servers.go
@@ -63,7 +63,7 @@
 		event.F("waited-ms", each.Waited.Milliseconds()),
 		event.F("first", each.First),
 		event.F("gone", each.Gone),
-		event.F("stopping", each.Stopping))
+		event.F("draining", each.Draining))
 }
 
 // listeners are bound before anything else is made, so that a port in use is
@@ -116,14 +116,11 @@
 	operators *server
 	peers     *server
 	readiness *server // nil unless the router relays
-	// keepIdle leaves unused connections of callers open while the router is
-	// about to stop, since a request may just be on its way on one.
-	keepIdle bool
-	node     *peer.Node
-	log      event.Log
-	failed   chan struct{}
-	once     sync.Once
-	cause    error
+	node      *peer.Node
+	log       event.Log
+	failed    chan struct{}
+	once      sync.Once
+	cause     error
 }
 
 // fail notes that a listener cannot go on.
@@ -144,21 +141,18 @@
 	}
 }
 
-// leave tells the other routers that this one takes no more requests.
+// leave tells callers and the other routers that this one takes no more requests.
 func (s *servers) leave(ctx context.Context) {
-	if !s.keepIdle {
-		s.callers.SetKeepAlivesEnabled(false)
-	}
+	s.callers.Leave()
 	s.node.SetReady(false)
 	s.node.Leave(ctx)
 }
 
-// drain waits until no request is in flight, then closes the listeners. It
-// returns how many requests were left when ctx ended.
+// drain waits until no request is in flight and no connection of callers is left,
+// then closes the listeners. It returns how many requests were left when ctx ended.
 func (s *servers) drain(ctx context.Context) int {
 	left := s.callers.Drain(ctx)
-	s.operators.close()
-	return left
+	return left + s.operators.Drain(ctx)
 }
 
 // close ends all connections at once.
--- a/wisteriarouter/downstream/server.go
+++ b/wisteriarouter/downstream/server.go
@@ -1,11 +1,10 @@
-// Package downstream accepts the connections of callers, operators and other
-// routers, and notes requests that were read and got no answer.
 package downstream
 
 import (
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -31,36 +30,43 @@
 	Waited   time.Duration // since the first of them
 	First    bool          // it was the first request on its connection
 	Gone     bool          // the other side had closed the connection or broken it off
-	Stopping bool          // the server was shutting down
+	Draining bool          // the server was being drained
 }
 
 // Server serves HTTP/1.1 on one listener.
 type Server struct {
 	http     *http.Server
-	listener net.Listener
+	listener *listener
 	observer Observer
 	active   atomic.Int64
-	stopping atomic.Bool
+	leaving  atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	drain *drain // nil before Drain
 }
 
 // NewServer returns a server for l, and what closes it and all its connections at
 // once. Heads of requests have a limit in bytes and in time, so that a caller who
 // sends one very slowly holds nothing but one connection for a short while.
 func NewServer(l net.Listener, h http.Handler, cfg Config) (*Server, func()) {
-	s := &Server{observer: cfg.Observer}
-	s.listener = &listener{l, s}
+	s := &Server{observer: cfg.Observer, conns: make(map[*conn]struct{})}
+	s.listener = newListener(l, s)
 	s.http = &http.Server{
-		Handler:           s.count(h),
+		Handler:           s.handler(h),
 		ReadHeaderTimeout: cfg.HeaderWait,
 		MaxHeaderBytes:    cfg.HeaderBytes,
 		IdleTimeout:       cfg.IdleTimeout,
 		ConnState:         changed,
 		ConnContext:       withConn,
 	}
-	return s, func() { _ = s.http.Close() } // there is nobody left to tell
+	return s, s.close
 }
 
-// Serve serves until the server is shut down or closed. Its error is then
+// close closes the listener and all connections at once.
+func (s *Server) close() { _ = s.http.Close() } // there is nobody left to tell
+
+// Serve serves until the server is drained or closed. Its error is then
 // http.ErrServerClosed.
 func (s *Server) Serve() error { return s.http.Serve(s.listener) }
 
@@ -70,18 +76,23 @@
 // Active returns how many requests are in flight.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
-// SetKeepAlivesEnabled tells whether connections serve more than one request.
-func (s *Server) SetKeepAlivesEnabled(on bool) { s.http.SetKeepAlivesEnabled(on) }
+// Leave has each answer that begins from now on end its connection. All connections
+// are served as before, new ones too.
+func (s *Server) Leave() { s.leaving.Store(true) }
 
-// Drain waits until no request is in flight. It returns how many were left when
-// ctx ended, and cuts them off.
-func (s *Server) Drain(ctx context.Context) (left int) {
-	s.stopping.Store(true)
-	if err := s.http.Shutdown(ctx); err != nil {
-		left = s.Active()
-		_ = s.http.Close() // there is nobody left to tell
-	}
-	return left
+// handler counts the requests in flight, and ends their connections once the
+// server leaves.
+func (s *Server) handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			c.take()
+		}
+		s.active.Add(1)
+		defer s.active.Add(-1)
+		answer := &writer{ResponseWriter: w, server: s}
+		h.ServeHTTP(answer, r)
+		answer.begin()
+	})
 }
 
 // connKey is the key of a request's connection in its context.
@@ -91,29 +102,31 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// count counts the requests in flight.
-func (s *Server) count(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			c.taken()
-		}
-		s.active.Add(1)
-		defer s.active.Add(-1)
-		h.ServeHTTP(w, r)
-	})
+// add takes in a new connection.
+func (s *Server) add(inner net.Conn) *conn {
+	c := &conn{Conn: inner, server: s, first: true, waiting: true, since: time.Now()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+	if s.drain != nil {
+		c.limit(s.drain)
+	}
+	return c
 }
 
-// listener hands out connections that its server watches.
-type listener struct {
-	net.Listener
-	server *Server
+// remove takes in that a connection is closed.
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	if s.drain != nil {
+		s.drain.left(len(s.conns))
+	}
 }
 
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// changed takes in that a connection has another state.
+func changed(c net.Conn, state http.ConnState) {
+	if each, ok := c.(*conn); ok && state == http.StateIdle {
+		each.next()
 	}
-	return &conn{Conn: inner, server: l.server, waiting: true, first: true}, nil
 }
--- /dev/null
+++ b/wisteriarouter/downstream/server_test.go
@@ -0,0 +1,384 @@
+package downstream_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/wisteriarouter/downstream"
+)
+
+// What a drain goes by: how long connections have to be without a request before
+// they are closed, and how long they are looked at once more.
+const (
+	quiet = time.Second
+	look  = time.Millisecond
+)
+
+// pipes is a listener whose connections are pipes, so that tests pause the clock.
+type pipes struct {
+	queue chan net.Conn
+	once  sync.Once
+	done  chan struct{}
+}
+
+func newPipes() *pipes {
+	return &pipes{queue: make(chan net.Conn, 8), done: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *pipes) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// fixture is a server under test and what it told its observer.
+type fixture struct {
+	*downstream.Server
+	t       *testing.T
+	pipes   *pipes
+	served  serving
+	release chan struct{} // ends requests for /slow
+
+	mu    sync.Mutex
+	drops []downstream.Drop
+}
+
+// serving runs a server.
+type serving struct {
+	server *downstream.Server
+	err    chan error
+}
+
+func (s serving) run() { s.err <- s.server.Serve() }
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, pipes: newPipes(), release: make(chan struct{})}
+	s, closeAll := downstream.NewServer(f.pipes, f, downstream.Config{HeaderWait: 10 * time.Second, IdleTimeout: time.Minute, Observer: f})
+	f.Server, f.served = s, serving{s, make(chan error, 1)}
+	go f.served.run()
+	t.Cleanup(closeAll)
+	return f
+}
+
+// ServeHTTP implements http.Handler. It answers /slow in two parts, the second when
+// the test lets it.
+func (f *fixture) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/slow" {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-f.release:
+		case <-r.Context().Done():
+		}
+	}
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		_, _ = w.Write(body)
+	}
+}
+
+// Dropped implements downstream.Observer.
+func (f *fixture) Dropped(d downstream.Drop) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drops = append(f.drops, d)
+}
+
+func (f *fixture) dropped() []downstream.Drop {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]downstream.Drop(nil), f.drops...)
+}
+
+// draining drains a server.
+type draining struct {
+	server *downstream.Server
+	within time.Duration
+	left   chan int
+}
+
+func (d draining) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.within)
+	defer cancel()
+	d.left <- d.server.Drain(ctx)
+}
+
+// beginDrain drains the server, and returns once it takes no new connections.
+func (f *fixture) beginDrain(within time.Duration) chan int {
+	d := draining{f.Server, within, make(chan int, 1)}
+	go d.run()
+	assert.Equal(f.t, <-f.served.err, http.ErrServerClosed)
+	return d.left
+}
+
+// client is one connection to the server.
+type client struct {
+	net.Conn
+	t *testing.T
+	r *bufio.Reader
+}
+
+func (f *fixture) connect() *client {
+	near, far := net.Pipe()
+	f.pipes.queue <- far
+	f.t.Cleanup(func() { _ = near.Close() })
+	return &client{near, f.t, bufio.NewReader(near)}
+}
+
+// text is a request on the wire.
+func text(path string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 4\r\n\r\nbody"
+}
+
+func (c *client) write(text string) {
+	_, err := io.WriteString(c, text)
+	assert.NilError(c.t, err)
+}
+
+// head reads the head of an answer.
+func (c *client) head() *http.Response {
+	resp, err := http.ReadResponse(c.r, nil)
+	assert.NilError(c.t, err, "the connection ended without an answer")
+	return resp
+}
+
+// answer reads an answer and reports whether it ends the connection.
+func (c *client) answer() (last bool) {
+	resp := c.head()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(c.t, err)
+	assert.Equal(c.t, string(body), "body")
+	return resp.Close
+}
+
+// ended waits for the end of the connection.
+func (c *client) ended() {
+	_, err := c.r.ReadByte()
+	assert.Equal(c.t, err, io.EOF)
+}
+
+// Guards against requests that a server which is being drained reads and drops.
+func TestDrainAnswersWhatIsRead(t *testing.T) {
+	whole := text("/")
+	for _, tc := range []struct {
+		name   string
+		kept   bool          // the connection has had an answer before
+		before int           // bytes written before the drain
+		after  time.Duration // when the rest is written
+	}{
+		{name: "first request at once", after: 0},
+		{name: "first request at the last moment", after: quiet - time.Nanosecond},
+		{name: "next request at the last moment", kept: true, after: quiet - time.Nanosecond},
+		{name: "one byte of a first head before", before: 1, after: 3 * time.Second},
+		{name: "one byte of a next head before", kept: true, before: 1, after: 3 * time.Second},
+		{name: "head before", before: len(whole) - 4, after: 3 * time.Second},
+		{name: "next head before", kept: true, before: len(whole) - 4, after: 3 * time.Second},
+		{name: "all but a byte before", kept: true, before: len(whole) - 1, after: 3 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				c := f.connect()
+				if tc.kept {
+					c.write(whole)
+					assert.Assert(t, !c.answer())
+				}
+				c.write(whole[:tc.before])
+				synctest.Wait()
+				left := f.beginDrain(8 * time.Second)
+				time.Sleep(tc.after)
+				c.write(whole[tc.before:])
+				assert.Assert(t, c.answer(), "the answer keeps the connection")
+				c.ended()
+				assert.Equal(t, <-left, 0)
+				assert.Equal(t, len(f.dropped()), 0)
+			})
+		})
+	}
+}
+
+// Guards against a request whose first byte came while the one before was handled.
+func TestDrainAnswersWhatWasReadAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		c := f.connect()
+		c.write(text("/slow"))
+		resp := c.head()
+		c.write(text("/")[:1])
+		synctest.Wait()
+		close(f.release)
+		_, err := io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		left := f.beginDrain(8 * time.Second)
+		time.Sleep(3 * time.Second)
+		c.write(text("/")[1:])
+		assert.Assert(t, c.answer(), "the answer keeps the connection")
+		assert.Equal(t, <-left, 0)
+		assert.Equal(t, len(f.dropped()), 0)
+	})
+}
+
+// Guards against callers that are cut off behind an answer which promised them
+// another request on the same connection.
+func TestDrainServesTheRequestBehindALongAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		c := f.connect()
+		c.write(text("/slow"))
+		resp := c.head()
+		assert.Assert(t, !resp.Close)
+		left := f.beginDrain(8 * time.Second)
+		time.Sleep(3 * time.Second)
+		close(f.release)
+		_, err := io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		time.Sleep(quiet / 2)
+		c.write(text("/"))
+		assert.Assert(t, c.answer(), "the answer keeps the connection")
+		assert.Equal(t, <-left, 0)
+	})
+}
+
+func TestDrainClosesUnusedConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		unused, fresh := f.connect(), f.connect()
+		unused.write(text("/"))
+		assert.Assert(t, !unused.answer())
+		time.Sleep(quiet / 4)
+		fresh.write(text("/"))
+		assert.Assert(t, !fresh.answer())
+		time.Sleep(quiet / 2)
+		start := time.Now()
+		left := f.beginDrain(8 * time.Second)
+		unused.ended()
+		assert.Equal(t, time.Since(start), quiet/4+look)
+		fresh.ended()
+		assert.Equal(t, time.Since(start), quiet/2+look)
+		assert.Equal(t, <-left, 0)
+		assert.Equal(t, time.Since(start), quiet/2+look)
+	})
+}
+
+// Guards against drains that take longer than they may, and tell that nothing was
+// cut off.
+func TestDrainEndsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		c := f.connect()
+		c.write(text("/slow"))
+		c.head()
+		start := time.Now()
+		assert.Equal(t, <-f.beginDrain(2*time.Second), 1)
+		assert.Equal(t, time.Since(start), 2*time.Second)
+	})
+}
+
+// Guards against connections that a server which has left still keeps for further
+// requests, and such that it no longer serves.
+func TestLeaveEndsConnectionsBehindTheirAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		kept := f.connect()
+		kept.write(text("/"))
+		assert.Assert(t, !kept.answer())
+		f.Leave()
+		time.Sleep(10 * time.Second)
+		kept.write(text("/"))
+		assert.Assert(t, kept.answer())
+		fresh := f.connect()
+		fresh.write(text("/"))
+		assert.Assert(t, fresh.answer())
+	})
+}
+
+// Guards against requests that are lost and leave no line: a server that is closed
+// at once tells of what it has read.
+func TestCloseTellsOfWhatWasRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newPipes()
+		f := &fixture{t: t, pipes: l}
+		s, closeAll := downstream.NewServer(l, f, downstream.Config{Observer: f})
+		go serving{s, make(chan error, 1)}.run()
+		c := f.connect()
+		c.write(text("/")[:20])
+		time.Sleep(time.Second)
+		closeAll()
+		c.ended()
+		assert.DeepEqual(t, f.dropped(), []downstream.Drop{{Read: 20, Waited: time.Second, First: true}})
+	})
+}
+
+// late is a connection that meets its read deadline although bytes are there, as on
+// a machine that was busy until then.
+type late struct {
+	net.Conn
+	mu   sync.Mutex
+	till time.Time
+	text io.Reader
+}
+
+func (c *late) Read(b []byte) (int, error) {
+	for {
+		c.mu.Lock()
+		till := c.till
+		c.mu.Unlock()
+		switch left := time.Until(till); {
+		case till.IsZero() || left > lookAgain:
+			time.Sleep(lookAgain)
+		case left > 0:
+			return c.text.Read(b)
+		default:
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
+}
+
+// lookAgain is the longest wait that counts as another look.
+const lookAgain = 5 * time.Millisecond
+
+func (c *late) SetReadDeadline(till time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.till = till
+	return nil
+}
+
+// Guards against requests that have arrived when the wait for them ends, and are
+// not read since the router had no processor until then.
+func TestDrainReadsWhatHasArrivedWhenTheWaitEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		near, far := net.Pipe()
+		f.pipes.queue <- &late{Conn: far, text: strings.NewReader(text("/"))}
+		c := &client{near, t, bufio.NewReader(near)}
+		synctest.Wait()
+		left := f.beginDrain(8 * time.Second)
+		assert.Assert(t, c.answer())
+		assert.Equal(t, <-left, 0)
+	})
+}
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -11,7 +11,7 @@
 	Failed         = Kind{104, "failed", logrus.ErrorLevel, "The router could not start or go on. The error tells why."}
 	Reloaded       = Kind{105, "reloaded", logrus.InfoLevel, "The settings file was read again and is in force, but for addresses and names, which need a restart."}
 	LinesDropped   = Kind{107, "lines-dropped", logrus.WarnLevel, "Lines of a kind were not logged, since there were too many in a second; the count tells how many. The metrics still count what they would have told."}
-	RequestDropped = Kind{108, "request-dropped", logrus.WarnLevel, "A connection ended though a part of a request, or all of it, had been read and nobody answers it; tells how many bytes, since when, whether it was the first request on its connection, whether the other side had gone, and whether the router was closing its connections. If it had not gone, its request is lost."}
+	RequestDropped = Kind{108, "request-dropped", logrus.WarnLevel, "A connection ended though a part of a request, or all of it, had been read and nobody answers it; tells how many bytes, since when, whether it was the first request on its connection, whether the other side had gone, and whether the router was closing connections. If it had not gone, its request is lost."}
 	ReloadFailed   = Kind{106, "reload-failed", logrus.ErrorLevel, "The settings file was to be read again and cannot be; the settings before stay in force. The problems name the lines."}
 )
 
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -113,16 +113,11 @@
 	Suspects Suspects // nil if requests are not followed
 	Log      event.Log
 	Metrics  *Metrics
-	Stopping func() bool // reports whether the router is about to stop
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if s.Stopping != nil && s.Stopping() {
-		// The caller's next request goes to another router.
-		w.Header().Set("Connection", "close")
-	}
 	x := &exchange{server: s, w: w, r: r, arrived: arrived, asked: platform.DecodeRequest(r.Header)}
 	x.serve()
 }
