A stopping router refuses what its stop would cut off

Cause: a request was taken without a look at the time that the router has left. Weighed: refusing all behind a fixed time, which turns short requests away without need and takes long ones in vain on routes whose answers last longer than the rest.

TestRelayRefusesWhatItsStopWouldCutOff fails before: the stream ends with an unexpected EOF.

--- a/wisteriarouter/daemon/daemon.go
+++ b/wisteriarouter/daemon/daemon.go
@@ -35,10 +35,20 @@
 	instance    coordination.Instance
 	incarnation coordination.Incarnation
 	started     time.Time
-	ready       atomic.Bool // has settings and endpoints
-	leaving     atomic.Bool // told the balancer and the other routers so
-	stopping    atomic.Bool // refuses new requests
-	inFlight    func() int  // requests of callers; set before the listeners serve
+	ready       atomic.Bool               // has settings and endpoints
+	leaving     atomic.Bool               // told the balancer and the other routers so
+	stopping    atomic.Bool               // refuses new requests
+	ends        atomic.Pointer[time.Time] // by when what is in flight is cut off; nil before stopping
+	inFlight    func() int                // requests of callers; set before the listeners serve
+}
+
+// left returns how long a router that is stopping still serves; false before.
+func (s *state) left() (time.Duration, bool) {
+	ends := s.ends.Load()
+	if ends == nil {
+		return 0, false
+	}
+	return time.Until(*ends), true
 }
 
 // String returns the state as operators see it.
@@ -175,6 +185,9 @@
 	// The balancer goes on sending requests until it has seen that this router
 	// is not ready. They are served, so that its callers notice nothing.
 	time.Sleep(d.delay)
+	if end, ok := ctx.Deadline(); ok {
+		d.state.ends.Store(&end)
+	}
 	d.state.stopping.Store(true)
 	left := d.servers.drain(ctx)
 	d.cleanups.run()
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -58,6 +58,7 @@
 		Suspects: relaySuspects{do.MustInvoke[*suspects](i)},
 		Log:      logOf(i),
 		Metrics:  relay.NewMetrics(do.MustInvoke[*prometheus.Registry](i)),
+		Left:     stateOf(i).left,
 	}, nil
 }
 
--- a/wisteriarouter/daemon/relay_stop_test.go
+++ b/wisteriarouter/daemon/relay_stop_test.go
@@ -6,11 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"wisteriaspool/standin/replica"
 )
 
 // Guards against requests that a stopping router reads and then drops with their
@@ -49,6 +52,31 @@
 	}
 }
 
+// Guards against answers that break off since their router took the request when it
+// had no time left to complete it.
+func TestRelayRefusesWhatItsStopWouldCutOff(t *testing.T) {
+	s := newSite(t, 1, 1, 0)
+	s.addReplica(replica.Options{ID: "slow", Service: "model", Zone: "a", Events: 180, Pause: 20 * time.Millisecond})
+	plain, begun := s.begin("/stream/begun")
+	stream, begunToo := s.begin("/stream/begun")
+	assert.Equal(t, s.send(0, "/unsafe/before").status, http.StatusOK)
+	left := make(chan int, 1)
+	go stopper{s.stops[0], left}.run()
+	plain.finish(begun)
+	stream.finish(begunToo)
+	plain.write(plain.text("/unsafe/late"))
+	stream.write(stream.text("/stream/late"))
+	got := plain.answer()
+	assert.Equal(t, got.StatusCode, http.StatusOK)
+	assert.Assert(t, got.Close)
+	got = stream.answer()
+	assert.Equal(t, got.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, got.Close)
+	assert.Assert(t, got.Header.Get("Retry-After") != "")
+	assert.Equal(t, s.runs("/stream/late"), 0)
+	assert.Equal(t, <-left, 0)
+}
+
 // connection is a caller's connection to a router, written by hand.
 type connection struct {
 	net.Conn
@@ -66,9 +94,12 @@
 
 // text returns a request as it is on the wire.
 func (c *connection) text(path string) string {
-	body := "body of " + path
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 4000\r\nAuthorization: Bearer k1\r\nContent-Length: %d\r\n\r\n%s",
-		path, freshID(), len(body), body)
+	body, prompt := "body of "+path, ""
+	if strings.HasPrefix(path, "/stream/") {
+		prompt = "X-Token-Usage: 100,10\r\nX-Prefix-Hash: aa:50,bb:40,cc:10\r\n"
+	}
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 4000\r\nAuthorization: Bearer k1\r\n%sContent-Length: %d\r\n\r\n%s",
+		path, freshID(), prompt, len(body), body)
 }
 
 func (c *connection) write(text string) {
@@ -76,13 +107,36 @@
 	assert.NilError(c.t, err)
 }
 
+// begin asks for a stream, once the router knows an endpoint for it, and reads the
+// head of the answer, which keeps the connection.
+func (s *site) begin(path string) (c *connection, resp *http.Response) {
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		c = s.connect(0)
+		c.write(c.text(path))
+		var err error
+		resp, err = http.ReadResponse(c.r, nil)
+		assert.NilError(s.t, err)
+		if resp.StatusCode == http.StatusOK {
+			return poll.Success()
+		}
+		return poll.Continue("the router knows no endpoint")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(20*time.Millisecond))
+	assert.Assert(s.t, !resp.Close)
+	return c, resp
+}
+
 func (c *connection) answer() *http.Response {
 	resp, err := http.ReadResponse(c.r, nil)
 	assert.NilError(c.t, err, "the connection ended without an answer")
-	_, err = io.Copy(io.Discard, resp.Body)
+	c.finish(resp)
+	return resp
+}
+
+// finish reads the rest of an answer.
+func (c *connection) finish(resp *http.Response) {
+	_, err := io.Copy(io.Discard, resp.Body)
 	assert.NilError(c.t, err)
 	assert.NilError(c.t, resp.Body.Close())
-	return resp
 }
 
 // awaitNoListener waits until a router takes no new connections.
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -52,7 +52,7 @@
 const giveUpSlack = 100 * time.Millisecond
 
 func (x *exchange) serve() {
-	if !x.find() || !x.allow() || !x.read() {
+	if !x.find() || !x.allow() || !x.inTime() || !x.read() {
 		return
 	}
 	ctx := x.r.Context()
@@ -117,6 +117,32 @@
 	return true
 }
 
+// retryAfterStop is when a caller may come back whose router is about to stop: the
+// balancer has sent callers to others for long, and they are served there.
+const retryAfterStop = 50 * time.Millisecond
+
+// inTime refuses a request that is not likely to be complete when the router ends.
+// Its caller loses less by asking another router now than by an answer that breaks
+// off.
+func (x *exchange) inTime() bool {
+	if x.server.Left == nil {
+		return true
+	}
+	left, ends := x.server.Left()
+	if !ends {
+		return true
+	}
+	needs, known := x.server.longest.of(x.route.Name)
+	if limit := x.left(); !known || limit < needs {
+		needs = limit
+	}
+	if needs <= left {
+		return true
+	}
+	x.refuse(http.StatusServiceUnavailable, "the router is about to stop", retryAfterStop)
+	return false
+}
+
 // defaultBodyBytes bounds a body if the desired state does not.
 const defaultBodyBytes = 4 << 20
 
@@ -175,6 +201,7 @@
 		x.note(place, end)
 		if end == delivered {
 			x.server.Metrics.delivered(x)
+			x.server.longest.note(x.route.Name, time.Since(x.arrived))
 			return true
 		}
 		goOn := end != broken && end != cut || x.crashed(ctx, place)
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -113,6 +113,11 @@
 	Suspects Suspects // nil if requests are not followed
 	Log      event.Log
 	Metrics  *Metrics
+	// Left reports how long a router that takes no new connections still serves
+	// those that it has; false if it goes on.
+	Left func() (time.Duration, bool)
+
+	longest longest
 }
 
 // ServeHTTP implements http.Handler.
