--- a/coordination/suspicion/guard_test.go
+++ b/coordination/suspicion/guard_test.go
@@ -75,3 +75,25 @@
 	entry.table.mu.Unlock()
 	begun.Wait()
 }
+
+// A rumour claims a copy that is still looking for an endpoint. Taken for let run,
+// the copies sent behind the first crash run beside each other and each takes one.
+func TestClaimedCopyHasToAsk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := make(gates)
+		gate, other := all.add("gate", "gate"), all.add("other", "gate")
+		f, _ := other.Begin(t.Context(), 1, "m")
+		now := time.Now()
+		r, _ := gate.table.crash(now, 1, Crash{Endpoint: "e1", Incarnation: 1, At: unixMillis(now)})
+		_, err := other.HandleRecord(t.Context(), r.Encode())
+		assert.NilError(t, err)
+		assert.Assert(t, f.asked, "the gate does not know of it")
+		assert.Assert(t, !f.Asked(), "it takes itself for let run")
+		ctx, cancel := context.WithTimeout(t.Context(), gate.gate.cfg.Hold/2)
+		defer cancel()
+		refusal, ok := f.FoundDead(ctx, "m", "e1")
+		assert.Assert(t, !ok, "it starts before all routers have heard of the crash")
+		assert.Assert(t, !refusal.Poison)
+		f.Abandoned(t.Context())
+	})
+}
