--- a/measure.sh
+++ b/measure.sh
@@ -13,8 +13,8 @@
 
 cases="steady churn moved crash router surge"
 for each in "$@"; do
-  case " $cases " in
-  *" $each "*) ;;
+  case $each in
+  steady | churn | moved | crash | router | surge) ;;
   *)
     echo "usage: ./measure.sh [CASE...], of: $cases" >&2
     exit 2
