Keep requests without cached parts to a few endpoints of a pool

A plain request went to any endpoint of its pool, so that a router with three such requests a second met each every two seconds.

Change: a router prefers a few endpoints of a pool for requests that have nothing cached, chosen by rendezvous hashing of router and endpoint, so that all get an equal share over the fleet. It is an order, not an exclusion: what is full, out, refused or failed already is passed over as before, and the owners' bound stays. How many follows from the router's own rate of such requests and for how long its connections can be used again: so many that each endpoint gets two requests in that time, and two at least, as a failure is judged by how the others fare. A small fleet, whose routers have many requests each, spreads them over all endpoints as before.

--- /dev/null
+++ b/coordination/placement/affinity_test.go
@@ -0,0 +1,186 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/samber/lo"
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+)
+
+// reusable is for how long the connections of these tests can be used again.
+const reusable = 2 * time.Second
+
+// A router with few requests keeps to two endpoints; one with many, of which each
+// endpoint gets several a second anyway, to all.
+func TestAffinityFollowsTheRate(t *testing.T) {
+	tests := []struct {
+		perSecond float64
+		least     int
+		most      int
+	}{
+		{0.1, 2, 2},
+		{1.3, 2, 2},
+		{4, 3, 4},
+		{40, 38, 42},
+	}
+	for _, test := range tests {
+		var a Affinity
+		now := time.Unix(1000, 0)
+		width := 0
+		for range 1 + int(test.perSecond*20) {
+			width = a.Width(now, testPool, reusable)
+			now = now.Add(time.Duration(float64(time.Second) / test.perSecond))
+		}
+		assert.Assert(t, width >= test.least && width <= test.most, "%v a second: %d", test.perSecond, width)
+	}
+}
+
+// The first request of a router, or of one that was idle for long, says nothing
+// of a rate.
+func TestAffinityOfTheFirstRequests(t *testing.T) {
+	var a Affinity
+	now := time.Unix(1000, 0)
+	assert.Equal(t, a.Width(now, testPool, reusable), leastAffinity)
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		a.Width(now, testPool, reusable)
+	}
+	assert.Assert(t, a.Width(now, testPool, reusable) > 10*leastAffinity)
+	assert.Equal(t, a.Width(now.Add(time.Hour), testPool, reusable), leastAffinity)
+}
+
+// Each router of a fleet keeps to a few endpoints. If some endpoints were chosen
+// by more routers than others, these would be full while others idle.
+func TestEndpointsAreNearEquallyManyRouters(t *testing.T) {
+	tests := []struct{ routers, endpoints, width int }{{295, 10, 2}, {295, 10, 3}, {295, 240, 2}, {1000, 10, 2}, {80, 6, 3}}
+	for _, test := range tests {
+		s := NewSet(testEndpoints(test.endpoints))
+		got := make(map[coordination.Endpoint]int)
+		const requests = 200
+		for r := range test.routers {
+			near := KeyOf(coordination.Chat(fmt.Sprintf("router-%d", r)))
+			met := make(map[coordination.Endpoint]bool)
+			for k := range Key(requests) {
+				first := s.Near(nil, testPool, near, KeyOf(coordination.Chat(fmt.Sprintf("%d-%d", r, k))), test.width, 1)[0].ID
+				met[first] = true
+				got[first]++
+			}
+			assert.Equal(t, len(met), test.width, "endpoints that a router meets")
+		}
+		if test.endpoints > test.routers/10 {
+			continue // chance leaves some of so many without a router
+		}
+		mean := float64(test.routers*requests) / float64(test.endpoints)
+		for id, n := range got {
+			share := float64(n) / mean
+			assert.Assert(t, share > 0.65 && share < 1.35, "%d routers, %d endpoints: %s has %.2f of the mean", test.routers, test.endpoints, id, share)
+		}
+	}
+}
+
+// Near only orders the endpoints: behind the few come all others, and a longer
+// list begins like a shorter one.
+func TestNearLeavesNoEndpointOut(t *testing.T) {
+	s := NewSet(testEndpoints(30))
+	all := ids(s.Near(nil, testPool, 7, 9, 3, 30))
+	assert.Equal(t, len(lo.Uniq(all)), 30)
+	for limit := range 30 {
+		assert.DeepEqual(t, ids(s.Near(nil, testPool, 7, 9, 3, limit)), all[:limit])
+	}
+	other := ids(s.Near(nil, testPool, 7, 10, 3, 30))
+	assert.DeepEqual(t, lo.Uniq(append(other[:3:3], all[:3]...)), other[:3])
+	assert.DeepEqual(t, other[3:], all[3:])
+	assert.DeepEqual(t, ids(s.Near(nil, testPool, 7, 9, 30, 6)), ids(s.Candidates(nil, testPool, 9, 0, 6)))
+	assert.Equal(t, len(s.Near(nil, "none", 7, 9, 3, 6)), 0)
+}
+
+// dials counts the connections that requests need of which each holds one, and
+// of which one that was unused for too long does not serve again.
+type dials struct {
+	requests, made int
+	unused         map[coordination.Instance]map[coordination.Endpoint][]time.Time
+}
+
+func (d *dials) take(now time.Time, r coordination.Instance, e coordination.Endpoint) {
+	d.requests++
+	if d.unused[r] == nil {
+		d.unused[r] = make(map[coordination.Endpoint][]time.Time)
+	}
+	all := d.unused[r][e]
+	if n := len(all); n > 0 && now.Sub(all[n-1]) <= reusable {
+		d.unused[r][e] = all[:n-1]
+		return
+	}
+	d.made++
+}
+
+func (d *dials) give(now time.Time, r coordination.Instance, e coordination.Endpoint) {
+	d.unused[r][e] = append(d.unused[r][e], now)
+}
+
+// trickle plays requests of 60 ms that have nothing cached, one every tenth of a
+// second at some router.
+func (f *fleet) trickle(t *testing.T, routers []Router, affine bool) dials {
+	d := dials{unused: make(map[coordination.Instance]map[coordination.Endpoint][]time.Time)}
+	affinities := make([]Affinity, len(routers))
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 300 {
+		n := rng.IntN(len(routers))
+		id := routers[n].ID
+		req := Request{Pool: testPool, Key: Key(rng.Uint64())}
+		if affine {
+			req.Near, req.Width = KeyOf(coordination.Chat(id)), affinities[n].Width(time.Now(), testPool, reusable)
+		}
+		g, refusal := f.nodes[id].entry.Acquire(t.Context(), req)
+		assert.Assert(t, g != nil, "%v", refusal)
+		d.take(time.Now(), id, g.Endpoint.ID)
+		time.Sleep(60 * time.Millisecond)
+		d.give(time.Now(), id, g.Endpoint.ID)
+		g.Release()
+		time.Sleep(40 * time.Millisecond)
+	}
+	return d
+}
+
+// Each router of a large fleet gets about one request a second for a pool of ten
+// endpoints. Spread over all of them, nearly every request needs a new
+// connection.
+func TestFewRequestsReuseConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		routers := testRouters(8)
+		f := newFleet(routers, testEndpoints(10), Config{Slack: 2})
+		defer f.start()()
+		time.Sleep(2 * time.Second)
+		spread, affine := f.trickle(t, routers, false), f.trickle(t, routers, true)
+		t.Logf("new connections for %d requests: %d spread over all, %d with affinity", affine.requests, spread.made, affine.made)
+		assert.Assert(t, affine.made*2 < spread.made, "%d connections for %d requests, %d when spread", affine.made, affine.requests, spread.made)
+		assert.Assert(t, affine.made*2 < affine.requests, "%d connections for %d requests", affine.made, affine.requests)
+	})
+}
+
+// One router gets all the requests. Its few endpoints must not run more than their
+// bound while the others idle.
+func TestBoundHoldsForAHotRouter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bound := PoolBound{Bound: 1.25, Slack: 2}
+		f := newFleet(testRouters(8), testEndpoints(10), Config{Bound: bound.Bound, Slack: bound.Slack})
+		defer f.start()()
+		time.Sleep(2 * time.Second)
+		running := make(map[coordination.Endpoint]int)
+		for n := range 120 {
+			g, refusal := f.nodes["r0"].entry.Acquire(t.Context(), Request{
+				Pool: testPool, Key: KeyOf(coordination.Chat(fmt.Sprint(n))), Near: 7, Width: leastAffinity,
+			})
+			assert.Assert(t, g != nil, "request %d: %v", n, refusal)
+			running[g.Endpoint.ID]++
+			limit := bound.limit(float64(n+1) / 10)
+			assert.Assert(t, running[g.Endpoint.ID] <= limit, "%s runs %d, its bound is %d", g.Endpoint.ID, running[g.Endpoint.ID], limit)
+		}
+	})
+}
--- a/coordination/placement/candidates.go
+++ b/coordination/placement/candidates.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -152,6 +153,33 @@
 	return dst
 }
 
+// Near appends to dst up to limit endpoints of a pool in the order in which a
+// request that may run anywhere should try them: first width endpoints that are
+// the same for all keys, chosen by rendezvous hashing with near, in the order of
+// the request's key; then the others in the order of near. Each near, such as a
+// router's, has its own, so that all endpoints are chosen equally often.
+func (s *Set) Near(dst []*Descriptor, name coordination.Pool, near, key Key, width, limit int) []*Descriptor {
+	p := s.pools[name]
+	if p == nil || width >= len(p.endpoints) {
+		return s.Candidates(dst, name, key, 0, limit)
+	}
+	var buf [inlineCandidates]scored
+	best := buf[:0]
+	if n := max(width, limit); n > len(buf) {
+		best = make([]scored, 0, n)
+	}
+	best = p.selectBest(best, near, -1, max(width, limit))
+	first := best[:width]
+	for i, c := range first {
+		first[i].score = p.score(mix(p.hashes[c.index], uint64(key)), c.index)
+	}
+	slices.SortFunc(first, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
+	for _, c := range best[:min(limit, len(best))] {
+		dst = append(dst, p.endpoints[c.index])
+	}
+	return dst
+}
+
 // selectBest fills best with the limit best endpoints but skip, in order. It is
 // an insertion into a short sorted list, since a request seldom needs more
 // than a few of several hundred.
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -12,6 +12,8 @@
 	Pool     coordination.Pool
 	Key      Key  // of the chat, or of the content of a request without one
 	Hint     Hint // where the chat is warm
+	Near     Key  // of the router, as in [Set.Near]
+	Width    int  // as in [Set.Near]; zero if the endpoint should be that of Key
 	Account  coordination.Account
 	Priority coordination.Priority
 
@@ -105,10 +107,18 @@
 func newWalk(now time.Time, req Request, cfg *Config, set *Set, routers *Routers) *walk {
 	w := &walk{req: req, cfg: cfg, set: set, routers: routers, started: now, at: -1, sent: -1}
 	w.warm = set.Warm(req.Pool, req.Hint)
-	w.list = set.Candidates(w.buf[:0], req.Pool, req.Key, req.Hint, cfg.Candidates)
+	w.list = w.candidates(w.buf[:0], cfg.Candidates)
 	return w
 }
 
+// candidates appends to dst the first endpoints that the request should try.
+func (w *walk) candidates(dst []*Descriptor, limit int) []*Descriptor {
+	if w.req.Width > 0 {
+		return w.set.Near(dst, w.req.Pool, w.req.Near, w.req.Key, w.req.Width, limit)
+	}
+	return w.set.Candidates(dst, w.req.Pool, w.req.Key, w.req.Hint, limit)
+}
+
 // next returns the next question, or false and why there is none.
 func (w *walk) next(now time.Time) (ask, Refusal, bool) {
 	deadline, late := w.remaining(now)
@@ -181,7 +191,7 @@
 		v := w.latest()
 		w.set, w.routers = v.set, v.routers
 		w.warm = w.set.Warm(w.req.Pool, w.req.Hint)
-		w.list = w.set.Candidates(w.list[:0], w.req.Pool, w.req.Key, w.req.Hint, w.cfg.Candidates)
+		w.list = w.candidates(w.list[:0], w.cfg.Candidates)
 	}
 	w.sent = -1
 	w.stage, w.at, w.full = asking, -1, 0
@@ -259,7 +269,7 @@
 	if len(w.list) >= n || len(w.list) > 0 && !w.other && w.full > 0 {
 		return false
 	}
-	w.list = w.set.Candidates(w.list[:0], w.req.Pool, w.req.Key, w.req.Hint, min(2*len(w.list), n))
+	w.list = w.candidates(w.list[:0], min(2*len(w.list), n))
 	return true
 }
 
--- a/wisteriarouter/daemon/relay_placing.go
+++ b/wisteriarouter/daemon/relay_placing.go
@@ -21,6 +21,7 @@
 	"wisteriaspool/wisteriarouter/event"
 	"wisteriaspool/wisteriarouter/peer"
 	"wisteriaspool/wisteriarouter/relay"
+	"wisteriaspool/wisteriarouter/upstream"
 )
 
 // newRelayPlacing makes placing for endpoints that are not asked for their
@@ -77,10 +78,21 @@
 	*placing
 	holders atomic.Pointer[placement.Holders]
 	watched outlier.Watch
+
+	near     placement.Key // this router's
+	affinity placement.Affinity
+	conns    reuser
+}
+
+// reuser tells for how long connections to a group of endpoints can be used
+// again.
+type reuser interface {
+	Reusable(group string) time.Duration
 }
 
 func newRelayPlacer(i do.Injector) (*relayPlacer, error) {
-	p := &relayPlacer{placing: do.MustInvoke[*placing](i)}
+	p := &relayPlacer{placing: do.MustInvoke[*placing](i), conns: do.MustInvoke[*upstream.Client](i)}
+	p.near = placement.KeyOf(coordination.Chat(p.self))
 	p.observe(p.list)
 	return p, nil
 }
@@ -106,6 +118,10 @@
 		Once:     w.Once,
 		Now:      w.Now,
 	}
+	if !w.Cached {
+		req.Near = p.near
+		req.Width = p.affinity.Width(time.Now(), w.Pool, p.conns.Reusable(string(w.Pool)))
+	}
 	g, k, refusal := p.acquire(ctx, req, w.Start)
 	if refusal != nil {
 		return relay.Place{}, refusal
--- a/wisteriarouter/daemon/relay_test.go
+++ b/wisteriarouter/daemon/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -359,3 +360,20 @@
 		assert.NilError(t, s.send(n%2, "/resumable/innocent").err)
 	}
 }
+
+// A router gets a few requests a second for a pool of ten endpoints. Sent to all of
+// them, each would need a new connection.
+func TestRelayKeepsToAFewEndpoints(t *testing.T) {
+	s := newSite(t, 1, 10, 0)
+	for n := range 24 {
+		assert.Equal(t, s.send(0, fmt.Sprintf("/safe/%d", n)).status, 200)
+		time.Sleep(100 * time.Millisecond)
+	}
+	met := 0
+	for _, r := range s.replicas {
+		if len(r.Arrivals()) > 0 {
+			met++
+		}
+	}
+	assert.Assert(t, met >= 2 && met <= 6, "%d endpoints were met", met)
+}
--- a/wisteriarouter/upstream/upstream.go
+++ b/wisteriarouter/upstream/upstream.go
@@ -166,6 +166,12 @@
 	return resp, nil
 }
 
+// Reusable returns for how long a connection to an endpoint of a group may be
+// unused until a request that runs once needs a new one.
+func (c *Client) Reusable(group string) time.Duration {
+	return c.trust.longest(group, true, c.cfg.OnceIdle, c.cfg.Idle)
+}
+
 // aliveTimeout is how long an endpoint has to take a connection. A process that
 // has died refuses it at once; a machine without power does not answer.
 const aliveTimeout = 250 * time.Millisecond
