--- a/coordination/placement/affinity.go
+++ b/coordination/placement/affinity.go
@@ -19,8 +19,8 @@
 
 const (
 	// meetings is how many requests an endpoint should get, in the mean, while
-	// a connection to it can be used again: one in seven then comes too late.
-	meetings = 2
+	// a connection to it can be used again: one in fifty then comes too late.
+	meetings = 4
 	// leastAffinity is the least number of endpoints: what fails at one is
 	// judged by how the others fare.
 	leastAffinity = 2
