Affinity: a small pool is not divided

Eight routers before three endpoints kept to two each, which leaves one endpoint with far fewer routers than another, and a router with one other endpoint to judge a failure by. Over half of a pool saves hardly a connection; the request goes to any endpoint then, as before.

--- a/coordination/placement/affinity_test.go
+++ b/coordination/placement/affinity_test.go
@@ -84,6 +84,17 @@
 	}
 }
 
+// A pool of three before eight routers: two endpoints for each router would leave
+// one endpoint with far fewer routers than the others.
+func TestSmallPoolIsNotDivided(t *testing.T) {
+	s := NewSet(testEndpoints(3))
+	for near := range Key(8) {
+		for key := range Key(20) {
+			assert.DeepEqual(t, ids(s.Near(nil, testPool, near, key, leastAffinity, 3)), ids(s.Candidates(nil, testPool, key, 0, 3)))
+		}
+	}
+}
+
 // Near only orders the endpoints: behind the few come all others, and a longer
 // list begins like a shorter one.
 func TestNearLeavesNoEndpointOut(t *testing.T) {
@@ -96,7 +107,7 @@
 	other := ids(s.Near(nil, testPool, 7, 10, 3, 30))
 	assert.DeepEqual(t, lo.Uniq(append(other[:3:3], all[:3]...)), other[:3])
 	assert.DeepEqual(t, other[3:], all[3:])
-	assert.DeepEqual(t, ids(s.Near(nil, testPool, 7, 9, 30, 6)), ids(s.Candidates(nil, testPool, 9, 0, 6)))
+	assert.DeepEqual(t, ids(s.Near(nil, testPool, 7, 9, 16, 6)), ids(s.Candidates(nil, testPool, 9, 0, 6)))
 	assert.Equal(t, len(s.Near(nil, "none", 7, 9, 3, 6)), 0)
 }
 
