placement: a question that was not answered is asked again under another number

A question to an owner that is not answered in 0.1 s, as behind a lost packet, is withdrawn by a release. The owner remembers releases for 30 s, so that one which overtakes its request does not leave a grant behind. A request that waited for a new mean asked the same owner again under the same sequence number, and the owner took it for the withdrawn one.

A question that failed now leaves its number behind. The test fails before with "refused".

--- a/coordination/placement/entry.go
+++ b/coordination/placement/entry.go
@@ -130,9 +130,11 @@
 	m.Releases = e.held.take(a.owner)
 	r, err := e.call(ctx, a, m, cfg)
 	if err != nil {
-		// The owner may have granted, so it is told that nobody uses it.
+		// The owner may have granted, so it is told that nobody uses it. What
+		// follows goes by another name, or the owner would take it for the same.
 		e.held.giveBack(a.owner, m.Releases)
 		e.held.giveBack(a.owner, []Release{{Endpoint: a.endpoint.ID, Sequence: g.sequence}})
+		e.held.renew(g)
 		if ctx.Err() != nil {
 			return AdmitReply{Decision: Refused, Code: Cancelled}
 		}
--- a/coordination/placement/grants.go
+++ b/coordination/placement/grants.go
@@ -106,10 +106,24 @@
 func (t *grantTable) open(e *Entry, alone bool) *Grant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	g := &Grant{entry: e, alone: alone}
+	t.number(g)
+	return g
+}
+
+// number gives a grant the next sequence number. The caller holds t.mu.
+func (t *grantTable) number(g *Grant) {
 	t.last++
-	g := &Grant{entry: e, sequence: t.last, alone: alone}
+	g.sequence = t.last
 	t.grants[g.sequence] = g
-	return g
+}
+
+// renew gives a grant that is not granted another sequence number.
+func (t *grantTable) renew(g *Grant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.grants, g.sequence)
+	t.number(g)
 }
 
 // aim notes which owner is asked for the grant, and for which endpoint.
--- /dev/null
+++ b/coordination/placement/unanswered_test.go
@@ -0,0 +1,59 @@
+package placement
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+)
+
+// lossyOwner is a transport to one owner that loses the answers to the first
+// admissions.
+type lossyOwner struct {
+	owner *Owner
+	lost  int
+}
+
+func (l *lossyOwner) Call(ctx context.Context, _ coordination.Instance, topic string, payload []byte) ([]byte, error) {
+	if topic == TopicRelease {
+		return l.owner.HandleRelease(ctx, payload)
+	}
+	b, err := l.owner.HandleAdmit(ctx, payload)
+	if topic == TopicAdmit && l.lost > 0 {
+		l.lost--
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return b, err
+}
+
+// An owner's answer is lost, and the request asks it again a moment later. The
+// owner has been told that nobody uses the first grant, and refuses the request for
+// good if the second question looks the same.
+func TestRequestAsksAgainAfterALostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := NewOwner("other", Config{})
+		set := NewSet([]Descriptor{{ID: "a", Pool: "p", Zone: "z"}})
+		routers := NewRouters([]Router{{ID: "other", Zone: "z"}}, 0)
+		o.Update(set, routers)
+		l := &lossyOwner{owner: o, lost: 1}
+		e := NewEntry(EntryID{Instance: "self", Incarnation: 1}, NewOwner("self", Config{}), l, nil, Config{})
+		e.Update(set, routers)
+		time.Sleep(2 * time.Second) // until the owner has settled
+
+		g := e.held.open(e, false)
+		a := ask{endpoint: set.Find("a"), owner: "other"}
+		cfg := e.cfg.Load()
+		assert.Equal(t, e.put(t.Context(), g, Request{Pool: "p"}, a, cfg).Code, Unreachable)
+		e.Tick(t.Context())
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, e.put(t.Context(), g, Request{Pool: "p"}, a, cfg).Decision, Granted)
+		g.Release()
+		e.Tick(t.Context())
+		assert.Equal(t, len(o.shard("a").loads["a"].grants), 0)
+	})
+}
