placement: a router that decides without an owner keeps off endpoints that it knows to be dead

Four of nine engines die in a surge and stay listed for three seconds. An owner that leaves a question unanswered for 0.1 s, as every lost packet makes it do, is not asked for a while, and the router places without it, up to three requests at an endpoint.

A router now remembers for as long as an owner does which endpoints it has found dead itself, or heard so from their owner, and places nothing blindly there. The test fails before.

--- a/coordination/placement/entry.go
+++ b/coordination/placement/entry.go
@@ -141,6 +141,9 @@
 		e.fallback.lost(time.Now(), a.owner)
 		return e.decideAlone(ctx, g, a, cfg)
 	}
+	if r.Code == Lost {
+		e.fallback.bury(time.Now(), lostOf(a.endpoint), cfg.LostFor)
+	}
 	e.settle(g, a, r)
 	return r
 }
@@ -181,7 +184,9 @@
 // Lost tells the owner of an endpoint that this router has found it dead, so
 // that others do not run into it before their lists say so.
 func (e *Entry) Lost(ctx context.Context, d Descriptor) {
-	b := ReleaseBatch{Entry: e.id, Lost: []LostEndpoint{{Endpoint: d.ID, Incarnation: d.Incarnation}}}
+	lost := lostOf(&d)
+	e.fallback.bury(time.Now(), lost, e.cfg.Load().LostFor)
+	b := ReleaseBatch{Entry: e.id, Lost: []LostEndpoint{lost}}
 	to := e.view.Load().routers.Owner(d.ID, d.Zone)
 	if to == e.id.Instance {
 		e.local.Release(b)
--- a/coordination/placement/fallback.go
+++ b/coordination/placement/fallback.go
@@ -14,6 +14,7 @@
 	mu     sync.Mutex
 	mute   map[coordination.Instance]time.Time // owners that did not answer
 	limits map[coordination.Pool]learnedLimit
+	dead   map[LostEndpoint]time.Time // when this entry last found each of them dead
 }
 
 // learnedLimit is the number of requests that an owner last let an endpoint of
@@ -73,6 +74,29 @@
 	return 0
 }
 
+// bury notes that this entry has found an endpoint dead.
+func (t *fallbackTable) bury(now time.Time, e LostEndpoint, ttl time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.dead == nil {
+		t.dead = make(map[LostEndpoint]time.Time)
+	}
+	for other, at := range t.dead {
+		if now.Sub(at) >= ttl {
+			delete(t.dead, other)
+		}
+	}
+	t.dead[e] = now
+}
+
+// isDead reports whether this entry has found an endpoint dead of late.
+func (t *fallbackTable) isDead(now time.Time, e LostEndpoint, ttl time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.dead[e]
+	return ok && now.Sub(at) < ttl
+}
+
 // decideAlone decides without the owner: by the endpoint's own report, a
 // tightened bound, and only this router's share of what is left under it,
 // since the other routers cannot reach the owner either and see the same
@@ -81,6 +105,9 @@
 func (e *Entry) decideAlone(ctx context.Context, g *Grant, a ask, cfg *Config) AdmitReply {
 	declined := AdmitReply{Decision: Next, Code: Unreachable}
 	if e.loads == nil {
+		if e.fallback.isDead(time.Now(), lostOf(a.endpoint), cfg.LostFor) {
+			return AdmitReply{Decision: Next, Code: Lost}
+		}
 		return e.decideBlind(g, cfg)
 	}
 	limit := e.fallback.limit(time.Now(), a.endpoint.Pool)
--- a/coordination/placement/messages.go
+++ b/coordination/placement/messages.go
@@ -188,6 +188,11 @@
 	Incarnation coordination.Incarnation
 }
 
+// lostOf returns the name of a dead incarnation of an endpoint.
+func lostOf(d *Descriptor) LostEndpoint {
+	return LostEndpoint{Endpoint: d.ID, Incarnation: d.Incarnation}
+}
+
 // ReleaseBatch ends grants of one entry, and tells of endpoints that it found
 // dead.
 type ReleaseBatch struct {
--- a/coordination/placement/unanswered_test.go
+++ b/coordination/placement/unanswered_test.go
@@ -57,3 +57,21 @@
 		assert.Equal(t, len(o.shard("a").loads["a"].grants), 0)
 	})
 }
+
+// Endpoints are dead and stay listed, and their owner does not answer. A router that
+// has seen that they are dead must not take them for idle.
+func TestEntryPlacesNothingBlindlyAtTheDead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := Config{AloneLimit: 3, LostFor: time.Second}
+		e := NewEntry(EntryID{Instance: "self", Incarnation: 1}, NewOwner("self", cfg), silentOwner{}, nil, cfg)
+		set := NewSet([]Descriptor{{ID: "dead", Pool: "p", Zone: "z"}})
+		e.Update(set, NewRouters([]Router{{ID: "other", Zone: "z"}}, 0))
+		e.Lost(t.Context(), *set.Find("dead"))
+		g, r := e.Acquire(t.Context(), Request{Pool: "p", Key: 1})
+		assert.Assert(t, g == nil)
+		assert.Equal(t, r.Code, Lost)
+		time.Sleep(time.Second)
+		g, _ = e.Acquire(t.Context(), Request{Pool: "p", Key: 1})
+		assert.Assert(t, g != nil, "it may be back")
+	})
+}
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -304,7 +304,7 @@
 		w.outlier()
 	case Lost:
 		w.other = true
-		w.lost = append(w.lost, LostEndpoint{Endpoint: a.endpoint.ID, Incarnation: a.endpoint.Incarnation})
+		w.lost = append(w.lost, lostOf(a.endpoint))
 	default:
 		w.other = true
 	}
