platform: a rank is a priority the other way round

The platform's first rank is 0; in the queues of this fleet a higher priority goes first. Ranks were taken for priorities as they came, so that the least urgent requests went before the most urgent ones wherever requests waited, by four requests of an account's share for each step. Engines were told the right rank.

The rank is turned round where the platform's words are translated, both ways.

--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -125,7 +125,7 @@
 	}
 	f.Fetch = p.Cache
 	if x.route.Sticky {
-		f.Urgent, f.Urgency = true, min(max(int(x.rank), 0), leastUrgent)
+		f.Urgent, f.Urgency = true, platform.Urgency(x.rank)
 	}
 	f.Apply(h)
 	return &upstream.Request{
@@ -140,9 +140,6 @@
 	}
 }
 
-// leastUrgent is the last rank that endpoints know.
-const leastUrgent = 9
-
 // mine reports whether an answer is to this request. A refusal may come
 // without the request's id, but not behind another answer.
 func (x *exchange) mine(status int, h http.Header) bool {
