route: between accounts of one rank the route's rank decides

A client account's rank goes before the route's. It took its place: where accounts have ranks, the most urgent kind waited and was preempted like the least urgent one.

Ranks are now compared in order, the account's first.

--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -103,7 +103,7 @@
 // Tenant is a client account that holds keys.
 type Tenant struct {
 	Account  coordination.Account
-	Priority *coordination.Priority // goes before the route's; nil if the account has none
+	Priority *coordination.Priority // goes before the route's, see [Table.Priority]; nil if the account has none
 }
 
 // State is one version of the desired state in full.
@@ -122,6 +122,8 @@
 type Table struct {
 	State
 	hosts map[string][]*Route // by host, the longest prefix first
+
+	lowest, highest coordination.Priority // of the routes
 }
 
 // NewTable returns the table of a state.
@@ -130,6 +132,10 @@
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+		if i == 0 {
+			t.lowest, t.highest = r.Priority, r.Priority
+		}
+		t.lowest, t.highest = min(t.lowest, r.Priority), max(t.highest, r.Priority)
 	}
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -137,6 +143,17 @@
 	return t
 }
 
+// Priority returns the priority of a request on a route, for a client account
+// whose own priority is own, or nil if it has none. The account's goes before the
+// route's: between requests of accounts of the same priority the route's decides.
+func (t *Table) Priority(r *Route, own *coordination.Priority) coordination.Priority {
+	first := r.Priority
+	if own != nil {
+		first = *own
+	}
+	return first*(t.highest-t.lowest+1) + r.Priority - t.highest
+}
+
 // Match returns the route of a request: among those of its host the one with
 // the longest prefix of its path. It returns nil if there is none.
 func (t *Table) Match(host, path string) *Route {
--- a/coordination/route/route_test.go
+++ b/coordination/route/route_test.go
@@ -47,6 +47,25 @@
 	assert.Assert(t, (&route.Table{}).Match("a.example", "/x/") == nil)
 }
 
+// An account has a priority of its own. Were the routes' priorities of no account
+// then, its most urgent requests would wait behind its least urgent ones.
+func TestAccountsPriorityGoesBeforeTheRoutes(t *testing.T) {
+	urgent, plain := to("urgent", "a.example", "/u/"), to("plain", "a.example", "/p/")
+	plain.Priority = -2
+	routes := table(urgent, plain)
+	high, low := coordination.Priority(0), coordination.Priority(-1)
+	order := []coordination.Priority{
+		routes.Priority(&urgent, &high),
+		routes.Priority(&plain, &high),
+		routes.Priority(&urgent, &low),
+		routes.Priority(&plain, &low),
+	}
+	for i := range len(order) - 1 {
+		assert.Assert(t, order[i] > order[i+1], "%v", order)
+	}
+	assert.Assert(t, routes.Priority(&urgent, nil) > routes.Priority(&plain, nil))
+}
+
 func TestSplitFollowsWeights(t *testing.T) {
 	r := route.Route{Shares: []route.Share{{Pool: "a", Weight: 90}, {Pool: "b", Weight: 10}}}
 	got := map[coordination.Pool]int{}
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -83,7 +83,7 @@
 		return false
 	}
 	x.pool = x.route.Pool(xxhash.Sum64String(string(x.asked.Attempt)))
-	x.rank = x.route.Priority
+	x.rank = x.table.Priority(x.route, nil)
 	x.until = x.limit()
 	return true
 }
@@ -111,9 +111,7 @@
 		return false
 	}
 	x.account = tenant.Account
-	if tenant.Priority != nil {
-		x.rank = *tenant.Priority
-	}
+	x.rank = x.table.Priority(x.route, tenant.Priority)
 	return true
 }
 
