placement: requests that wait at an endpoint over its bound look elsewhere

Four engines came back after a surge had filled the other five. A waiting request was bound to its queue.

If the bound holds an endpoint's queue back although it has room, its requests are passed on, and look for a place as new ones do. The test fails before.

--- a/coordination/placement/admit.go
+++ b/coordination/placement/admit.go
@@ -216,7 +216,9 @@
 	return l.pass(now, Full, &w.req)
 }
 
-// dispatch grants to waiting requests what the endpoint can take.
+// dispatch grants to waiting requests what the endpoint can take. If its bound
+// holds them back, although it has room, others of the pool carry less: the
+// requests look for a place there.
 func (l *endpointLoad) dispatch(now time.Time, cfg *Config) {
 	l.swept = now
 	for l.queue.size > 0 {
@@ -228,6 +230,7 @@
 		}
 		limit, ok := l.grant(now, w.id, w.req.Alone, cfg)
 		if !ok {
+			l.passOn(OverBound)
 			break
 		}
 		l.queue.serve(w)
--- /dev/null
+++ b/coordination/placement/move_test.go
@@ -0,0 +1,52 @@
+package placement
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// All endpoints are full, and others come back that idle. The bound of the full
+// ones falls with the pool's mean, and who waits there would wait until they carry
+// hardly more than the mean.
+func TestWaitingRequestMovesToIdleEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		es := testEndpoints(4)
+		for i := range es {
+			es[i].Capacity, es[i].Zone = 8, "z"
+		}
+		o := NewOwner("self", Config{})
+		e := NewEntry(EntryID{Instance: "self", Incarnation: 1}, o, silentOwner{}, nil, Config{})
+		routers := NewRouters([]Router{{ID: "self", Zone: "z"}}, 0)
+		o.Update(NewSet(es[:1]), routers)
+		e.Update(NewSet(es[:1]), routers)
+		time.Sleep(2 * time.Second) // until the owner has settled
+		var running []*Grant
+		for range 8 {
+			g, _ := e.Acquire(t.Context(), Request{Pool: testPool, Key: 1})
+			running = append(running, g)
+		}
+		placed := make(chan *Grant, 1)
+		go func() {
+			g, _ := e.Acquire(t.Context(), Request{Pool: testPool, Key: 1})
+			placed <- g
+		}()
+		time.Sleep(time.Second)
+		o.Update(NewSet(es), routers)
+		e.Update(NewSet(es), routers)
+		time.Sleep(2 * time.Second)
+		running[0].Release()
+		time.Sleep(100 * time.Millisecond)
+		select {
+		case g := <-placed:
+			assert.Assert(t, g != nil && g.Endpoint.ID != "e0")
+		default:
+			t.Error("it waits at the full endpoint")
+		}
+		for _, g := range running[1:] {
+			g.Release()
+		}
+	})
+}
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -295,6 +295,10 @@
 		w.full++
 		w.offer(a, r.RetryAfter)
 	case OverBound, Settling:
+		if w.stage == queueing {
+			w.restart()
+			return false
+		}
 		w.other, w.over = true, true
 		w.offer(a, r.RetryAfter)
 	case NotOwner:
