placement: requests that wait for a new mean ask again at growing intervals

Questions then met lost packets by the dozen, and owners that did not answer in time were done without.

The pause doubles with each round, to 0.8 s.

--- /dev/null
+++ b/coordination/placement/pause_test.go
@@ -0,0 +1,45 @@
+package placement
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+)
+
+// overBound is a transport to owners whose endpoints are all over their bound.
+type overBound struct {
+	asked atomic.Int32
+}
+
+func (o *overBound) Call(_ context.Context, _ coordination.Instance, _ string, payload []byte) ([]byte, error) {
+	m, err := DecodeAdmitRequest(payload)
+	if err != nil {
+		return nil, err
+	}
+	o.asked.Add(1)
+	time.Sleep(m.Wait.Duration())
+	return AdmitReply{Decision: Next, Code: OverBound, RetryAfter: 100}.Encode(), nil
+}
+
+// Hundreds of requests wait for a new mean for seconds. Asking all candidates after
+// each exchange of sums they put 40,000 questions a second to eight routers, and
+// owners that were well did not answer in time.
+func TestWaitingForANewMeanAsksLessAndLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &overBound{}
+		e := NewEntry(EntryID{Instance: "self", Incarnation: 1}, NewOwner("self", Config{}), o, nil, Config{})
+		e.Update(NewSet(testEndpoints(9)), NewRouters([]Router{{ID: "other", Zone: "a"}}, 0))
+		g, r := e.Acquire(t.Context(), Request{Pool: testPool, Key: 1, Deadline: 4 * time.Second})
+		assert.Assert(t, g == nil)
+		assert.Equal(t, r.Code, Deadline)
+		asked := int(o.asked.Load())
+		t.Logf("%d questions in 4 s", asked)
+		assert.Assert(t, asked < 100, "%d questions", asked)
+	})
+}
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -152,8 +152,9 @@
 	a := w.ask(d, deadline)
 	if w.over {
 		w.stage = pausing
-		w.resume = now.Add((&view{set: w.set, routers: w.routers}).sumInterval())
-		a.wait = millis((&view{set: w.set, routers: w.routers}).sumInterval())
+		pause := w.pauseTime()
+		w.resume = now.Add(pause)
+		a.wait = millis(pause)
 		return a
 	}
 	w.stage = queueing
@@ -161,6 +162,24 @@
 	return a
 }
 
+// longestPause bounds the time for which a request waits for a new mean.
+const longestPause = 800 * time.Millisecond
+
+// pauseTime returns for how long a request waits for a new mean: for an exchange of
+// sums, and twice as long in each round after. Under a load that lasts, hundreds of
+// requests wait, and would put to their candidates, after each exchange, more
+// questions than owners answer in time.
+func (w *walk) pauseTime() time.Duration {
+	d := (&view{set: w.set, routers: w.routers}).sumInterval()
+	for range w.rounds {
+		if 2*d > longestPause {
+			break
+		}
+		d *= 2
+	}
+	return d
+}
+
 // maxRounds ends a walk that goes round without waiting, which would spin.
 const maxRounds = 200
 
