placement: requests that can still meet their objective go first in queues

In a surge requests waited in the order of arrival within their account, until all were late: median 0.9 s in the queue and 0.5 s at the engine, where the objective is 0.8 to 1 s.

An owner is told how long a request has until its answer should begin. Half of that may pass in the queue; requests that are beyond it go after the others, by the same fair order. No one starves by it: each request is fresh when it comes, and among the fresh each account has its share.

--- a/coordination/placement/admit.go
+++ b/coordination/placement/admit.go
@@ -168,7 +168,7 @@
 // pass returns the answer that sends a request on to its next candidate. It
 // tells how long the request would wait here, by its account's share.
 func (l *endpointLoad) pass(now time.Time, code Code, req *AdmitRequest) AdmitReply {
-	wait := time.Duration(l.queue.aheadOf(req)+1) * l.service.gap(now, len(l.grants))
+	wait := time.Duration(l.queue.aheadOf(now, req)+1) * l.service.gap(now, len(l.grants))
 	return AdmitReply{Decision: Next, Code: code, RetryAfter: millis(wait)}
 }
 
@@ -177,6 +177,10 @@
 	return time.Duration(l.queue.size+1) * l.service.gap(now, len(l.grants))
 }
 
+// startShare is the part of the time to its objective, as a divisor, within which
+// a request has to start to meet it. The endpoint needs the rest.
+const startShare = 2
+
 // enqueue lets a request wait, unless it cannot start in time.
 func (l *endpointLoad) enqueue(now time.Time, id GrantID, req AdmitRequest, cfg *Config) (AdmitReply, *waiter) {
 	w := &waiter{req: req, id: id, arrived: now, done: make(chan AdmitReply, 1)}
@@ -186,6 +190,9 @@
 	if d := req.Deadline.Duration(); d > 0 && d < cfg.MaxWait {
 		w.deadline = now.Add(d)
 	}
+	if t := req.Target.Duration(); t > 0 {
+		w.freshBy = now.Add(t / startShare)
+	}
 	if !req.Final {
 		w.passAt = now.Add(min(req.Wait.Duration(), cfg.MaxWait))
 	}
@@ -222,7 +229,7 @@
 func (l *endpointLoad) dispatch(now time.Time, cfg *Config) {
 	l.swept = now
 	for l.queue.size > 0 {
-		w := l.queue.next(func(w *waiter) bool {
+		w := l.queue.next(now, func(w *waiter) bool {
 			return l.fits(now, w.req.Alone, cfg) == None
 		})
 		if w == nil {
@@ -251,7 +258,7 @@
 			l.pruneHeldBack(now, w)
 			continue
 		}
-		start := now.Add(time.Duration(l.queue.ahead(w)+1) * gap)
+		start := now.Add(time.Duration(l.queue.ahead(now, w)+1) * gap)
 		if !start.Before(w.deadline) {
 			l.queue.remove(w)
 			w.settle(l.refusal(now, Deadline))
--- a/coordination/placement/entry.go
+++ b/coordination/placement/entry.go
@@ -118,6 +118,7 @@
 		Alone:       req.Alone,
 		Once:        req.Once,
 		Insist:      a.insist,
+		Target:      a.target,
 	}
 	if a.owner == e.id.Instance {
 		r := e.local.Admit(ctx, m)
--- a/coordination/placement/messages.go
+++ b/coordination/placement/messages.go
@@ -86,6 +86,10 @@
 	// Seen tells for each of Releases what the request showed of its endpoint.
 	// It is empty if none showed anything.
 	Seen []outlier.Weight `cbor:"14,keyasint,omitempty"`
+
+	// Target is the time left until the answer has to begin to be on time. Zero
+	// means no objective.
+	Target Millis `cbor:"15,keyasint,omitempty"`
 }
 
 // Decision is an owner's answer to a request for a grant.
--- a/coordination/placement/queue.go
+++ b/coordination/placement/queue.go
@@ -21,11 +21,17 @@
 	arrived  time.Time
 	order    uint64    // of arrival at the endpoint
 	deadline time.Time // zero for none
+	freshBy  time.Time // by when it has to start to meet its objective; zero for none
 	passAt   time.Time // when a request that is not final is passed on
 	done     chan AdmitReply
 	queued   bool
 }
 
+// stale reports whether the waiter can no longer meet its objective.
+func (w *waiter) stale(now time.Time) bool {
+	return !w.freshBy.IsZero() && !now.Before(w.freshBy)
+}
+
 // settle gives the waiter its answer.
 func (w *waiter) settle(r AdmitReply) { w.done <- r }
 
@@ -36,10 +42,9 @@
 	weight float64
 }
 
-// due returns the virtual time that ranks the item at index i of the flow.
-func (f *flow) due(i int) float64 {
-	ahead := priorityHeadStart * float64(f.items[i].req.Priority)
-	return f.start + float64(i)/f.weight - ahead
+// due returns the virtual time that ranks a request behind n others of the flow.
+func (f *flow) due(n int, p coordination.Priority) float64 {
+	return f.start + float64(n)/f.weight - priorityHeadStart*float64(p)
 }
 
 // fairQueue is a start-time fair queue over client accounts: under contention
@@ -101,16 +106,32 @@
 	q.forget(w.req.Account, f)
 }
 
-// next returns the request that is due first among those that fit, or nil.
-func (q *fairQueue) next(fits func(*waiter) bool) *waiter {
+// next returns the request that is due first among those that fit, or nil. Those
+// that can still meet their objective go before those that cannot: in the order of
+// arrival all would be late once the queue is longer than the objective.
+func (q *fairQueue) next(now time.Time, fits func(*waiter) bool) *waiter {
+	if w := q.first(now, false, fits); w != nil {
+		return w
+	}
+	return q.first(now, true, fits)
+}
+
+// first returns the request that is due first among the stale ones that fit, or
+// among the others.
+func (q *fairQueue) first(now time.Time, stale bool, fits func(*waiter) bool) *waiter {
 	var best *waiter
 	var first float64
 	for _, f := range q.flows {
-		for i, w := range f.items {
+		n := 0
+		for _, w := range f.items {
+			if w.stale(now) != stale {
+				continue
+			}
 			if !fits(w) {
+				n++
 				continue
 			}
-			due := f.due(i)
+			due := f.due(n, w.req.Priority)
 			if best == nil || due < first || due == first && w.order < best.order {
 				best, first = w, due
 			}
@@ -160,35 +181,67 @@
 }
 
 // ahead returns how many waiting requests go before w.
-func (q *fairQueue) ahead(w *waiter) int {
-	own := q.flows[w.req.Account]
-	place := slices.Index(own.items, w)
-	return place + q.before(own, own.due(place))
+func (q *fairQueue) ahead(now time.Time, w *waiter) int {
+	own, stale := q.flows[w.req.Account], w.stale(now)
+	place := 0
+	for _, other := range own.items[:slices.Index(own.items, w)] {
+		if other.stale(now) == stale {
+			place++
+		}
+	}
+	n := place + q.before(now, own, stale, own.due(place, w.req.Priority))
+	if stale {
+		n += q.count(now, false)
+	}
+	return n
 }
 
 // aheadOf returns how many waiting requests would go before a new one.
-func (q *fairQueue) aheadOf(req *AdmitRequest) int {
+func (q *fairQueue) aheadOf(now time.Time, req *AdmitRequest) int {
 	own := q.flows[req.Account]
 	due, place := q.now, 0
 	if own != nil {
-		place = len(own.items)
+		for _, w := range own.items {
+			if !w.stale(now) {
+				place++
+			}
+		}
 		due = max(own.start, q.now) + float64(place)/own.weight
 	}
-	return place + q.before(own, due-priorityHeadStart*float64(req.Priority))
+	return place + q.before(now, own, false, due-priorityHeadStart*float64(req.Priority))
 }
 
-// before returns how many requests of flows other than own are due by then.
-func (q *fairQueue) before(own *flow, due float64) int {
+// before returns how many requests of flows other than own are due by then, of the
+// stale ones or of the others.
+func (q *fairQueue) before(now time.Time, own *flow, stale bool, due float64) int {
 	n := 0
 	for _, f := range q.flows {
 		if f == own {
 			continue
 		}
-		for i := range f.items {
-			if f.due(i) > due {
+		place := 0
+		for _, w := range f.items {
+			if w.stale(now) != stale {
+				continue
+			}
+			if f.due(place, w.req.Priority) > due {
 				break
 			}
-			n++
+			place++
+		}
+		n += place
+	}
+	return n
+}
+
+// count returns how many waiting requests are stale, or are not.
+func (q *fairQueue) count(now time.Time, stale bool) int {
+	n := 0
+	for _, f := range q.flows {
+		for _, w := range f.items {
+			if w.stale(now) == stale {
+				n++
+			}
 		}
 	}
 	return n
--- /dev/null
+++ b/coordination/placement/rush_test.go
@@ -0,0 +1,273 @@
+package placement
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+)
+
+// stalls holds up all calls between two routers for a while, once in so many
+// calls, as a lost packet does to a connection.
+type stalls struct {
+	every int
+
+	mu    sync.Mutex
+	calls int
+	until map[[2]coordination.Instance]time.Time
+}
+
+const stallTime = 200 * time.Millisecond
+
+func (s *stalls) wait(from, to coordination.Instance) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	pair := [2]coordination.Instance{from, to}
+	if s.calls%s.every == 0 {
+		s.until[pair] = time.Now().Add(stallTime)
+	}
+	return time.Until(s.until[pair])
+}
+
+// stallingLink is the transport of one router over links that stall.
+type stallingLink struct {
+	link
+	stalls *stalls
+}
+
+// Call implements Transport.
+func (l stallingLink) Call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error) {
+	coordination.Sleep(ctx, l.stalls.wait(l.from, to))
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	return l.link.Call(ctx, to, topic, payload)
+}
+
+// rush is a load on a fleet whose endpoints run each request for a second. Some
+// of them die in its middle: they refuse connections, and stay listed.
+type rush struct {
+	*fleet
+	stalls *stalls
+	es     []Descriptor
+	perS   int
+	target time.Duration // of each request; zero for none
+
+	mu     sync.Mutex
+	down   map[coordination.Endpoint]bool
+	result rushResult
+}
+
+// rushResult is what callers got.
+type rushResult struct {
+	asked   int
+	inTime  int // sent to a live endpoint within rushObjective
+	late    int
+	refused int
+	urgent  int           // requests of the most urgent kind
+	first   int           // of these, in time
+	held    time.Duration // longest time until a refusal
+	unsent  int           // times that a caller was sent to a dead endpoint
+	calls   int           // between routers
+	worst   time.Duration
+}
+
+const (
+	rushTime      = 6 * time.Second
+	rushRouters   = 7
+	rushObjective = 500 * time.Millisecond
+	rushDeadline  = 4 * time.Second
+	rushTries     = 4
+	rushRefusal   = 30 * time.Millisecond // until a connection is refused
+)
+
+func newRush(endpoints, perS int) *rush {
+	s := &rush{
+		stalls: &stalls{every: 500, until: make(map[[2]coordination.Instance]time.Time)},
+		es:     testEndpoints(endpoints),
+		perS:   perS,
+		target: rushObjective,
+		down:   make(map[coordination.Endpoint]bool),
+	}
+	cfg := Config{
+		Bound: 1.8, Slack: 2, Ahead: 0.25, Grace: 250 * time.Millisecond, EntryLease: 3 * time.Second,
+		LostFor: time.Second, AloneLimit: 3,
+	}
+	for i := range s.es {
+		s.es[i].Capacity = 16
+	}
+	members := testRouters(rushRouters)
+	s.fleet = newFleet(members, s.es, cfg)
+	for _, m := range members {
+		n := s.nodes[m.ID]
+		l := stallingLink{link: link{fleet: s.fleet, from: m.ID}, stalls: s.stalls}
+		n.entry = NewEntry(EntryID{Instance: m.ID, Incarnation: m.Incarnation}, n.owner, l, nil, cfg)
+	}
+	s.list(s.es)
+	return s
+}
+
+// list gives all routers a list of endpoints.
+func (s *rush) list(es []Descriptor) {
+	set, routers := NewSet(es), NewRouters(testRouters(rushRouters), 0)
+	for _, n := range s.nodes {
+		n.update(set, routers)
+	}
+}
+
+func (s *rush) kill(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range n {
+		s.down[s.es[i].ID] = true
+	}
+}
+
+func (s *rush) isDown(id coordination.Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down[id]
+}
+
+// play sends requests for as long as the rush lasts, calls at once event when a
+// third of it has passed, and returns what callers got.
+func (s *rush) play(ctx context.Context, event func()) rushResult {
+	defer s.start()()
+	time.Sleep(2 * time.Second)
+	before := s.sent()
+	var wg sync.WaitGroup
+	gap := time.Second / time.Duration(s.perS)
+	n := int(rushTime / gap)
+	for i := range n {
+		if i == n/3 {
+			event()
+		}
+		c := rushCaller{rush: s, n: i, node: s.nodes[coordination.Instance(fmt.Sprintf("r%d", i%rushRouters))]}
+		wg.Go(func() { c.run(ctx) })
+		time.Sleep(gap)
+	}
+	wg.Wait()
+	s.result.calls = s.sent() - before
+	return s.result
+}
+
+// sent returns how many questions routers have put to each other.
+func (s *rush) sent() int {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	return s.message[TopicAdmit]
+}
+
+// rushCaller is one request of a rush.
+type rushCaller struct {
+	*rush
+	n    int
+	node *node
+}
+
+func (c rushCaller) run(ctx context.Context) {
+	begun := time.Now()
+	req := Request{
+		Pool: testPool, Key: Key(c.n % 61), Account: coordination.Account(fmt.Sprint(c.n % 10)),
+		Priority: c.priority(), Deadline: rushDeadline, Target: c.target,
+	}
+	for range rushTries {
+		g, _ := c.node.entry.Acquire(ctx, req)
+		if g == nil {
+			break
+		}
+		if c.isDown(g.Endpoint.ID) {
+			time.Sleep(rushRefusal)
+			c.note(func(r *rushResult) { r.unsent++ })
+			go c.node.entry.Lost(ctx, g.Endpoint)
+			g.Release()
+			req.Avoid = append(req.Avoid, g.Endpoint.ID)
+			req.Deadline = rushDeadline - time.Since(begun)
+			req.Waited = time.Since(begun)
+			continue
+		}
+		waited := time.Since(begun)
+		time.Sleep(time.Second)
+		g.Release()
+		c.note(func(r *rushResult) { r.served(c.priority(), waited) })
+		return
+	}
+	held := time.Since(begun)
+	c.note(func(r *rushResult) { r.refuse(c.priority(), held) })
+}
+
+// priority makes one request in seven the most urgent and three the least.
+func (c rushCaller) priority() coordination.Priority {
+	switch n := c.n % 7; {
+	case n == 0:
+		return 0
+	case n < 4:
+		return -1
+	default:
+		return -2
+	}
+}
+
+func (r *rushResult) ask(p coordination.Priority) {
+	r.asked++
+	if p == 0 {
+		r.urgent++
+	}
+}
+
+func (r *rushResult) served(p coordination.Priority, waited time.Duration) {
+	r.ask(p)
+	r.worst = max(r.worst, waited)
+	switch {
+	case waited > rushObjective:
+		r.late++
+	case p == 0:
+		r.first++
+		fallthrough
+	default:
+		r.inTime++
+	}
+}
+
+func (r *rushResult) refuse(p coordination.Priority, held time.Duration) {
+	r.ask(p)
+	r.refused++
+	r.held = max(r.held, held)
+}
+
+func (c rushCaller) note(fn func(*rushResult)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fn(&c.result)
+}
+
+// Four of nine endpoints die in a surge, and links stall. Routers that place
+// without an owner that does not answer send callers to the dead endpoints, which
+// look idle to them.
+func TestRushKeepsOffDeadEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRush(9, 170)
+		r := s.play(t.Context(), func() { s.kill(4) })
+		t.Logf("%+v", r)
+		assert.Assert(t, r.unsent < 100, "%d of %d sent to the dead", r.unsent, r.asked)
+	})
+}
+
+// Twice as much is asked as the endpoints that are left can serve. In the order of
+// arrival nearly all would be late, the most urgent kind as well.
+func TestRushServesInTimeWhatItCan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRush(9, 170)
+		r := s.play(t.Context(), func() { s.kill(4) })
+		t.Logf("%+v", r)
+		assert.Assert(t, r.inTime*100 >= r.asked*70, "%d of %d in time", r.inTime, r.asked)
+		assert.Assert(t, r.first*100 >= r.urgent*95, "%d of %d of the most urgent kind in time", r.first, r.urgent)
+	})
+}
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -19,6 +19,11 @@
 	// none of its own.
 	Deadline time.Duration
 
+	// Target is the time from the request's arrival within which its answer has
+	// to begin to be on time; zero for no objective. Waited is how much of it has
+	// passed.
+	Target, Waited time.Duration
+
 	// Alone says that the request is suspected of crashing endpoints.
 	Alone bool
 
@@ -44,6 +49,7 @@
 	endpoint *Descriptor
 	owner    coordination.Instance
 	deadline Millis
+	target   Millis
 	wait     Millis
 	final    bool
 	insist   bool
@@ -116,12 +122,12 @@
 		return ask{}, Refusal{Code: Deadline, RetryAfter: minRetryAfter}, false
 	}
 	if w.redirect != "" {
-		a := w.ask(w.list[w.at], deadline)
+		a := w.ask(now, w.list[w.at], deadline)
 		a.owner, w.redirect = w.redirect, ""
 		return a, Refusal{}, true
 	}
 	if d := w.advance(now); d != nil {
-		return w.ask(d, deadline), Refusal{}, true
+		return w.ask(now, d, deadline), Refusal{}, true
 	}
 	if w.insistOn() {
 		return w.next(now)
@@ -142,6 +148,15 @@
 	return millis(d), d <= 0
 }
 
+// target returns the time left until the answer has to begin, of which there is
+// always some if there is an objective.
+func (w *walk) target(now time.Time) Millis {
+	if w.req.Target <= 0 {
+		return 0
+	}
+	return max(millis(w.req.Target-w.req.Waited-now.Sub(w.started)), 1)
+}
+
 // settleFor returns the question that lets the request wait at an endpoint.
 // With a bound above 1 some endpoint of the pool is under it, so if none was,
 // the owners' mean lags behind a rising load: the request waits for the next
@@ -149,7 +164,7 @@
 // its bound would keep it waiting there while others idle.
 func (w *walk) settleFor(now time.Time, d *Descriptor, deadline Millis) ask {
 	w.queue = nil
-	a := w.ask(d, deadline)
+	a := w.ask(now, d, deadline)
 	if w.over {
 		w.stage = pausing
 		pause := w.pauseTime()
@@ -282,11 +297,12 @@
 	return true
 }
 
-func (w *walk) ask(d *Descriptor, deadline Millis) ask {
+func (w *walk) ask(now time.Time, d *Descriptor, deadline Millis) ask {
 	a := ask{
 		endpoint: d,
 		owner:    w.routers.Owner(d.ID, d.Zone),
 		deadline: deadline,
+		target:   w.target(now),
 		insist:   w.insist,
 	}
 	if w.at == 0 && d == w.warm {
--- a/wisteriarouter/daemon/relay_placing.go
+++ b/wisteriarouter/daemon/relay_placing.go
@@ -105,6 +105,8 @@
 		Avoid:    w.Exclude,
 		Once:     w.Once,
 		Now:      w.Now,
+		Target:   w.Target,
+		Waited:   time.Since(w.Arrived),
 	}
 	g, k, refusal := p.acquire(ctx, req, w.Start)
 	if refusal != nil {
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -234,6 +234,8 @@
 		Account:  x.account,
 		Priority: x.rank,
 		Start:    x.until,
+		Target:   x.route.FirstTarget,
+		Arrived:  x.arrived,
 		Exclude:  slices.Clip(x.exclude),
 		Cached:   x.route.Sticky,
 		Alone:    x.trail != nil && x.trail.Alone(),
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -24,7 +24,9 @@
 	Key      string // of what the request shares with others; equal keys prefer the same endpoint
 	Account  coordination.Account
 	Priority coordination.Priority
-	Start    time.Time // by when the request has to start
+	Start    time.Time     // by when the request has to start
+	Target   time.Duration // from Arrived, within which the answer has to begin to be on time; zero for no objective
+	Arrived  time.Time
 	Exclude  []coordination.Endpoint
 	Cached   bool   // endpoints keep what the request shares with others
 	Alone    bool   // the request is suspected of crashing endpoints
