--- a/coordination/placement/entry.go
+++ b/coordination/placement/entry.go
@@ -118,6 +118,7 @@
 		Alone:       req.Alone,
 		Once:        req.Once,
 		Insist:      a.insist,
+		Target:      a.target,
 	}
 	if a.owner == e.id.Instance {
 		r := e.local.Admit(ctx, m)
@@ -130,15 +131,21 @@
 	m.Releases = e.held.take(a.owner)
 	r, err := e.call(ctx, a, m, cfg)
 	if err != nil {
-		// The owner may have granted, so it is told that nobody uses it.
+		// The owner may have granted, so it is told that nobody uses it. What
+		// follows goes by another name, or the owner would take it for the same.
 		e.held.giveBack(a.owner, m.Releases)
 		e.held.giveBack(a.owner, []Release{{Endpoint: a.endpoint.ID, Sequence: g.sequence}})
+		e.held.renew(g)
 		if ctx.Err() != nil {
 			return AdmitReply{Decision: Refused, Code: Cancelled}
 		}
 		e.fallback.lost(time.Now(), a.owner)
 		return e.decideAlone(ctx, g, a, cfg)
 	}
+	e.fallback.heard(a.owner)
+	if r.Code == Lost {
+		e.fallback.bury(time.Now(), lostOf(a.endpoint), cfg.LostFor)
+	}
 	e.settle(g, a, r)
 	return r
 }
@@ -179,7 +186,9 @@
 // Lost tells the owner of an endpoint that this router has found it dead, so
 // that others do not run into it before their lists say so.
 func (e *Entry) Lost(ctx context.Context, d Descriptor) {
-	b := ReleaseBatch{Entry: e.id, Lost: []LostEndpoint{{Endpoint: d.ID, Incarnation: d.Incarnation}}}
+	lost := lostOf(&d)
+	e.fallback.bury(time.Now(), lost, e.cfg.Load().LostFor)
+	b := ReleaseBatch{Entry: e.id, Lost: []LostEndpoint{lost}}
 	to := e.view.Load().routers.Owner(d.ID, d.Zone)
 	if to == e.id.Instance {
 		e.local.Release(b)
--- a/coordination/placement/fallback.go
+++ b/coordination/placement/fallback.go
@@ -12,8 +12,9 @@
 // The zero value is ready for use.
 type fallbackTable struct {
 	mu     sync.Mutex
-	mute   map[coordination.Instance]time.Time // owners that did not answer
+	mute   map[coordination.Instance]mute // owners that did not answer
 	limits map[coordination.Pool]learnedLimit
+	dead   map[LostEndpoint]time.Time // when this entry last found each of them dead
 }
 
 // learnedLimit is the number of requests that an owner last let an endpoint of
@@ -23,35 +24,62 @@
 	at    time.Time
 }
 
+// mute is the time for which an owner that did not answer is not asked.
+type mute struct {
+	since  time.Time
+	period time.Duration
+}
+
 const (
-	// mutePeriod is how long an owner that did not answer is not asked again.
-	// Each question to a frozen owner costs a request admitTimeout.
-	mutePeriod = time.Second
+	// An owner that did not answer is not asked again for leastMute, and for twice
+	// as long each time that the one question which is then put to it fails too. A
+	// lost packet holds up all answers of an owner for 0.2 s; a frozen owner costs
+	// each request that asks it admitTimeout.
+	leastMute = 200 * time.Millisecond
+	mostMute  = time.Second
 
 	// limitTTL is how long a learned limit serves.
 	limitTTL = 10 * time.Second
 )
 
-// lost notes that an owner did not answer.
+// lost notes that an owner did not answer. Questions that were put to it side by
+// side say so once.
 func (t *fallbackTable) lost(now time.Time, o coordination.Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.mute == nil {
-		t.mute = make(map[coordination.Instance]time.Time)
+		t.mute = make(map[coordination.Instance]mute)
+	}
+	m, ok := t.mute[o]
+	if ok && now.Sub(m.since) < m.period-admitTimeout {
+		return
 	}
-	t.mute[o] = now
+	t.mute[o] = mute{since: now, period: min(max(2*m.period, leastMute), mostMute)}
+}
+
+// heard notes that an owner has answered.
+func (t *fallbackTable) heard(o coordination.Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.mute, o)
 }
 
-// silent reports whether an owner is not worth a question now.
+// silent reports whether an owner is not worth a question now. Of the questions
+// that come when its time is over the first is put to it, and the others wait to
+// see what becomes of it.
 func (t *fallbackTable) silent(now time.Time, o coordination.Instance) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	at, ok := t.mute[o]
-	if ok && now.Sub(at) >= mutePeriod {
-		delete(t.mute, o)
+	m, ok := t.mute[o]
+	if !ok {
 		return false
 	}
-	return ok
+	if now.Sub(m.since) < m.period {
+		return true
+	}
+	m.since = now.Add(admitTimeout - m.period)
+	t.mute[o] = m
+	return false
 }
 
 func (t *fallbackTable) learn(now time.Time, p coordination.Pool, limit int) {
@@ -73,6 +101,29 @@
 	return 0
 }
 
+// bury notes that this entry has found an endpoint dead.
+func (t *fallbackTable) bury(now time.Time, e LostEndpoint, ttl time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.dead == nil {
+		t.dead = make(map[LostEndpoint]time.Time)
+	}
+	for other, at := range t.dead {
+		if now.Sub(at) >= ttl {
+			delete(t.dead, other)
+		}
+	}
+	t.dead[e] = now
+}
+
+// isDead reports whether this entry has found an endpoint dead of late.
+func (t *fallbackTable) isDead(now time.Time, e LostEndpoint, ttl time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.dead[e]
+	return ok && now.Sub(at) < ttl
+}
+
 // decideAlone decides without the owner: by the endpoint's own report, a
 // tightened bound, and only this router's share of what is left under it,
 // since the other routers cannot reach the owner either and see the same
@@ -81,6 +132,9 @@
 func (e *Entry) decideAlone(ctx context.Context, g *Grant, a ask, cfg *Config) AdmitReply {
 	declined := AdmitReply{Decision: Next, Code: Unreachable}
 	if e.loads == nil {
+		if e.fallback.isDead(time.Now(), lostOf(a.endpoint), cfg.LostFor) {
+			return AdmitReply{Decision: Next, Code: Lost}
+		}
 		return e.decideBlind(g, cfg)
 	}
 	limit := e.fallback.limit(time.Now(), a.endpoint.Pool)
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -21,6 +21,11 @@
 	// none of its own.
 	Deadline time.Duration
 
+	// Target is the time from the request's arrival within which its answer has
+	// to begin to be on time; zero for no objective. Waited is how much of it has
+	// passed.
+	Target, Waited time.Duration
+
 	// Alone says that the request is suspected of crashing endpoints.
 	Alone bool
 
@@ -46,6 +51,7 @@
 	endpoint *Descriptor
 	owner    coordination.Instance
 	deadline Millis
+	target   Millis
 	wait     Millis
 	final    bool
 	insist   bool
@@ -126,12 +132,12 @@
 		return ask{}, Refusal{Code: Deadline, RetryAfter: minRetryAfter}, false
 	}
 	if w.redirect != "" {
-		a := w.ask(w.list[w.at], deadline)
+		a := w.ask(now, w.list[w.at], deadline)
 		a.owner, w.redirect = w.redirect, ""
 		return a, Refusal{}, true
 	}
 	if d := w.advance(now); d != nil {
-		return w.ask(d, deadline), Refusal{}, true
+		return w.ask(now, d, deadline), Refusal{}, true
 	}
 	if w.insistOn() {
 		return w.next(now)
@@ -152,6 +158,15 @@
 	return millis(d), d <= 0
 }
 
+// target returns the time left until the answer has to begin, of which there is
+// always some if there is an objective.
+func (w *walk) target(now time.Time) Millis {
+	if w.req.Target <= 0 {
+		return 0
+	}
+	return max(millis(w.req.Target-w.req.Waited-now.Sub(w.started)), 1)
+}
+
 // settleFor returns the question that lets the request wait at an endpoint.
 // With a bound above 1 some endpoint of the pool is under it, so if none was,
 // the owners' mean lags behind a rising load: the request waits for the next
@@ -159,12 +174,12 @@
 // its bound would keep it waiting there while others idle.
 func (w *walk) settleFor(now time.Time, d *Descriptor, deadline Millis) ask {
 	w.queue = nil
-	a := w.ask(d, deadline)
+	a := w.ask(now, d, deadline)
 	if w.over {
 		w.stage = pausing
-		interval := (&view{set: w.set, routers: w.routers}).sumInterval(w.req.Pool)
-		w.resume = now.Add(interval)
-		a.wait = millis(interval)
+		pause := w.pauseTime()
+		w.resume = now.Add(pause)
+		a.wait = millis(pause)
 		return a
 	}
 	w.stage = queueing
@@ -172,6 +187,24 @@
 	return a
 }
 
+// longestPause bounds the time for which a request waits for a new mean.
+const longestPause = 800 * time.Millisecond
+
+// pauseTime returns for how long a request waits for a new mean: for an exchange of
+// sums, and twice as long in each round after. Under a load that lasts, hundreds of
+// requests wait, and would put to their candidates, after each exchange, more
+// questions than owners answer in time.
+func (w *walk) pauseTime() time.Duration {
+	d := (&view{set: w.set, routers: w.routers}).sumInterval(w.req.Pool)
+	for range w.rounds {
+		if 2*d > longestPause {
+			break
+		}
+		d *= 2
+	}
+	return d
+}
+
 // maxRounds ends a walk that goes round without waiting, which would spin.
 const maxRounds = 200
 
@@ -274,11 +307,12 @@
 	return true
 }
 
-func (w *walk) ask(d *Descriptor, deadline Millis) ask {
+func (w *walk) ask(now time.Time, d *Descriptor, deadline Millis) ask {
 	a := ask{
 		endpoint: d,
 		owner:    w.routers.Owner(d.ID, d.Zone),
 		deadline: deadline,
+		target:   w.target(now),
 		insist:   w.insist,
 	}
 	if w.at == 0 && d == w.warm {
@@ -306,6 +340,10 @@
 		w.full++
 		w.offer(a, r.RetryAfter)
 	case OverBound, Settling:
+		if w.stage == queueing {
+			w.restart()
+			return false
+		}
 		w.other, w.over = true, true
 		w.offer(a, r.RetryAfter)
 	case NotOwner:
@@ -315,7 +353,7 @@
 		w.outlier()
 	case Lost:
 		w.other = true
-		w.lost = append(w.lost, LostEndpoint{Endpoint: a.endpoint.ID, Incarnation: a.endpoint.Incarnation})
+		w.lost = append(w.lost, lostOf(a.endpoint))
 	default:
 		w.other = true
 	}
--- a/wisteriarouter/daemon/relay_placing.go
+++ b/wisteriarouter/daemon/relay_placing.go
@@ -117,6 +117,8 @@
 		Avoid:    w.Exclude,
 		Once:     w.Once,
 		Now:      w.Now,
+		Target:   w.Target,
+		Waited:   time.Since(w.Arrived),
 	}
 	if !w.Cached {
 		req.Near = p.near
