What the end of a stop meets is answered

A review of the repaired stop found the same class of fault at its end: at stop-within all connections were closed, so that requests which waited for a place, or whose endpoint had not answered, ended without a word; and a stop-delay longer than stop-within left the drain no time at all.

Requests in flight now end 0.2 s before the end of a stop: 503 with a Retry-After if they have not run, 504 if that is not known, and a stream that has begun is broken off as before. The delay is half of stop-within at most. Operators' part has a test now, TestRelayAnswersOperatorsDuringItsStop.

--- a/wisteriarouter/config/config.go
+++ b/wisteriarouter/config/config.go
@@ -136,7 +136,7 @@
 		{Name: "cancel-for", Kind: schema.Duration, Default: "15s", Min: "1s", Max: "120s", Doc: "How long an attempt that nobody reads is tried to be cancelled."},
 		{Name: "load-interval", Kind: schema.Duration, Default: "500ms", Min: "100ms", Max: "10s", Doc: "How often the owner of an endpoint reads its load."},
 		{Name: "stop-within", Kind: schema.Duration, Default: "120s", Min: "1s", Max: "3600s", Doc: "Longest graceful shutdown; what is in flight behind it is cut off."},
-		{Name: "stop-delay", Kind: schema.Duration, Default: "1s", Min: "0s", Max: "60s", Doc: "How long a router that stops still takes new requests, until the balancer has seen that it is not ready."},
+		{Name: "stop-delay", Kind: schema.Duration, Default: "1s", Min: "0s", Max: "60s", Doc: "How long a router that stops still takes new requests, until the balancer has seen that it is not ready; half of `stop-within` at most."},
 	}},
 	{Name: "transfer", Doc: "Moving the KV caches of an engine's latest chats when it leaves as planned. A cache is moved only if that takes less time than to compute it again.", Keys: []schema.Key{
 		{Name: "link", Kind: schema.Size, Unit: "a second", Default: "119MiB", Min: "1MiB", Max: "100GiB", Doc: "What may be moved for one leaving engine, through this router. The default is a link of 1 Gbit/s, on which large caches do not pay and stay."},
--- a/wisteriarouter/daemon/daemon.go
+++ b/wisteriarouter/daemon/daemon.go
@@ -39,6 +39,8 @@
 	leaving     atomic.Bool               // told the balancer and the other routers so
 	stopping    atomic.Bool               // refuses new requests
 	ends        atomic.Pointer[time.Time] // by when what is in flight is cut off; nil before stopping
+	end         context.Context           // done when what is in flight has to be answered
+	endNow      context.CancelFunc        // ends it
 	inFlight    func() int                // requests of callers; set before the listeners serve
 }
 
@@ -104,13 +106,15 @@
 		cleanups: &cleanups{},
 		log:      event.NewLog(logger, event.F("router", cfg.Instance)),
 		within:   cfg.Limits.StopWithin,
-		delay:    cfg.Limits.StopDelay,
+		delay:    min(cfg.Limits.StopDelay, cfg.Limits.StopWithin/2),
 		state: &state{
 			instance:    cfg.Instance,
 			incarnation: coordination.Incarnation(now.UnixMilli()),
 			started:     now,
 		},
 	}
+	d.state.end, d.state.endNow = context.WithCancel(context.Background())
+	d.cleanups.add(d.state.endNow)
 	do.ProvideValue(d.injector, cfg)
 	do.ProvideValue(d.injector, d.log)
 	do.ProvideValue(d.injector, d.state)
@@ -171,6 +175,10 @@
 	return d.servers.readiness.address()
 }
 
+// answerReserve is how long before the end of a stop what is still in flight is
+// answered, if it can be, in place of the answer that it waits for.
+const answerReserve = 200 * time.Millisecond
+
 // shutdown stops the router gracefully: it refuses new requests, tells the
 // other routers, lets what is in flight finish, and only then ends its own
 // parts. It returns how many requests were left when the limit passed.
@@ -187,6 +195,7 @@
 	time.Sleep(d.delay)
 	if end, ok := ctx.Deadline(); ok {
 		d.state.ends.Store(&end)
+		defer time.AfterFunc(time.Until(end.Add(-answerReserve)), d.state.endNow).Stop()
 	}
 	d.state.stopping.Store(true)
 	left := d.servers.drain(ctx)
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -58,7 +58,9 @@
 		Suspects: relaySuspects{do.MustInvoke[*suspects](i)},
 		Log:      logOf(i),
 		Metrics:  relay.NewMetrics(do.MustInvoke[*prometheus.Registry](i)),
+		Stopping: stateOf(i).leaving.Load,
 		Left:     stateOf(i).left,
+		End:      stateOf(i).end,
 	}, nil
 }
 
--- a/wisteriarouter/daemon/relay_stop_test.go
+++ b/wisteriarouter/daemon/relay_stop_test.go
@@ -77,6 +77,61 @@
 	assert.Equal(t, <-left, 0)
 }
 
+// Guards against requests that wait for a place, or for their endpoint, and are cut off
+// by the end of a stop without a word.
+func TestRelayAnswersWhatTheEndOfItsStopMeets(t *testing.T) {
+	s := newSite(t, 1, 0, 0)
+	s.addReplica(replica.Options{ID: "d0", Service: "desk", Zone: "a", Slots: 1})
+	s.replicas[0].Fail(replica.Faults{Slow: 20 * time.Second})
+	d := plainState()
+	for _, r := range d.routes {
+		r["timeoutMs"] = 15000
+	}
+	s.put(d)
+	time.Sleep(300 * time.Millisecond) // it is in force
+	const requests = 12
+	got := make(chan gotReply, requests)
+	for range requests {
+		go asker{s, "/unsafe/last", got}.run()
+	}
+	time.Sleep(500 * time.Millisecond) // they wait
+	assert.Equal(t, s.stops[0](), 0)
+	statuses := make(map[int]int)
+	for range requests {
+		a := <-got
+		assert.NilError(t, a.err)
+		statuses[a.status]++
+	}
+	assert.Equal(t, statuses[http.StatusGatewayTimeout], s.runs("/unsafe/last"), "%v", statuses)
+	assert.Equal(t, statuses[http.StatusServiceUnavailable], requests-s.runs("/unsafe/last"), "%v", statuses)
+}
+
+// asker sends one request that has time.
+type asker struct {
+	site *site
+	path string
+	got  chan<- gotReply
+}
+
+func (a asker) run() { a.got <- a.site.send(0, a.path, "X-Deadline-Ms", "14000") }
+
+// Guards against operators' requests that are read and dropped at the end of a stop.
+func TestRelayAnswersOperatorsDuringItsStop(t *testing.T) {
+	s := newSite(t, 1, 1, 0)
+	c := s.connectTo(s.routers[0].OperatorsAddress())
+	text := "GET /metrics HTTP/1.1\r\nHost: router.example\r\n\r\n"
+	c.write(text[:10])
+	time.Sleep(20 * time.Millisecond) // the router has read it
+	left := make(chan int, 1)
+	go stopper{s.stops[0], left}.run()
+	s.awaitNoListenerAt(s.routers[0].OperatorsAddress())
+	c.write(text[10:])
+	got := c.answer()
+	assert.Equal(t, got.StatusCode, http.StatusOK)
+	assert.Assert(t, got.Close)
+	assert.Equal(t, <-left, 0)
+}
+
 // connection is a caller's connection to a router, written by hand.
 type connection struct {
 	net.Conn
@@ -85,7 +140,11 @@
 }
 
 func (s *site) connect(router int) *connection {
-	c, err := net.Dial("tcp", s.routers[router].CallersAddress())
+	return s.connectTo(s.routers[router].CallersAddress())
+}
+
+func (s *site) connectTo(address string) *connection {
+	c, err := net.Dial("tcp", address)
 	assert.NilError(s.t, err)
 	s.t.Cleanup(func() { _ = c.Close() })
 	assert.NilError(s.t, c.SetDeadline(time.Now().Add(10*time.Second)))
@@ -139,10 +198,14 @@
 	assert.NilError(c.t, resp.Body.Close())
 }
 
-// awaitNoListener waits until a router takes no new connections.
+// awaitNoListener waits until a router takes no new connections of callers.
 func (s *site) awaitNoListener(router int) {
+	s.awaitNoListenerAt(s.routers[router].CallersAddress())
+}
+
+func (s *site) awaitNoListenerAt(address string) {
 	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
-		c, err := net.Dial("tcp", s.routers[router].CallersAddress())
+		c, err := net.Dial("tcp", address)
 		if err != nil {
 			return poll.Success()
 		}
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -232,6 +232,9 @@
 	if h.Get("Content-Type") == "" {
 		h["Content-Type"] = nil // net/http would guess one
 	}
+	if x.server.Stopping != nil && x.server.Stopping() {
+		h.Set("Connection", "close")
+	}
 }
 
 // place logs where a request is sent and what decided it.
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -55,7 +55,8 @@
 	if !x.find() || !x.allow() || !x.inTime() || !x.read() {
 		return
 	}
-	ctx := x.r.Context()
+	ctx, stop := x.server.untilEnd(x.r.Context())
+	defer stop()
 	if !x.until.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, x.until.Add(giveUpSlack))
@@ -285,18 +286,39 @@
 	return false
 }
 
-// expire ends a request whose time is up or whose caller has gone.
+// errEnd is why requests are cancelled that the end of a stop meets.
+var errEnd = errors.New("relay: the router stops")
+
+// untilEnd returns a context that is also cancelled when the router has to answer
+// what is in flight since it ends, and what releases it.
+func (s *Server) untilEnd(ctx context.Context) (context.Context, func()) {
+	if s.End == nil {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(s.End, func() { cancel(errEnd) })
+	return ctx, func() { stop(); cancel(nil) }
+}
+
+// expire ends a request whose time is up, whose caller has gone or whose router
+// ends.
 func (x *exchange) expire(ctx context.Context) {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	ends := errors.Is(context.Cause(ctx), errEnd)
+	if errors.Is(ctx.Err(), context.Canceled) && !ends {
 		x.emit(event.RelayCallerGone, event.F("after-ms", time.Since(x.arrived).Milliseconds()))
 		x.server.Metrics.ended(x, "caller-gone")
 		return
 	}
-	if x.evidence.Outcome() == outcome.NotRun {
+	switch notRun := x.evidence.Outcome() == outcome.NotRun; {
+	case notRun && ends:
+		x.refuse(http.StatusServiceUnavailable, "the router stops", retryAfterStop)
+	case notRun:
 		x.refuse(http.StatusServiceUnavailable, "no endpoint was free in time", retryAfterFull)
-		return
+	case ends:
+		x.answer(http.StatusGatewayTimeout, "the router stops", 0)
+	default:
+		x.answer(http.StatusGatewayTimeout, "no endpoint has answered in time", 0)
 	}
-	x.answer(http.StatusGatewayTimeout, "no endpoint has answered in time", 0)
 }
 
 // retryAfterFull is when a caller may come back whose endpoint has declined:
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -115,10 +115,16 @@
 	Suspects Suspects // nil if requests are not followed
 	Log      event.Log
 	Metrics  *Metrics
+	// Stopping reports whether answers are to end their connections.
+	Stopping func() bool
 	// Left reports how long a router that takes no new connections still serves
 	// those that it has; false if it goes on.
 	Left func() (time.Duration, bool)
 
+	// End is done when requests in flight have to be answered since the router ends;
+	// nil if it never is.
+	End context.Context
+
 	longest longest
 }
 
