downstream: faults of the drain that a review has proved

Each has a test that failed before: - the handler of a request that came together with the one before was cancelled a second into the drain, as no read had ended the wait; - http.MaxBytesReader did not find the HTTP server's writer behind ours, and an answer to a body that is too large waited for the rest of it; the wrapper is gone, and answers that begin before the stop keep their connection for a second more; - a read of one byte that fills the HTTP server's buffer counted as a look ahead, and held a drain for all of its time; - Drain returned while a handler ran whose caller had gone, and counted it as cut off; - a part of a head held a drain for the idle timeout; - connections that kept coming held the listener open without a bound.

The test of the last look did not test it: its connection gave its bytes before the deadline had passed.

--- a/wisteriarouter/downstream/conn.go
+++ b/wisteriarouter/downstream/conn.go
@@ -14,15 +14,15 @@
 	net.Conn
 	server *Server
 
-	mu      sync.Mutex
-	drain   *drain    // nil before the server is drained
-	waiting bool      // for the first byte of a request
-	since   time.Time // when the wait began
-	asked   time.Time // the read deadline that the HTTP server has set
+	mu       sync.Mutex
+	drain    *drain    // nil before the server is drained
+	waiting  bool      // for the first byte of a request
+	since    time.Time // when the wait began
+	deadline time.Time // for reads, as the HTTP server has set it
 
 	ahead bool      // a byte of the next request was read while this one is handled
 	first bool      // no request has been answered yet
-	began time.Time // when the first byte of a request came that no handler has taken
+	began time.Time // when the first byte of a request came that is not answered
 	read  int       // bytes of that request
 	gone  bool      // the other side has closed or broken off
 }
@@ -33,11 +33,12 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
+	ahead := c.readsAhead(len(b))
 	n, err := c.Conn.Read(b)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.lookAgain() {
 		n, err = c.Conn.Read(b)
 	}
-	c.note(len(b), n, err)
+	c.note(n, err, ahead)
 	return n, err
 }
 
@@ -47,22 +48,29 @@
 func (c *conn) lookAgain() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.waiting && c.drain != nil && c.Conn.SetReadDeadline(time.Now().Add(lastLook)) == nil
+	return c.waiting && c.Conn.SetReadDeadline(time.Now().Add(lastLook)) == nil
 }
 
 // readAhead is the size of the reads by which the HTTP server looks whether the other
-// side is still there while a request is handled. No other read is as short.
+// side is still there while a request is handled. They have no deadline.
 const readAhead = 1
 
-// note takes in what a read into size bytes has returned.
-func (c *conn) note(size, n int, err error) {
+// readsAhead reports whether a read into size bytes is one of these.
+func (c *conn) readsAhead(size int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return size == readAhead && c.deadline.IsZero()
+}
+
+// note records what a read has returned.
+func (c *conn) note(n int, err error, ahead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case n == 0:
 	case c.waiting:
 		c.begin()
-	case size == readAhead:
+	case ahead:
 		c.ahead = true
 	}
 	c.read += n
@@ -71,11 +79,17 @@
 	}
 }
 
-// begin takes in the first byte of a request.
+// begin records the first byte of a request.
 func (c *conn) begin() {
 	c.waiting, c.began, c.read = false, time.Now(), 0
+	c.setDeadline()
+}
+
+// setDeadline sets the read deadline anew while the server is drained. If that fails
+// the next read shows it.
+func (c *conn) setDeadline() {
 	if c.drain != nil {
-		_ = c.Conn.SetReadDeadline(c.asked) // the next read shows if it failed
+		_ = c.Conn.SetReadDeadline(c.readDeadline())
 	}
 }
 
@@ -83,8 +97,8 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.asked = t
-	return c.Conn.SetReadDeadline(c.deadline())
+	c.deadline = t
+	return c.Conn.SetReadDeadline(c.readDeadline())
 }
 
 // limit bounds the wait for a request, now and later, while the server is drained.
@@ -92,27 +106,32 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.drain = d
-	if c.waiting {
-		_ = c.Conn.SetReadDeadline(c.deadline()) // the next read shows if it failed
-	}
+	c.setDeadline()
 }
 
-// deadline returns when a read ends: as the HTTP server has asked, or with the wait
-// for a request if that comes first.
-func (c *conn) deadline() time.Time {
-	if !c.waiting || c.drain == nil {
-		return c.asked
-	}
-	end := c.since.Add(quietWait)
-	if latest := c.drain.latest; !latest.IsZero() && latest.Before(end) {
-		end = latest
-	}
-	if !c.asked.IsZero() && c.asked.Before(end) {
-		return c.asked
+// readDeadline returns when a read ends: as the HTTP server has asked, or with the
+// wait for a request or for its head if that comes first.
+func (c *conn) readDeadline() time.Time {
+	end := c.deadline
+	switch {
+	case c.drain == nil:
+	case c.waiting:
+		end = earlier(end, c.since.Add(quietWait))
+		end = earlier(end, c.drain.latest)
+	case !c.began.IsZero() && c.server.headerWait > 0:
+		end = earlier(end, c.began.Add(c.server.headerWait))
 	}
 	return end
 }
 
+// earlier returns the earlier of two times; zero is never.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // next begins the wait for a further request, unless it has begun to come.
 func (c *conn) next() {
 	c.mu.Lock()
@@ -127,16 +146,19 @@
 	}
 }
 
-// take notes that what has been read is answered.
-func (c *conn) take() {
+// answered records that what has been read is answered, or will be by a handler.
+func (c *conn) answered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.read, c.began = 0, time.Time{}
+	if c.waiting || !c.began.IsZero() {
+		c.waiting, c.read, c.began = false, 0, time.Time{}
+		c.setDeadline()
+	}
 }
 
 // Write implements net.Conn. The HTTP server answers malformed requests itself.
 func (c *conn) Write(b []byte) (int, error) {
-	c.take()
+	c.answered()
 	return c.Conn.Write(b)
 }
 
@@ -145,13 +167,11 @@
 	if d, ok := c.dropped(); ok && c.server.observer != nil {
 		c.server.observer.Dropped(d)
 	}
-	err := c.Conn.Close()
-	c.server.remove(c)
-	return err
+	return c.Conn.Close()
 }
 
-// dropped reports whether the connection ends with a request that nobody has
-// taken, and describes it, once.
+// dropped reports whether the connection ends with a request that is not answered,
+// and describes it, once.
 func (c *conn) dropped() (Drop, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/wisteriarouter/downstream/doc.go
+++ b/wisteriarouter/downstream/doc.go
@@ -6,5 +6,6 @@
 // part of a head has come counts as unused and is closed. A server of this package
 // is never shut down while it has connections. It leaves the decision to the
 // goroutine that reads: a connection ends behind an answer that says so, or when
-// its read has returned nothing for a while.
+// its read has returned nothing for a while. What a caller sends of a next request
+// before the answer to the last one, and does not complete, may still be dropped.
 package downstream
--- a/wisteriarouter/downstream/drain.go
+++ b/wisteriarouter/downstream/drain.go
@@ -21,8 +21,8 @@
 	empty    chan struct{} // closed when no connection is left
 }
 
-// left takes in how many connections are left.
-func (d *drain) left(conns int) {
+// note closes empty once no connection is left.
+func (d *drain) note(conns int) {
 	if !d.complete || conns > 0 {
 		return
 	}
@@ -33,8 +33,7 @@
 	}
 }
 
-// Drain takes in the connections that wait to be accepted, then closes the
-// listener and waits until all connections have ended: each behind an answer, or
+// Drain accepts the connections that wait for it, then closes the listener and waits until all connections have ended: each behind an answer, or
 // once it has been without a request for a while. It returns how many requests were
 // left when ctx ended, and cuts them off.
 func (s *Server) Drain(ctx context.Context) (left int) {
@@ -70,7 +69,7 @@
 func (s *Server) awaitEmpty(ctx context.Context, d *drain) {
 	s.mu.Lock()
 	d.complete = true
-	d.left(len(s.conns))
+	d.note(len(s.conns))
 	s.mu.Unlock()
 	select {
 	case <-d.empty:
--- a/wisteriarouter/downstream/listener.go
+++ b/wisteriarouter/downstream/listener.go
@@ -8,17 +8,21 @@
 	"time"
 )
 
-// acceptWait is how long a server that is being drained still takes in connections:
-// some were made before callers could know of the drain, and wait to be accepted.
-const acceptWait = 20 * time.Millisecond
+// How long a server that is being drained still accepts connections: some were made
+// before callers could know of the drain, and wait. While more wait it goes on, but
+// no longer than acceptLimit.
+const (
+	acceptWait  = 20 * time.Millisecond
+	acceptLimit = 200 * time.Millisecond
+)
 
 // listener hands out connections that its server knows.
 type listener struct {
 	net.Listener
-	server   *Server
-	stopping atomic.Bool
-	once     sync.Once
-	ended    chan struct{} // closed when no further connection comes
+	server *Server
+	limit  atomic.Pointer[time.Time] // by when it is closed; nil unless it stops
+	once   sync.Once
+	ended  chan struct{} // closed when no further connection comes
 }
 
 func newListener(inner net.Listener, s *Server) *listener {
@@ -39,7 +43,7 @@
 	switch {
 	case err == nil:
 		return l.server.add(c), nil
-	case l.stopping.Load():
+	case l.limit.Load() != nil:
 		_ = l.Close() // it is not needed any more
 		return nil, http.ErrServerClosed
 	default:
@@ -52,12 +56,14 @@
 // may have been there for a while.
 func (l *listener) lookAgain() bool {
 	d, ok := l.Listener.(deadliner)
-	return ok && l.stopping.Load() && d.SetDeadline(time.Now().Add(lastLook)) == nil
+	limit := l.limit.Load()
+	return ok && limit != nil && time.Now().Before(*limit) && d.SetDeadline(time.Now().Add(lastLook)) == nil
 }
 
-// stop has the listener take in what waits, and then closed.
+// stop has the listener accept what waits, and then closed.
 func (l *listener) stop() {
-	l.stopping.Store(true)
+	limit := time.Now().Add(acceptLimit)
+	l.limit.Store(&limit)
 	if d, ok := l.Listener.(deadliner); ok && d.SetDeadline(time.Now().Add(acceptWait)) == nil {
 		return
 	}
--- a/wisteriarouter/downstream/server.go
+++ b/wisteriarouter/downstream/server.go
@@ -38,8 +38,12 @@
 	http     *http.Server
 	listener *listener
 	observer Observer
-	active   atomic.Int64
-	leaving  atomic.Bool
+	// headerWait is the longest time for the head of a request to arrive; zero for
+	// no limit.
+	headerWait time.Duration
+
+	active  atomic.Int64
+	leaving atomic.Bool
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -50,7 +54,7 @@
 // once. Heads of requests have a limit in bytes and in time, so that a caller who
 // sends one very slowly holds nothing but one connection for a short while.
 func NewServer(l net.Listener, h http.Handler, cfg Config) (*Server, func()) {
-	s := &Server{observer: cfg.Observer, conns: make(map[*conn]struct{})}
+	s := &Server{observer: cfg.Observer, headerWait: cfg.HeaderWait, conns: make(map[*conn]struct{})}
 	s.listener = newListener(l, s)
 	s.http = &http.Server{
 		Handler:           s.handler(h),
@@ -76,8 +80,8 @@
 // Active returns how many requests are in flight.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
-// Leave has each answer that begins from now on end its connection. All connections
-// are served as before, new ones too.
+// Leave has the answer to each request that comes from now on end its connection.
+// All connections are served as before, new ones too.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
 // handler counts the requests in flight, and ends their connections once the
@@ -85,13 +89,14 @@
 func (s *Server) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			c.take()
+			c.answered()
 		}
 		s.active.Add(1)
 		defer s.active.Add(-1)
-		answer := &writer{ResponseWriter: w, server: s}
-		h.ServeHTTP(answer, r)
-		answer.begin()
+		if s.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
 	})
 }
 
@@ -102,7 +107,7 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// add takes in a new connection.
+// add registers a new connection.
 func (s *Server) add(inner net.Conn) *conn {
 	c := &conn{Conn: inner, server: s, first: true, waiting: true, since: time.Now()}
 	s.mu.Lock()
@@ -114,19 +119,26 @@
 	return c
 }
 
-// remove takes in that a connection is closed.
+// remove forgets a connection that has ended, with its handler.
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
 	if s.drain != nil {
-		s.drain.left(len(s.conns))
+		s.drain.note(len(s.conns))
 	}
 }
 
-// changed takes in that a connection has another state.
+// changed is called by the HTTP server when a connection has another state.
 func changed(c net.Conn, state http.ConnState) {
-	if each, ok := c.(*conn); ok && state == http.StateIdle {
+	each, ok := c.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
 		each.next()
+	case http.StateClosed, http.StateHijacked:
+		each.server.remove(each)
 	}
 }
