--- a/coordination/placement/mean.go
+++ b/coordination/placement/mean.go
@@ -23,7 +23,7 @@
 	drift           float64 // usual change of others from one exchange to the next
 	interval        time.Duration
 	heard           time.Time // when the root last answered
-	due             time.Time // of the next report to the root; guarded by the owner's lock
+	reported        time.Time // when the root was last told; guarded by the owner's lock
 	whole           time.Time // when the sums last covered all listed endpoints
 }
 
@@ -110,6 +110,20 @@
 	return float64(max(p.listed, summed))
 }
 
+// partialShare is the part of a pool's endpoints below which its sums are partial.
+const partialShare = 7.0 / 8
+
+// partial reports whether the sums cover only a part of the pool and have covered
+// all of it of late: many routers have started, or are gone.
+func (p *poolLoad) partial(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !covered(p.endpoints+p.othersEndpoints, p.listed) && now.Sub(p.whole) <= partialHold
+}
+
+// covered reports whether summed endpoints are nearly all of some.
+func covered(summed, all int) bool { return float64(summed) >= partialShare*float64(all) }
+
 // staleness returns by how many usual changes the others' load may have fallen
 // since the last exchange. It grows with every exchange that is missed.
 func (p *poolLoad) staleness(age time.Duration) float64 {
@@ -123,14 +137,15 @@
 func (p *poolLoad) learn(now time.Time, total, mine PoolSum) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	others := max(total.Count-mine.Count, 0)
-	change := math.Abs(float64(others - p.others))
+	others, endpoints := max(total.Count-mine.Count, 0), max(total.Endpoints-mine.Endpoints, 0)
 	if !p.heard.IsZero() {
-		p.drift += driftShare * (change - p.drift)
+		if covered(endpoints, p.othersEndpoints) && covered(p.othersEndpoints, endpoints) {
+			change := math.Abs(float64(others - p.others))
+			p.drift += driftShare * (change - p.drift)
+		}
 		p.interval = now.Sub(p.heard)
 	}
-	p.others = others
-	p.othersEndpoints = max(total.Endpoints-mine.Endpoints, 0)
+	p.others, p.othersEndpoints = others, endpoints
 	if p.endpoints+p.othersEndpoints >= p.listed {
 		p.whole = now
 	}
