placement: a request that cannot start in time is refused early

With the fresh ones first, the others waited until their callers had left: the most patient of them four times the objective, 3.6 s.

A request waits for its start for twice its objective at most, and for half of the time that its caller has, as the endpoint needs the rest. Who waits no longer is told so while the caller can still come back. An attempt that follows a failed one has the objective once more.

--- a/coordination/placement/rush_test.go
+++ b/coordination/placement/rush_test.go
@@ -271,3 +271,14 @@
 		assert.Assert(t, r.first*100 >= r.urgent*95, "%d of %d of the most urgent kind in time", r.first, r.urgent)
 	})
 }
+
+// A request that cannot be served is held until its caller has gone.
+func TestRushRefusesEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRush(9, 170)
+		r := s.play(t.Context(), func() { s.kill(4) })
+		t.Logf("%+v", r)
+		assert.Assert(t, r.refused > 0)
+		assert.Assert(t, r.held <= rushDeadline/2, "%v", r.held)
+	})
+}
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -144,6 +144,14 @@
 	if d := w.req.Deadline; d > 0 && d < limit {
 		limit = d
 	}
+	if t := w.req.Target; t > 0 {
+		// An attempt that follows a failed one has some time, too, and the endpoint
+		// needs some of what the caller has left.
+		limit = min(limit, max(patience*t-w.req.Waited, t))
+		if w.req.Deadline > 0 {
+			limit = min(limit, w.req.Deadline/startShare)
+		}
+	}
 	d := limit - now.Sub(w.started)
 	return millis(d), d <= 0
 }
@@ -157,6 +165,10 @@
 	return max(millis(w.req.Target-w.req.Waited-now.Sub(w.started)), 1)
 }
 
+// patience is how many times its target a request waits for its start at most. Its
+// caller, who waits for the first byte, would soon be gone.
+const patience = 2
+
 // settleFor returns the question that lets the request wait at an endpoint.
 // With a bound above 1 some endpoint of the pool is under it, so if none was,
 // the owners' mean lags behind a rising load: the request waits for the next
