membership: the check of a node's list neither copies nor sorts its table

It now compares the kept list with the table in place: as many members as the table has live ones, each equal to its record, in order.

The check is as strict: three things together hold for the list of liveMembers and for no other.

--- a/coordination/membership/fabric_test.go
+++ b/coordination/membership/fabric_test.go
@@ -425,11 +425,37 @@
 	if len(n.f.nodes) > 60 {
 		return // the small fleets meet all changes
 	}
-	if !slices.Equal(n.machine.Members(), n.machine.liveMembers()) {
+	if !n.machine.listsItsTable() {
 		c.violate("%s keeps an old list of members", n.self.Instance)
 	}
 }
 
+// listsItsTable reports whether Members are those of liveMembers. It neither
+// copies nor sorts the table, for it is asked each time that a node has acted.
+func (m *Machine) listsItsTable() bool {
+	live := 1 // m itself
+	for _, e := range m.table {
+		if e.Live() {
+			live++
+		}
+	}
+	list := m.Members()
+	if len(list) != live {
+		return false
+	}
+	for i, listed := range list {
+		known, ok := m.Lookup(listed.Instance)
+		own := listed.Instance == m.self.Instance
+		if !ok || known != listed || !own && !known.Live() {
+			return false
+		}
+		if i > 0 && compare(list[i-1].Instance, listed.Instance) >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *checker) observeMembers(n *node) {
 	for id, e := range n.machine.table {
 		pair := [2]coordination.Instance{n.self.Instance, id}
