mirror: the store of the tests gives a call up when its caller does

Cause: a ping that was under way when the feed was stopped slept on in the fake store, for the whole 240 ms of its slow answer, whatever its context said. When the test ends, no time passes any more, and the sleep never ends. The product's call ends with its context.

This makes the test stricter.

--- a/coordination/mirror/fleet_test.go
+++ b/coordination/mirror/fleet_test.go
@@ -177,14 +177,13 @@
 const storeTimeout = time.Second
 
 // answer returns whether the store's answer to a call reaches the router. If it
-// does not, it returns when the call has run out.
+// does not, it returns when the call has run out or been given up.
 func (c cutStore) answer(ctx context.Context, timeout <-chan time.Time) bool {
 	if c.isCut() {
 		return false
 	}
 	if !c.isSilent() {
-		time.Sleep(c.slowness())
-		return true
+		return coordination.Sleep(ctx, c.slowness())
 	}
 	select {
 	case <-timeout:
@@ -195,8 +194,7 @@
 
 func (c cutStore) Ping(ctx context.Context) kv.Result {
 	timeout := time.After(storeTimeout)
-	time.Sleep(2 * c.fleet.delay)
-	if !c.answer(ctx, timeout) {
+	if !coordination.Sleep(ctx, 2*c.fleet.delay) || !c.answer(ctx, timeout) {
 		return kv.Result{Status: kv.Unavailable, Err: errDown}
 	}
 	return c.fleet.store.Ping(ctx)
