Sums: a former owner says that it owns no more

Cause: until it has met the others a router owns far more endpoints than later, and tells the root of the pool so. Half of 295 routers own none in the end; they reported no more, and the root went on to count what they had owned, for four intervals, 4.8 s, beside the owners. The mean was a fraction of what it is.

Now a router that has lost its last endpoint of a pool reports none, once, and owners report sooner while the sums cover too much, as they do while they cover too little.

The test, of 300 routers that know themselves and the root, and then all: before, an owner counted 34,875 endpoints of 240 two seconds after they had met; now all count 210 to 270.

--- a/coordination/placement/mean.go
+++ b/coordination/placement/mean.go
@@ -24,6 +24,8 @@
 	interval        time.Duration
 	heard           time.Time // when the root last answered
 	reported        time.Time // when the root was last told; guarded by the owner's lock
+	told            int       // own endpoints that it was told of; guarded by the owner's lock
+	moved           time.Time // when it was last told of another number; guarded by the owner's lock
 	whole           time.Time // when the sums last covered all listed endpoints
 }
 
@@ -113,16 +115,22 @@
 // partialShare is the part of a pool's endpoints below which its sums are partial.
 const partialShare = 7.0 / 8
 
-// partial reports whether the sums cover only a part of the pool and have covered
-// all of it of late: many routers have started, or are gone.
-func (p *poolLoad) partial(now time.Time) bool {
+// unsettled reports whether the sums do not fit the list of endpoints, for some time
+// after they did or this owner's part changed: many routers have started, or are
+// gone, and endpoints are counted by none or by several. The caller holds the owner's
+// lock.
+func (p *poolLoad) unsettled(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !covered(p.endpoints+p.othersEndpoints, p.listed) && now.Sub(p.whole) <= partialHold
+	return p.endpoints == 0 || !p.fits() && min(now.Sub(p.whole), now.Sub(p.moved)) <= partialHold
 }
 
-// covered reports whether summed endpoints are nearly all of some.
-func covered(summed, all int) bool { return float64(summed) >= partialShare*float64(all) }
+// fits reports whether the sums cover nearly as many endpoints as are listed. The
+// caller holds p.mu.
+func (p *poolLoad) fits() bool { return alike(p.endpoints+p.othersEndpoints, p.listed) }
+
+// alike reports whether two numbers of endpoints are nearly the same.
+func alike(a, b int) bool { return float64(min(a, b)) >= partialShare*float64(max(a, b)) }
 
 // staleness returns by how many usual changes the others' load may have fallen
 // since the last exchange. It grows with every exchange that is missed.
@@ -139,14 +147,14 @@
 	defer p.mu.Unlock()
 	others, endpoints := max(total.Count-mine.Count, 0), max(total.Endpoints-mine.Endpoints, 0)
 	if !p.heard.IsZero() {
-		if covered(endpoints, p.othersEndpoints) && covered(p.othersEndpoints, endpoints) {
+		if alike(endpoints, p.othersEndpoints) {
 			change := math.Abs(float64(others - p.others))
 			p.drift += driftShare * (change - p.drift)
 		}
 		p.interval = now.Sub(p.heard)
 	}
 	p.others, p.othersEndpoints = others, endpoints
-	if p.endpoints+p.othersEndpoints >= p.listed {
+	if summed := p.endpoints + p.othersEndpoints; summed >= p.listed && p.fits() {
 		p.whole = now
 	}
 	p.heard = now
--- a/coordination/placement/sums.go
+++ b/coordination/placement/sums.go
@@ -62,7 +62,8 @@
 	maxSumInterval      = 2 * time.Second
 	sumIntervalPerOwner = 8 * time.Millisecond
 
-	// partialPace is how much more often sums are exchanged while they are partial.
+	// partialPace is how much more often sums are exchanged while they do not fit
+	// the list of endpoints.
 	partialPace = 4
 
 	// sumTTL is how many intervals the sum of a silent owner counts.
@@ -135,7 +136,9 @@
 	patience time.Duration // for the answer
 }
 
-// sumCalls returns the reports that are due, one for each root.
+// sumCalls returns the reports that are due, one for each root. An owner that has
+// lost its last endpoint of a pool says so, or its root would count it as well as
+// the new owner.
 func (o *Owner) sumCalls(now time.Time) []sumCall {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -144,7 +147,7 @@
 	byRoot := make(map[coordination.Instance]*sumCall)
 	for name, p := range o.pools {
 		count, endpoints := p.own()
-		if endpoints == 0 || now.Before(p.due(now, v)) {
+		if endpoints == 0 && p.told == 0 || now.Before(p.due(now, v)) {
 			continue
 		}
 		root := v.routers.Root(name, silent)
@@ -165,7 +168,7 @@
 // lock.
 func (p *poolLoad) due(now time.Time, v *view) time.Time {
 	interval := v.sumInterval(p.name)
-	if p.partial(now) {
+	if p.unsettled(now) {
 		interval = max(interval/partialPace, minSumInterval)
 	}
 	return p.reported.Add(interval)
@@ -177,7 +180,11 @@
 	defer o.mu.Unlock()
 	for _, c := range calls {
 		for _, s := range c.report.Sums {
-			o.pools[s.Pool].reported = now
+			p := o.pools[s.Pool]
+			if s.Endpoints != p.told {
+				p.moved = now
+			}
+			p.reported, p.told = now, s.Endpoints
 		}
 	}
 }
@@ -189,7 +196,7 @@
 	v := o.view.Load()
 	next := SumInterval(len(v.routers.owners))
 	for _, p := range o.pools {
-		if _, endpoints := p.own(); endpoints > 0 {
+		if _, endpoints := p.own(); endpoints > 0 || p.told > 0 {
 			next = min(next, p.due(now, v).Sub(now))
 		}
 	}
--- a/coordination/placement/sums_test.go
+++ b/coordination/placement/sums_test.go
@@ -281,3 +281,33 @@
 		}
 	})
 }
+
+// Routers that start together own many endpoints until they have met the others, and
+// few or none later. A root that goes on to count what they owned takes the load for
+// a fraction of what it is, and requests are sent away from their endpoints.
+func TestRootForgetsWhatFormerOwnersOwned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		members, es := testRouters(300), testEndpoints(240)
+		f, set, routers := newFleet(members, es, Config{Grace: 250 * time.Millisecond}), NewSet(es), NewRouters(members, 0)
+		root, _ := routers.Find(routers.Root(testPool, func(coordination.Instance) bool { return false }))
+		for id, n := range f.nodes {
+			self, _ := routers.Find(id)
+			n.update(set, NewRouters([]Router{self, root}, 0))
+		}
+		defer f.start()()
+		time.Sleep(300 * time.Millisecond)
+		for _, n := range f.nodes {
+			n.update(set, routers)
+		}
+		time.Sleep(2 * time.Second)
+		for id, n := range f.nodes {
+			p := n.owner.poolLoadOf(testPool)
+			if _, endpoints := p.own(); endpoints > 0 {
+				p.mu.Lock()
+				summed := p.endpoints + p.othersEndpoints
+				p.mu.Unlock()
+				assert.Assert(t, summed >= 210 && summed <= 270, "%s counts %d endpoints of 240", id, summed)
+			}
+		}
+	})
+}
