Affinity: three endpoints for each router at least

A router weighs a failure by what it has seen elsewhere in the pool, and with one other endpoint it has seen little.

--- a/coordination/placement/affinity.go
+++ b/coordination/placement/affinity.go
@@ -23,7 +23,7 @@
 	meetings = 4
 	// leastAffinity is the least number of endpoints: what fails at one is
 	// judged by how the others fare.
-	leastAffinity = 2
+	leastAffinity = 3
 	// arrivalsHalfLife is the half-life of the rate of requests.
 	arrivalsHalfLife = 10 * time.Second
 	// leastSpan keeps the first requests from passing for a high rate.
