mirror: who stands in for the watchers is worked out once for the same routers

Cause of the time that the package's tests take, and of some processor time in a large fleet while the store is silent to a part of it: as soon as one of the usual watchers did not reach the store, each question who watches now sorted all routers anew, up to three times. The feed kept the usual watchers for the same list already; it now keeps the stand-ins with them, and both questions (who watches, and whether this router counts) go by what is kept. The answers are the same for the same routers and the same knowledge.

The price: a change of the list of routers works out the stand-ins too, one more list of owners; its time was not measured.

Same cases and bounds.

Ruled out: to take the short way (all usual watchers reach the store) also where this router asks whether it counts.

--- a/coordination/mirror/feed.go
+++ b/coordination/mirror/feed.go
@@ -49,8 +49,7 @@
 	fetcher *fetcher
 
 	mu    sync.Mutex
-	among []placement.Router                  // the routers that answered when usual was worked out
-	usual []coordination.Instance             // those of among that watch the store if it serves them
+	ranks *ranks                              // of the routers that answered when they were last asked for
 	lost  map[coordination.Instance]time.Time // when each was found not to reach the store
 	sure  map[coordination.Instance]time.Time // when each told what it had from the store
 	fell  time.Time                           // when a router was last found to have lost it
@@ -196,24 +195,22 @@
 // watching returns the routers that watch the store now. Others take over at
 // once from those that it turns away.
 func (f *Feed) watching() []coordination.Instance {
-	routers := f.cfg.Routers()
-	usual := f.usually(routers)
-	if lo.EveryBy(usual, f.reaches) {
-		return usual
+	r := f.rank()
+	if lo.EveryBy(r.usual, f.reaches) {
+		return r.usual
 	}
-	return Watching(routers, Served{Maybe: f.reaches, Surely: f.proven})
+	return r.watching(Served{Maybe: f.reaches, Surely: f.proven})
 }
 
-// usually returns [Watchers] of the routers. It is worked out once for the same
-// ones, which takes a while in a large fleet, and is asked for several times a
-// second.
-func (f *Feed) usually(routers []placement.Router) []coordination.Instance {
+// rank returns the ranks of the routers that answer.
+func (f *Feed) rank() *ranks {
+	routers := f.cfg.Routers()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.usual == nil || !slices.Equal(f.among, routers) {
-		f.among, f.usual = routers, Watchers(routers)
+	if f.ranks == nil || !slices.Equal(f.ranks.members, routers) {
+		f.ranks = rank(routers)
 	}
-	return f.usual
+	return f.ranks
 }
 
 // counts reports whether the others go by whether this router reaches the store:
@@ -223,7 +220,7 @@
 		Maybe:  func(id coordination.Instance) bool { return id == f.cfg.Self || f.reaches(id) },
 		Surely: func(id coordination.Instance) bool { return id == f.cfg.Self || f.proven(id) },
 	}
-	return slices.Contains(Watching(f.cfg.Routers(), served), f.cfg.Self)
+	return slices.Contains(f.rank().watching(served), f.cfg.Self)
 }
 
 func (f *Feed) watchWait() time.Duration {
--- a/coordination/mirror/pace.go
+++ b/coordination/mirror/pace.go
@@ -53,19 +53,38 @@
 // Watching returns the routers that watch the store now, among the members that
 // answer.
 func Watching(members []placement.Router, served Served) []coordination.Instance {
-	usual := Watchers(members)
-	if lo.SomeBy(usual, served.Maybe) {
-		return Watchers(lo.Filter(members, func(r placement.Router, _ int) bool { return served.Maybe(r.ID) }))
+	return rank(members).watching(served)
+}
+
+// ranks tells who watches the store among the same members. To work it out takes a
+// while in a large fleet, and it is asked for several times a second.
+type ranks struct {
+	members  []placement.Router
+	usual    []coordination.Instance // if the store serves them
+	standIns []coordination.Instance // if it serves none of these
+}
+
+func rank(members []placement.Router) *ranks {
+	return &ranks{
+		members:  members,
+		usual:    Watchers(members),
+		standIns: placement.NewRouters(members, standIns).Owners(),
+	}
+}
+
+// watching returns those that watch the store now.
+func (r *ranks) watching(served Served) []coordination.Instance {
+	if lo.SomeBy(r.usual, served.Maybe) {
+		return Watchers(lo.Filter(r.members, func(m placement.Router, _ int) bool { return served.Maybe(m.ID) }))
 	}
-	more := placement.NewRouters(members, standIns).Owners()
-	more = lo.Filter(more, func(id coordination.Instance, _ int) bool { return served.Maybe(id) })
+	more := lo.Filter(r.standIns, func(id coordination.Instance, _ int) bool { return served.Maybe(id) })
 	if sure := lo.Filter(more, func(id coordination.Instance, _ int) bool { return served.Surely(id) }); len(sure) >= enoughStandIns {
 		return sure[:min(len(sure), leastWatchers)]
 	}
 	if len(more) > 0 {
 		return more
 	}
-	return usual
+	return r.usual
 }
 
 // perMemberWait is how much longer a router waits at another one for each
