mirror: stand-ins are worked out when they are asked for

A fleet of hundreds that starts changes its list of routers many times, and each change worked out the stand-ins, which are asked for only if the store serves none of the usual watchers.

--- a/coordination/mirror/pace.go
+++ b/coordination/mirror/pace.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/samber/lo"
@@ -60,15 +61,17 @@
 // while in a large fleet, and it is asked for several times a second.
 type ranks struct {
 	members  []placement.Router
-	usual    []coordination.Instance // if the store serves them
-	standIns []coordination.Instance // if it serves none of these
+	usual    []coordination.Instance        // if the store serves them
+	standIns func() []coordination.Instance // if it serves none of these; worked out when asked for
 }
 
 func rank(members []placement.Router) *ranks {
 	return &ranks{
-		members:  members,
-		usual:    Watchers(members),
-		standIns: placement.NewRouters(members, standIns).Owners(),
+		members: members,
+		usual:   Watchers(members),
+		standIns: sync.OnceValue(func() []coordination.Instance {
+			return placement.NewRouters(members, standIns).Owners()
+		}),
 	}
 }
 
@@ -77,7 +80,7 @@
 	if lo.SomeBy(r.usual, served.Maybe) {
 		return Watchers(lo.Filter(r.members, func(m placement.Router, _ int) bool { return served.Maybe(m.ID) }))
 	}
-	more := lo.Filter(r.standIns, func(id coordination.Instance, _ int) bool { return served.Maybe(id) })
+	more := lo.Filter(r.standIns(), func(id coordination.Instance, _ int) bool { return served.Maybe(id) })
 	if sure := lo.Filter(more, func(id coordination.Instance, _ int) bool { return served.Surely(id) }); len(sure) >= enoughStandIns {
 		return sure[:min(len(sure), leastWatchers)]
 	}
