--- a/wisteriarouter/downstream/drain.go
+++ b/wisteriarouter/downstream/drain.go
@@ -14,14 +14,14 @@
 // are closed at the latest.
 const closeReserve = 500 * time.Millisecond
 
-// drain is the end of a server, guarded by the server's mutex.
+// drain is the end of a server.
 type drain struct {
 	latest   time.Time     // by when connections without a request are closed; zero for no limit
-	complete bool          // no further connection comes
 	empty    chan struct{} // closed when no connection is left
+	complete bool          // no further connection comes; guarded by the server's mutex
 }
 
-// note closes empty once no connection is left.
+// note closes empty once no connection is left. The caller holds the server's mutex.
 func (d *drain) note(conns int) {
 	if !d.complete || conns > 0 {
 		return
@@ -33,9 +33,10 @@
 	}
 }
 
-// Drain accepts the connections that wait for it, then closes the listener and waits until all connections have ended: each behind an answer, or
-// once it has been without a request for a while. It returns how many requests were
-// left when ctx ended, and cuts them off.
+// Drain accepts the connections that wait for it, closes the listener, and waits
+// until all connections have ended: each behind an answer, or once it has been
+// without a request for a while. It returns how many requests were left when ctx
+// ended, and cuts them off.
 func (s *Server) Drain(ctx context.Context) (left int) {
 	s.Leave()
 	d := s.beginDrain(ctx)
