placement: a refusal while owners change says so

What callers saw: 503 "no endpoint can take the request now: overloaded" from a fleet at rest, in the moment in which an owner stops.

Cause: a walk that met only routers that disclaim their endpoints ended with the same code as one that met full endpoints, so that the hypotheses (load; an owner that cannot be reached; owners that disagree) could not be told apart.

Change: such a refusal carries the code not-owner. No decision changes.

Evidence: TestRefusalTellsThatOwnersDisclaimTheirEndpoints fails before with "overloaded".

--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -92,6 +92,7 @@
 	stage    stage
 	full     int
 	other    bool // some answer was not that the endpoint is full
+	unowned  bool // some endpoint's owner disclaimed it
 	outliers int  // endpoints that were kept off for their failures
 	insist   bool // there are too many outliers to keep off them
 	over     bool // some endpoint was over its bound, or its owner settling
@@ -241,7 +242,7 @@
 	}
 	w.sent = -1
 	w.stage, w.at, w.full = asking, -1, 0
-	w.other, w.over, w.queue = false, false, nil
+	w.other, w.unowned, w.over, w.queue = false, false, false, nil
 	w.outliers, w.insist = 0, false
 }
 
@@ -359,7 +360,7 @@
 		w.other, w.over = true, true
 		w.offer(a, r.RetryAfter)
 	case NotOwner:
-		w.other = true
+		w.other, w.unowned = true, true
 		w.follow(a, r.Owner)
 	case Outlier:
 		w.outlier()
@@ -404,13 +405,16 @@
 }
 
 // exhausted returns the refusal of a request that no endpoint takes. A pool
-// without endpoints is told from one that is full: who looks for the cause goes
-// to the list of endpoints, not to the load.
+// without endpoints, and one whose owners are changing, are told from one that is
+// full: who looks for the cause goes to the list of endpoints or of routers, not
+// to the load.
 func (w *walk) exhausted() Refusal {
 	code := w.last
 	switch {
 	case w.set.Len(w.req.Pool) == 0:
 		code = Unlisted
+	case w.unowned:
+		code = NotOwner
 	case code != Unreachable && code != Gone && code != Lost:
 		code = Overloaded
 	}
