placement: a request waits a moment while its endpoints change owners

Cause: routers learn of a change of owners at different moments. The stopping router disclaims its endpoints and names the next owner, which does not count them yet and names the stopping one. The walk follows one such word for each candidate, and gives up when all of them are disclaimed, some milliseconds before the routers agree.

Change: such a request asks again by the lists as they are then, after 5 ms, 10 ms and so on, for 0.5 s at most, for which a refusal would keep its caller away. Granting blindly, as behind a dead owner, was weighed: it saves the pause, and gives up the count of the endpoint for something that is over within milliseconds.

--- a/coordination/placement/entry.go
+++ b/coordination/placement/entry.go
@@ -77,6 +77,9 @@
 	for {
 		coordination.Sleep(ctx, w.pause(time.Now()))
 		a, refusal, ok := w.next(time.Now())
+		if !ok && refusal.Code == NotOwner && w.awaitHandover(ctx) {
+			continue
+		}
 		if !ok {
 			e.held.close(g, e.id.Instance)
 			return nil, refusal
--- a/coordination/placement/handover_test.go
+++ b/coordination/placement/handover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -27,3 +28,76 @@
 		assert.Equal(t, r.Code, NotOwner)
 	})
 }
+
+// Guards against requests that are refused while an owner stops or starts, since the
+// routers learn of it one after the other.
+func TestRequestIsPlacedWhileOwnersChange(t *testing.T) {
+	const lag = 30 * time.Millisecond
+	before := NewRouters([]Router{{ID: "r1", Zone: "z"}}, 0)
+	after := NewRouters([]Router{{ID: "r0", Zone: "z"}}, 0)
+	for _, tc := range []struct {
+		name  string
+		first coordination.Instance // the router that learns of the change first
+		entry coordination.Instance // the router that places the request
+	}{
+		{name: "old owner first, asked by the new one", first: "r1", entry: "r0"},
+		{name: "old owner first, asked by a third", first: "r1", entry: "r2"},
+		{name: "old owner first, by its own request", first: "r1", entry: "r1"},
+		{name: "third first", first: "r2", entry: "r2"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				members := []Router{{ID: "r0", Zone: "z", Incarnation: 1}, {ID: "r1", Zone: "z", Incarnation: 1}, {ID: "r2", Zone: "z", Incarnation: 1}}
+				set := NewSet(handoverEndpoints)
+				f := newFleet(members, handoverEndpoints, Config{Grace: 250 * time.Millisecond, AloneLimit: 3})
+				for _, n := range f.nodes {
+					n.update(set, before)
+				}
+				defer f.start()()
+				time.Sleep(2 * time.Second) // until the owner has settled
+				f.nodes[tc.first].update(set, after)
+				time.AfterFunc(lag, func() {
+					for _, n := range f.nodes {
+						n.update(set, after)
+					}
+				})
+				begun := time.Now()
+				g, r := f.nodes[tc.entry].entry.Acquire(t.Context(), Request{Pool: testPool, Key: 1, Deadline: 4 * time.Second})
+				assert.Assert(t, g != nil, "%v", r)
+				assert.Assert(t, time.Since(begun) < time.Second, "%v", time.Since(begun))
+				g.Release()
+			})
+		})
+	}
+}
+
+var handoverEndpoints = []Descriptor{
+	{ID: "e0", Pool: testPool, Zone: "z", Incarnation: 1},
+	{ID: "e1", Pool: testPool, Zone: "z", Incarnation: 1},
+	{ID: "e2", Pool: testPool, Zone: "z", Incarnation: 1},
+}
+
+// Guards against requests that are held up where routers never agree on an owner, and
+// against waiting on behalf of who asked not to.
+func TestRequestWaitsForAHandoverNoLongerThanARefusalWouldTakeIt(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		req  Request
+		most time.Duration
+	}{
+		{name: "plain", req: Request{Pool: testPool}, most: longestHandover},
+		{name: "little time", req: Request{Pool: testPool, Deadline: 50 * time.Millisecond}, most: 80 * time.Millisecond},
+		{name: "not to wait", req: Request{Pool: testPool, Now: true}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := NewEntry(EntryID{Instance: "self", Incarnation: 1}, NewOwner("self", Config{}), disclaimer{}, nil, Config{})
+				e.Update(NewSet(handoverEndpoints), NewRouters([]Router{{ID: "other", Zone: "z"}}, 0))
+				begun := time.Now()
+				g, _ := e.Acquire(t.Context(), tc.req)
+				assert.Assert(t, g == nil)
+				assert.Assert(t, time.Since(begun) <= tc.most, "%v", time.Since(begun))
+			})
+		})
+	}
+}
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -89,6 +89,7 @@
 	sent     int // position of the candidate that was last redirected
 	rounds   int
 	resume   time.Time // when a pause ends
+	handover handover
 	stage    stage
 	full     int
 	other    bool // some answer was not that the endpoint is full
@@ -231,9 +232,14 @@
 	return max(w.resume.Sub(now), 0)
 }
 
-// restart begins the walk anew after a pause, by the lists as they are now.
+// restart begins the walk anew after a pause for a new mean.
 func (w *walk) restart() {
 	w.rounds++
+	w.renew()
+}
+
+// renew begins the walk anew, by the lists as they are now.
+func (w *walk) renew() {
 	if w.latest != nil {
 		v := w.latest()
 		w.set, w.routers = v.set, v.routers
