placement: a waiting request outlives the endpoint that it waits for

What callers saw: 503 with "leaving" or "endpoint-lost" for requests that waited in the queue of an endpoint as it left or died, while others of the pool took requests that came later.

A request queues at the end of its list of candidates. If the queue ends with an answer other than over-bound, settling or outlier, the walk went on behind the end of the list, where there is nobody left to ask.

Change: whatever ends a wait, the request asks all candidates again. What has left or died is kept off as before, so that each answer takes one from the list.

--- /dev/null
+++ b/coordination/placement/queued_test.go
@@ -0,0 +1,125 @@
+package placement
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+)
+
+// Guards against waiting requests that are refused, though others are served, when
+// the endpoint that they wait for leaves, dies or changes its owner.
+func TestWaitingRequestOutlivesItsQueue(t *testing.T) {
+	zone := coordination.Zone("z")
+	before := NewRouters([]Router{{ID: "r1", Zone: zone}}, 0)
+	after := NewRouters([]Router{{ID: "r0", Zone: zone}}, 0)
+	for _, tc := range []struct {
+		name string
+		end  func(f *fleet, set *Set, queue coordination.Endpoint)
+	}{
+		{name: "endpoint leaves", end: func(f *fleet, _ *Set, queue coordination.Endpoint) {
+			f.nodes["r1"].owner.Leaving(queue, 1)
+		}},
+		{name: "endpoint dies", end: func(f *fleet, set *Set, queue coordination.Endpoint) {
+			var rest []Descriptor
+			for _, d := range set.byID {
+				if d.ID != queue {
+					rest = append(rest, *d)
+				}
+			}
+			for _, n := range f.nodes {
+				n.update(NewSet(rest), before)
+			}
+		}},
+		{name: "owner changes", end: func(f *fleet, set *Set, _ coordination.Endpoint) {
+			for _, n := range f.nodes {
+				n.update(set, after)
+			}
+		}},
+		{name: "owner changes, the entry learns of it late", end: func(f *fleet, set *Set, _ coordination.Endpoint) {
+			f.nodes["r1"].update(set, after)
+			time.Sleep(20 * time.Millisecond)
+			f.nodes["r0"].update(set, after)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				es := []Descriptor{
+					{ID: "e0", Pool: testPool, Zone: zone, Incarnation: 1, Capacity: 2},
+					{ID: "e1", Pool: testPool, Zone: zone, Incarnation: 1, Capacity: 2},
+				}
+				set := NewSet(es)
+				members := []Router{{ID: "r0", Zone: zone, Incarnation: 1}, {ID: "r1", Zone: zone, Incarnation: 1}}
+				f := newFleet(members, es, Config{Grace: 250 * time.Millisecond})
+				for _, n := range f.nodes {
+					n.update(set, before)
+				}
+				defer f.start()()
+				time.Sleep(2 * time.Second) // until the owner has settled
+				entry := f.nodes["r0"].entry
+				var running []*Grant
+				for range 4 {
+					g, r := entry.Acquire(t.Context(), Request{Pool: testPool, Key: 1})
+					assert.Assert(t, g != nil, "%v", r)
+					running = append(running, g)
+				}
+				placed := make(chan error, 1)
+				go waiting{entry, placed}.run(t)
+				time.Sleep(100 * time.Millisecond)
+				queue := queueOf(f.nodes["r1"].owner)
+				assert.Assert(t, queue != "", "the request does not wait")
+				tc.end(f, set, queue)
+				time.Sleep(time.Second)
+				for _, g := range running {
+					g.Release()
+				}
+				assert.NilError(t, <-placed)
+			})
+		})
+	}
+}
+
+// waiting is a request that finds all endpoints full.
+type waiting struct {
+	entry  *Entry
+	placed chan<- error
+}
+
+func (w waiting) run(t *testing.T) {
+	g, r := w.entry.Acquire(t.Context(), Request{Pool: testPool, Key: 1, Deadline: 4 * time.Second})
+	if g == nil {
+		w.placed <- refusedError(r)
+		return
+	}
+	g.Release()
+	w.placed <- nil
+}
+
+// refusedError is a refusal where a grant is due.
+type refusedError Refusal
+
+func (r refusedError) Error() string { return "refused: " + r.Code.String() }
+
+// queueOf returns the endpoint at which requests wait, or none.
+func queueOf(o *Owner) coordination.Endpoint {
+	for i := range o.shards {
+		if id := o.shards[i].queue(); id != "" {
+			return id
+		}
+	}
+	return ""
+}
+
+func (s *ownerShard) queue() coordination.Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, l := range s.loads {
+		if l.queue.size > 0 {
+			return id
+		}
+	}
+	return ""
+}
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -350,7 +350,11 @@
 	if r.Code == Gone || r.Code == Lost {
 		w.req.Avoid = append(slices.Clip(w.req.Avoid), a.endpoint.ID)
 	}
-	if w.stage == pausing {
+	if r.Code == Lost {
+		w.lost = append(w.lost, lostOf(a.endpoint))
+	}
+	if w.stage != asking {
+		// It was held back there and is not any more; others may have room by now.
 		w.restart()
 		return false
 	}
@@ -359,49 +363,29 @@
 		w.full++
 		w.offer(a, r.RetryAfter)
 	case OverBound, Settling:
-		if w.stage == queueing {
-			w.restart()
-			return false
-		}
 		w.other, w.over = true, true
 		w.offer(a, r.RetryAfter)
 	case NotOwner:
 		w.other, w.unowned = true, true
 		w.follow(a, r.Owner)
 	case Outlier:
-		w.outlier()
-	case Lost:
-		w.other = true
-		w.lost = append(w.lost, lostOf(a.endpoint))
+		w.keepOff()
 	default:
 		w.other = true
 	}
 	return false
 }
 
-// outlier takes in that an endpoint is kept off. A request that waited there
-// looks anew.
-func (w *walk) outlier() {
-	if w.stage == queueing {
-		w.restart()
-		return
-	}
-	w.keepOff()
-}
-
 // follow goes on to the router that the asked one takes for the owner, once for
 // each candidate: while lists differ, two routers may name each other.
 func (w *walk) follow(a ask, owner coordination.Instance) {
-	if owner != "" && owner != a.owner && w.stage == asking && w.sent != w.at {
+	if owner != "" && owner != a.owner && w.sent != w.at {
 		w.redirect, w.sent = owner, w.at
 	}
 }
 
 // offer notes an endpoint in whose queue the request could wait.
 func (w *walk) offer(a ask, wait Millis) {
-	if w.stage != asking {
-		return
-	}
 	if w.at > 0 {
 		wait += millis(warmBias)
 	}
