daemon: a request whose granted endpoint is gone from the list asks again

What callers saw: 503 with "leaving" and a second to wait, though the pool had other endpoints.

Cause: placement takes in a change of the list behind the directory, in large fleets up to 0.2 s later. A grant may therefore be for an endpoint that the directory does not know any more, and the request was refused for it.

Evidence: TestRequestGoesOnWhenTheEndpointOfItsGrantIsGone, in which placement knows three endpoints and the directory two or one, fails in two of three cases before and in none after.

Change: the grant is given back and the request asks for another, with that endpoint excluded, so that it ends when none is left.

--- a/wisteriarouter/daemon/placing.go
+++ b/wisteriarouter/daemon/placing.go
@@ -297,21 +297,23 @@
 }
 
 // acquire asks for a grant for a request that has to start by a time, which may
-// be zero, and finds the endpoint that it is for.
+// be zero, and finds the endpoint that it is for. Placement learns of a change of
+// the list behind the directory, so that a grant may be for one that has gone.
 func (p *placing) acquire(ctx context.Context, req placement.Request, by time.Time) (*placement.Grant, endpoint.Known, *outcome.Refusal) {
-	if !by.IsZero() {
-		req.Deadline = max(time.Until(by), time.Millisecond)
-	}
-	g, refusal := p.entry.Acquire(ctx, req)
-	if g == nil {
-		return nil, endpoint.Known{}, refusalOf(refusal)
-	}
-	k, ok := p.directory.Find(g.Endpoint.ID)
-	if !ok {
+	for {
+		if !by.IsZero() {
+			req.Deadline = max(time.Until(by), time.Millisecond)
+		}
+		g, refusal := p.entry.Acquire(ctx, req)
+		if g == nil {
+			return nil, endpoint.Known{}, refusalOf(refusal)
+		}
+		if k, ok := p.directory.Find(g.Endpoint.ID); ok {
+			return g, k, nil
+		}
 		g.Release()
-		return nil, endpoint.Known{}, refusalOf(placement.Refusal{Code: placement.Gone, RetryAfter: time.Second})
+		req.Avoid = append(slices.Clip(req.Avoid), g.Endpoint.ID)
 	}
-	return g, k, nil
 }
 
 // keyOf returns what leads a chat to its endpoint; a request without a chat
--- /dev/null
+++ b/wisteriarouter/daemon/placing_test.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/placement"
+	"wisteriaspool/wisteriarouter/endpoint"
+	"wisteriaspool/wisteriarouter/platform"
+)
+
+// Guards against requests that are refused, though others are served, since the
+// endpoint of their grant has just left the list.
+func TestRequestGoesOnWhenTheEndpointOfItsGrantIsGone(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		listed []coordination.Endpoint
+		placed bool
+	}{
+		{name: "one is left", listed: []coordination.Endpoint{"e2"}, placed: true},
+		{name: "two are left", listed: []coordination.Endpoint{"e0", "e1"}, placed: true},
+		{name: "none is left"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := placingOf([]coordination.Endpoint{"e0", "e1", "e2"}, tc.listed)
+				time.Sleep(2 * time.Second) // until the owner has settled
+				for key := range placement.Key(20) {
+					g, k, refusal := p.acquire(t.Context(), placement.Request{Pool: "p", Key: key}, time.Now().Add(time.Second))
+					assert.Equal(t, refusal == nil, tc.placed, "key %d: %v", key, refusal)
+					if g != nil {
+						assert.Equal(t, g.Endpoint.ID, k.ID)
+						g.Release()
+					}
+				}
+			})
+		})
+	}
+}
+
+// placingOf returns the placing of a router that owns all endpoints. What it places
+// by is a list behind the directory.
+func placingOf(before, listed []coordination.Endpoint) *placing {
+	routers := placement.NewRouters([]placement.Router{{ID: "self", Zone: "z"}}, 0)
+	var set []placement.Descriptor
+	for _, id := range before {
+		set = append(set, placement.Descriptor{ID: id, Pool: "p", Zone: "z", Incarnation: 1})
+	}
+	p := &placing{self: "self", directory: &endpoint.Directory{}, owner: placement.NewOwner("self", relayConfig)}
+	p.entry = placement.NewEntry(placement.EntryID{Instance: "self", Incarnation: 1}, p.owner, nil, nil, relayConfig)
+	p.owner.Update(placement.NewSet(set), routers)
+	p.entry.Update(placement.NewSet(set), routers)
+	var entries []platform.Entry
+	for _, id := range listed {
+		entries = append(entries, platform.Entry{ID: id, Pool: "p", Zone: "z", Incarnation: 1})
+	}
+	p.directory.Update(entries)
+	return p
+}
