standin: replicas let requests wait for a slot, as endpoints do

Cause: the stand-in. An owner lets a quarter more than the slots go to an endpoint, since endpoints queue a few requests beyond them; the stand-in queued none. The route may be sent to one endpoint only, so that the refusal is right.

Change: as many requests as half of the slots wait for one, and are turned away as not run when their time is up. The soak's check is as it was.

Evidence: TestRequestsWaitForASlot fails before.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,7 +23,7 @@
 	ID      string
 	Service string
 	Zone    string
-	Slots   int           // requests at a time; 8 if zero
+	Slots   int           // requests at a time; 8 if zero. Half as many wait for one
 	Events  int           // of a stream; 5 if zero
 	Pause   time.Duration // between two events, and for a whole answer
 	// Unlisted leaves it to the caller to list the replica.
@@ -75,6 +76,7 @@
 	faults   Faults
 	met      int // requests since the start
 	running  int
+	queue    []*turn // requests that wait for a slot, the oldest first
 	arrivals []*Arrival
 	state    string
 }
@@ -197,16 +199,82 @@
 	r.whole(w, req, a, f)
 }
 
+// turn is a request's wait for a slot.
+type turn struct {
+	come chan struct{} // closed when the request has a slot
+}
+
+// admit gives a request a slot, and reports false if it is turned away as not run:
+// at once if too many wait, or when its time is up.
 func (r *Replica) admit(req *http.Request) (*Arrival, Faults, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.faults.Full || r.running >= r.opts.Slots {
+	if r.faults.Full || !r.takeSlot(req) {
 		return nil, r.faults, false
 	}
-	r.running++
-	left, _ := strconv.Atoi(req.Header.Get("X-Deadline-Ms")) // none is zero
+	return r.arrive(req)
+}
+
+// takeSlot takes a slot and reports whether there is one in time. The caller holds
+// r.mu, which is free while the request waits.
+func (r *Replica) takeSlot(req *http.Request) bool {
+	if r.running < r.opts.Slots {
+		r.running++
+		return true
+	}
+	if len(r.queue) >= r.opts.Slots/2 {
+		return false
+	}
+	t := &turn{come: make(chan struct{})}
+	r.queue = append(r.queue, t)
+	r.mu.Unlock()
+	defer r.mu.Lock()
+	return r.await(req, t)
+}
+
+// await waits for a slot, for as long as the caller waits.
+func (r *Replica) await(req *http.Request, t *turn) bool {
+	var late <-chan time.Time
+	if left := limitOf(req); left > 0 {
+		late = time.After(left)
+	}
+	select {
+	case <-t.come:
+		return true
+	case <-late:
+	case <-req.Context().Done():
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := slices.Index(r.queue, t)
+	if i < 0 {
+		return true // it has got a slot meanwhile
+	}
+	r.queue = slices.Delete(r.queue, i, i+1)
+	return false
+}
+
+// freeSlot passes a slot on to the request that has waited longest. The caller holds
+// r.mu.
+func (r *Replica) freeSlot() {
+	if len(r.queue) == 0 {
+		r.running--
+		return
+	}
+	close(r.queue[0].come)
+	r.queue = r.queue[1:]
+}
+
+// limitOf returns how long a request's caller waits; zero if it does not say.
+func limitOf(req *http.Request) time.Duration {
+	ms, _ := strconv.Atoi(req.Header.Get("X-Deadline-Ms")) // none is zero
+	return time.Duration(ms) * time.Millisecond
+}
+
+// arrive notes a request that begins to run. The caller holds r.mu.
+func (r *Replica) arrive(req *http.Request) (*Arrival, Faults, bool) {
 	a := &Arrival{
-		At: time.Now(), Limit: time.Duration(left) * time.Millisecond,
+		At: time.Now(), Limit: limitOf(req),
 		ID: req.Header.Get("X-Attempt-Id"), Path: req.URL.Path, Tenant: req.Header.Get("X-Tenant"),
 		From: req.Header.Get("Last-Event-Id"), Fetch: req.Header.Get("Kv-Fetch"),
 	}
@@ -232,7 +300,7 @@
 func (r *Replica) end(a *Arrival) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.running--
+	r.freeSlot()
 	a.Done = time.Now()
 }
 
