--- /dev/null
+++ b/coordination/placement/short_test.go
@@ -0,0 +1,80 @@
+package placement
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/synctest"
+)
+
+// Guards against an endpoint that carries far more than the mean where requests are
+// shorter than the time from one exchange of sums to the next.
+func TestBoundHoldsForShortRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(testRouters(16), testEndpoints(4), Config{Bound: 1.8, Slack: 2, Grace: 250 * time.Millisecond, AloneLimit: 3})
+		stop := f.start()
+		time.Sleep(5 * time.Second) // until all sums are known
+		s := &shortLoad{running: make(map[coordination.Endpoint]int)}
+		ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+		defer cancel()
+		var wg sync.WaitGroup
+		for n := range 32 {
+			wg.Go(func() { s.loop(ctx, f, rand.New(rand.NewPCG(1, uint64(n)))) })
+		}
+		wg.Wait()
+		stop()
+		t.Logf("%d of %d placements are over the bound", s.over, s.placed)
+		assert.Assert(t, s.placed > 5000)
+		assert.Assert(t, s.over <= s.placed*3/100, "%d of %d", s.over, s.placed)
+	})
+}
+
+// shortLoad counts the requests of callers who all send the same prompt.
+type shortLoad struct {
+	mu           sync.Mutex
+	running      map[coordination.Endpoint]int
+	total        int
+	placed, over int
+}
+
+// loop sends the requests of one caller through any router.
+func (s *shortLoad) loop(ctx context.Context, f *fleet, rng *rand.Rand) {
+	const longestPause, runs = 400, 75 // ms
+	routers := testRouters(16)
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(rng.IntN(longestPause)) * time.Millisecond)
+		g, _ := f.nodes[routers[rng.IntN(len(routers))].ID].entry.Acquire(ctx, Request{Pool: testPool, Key: 1, Deadline: 4 * time.Second})
+		if g == nil {
+			continue
+		}
+		s.begin(g.Endpoint.ID)
+		time.Sleep(runs * time.Millisecond)
+		s.end(g.Endpoint.ID)
+		g.Release()
+	}
+}
+
+// begin counts a request that begins, against twice the mean load and three.
+func (s *shortLoad) begin(id coordination.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[id]++
+	s.total++
+	s.placed++
+	if float64(s.running[id]) > 2*float64(s.total)/4+3 {
+		s.over++
+	}
+}
+
+func (s *shortLoad) end(id coordination.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[id]--
+	s.total--
+}
