--- a/coordination/placement/handover_test.go
+++ b/coordination/placement/handover_test.go
@@ -29,8 +29,7 @@
 	})
 }
 
-// Guards against requests that are refused while an owner stops or starts, since the
-// routers learn of it one after the other.
+// Guards against requests that are refused while routers learn one by one of an owner's stop.
 func TestRequestIsPlacedWhileOwnersChange(t *testing.T) {
 	const lag = 30 * time.Millisecond
 	before := NewRouters([]Router{{ID: "r1", Zone: "z"}}, 0)
@@ -77,9 +76,8 @@
 	{ID: "e2", Pool: testPool, Zone: "z", Incarnation: 1},
 }
 
-// Guards against requests that are held up where routers never agree on an owner, and
-// against waiting on behalf of who asked not to.
-func TestRequestWaitsForAHandoverNoLongerThanARefusalWouldTakeIt(t *testing.T) {
+// Guards against requests that are held up for long where routers never agree on an owner.
+func TestWaitForAHandoverIsBounded(t *testing.T) {
 	for _, tc := range []struct {
 		name string
 		req  Request
--- a/coordination/placement/queued_test.go
+++ b/coordination/placement/queued_test.go
@@ -10,8 +10,7 @@
 	"wisteriaspool/coordination/synctest"
 )
 
-// Guards against waiting requests that are refused, though others are served, when
-// the endpoint that they wait for leaves, dies or changes its owner.
+// Guards against waiting requests that are refused as their endpoint leaves, dies or changes owners.
 func TestWaitingRequestOutlivesItsQueue(t *testing.T) {
 	zone := coordination.Zone("z")
 	before := NewRouters([]Router{{ID: "r1", Zone: zone}}, 0)
@@ -60,12 +59,7 @@
 				defer f.start()()
 				time.Sleep(2 * time.Second) // until the owner has settled
 				entry := f.nodes["r0"].entry
-				var running []*Grant
-				for range 4 {
-					g, r := entry.Acquire(t.Context(), Request{Pool: testPool, Key: 1})
-					assert.Assert(t, g != nil, "%v", r)
-					running = append(running, g)
-				}
+				running := fill(t, entry, 4)
 				placed := make(chan error, 1)
 				go waiting{entry, placed}.run(t)
 				time.Sleep(100 * time.Millisecond)
@@ -82,6 +76,16 @@
 	}
 }
 
+// fill places n requests.
+func fill(t *testing.T, e *Entry, n int) (running []*Grant) {
+	for range n {
+		g, r := e.Acquire(t.Context(), Request{Pool: testPool, Key: 1})
+		assert.Assert(t, g != nil, "%v", r)
+		running = append(running, g)
+	}
+	return running
+}
+
 // waiting is a request that finds all endpoints full.
 type waiting struct {
 	entry  *Entry
--- a/coordination/placement/short_test.go
+++ b/coordination/placement/short_test.go
@@ -13,18 +13,26 @@
 	"wisteriaspool/coordination/synctest"
 )
 
-// Guards against an endpoint that carries far more than the mean where requests are
-// shorter than the time from one exchange of sums to the next.
+// The load of a pool whose endpoints have an owner each.
+const (
+	shortRouters   = 16
+	shortEndpoints = 4
+	shortCallers   = 32
+	shortRun       = 75 * time.Millisecond
+	shortPause     = 400 * time.Millisecond // at most, between two requests of a caller
+)
+
+// Guards against loads far over the mean where requests are shorter than sums are old.
 func TestBoundHoldsForShortRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(testRouters(16), testEndpoints(4), Config{Bound: 1.8, Slack: 2, Grace: 250 * time.Millisecond, AloneLimit: 3})
+		f := newFleet(testRouters(shortRouters), testEndpoints(shortEndpoints), Config{Bound: 1.8, Slack: 2, Grace: 250 * time.Millisecond, AloneLimit: 3})
 		stop := f.start()
 		time.Sleep(5 * time.Second) // until all sums are known
 		s := &shortLoad{running: make(map[coordination.Endpoint]int)}
 		ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
 		defer cancel()
 		var wg sync.WaitGroup
-		for n := range 32 {
+		for n := range shortCallers {
 			wg.Go(func() { s.loop(ctx, f, rand.New(rand.NewPCG(1, uint64(n)))) })
 		}
 		wg.Wait()
@@ -45,16 +53,15 @@
 
 // loop sends the requests of one caller through any router.
 func (s *shortLoad) loop(ctx context.Context, f *fleet, rng *rand.Rand) {
-	const longestPause, runs = 400, 75 // ms
-	routers := testRouters(16)
+	routers := testRouters(shortRouters)
 	for ctx.Err() == nil {
-		time.Sleep(time.Duration(rng.IntN(longestPause)) * time.Millisecond)
+		time.Sleep(time.Duration(rng.Int64N(int64(shortPause))))
 		g, _ := f.nodes[routers[rng.IntN(len(routers))].ID].entry.Acquire(ctx, Request{Pool: testPool, Key: 1, Deadline: 4 * time.Second})
 		if g == nil {
 			continue
 		}
 		s.begin(g.Endpoint.ID)
-		time.Sleep(runs * time.Millisecond)
+		time.Sleep(shortRun)
 		s.end(g.Endpoint.ID)
 		g.Release()
 	}
@@ -67,7 +74,7 @@
 	s.running[id]++
 	s.total++
 	s.placed++
-	if float64(s.running[id]) > 2*float64(s.total)/4+3 {
+	if float64(s.running[id]) > 2*float64(s.total)/shortEndpoints+3 {
 		s.over++
 	}
 }
--- a/coordination/suspicion/excused_test.go
+++ b/coordination/suspicion/excused_test.go
@@ -7,8 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a crashing request whose copies all run at once since its first crash
-// is put down to another that was convicted of it.
+// Guards against copies of a crashing request that run at once as its crash is excused.
 func TestExcusedSuspectRunsOneCopyAtATime(t *testing.T) {
 	now := testNow
 	g := NewGate(NewTable(Config{}))
--- a/coordination/synctest/synctest_test.go
+++ b/coordination/synctest/synctest_test.go
@@ -9,8 +9,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a crash of the runtime in goroutines of a bubble that poll expired
-// timers side by side.
+// Guards against a crash of the runtime in goroutines that poll expired timers.
 func TestExpiredTimersArePolledSideBySide(t *testing.T) {
 	const bubbles, pollers = 5000, 8
 	for range bubbles {
@@ -28,8 +27,7 @@
 	}
 }
 
-// Guards against a test without the race detector that runs on one processor, and
-// against a limit that outlasts its bubble.
+// Guards against a limit that outlasts its bubble, or that holds without the race detector.
 func TestProcessorsWhileABubbleRuns(t *testing.T) {
 	usual := runtime.GOMAXPROCS(0)
 	want := usual
--- a/standin/replica/replica_test.go
+++ b/standin/replica/replica_test.go
@@ -10,8 +10,7 @@
 	"wisteriaspool/standin/hub"
 )
 
-// Guards against a stand-in that turns requests away though half as many as its slots
-// may wait.
+// Guards against a stand-in that lets no request wait for a slot.
 func TestRequestsWaitForASlot(t *testing.T) {
 	const slots = 4
 	r, stop, err := Start(hub.New(), Options{ID: "d0", Service: "desk", Slots: slots, Pause: 200 * time.Millisecond})
@@ -30,6 +29,7 @@
 	assert.Equal(t, len(r.Arrivals()), slots+slots/2)
 }
 
+// Guards against a stand-in that runs requests whose time is up.
 func TestRequestThatWaitsTooLongIsNotRun(t *testing.T) {
 	r, stop, err := Start(hub.New(), Options{ID: "d0", Service: "desk", Slots: 2, Pause: 500 * time.Millisecond})
 	assert.NilError(t, err)
--- a/wisteriarouter/daemon/placing_test.go
+++ b/wisteriarouter/daemon/placing_test.go
@@ -13,8 +13,7 @@
 	"wisteriaspool/wisteriarouter/platform"
 )
 
-// Guards against requests that are refused, though others are served, since the
-// endpoint of their grant has just left the list.
+// Guards against requests that are refused since the endpoint of their grant has gone.
 func TestRequestGoesOnWhenTheEndpointOfItsGrantIsGone(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
