Relay logs how a response was delimited and what was left at its end

The record of the response that looked complete could not tell whether the end of a connection had passed for the end of a response. Event 800 now has undelimited (neither a length nor chunks) and partial-bytes (of an incomplete event at the end).

The simulated replica serves undelimited responses, and can cut them by a reset or in order, at any byte of an event.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -29,16 +29,23 @@
 	Delay   time.Duration // before each event of a stream, and before a single response
 	// Unregistered leaves it to the caller to register the replica.
 	Unregistered bool
+	// Undelimited makes responses have neither a length nor chunks. They end with
+	// their connection.
+	Undelimited bool
 }
 
 // Faults selects the faults that the replica injects.
 type Faults struct {
 	CutAfter int  // a stream is cut in the middle of the event after this many; 0 means never
+	CutBytes int  // bytes of that event that are sent before the cut; 0 means half of it, a negative number none
 	CutLate  bool // a single response is completed, but the connection breaks before it is sent
-	Status   int  // replaces status 200; 0 means no change
-	Times    int  // number of requests to which these faults apply; 0 means all
-	Full     bool // every request is refused as not run, regardless of Every, Only and Times
-	Mute     bool // requests run but are never answered
+	// CutInOrder makes a cut response end as a complete one does, in place of a reset
+	// of its connection.
+	CutInOrder bool
+	Status     int  // replaces status 200; 0 means no change
+	Times      int  // number of requests to which these faults apply; 0 means all
+	Full       bool // every request is refused as not run, regardless of Every, Only and Times
+	Mute       bool // requests run but are never answered
 	// Slow is an extra delay before a response or the first event of a stream.
 	Slow time.Duration
 	// Every limits these faults to every n-th request; 0 means all requests.
@@ -177,19 +184,23 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	h := w.Header()
-	h.Set("X-Instance-Id", r.opts.ID)
+	w.Header().Set("X-Instance-Id", r.opts.ID)
 	if expected := req.Header.Get("X-Expect-Instance"); expected != "" && expected != r.opts.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	a, f, ok := r.admit(req)
 	if !ok {
-		h.Set("X-Not-Executed", "1")
+		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer r.finish(a)
+	if r.opts.Undelimited {
+		var end func()
+		w, end = newUndelimitedWriter(w)
+		defer end()
+	}
 	if f.Crash != "" && f.Crash == a.Path {
 		_ = r.server.Close() // closes all connections
 		panic(http.ErrAbortHandler)
@@ -203,6 +214,7 @@
 	if f.Slow > 0 && !r.wait(req, a, f.Slow) {
 		return
 	}
+	h := w.Header()
 	h.Set("X-Attempt-Id", a.ID)
 	h.Set("X-Server-Signature", r.opts.ID+"."+a.ID)
 	h.Set("X-Instance-Load", fmt.Sprintf("%d,0,%d", r.runningCount(), r.opts.Slots))
@@ -369,6 +381,14 @@
 	_, _ = w.Write([]byte("done " + a.ID)) // an error means that the caller disconnected
 }
 
+// cutBytes returns how many bytes of the event in which a stream is cut are sent.
+func cutBytes(f Faults, event string) int {
+	if f.CutBytes == 0 {
+		return len(event) / 2
+	}
+	return min(max(f.CutBytes, 0), len(event))
+}
+
 // serveStream sends the events after the last one that the caller has received.
 // Events are numbered from 1.
 func (r *Replica) serveStream(w http.ResponseWriter, req *http.Request, a *Arrival, f Faults) {
@@ -381,8 +401,11 @@
 		}
 		event := fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n)
 		if f.CutAfter > 0 && n > f.CutAfter {
-			_, _ = w.Write([]byte(event[:len(event)/2]))
+			_, _ = w.Write([]byte(event[:cutBytes(f, event)]))
 			_ = flush()
+			if f.CutInOrder {
+				return
+			}
 			panic(http.ErrAbortHandler)
 		}
 		if _, err := w.Write([]byte(event)); err != nil || flush() != nil {
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -18,7 +18,7 @@
 // attempt sends the request to one endpoint and forwards its response.
 func (x *exchange) attempt(ctx context.Context, p Placement) attemptResult {
 	id := coordination.Attempt(strconv.Itoa(x.evidence.Attempts()))
-	x.status = 0
+	x.status, x.undelimited, x.stream.partial = 0, false, 0
 	x.evidence.Begin(id)
 	ctx, stop := x.watchFirstByte(ctx, p)
 	defer stop()
@@ -27,7 +27,7 @@
 		return x.unanswered(id, p, err)
 	}
 	x.sends++
-	x.status = resp.Status
+	x.status, x.undelimited = resp.Status, resp.Undelimited
 	x.evidence.Written(id)
 	defer resp.Body.Close()
 	if !isStream(resp) {
@@ -294,6 +294,8 @@
 		event.F("first-ms", x.stream.firstMs(x.arrived)),
 		event.F("pause-ms", x.stream.longestPause.Milliseconds()),
 		event.F("last-event", x.stream.lastEventID),
+		event.F("undelimited", x.undelimited),
+		event.F("partial-bytes", x.stream.partial),
 		event.F("late", x.missedTarget()),
 	)
 }
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -18,6 +18,7 @@
 	// event stream, and that another endpoint therefore cannot continue.
 	unrepeatable bool
 	lastEventID  string // id of the last complete event sent to the caller
+	partial      int    // bytes of an incomplete event at the end of the last response
 	firstEventAt time.Time
 	lastEventAt  time.Time     // arrival of the last event
 	longestPause time.Duration // longest time between two events
@@ -61,6 +62,7 @@
 	flush := http.NewResponseController(x.w).Flush
 	for {
 		events, err := e.next()
+		x.stream.partial = e.partial()
 		if len(events) > 0 {
 			if resumed && !idAfter(firstID(events), x.stream.lastEventID) {
 				return cut
@@ -108,6 +110,9 @@
 	return e.buf[:e.used], err
 }
 
+// partial returns how many bytes of an incomplete event the last read has left.
+func (e *eventReader) partial() int { return len(e.buf) - wholeEvents(e.buf) }
+
 // wholeEvents returns the length of the complete events at the start of b. An event
 // ends with an empty line.
 func wholeEvents(b []byte) int {
--- a/wisteriarouter/upstream/conn.go
+++ b/wisteriarouter/upstream/conn.go
@@ -71,11 +71,12 @@
 
 func (c *conn) response(resp *http.Response) *Response {
 	return &Response{
-		Status: resp.StatusCode,
-		Header: resp.Header,
-		Length: resp.ContentLength,
-		Body:   &Body{conn: c, resp: resp},
-		Reused: c.served > 1,
+		Status:      resp.StatusCode,
+		Header:      resp.Header,
+		Length:      resp.ContentLength,
+		Undelimited: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		Body:        &Body{conn: c, resp: resp},
+		Reused:      c.served > 1,
 	}
 }
 
--- a/wisteriarouter/upstream/upstream.go
+++ b/wisteriarouter/upstream/upstream.go
@@ -81,7 +81,10 @@
 	Status int
 	Header http.Header
 	Length int64 // of the body in bytes, or -1 if unknown
-	Body   *Body
+	// Undelimited reports that the body has neither a length nor chunks. It ends where
+	// the endpoint closes the connection, so that its end does not prove it complete.
+	Undelimited bool
+	Body        *Body
 	// Reused reports that the connection had served an earlier request.
 	Reused bool
 }
