A stream that ends inside an event has been broken off

Callers received part of an event and then a regular end: a response with neither a length nor chunks ends where its connection is closed in order, and the reader of events passed on what was left at the end as if it were complete. A resumable stream was not resumed.

A stream that ends inside an event, however it is delimited, is now cut: it continues at another endpoint where it may, and its caller sees it broken off where it may not. Events are found line by line, so that one whose lines end in different ways is not taken for incomplete; comments at the end belong to no event. Events that were written just before the cut are sent, as an aborted response loses what is in its buffer.

--- a/wisteriarouter/daemon/relay_end_test.go
+++ b/wisteriarouter/daemon/relay_end_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"wisteriaspool/standin/replica"
 )
@@ -27,14 +29,29 @@
 	}
 }
 
+// start adds two endpoints, of which the first breaks streams off.
 func (b brokenOff) start(s *relayCluster) {
 	for n := range 2 {
-		r := s.addReplica(replica.Options{ID: fmt.Sprintf("bare%d", n), Service: "model", Zone: "a", Undelimited: b.undelimited})
-		if n == 0 {
-			r.SetFaults(replica.Faults{CutAfter: 2, CutBytes: b.cutBytes, CutInOrder: true})
+		s.addReplica(replica.Options{ID: fmt.Sprintf("bare%d", n), Service: "model", Zone: "a", Undelimited: b.undelimited})
+	}
+	s.awaitUsed("/resumable/first")
+	s.replicas[0].SetFaults(replica.Faults{CutAfter: 2, CutBytes: b.cutBytes, CutInOrder: true})
+}
+
+// awaitUsed waits until each router uses each endpoint for a path.
+func (s *relayCluster) awaitUsed(path string) {
+	for router := range s.routers {
+		for _, r := range s.replicas {
+			before := len(r.Arrivals())
+			poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+				s.send(router, path, "X-Prefix-Hash", freshID()+":50,cc:10")
+				if len(r.Arrivals()) > before {
+					return poll.Success()
+				}
+				return poll.Continue("router %d does not use %s", router, r.Key())
+			}, poll.WithDelay(20*time.Millisecond))
 		}
 	}
-	s.awaitServed("/resumable/first")
 }
 
 // Guards against a stream that ends inside an event and reaches its caller as complete.
@@ -43,15 +60,18 @@
 		t.Run(b.name, func(t *testing.T) {
 			s := newRelayCluster(t, 1, 0, 0)
 			b.start(s)
-			for n := range 8 {
+			brokenOff := 0
+			for n := range 24 {
 				got := s.send(0, fmt.Sprintf("/stream/%d", n), "X-Prefix-Hash", freshID()+":50,cc:10")
 				if got.err == nil {
 					assert.Equal(t, got.body, events(1, 5))
 					continue
 				}
+				brokenOff++
 				assert.Equal(t, got.body, events(1, 2))
 				assert.Equal(t, s.runs(fmt.Sprintf("/stream/%d", n)), 1)
 			}
+			assert.Assert(t, brokenOff > 0)
 		})
 	}
 }
--- a/wisteriarouter/relay/relay_test.go
+++ b/wisteriarouter/relay/relay_test.go
@@ -79,6 +79,11 @@
 		{"data: a\n\n", 9, "", ""},
 		{": note\n\nid: 7\ndata: a\n\n", 23, "7", "7"},
 		{"data: id: 9\n\n", 13, "", ""},
+		{"data: a\n\r\n", 10, "", ""},
+		{"data: a\r\n\n", 10, "", ""},
+		{"data: a\r\r", 9, "", ""},
+		{"data: a\r\n", 0, "", ""},
+		{"data: a\r", 0, "", ""},
 	}
 	for _, test := range tests {
 		n := wholeEvents([]byte(test.in))
@@ -88,6 +93,17 @@
 	}
 }
 
+// Guards against a stream that ends inside an event and counts as complete, and against
+// one that is complete and counts as broken off.
+func TestOnlyComments(t *testing.T) {
+	for in, want := range map[string]bool{
+		"": true, ": note\n": true, ":\r\n: note\r\n": true,
+		": note": false, "id: 1\n": false, "data": false, ": note\nid: 1\n": false,
+	} {
+		assert.Equal(t, onlyComments([]byte(in)), want, "%q", in)
+	}
+}
+
 // An endpoint that continues a stream may send an event that the caller already has.
 func TestIDAfter(t *testing.T) {
 	assert.Assert(t, idAfter("3", "2"))
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -59,10 +59,10 @@
 		x.stream.headSent = true
 	}
 	e := eventReader{body: resp.Body, buf: make([]byte, 0, streamBuffer)}
+	defer func() { x.stream.partial = len(e.rest()) }()
 	flush := http.NewResponseController(x.w).Flush
 	for {
 		events, err := e.next()
-		x.stream.partial = e.partial()
 		if len(events) > 0 {
 			if resumed && !idAfter(firstID(events), x.stream.lastEventID) {
 				return cut
@@ -79,6 +79,7 @@
 		case errors.Is(err, io.EOF):
 			return delivered
 		case err != nil:
+			_ = flush() // an aborted response loses what was not sent
 			return x.watch.result(cut)
 		case len(events) > 0 && !resp.Body.Buffered() && flush() != nil:
 			return cut
@@ -94,10 +95,10 @@
 }
 
 // next returns the complete events after one read, which may be none. With io.EOF it
-// returns all remaining bytes.
+// returns what is left. The error is io.ErrUnexpectedEOF if the body ends inside an
+// event, however it was delimited.
 func (e *eventReader) next() ([]byte, error) {
-	e.buf = append(e.buf[:0], e.buf[e.used:]...)
-	e.used = 0
+	e.buf = append(e.buf[:0], e.rest()...)
 	if len(e.buf) == cap(e.buf) {
 		e.buf = append(e.buf, 0)[:len(e.buf)]
 	}
@@ -105,27 +106,62 @@
 	e.buf = e.buf[:len(e.buf)+n]
 	e.used = wholeEvents(e.buf)
 	if errors.Is(err, io.EOF) {
+		if !onlyComments(e.rest()) {
+			return e.buf[:e.used], io.ErrUnexpectedEOF
+		}
 		e.used = len(e.buf)
 	}
 	return e.buf[:e.used], err
 }
 
-// partial returns how many bytes of an incomplete event the last read has left.
-func (e *eventReader) partial() int { return len(e.buf) - wholeEvents(e.buf) }
+// rest returns the bytes that have been read and not returned.
+func (e *eventReader) rest() []byte { return e.buf[e.used:] }
 
 // wholeEvents returns the length of the complete events at the start of b. An event
 // ends with an empty line.
 func wholeEvents(b []byte) int {
 	end := 0
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
-	}
-	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+4)
+	for start := 0; start < len(b); {
+		line, next, ok := nextLine(b, start)
+		if !ok {
+			break
+		}
+		if len(line) == 0 {
+			end = next
+		}
+		start = next
 	}
 	return end
 }
 
+// onlyComments reports whether b consists of complete lines that are comments.
+func onlyComments(b []byte) bool {
+	for start := 0; start < len(b); {
+		line, next, ok := nextLine(b, start)
+		if !ok || !bytes.HasPrefix(line, []byte(":")) {
+			return false
+		}
+		start = next
+	}
+	return true
+}
+
+// nextLine returns the line of b that begins at start, without its end, and the index
+// after it. A line ends with CR LF, LF or CR. It returns false if the line is not
+// complete.
+func nextLine(b []byte, start int) (line []byte, next int, ok bool) {
+	n := bytes.IndexAny(b[start:], "\r\n")
+	if n < 0 {
+		return nil, start, false
+	}
+	end := start + n
+	next = end + 1
+	if b[end] == '\r' && next < len(b) && b[next] == '\n' {
+		next++
+	}
+	return b[start:end], next, true
+}
+
 // lastID returns the id of the last event in b that has one.
 func lastID(b []byte) string { return idAt(b, bytes.LastIndex(b, []byte("\nid:"))) }
 
