An undelimited stream without an event has been broken off

An endpoint that closes its connection between the headers of a stream and the first event left its caller with an empty, complete response. Where the end of the connection is the only end, a stream counts as complete only with an event, or if the caller asked for the rest of a stream, of which nothing may be left.

TestRelayShowsUndelimitedStreamWithoutEvents failed before (no error at the caller) and passes.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -36,7 +36,7 @@
 
 // Faults selects the faults that the replica injects.
 type Faults struct {
-	CutAfter int  // a stream is cut in the middle of the event after this many; 0 means never
+	CutAfter int  // a stream is cut in the middle of the event after this many; 0 means never, a negative number before the first event
 	CutBytes int  // bytes of that event that are sent before the cut; 0 means half of it, a negative number none
 	CutLate  bool // a single response is completed, but the connection breaks before it is sent
 	// CutInOrder makes a cut response end as a complete one does, in place of a reset
@@ -381,6 +381,13 @@
 	_, _ = w.Write([]byte("done " + a.ID)) // an error means that the caller disconnected
 }
 
+// endCut resets the connection of a cut response, unless it ends in order.
+func endCut(f Faults) {
+	if !f.CutInOrder {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // cutBytes returns how many bytes of the event in which a stream is cut are sent.
 func cutBytes(f Faults, event string) int {
 	if f.CutBytes == 0 {
@@ -400,13 +407,15 @@
 			return
 		}
 		event := fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n)
+		if f.CutAfter < 0 {
+			endCut(f)
+			return
+		}
 		if f.CutAfter > 0 && n > f.CutAfter {
 			_, _ = w.Write([]byte(event[:cutBytes(f, event)]))
 			_ = flush()
-			if f.CutInOrder {
-				return
-			}
-			panic(http.ErrAbortHandler)
+			endCut(f)
+			return
 		}
 		if _, err := w.Write([]byte(event)); err != nil || flush() != nil {
 			r.withLock(func() { a.Disconnected = true })
--- a/wisteriarouter/daemon/relay_end_test.go
+++ b/wisteriarouter/daemon/relay_end_test.go
@@ -103,3 +103,16 @@
 		assert.Equal(t, got.body, events(1, 5))
 	}
 }
+
+// Guards against an endpoint that closes the connection before the first event, and
+// whose caller takes the empty stream for complete.
+func TestRelayShowsUndelimitedStreamWithoutEvents(t *testing.T) {
+	s := newRelayCluster(t, 1, 0, 0)
+	r := s.addReplica(replica.Options{ID: "bare", Service: "model", Zone: "a", Undelimited: true, Events: 5})
+	s.awaitServed("/resumable/first")
+	got := s.send(0, "/stream/rest", "Last-Event-Id", "5")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, "")
+	r.SetFaults(replica.Faults{CutAfter: -1, CutInOrder: true})
+	assert.Assert(t, s.send(0, "/stream/1").err != nil)
+}
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"wisteriaspool/platform"
 	"wisteriaspool/wisteriarouter/upstream"
 )
 
@@ -77,7 +78,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return delivered
+			return x.streamEnd(resp)
 		case err != nil:
 			_ = flush() // an aborted response loses what was not sent
 			return x.watch.result(cut)
@@ -87,6 +88,16 @@
 	}
 }
 
+// streamEnd returns the result of a stream that has ended in order after its last
+// event. A connection that is closed before the first event has delivered nothing; only
+// a stream that is resumed may have none left.
+func (x *exchange) streamEnd(resp *upstream.Response) attemptResult {
+	if resp.Undelimited && x.stream.firstEventAt.IsZero() && !platform.Resumes(x.r.Header) {
+		return x.watch.result(cut)
+	}
+	return delivered
+}
+
 // eventReader reads complete events.
 type eventReader struct {
 	body *upstream.Body
