A response that is aborted is reset for callers of HTTP/1.0

To a caller of HTTP/1.0 a response without a length ends with its connection. Callers of HTTP/1.1 get chunks, also with Connection: close, and were not affected.

TestRelayShowsBrokenOffStreamToOldCallers failed before (no error at the caller of HTTP/1.0) and passes.

--- a/wisteriarouter/daemon/relay_end_test.go
+++ b/wisteriarouter/daemon/relay_end_test.go
@@ -1,7 +1,11 @@
 package daemon_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -116,3 +120,21 @@
 	r.SetFaults(replica.Faults{CutAfter: -1, CutInOrder: true})
 	assert.Assert(t, s.send(0, "/stream/1").err != nil)
 }
+
+// Guards against a broken off stream that looks complete to a caller of HTTP/1.0, whose
+// responses end with their connection.
+func TestRelayShowsBrokenOffStreamToOldCallers(t *testing.T) {
+	s := newRelayCluster(t, 1, 0, 1)
+	s.replicas[0].SetFaults(replica.Faults{CutAfter: 2})
+	for _, head := range []string{"POST /stream/1 HTTP/1.0\r\n", "POST /stream/1 HTTP/1.1\r\nConnection: close\r\n"} {
+		c, err := net.Dial("tcp", s.routers[0].CallersAddress())
+		assert.NilError(t, err)
+		_, err = fmt.Fprintf(c, "%sHost: desk.example\r\nX-Attempt-Id: %s\r\nX-Token-Usage: 10,10\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n", head, freshID())
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		assert.Assert(t, err != nil, head)
+		assert.NilError(t, c.Close())
+	}
+}
--- a/wisteriarouter/downstream/conn.go
+++ b/wisteriarouter/downstream/conn.go
@@ -175,6 +175,13 @@
 	return c.Conn.Close()
 }
 
+// resetOnClose makes Close reset the connection.
+func (c *conn) resetOnClose() {
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(0) // it fails only if the connection has ended
+	}
+}
+
 // takeDrop describes the unanswered request with which the connection ends, if
 // there is one. It reports each drop only once.
 func (c *conn) takeDrop() (Drop, bool) {
--- a/wisteriarouter/downstream/server.go
+++ b/wisteriarouter/downstream/server.go
@@ -93,6 +93,7 @@
 		}
 		s.active.Add(1)
 		defer s.active.Add(-1)
+		defer resetOnPanic(r)
 		if s.keepAlivesDisabled.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -100,6 +101,20 @@
 	})
 }
 
+// resetOnPanic makes the connection of an aborted response end with a reset if the
+// client speaks HTTP/1.0: its responses have no chunks, so that a connection that is
+// closed in order would make an incomplete one look complete. It must be deferred.
+func resetOnPanic(r *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok && !r.ProtoAtLeast(1, 1) {
+		c.resetOnClose()
+	}
+	panic(cause)
+}
+
 // connKey is the context key of a request's connection.
 type connKey struct{}
 
