An undelimited response of an endpoint that has died is broken off

The kernel closes the connections of a process that ends in order. A response with neither a length nor chunks then looks complete, although it ends between two events or inside a body: nothing in it tells, but its endpoint refuses connections. A refused connection means broken off: repeated or resumed where that is allowed, shown to the caller where not. An endpoint that leaves is exempt, since it stops accepting before it has completed its last responses.

Hypothesis: at most one round trip more at the end of an undelimited response.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -42,10 +42,13 @@
 	// CutInOrder makes a cut response end as a complete one does, in place of a reset
 	// of its connection.
 	CutInOrder bool
-	Status     int  // replaces status 200; 0 means no change
-	Times      int  // number of requests to which these faults apply; 0 means all
-	Full       bool // every request is refused as not run, regardless of Every, Only and Times
-	Mute       bool // requests run but are never answered
+	// CutExits makes the replica's process end with a cut response, also with a single
+	// one.
+	CutExits bool
+	Status   int  // replaces status 200; 0 means no change
+	Times    int  // number of requests to which these faults apply; 0 means all
+	Full     bool // every request is refused as not run, regardless of Every, Only and Times
+	Mute     bool // requests run but are never answered
 	// Slow is an extra delay before a response or the first event of a stream.
 	Slow time.Duration
 	// Every limits these faults to every n-th request; 0 means all requests.
@@ -202,7 +205,7 @@
 		defer end()
 	}
 	if f.Crash != "" && f.Crash == a.Path {
-		_ = r.server.Close() // closes all connections
+		r.exit()
 		panic(http.ErrAbortHandler)
 	}
 	r.readBody(req, a)
@@ -378,9 +381,17 @@
 	if f.Status != 0 {
 		w.WriteHeader(f.Status)
 	}
+	if f.CutExits {
+		_, _ = w.Write([]byte("done"))
+		r.exit()
+		return
+	}
 	_, _ = w.Write([]byte("done " + a.ID)) // an error means that the caller disconnected
 }
 
+// exit simulates the end of the process: no further connection is accepted.
+func (r *Replica) exit() { _ = r.server.Close() }
+
 // endCut resets the connection of a cut response, unless it ends in order.
 func endCut(f Faults) {
 	if !f.CutInOrder {
@@ -414,6 +425,9 @@
 		if f.CutAfter > 0 && n > f.CutAfter {
 			_, _ = w.Write([]byte(event[:cutBytes(f, event)]))
 			_ = flush()
+			if f.CutExits {
+				r.exit()
+			}
 			endCut(f)
 			return
 		}
--- a/wisteriarouter/daemon/relay_end_test.go
+++ b/wisteriarouter/daemon/relay_end_test.go
@@ -138,3 +138,39 @@
 		assert.NilError(t, c.Close())
 	}
 }
+
+// Guards against a process that ends between two events, or inside a body, and whose
+// undelimited response reaches its caller as complete.
+func TestRelayShowsUndelimitedResponseOfDeadEndpoint(t *testing.T) {
+	for _, test := range []struct {
+		service, path string
+		repeatable    bool
+	}{
+		{"model", "/resumable/1", true},
+		{"model", "/stream/1", false},
+		{"desk", "/safe/1", true},
+		{"desk", "/unsafe/1", false},
+	} {
+		t.Run(test.path, func(t *testing.T) {
+			s := newRelayCluster(t, 1, 0, 0)
+			for n := range 2 {
+				s.addReplica(replica.Options{ID: fmt.Sprintf("bare%d", n), Service: test.service, Zone: "a", Undelimited: true})
+			}
+			s.awaitUsed(test.path)
+			exits := s.replicas[0]
+			exits.SetFaults(replica.Faults{CutAfter: 2, CutBytes: -1, CutInOrder: true, CutExits: true})
+			for before := len(exits.Arrivals()); len(exits.Arrivals()) == before; {
+				got := s.send(0, test.path, "X-Prefix-Hash", freshID()+":50,cc:10")
+				whole := got.err == nil && got.status == http.StatusOK
+				if whole {
+					want := events(1, 5)
+					if test.service == "desk" {
+						want = "done " + got.header.Get("X-Attempt-Id")
+					}
+					assert.Equal(t, got.body, want)
+				}
+				assert.Equal(t, whole, test.repeatable || len(exits.Arrivals()) == before)
+			}
+		})
+	}
+}
--- a/wisteriarouter/daemon/relay_placer.go
+++ b/wisteriarouter/daemon/relay_placer.go
@@ -153,6 +153,12 @@
 	return place, nil
 }
 
+// Serving implements relay.Placer.
+func (p *relayPlacer) Serving(id coordination.Endpoint) bool {
+	k, ok := p.directory.Find(id)
+	return ok && !k.Leaving()
+}
+
 // cacheSource returns the address of the endpoint that has the shared parts of
 // the request cached, or an empty string if that is the chosen one, unknown, or in an
 // availability zone where the request may not run.
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -187,9 +187,12 @@
 	if err != nil {
 		return x.watch.result(broken)
 	}
+	if len(body) <= maxBufferedBody && x.endedByDeath(resp) {
+		return broken
+	}
 	if len(body) > maxBufferedBody {
 		return x.forwardLong(&upstream.Response{
-			Status: resp.Status, Header: resp.Header, Length: resp.Length, Body: resp.Body,
+			Status: resp.Status, Header: resp.Header, Length: resp.Length, Undelimited: resp.Undelimited, Body: resp.Body,
 		}, body...)
 	}
 	x.write(resp, body)
@@ -220,12 +223,25 @@
 	if _, err := x.w.Write(read); err != nil {
 		return cut
 	}
-	if _, err := io.Copy(x.w, resp.Body); err != nil {
+	if _, err := io.Copy(x.w, resp.Body); err != nil || x.endedByDeath(resp) {
 		return cut
 	}
 	return delivered
 }
 
+// endedByDeath reports whether an undelimited response has probably ended because the
+// endpoint's process has: the kernel closes the connections of a process in order, so
+// that the response looks complete. An endpoint that shuts down refuses connections
+// before it has completed its last responses.
+func (x *exchange) endedByDeath(resp *upstream.Response) bool {
+	p := x.watch.placement
+	if !resp.Undelimited || !x.server.Placer.Serving(p.Endpoint) {
+		return false
+	}
+	err := x.server.Sender.Check(x.watch.ctx, p.Address)
+	return err != nil && upstream.Refused(err) && !upstream.CutOff(err)
+}
+
 // copyHeader copies the headers of a response to the caller's.
 func (x *exchange) copyHeader(resp *upstream.Response) {
 	h := x.w.Header()
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -81,6 +81,8 @@
 type Placer interface {
 	// Place returns a placement for an attempt, or a refusal, which is final.
 	Place(ctx context.Context, r PlacementRequest) (Placement, *outcome.Refusal)
+	// Serving reports whether an endpoint is listed and not known to be leaving.
+	Serving(e coordination.Endpoint) bool
 	// Dead records that an endpoint cannot be reached.
 	Dead(e coordination.Endpoint, n coordination.Incarnation)
 }
--- a/wisteriarouter/relay/state_test.go
+++ b/wisteriarouter/relay/state_test.go
@@ -42,6 +42,8 @@
 	return Placement{}, &outcome.Refusal{Message: "full", RetryAfter: time.Second}
 }
 
+func (p *fullPlacer) Serving(coordination.Endpoint) bool { return true }
+
 func (p *fullPlacer) Dead(coordination.Endpoint, coordination.Incarnation) {}
 
 // noRetries allows no retries.
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -92,7 +92,8 @@
 // event. A connection that is closed before the first event has delivered nothing; only
 // a stream that is resumed may have none left.
 func (x *exchange) streamEnd(resp *upstream.Response) attemptResult {
-	if resp.Undelimited && x.stream.firstEventAt.IsZero() && !platform.Resumes(x.r.Header) {
+	empty := resp.Undelimited && x.stream.firstEventAt.IsZero() && !platform.Resumes(x.r.Header)
+	if empty || x.endedByDeath(resp) {
 		return x.watch.result(cut)
 	}
 	return delivered
