An exported KV cache without a length is not taken for complete

The same fault as in relayed responses: the export of a cache whose response has neither a length nor chunks ends where its connection is closed in order, and was passed on to the other engine as a complete cache. It is now refused as truncated; the chat moves without its cache.

TestUndelimitedExportIsNotImported failed before and passes.

--- a/wisteriarouter/engine/kv.go
+++ b/wisteriarouter/engine/kv.go
@@ -88,7 +88,8 @@
 // Export opens the KV cache of a chat. The caller must close its body. The
 // error is ErrNotFound if the engine does not have the cache. The cache is
 // streamed rather than buffered, because it may be hundreds of megabytes and a
-// router has little memory.
+// router has little memory. The error is ErrTruncated if the response has neither a
+// length nor chunks, since its end would not prove the cache complete.
 func (c *Client) Export(ctx context.Context, address string, chat coordination.Chat) (KV, error) {
 	body, err := json.Marshal(exportRequest{Chat: chat})
 	if err != nil {
@@ -98,6 +99,10 @@
 	if err != nil {
 		return KV{}, err
 	}
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		res.Body.Close()
+		return KV{}, fmt.Errorf("%w: the cache has no length", ErrTruncated)
+	}
 	return KV{Body: res.Body, Size: res.ContentLength}, nil
 }
 
--- a/wisteriarouter/engine/kv_test.go
+++ b/wisteriarouter/engine/kv_test.go
@@ -79,3 +79,17 @@
 	_, err = cold.Export(t.Context(), coldAddress, "label/1")
 	assert.ErrorIs(t, err, ErrNotFound)
 }
+
+// Guards against a cache that is broken off by a connection closed in order, and stored by
+// the other engine as complete.
+func TestUndelimitedExportIsNotImported(t *testing.T) {
+	c, address := kvClient(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		assert.Check(t, err)
+		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("k", 1000))
+		assert.Check(t, err)
+		assert.Check(t, conn.Close())
+	})
+	_, err := c.Export(t.Context(), address, "label/1")
+	assert.ErrorIs(t, err, ErrTruncated)
+}
