An undelimited response of a service that has died is truncated

The same fault as in relayed responses, on the product's own interface: the kernel closes the connections of a service that ends in order, and a response with neither a length nor chunks was taken for complete, recorded and given to all who repeat the action. The client now connects to the service after such an end. If that is refused, the action may have run; a service that says it shuts down is exempt.

TestUndelimitedResponseOfDeadServiceIsTruncated failed before and passes.

--- a/wisteriarouter/service/client.go
+++ b/wisteriarouter/service/client.go
@@ -14,6 +14,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"syscall"
 	"time"
 
 	"wisteriaspool/coordination"
@@ -51,9 +52,12 @@
 type Client struct {
 	singleUse        *http.Client // one connection for each call, for non-idempotent actions
 	pooled           *http.Client
+	dial             dialFunc
 	maxResponseBytes int64
 }
 
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a client, and a function that closes its idle connections.
 func NewClient(opts Options) (*Client, func()) {
 	if opts.DialTimeout <= 0 {
@@ -83,6 +87,7 @@
 	c := &Client{
 		singleUse:        &http.Client{Transport: singleUse, CheckRedirect: refuseRedirect},
 		pooled:           &http.Client{Transport: pooled, CheckRedirect: refuseRedirect},
+		dial:             dial,
 		maxResponseBytes: opts.MaxResponseBytes,
 	}
 	return c, pooled.CloseIdleConnections
@@ -139,10 +144,28 @@
 	if err != nil || int64(len(body)) > c.maxResponseBytes {
 		return Reply{}, errors.Join(ErrTruncated, err)
 	}
+	if c.endedByDeath(ctx, call.Address, res) {
+		return Reply{}, fmt.Errorf("%w: the service has ended", ErrTruncated)
+	}
 	recordOutcome(e, call.Attempt, res)
 	return newReply(res, body), nil
 }
 
+// endedByDeath reports whether a response with neither a length nor chunks has probably
+// ended because the process of the service has, whose connections the kernel closes in
+// order. A service that shuts down refuses connections before its last responses end.
+func (c *Client) endedByDeath(ctx context.Context, address string, res *http.Response) bool {
+	if res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Header.Get(headerState) == stateLeaving {
+		return false
+	}
+	conn, err := c.dial(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 // newRequest returns the HTTP request of a call. Once the transport has a
 // connection for it, the request counts as written, since a later failure does
 // not tell how much of it was sent.
--- a/wisteriarouter/service/client_test.go
+++ b/wisteriarouter/service/client_test.go
@@ -124,3 +124,38 @@
 	assert.NilError(t, l.Close())
 	return l.Addr().String()
 }
+
+// Guards against the response of a service whose process ends inside it, closes its
+// connection in order, and is taken for complete.
+func TestUndelimitedResponseOfDeadServiceIsTruncated(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		header string
+		exits  bool
+		want   outcome.Outcome
+	}{
+		{"lives on", "", false, outcome.Ran},
+		{"has ended", "", true, outcome.Unknown},
+		{"shuts down", "X-State: leaving\r\n", true, outcome.Ran},
+	} {
+		var srv *httptest.Server
+		srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body) // unread bytes would reset the connection
+			conn, _, err := http.NewResponseController(w).Hijack()
+			assert.Check(t, err)
+			if test.exits {
+				assert.Check(t, srv.Listener.Close())
+			}
+			_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+test.header+"\r\nboo")
+			assert.Check(t, err)
+			assert.Check(t, conn.Close())
+		}))
+		c, cleanup := service.NewClient(service.Options{})
+		var e outcome.Evidence
+		_, err := c.Do(t.Context(), &e, service.Call{Attempt: "a", Address: address(srv.URL), Action: "book", NonIdempotent: true})
+		assert.Equal(t, e.Outcome(), test.want, "%s: %v", test.name, err)
+		assert.Equal(t, err == nil, test.want == outcome.Ran, test.name)
+		cleanup()
+		srv.Close()
+	}
+}
