The rest of a refusal or a failure does not delay the next attempt

The class: what only cleans up stands before the next attempt.

The rest is now read in the background, for 250 ms at most, so that the connection can be reused; the body of a failure, which may have to be forwarded, is waited for 100 ms.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -48,7 +48,10 @@
 	Status   int  // replaces status 200; 0 means no change
 	Times    int  // number of requests to which these faults apply; 0 means all
 	Full     bool // every request is refused as not run, regardless of Every, Only and Times
-	Mute     bool // requests run but are never answered
+	// Stall is how long a refusal or a failure is held back before the end of its
+	// body.
+	Stall time.Duration
+	Mute  bool // requests run but are never answered
 	// Slow is an extra delay before a response or the first event of a stream.
 	Slow time.Duration
 	// Every limits these faults to every n-th request; 0 means all requests.
@@ -196,6 +199,7 @@
 	if !ok {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
+		r.stall(w, req, f)
 		return
 	}
 	defer r.finish(a)
@@ -228,6 +232,18 @@
 	r.serveSingle(w, req, a, f)
 }
 
+// stall sends the headers of a response and holds the rest back.
+func (r *Replica) stall(w http.ResponseWriter, req *http.Request, f Faults) {
+	if f.Stall == 0 {
+		return
+	}
+	_ = http.NewResponseController(w).Flush() // an error means that the caller disconnected
+	select {
+	case <-time.After(f.Stall):
+	case <-req.Context().Done():
+	}
+}
+
 // slotWaiter is a request that waits for a slot.
 type slotWaiter struct {
 	granted chan struct{} // closed when the request gets a slot
@@ -379,7 +395,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	if f.Status != 0 {
+		if f.Stall > 0 {
+			w.Header().Set("Content-Length", strconv.Itoa(len("done "+a.ID)))
+		}
 		w.WriteHeader(f.Status)
+		r.stall(w, req, f)
 	}
 	if f.CutExits {
 		_, _ = w.Write([]byte("done"))
--- a/wisteriarouter/daemon/relay_test.go
+++ b/wisteriarouter/daemon/relay_test.go
@@ -143,6 +143,25 @@
 	assert.Equal(t, s.runs("/unsafe/1"), 0)
 }
 
+// Guards against a refusal or a failure whose body never ends and which holds the request
+// back from the next endpoint.
+func TestRelayDoesNotWaitForTheRestOfRefusals(t *testing.T) {
+	for name, f := range map[string]replica.Faults{
+		"refusal": {Full: true, Stall: 3 * time.Second},
+		"failure": {Status: 500, Stall: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newRelayCluster(t, 1, 2, 0)
+			s.replicas[0].SetFaults(f)
+			for range 8 {
+				start := time.Now()
+				assert.Equal(t, s.send(0, "/safe/1").status, 200)
+				assert.Assert(t, time.Since(start) < time.Second, "%v", time.Since(start))
+			}
+		})
+	}
+}
+
 // An endpoint is killed. Until its entry is removed, connections to its address
 // fail. Those requests have not run and must be sent to another endpoint.
 func TestRelayAvoidsDeadEndpoint(t *testing.T) {
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -38,7 +38,7 @@
 	switch end {
 	case declined:
 		x.evidence.Declined(id)
-		drain(resp.Body)
+		resp.Body.Discard()
 		return declined
 	case failed:
 		if x.mayRetry(failed) && x.keepFailure(resp) {
@@ -57,13 +57,20 @@
 	body []byte
 }
 
+const (
+	maxFailureBody = 16 << 10 // bytes
+	// maxFailureWait is how long the body of a failure delays the next attempt.
+	maxFailureWait = 100 * time.Millisecond
+)
+
 // keepFailure reads a failure response, to be forwarded if no other attempt
 // succeeds. It returns false for one that is too long to buffer, which is
-// forwarded as it arrives.
+// forwarded as it arrives. One whose body stalls is dropped.
 func (x *exchange) keepFailure(resp *upstream.Response) bool {
-	if resp.Length < 0 || resp.Length > maxDrainBytes {
+	if resp.Length < 0 || resp.Length > maxFailureBody {
 		return false
 	}
+	resp.Body.LimitTime(maxFailureWait)
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return true // there is nothing to forward
@@ -160,14 +167,6 @@
 	return time.Until(x.deadline)
 }
 
-// maxDrainBytes is how many bytes of a discarded response are read so that its
-// connection can be reused.
-const maxDrainBytes = 16 << 10
-
-func drain(b *upstream.Body) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(b, maxDrainBytes)) // the connection is closed if this fails
-}
-
 // maxBufferedBody is the size in bytes up to which a response is read completely
 // before it is forwarded, so that a truncated one can be requested again.
 const maxBufferedBody = 256 << 10
--- a/wisteriarouter/upstream/upstream.go
+++ b/wisteriarouter/upstream/upstream.go
@@ -339,3 +339,45 @@
 	b.stop()
 	b.conn.abort()
 }
+
+// LimitTime closes the connection after d unless the response has ended by then.
+func (b *Body) LimitTime(d time.Duration) {
+	t, detach := time.AfterFunc(d, b.conn.abort), b.stop
+	b.stop = func() bool {
+		inTime := t.Stop()
+		return detach() && inTime
+	}
+}
+
+const (
+	// maxDiscardedBody is the size in bytes up to which the rest of a body is read for
+	// its connection to be reused.
+	maxDiscardedBody = 16 << 10
+	// discardTime limits the time for that. Endpoints send short responses at once.
+	discardTime = 250 * time.Millisecond
+)
+
+// Discard ends the response without waiting for the rest of its body. The connection
+// is reused if the rest is short and arrives soon.
+func (b *Body) Discard() {
+	if b.done {
+		return
+	}
+	if b.resp.Close || b.resp.ContentLength > maxDiscardedBody || !b.stop() {
+		b.Close()
+		return
+	}
+	b.done = true
+	rest := &Body{conn: b.conn, resp: b.resp, stop: func() bool { return true }}
+	rest.LimitTime(discardTime)
+	go discarder{rest}.run()
+}
+
+// discarder reads the rest of a body.
+type discarder struct{ body *Body }
+
+func (d discarder) run() {
+	// A failure has closed the connection.
+	_, _ = io.Copy(io.Discard, io.LimitReader(d.body, maxDiscardedBody+1))
+	d.body.Close()
+}
