--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -142,15 +142,20 @@
 // randomEndpoint returns a random endpoint that is up. It never returns one of the
 // service "long", whose endpoints do not fail.
 func (s *soak) randomEndpoint() *endpoint {
+	return s.chooseEndpoint(s.rng, "desk", "model")
+}
+
+// chooseEndpoint returns a random endpoint of some services that is up.
+func (s *soak) chooseEndpoint(rng *rand.Rand, services ...string) *endpoint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var up []*endpoint
 	for _, e := range s.endpoints {
-		if e.until().IsZero() && e.service != "long" {
+		if e.until().IsZero() && slices.Contains(services, e.service) {
 			up = append(up, e)
 		}
 	}
-	return up[s.rng.IntN(len(up))]
+	return up[rng.IntN(len(up))]
 }
 
 // entryExpiry is how long the store entry of a crashed endpoint remains.
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -29,9 +29,12 @@
 	FaultDuration time.Duration // time in which faults are injected, without startup and recovery
 	Routers       int
 	Callers       int
-	Skip          []int     // numbers of faults to skip
-	Zones         bool      // evacuate availability zones and make endpoints cold, too
-	Out           io.Writer // receives a line for each fault; nil means none
+	Skip          []int // numbers of faults to skip
+	Zones         bool  // evacuate availability zones and make endpoints cold, too
+	// Responses makes some endpoints serve undelimited responses, and endpoints break
+	// responses off as if they were complete, too.
+	Responses bool
+	Out       io.Writer // receives a line for each fault; nil means none
 }
 
 // Result is the result of a soak.
@@ -111,12 +114,15 @@
 	}
 	s.load = newLoad(s)
 	s.load.start()
-	var zoneFaults sync.WaitGroup
+	var further sync.WaitGroup
 	if o.Zones {
-		zoneFaults.Go(func() { s.faultZones(time.Now().Add(o.FaultDuration)) })
+		further.Go(func() { s.faultZones(time.Now().Add(o.FaultDuration)) })
+	}
+	if o.Responses {
+		further.Go(func() { s.faultResponses(time.Now().Add(o.FaultDuration)) })
 	}
 	s.injectFaults()
-	zoneFaults.Wait()
+	further.Wait()
 	s.checkRecovery()
 	s.load.stop()
 	s.check()
@@ -194,12 +200,14 @@
 func (s *soak) addEndpoint(service string) (*endpoint, error) {
 	s.mu.Lock()
 	s.nextID++
-	id := fmt.Sprintf("%s-%d", service, s.nextID)
+	n := s.nextID
 	s.mu.Unlock()
-	o := replica.Options{ID: id, Service: service, Zone: fmt.Sprintf("z%d", s.nextID%3), Delay: 15 * time.Millisecond, Unregistered: true, Events: fewEvents}
+	id := fmt.Sprintf("%s-%d", service, n)
+	o := replica.Options{ID: id, Service: service, Zone: fmt.Sprintf("z%d", n%3), Delay: 15 * time.Millisecond, Unregistered: true, Events: fewEvents}
 	if service == "long" {
 		o.Events = manyEvents
 	}
+	o.Undelimited = s.opts.Responses && service != "long" && n%2 == 0
 	r, kill, err := replica.Start(s.store, o)
 	if err != nil {
 		return nil, err
