--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -84,7 +84,7 @@
 // Events of relayed requests. Each names the request and, if it gives the route,
 // the version of the desired state that determined it.
 var (
-	RelayAttempt     = Kind{800, "relay-attempt", logrus.InfoLevel, "A request was sent to an endpoint; gives the endpoint, the key, whether the cache of another endpoint was fetched, the result and the times, whether the response was undelimited, and the bytes of an incomplete event at its end. No action needed."}
+	RelayAttempt     = Kind{800, "relay-attempt", logrus.InfoLevel, "A request was sent to an endpoint; gives the endpoint, the key, whether the cache of another endpoint was fetched, the result and the times, whether the response was undelimited, the bytes of an incomplete event at its end, and whether the endpoint leaves or wants a pause. No action needed."}
 	RelayAttemptLost = Kind{801, "relay-attempt-lost", logrus.WarnLevel, "An attempt got no usable answer; the error says how far it got. Check the endpoint if this happens there more often than elsewhere."}
 	RelayRefused     = Kind{802, "relay-refused", logrus.WarnLevel, "The router itself answered the request; gives the status, the reason, and after what time the caller was told to retry."}
 	RelayCut         = Kind{803, "relay-cut", logrus.WarnLevel, "An answer was aborted after a part of it had been sent to the caller."}
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -18,7 +18,7 @@
 // attempt sends the request to one endpoint and forwards its response.
 func (x *exchange) attempt(ctx context.Context, p Placement) attemptResult {
 	id := coordination.Attempt(strconv.Itoa(x.evidence.Attempts()))
-	x.status, x.undelimited, x.stream.partial = 0, false, 0
+	x.status, x.undelimited, x.reply, x.stream.partial = 0, false, platform.Response{}, 0
 	x.evidence.Begin(id)
 	ctx, stop := x.watchFirstByte(ctx, p)
 	defer stop()
@@ -34,6 +34,7 @@
 		x.watch.recordFirstByte(time.Now())
 	}
 	reply := platform.DecodeResponse(resp.Status, resp.Header)
+	x.reply = reply
 	end := classify(resp.Status, reply)
 	switch end {
 	case declined:
@@ -311,6 +312,8 @@
 		event.F("last-event", x.stream.lastEventID),
 		event.F("undelimited", x.undelimited),
 		event.F("partial-bytes", x.stream.partial),
+		event.F("leaving", x.reply.Leaving),
+		event.F("asked-pause-ms", x.reply.Pause.Milliseconds()),
 		event.F("late", x.missedTarget()),
 	)
 }
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -39,9 +39,10 @@
 
 	evidence      outcome.Evidence
 	exclude       []coordination.Endpoint
-	sends         int  // number of attempts that may have reached an endpoint
-	status        int  // of the last response; 0 if there is none
-	undelimited   bool // the last response had neither a length nor chunks
+	sends         int               // number of attempts that may have reached an endpoint
+	status        int               // of the last response; 0 if there is none
+	reply         platform.Response // what the last response says of the endpoint and the request
+	undelimited   bool              // the last response had neither a length nor chunks
 	stream        stream
 	failure       *failure              // failure response that was not forwarded; nil if there is none
 	watch         *responseWatch        // on the current attempt
