--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -44,10 +44,11 @@
 	CutInOrder bool
 	// CutExits makes the replica's process end with a cut response, also with a single
 	// one.
-	CutExits bool
-	Status   int  // replaces status 200; 0 means no change
-	Times    int  // number of requests to which these faults apply; 0 means all
-	Full     bool // every request is refused as not run, regardless of Every, Only and Times
+	CutExits   bool
+	Status     int    // replaces status 200; 0 means no change
+	Times      int    // number of requests to which these faults apply; 0 means all
+	Full       bool   // every request is refused as not run, regardless of Every, Only and Times
+	RetryAfter string // of refusals; empty for none
 	// Stall is how long a refusal or a failure is held back before the end of its
 	// body.
 	Stall time.Duration
@@ -93,7 +94,9 @@
 	running      int
 	queue        []*slotWaiter // requests waiting for a slot, oldest first
 	arrivals     []*Arrival
+	refusals     []time.Time // when requests were refused
 	state        string
+	leaving      bool      // responses say that the replica leaves
 	coldUntil    time.Time // until when the replica reports itself cold
 }
 
@@ -162,6 +165,20 @@
 	r.Register()
 }
 
+// SayLeaving makes responses say that the replica leaves, whatever its store entry says.
+func (r *Replica) SayLeaving() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
+// Refusals returns when requests were refused.
+func (r *Replica) Refusals() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.refusals)
+}
+
 // SetCold makes the replica report itself cold for d from now on.
 func (r *Replica) SetCold(d time.Duration) {
 	r.mu.Lock()
@@ -196,7 +213,14 @@
 		return
 	}
 	a, f, ok := r.admit(req)
+	if r.saysLeaving() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if !ok {
+		r.withLock(func() { r.refusals = append(r.refusals, time.Now()) })
+		if f.RetryAfter != "" {
+			w.Header().Set("Retry-After", f.RetryAfter)
+		}
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		r.stall(w, req, f)
@@ -340,6 +364,12 @@
 	return a, f, true
 }
 
+func (r *Replica) saysLeaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
+}
+
 func (r *Replica) runningCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
