Routers heed endpoints that say in their responses that they leave

Requests went to an endpoint for over ten seconds after it had said in each response that it leaves: only its entry in the store counted, and the store was down.

The word of a response now counts as the entry does, for one lifetime of the endpoint: it is kept in the directory, where an older entry cannot lift it and a new lifetime does not have it, ends the places of its owner, and is told to the other routers as on the product's own interface. Just before the first byte is sent, on a connection that is made, the router looks again, and places the request anew if the endpoint leaves or is gone: a place may have been granted, reserved for a second attempt or waited for before. That takes nothing from the retry budget, as nothing was sent. The word is taken from each response that arrives, also from one that belongs to another request, when its headers have arrived; not from a 421, which another endpoint at the same address may have sent.

The list of TestAcquireRetriesIfGrantedEndpointIsGone had endpoints without a state, which count as leaving; they are live now, which that test means.

--- a/wisteriarouter/daemon/placer.go
+++ b/wisteriarouter/daemon/placer.go
@@ -328,8 +328,8 @@
 
 // acquire requests a grant for a request that has to start by a time, zero for
 // no limit, and looks up its endpoint. Placement learns of a change of the list
-// later than the directory, so a grant may be for an endpoint that has gone or whose
-// availability zone is evacuated; then another grant is requested.
+// later than the directory, so a grant may be for an endpoint that has gone or leaves, or
+// whose availability zone is evacuated; then another grant is requested.
 func (p *placer) acquire(ctx context.Context, req placement.Request, by time.Time) (*placement.Grant, endpoint.Info, *outcome.Refusal) {
 	for {
 		if !by.IsZero() {
@@ -339,7 +339,7 @@
 		if g == nil {
 			return nil, endpoint.Info{}, refusalOf(refusal)
 		}
-		if k, ok := p.directory.Find(g.Endpoint.ID); ok && !p.zones.Evacuated(k.Zone) {
+		if k, ok := p.directory.Find(g.Endpoint.ID); ok && !p.zones.Evacuated(k.Zone) && !p.directory.HasLeft(k.ID, g.Endpoint.Incarnation) {
 			return g, k, nil
 		}
 		g.Release()
--- a/wisteriarouter/daemon/placer_test.go
+++ b/wisteriarouter/daemon/placer_test.go
@@ -42,6 +42,23 @@
 	}
 }
 
+// Guards against a grant at an endpoint that has said it leaves since the request began
+// to wait for it.
+func TestAcquireAvoidsEndpointThatLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listed := []coordination.Endpoint{"e0", "e1"}
+		p := newTestPlacer(listed, listed)
+		time.Sleep(2 * time.Second) // until the owner has settled
+		p.directory.RecordLeaving("e0", 1)
+		for key := range placement.Key(20) {
+			g, k, refusal := p.acquire(t.Context(), placement.Request{Pool: "p", Key: key}, time.Now().Add(time.Second))
+			assert.Assert(t, refusal == nil, "%v", refusal)
+			assert.Equal(t, k.ID, coordination.Endpoint("e1"))
+			g.Release()
+		}
+	})
+}
+
 // newTestPlacer returns the placer of a router that owns all endpoints. Its
 // placement uses the list before; its directory already has the list listed.
 func newTestPlacer(before, listed []coordination.Endpoint) *placer {
@@ -56,7 +73,7 @@
 	p.entry.Update(placement.NewSet(set), routers)
 	var entries []platform.Entry
 	for _, id := range listed {
-		entries = append(entries, platform.Entry{ID: id, Pool: "p", Zone: "z", Incarnation: 1})
+		entries = append(entries, platform.Entry{ID: id, Pool: "p", Zone: "z", State: platform.Live, Incarnation: 1})
 	}
 	p.directory.Update(entries)
 	return p
--- a/wisteriarouter/daemon/relay_entries.go
+++ b/wisteriarouter/daemon/relay_entries.go
@@ -8,12 +8,15 @@
 	"wisteriaspool/platform"
 	"wisteriaspool/wisteriarouter/endpoint"
 	"wisteriaspool/wisteriarouter/event"
+	"wisteriaspool/wisteriarouter/peer"
 	instances "wisteriaspool/wisteriarouter/platform"
 )
 
 // newStoreDirectory creates a directory for the endpoints listed in the store.
 func newStoreDirectory(i do.Injector) (*endpoint.Directory, error) {
-	return &endpoint.Directory{OnLeaving: leavingLogger{logOf(i)}.logLeaving}, nil
+	d := &endpoint.Directory{OnLeaving: leavingLogger{logOf(i)}.logLeaving}
+	do.MustInvoke[*peer.Node](i).OnRumor(topicLeaving, leavingReceiver{directory: d}.receive)
+	return d, nil
 }
 
 // newEntryTracker creates the tracker that applies the store's entries to the
--- a/wisteriarouter/daemon/relay_placer.go
+++ b/wisteriarouter/daemon/relay_placer.go
@@ -154,9 +154,19 @@
 }
 
 // Serving implements relay.Placer.
-func (p *relayPlacer) Serving(id coordination.Endpoint) bool {
-	k, ok := p.directory.Find(id)
-	return ok && !k.Leaving()
+func (p *relayPlacer) Serving(id coordination.Endpoint, n coordination.Incarnation) bool {
+	_, ok := p.directory.Find(id)
+	return ok && !p.directory.HasLeft(id, n)
+}
+
+// Leaving implements relay.Placer. It tells the other routers, which may not hear of it
+// for long if the store is unavailable.
+func (p *relayPlacer) Leaving(id coordination.Endpoint, n coordination.Incarnation) {
+	if p.directory.HasLeft(id, n) {
+		return
+	}
+	p.placer.Leaving(id, n)
+	p.node.Broadcast(topicLeaving, string(id), uint64(n), nil)
 }
 
 // cacheSource returns the address of the endpoint that has the shared parts of
--- a/wisteriarouter/endpoint/directory.go
+++ b/wisteriarouter/endpoint/directory.go
@@ -220,6 +220,15 @@
 	d.mutate(func() { d.markLeaving(id, n) })
 }
 
+// HasLeft reports whether an incarnation of an endpoint, or a later one, is known to be
+// leaving.
+func (d *Directory) HasLeft(id coordination.Endpoint, n coordination.Incarnation) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	last, ok := d.leaving[id]
+	return ok && n <= last
+}
+
 func (d *Directory) markLeaving(id coordination.Endpoint, n coordination.Incarnation) {
 	if last, ok := d.leaving[id]; ok && n <= last {
 		return
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -92,6 +92,10 @@
 
 // unanswered handles an attempt that got no response, and returns its result.
 func (x *exchange) unanswered(id coordination.Attempt, p Placement, err error) attemptResult {
+	if upstream.Withheld(err) {
+		x.evidence.NothingSent(id)
+		return withheld
+	}
 	if !upstream.MayHaveSent(err) {
 		x.evidence.NothingSent(id)
 		x.server.reportUnreachable(p, err)
@@ -146,10 +150,19 @@
 		Body:       x.body,
 		AtMostOnce: !x.route.Idempotent(),
 		Group:      string(x.pool),
+		Proceed:    func() bool { return x.server.Placer.Serving(p.Endpoint, p.Incarnation) },
+		Heard:      func(status int, h http.Header) { x.heard(p, platform.DecodeResponse(status, h)) },
 		Matches:    x.matches,
 	}
 }
 
+// heard records what a response says of its endpoint.
+func (x *exchange) heard(p Placement, reply platform.Response) {
+	if reply.Leaving {
+		x.server.Placer.Leaving(p.Endpoint, p.Incarnation)
+	}
+}
+
 // matches reports whether a response belongs to this request. A refusal may lack
 // the request id, but must not carry the id of another request.
 func (x *exchange) matches(status int, h http.Header) bool {
@@ -235,7 +248,7 @@
 // before it has completed its last responses.
 func (x *exchange) endedByDeath(resp *upstream.Response) bool {
 	p := x.watch.placement
-	if !resp.Undelimited || !x.server.Placer.Serving(p.Endpoint) {
+	if !resp.Undelimited || !x.server.Placer.Serving(p.Endpoint, p.Incarnation) {
 		return false
 	}
 	err := x.server.Sender.Check(x.watch.ctx, p.Address)
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -290,7 +290,7 @@
 	if !x.mayRetry(end) {
 		return false
 	}
-	if end == unsent || x.nextPlacement != nil || x.server.Retries.Take(x.pool) {
+	if end == unsent || end == withheld || x.nextPlacement != nil || x.server.Retries.Take(x.pool) {
 		x.server.Metrics.retried(x.pool, end)
 		return true
 	}
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -81,8 +81,11 @@
 type Placer interface {
 	// Place returns a placement for an attempt, or a refusal, which is final.
 	Place(ctx context.Context, r PlacementRequest) (Placement, *outcome.Refusal)
-	// Serving reports whether an endpoint is listed and not known to be leaving.
-	Serving(e coordination.Endpoint) bool
+	// Serving reports whether an incarnation of an endpoint is listed and not known to
+	// be leaving.
+	Serving(e coordination.Endpoint, n coordination.Incarnation) bool
+	// Leaving records that an endpoint has said that it is shutting down.
+	Leaving(e coordination.Endpoint, n coordination.Incarnation)
 	// Dead records that an endpoint cannot be reached.
 	Dead(e coordination.Endpoint, n coordination.Incarnation)
 }
--- a/wisteriarouter/relay/silence.go
+++ b/wisteriarouter/relay/silence.go
@@ -223,7 +223,7 @@
 		return
 	}
 	switch {
-	case end == unsent || end == silent || end == broken && p.Cold:
+	case end == unsent || end == withheld || end == silent || end == broken && p.Cold:
 	case (end == broken || end == cut) && x.server.Sender.Doubtful(p.Address):
 	case end == delivered && !isEndpointFailure(x.status):
 		p.Observer.RecordSuccess()
--- a/wisteriarouter/relay/state_test.go
+++ b/wisteriarouter/relay/state_test.go
@@ -42,7 +42,9 @@
 	return Placement{}, &outcome.Refusal{Message: "full", RetryAfter: time.Second}
 }
 
-func (p *fullPlacer) Serving(coordination.Endpoint) bool { return true }
+func (p *fullPlacer) Serving(coordination.Endpoint, coordination.Incarnation) bool { return true }
+
+func (p *fullPlacer) Leaving(coordination.Endpoint, coordination.Incarnation) {}
 
 func (p *fullPlacer) Dead(coordination.Endpoint, coordination.Incarnation) {}
 
--- /dev/null
+++ b/wisteriarouter/relay/withheld_test.go
@@ -0,0 +1,101 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/coordination/route"
+	"wisteriaspool/wisteriarouter/upstream"
+)
+
+// listPlacer places requests at the first of its endpoints that is not excluded, whether
+// it is serving or not.
+type listPlacer struct {
+	fullPlacer
+	addresses []string // of the endpoints e0, e1, ...
+	left      []coordination.Endpoint
+}
+
+func (p *listPlacer) Place(_ context.Context, r PlacementRequest) (Placement, *outcome.Refusal) {
+	for n, address := range p.addresses {
+		if id := coordination.Endpoint(fmt.Sprintf("e%d", n)); !slices.Contains(r.Exclude, id) {
+			return Placement{Endpoint: id, Address: address, Release: func() {}}, nil
+		}
+	}
+	return Placement{}, &outcome.Refusal{Message: "none is left"}
+}
+
+func (p *listPlacer) Serving(id coordination.Endpoint, _ coordination.Incarnation) bool {
+	return !slices.Contains(p.left, id)
+}
+
+func (p *listPlacer) Leaving(id coordination.Endpoint, _ coordination.Incarnation) {
+	p.left = append(p.left, id)
+}
+
+// Guards against a request that is sent to an endpoint which left after the request had
+// its place there, and against one that is refused although another endpoint is left.
+func TestRequestIsHeldBackFromEndpointThatLeft(t *testing.T) {
+	for _, test := range []struct {
+		endpoints int
+		left      []coordination.Endpoint
+		status    int
+		arrivals  string
+	}{
+		{2, nil, http.StatusOK, "[1 0]"},
+		{2, []coordination.Endpoint{"e0"}, http.StatusOK, "[0 1]"},
+		{2, []coordination.Endpoint{"e0", "e1"}, http.StatusServiceUnavailable, "[0 0]"},
+		{6, []coordination.Endpoint{"e0", "e1", "e2", "e3", "e4"}, http.StatusServiceUnavailable, "[0 0 0 0 0 0]"},
+	} {
+		p := &listPlacer{left: test.left}
+		counts := make([]atomic.Int32, test.endpoints)
+		for n := range counts {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				counts[n].Add(1)
+				w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+				w.Header().Set("X-Server-Signature", "s")
+			}))
+			defer srv.Close()
+			p.addresses = append(p.addresses, strings.TrimPrefix(srv.URL, "http://"))
+		}
+		w := serveOnce(t, p)
+		assert.Equal(t, w.Code, test.status)
+		var arrivals []int32
+		for n := range counts {
+			arrivals = append(arrivals, counts[n].Load())
+		}
+		assert.Equal(t, fmt.Sprint(arrivals), test.arrivals)
+	}
+}
+
+// serveOnce serves one request that may be sent to two endpoints.
+func serveOnce(t *testing.T, p Placer) *httptest.ResponseRecorder {
+	known := make(chan struct{})
+	close(known)
+	sender, cleanup := upstream.NewClient(upstream.Config{})
+	defer cleanup()
+	s := &Server{
+		Desired: &lateDesired{known: known, table: route.NewTable(route.State{
+			Version: 1,
+			Routes:  []route.Route{{Host: "example.com", Prefix: "/", Public: true, Attempts: 2, Shares: []route.Share{{Pool: "p", Weight: 1}}}},
+		})},
+		Placer: p, Sender: sender, Retries: noRetries{},
+		Metrics: NewMetrics(prometheus.NewRegistry()),
+	}
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/x", nil)
+	r.Header.Set("X-Attempt-Id", "a")
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	return w
+}
--- a/wisteriarouter/upstream/conn.go
+++ b/wisteriarouter/upstream/conn.go
@@ -59,6 +59,9 @@
 		if err != nil {
 			return nil, ErrBroken.Wrap(err, "answer of endpoint %s", c.address)
 		}
+		if r.Heard != nil {
+			r.Heard(resp.StatusCode, resp.Header)
+		}
 		if r.Matches == nil || r.Matches(resp.StatusCode, resp.Header) {
 			return c.response(resp), nil
 		}
--- a/wisteriarouter/upstream/upstream.go
+++ b/wisteriarouter/upstream/upstream.go
@@ -27,13 +27,20 @@
 	// ErrBroken reports that the connection failed after the first byte was sent:
 	// the endpoint may have run the request.
 	ErrBroken = Errors.NewType("broken")
+	// ErrWithheld reports that Request.Proceed held the request back: nothing was sent.
+	ErrWithheld = Errors.NewType("withheld")
 	// ErrMismatch reports that the response belongs to another request. The
 	// endpoint may have run this one.
 	ErrMismatch = Errors.NewType("foreign")
 )
 
 // MayHaveSent reports whether a byte of the request may have reached the endpoint.
-func MayHaveSent(err error) bool { return !errorx.IsOfType(err, ErrDial) }
+func MayHaveSent(err error) bool {
+	return !errorx.IsOfType(err, ErrDial) && !Withheld(err)
+}
+
+// Withheld reports whether Request.Proceed held the request back.
+func Withheld(err error) bool { return errorx.IsOfType(err, ErrWithheld) }
 
 // Refused reports whether the endpoint refused the connection, which means that its
 // process has ended. A dial that gets no answer may be due to a lost packet instead.
@@ -69,6 +76,13 @@
 	// Group names endpoints that treat idle connections alike, such as those of
 	// one pool.
 	Group string
+	// Proceed, if set, is asked just before the first byte is sent, and holds the
+	// request back if it returns false. Making a connection takes time, in which the
+	// endpoint may have become unusable.
+	Proceed func() bool
+	// Heard, if set, is called with the status and headers of each response that
+	// arrives, also of one that belongs to another request.
+	Heard func(status int, h http.Header)
 	// Matches reports whether a response belongs to this request; nil accepts all.
 	// Some endpoints answer a request twice, and the second response then arrives
 	// in place of the response to the next request.
@@ -186,12 +200,16 @@
 
 // Send sends a request and returns its response once the headers have arrived. When
 // ctx ends, the connection is closed, which makes the endpoint stop its work. The
-// error is an ErrDial, ErrBroken or ErrMismatch.
+// error is an ErrDial, ErrWithheld, ErrBroken or ErrMismatch.
 func (c *Client) Send(ctx context.Context, address string, r *Request) (*Response, error) {
 	cn, err := c.connect(ctx, address, r)
 	if err != nil {
 		return nil, err
 	}
+	if r.Proceed != nil && !r.Proceed() {
+		c.putBack(cn)
+		return nil, ErrWithheld.New("endpoint %s", address)
+	}
 	stop := context.AfterFunc(ctx, cn.abort)
 	sent := time.Now()
 	c.active.add(cn, sent)
@@ -263,6 +281,15 @@
 	c.idle.put(cn, c.cfg.MaxIdlePerEndpoint)
 }
 
+// putBack makes a connection available again on which nothing was sent.
+func (c *Client) putBack(cn *conn) {
+	if cn.served == 0 && cn.idleSince.IsZero() {
+		c.keep(cn)
+		return
+	}
+	c.idle.put(cn, c.cfg.MaxIdlePerEndpoint)
+}
+
 // DropIdle closes the idle direct connections to an endpoint, or to all endpoints if
 // address is empty: packets sent on them may be lost.
 func (c *Client) DropIdle(address string) { c.idle.drop(address) }
--- a/wisteriarouter/upstream/upstream_test.go
+++ b/wisteriarouter/upstream/upstream_test.go
@@ -471,3 +471,24 @@
 	assert.Assert(t, upstream.Refused(err), "%v", err)
 	assert.Assert(t, !upstream.CutOff(err), "%v", err)
 }
+
+// Guards against a request that is sent to an endpoint which became unusable while the
+// connection was made, and against a connection that is lost for it.
+func TestSendHoldsRequestBack(t *testing.T) {
+	e := newEndpoint(t, nil)
+	e.serve = e.each(func(id string) string {
+		return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n"
+	})
+	c, cleanup := upstream.NewClient(upstream.Config{})
+	defer cleanup()
+	for range 3 {
+		_, err := c.Send(t.Context(), e.address(), &upstream.Request{Method: "GET", Target: "/", Host: "h", Proceed: func() bool { return false }})
+		assert.Assert(t, upstream.Withheld(err), "%v", err)
+		assert.Assert(t, !upstream.MayHaveSent(err))
+	}
+	resp, err := c.Send(t.Context(), e.address(), &upstream.Request{Method: "GET", Target: "/", Host: "h", Proceed: func() bool { return true }})
+	assert.NilError(t, err)
+	resp.Body.Close()
+	assert.Equal(t, e.arrivals.Load(), int32(1))
+	assert.Equal(t, e.conns.Load(), int32(1))
+}
