The word of an engine that leaves is heard as it refuses a request

TestRefusalOfLeavingEngineIsHeard failed before (the word was not recorded) and passes; go test -race ./wisteriarouter/caller passes.

--- a/wisteriarouter/caller/caller_test.go
+++ b/wisteriarouter/caller/caller_test.go
@@ -92,6 +92,7 @@
 	mu    sync.Mutex
 	ids   []coordination.Endpoint
 	next  int
+	left  []coordination.Endpoint // said that they leave
 }
 
 func (p *roundRobin) Place(_ context.Context, r caller.PlacementRequest) (caller.Placement, *outcome.Refusal) {
@@ -123,7 +124,11 @@
 
 func (p *roundRobin) Dead(coordination.Endpoint, coordination.Incarnation) {}
 
-func (p *roundRobin) Leaving(coordination.Endpoint, coordination.Incarnation) {}
+func (p *roundRobin) Leaving(id coordination.Endpoint, _ coordination.Incarnation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.left = append(p.left, id)
+}
 
 func contains(all []coordination.Endpoint, id coordination.Endpoint) bool {
 	for _, each := range all {
--- a/wisteriarouter/caller/chat_run.go
+++ b/wisteriarouter/caller/chat_run.go
@@ -194,6 +194,9 @@
 		a.evidence.Written(at.id)
 		return streamLost
 	}
+	if failure.Leaving {
+		a.Placer.Leaving(at.placement.Endpoint, at.placement.Incarnation)
+	}
 	switch {
 	case failure.NotRun && failure.Status != 0:
 		a.evidence.Declined(at.id)
@@ -206,9 +209,6 @@
 	default:
 		a.evidence.Written(at.id)
 	}
-	if failure.Leaving {
-		a.Placer.Leaving(at.placement.Endpoint, at.placement.Incarnation)
-	}
 	if ctx.Err() != nil {
 		return callerGone
 	}
--- a/wisteriarouter/caller/whole_test.go
+++ b/wisteriarouter/caller/whole_test.go
@@ -315,3 +315,14 @@
 		f.waitForCancels()
 	})
 }
+
+// Guards against the word of an engine that leaves, which it says as it refuses a request,
+// being lost.
+func TestRefusalOfLeavingEngineIsHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2)
+		f.engines["e1"].Leave()
+		assert.Equal(t, f.ask(t.Context(), 0, 0, received{}).problem(0), "")
+		assert.DeepEqual(t, f.placer.left, []coordination.Endpoint{"e1"})
+	})
+}
