--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -44,10 +44,12 @@
 	CutInOrder bool
 	// CutExits makes the replica's process end with a cut response, also with a single
 	// one.
-	CutExits   bool
-	Status     int    // replaces status 200; 0 means no change
-	Times      int    // number of requests to which these faults apply; 0 means all
-	Full       bool   // every request is refused as not run, regardless of Every, Only and Times
+	CutExits bool
+	Status   int  // replaces status 200; 0 means no change
+	Times    int  // number of requests to which these faults apply; 0 means all
+	Full     bool // every request is refused as not run, regardless of Every, Only and Times
+	// FullEvery refuses every n-th request like Full; 0 means none.
+	FullEvery  int
 	RetryAfter string // of refusals; empty for none
 	// Stall is how long a refusal or a failure is held back before the end of its
 	// body.
@@ -91,6 +93,7 @@
 	mu           sync.Mutex
 	faults       Faults
 	requestCount int // requests that began to run
+	offered      int // requests that arrived
 	running      int
 	queue        []*slotWaiter // requests waiting for a slot, oldest first
 	arrivals     []*Arrival
@@ -279,7 +282,9 @@
 func (r *Replica) admit(req *http.Request) (*Arrival, Faults, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.faults.Full || !r.acquireSlot(req) {
+	r.offered++
+	full := r.faults.Full || r.faults.FullEvery > 0 && r.offered%r.faults.FullEvery == 0
+	if full || !r.acquireSlot(req) {
 		return nil, r.faults, false
 	}
 	return r.recordArrival(req)
