Routers keep the pauses that endpoints ask for

Endpoints that turned requests away with 503 and Retry-After got more requests from the same router in that time: nothing read the header. What ended them was only the ejection of the endpoint, if enough of its requests failed.

A router now sends nothing to an endpoint until the pause it was asked for is over. The endpoint is left out as requests are placed, as a place is granted, and held back from just before the first byte, whichever way the request came there. Where all endpoints that could take a request pause, it is refused at once, and told to return when the first pause ends, spread over a quarter of it. A pause is asked of one router: it holds for a new incarnation no more, and for requests through another router it is that one's. It is told to the others then, by a rumor that the router sends which got the refusal through another one, or which helps others itself; without cut links there is none.

Weighed and left: the owners are not told of pauses, so that an endpoint that turns away one router takes the requests of the others.

--- a/coordination/pause/pause.go
+++ b/coordination/pause/pause.go
@@ -6,6 +6,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,7 +34,8 @@
 // Table holds the pauses that are in force. The zero value holds none and is ready for
 // use. It is safe for concurrent use.
 type Table struct {
-	shards [shards]shard
+	shards  [shards]shard
+	lastEnd atomic.Int64 // end of the pause that ends last, in Unix nanoseconds
 }
 
 type shard struct {
@@ -64,9 +66,22 @@
 	}
 	if until := now.Add(min(d, Max)); until.After(s.until[target]) {
 		s.until[target] = until
+		t.extend(until.UnixNano())
 	}
 }
 
+// extend notes the end of a pause.
+func (t *Table) extend(end int64) {
+	for last := t.lastEnd.Load(); end > last; last = t.lastEnd.Load() {
+		if t.lastEnd.CompareAndSwap(last, end) {
+			return
+		}
+	}
+}
+
+// Active reports whether any pause may be in force. It is cheaper than Left.
+func (t *Table) Active(now time.Time) bool { return now.UnixNano() < t.lastEnd.Load() }
+
 // Left returns how much of a target's pause is left, or zero if it wants none.
 func (t *Table) Left(now time.Time, target Target) time.Duration {
 	s := t.shard(target.Endpoint)
--- a/coordination/pause/pause_test.go
+++ b/coordination/pause/pause_test.go
@@ -18,6 +18,7 @@
 		assert.Equal(t, table.Left(time.Now(), e), time.Duration(0))
 		table.Record(time.Now(), e, 3*time.Second)
 		assert.Equal(t, table.Left(time.Now(), e), 3*time.Second)
+		assert.Assert(t, table.Active(time.Now()))
 		time.Sleep(2 * time.Second)
 		table.Record(time.Now(), e, 500*time.Millisecond)
 		assert.Equal(t, table.Left(time.Now(), e), time.Second, "a later, shorter pause does not shorten it")
@@ -25,6 +26,7 @@
 		assert.Equal(t, table.Left(time.Now(), e), 2*time.Second)
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, table.Left(time.Now(), e), time.Duration(0))
+		assert.Assert(t, !table.Active(time.Now()))
 	})
 }
 
--- a/wisteriarouter/daemon/placer.go
+++ b/wisteriarouter/daemon/placer.go
@@ -15,6 +15,7 @@
 	"wisteriaspool/coordination/evacuated"
 	"wisteriaspool/coordination/membership"
 	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/coordination/pause"
 	"wisteriaspool/coordination/placement"
 	"wisteriaspool/wisteriarouter/caller"
 	"wisteriaspool/wisteriarouter/endpoint"
@@ -42,6 +43,7 @@
 	lastReports  sync.Map // the last load reported by each owned endpoint, by endpoint
 	incarnations incarnationMap
 	recentLosses recentLosses
+	pauses       pause.Table
 	started      time.Time
 	hasSeeds     bool // the router joins through seeds, so it first has to meet the others
 
@@ -328,18 +330,24 @@
 
 // acquire requests a grant for a request that has to start by a time, zero for
 // no limit, and looks up its endpoint. Placement learns of a change of the list
-// later than the directory, so a grant may be for an endpoint that has gone or leaves, or
-// whose availability zone is evacuated; then another grant is requested.
+// later than the directory, so a grant may be for an endpoint that has gone, leaves or
+// pauses, or whose availability zone is evacuated; then another grant is requested.
 func (p *placer) acquire(ctx context.Context, req placement.Request, by time.Time) (*placement.Grant, endpoint.Info, *outcome.Refusal) {
 	for {
 		if !by.IsZero() {
 			req.Deadline = max(time.Until(by), time.Millisecond)
 		}
-		g, refusal := p.entry.Acquire(ctx, req)
+		avoid, paused := p.avoidPausing(&req)
+		if paused != nil {
+			return nil, endpoint.Info{}, paused
+		}
+		asked := req
+		asked.Avoid = avoid
+		g, refusal := p.entry.Acquire(ctx, asked)
 		if g == nil {
 			return nil, endpoint.Info{}, refusalOf(refusal)
 		}
-		if k, ok := p.directory.Find(g.Endpoint.ID); ok && !p.zones.Evacuated(k.Zone) && !p.directory.HasLeft(k.ID, g.Endpoint.Incarnation) {
+		if k, ok := p.directory.Find(g.Endpoint.ID); ok && !p.zones.Evacuated(k.Zone) && p.mayStart(k.ID, g.Endpoint.Incarnation) {
 			return g, k, nil
 		}
 		g.Release()
@@ -347,6 +355,11 @@
 	}
 }
 
+// mayStart reports whether an endpoint neither leaves nor pauses.
+func (p *placer) mayStart(id coordination.Endpoint, n coordination.Incarnation) bool {
+	return !p.directory.HasLeft(id, n) && !p.pausing(id, n)
+}
+
 // keyOf returns the key by which a request is assigned to an endpoint: the
 // client account and the chat, or the content's fingerprint for a request
 // without a chat.
--- a/wisteriarouter/daemon/relay_pause_test.go
+++ b/wisteriarouter/daemon/relay_pause_test.go
@@ -89,3 +89,29 @@
 		assert.Assert(t, requestsInPauses(r, pause) <= maxInPause, fmt.Sprint(r.Refusals()))
 	}
 }
+
+// Guards against a pause that an endpoint asks of the router through which another one
+// reaches it, and which only one of the two heeds.
+func TestRelayKeepsPauseThroughOtherRouter(t *testing.T) {
+	l := newLinks(t)
+	s := newLinkedRelayCluster(t, l, 2, 3, 0)
+	s.awaitUsed("/safe/first")
+	l.set(0, resetCut)
+	for range 20 { // until the other router is used
+		s.send(0, "/safe/cut")
+	}
+	const pause = 3 * time.Second
+	pausing := s.replicas[0]
+	pausing.SetFaults(replica.Faults{FullEvery: 3, RetryAfter: "3"})
+	for end := time.Now().Add(2 * pause); time.Now().Before(end); {
+		for router := range s.routers {
+			for range 4 {
+				go s.send(router, "/safe/1")
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	assert.Assert(t, len(pausing.Refusals()) > 0)
+	n := requestsInPauses(pausing, pause)
+	assert.Assert(t, n <= maxInPause, "%d requests in one pause", n)
+}
--- a/wisteriarouter/daemon/relay_placer.go
+++ b/wisteriarouter/daemon/relay_placer.go
@@ -11,10 +11,12 @@
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/outcome"
 	"wisteriaspool/coordination/outlier"
+	"wisteriaspool/coordination/pause"
 	"wisteriaspool/coordination/placement"
 	"wisteriaspool/coordination/route"
 	"wisteriaspool/wisteriarouter/config"
 	"wisteriaspool/wisteriarouter/endpoint"
+	"wisteriaspool/wisteriarouter/peer"
 	"wisteriaspool/wisteriarouter/relay"
 	"wisteriaspool/wisteriarouter/upstream"
 )
@@ -85,6 +87,13 @@
 	subsetKey placement.Key // this router's key for subsets of a pool
 	affinity  placement.Affinity
 	conns     reusePredictor
+	tunnels   openTunnels
+}
+
+// openTunnels counts the connections of other routers to endpoints that go through this
+// one.
+type openTunnels interface {
+	Open() int
 }
 
 // reusePredictor estimates for how long idle connections to a group of
@@ -94,7 +103,12 @@
 }
 
 func newRelayPlacer(i do.Injector) (*relayPlacer, error) {
-	p := &relayPlacer{placer: do.MustInvoke[*placer](i), conns: do.MustInvoke[*upstream.Client](i)}
+	p := &relayPlacer{
+		placer:  do.MustInvoke[*placer](i),
+		conns:   do.MustInvoke[*upstream.Client](i),
+		tunnels: do.MustInvoke[*peer.TunnelServer](i),
+	}
+	p.node.OnRumor(topicPause, p.receivePause)
 	p.regions = configOf(i).Regions
 	p.subsetKey = placement.KeyOf(coordination.Chat(p.self))
 	p.observe(p.updateHolders)
@@ -113,25 +127,7 @@
 
 // Place implements relay.Placer.
 func (p *relayPlacer) Place(ctx context.Context, r relay.PlacementRequest) (relay.Placement, *outcome.Refusal) {
-	req := placement.Request{
-		Pool:         r.Pool,
-		Key:          placement.KeyOf(coordination.Chat(r.Key)),
-		Account:      r.Account,
-		Priority:     r.Priority,
-		Isolated:     r.Isolated,
-		Avoid:        r.Exclude,
-		NonRetryable: r.NonRetryable,
-		NoWait:       r.NoWait,
-		Target:       r.FirstByteTarget,
-		Waited:       time.Since(r.Arrived),
-	}
-	if r.Residency.Limited() {
-		req.Allowed = func(z coordination.Zone) bool { return r.Residency.Allows(p.regions[z]) }
-	}
-	if !r.PrefixCached {
-		req.SubsetKey = p.subsetKey
-		req.SubsetSize = p.affinity.SubsetSize(time.Now(), r.Pool, p.conns.Reusable(string(r.Pool)))
-	}
+	req := p.request(r)
 	g, k, refusal := p.acquire(ctx, req, r.Deadline)
 	if refusal != nil {
 		return relay.Placement{}, refusal
@@ -153,6 +149,30 @@
 	return place, nil
 }
 
+// request returns the request that the owners of endpoints are asked to admit.
+func (p *relayPlacer) request(r relay.PlacementRequest) placement.Request {
+	req := placement.Request{
+		Pool:         r.Pool,
+		Key:          placement.KeyOf(coordination.Chat(r.Key)),
+		Account:      r.Account,
+		Priority:     r.Priority,
+		Isolated:     r.Isolated,
+		Avoid:        r.Exclude,
+		NonRetryable: r.NonRetryable,
+		NoWait:       r.NoWait,
+		Target:       r.FirstByteTarget,
+		Waited:       time.Since(r.Arrived),
+	}
+	if r.Residency.Limited() {
+		req.Allowed = func(z coordination.Zone) bool { return r.Residency.Allows(p.regions[z]) }
+	}
+	if !r.PrefixCached {
+		req.SubsetKey = p.subsetKey
+		req.SubsetSize = p.affinity.SubsetSize(time.Now(), r.Pool, p.conns.Reusable(string(r.Pool)))
+	}
+	return req
+}
+
 // Serving implements relay.Placer.
 func (p *relayPlacer) Serving(id coordination.Endpoint, n coordination.Incarnation) bool {
 	_, ok := p.directory.Find(id)
@@ -169,6 +189,17 @@
 	p.node.Broadcast(topicLeaving, string(id), uint64(n), nil)
 }
 
+// MaySend implements relay.Placer.
+func (p *relayPlacer) MaySend(id coordination.Endpoint, n coordination.Incarnation, via coordination.Instance) bool {
+	return p.Serving(id, n) && p.pauses.Left(time.Now(), pause.Target{Endpoint: id, Incarnation: n, Via: via}) == 0
+}
+
+// PauseLeft implements relay.Placer.
+func (p *relayPlacer) PauseLeft(r relay.PlacementRequest) time.Duration {
+	req := p.request(r)
+	return p.pauseLeft(time.Now(), &req)
+}
+
 // cacheSource returns the address of the endpoint that has the shared parts of
 // the request cached, or an empty string if that is the chosen one, unknown, or in an
 // availability zone where the request may not run.
--- a/wisteriarouter/daemon/rumors.go
+++ b/wisteriarouter/daemon/rumors.go
@@ -30,6 +30,7 @@
 // rumorTopics holds the retention of the gossip on each topic.
 var rumorTopics = map[string]membership.Topic{
 	topicLeaving:               {TTL: leavingTTL},
+	topicPause:                 {TTL: pauseTTL},
 	settings.TopicChange:       {Persistent: true},
 	settings.TopicConfirmation: {TTL: freshTTL},
 	suspicion.TopicRecord:      {TTL: suspicionTTL},
--- a/wisteriarouter/peer/tunnel.go
+++ b/wisteriarouter/peer/tunnel.go
@@ -217,13 +217,14 @@
 		return nil, err
 	}
 	ws.SetReadLimit(tunnelLimit)
-	return newTunnelConn(n.ctx, ws), nil
+	return newTunnelConn(n.ctx, ws, via), nil
 }
 
 // tunnelConn is a connection to an endpoint through another router. It is a net.Conn
 // without deadlines.
 type tunnelConn struct {
 	ws     *websocket.Conn
+	via    coordination.Instance
 	ctx    context.Context
 	cancel context.CancelFunc
 	rest   []byte        // received and not yet read
@@ -232,9 +233,9 @@
 	err    error         // valid once ended is closed
 }
 
-func newTunnelConn(ctx context.Context, ws *websocket.Conn) *tunnelConn {
+func newTunnelConn(ctx context.Context, ws *websocket.Conn, via coordination.Instance) *tunnelConn {
 	ctx, cancel := context.WithCancel(ctx)
-	c := &tunnelConn{ws: ws, ctx: ctx, cancel: cancel, chunks: make(chan []byte, 1), ended: make(chan struct{})}
+	c := &tunnelConn{ws: ws, via: via, ctx: ctx, cancel: cancel, chunks: make(chan []byte, 1), ended: make(chan struct{})}
 	go c.run()
 	return c
 }
@@ -261,6 +262,9 @@
 	}
 }
 
+// Via returns the router through which the connection goes.
+func (c *tunnelConn) Via() coordination.Instance { return c.via }
+
 // Quiet reports whether the connection is open and nothing has been received that is
 // not read.
 func (c *tunnelConn) Quiet() bool {
--- a/wisteriarouter/peer/tunnel_test.go
+++ b/wisteriarouter/peer/tunnel_test.go
@@ -59,7 +59,7 @@
 func dialTunnel(t *testing.T, srv *httptest.Server, address string) *tunnelConn {
 	ws, _, err := websocket.Dial(t.Context(), strings.Replace(srv.URL, "http", "ws", 1)+"?within-ms=1000&address="+address, nil)
 	assert.NilError(t, err)
-	c := newTunnelConn(context.Background(), ws)
+	c := newTunnelConn(context.Background(), ws, "helper")
 	t.Cleanup(func() { _ = c.Close() })
 	return c
 }
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -150,17 +150,24 @@
 		Body:       x.body,
 		AtMostOnce: !x.route.Idempotent(),
 		Group:      string(x.pool),
-		Proceed:    func() bool { return x.server.Placer.Serving(p.Endpoint, p.Incarnation) },
-		Heard:      func(status int, h http.Header) { x.heard(p, platform.DecodeResponse(status, h)) },
-		Matches:    x.matches,
+		Proceed: func(via coordination.Instance) bool {
+			return x.server.Placer.MaySend(p.Endpoint, p.Incarnation, via)
+		},
+		Heard: func(via coordination.Instance, status int, h http.Header) {
+			x.heard(p, via, platform.DecodeResponse(status, h))
+		},
+		Matches: x.matches,
 	}
 }
 
 // heard records what a response says of its endpoint.
-func (x *exchange) heard(p Placement, reply platform.Response) {
+func (x *exchange) heard(p Placement, via coordination.Instance, reply platform.Response) {
 	if reply.Leaving {
 		x.server.Placer.Leaving(p.Endpoint, p.Incarnation)
 	}
+	if reply.Pause > 0 {
+		x.server.Placer.Pause(p.Endpoint, p.Incarnation, via, reply.Pause)
+	}
 }
 
 // matches reports whether a response belongs to this request. A refusal may lack
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -344,7 +344,7 @@
 	if end == cut {
 		x.abortResponse("the response was truncated")
 	}
-	x.respondWithoutResult("no endpoint has answered", retryAfterFull)
+	x.respondWithoutResult("no endpoint has answered", max(x.server.Placer.PauseLeft(x.placementRequest()), retryAfterFull))
 }
 
 // respondWithoutResult ends a request that has no response to deliver. Only a
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -86,6 +86,15 @@
 	Serving(e coordination.Endpoint, n coordination.Incarnation) bool
 	// Leaving records that an endpoint has said that it is shutting down.
 	Leaving(e coordination.Endpoint, n coordination.Incarnation)
+	// Pause records that an endpoint wants no requests for a time from this router,
+	// or from the one through which the last request went if via is not empty.
+	Pause(e coordination.Endpoint, n coordination.Incarnation, via coordination.Instance, d time.Duration)
+	// MaySend reports whether a request may be sent to an endpoint now, through
+	// another router if via is not empty: whether it is serving and does not pause.
+	MaySend(e coordination.Endpoint, n coordination.Incarnation, via coordination.Instance) bool
+	// PauseLeft returns when a request may return because all endpoints that could
+	// take it pause, or zero if one does not.
+	PauseLeft(r PlacementRequest) time.Duration
 	// Dead records that an endpoint cannot be reached.
 	Dead(e coordination.Endpoint, n coordination.Incarnation)
 }
--- a/wisteriarouter/relay/state_test.go
+++ b/wisteriarouter/relay/state_test.go
@@ -46,6 +46,15 @@
 
 func (p *fullPlacer) Leaving(coordination.Endpoint, coordination.Incarnation) {}
 
+func (p *fullPlacer) Pause(coordination.Endpoint, coordination.Incarnation, coordination.Instance, time.Duration) {
+}
+
+func (p *fullPlacer) MaySend(coordination.Endpoint, coordination.Incarnation, coordination.Instance) bool {
+	return true
+}
+
+func (p *fullPlacer) PauseLeft(PlacementRequest) time.Duration { return 0 }
+
 func (p *fullPlacer) Dead(coordination.Endpoint, coordination.Incarnation) {}
 
 // noRetries allows no retries.
--- a/wisteriarouter/relay/withheld_test.go
+++ b/wisteriarouter/relay/withheld_test.go
@@ -40,6 +40,10 @@
 	return !slices.Contains(p.left, id)
 }
 
+func (p *listPlacer) MaySend(id coordination.Endpoint, n coordination.Incarnation, _ coordination.Instance) bool {
+	return p.Serving(id, n)
+}
+
 func (p *listPlacer) Leaving(id coordination.Endpoint, _ coordination.Incarnation) {
 	p.left = append(p.left, id)
 }
--- a/wisteriarouter/upstream/conn.go
+++ b/wisteriarouter/upstream/conn.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"wisteriaspool/coordination"
 )
 
 const (
@@ -60,7 +62,7 @@
 			return nil, ErrBroken.Wrap(err, "answer of endpoint %s", c.address)
 		}
 		if r.Heard != nil {
-			r.Heard(resp.StatusCode, resp.Header)
+			r.Heard(c.via(), resp.StatusCode, resp.Header)
 		}
 		if r.Matches == nil || r.Matches(resp.StatusCode, resp.Header) {
 			return c.response(resp), nil
@@ -211,6 +213,8 @@
 	// Quiet reports whether the connection is open and has received nothing that
 	// was not read.
 	Quiet() bool
+	// Via returns the router through which the connection goes.
+	Via() coordination.Instance
 }
 
 // direct reports whether the connection goes through no other router.
@@ -219,6 +223,14 @@
 	return !ok
 }
 
+// via returns the router through which the connection goes, or "".
+func (c *conn) via() coordination.Instance {
+	if t, ok := c.nc.(tunnelled); ok {
+		return t.Via()
+	}
+	return ""
+}
+
 // outdated reports whether the connection goes through another router while a direct
 // one may be possible again.
 func (c *conn) outdated() bool { return !c.direct() && !c.client.Detours(c.address) }
--- a/wisteriarouter/upstream/upstream.go
+++ b/wisteriarouter/upstream/upstream.go
@@ -15,6 +15,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/detour"
 )
 
@@ -78,11 +79,12 @@
 	Group string
 	// Proceed, if set, is asked just before the first byte is sent, and holds the
 	// request back if it returns false. Making a connection takes time, in which the
-	// endpoint may have become unusable.
-	Proceed func() bool
+	// endpoint may have become unusable. via is the router through which the
+	// connection goes, or empty.
+	Proceed func(via coordination.Instance) bool
 	// Heard, if set, is called with the status and headers of each response that
 	// arrives, also of one that belongs to another request.
-	Heard func(status int, h http.Header)
+	Heard func(via coordination.Instance, status int, h http.Header)
 	// Matches reports whether a response belongs to this request; nil accepts all.
 	// Some endpoints answer a request twice, and the second response then arrives
 	// in place of the response to the next request.
@@ -206,7 +208,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.Proceed != nil && !r.Proceed() {
+	if r.Proceed != nil && !r.Proceed(cn.via()) {
 		c.putBack(cn)
 		return nil, ErrWithheld.New("endpoint %s", address)
 	}
--- a/wisteriarouter/upstream/upstream_test.go
+++ b/wisteriarouter/upstream/upstream_test.go
@@ -17,6 +17,7 @@
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
+	"wisteriaspool/coordination"
 	"wisteriaspool/wisteriarouter/upstream"
 )
 
@@ -482,11 +483,11 @@
 	c, cleanup := upstream.NewClient(upstream.Config{})
 	defer cleanup()
 	for range 3 {
-		_, err := c.Send(t.Context(), e.address(), &upstream.Request{Method: "GET", Target: "/", Host: "h", Proceed: func() bool { return false }})
+		_, err := c.Send(t.Context(), e.address(), &upstream.Request{Method: "GET", Target: "/", Host: "h", Proceed: func(coordination.Instance) bool { return false }})
 		assert.Assert(t, upstream.Withheld(err), "%v", err)
 		assert.Assert(t, !upstream.MayHaveSent(err))
 	}
-	resp, err := c.Send(t.Context(), e.address(), &upstream.Request{Method: "GET", Target: "/", Host: "h", Proceed: func() bool { return true }})
+	resp, err := c.Send(t.Context(), e.address(), &upstream.Request{Method: "GET", Target: "/", Host: "h", Proceed: func(coordination.Instance) bool { return true }})
 	assert.NilError(t, err)
 	resp.Body.Close()
 	assert.Equal(t, e.arrivals.Load(), int32(1))
