Pauses that engines and services ask for are kept, on the product's own interface too

The same fault there: the Retry-After of an engine's 503 was not read, and that of a service only passed on to the caller. Both are now kept as on the platform's interface, and a Retry-After is read the same way everywhere (seconds with fractions, ten minutes at most; a very large one of a service overflowed).

TestRefusalOfLeavingEngineIsHeard and TestLeavingEndpointIsReported have the pause as well and did not build before; TestAcquireKeepsPauses covers placement for both interfaces. All tests of wisteriarouter/daemon, engine, service, caller pass.

--- a/coordination/pause/pause.go
+++ b/coordination/pause/pause.go
@@ -5,6 +5,8 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,16 @@
 // with one response.
 const Max = 10 * time.Minute
 
+// Parse returns the pause in a Retry-After header, in seconds with or without fractions,
+// or zero for anything else.
+func Parse(header string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(header), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, Max.Seconds()) * float64(time.Second))
+}
+
 // Target is who wants a pause, and from whom. A new incarnation of an endpoint knows
 // nothing of what the one before has asked for.
 type Target struct {
--- a/coordination/pause/pause_test.go
+++ b/coordination/pause/pause_test.go
@@ -78,6 +78,15 @@
 	assert.Equal(t, table.Shortest(now, []Target{a, b}), 2*time.Second)
 }
 
+func TestParse(t *testing.T) {
+	for in, want := range map[string]time.Duration{
+		"3": 3 * time.Second, " 0.25 ": 250 * time.Millisecond, "1e9": Max, "+Inf": Max,
+		"": 0, "0": 0, "-1": 0, "NaN": 0, "soon": 0, "Thu, 03 Dec 2026 23:00:00 GMT": 0,
+	} {
+		assert.Equal(t, Parse(in), want, "%q", in)
+	}
+}
+
 // Guards against callers that return before the pause has ended, or all at once.
 func TestRetryAfterIsSpread(t *testing.T) {
 	seen := make(map[time.Duration]bool)
--- a/wisteriarouter/caller/caller.go
+++ b/wisteriarouter/caller/caller.go
@@ -63,6 +63,8 @@
 	Dead(e coordination.Endpoint, n coordination.Incarnation)
 	// Leaving records that an endpoint has reported that it is stopping.
 	Leaving(e coordination.Endpoint, n coordination.Incarnation)
+	// Pause records that an endpoint wants no requests for a time.
+	Pause(e coordination.Endpoint, n coordination.Incarnation, d time.Duration)
 }
 
 // Engines are the calls to model engines that a chat request needs.
--- a/wisteriarouter/caller/caller_test.go
+++ b/wisteriarouter/caller/caller_test.go
@@ -38,7 +38,7 @@
 
 func newFleet(t *testing.T, routers, engines int, injectors ...faultInjector) *fleet {
 	f := &fleet{t: t, engines: make(map[coordination.Endpoint]*standin.Engine)}
-	f.placer = &roundRobin{fleet: f}
+	f.placer = &roundRobin{fleet: f, pauses: make(map[coordination.Endpoint]time.Duration)}
 	for n := range engines {
 		id := coordination.Endpoint(fmt.Sprintf("e%d", n+1))
 		e, stop := standin.New(standin.Options{ID: string(id), RestartDelay: 300 * time.Millisecond, Seed: uint64(n + 1)})
@@ -93,6 +93,8 @@
 	ids   []coordination.Endpoint
 	next  int
 	left  []coordination.Endpoint // said that they leave
+	// pauses holds what endpoints asked for.
+	pauses map[coordination.Endpoint]time.Duration
 }
 
 func (p *roundRobin) Place(_ context.Context, r caller.PlacementRequest) (caller.Placement, *outcome.Refusal) {
@@ -130,6 +132,12 @@
 	p.left = append(p.left, id)
 }
 
+func (p *roundRobin) Pause(id coordination.Endpoint, _ coordination.Incarnation, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pauses[id] = d
+}
+
 func contains(all []coordination.Endpoint, id coordination.Endpoint) bool {
 	for _, each := range all {
 		if each == id {
--- a/wisteriarouter/caller/chat_run.go
+++ b/wisteriarouter/caller/chat_run.go
@@ -197,6 +197,9 @@
 	if failure.Leaving {
 		a.Placer.Leaving(at.placement.Endpoint, at.placement.Incarnation)
 	}
+	if failure.Pause > 0 {
+		a.Placer.Pause(at.placement.Endpoint, at.placement.Incarnation, failure.Pause)
+	}
 	switch {
 	case failure.NotRun && failure.Status != 0:
 		a.evidence.Declined(at.id)
--- a/wisteriarouter/caller/path_bench_test.go
+++ b/wisteriarouter/caller/path_bench_test.go
@@ -100,6 +100,8 @@
 
 func (p fixedPlacer) Leaving(coordination.Endpoint, coordination.Incarnation) {}
 
+func (p fixedPlacer) Pause(coordination.Endpoint, coordination.Incarnation, time.Duration) {}
+
 // route is a path to an engine.
 type route struct {
 	name    string
--- a/wisteriarouter/caller/whole_test.go
+++ b/wisteriarouter/caller/whole_test.go
@@ -316,13 +316,14 @@
 	})
 }
 
-// Guards against the word of an engine that leaves, which it says as it refuses a request,
-// being lost.
+// Guards against the words of an engine that leaves and asks for a pause, which it says as
+// it refuses a request, being lost.
 func TestRefusalOfLeavingEngineIsHeard(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 2)
 		f.engines["e1"].Leave()
 		assert.Equal(t, f.ask(t.Context(), 0, 0, received{}).problem(0), "")
 		assert.DeepEqual(t, f.placer.left, []coordination.Endpoint{"e1"})
+		assert.DeepEqual(t, f.placer.pauses, map[coordination.Endpoint]time.Duration{"e1": time.Second})
 	})
 }
--- a/wisteriarouter/daemon/placer_test.go
+++ b/wisteriarouter/daemon/placer_test.go
@@ -59,6 +59,39 @@
 	})
 }
 
+// Guards against a grant at an endpoint that has asked for a pause, and against a request
+// that waits while all have.
+func TestAcquireKeepsPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listed := []coordination.Endpoint{"e0", "e1"}
+		p := newTestPlacer(listed, listed)
+		time.Sleep(2 * time.Second) // until the owner has settled
+		p.Pause("e0", 1, 3*time.Second)
+		for key := range placement.Key(20) {
+			g, k, refusal := p.acquire(t.Context(), placement.Request{Pool: "p", Key: key}, time.Now().Add(time.Second))
+			assert.Assert(t, refusal == nil, "%v", refusal)
+			assert.Equal(t, k.ID, coordination.Endpoint("e1"))
+			g.Release()
+		}
+		p.Pause("e1", 1, 2*time.Second)
+		start := time.Now()
+		_, _, refusal := p.acquire(t.Context(), placement.Request{Pool: "p"}, time.Now().Add(5*time.Second))
+		assert.Assert(t, refusal != nil && refusal.RetryAfter >= 2*time.Second && refusal.RetryAfter <= 3*time.Second, "%v", refusal)
+		assert.Equal(t, time.Since(start), time.Duration(0))
+		_, _, refusal = p.acquire(t.Context(), placement.Request{Pool: "p", Avoid: []coordination.Endpoint{"e1"}}, time.Now().Add(5*time.Second))
+		assert.Assert(t, refusal != nil && refusal.RetryAfter >= 2*time.Second, "%v", refusal)
+		time.Sleep(2 * time.Second)
+		g, k, refusal := p.acquire(t.Context(), placement.Request{Pool: "p"}, time.Now().Add(time.Second))
+		assert.Assert(t, refusal == nil, "%v", refusal)
+		assert.Equal(t, k.ID, coordination.Endpoint("e1"))
+		g.Release()
+		p.Pause("e1", 0, time.Minute) // another incarnation
+		g, _, refusal = p.acquire(t.Context(), placement.Request{Pool: "p"}, time.Now().Add(time.Second))
+		assert.Assert(t, refusal == nil, "%v", refusal)
+		g.Release()
+	})
+}
+
 // newTestPlacer returns the placer of a router that owns all endpoints. Its
 // placement uses the list before; its directory already has the list listed.
 func newTestPlacer(before, listed []coordination.Endpoint) *placer {
--- a/wisteriarouter/engine/engine.go
+++ b/wisteriarouter/engine/engine.go
@@ -15,17 +15,19 @@
 	"time"
 
 	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/pause"
 )
 
 // Names and values of the headers of the engine protocol.
 const (
-	headerAttempt  = "X-Attempt-Id"
-	headerPriority = "X-Priority"
-	headerChat     = "X-Chat-Id"
-	headerOutcome  = "X-Outcome"
-	headerState    = "X-State"
-	stateLeaving   = "leaving"
-	outcomeNotRun  = "not-run"
+	headerAttempt    = "X-Attempt-Id"
+	headerPriority   = "X-Priority"
+	headerChat       = "X-Chat-Id"
+	headerOutcome    = "X-Outcome"
+	headerState      = "X-State"
+	headerRetryAfter = "Retry-After"
+	stateLeaving     = "leaving"
+	outcomeNotRun    = "not-run"
 )
 
 // Limits on the size of what is read from an engine.
@@ -55,7 +57,10 @@
 	Leaving    bool // the engine reports that it is shutting down
 	NoResponse bool // the connection failed, or closed before any response
 	Status     int  // HTTP status, zero if there was no response
-	Err        error
+	// Pause is how long the engine wants no requests from this router; zero if it does
+	// not say.
+	Pause time.Duration
+	Err   error
 }
 
 // Error implements the error interface.
@@ -191,12 +196,16 @@
 func responseError(res *http.Response) *StartError {
 	defer res.Body.Close()
 	text, _ := io.ReadAll(io.LimitReader(res.Body, 512))
-	return &StartError{
+	e := &StartError{
 		NotRun:  res.Header.Get(headerOutcome) == outcomeNotRun,
 		Leaving: res.Header.Get(headerState) == stateLeaving,
 		Status:  res.StatusCode,
 		Err:     fmt.Errorf("%s", text),
 	}
+	if res.StatusCode == http.StatusServiceUnavailable {
+		e.Pause = pause.Parse(res.Header.Get(headerRetryAfter))
+	}
+	return e
 }
 
 // Resume reopens the stream of the attempt after token req.Offset; it does not
--- a/wisteriarouter/service/client.go
+++ b/wisteriarouter/service/client.go
@@ -13,13 +13,13 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"strconv"
 	"syscall"
 	"time"
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/execution"
 	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/coordination/pause"
 )
 
 // Headers and values of the protocol of plain services.
@@ -213,16 +213,13 @@
 }
 
 func newReply(res *http.Response, body []byte) Reply {
-	r := Reply{
+	return Reply{
 		Answer: execution.Answer{
 			Status:      res.StatusCode,
 			ContentType: res.Header.Get("Content-Type"),
 			Body:        body,
 		},
-		Leaving: res.Header.Get(headerState) == stateLeaving,
+		Leaving:    res.Header.Get(headerState) == stateLeaving,
+		RetryAfter: pause.Parse(res.Header.Get(headerRetryAfter)),
 	}
-	if seconds, err := strconv.Atoi(res.Header.Get(headerRetryAfter)); err == nil && seconds > 0 {
-		r.RetryAfter = time.Duration(seconds) * time.Second
-	}
-	return r
 }
--- a/wisteriarouter/service/path_test.go
+++ b/wisteriarouter/service/path_test.go
@@ -132,8 +132,10 @@
 }
 
 func (s *cluster) Leaving(coordination.Endpoint, coordination.Incarnation) {}
-func (s *cluster) RecordRequest(coordination.Team)                         {}
-func (s *cluster) Take(coordination.Team) bool                             { return true }
+
+func (s *cluster) Pause(coordination.Endpoint, coordination.Incarnation, time.Duration) {}
+func (s *cluster) RecordRequest(coordination.Team)                                      {}
+func (s *cluster) Take(coordination.Team) bool                                          { return true }
 
 // repeatingCaller repeats one order, each time through a random router.
 type repeatingCaller struct {
--- a/wisteriarouter/service/runner.go
+++ b/wisteriarouter/service/runner.go
@@ -34,6 +34,8 @@
 	Place(ctx context.Context, r caller.PlacementRequest) (caller.Placement, *outcome.Refusal)
 	// Leaving records that an endpoint has reported that it is stopping.
 	Leaving(e coordination.Endpoint, n coordination.Incarnation)
+	// Pause records that an endpoint wants no requests for a time.
+	Pause(e coordination.Endpoint, n coordination.Incarnation, d time.Duration)
 }
 
 // Runner runs actions. It implements caller.Actions.
--- a/wisteriarouter/service/runner_test.go
+++ b/wisteriarouter/service/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -27,6 +28,7 @@
 	addresses []string
 	held      int
 	left      []coordination.Endpoint
+	pauses    []string // what endpoints asked for
 	plan      router.Plan
 	store     *kvtest.Store
 	retries   int
@@ -77,6 +79,10 @@
 	d.left = append(d.left, e)
 }
 
+func (d *orderService) Pause(e coordination.Endpoint, _ coordination.Incarnation, length time.Duration) {
+	d.pauses = append(d.pauses, fmt.Sprintf("%s %v", e, length))
+}
+
 func (d *orderService) RecordRequest(coordination.Team) {}
 
 func (d *orderService) Take(coordination.Team) bool {
@@ -261,9 +267,11 @@
 	assert.Equal(t, refusal.Outcome, outcome.Unknown)
 }
 
+// Guards against the words of a service that leaves and asks for a pause being lost.
 func TestLeavingEndpointIsReported(t *testing.T) {
 	leaving := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("X-State", "leaving")
+		w.Header().Set("Retry-After", "2.5")
 		w.Header().Set(outcome.Header, "not-run")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
@@ -274,4 +282,5 @@
 	assert.Assert(t, refusal == nil, "%v", refusal)
 	assert.Equal(t, ans.Outcome, outcome.Ran)
 	assert.DeepEqual(t, d.left, []coordination.Endpoint{coordination.Endpoint(d.addresses[0])})
+	assert.DeepEqual(t, d.pauses, []string{d.addresses[0] + " 2.5s"})
 }
--- a/wisteriarouter/service/sender.go
+++ b/wisteriarouter/service/sender.go
@@ -110,6 +110,9 @@
 	if reply.Leaving {
 		s.runner.Placer.Leaving(s.placement.Endpoint, s.placement.Incarnation)
 	}
+	if reply.RetryAfter > 0 && reply.Answer.Status == http.StatusServiceUnavailable {
+		s.runner.Placer.Pause(s.placement.Endpoint, s.placement.Incarnation, reply.RetryAfter)
+	}
 	return reply, err
 }
 
