soak: endpoints that leave unheard and ask for pauses

With -responses endpoints also leave with no word but in their responses, and turn requests away with a pause. From each router's log the soak checks that it sends nothing to an endpoint 2 s after its word that it leaves, and two requests at most in a pause, half a second after it was asked for.

--- a/standin/soak.go
+++ b/standin/soak.go
@@ -49,7 +49,7 @@
 	f.IntVar(&c.opts.Routers, "routers", 4, "how many routers")
 	f.StringVar(&c.skip, "skip", "", "`numbers` of faults that are left out, with commas between")
 	f.BoolVar(&c.opts.Zones, "zones", false, "evacuate availability zones and make endpoints cold, too; the other faults of the seed stay the same")
-	f.BoolVar(&c.opts.Responses, "responses", false, "serve undelimited responses and break responses off as if they were complete, too; the other faults of the seed stay the same")
+	f.BoolVar(&c.opts.Responses, "responses", false, "serve undelimited responses, break responses off as if they were complete, leave unheard and ask for pauses, too; the other faults of the seed stay the same")
 	f.BoolVar(&c.regressions, "regressions", false, "play the seeds that have failed once, and no other")
 	f.IntVar(&c.opts.Callers, "callers", 8, "how many callers")
 	f.StringVar(&c.opts.Dir, "dir", "", "`directory` for settings and logs; a new one by default, removed if nothing broke")
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -31,8 +31,9 @@
 	Callers       int
 	Skip          []int // numbers of faults to skip
 	Zones         bool  // evacuate availability zones and make endpoints cold, too
-	// Responses makes some endpoints serve undelimited responses, and endpoints break
-	// responses off as if they were complete, too.
+	// Responses makes some endpoints serve undelimited responses, break responses off as
+	// if they were complete, say in responses alone that they leave, and turn requests
+	// away with a pause, too.
 	Responses bool
 	Out       io.Writer // receives a line for each fault; nil means none
 }
@@ -343,4 +344,5 @@
 		s.reportViolation("%s", line)
 	}
 	s.checkDropped()
+	s.checkHeeded()
 }
