Owners keep the rejections of endpoints within a limit

An endpoint may crash if it rejects more than a number of requests within a second. Owners now know of each rejection by the release of its grant, send no request that would wait at such an endpoint, and grant one only while the rejections of the last 1.25 s and the grants that may still be rejected are fewer than 0.8 of the limit. Entries without an owner place nothing there.

--- a/coordination/placement/admit.go
+++ b/coordination/placement/admit.go
@@ -153,10 +153,12 @@
 		return Settling
 	case req.Isolated && l.isolated > 0:
 		return Full
-	case l.count(now, cfg) >= l.sendLimit(cfg):
+	case l.count(now, cfg) >= l.sendLimit(now, cfg):
 		return Full
 	case !l.coldPermits(now, cfg):
 		return Cold
+	case !l.rejectionsPermit(now):
+		return Full
 	default:
 		return None
 	}
--- a/coordination/placement/fallback.go
+++ b/coordination/placement/fallback.go
@@ -134,6 +134,9 @@
 	if b := cfg.boundOf(q.endpoint.Pool); b.ColdRate > 0 && time.Now().Before(q.endpoint.coldUntil(&b)) {
 		return declined
 	}
+	if e.local.rejectionsLimited(time.Now(), q.endpoint.Pool) {
+		return declined
+	}
 	if e.loads == nil {
 		if e.fallback.isDead(time.Now(), lostOf(q.endpoint), cfg.LostTTL) {
 			return AdmitReply{Decision: Next, Code: EndpointLost}
--- a/coordination/placement/grants.go
+++ b/coordination/placement/grants.go
@@ -31,6 +31,7 @@
 	// The fields below are guarded by grantTable.mu.
 	granted  bool
 	evidence outlier.Weight // of the endpoint's health, from this request
+	rejected bool           // the endpoint rejected the request
 	start    time.Time
 	owners   []coordination.Instance // that count this grant
 }
@@ -55,6 +56,15 @@
 	g.evidence = w
 }
 
+// RecordRejection records that the endpoint rejected the request for want of room. The
+// release reports it to the owner.
+func (g *Grant) RecordRejection() {
+	t := &g.entry.held
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g.rejected = true
+}
+
 // ReportEvidence reports to the owners at once what the request shows of its
 // endpoint while it still runs there; zero only queries the state. It reports
 // whether the endpoint is ejected for its failures.
@@ -161,7 +171,7 @@
 		return nil
 	}
 	for _, o := range g.owners {
-		r := Release{Endpoint: g.Endpoint.ID, Sequence: g.sequence, Evidence: g.evidence, Ran: millis(time.Since(g.start))}
+		r := Release{Endpoint: g.Endpoint.ID, Sequence: g.sequence, Evidence: g.evidence, Ran: millis(time.Since(g.start)), Rejected: g.rejected}
 		if o == self {
 			local = &r
 			continue
--- a/coordination/placement/load.go
+++ b/coordination/placement/load.go
@@ -41,9 +41,10 @@
 	turnover      turnover
 	countedInPool int // requests of this endpoint included in the pool's sum
 	leaving       bool
-	lostAt        time.Time // when an entry last found the endpoint dead; zero if alive
-	nextCold      time.Time // when the next grant is due while the endpoint is cold
-	takenOver     time.Time // when this router took the endpoint over; zero if others cannot count it
+	lostAt        time.Time   // when an entry last found the endpoint dead; zero if alive
+	nextCold      time.Time   // when the next grant is due while the endpoint is cold
+	rejections    []time.Time // recent rejections of requests; kept only if they are limited
+	takenOver     time.Time   // when this router took the endpoint over; zero if others cannot count it
 	detector      outlier.Detector
 
 	// settledAt ends the time in which a new owner does not know what its
@@ -167,10 +168,11 @@
 }
 
 // sendLimit returns the number of requests that may be sent to the endpoint:
-// its capacity and the overcommit.
-func (l *endpointLoad) sendLimit(cfg *Config) int {
+// its capacity and the overcommit, unless requests that wait there may be rejected and
+// rejections are limited.
+func (l *endpointLoad) sendLimit(now time.Time, cfg *Config) int {
 	c := l.capacity()
-	if c == math.MaxInt {
+	if c == math.MaxInt || l.pool.rejectionLimit(now) > 0 {
 		return c
 	}
 	return c + int(max(cfg.boundOf(l.desc.Pool).Overcommit, l.turnover.overcommit())*float64(c))
--- a/coordination/placement/mean.go
+++ b/coordination/placement/mean.go
@@ -30,6 +30,9 @@
 	reportedEndpoints int       // own endpoints in that report; guarded by the owner's lock
 	reportChanged     time.Time // when that number last changed; guarded by the owner's lock
 	lastComplete      time.Time // when the sums last covered all listed endpoints
+
+	maxRejections   int // within a second, of each endpoint; zero for any number
+	rejectionsUntil time.Time
 }
 
 // add adds to the sums over the own endpoints.
--- a/coordination/placement/messages.go
+++ b/coordination/placement/messages.go
@@ -93,6 +93,10 @@
 	// Ran holds for how long the entry held the grant of each element of Releases.
 	// It is empty if that is not known.
 	Ran []Millis `cbor:"16,keyasint,omitempty"`
+
+	// Rejected holds the indexes of the elements of Releases whose requests were
+	// rejected by their endpoints.
+	Rejected []int `cbor:"17,keyasint,omitempty"`
 }
 
 // Decision is an owner's answer to an AdmitRequest.
@@ -183,11 +187,13 @@
 	_        struct{} `cbor:",toarray"`
 	Endpoint coordination.Endpoint
 	Sequence Sequence
-	// Evidence is the outcome weight of the request, and Ran for how long its entry
-	// held the grant, zero if that is not known. They are sent outside of the
-	// release, because older routers decode a release with exactly two fields.
+	// Evidence is the outcome weight of the request, Ran for how long its entry held
+	// the grant, zero if that is not known, and Rejected whether the endpoint rejected
+	// the request. They are sent outside of the release, because older routers decode
+	// a release with exactly two fields.
 	Evidence outlier.Weight `cbor:"-"`
 	Ran      Millis         `cbor:"-"`
+	Rejected bool           `cbor:"-"`
 }
 
 // Notice carries the outcome weight of a request that is still running.
@@ -221,6 +227,8 @@
 	Notices  []Notice         `cbor:"5,keyasint,omitempty"`
 	// Ran is described in AdmitRequest.
 	Ran []Millis `cbor:"6,keyasint,omitempty"`
+	// Rejected is described in AdmitRequest.
+	Rejected []int `cbor:"7,keyasint,omitempty"`
 }
 
 // ReleaseReply answers a ReleaseBatch that has notices. The reply of older
@@ -261,9 +269,24 @@
 	return lo.Map(rs, func(r Release, _ int) Millis { return r.Ran })
 }
 
-// attachDetails sets the outcome weights and times of releases from a decoded
-// message. One that was sent by an older router lacks them.
-func attachDetails(rs []Release, seen []outlier.Weight, ran []Millis) {
+// rejectedOf returns the indexes of the releases whose requests were rejected.
+func rejectedOf(rs []Release) (indexes []int) {
+	for i, r := range rs {
+		if r.Rejected {
+			indexes = append(indexes, i)
+		}
+	}
+	return indexes
+}
+
+// attachDetails sets what a decoded message tells of its releases. One that was sent by
+// an older router lacks it.
+func attachDetails(rs []Release, seen []outlier.Weight, ran []Millis, rejected []int) {
+	for _, i := range rejected {
+		if i >= 0 && i < len(rs) {
+			rs[i].Rejected = true
+		}
+	}
 	for i := range rs {
 		if len(seen) == len(rs) {
 			rs[i].Evidence = seen[i]
@@ -311,7 +334,7 @@
 
 // Encode returns m as CBOR.
 func (m AdmitRequest) Encode() []byte {
-	m.Evidence, m.Ran = evidenceOf(m.Releases), ranOf(m.Releases)
+	m.Evidence, m.Ran, m.Rejected = evidenceOf(m.Releases), ranOf(m.Releases), rejectedOf(m.Releases)
 	return encode(m)
 }
 
@@ -320,7 +343,7 @@
 
 // Encode returns m as CBOR.
 func (m ReleaseBatch) Encode() []byte {
-	m.Evidence, m.Ran = evidenceOf(m.Releases), ranOf(m.Releases)
+	m.Evidence, m.Ran, m.Rejected = evidenceOf(m.Releases), ranOf(m.Releases), rejectedOf(m.Releases)
 	return encode(m)
 }
 
@@ -331,7 +354,7 @@
 // [ErrMalformed].
 func DecodeAdmitRequest(b []byte) (m AdmitRequest, err error) {
 	err = decode(b, &m)
-	attachDetails(m.Releases, m.Evidence, m.Ran)
+	attachDetails(m.Releases, m.Evidence, m.Ran, m.Rejected)
 	return m, err
 }
 
@@ -345,7 +368,7 @@
 // [ErrMalformed].
 func DecodeReleaseBatch(b []byte) (m ReleaseBatch, err error) {
 	err = decode(b, &m)
-	attachDetails(m.Releases, m.Evidence, m.Ran)
+	attachDetails(m.Releases, m.Evidence, m.Ran, m.Rejected)
 	return m, err
 }
 
--- a/coordination/placement/release.go
+++ b/coordination/placement/release.go
@@ -52,14 +52,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if l := s.loads[r.Endpoint]; l != nil {
-		l.end(now, id, r.Ran.Duration(), o.cfg.Load())
+		l.end(now, id, r.Ran.Duration(), r.Rejected, o.cfg.Load())
 	}
 }
 
-// end ends a grant that its entry held for ran, zero if that is not known.
-func (l *endpointLoad) end(now time.Time, id GrantID, ran time.Duration, cfg *Config) {
+// end ends a grant that its entry held for ran, zero if that is not known. rejected
+// reports that the endpoint rejected the request.
+func (l *endpointLoad) end(now time.Time, id GrantID, ran time.Duration, rejected bool, cfg *Config) {
 	if g, ok := l.grants[id]; ok {
 		l.removeGrant(now, id)
+		if rejected && l.pool.rejectionLimit(now) > 0 {
+			l.recordRejection(now)
+		}
 		l.service.observe(now.Sub(g.start), now)
 		l.turnover.observe(now.Sub(g.start), ran)
 		l.rememberRelease(now, id)
