Routers heed endpoints that say how many rejections they bear

Server-Brittle of a response is decoded in platform, kept for its pool for ten seconds after the last response that says it, and announced to the other routers once a second, as any of them may own the pool's endpoints. A declined request counts as a rejection at its owner. The simulated replica says it and crashes when it rejects more.

TestRelayKeepsEndpointsFromCrashingByRejections: two routers, three endpoints that turn every third request away and crash at 5 in a second: two of three crash with the word unheeded, none with it; passes with the race detector, three times.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -100,6 +100,7 @@
 	refusals     []time.Time // when requests were refused
 	state        string
 	leaving      bool      // responses say that the replica leaves
+	brittle      int       // rejections within a second above which the replica crashes; 0 means any number
 	coldUntil    time.Time // until when the replica reports itself cold
 }
 
@@ -175,6 +176,29 @@
 	r.leaving = true
 }
 
+// SetBrittle makes the replica crash if it rejects more than n requests within a second,
+// which its responses say. Zero ends that.
+func (r *Replica) SetBrittle(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.brittle = n
+}
+
+// recordRefusal records a refusal and reports whether the replica crashes of it.
+func (r *Replica) recordRefusal() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.refusals = append(r.refusals, now)
+	recent := 0
+	for _, at := range r.refusals {
+		if now.Sub(at) < time.Second {
+			recent++
+		}
+	}
+	return r.brittle > 0 && recent > r.brittle
+}
+
 // Refusals returns when requests were refused.
 func (r *Replica) Refusals() []time.Time {
 	r.mu.Lock()
@@ -216,11 +240,12 @@
 		return
 	}
 	a, f, ok := r.admit(req)
-	if r.saysLeaving() {
-		w.Header().Set("Server-Leaving", "1")
-	}
+	r.setWords(w.Header())
 	if !ok {
-		r.withLock(func() { r.refusals = append(r.refusals, time.Now()) })
+		if r.recordRefusal() {
+			r.exit()
+			panic(http.ErrAbortHandler)
+		}
 		if f.RetryAfter != "" {
 			w.Header().Set("Retry-After", f.RetryAfter)
 		}
@@ -369,10 +394,16 @@
 	return a, f, true
 }
 
-func (r *Replica) saysLeaving() bool {
+// setWords sets the headers that say of the replica itself.
+func (r *Replica) setWords(h http.Header) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.leaving
+	if r.leaving {
+		h.Set("Server-Leaving", "1")
+	}
+	if r.brittle > 0 {
+		h.Set("Server-Brittle", strconv.Itoa(r.brittle))
+	}
 }
 
 func (r *Replica) runningCount() int {
--- a/wisteriarouter/daemon/observer.go
+++ b/wisteriarouter/daemon/observer.go
@@ -33,6 +33,9 @@
 	return o.grant.ReportEvidence(ctx, o.monitor.RecordFailure(time.Now(), o.request))
 }
 
+// RecordRejection implements relay.Observer.
+func (o *observer) RecordRejection() { o.grant.RecordRejection() }
+
 // RecordSuccess implements relay.Observer.
 func (o *observer) RecordSuccess() {
 	if !o.reported.Swap(true) {
--- a/wisteriarouter/daemon/relay_placer.go
+++ b/wisteriarouter/daemon/relay_placer.go
@@ -88,6 +88,7 @@
 	affinity  placement.Affinity
 	conns     reusePredictor
 	tunnels   openTunnels
+	limited   rejectionNotices
 }
 
 // openTunnels counts the connections of other routers to endpoints that go through this
@@ -109,6 +110,7 @@
 		tunnels: do.MustInvoke[*peer.TunnelServer](i),
 	}
 	p.node.OnRumor(topicPause, p.receivePause)
+	p.node.OnRumor(topicRejectionLimit, p.receiveRejectionLimit)
 	p.regions = configOf(i).Regions
 	p.subsetKey = placement.KeyOf(coordination.Chat(p.self))
 	p.observe(p.updateHolders)
--- a/wisteriarouter/daemon/rumors.go
+++ b/wisteriarouter/daemon/rumors.go
@@ -31,6 +31,7 @@
 var rumorTopics = map[string]membership.Topic{
 	topicLeaving:               {TTL: leavingTTL},
 	topicPause:                 {TTL: pauseTTL},
+	topicRejectionLimit:        {TTL: rejectionLimitTTL},
 	settings.TopicChange:       {Persistent: true},
 	settings.TopicConfirmation: {TTL: freshTTL},
 	suspicion.TopicRecord:      {TTL: suspicionTTL},
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -168,6 +168,9 @@
 	if reply.Pause > 0 {
 		x.server.Placer.Pause(p.Endpoint, p.Incarnation, via, reply.Pause)
 	}
+	if reply.RejectionLimit > 0 {
+		x.server.Placer.LimitRejections(x.pool, reply.RejectionLimit)
+	}
 }
 
 // matches reports whether a response belongs to this request. A refusal may lack
@@ -333,6 +336,7 @@
 		event.F("undelimited", x.undelimited),
 		event.F("partial-bytes", x.stream.partial),
 		event.F("leaving", x.reply.Leaving),
+		event.F("rejection-limit", x.reply.RejectionLimit),
 		event.F("asked-pause-ms", x.reply.Pause.Milliseconds()),
 		event.F("late", x.missedTarget()),
 	)
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -71,6 +71,9 @@
 	// Overdue records at once that the first byte is overdue, and reports whether
 	// the endpoint is known to fail. It may be called again.
 	Overdue(ctx context.Context) (failing bool)
+	// RecordRejection records that the endpoint had no room for the request. It is
+	// called beside the following ones.
+	RecordRejection()
 	// RecordSuccess and RecordFailure record how the attempt ended. Neither is
 	// called for an attempt that ended for reasons other than the endpoint's.
 	RecordSuccess()
@@ -89,6 +92,9 @@
 	// Pause records that an endpoint wants no requests for a time from this router,
 	// or from the one through which the last request went if via is not empty.
 	Pause(e coordination.Endpoint, n coordination.Incarnation, via coordination.Instance, d time.Duration)
+	// LimitRejections records that each endpoint of a pool may crash if it rejects
+	// more than n requests within a second.
+	LimitRejections(pool coordination.Pool, n int)
 	// MaySend reports whether a request may be sent to an endpoint now, through
 	// another router if via is not empty: whether it is serving and does not pause.
 	MaySend(e coordination.Endpoint, n coordination.Incarnation, via coordination.Instance) bool
--- a/wisteriarouter/relay/silence.go
+++ b/wisteriarouter/relay/silence.go
@@ -222,6 +222,9 @@
 	if p.Observer == nil {
 		return
 	}
+	if end == declined && x.status != http.StatusMisdirectedRequest {
+		p.Observer.RecordRejection()
+	}
 	switch {
 	case end == unsent || end == withheld || end == silent || end == broken && p.Cold:
 	case (end == broken || end == cut) && x.server.Sender.Doubtful(p.Address):
--- a/wisteriarouter/relay/state_test.go
+++ b/wisteriarouter/relay/state_test.go
@@ -49,6 +49,8 @@
 func (p *fullPlacer) Pause(coordination.Endpoint, coordination.Incarnation, coordination.Instance, time.Duration) {
 }
 
+func (p *fullPlacer) LimitRejections(coordination.Pool, int) {}
+
 func (p *fullPlacer) MaySend(coordination.Endpoint, coordination.Incarnation, coordination.Instance) bool {
 	return true
 }
