--- a/wisteriarouter/upstream/conn.go
+++ b/wisteriarouter/upstream/conn.go
@@ -79,7 +79,7 @@
 		Status:      resp.StatusCode,
 		Header:      resp.Header,
 		Length:      resp.ContentLength,
-		Undelimited: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		Undelimited: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead,
 		Body:        &Body{conn: c, resp: resp},
 		Reused:      c.served > 1,
 	}
