A request that only pausing endpoints could take never returns before their pauses end

Read in the diff: a request that had tried all endpoints, or was granted one that asked for a pause meanwhile, was refused by placement, which told it to return after 0.5 s. TestAcquireKeepsPauses has the case: it failed before (0.5 s of 2 s) and passes.

--- a/wisteriarouter/daemon/placer.go
+++ b/wisteriarouter/daemon/placer.go
@@ -345,7 +345,9 @@
 		asked.Avoid = avoid
 		g, refusal := p.entry.Acquire(ctx, asked)
 		if g == nil {
-			return nil, endpoint.Info{}, refusalOf(refusal)
+			final := refusalOf(refusal)
+			final.RetryAfter = max(final.RetryAfter, p.pauseLeft(time.Now(), &req))
+			return nil, endpoint.Info{}, final
 		}
 		if k, ok := p.directory.Find(g.Endpoint.ID); ok && !p.zones.Evacuated(k.Zone) && p.mayStart(k.ID, g.Endpoint.Incarnation) {
 			return g, k, nil
--- a/wisteriarouter/daemon/placer_test.go
+++ b/wisteriarouter/daemon/placer_test.go
@@ -80,6 +80,8 @@
 		assert.Equal(t, time.Since(start), time.Duration(0))
 		_, _, refusal = p.acquire(t.Context(), placement.Request{Pool: "p", Avoid: []coordination.Endpoint{"e1"}}, time.Now().Add(5*time.Second))
 		assert.Assert(t, refusal != nil && refusal.RetryAfter >= 2*time.Second, "%v", refusal)
+		_, _, refusal = p.acquire(t.Context(), placement.Request{Pool: "p", Avoid: listed}, time.Now().Add(5*time.Second))
+		assert.Assert(t, refusal != nil && refusal.RetryAfter >= 2*time.Second, "%v", refusal)
 		time.Sleep(2 * time.Second)
 		g, k, refusal := p.acquire(t.Context(), placement.Request{Pool: "p"}, time.Now().Add(time.Second))
 		assert.Assert(t, refusal == nil, "%v", refusal)
