--- a/standin/replica/replica_test.go
+++ b/standin/replica/replica_test.go
@@ -13,7 +13,7 @@
 // Guards against a replica that refuses requests that could wait for a slot.
 func TestRequestsWaitForSlot(t *testing.T) {
 	const slots = 4
-	r, stop, err := Start(hub.New(), Options{ID: "d0", Service: "desk", Slots: slots, Delay: 200 * time.Millisecond})
+	r, stop, err := Start(hub.New(), Options{ID: "d0", Service: "desk", Slots: slots, Delay: time.Second})
 	assert.NilError(t, err)
 	defer stop()
 	statuses := make(chan int, 2*slots)
