Pauses do not depend on the time of day

The table compares times of the runtime's clock now; versions rise from the router's incarnation by its monotonic time, under a key of its own. The announcement of rejection limits keeps the time of day, as several routers share its key; docs/DECISIONS.md tells why it tolerates a jump. A router that hears one does not announce it as well.

TestWallClockUsesAreListed passes with that one use listed; TestRelayKeepsPauseThroughOtherRouter and the tests of rejections pass with the race detector.

--- a/coordination/pause/pause.go
+++ b/coordination/pause/pause.go
@@ -47,7 +47,7 @@
 // use. It is safe for concurrent use.
 type Table struct {
 	shards  [shards]shard
-	lastEnd atomic.Int64 // end of the pause that ends last, in Unix nanoseconds
+	lastEnd atomic.Pointer[time.Time] // end of the pause that ends last; nil before the first
 }
 
 type shard struct {
@@ -78,21 +78,24 @@
 	}
 	if until := now.Add(min(d, Max)); until.After(s.until[target]) {
 		s.until[target] = until
-		t.extend(until.UnixNano())
+		t.extend(until)
 	}
 }
 
 // extend notes the end of a pause.
-func (t *Table) extend(end int64) {
-	for last := t.lastEnd.Load(); end > last; last = t.lastEnd.Load() {
-		if t.lastEnd.CompareAndSwap(last, end) {
+func (t *Table) extend(end time.Time) {
+	for last := t.lastEnd.Load(); last == nil || end.After(*last); last = t.lastEnd.Load() {
+		if t.lastEnd.CompareAndSwap(last, &end) {
 			return
 		}
 	}
 }
 
 // Active reports whether any pause may be in force. It is cheaper than Left.
-func (t *Table) Active(now time.Time) bool { return now.UnixNano() < t.lastEnd.Load() }
+func (t *Table) Active(now time.Time) bool {
+	last := t.lastEnd.Load()
+	return last != nil && now.Before(*last)
+}
 
 // Left returns how much of a target's pause is left, or zero if it wants none.
 func (t *Table) Left(now time.Time, target Target) time.Duration {
--- a/wisteriarouter/daemon/pauses.go
+++ b/wisteriarouter/daemon/pauses.go
@@ -79,8 +79,9 @@
 }
 
 // topicPause announces pauses that concern the requests of several routers: those that
-// are sent through the router which the endpoint has asked. The key is that router and
-// the endpoint, the version the time at which the pause ends, in Unix milliseconds.
+// are sent through the router which the endpoint has asked. The key is the router that
+// announces it, the one that was asked and the endpoint. The version rises within a
+// lifetime of the router and from one to the next.
 const topicPause = "endpoint-pause"
 
 // pauseTTL is how long the announcement of a pause is kept.
@@ -111,7 +112,8 @@
 	if err != nil {
 		panic("daemon: encoding a pause: " + err.Error()) // all fields are plain
 	}
-	p.node.Broadcast(topicPause, string(via)+"/"+string(id), uint64(time.Now().Add(d).UnixMilli()), payload)
+	version := uint64(p.node.Self().Incarnation) + uint64(time.Since(p.started).Milliseconds())
+	p.node.Broadcast(topicPause, string(p.self)+"/"+string(via)+"/"+string(id), version, payload)
 }
 
 // receivePause records a pause that another router announces.
--- a/wisteriarouter/daemon/rejections.go
+++ b/wisteriarouter/daemon/rejections.go
@@ -78,5 +78,7 @@
 		p.log.Emit(event.PeerMalformed, event.F("topic", topicRejectionLimit), event.F("limit", l.Limit))
 		return
 	}
-	p.owner.LimitRejections(l.Pool, l.Limit, time.Now().Add(rejectionLimitTTL))
+	now := time.Now()
+	p.limited.due(now, l.Pool, l.Limit) // this router need not announce it as well
+	p.owner.LimitRejections(l.Pool, l.Limit, now.Add(rejectionLimitTTL))
 }
