--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -32,6 +32,11 @@
 	// Undelimited makes responses have neither a length nor chunks. They end with
 	// their connection.
 	Undelimited bool
+	// CrashMark makes each request whose path contains it crash the replica when it has
+	// run for Delay. The replica then calls OnCrash once, which has to end it, and never
+	// answers the request. Empty means none.
+	CrashMark string
+	OnCrash   func()
 }
 
 // Faults selects the faults that the replica injects.
@@ -90,6 +95,8 @@
 	startedAtMillis int64
 	registeredAddr  string // address in the store entry
 
+	crash sync.Once
+
 	mu           sync.Mutex
 	faults       Faults
 	requestCount int // requests that began to run
@@ -265,6 +272,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	r.readBody(req, a)
+	if r.opts.CrashMark != "" && strings.Contains(a.Path, r.opts.CrashMark) {
+		r.runCrash(req, a)
+		return
+	}
 	if f.Mute {
 		<-req.Context().Done()
 		r.withLock(func() { a.Disconnected = true })
@@ -284,6 +295,19 @@
 	r.serveSingle(w, req, a, f)
 }
 
+// runCrash runs a request that crashes the replica.
+func (r *Replica) runCrash(req *http.Request, a *Arrival) {
+	time.Sleep(r.opts.Delay) // the replica crashes even if the caller has disconnected
+	r.crash.Do(func() { go crasher{r}.run() })
+	<-req.Context().Done()
+	r.withLock(func() { a.Disconnected = true })
+}
+
+// crasher ends a replica that a request crashes.
+type crasher struct{ replica *Replica }
+
+func (c crasher) run() { c.replica.opts.OnCrash() }
+
 // stall sends the headers of a response and holds the rest back.
 func (r *Replica) stall(w http.ResponseWriter, req *http.Request, f Faults) {
 	if f.Stall == 0 {
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -145,17 +145,26 @@
 	return s.chooseEndpoint(s.rng, "desk", "model")
 }
 
-// chooseEndpoint returns a random endpoint of some services that is up.
+// chooseEndpoint returns a random endpoint of some services that is up. If none is, it
+// waits for one.
 func (s *soak) chooseEndpoint(rng *rand.Rand, services ...string) *endpoint {
+	up := s.upEndpoints(services)
+	for len(up) == 0 {
+		time.Sleep(entryExpiry / 10)
+		up = s.upEndpoints(services)
+	}
+	return up[rng.IntN(len(up))]
+}
+
+func (s *soak) upEndpoints(services []string) (up []*endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var up []*endpoint
 	for _, e := range s.endpoints {
 		if e.until().IsZero() && slices.Contains(services, e.service) {
 			up = append(up, e)
 		}
 	}
-	return up[rng.IntN(len(up))]
+	return up
 }
 
 // entryExpiry is how long the store entry of a crashed endpoint remains.
@@ -266,7 +275,7 @@
 // String formats the result as the soak command prints it.
 func (r Result) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%d faults, %d requests, %d served, %d promises broken\n", r.Faults, r.Requests, r.Served, len(r.Violations))
+	fmt.Fprintf(&b, "%d faults, %d requests, %d served, %d endpoints crashed by requests, %d promises broken\n", r.Faults, r.Requests, r.Served, r.Crashes, len(r.Violations))
 	for _, line := range r.Violations {
 		fmt.Fprintf(&b, "broken: %s\n", line)
 	}
--- a/standin/soak/load.go
+++ b/standin/soak/load.go
@@ -15,8 +15,11 @@
 // outcome is what a caller received for one request.
 type outcome struct {
 	id             string
-	path           string
-	status         int // 0 if no response headers were received
+	path           string    // the prefix of its route
+	target         string    // the path that the request has
+	sent           time.Time // only set for requests that crash endpoints
+	inTouch        bool      // neither its router nor the store had a fault for contactTime before it
+	status         int       // 0 if no response headers were received
 	served         bool
 	err            error
 	disconnectedAt time.Time // when the caller disconnected; zero if it stayed or its router had a fault
@@ -215,31 +218,37 @@
 // sendContext sends a request, checks the answer, and disconnects when ctx ends.
 func (l *load) sendContext(ctx context.Context, client *http.Client, r *router, path, key string) outcome {
 	o := outcome{id: fmt.Sprintf("q%d", l.lastID.Add(1)), path: path}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callerAddress+path+o.id, strings.NewReader(requestBody))
+	o.target = path + o.id
+	l.exchange(ctx, client, r, &o, key)
+	return o
+}
+
+// exchange sends the request of o, and records what its caller received.
+func (l *load) exchange(ctx context.Context, client *http.Client, r *router, o *outcome, key string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callerAddress+o.target, strings.NewReader(requestBody))
 	if err != nil {
 		o.err = err
-		return o
+		return
 	}
 	req.GetBody = nil // prevents the client from resending the request by itself
 	req.Host = "soak.example"
 	req.Header.Set("X-Attempt-Id", o.id)
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callerDeadline.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+key)
-	if isStream(path) {
+	if isStream(o.path) {
 		req.Header.Set("X-Token-Usage", "100,10")
 		req.Header.Set("X-Prefix-Hash", "aa:50,bb:40,"+o.id+":10")
 	}
 	resp, err := client.Do(req)
 	if err != nil {
 		o.err = err
-		return o
+		return
 	}
 	defer func() { _ = resp.Body.Close() }()
 	o.status = resp.StatusCode
 	body, err := io.ReadAll(resp.Body)
 	o.err = err
-	l.checkAnswer(&o, resp, string(body))
-	return o
+	l.checkAnswer(o, resp, string(body))
 }
 
 // checkAnswer reports a violation if a successful response contains bytes or an
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -35,7 +35,9 @@
 	// if they were complete, say in responses alone that they leave, and turn requests
 	// away with a pause, too.
 	Responses bool
-	Out       io.Writer // receives a line for each fault; nil means none
+	// Crashes makes callers repeat requests that crash the endpoints that run them, too.
+	Crashes bool
+	Out     io.Writer // receives a line for each fault; nil means none
 }
 
 // Result is the result of a soak.
@@ -43,6 +45,7 @@
 	Requests   int
 	Served     int
 	Faults     int
+	Crashes    int      // endpoints that requests have crashed
 	Violations []string // violated guarantees, one line each
 }
 
@@ -81,9 +84,11 @@
 	zone    string
 	proxy   *proxy.Proxy
 	kill    func()
-	added   time.Time
-	drained time.Time // when it announced that it is stopping
-	crashed time.Time
+	// stopProxy resets the connections and refuses new ones.
+	stopProxy func()
+	added     time.Time
+	drained   time.Time // when it announced that it is stopping
+	crashed   time.Time
 }
 
 // until returns the time at which the endpoint stopped accepting requests, or the
@@ -122,12 +127,15 @@
 	if o.Responses {
 		further.Go(func() { s.faultResponses(time.Now().Add(o.FaultDuration)) })
 	}
+	if o.Crashes {
+		further.Go(func() { s.repeatCrashingRequests(time.Now().Add(o.FaultDuration)) })
+	}
 	s.injectFaults()
 	further.Wait()
 	s.checkRecovery()
 	s.load.stop()
 	s.check()
-	return Result{Requests: s.load.count(), Served: s.load.countServed(), Faults: s.faults, Violations: s.violations}, nil
+	return Result{Requests: s.load.count(), Served: s.load.countServed(), Faults: s.faults, Crashes: s.crashes(), Violations: s.violations}, nil
 }
 
 func (s *soak) onClose(fn func()) { s.cleanups = append(s.cleanups, fn) }
@@ -209,6 +217,10 @@
 		o.Events = manyEvents
 	}
 	o.Undelimited = s.opts.Responses && service != "long" && n%2 == 0
+	crash := &endpointCrash{soak: s, n: n}
+	if s.opts.Crashes && service != "long" {
+		o.CrashMark, o.OnCrash = crashMark, crash.run
+	}
 	r, kill, err := replica.Start(s.store, o)
 	if err != nil {
 		return nil, err
@@ -217,7 +229,8 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &endpoint{Replica: r, id: id, service: service, zone: o.Zone, proxy: p, kill: kill, added: time.Now()}
+	e := &endpoint{Replica: r, id: id, service: service, zone: o.Zone, proxy: p, kill: kill, stopProxy: stop, added: time.Now()}
+	crash.endpoint = e
 	r.RegisterAt(p.Address())
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -343,6 +356,12 @@
 	for _, line := range h.violations() {
 		s.reportViolation("%s", line)
 	}
+	for _, line := range h.crashCounts() {
+		s.logf("%s", line)
+	}
+	for _, line := range h.checkCrashes() {
+		s.reportViolation("%s", line)
+	}
 	s.checkDropped()
 	s.checkHeeded()
 }
