Logs tell why an attempt that broke off did not count as a crash

Event 800 says whether the endpoint accepted a connection after a response that broke off (endpoint-liveness); event 101 says how many crashing requests a router knows as it becomes ready. Without them the hypotheses of the incident could not be told apart. No change of behaviour.

--- a/wisteriarouter/daemon/callers.go
+++ b/wisteriarouter/daemon/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
@@ -11,6 +12,7 @@
 	"github.com/samber/do/v2"
 
 	"wisteriaspool/coordination/order"
+	"wisteriaspool/coordination/suspicion"
 	"wisteriaspool/wisteriarouter/caller"
 	"wisteriaspool/wisteriarouter/engine"
 	"wisteriaspool/wisteriarouter/event"
@@ -64,6 +66,7 @@
 		state:    stateOf(i),
 		settings: do.MustInvoke[*teamSettings](i).sync.Ready(),
 		node:     s.node,
+		suspects: do.MustInvoke[*crashSuspicion](i).table,
 		log:      s.log,
 	}.run(ctx)
 	return s, nil
@@ -75,6 +78,7 @@
 	state    *state
 	settings <-chan struct{}
 	node     *peer.Node
+	suspects *suspicion.Table
 	log      event.Log
 }
 
@@ -86,7 +90,8 @@
 	}
 	r.state.ready.Store(true)
 	r.node.SetReady(true)
-	r.log.Emit(event.Ready)
+	suspects, convicted := r.suspects.Counts(time.Now())
+	r.log.Emit(event.Ready, event.F("suspects", suspects), event.F("convicted", convicted))
 }
 
 func peerHandler(node *peer.Node) http.Handler {
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -115,8 +115,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	onStop(i, cancel)
 	go relayReadiness{
-		readiness: readiness{state: stateOf(i), settings: do.MustInvoke[*desiredState](i).ready, node: node, log: s.log},
-		entries:   do.MustInvoke[*mirror.Mirror](i),
+		readiness: readiness{
+			state:    stateOf(i),
+			settings: do.MustInvoke[*desiredState](i).ready,
+			node:     node,
+			suspects: do.MustInvoke[*crashSuspicion](i).table,
+			log:      s.log,
+		},
+		entries: do.MustInvoke[*mirror.Mirror](i),
 	}.run(ctx)
 	return s, nil
 }
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -5,7 +5,7 @@
 // Events of the router process.
 var (
 	Started        = Kind{100, "started", logrus.InfoLevel, "The router has started. No action needed."}
-	Ready          = Kind{101, "ready", logrus.InfoLevel, "The router has settings and endpoints and accepts requests."}
+	Ready          = Kind{101, "ready", logrus.InfoLevel, "The router has settings and endpoints and accepts requests; gives how many requests it knows to crash endpoints, and how many are suspected of it."}
 	Stopping       = Kind{102, "stopping", logrus.InfoLevel, "A graceful shutdown has begun: new requests are refused, those in flight finish."}
 	Stopped        = Kind{103, "stopped", logrus.InfoLevel, "The shutdown is complete; in-flight is the number of unfinished requests, which is 0 unless the stop limit was exceeded."}
 	Failed         = Kind{104, "failed", logrus.ErrorLevel, "The router could not start or continue; the error gives the reason."}
@@ -84,7 +84,7 @@
 // Events of relayed requests. Each names the request and, if it gives the route,
 // the version of the desired state that determined it.
 var (
-	RelayAttempt     = Kind{800, "relay-attempt", logrus.InfoLevel, "A request was sent to an endpoint; gives the endpoint, the key, whether the cache of another endpoint was fetched, the result and the times, whether the response was undelimited, the bytes of an incomplete event at its end, and whether the endpoint leaves or wants a pause. No action needed."}
+	RelayAttempt     = Kind{800, "relay-attempt", logrus.InfoLevel, "A request was sent to an endpoint; gives the endpoint, the key, whether the cache of another endpoint was fetched, the result and the times, whether the response was undelimited, the bytes of an incomplete event at its end, whether the endpoint leaves or wants a pause, and, if the response broke off, whether the endpoint accepted a connection after it. No action needed."}
 	RelayAttemptLost = Kind{801, "relay-attempt-lost", logrus.WarnLevel, "An attempt got no usable answer; the error says how far it got. Check the endpoint if this happens there more often than elsewhere."}
 	RelayRefused     = Kind{802, "relay-refused", logrus.WarnLevel, "The router itself answered the request; gives the status, the reason, and after what time the caller was told to retry."}
 	RelayCut         = Kind{803, "relay-cut", logrus.WarnLevel, "An answer was aborted after a part of it had been sent to the caller."}
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -339,5 +339,6 @@
 		event.F("rejection-limit", x.reply.RejectionLimit),
 		event.F("asked-pause-ms", x.reply.Pause.Milliseconds()),
 		event.F("late", x.missedTarget()),
+		event.F("endpoint-liveness", x.liveness.String()),
 	)
 }
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -43,6 +43,7 @@
 	status        int               // of the last response; 0 if there is none
 	reply         platform.Response // what the last response says of the endpoint and the request
 	undelimited   bool              // the last response had neither a length nor chunks
+	liveness      liveness          // of the last attempt's endpoint
 	stream        stream
 	failure       *failure              // failure response that was not forwarded; nil if there is none
 	watch         *responseWatch        // on the current attempt
@@ -204,7 +205,10 @@
 			return false
 		}
 		end := x.attempt(ctx, place)
-		died := (end == broken || end == cut) && x.hasDied(ctx, place)
+		x.liveness = notChecked
+		if end == broken || end == cut {
+			x.liveness = x.checkLiveness(ctx, place)
+		}
 		x.observe(ctx, place, end)
 		place.Release()
 		x.logAttempt(place, end)
@@ -213,7 +217,7 @@
 			x.server.durations.record(x.route.Name, time.Since(x.arrived))
 			return true
 		}
-		mayContinue := !died || x.recordCrash(ctx, place)
+		mayContinue := x.liveness != dead || x.recordCrash(ctx, place)
 		if ctx.Err() != nil {
 			x.expire(ctx)
 			return false
--- a/wisteriarouter/relay/suspects.go
+++ b/wisteriarouter/relay/suspects.go
@@ -43,12 +43,49 @@
 	return true
 }
 
-// hasDied reports whether the endpoint of a broken attempt has died. An endpoint that
-// only lost a response still accepts connections, and the failure of a router that is
-// cut off says nothing.
-func (x *exchange) hasDied(ctx context.Context, p Placement) bool {
+// liveness is what a router knows of the endpoint of an attempt that got no complete
+// response.
+type liveness int
+
+const (
+	notChecked   liveness = iota
+	alive                 // it accepts connections
+	dead                  // it does not
+	unreachable           // this router may be cut off from it
+	checkAborted          // the request ended during the check
+)
+
+// String returns the name of l used in logs.
+func (l liveness) String() string {
+	switch l {
+	case alive:
+		return "alive"
+	case dead:
+		return "dead"
+	case unreachable:
+		return "unreachable"
+	case checkAborted:
+		return "aborted"
+	default:
+		return ""
+	}
+}
+
+// checkLiveness checks whether the endpoint of a broken attempt has died. An endpoint
+// that only lost a response still accepts connections, and the failure of a router that
+// is cut off says nothing.
+func (x *exchange) checkLiveness(ctx context.Context, p Placement) liveness {
 	err := x.server.Sender.Check(ctx, p.Address)
-	return err != nil && ctx.Err() == nil && !upstream.CutOff(err)
+	switch {
+	case err == nil:
+		return alive
+	case ctx.Err() != nil:
+		return checkAborted
+	case upstream.CutOff(err):
+		return unreachable
+	default:
+		return dead
+	}
 }
 
 // recordCrash records that the endpoint that ran the request has died, and reports
