--- /dev/null
+++ b/wisteriarouter/daemon/relay_crash_evidence_test.go
@@ -0,0 +1,117 @@
+package daemon_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// crashingCluster is a cluster whose service desk has only endpoints that end under
+// requests with the path /safe/crash.
+func crashingCluster(t *testing.T, p *endingPool) *relayCluster {
+	s := newRelayCluster(t, 2, 0, 2) // routers are in touch with the endpoints of another pool
+	p.cluster, p.crash = s, "/safe/crash"
+	p.startAll(3)
+	s.awaitServed("/safe/first")
+	return s
+}
+
+// playLookups repeats the request that crashes endpoints, each time after the answer to
+// the one before, and returns how many it has crashed.
+func (p *endingPool) playLookups(l *lookups, d time.Duration) int {
+	l.cluster, l.path, l.interval, l.sequential = p.cluster, p.crash, 300*time.Millisecond, true
+	l.until = time.Now().Add(d)
+	l.run()
+	return len(p.crashTimes())
+}
+
+// Guards against an endpoint that crashes being taken for alive because its listener
+// outlives its connections.
+func TestRelayCountsCrashOfEndpointThatStillAcceptsConnections(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"shortly": 30 * time.Millisecond, "long": 300 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			p := &endingPool{listenerDelay: delay}
+			crashingCluster(t, p)
+			n := p.playLookups(&lookups{}, 5*time.Second)
+			assert.Assert(t, n <= maxCrashes, "%d endpoints crashed", n)
+		})
+	}
+}
+
+// Guards against crashes that do not count because the caller leaves as its endpoint ends.
+func TestRelayCountsCrashAfterCallerHasLeft(t *testing.T) {
+	p := &endingPool{runTime: 60 * time.Millisecond}
+	crashingCluster(t, p)
+	n := p.playLookups(&lookups{patience: 55 * time.Millisecond}, 5*time.Second)
+	assert.Assert(t, n > 0 && n <= maxCrashes, "%d endpoints crashed", n)
+}
+
+// Guards against crashes that do not count because the endpoint answered nothing for a
+// time before it ended.
+func TestRelayCountsCrashOfEndpointThatFellSilent(t *testing.T) {
+	for name, runTime := range map[string]time.Duration{"before the answer": time.Second, "after the answer": 2500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			p := &endingPool{runTime: runTime}
+			crashingCluster(t, p)
+			n := p.playLookups(&lookups{}, 12*time.Second)
+			assert.Assert(t, n <= maxCrashes, "%d endpoints crashed", n)
+		})
+	}
+}
+
+// Guards against one request being taken for several because its host is spelled in
+// different ways.
+func TestRelayKnowsCrashingRequestByAnyHostSpelling(t *testing.T) {
+	p := &endingPool{}
+	crashingCluster(t, p)
+	n := p.playLookups(&lookups{hosts: []string{"desk.example", "Desk.example", "desk.example:80", "DESK.example", "desk.example:8080"}}, 5*time.Second)
+	assert.Assert(t, n <= maxCrashes, "%d endpoints crashed", n)
+}
+
+// convict repeats the request that crashes endpoints until all routers refuse it.
+func (p *endingPool) convict() int {
+	n := p.playLookups(&lookups{}, 3*time.Second)
+	assert.Assert(p.cluster.t, n >= 2 && n <= maxCrashes, "%d endpoints crashed", n)
+	for router := range p.cluster.routers {
+		assert.Equal(p.cluster.t, p.cluster.lookup(router, p.crash).status, http.StatusServiceUnavailable)
+	}
+	return n
+}
+
+// Guards against routers that start and do not know which requests crash endpoints.
+func TestRelayNewRouterRefusesCrashingRequest(t *testing.T) {
+	p := &endingPool{}
+	s := crashingCluster(t, p)
+	before := p.convict()
+	for range 3 {
+		s.addRouter()
+		newest := len(s.routers) - 1
+		for end := time.Now().Add(500 * time.Millisecond); time.Now().Before(end); {
+			s.lookup(newest, p.crash)
+			time.Sleep(10 * time.Millisecond)
+		}
+		s.awaitReady(newest)
+	}
+	assert.Equal(t, len(p.crashTimes()), before)
+}
+
+// Guards against what is known of crashing requests ending with the processes that know it.
+func TestRelayRefusesCrashingRequestAfterAllRoutersRestart(t *testing.T) {
+	p := &endingPool{}
+	s := crashingCluster(t, p)
+	before := p.convict()
+	for n := range s.routers {
+		s.stops[n]()
+	}
+	s.routers, s.stops = nil, nil
+	for range 2 {
+		s.addRouter()
+	}
+	for n := range s.routers {
+		s.awaitReady(n)
+		assert.Equal(t, s.lookup(n, p.crash).status, http.StatusServiceUnavailable)
+	}
+	assert.Equal(t, len(p.crashTimes()), before)
+}
--- a/wisteriarouter/daemon/relay_crash_test.go
+++ b/wisteriarouter/daemon/relay_crash_test.go
@@ -28,8 +28,12 @@
 	cluster *relayCluster
 	crash   string        // empty if no request does
 	cold    time.Duration // how long an endpoint is cold after its start
-	ctx     context.Context
-	ends    sync.WaitGroup
+	// runTime is how long a request runs before it ends its endpoint.
+	runTime time.Duration
+	// listenerDelay is how long an endpoint accepts connections after it has ended.
+	listenerDelay time.Duration
+	ctx           context.Context
+	ends          sync.WaitGroup
 
 	mu      sync.Mutex
 	started int
@@ -39,13 +43,19 @@
 
 // newEndingPool starts n endpoints, which run until the test ends.
 func newEndingPool(s *relayCluster, n int, cold time.Duration, crash string) *endingPool {
-	ctx, cancel := context.WithCancel(s.t.Context())
-	p := &endingPool{cluster: s, cold: cold, ctx: ctx, crash: crash}
+	p := &endingPool{cluster: s, cold: cold, crash: crash}
+	p.startAll(n)
+	return p
+}
+
+// startAll starts n endpoints, which run until the test ends.
+func (p *endingPool) startAll(n int) {
+	ctx, cancel := context.WithCancel(p.cluster.t.Context())
+	p.ctx = ctx
 	for range n {
 		p.start()
 	}
-	s.t.Cleanup(func() { cancel(); p.ends.Wait() })
-	return p
+	p.cluster.t.Cleanup(func() { cancel(); p.ends.Wait() })
 }
 
 // endingEndpoint is one lifetime of an endpoint of an endingPool.
@@ -70,8 +80,13 @@
 	assert.Check(p.cluster.t, err)
 	e := &endingEndpoint{pool: p, replica: r, ended: make(chan struct{})}
 	e.end = sync.OnceFunc(func() {
-		stop()
+		if p.listenerDelay == 0 {
+			stop()
+		}
 		kill()
+		px.Reset()
+		time.Sleep(p.listenerDelay)
+		stop()
 		close(e.ended)
 	})
 	p.cluster.t.Cleanup(e.end)
@@ -96,6 +111,7 @@
 		}
 		break
 	}
+	time.Sleep(e.pool.runTime)
 	e.end()
 	select {
 	case <-e.pool.ctx.Done():
@@ -136,8 +152,13 @@
 
 // lookup sends a GET request without a body.
 func (s *relayCluster) lookup(router int, path string) relayResponse {
-	req := s.request(s.t.Context(), router, path)
-	req.Method, req.Body, req.ContentLength = http.MethodGet, nil, 0
+	return s.lookupAt(s.t.Context(), router, "desk.example", path)
+}
+
+// lookupAt sends a GET request without a body to a host.
+func (s *relayCluster) lookupAt(ctx context.Context, router int, host, path string) relayResponse {
+	req := s.request(ctx, router, path)
+	req.Method, req.Body, req.ContentLength, req.Host = http.MethodGet, nil, 0, host
 	resp, err := s.client.Do(req)
 	if err != nil {
 		return relayResponse{err: err}
@@ -155,6 +176,8 @@
 	until    time.Time
 	// sequential makes each lookup wait for the answer to the one before.
 	sequential bool
+	patience   time.Duration // after which a caller disconnects; zero for never
+	hosts      []string      // used in turn; the usual one if empty
 
 	mu      sync.Mutex
 	answers []lookupAnswer
@@ -170,7 +193,10 @@
 
 func (l *lookups) run() {
 	for n := 0; time.Now().Before(l.until); n++ {
-		one := singleLookup{lookups: l, router: n % len(l.cluster.routers)}
+		one := singleLookup{lookups: l, router: n % len(l.cluster.routers), host: "desk.example"}
+		if len(l.hosts) > 0 {
+			one.host = l.hosts[n%len(l.hosts)]
+		}
 		l.wg.Go(one.run)
 		if l.sequential {
 			l.wg.Wait()
@@ -184,11 +210,18 @@
 type singleLookup struct {
 	*lookups
 	router int
+	host   string
 }
 
 func (s singleLookup) run() {
+	ctx, cancel := context.WithCancel(s.cluster.t.Context())
+	defer cancel()
+	if s.patience > 0 {
+		ctx, cancel = context.WithTimeout(ctx, s.patience)
+		defer cancel()
+	}
 	sent := time.Now()
-	got := lookupAnswer{relayResponse: s.cluster.lookup(s.router, s.path), sent: sent, took: time.Since(sent)}
+	got := lookupAnswer{relayResponse: s.cluster.lookupAt(ctx, s.router, s.host, s.path), sent: sent, took: time.Since(sent)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answers = append(s.answers, got)
