A crash counts when its endpoint is found dead later

Cause: whether an endpoint had died was decided once, by one dial at the moment its connection ended. That dial is not evidence of life while a process is being taken down.

Change: an attempt without a complete response whose endpoint accepts a connection stays unsettled for 3 s. The router looks at the endpoint again, after 50 ms before the request runs elsewhere (unless a copy has lately run to its end), then at growing pauses, without a new connection while an idle one is open. A death that any request or check of this router finds in that time counts against the unsettled attempts there, also when their requests have ended; until then a suspect's gate counts them as running. An endpoint that has announced its end is no evidence.

--- a/coordination/suspicion/guard.go
+++ b/coordination/suspicion/guard.go
@@ -159,8 +159,10 @@
 	fingerprint Fingerprint
 	copy        Copy
 	alone       atomic.Bool
-	admitted    atomic.Bool // by its gate
-	registered  bool        // known to its gate; guarded by Guard.mu
+	admitted    atomic.Bool        // by its gate
+	registered  bool               // known to its gate; guarded by Guard.mu
+	unsettled   []unsettledAttempt // guarded by Guard.mu
+	ended       bool               // tracked only for its unsettled attempts; guarded by Guard.mu
 }
 
 // Admitted reports whether the gate has admitted the request. A claim made on
@@ -209,11 +211,15 @@
 	return r
 }
 
-// untrack stops tracking a request and reports whether the gate knew of it.
+// untrack stops tracking a request and reports whether the gate knew of it. It returns
+// false if the request is not tracked any more.
 func (g *Guard) untrack(r *TrackedRequest) (known bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	rest := lo.Without(g.tracked[r.fingerprint], r)
+	if len(rest) == len(g.tracked[r.fingerprint]) {
+		return false
+	}
 	if len(rest) == 0 {
 		delete(g.tracked, r.fingerprint)
 	} else {
@@ -265,17 +271,22 @@
 // returns true once the request may run again, on an endpoint without other
 // suspects if Alone reports so; otherwise it returns the refusal and false.
 func (r *TrackedRequest) EndpointCrashed(ctx context.Context, l Loss) (Refusal, bool) {
+	reply := r.recordCrash(ctx, l)
+	if reply.Verdict == Poison {
+		return Refusal{Poison: true, RetryAfter: reply.RetryAfter.Duration()}, false
+	}
+	return r.enter(ctx)
+}
+
+// recordCrash reports to the gate that an endpoint that ran the request has died.
+func (r *TrackedRequest) recordCrash(ctx context.Context, l Loss) GateReply {
 	now := time.Now()
 	mass := r.guard.table.RecordLoss(now, l.Pool, l.Endpoint)
 	completed := r.guard.completions.contains(now, r.fingerprint)
 	r.guard.register(r)
 	crash := Crash{Endpoint: l.Endpoint, Incarnation: l.Incarnation, At: unixMillis(now), Alone: r.Alone()}
 	crash.Excused = l.Cold || (mass || completed) && !crash.Alone
-	reply := r.guard.step(ctx, r, Crashed, &crash)
-	if reply.Verdict == Poison {
-		return Refusal{Poison: true, RetryAfter: reply.RetryAfter.Duration()}, false
-	}
-	return r.enter(ctx)
+	return r.guard.step(ctx, r, Crashed, &crash)
 }
 
 // EndpointFoundDead reports that the endpoint was dead before the request
@@ -298,14 +309,19 @@
 // suspicion.
 func (r *TrackedRequest) Finished(ctx context.Context) {
 	r.guard.completions.add(time.Now(), r.fingerprint)
-	r.end(ctx, Finished)
+	r.finishTracking(ctx, Finished)
 }
 
 // Abandoned reports that the request ended without evidence for or against it:
-// refused, cancelled by its caller, or failed while its endpoint stayed alive.
-func (r *TrackedRequest) Abandoned(ctx context.Context) { r.end(ctx, Abandoned) }
+// refused, cancelled by its caller, or failed while its endpoint stayed alive. If an
+// attempt is unsettled, the request stays tracked until that is no evidence any more.
+func (r *TrackedRequest) Abandoned(ctx context.Context) {
+	if !r.deferEnd() {
+		r.finishTracking(ctx, Abandoned)
+	}
+}
 
-func (r *TrackedRequest) end(ctx context.Context, s Step) {
+func (r *TrackedRequest) finishTracking(ctx context.Context, s Step) {
 	if r.guard.untrack(r) {
 		r.guard.step(ctx, r, s, nil)
 	}
--- a/coordination/suspicion/suspicion.go
+++ b/coordination/suspicion/suspicion.go
@@ -76,6 +76,10 @@
 	// refused because an endpoint that ran it ended for another reason.
 	CompletionWindow time.Duration
 
+	// EvidenceTime is how long after an attempt without a complete response the death
+	// of its endpoint counts as a crash, 3 s by default.
+	EvidenceTime time.Duration
+
 	// MaxRun is how long the gate regards a copy as running after its router
 	// last renewed the claim, 1 min by default.
 	MaxRun time.Duration
@@ -95,6 +99,7 @@
 	setDuration(&c.LossWindow, 30*time.Second)
 	setDuration(&c.MassWindow, 500*time.Millisecond)
 	setDuration(&c.CompletionWindow, 10*time.Second)
+	setDuration(&c.EvidenceTime, 3*time.Second)
 	setDuration(&c.MaxRun, time.Minute)
 	if c.MassLoss <= 0 {
 		c.MassLoss = 4
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -87,6 +87,14 @@
 	return t.crashed(ctx, suspicion.Loss{Pool: t.pool, Endpoint: p.Endpoint, Incarnation: p.Incarnation, Cold: p.Cold})
 }
 
+// Unsettled implements relay.TrackedRequest.
+func (t relayTrackedRequest) Unsettled(p relay.Placement) {
+	t.tracked.AttemptUnsettled(suspicion.Loss{Pool: t.pool, Endpoint: p.Endpoint, Incarnation: p.Incarnation, Cold: p.Cold})
+}
+
+// LatelyCompleted implements relay.TrackedRequest.
+func (t relayTrackedRequest) LatelyCompleted() bool { return t.tracked.LatelyCompleted() }
+
 // relaySuspicionConfig configures suspicion for endpoints that crash and return
 // within seconds: a suspect request waits no longer than a rumor takes to reach
 // the whole fleet, and the other requests of its pool are not delayed.
--- a/wisteriarouter/daemon/suspects.go
+++ b/wisteriarouter/daemon/suspects.go
@@ -143,6 +143,17 @@
 	}
 }
 
+// EndpointDied implements relay.SuspectTracker. An endpoint that has announced its end
+// refuses connections as planned.
+func (s *crashSuspicion) EndpointDied(e coordination.Endpoint, n coordination.Incarnation) {
+	if s.placer.directory.HasLeft(e, n) {
+		return
+	}
+	for _, f := range s.guard.EndpointDied(context.Background(), e, n) {
+		s.log.Emit(event.RequestSuspected, event.F("fingerprint", f.String()), event.F("endpoint", e), event.F("late", true))
+	}
+}
+
 // Track implements [caller.SuspectTracker].
 func (s *crashSuspicion) Track(ctx context.Context, fingerprint uint64, p coordination.Pool) (caller.TrackedRequest, *outcome.Refusal) {
 	t, refusal := s.track(ctx, fingerprint, p)
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -207,7 +207,7 @@
 		end := x.attempt(ctx, place)
 		x.liveness = notChecked
 		if end == broken || end == cut {
-			x.liveness = x.checkLiveness(ctx, place)
+			x.liveness = x.checkLiveness(ctx, place, end)
 		}
 		x.observe(ctx, place, end)
 		place.Release()
@@ -217,6 +217,9 @@
 			x.server.durations.record(x.route.Name, time.Since(x.arrived))
 			return true
 		}
+		if x.liveness == alive {
+			x.recordUnsettled(place)
+		}
 		mayContinue := x.liveness != dead || x.recordCrash(ctx, place)
 		if ctx.Err() != nil {
 			x.expire(ctx)
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -129,6 +129,8 @@
 	// Check returns nil if an endpoint accepts connections. An error that is
 	// upstream.CutOff says nothing about the endpoint.
 	Check(ctx context.Context, address string) error
+	// Recheck is like Check but makes no connection while an idle one is open.
+	Recheck(ctx context.Context, address string) error
 	// Doubtful reports whether this router may be cut off from an endpoint, so that
 	// its attempts there say nothing about it.
 	Doubtful(address string) bool
@@ -154,6 +156,7 @@
 	ShutdownContext context.Context
 
 	durations durationTracker
+	aftermath aftermath
 }
 
 // ServeHTTP implements http.Handler.
--- a/wisteriarouter/relay/suspects.go
+++ b/wisteriarouter/relay/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/outcome"
@@ -15,6 +16,9 @@
 	// Track starts to track a request, or refuses it. It may wait until another
 	// copy of a suspect has ended.
 	Track(ctx context.Context, fingerprint uint64, p coordination.Pool) (TrackedRequest, *outcome.Refusal)
+	// EndpointDied counts the death of an endpoint against the requests whose attempts
+	// there are unsettled.
+	EndpointDied(e coordination.Endpoint, n coordination.Incarnation)
 }
 
 // TrackedRequest is a request that SuspectTracker tracks. End is called once, at the end.
@@ -24,6 +28,12 @@
 	// Crashed records that the endpoint that ran the request has died. It returns
 	// nil when the request may continue, or its refusal.
 	Crashed(ctx context.Context, p Placement) *outcome.Refusal
+	// Unsettled records that an attempt got no complete response although its endpoint
+	// seems to be alive. If it dies soon, that counts as a crash.
+	Unsettled(p Placement)
+	// LatelyCompleted reports whether a copy of the request has lately run to completion,
+	// so that it hardly crashes endpoints.
+	LatelyCompleted() bool
 	// End stops tracking; finished reports whether the request has run to its end.
 	End(finished bool)
 }
@@ -71,11 +81,25 @@
 	}
 }
 
+// secondCheck is how long after a response that broke off an endpoint that has accepted
+// a connection is checked again. The listener of a process that is being taken down may
+// outlive its connections.
+const secondCheck = 50 * time.Millisecond
+
 // checkLiveness checks whether the endpoint of a broken attempt has died. An endpoint
 // that only lost a response still accepts connections, and the failure of a router that
-// is cut off says nothing.
-func (x *exchange) checkLiveness(ctx context.Context, p Placement) liveness {
-	err := x.server.Sender.Check(ctx, p.Address)
+// is cut off says nothing. A request that would run elsewhere next waits for a second
+// check, unless it has lately run to completion.
+func (x *exchange) checkLiveness(ctx context.Context, p Placement, end attemptResult) liveness {
+	l := livenessOf(ctx, x.server.Sender.Check(ctx, p.Address))
+	if l != alive || !x.mayRetry(end) || x.tracked == nil || x.tracked.LatelyCompleted() || !coordination.Sleep(ctx, secondCheck) {
+		return l
+	}
+	return livenessOf(ctx, x.server.Sender.Recheck(ctx, p.Address))
+}
+
+// livenessOf returns what the error of a check that was limited by ctx says.
+func livenessOf(ctx context.Context, err error) liveness {
 	switch {
 	case err == nil:
 		return alive
@@ -88,10 +112,20 @@
 	}
 }
 
+// recordUnsettled records an attempt that got no complete response from an endpoint that
+// seems to be alive, and has the endpoint watched.
+func (x *exchange) recordUnsettled(p Placement) {
+	if x.tracked == nil {
+		return
+	}
+	x.tracked.Unsettled(p)
+	x.server.aftermath.watch(x.server, p)
+}
+
 // recordCrash records that the endpoint that ran the request has died, and reports
 // whether the request may have another attempt. It may wait for long.
 func (x *exchange) recordCrash(ctx context.Context, p Placement) bool {
-	x.server.Placer.Dead(p.Endpoint, p.Incarnation)
+	x.server.recordDeath(p)
 	x.emit(event.RelayCrash, event.F("endpoint", p.Endpoint), event.F("fingerprint", x.fingerprint.String()), event.F("cold", p.Cold), event.F("tracked", x.tracked != nil))
 	if x.tracked == nil {
 		return true
@@ -120,7 +154,7 @@
 	switch {
 	case upstream.CutOff(err):
 	case upstream.Refused(err):
-		s.Placer.Dead(p.Endpoint, p.Incarnation)
+		s.recordDeath(p)
 	default:
 		go deathCheck{server: s, placement: p}.run()
 	}
@@ -134,6 +168,23 @@
 
 func (c deathCheck) run() {
 	if err := c.server.Sender.Check(context.Background(), c.placement.Address); err != nil && !upstream.CutOff(err) {
-		c.server.Placer.Dead(c.placement.Endpoint, c.placement.Incarnation)
+		c.server.recordDeath(c.placement)
 	}
 }
+
+// recordDeath records that an endpoint has died.
+func (s *Server) recordDeath(p Placement) {
+	s.Placer.Dead(p.Endpoint, p.Incarnation)
+	if s.Suspects != nil {
+		go deathReport{suspects: s.Suspects, placement: p}.run()
+	}
+}
+
+// deathReport tells the tracker of suspects of a dead endpoint. It runs outside the
+// request that found the endpoint dead, because the tracker asks other routers.
+type deathReport struct {
+	suspects  SuspectTracker
+	placement Placement
+}
+
+func (d deathReport) run() { d.suspects.EndpointDied(d.placement.Endpoint, d.placement.Incarnation) }
--- a/wisteriarouter/upstream/upstream.go
+++ b/wisteriarouter/upstream/upstream.go
@@ -254,6 +254,15 @@
 	return nil
 }
 
+// Recheck is like Check but makes no connection while an idle one to the endpoint is open.
+func (c *Client) Recheck(ctx context.Context, address string) error {
+	if cn := c.idle.take(time.Now(), address, 0); cn != nil {
+		c.idle.put(cn, c.cfg.MaxIdlePerEndpoint)
+		return nil
+	}
+	return c.Check(ctx, address)
+}
+
 // Detours reports whether an endpoint is reached through other routers.
 func (c *Client) Detours(address string) bool {
 	return c.cfg.Detour != nil && c.cfg.Detour.Planner.Blocked(time.Now(), detour.Address(address))
