A crash counts when the request left its endpoint before that ended

What was seen: a request whose callers leave as its endpoint ends crashed 15 endpoints, and one whose endpoint answers nothing until after the request's timeout crashed 5.

Cause: an attempt that did not break off by itself was no evidence: the check of the endpoint is skipped once the caller has left or the deadline has passed, and an attempt that was moved as overdue was never checked.

Change: such attempts are unsettled as well, and their endpoints are watched.

--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -217,7 +217,7 @@
 			x.server.durations.record(x.route.Name, time.Since(x.arrived))
 			return true
 		}
-		if x.liveness == alive {
+		if x.unsettled(end) {
 			x.recordUnsettled(place)
 		}
 		mayContinue := x.liveness != dead || x.recordCrash(ctx, place)
--- a/wisteriarouter/relay/suspects.go
+++ b/wisteriarouter/relay/suspects.go
@@ -112,6 +112,13 @@
 	}
 }
 
+// unsettled reports whether the last attempt, which ended with end, may have crashed its
+// endpoint although it seems to be alive, or was not checked because the caller left, the
+// deadline passed or the request moved on.
+func (x *exchange) unsettled(end attemptResult) bool {
+	return end == silent || x.liveness == alive || x.liveness == checkAborted
+}
+
 // recordUnsettled records an attempt that got no complete response from an endpoint that
 // seems to be alive, and has the endpoint watched.
 func (x *exchange) recordUnsettled(p Placement) {
