A crashing request is known by its caller, path and body

What was seen: the same request sent to desk.example, Desk.example and desk.example:80 in turn crashed 10 endpoints.

Cause: the fingerprint held the method and the Host header as it was written.

Change: the fingerprint holds the host as routes are matched by it, the path with its query in origin form, the client account and the body.

--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -193,7 +193,7 @@
 // Match returns the route of a request: of the routes of its host, the one with
 // the longest matching path prefix. It returns nil if there is none.
 func (t *Table) Match(host, path string) *Route {
-	for _, r := range t.hosts[hostname(host)] {
+	for _, r := range t.hosts[Hostname(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
@@ -201,8 +201,8 @@
 	return nil
 }
 
-// hostname returns a Host header in lower case without its port.
-func hostname(host string) string {
+// Hostname returns a Host header in lower case without its port. Routes are matched by it.
+func Hostname(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
--- a/wisteriarouter/daemon/relay_crash_evidence_test.go
+++ b/wisteriarouter/daemon/relay_crash_evidence_test.go
@@ -62,11 +62,17 @@
 }
 
 // Guards against one request being taken for several because its host is spelled in
-// different ways.
+// different ways, or its method differs.
 func TestRelayKnowsCrashingRequestByAnyHostSpelling(t *testing.T) {
 	p := &endingPool{}
 	crashingCluster(t, p)
-	n := p.playLookups(&lookups{hosts: []string{"desk.example", "Desk.example", "desk.example:80", "DESK.example", "desk.example:8080"}}, 5*time.Second)
+	n := p.playLookups(&lookups{spellings: []spelling{
+		{http.MethodGet, "desk.example"},
+		{http.MethodGet, "Desk.example"},
+		{http.MethodPost, "desk.example"},
+		{http.MethodGet, "desk.example:80"},
+		{http.MethodGet, "desk.example:8080"},
+	}}, 5*time.Second)
 	assert.Assert(t, n <= maxCrashes, "%d endpoints crashed", n)
 }
 
--- a/wisteriarouter/daemon/relay_crash_test.go
+++ b/wisteriarouter/daemon/relay_crash_test.go
@@ -152,13 +152,18 @@
 
 // lookup sends a GET request without a body.
 func (s *relayCluster) lookup(router int, path string) relayResponse {
-	return s.lookupAt(s.t.Context(), router, "desk.example", path)
+	return s.lookupAs(s.t.Context(), router, plainSpelling, path)
 }
 
-// lookupAt sends a GET request without a body to a host.
-func (s *relayCluster) lookupAt(ctx context.Context, router int, host, path string) relayResponse {
+// spelling is the part of a request without a body that may differ when it comes again.
+type spelling struct{ method, host string }
+
+var plainSpelling = spelling{http.MethodGet, "desk.example"}
+
+// lookupAs sends a request without a body.
+func (s *relayCluster) lookupAs(ctx context.Context, router int, as spelling, path string) relayResponse {
 	req := s.request(ctx, router, path)
-	req.Method, req.Body, req.ContentLength, req.Host = http.MethodGet, nil, 0, host
+	req.Method, req.Body, req.ContentLength, req.Host = as.method, nil, 0, as.host
 	resp, err := s.client.Do(req)
 	if err != nil {
 		return relayResponse{err: err}
@@ -177,7 +182,7 @@
 	// sequential makes each lookup wait for the answer to the one before.
 	sequential bool
 	patience   time.Duration // after which a caller disconnects; zero for never
-	hosts      []string      // used in turn; the usual one if empty
+	spellings  []spelling    // used in turn; a GET request to the usual host if empty
 
 	mu      sync.Mutex
 	answers []lookupAnswer
@@ -193,9 +198,9 @@
 
 func (l *lookups) run() {
 	for n := 0; time.Now().Before(l.until); n++ {
-		one := singleLookup{lookups: l, router: n % len(l.cluster.routers), host: "desk.example"}
-		if len(l.hosts) > 0 {
-			one.host = l.hosts[n%len(l.hosts)]
+		one := singleLookup{lookups: l, router: n % len(l.cluster.routers), spelling: plainSpelling}
+		if len(l.spellings) > 0 {
+			one.spelling = l.spellings[n%len(l.spellings)]
 		}
 		l.wg.Go(one.run)
 		if l.sequential {
@@ -209,8 +214,8 @@
 // singleLookup is one lookup of lookups.
 type singleLookup struct {
 	*lookups
-	router int
-	host   string
+	router   int
+	spelling spelling
 }
 
 func (s singleLookup) run() {
@@ -221,7 +226,7 @@
 		defer cancel()
 	}
 	sent := time.Now()
-	got := lookupAnswer{relayResponse: s.cluster.lookupAt(ctx, s.router, s.host, s.path), sent: sent, took: time.Since(sent)}
+	got := lookupAnswer{relayResponse: s.cluster.lookupAs(ctx, s.router, s.spelling, s.path), sent: sent, took: time.Since(sent)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answers = append(s.answers, got)
--- a/wisteriarouter/relay/suspects.go
+++ b/wisteriarouter/relay/suspects.go
@@ -6,6 +6,7 @@
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/coordination/route"
 	"wisteriaspool/coordination/suspicion"
 	"wisteriaspool/wisteriarouter/event"
 	"wisteriaspool/wisteriarouter/upstream"
@@ -38,12 +39,14 @@
 	End(finished bool)
 }
 
-// track starts to track a request, since it may be one that crashes endpoints.
+// track starts to track a request, since it may be one that crashes endpoints. A request
+// that comes again has the same caller, path and body; its method and the spelling of its
+// host may differ.
 func (x *exchange) track(ctx context.Context) bool {
 	if x.server.Suspects == nil {
 		return true
 	}
-	x.fingerprint = suspicion.FingerprintOf(string(x.account), x.r.Method, x.r.Host, x.r.RequestURI, string(x.body))
+	x.fingerprint = suspicion.FingerprintOf(string(x.account), route.Hostname(x.r.Host), x.r.URL.RequestURI(), string(x.body))
 	tracked, refusal := x.server.Suspects.Track(ctx, uint64(x.fingerprint), x.pool)
 	if refusal != nil {
 		x.respondWithoutResult(refusal.Message, refusal.RetryAfter)
