A router that starts asks the others which requests crash endpoints

What was seen: each router that started sent a request that all others refused to one more endpoint.

Cause: it was ready some 10 ms after its start, while the records of crashing requests reached it by rumors seconds later, with the first comparison of tables or when two heartbeats in a row differed.

Change: a router with seeds asks the other routers for their records as soon as it knows one, takes them over, and is ready only then; requests that arrive before wait.

--- /dev/null
+++ b/coordination/suspicion/catchup.go
@@ -0,0 +1,126 @@
+package suspicion
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"wisteriaspool/coordination"
+)
+
+// maxRecordsSent is the maximum number of records in a reply. Convictions come first.
+const maxRecordsSent = 512
+
+// RecordsRequest asks a router for its records. It is sent on [TopicRecords].
+type RecordsRequest struct {
+	Digest uint64 `cbor:"1,keyasint,omitempty"` // of the records of the router that asks
+}
+
+// RecordsReply answers a RecordsRequest. It has no records if those of both routers are
+// the same.
+type RecordsReply struct {
+	Records  []Record `cbor:"1,keyasint,omitempty"`
+	CaughtUp bool     `cbor:"2,keyasint,omitempty"` // the router has itself asked others since it started
+}
+
+// Encode returns m as CBOR.
+func (m RecordsRequest) Encode() []byte { return encode(m) }
+
+// Encode returns m as CBOR.
+func (m RecordsReply) Encode() []byte { return encode(m) }
+
+// live returns the records that have not expired, convictions first, and their digest.
+func (t *Table) live(now time.Time) (all []Record, digest uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.records {
+		if r.Expires <= unixMillis(now) {
+			continue
+		}
+		all = append(all, *r)
+		digest ^= r.digest()
+	}
+	slices.SortFunc(all, func(a, b Record) int {
+		if x, y := t.state(now, a), t.state(now, b); x != y {
+			return cmp.Compare(y, x)
+		}
+		return cmp.Compare(a.Fingerprint, b.Fingerprint)
+	})
+	return all, digest
+}
+
+// digest returns a hash of what merging records makes equal. Expiry is left out, since
+// the clocks of routers differ.
+func (r *Record) digest() uint64 {
+	c := Record{Fingerprint: r.Fingerprint, Cleared: r.Cleared, Crashes: slices.Clone(r.Crashes)}
+	slices.SortFunc(c.Crashes, func(a, b Crash) int {
+		return cmp.Or(cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return xxhash.Sum64(c.Encode())
+}
+
+// HandleRecords answers a message received on [TopicRecords]. The error is of type
+// [ErrMalformed].
+func (g *Guard) HandleRecords(payload []byte) ([]byte, error) {
+	var m RecordsRequest
+	if err := decode(payload, &m); err != nil {
+		return nil, err
+	}
+	reply := RecordsReply{CaughtUp: g.isCaughtUp()}
+	if all, digest := g.table.live(time.Now()); digest != m.Digest {
+		reply.Records = all[:min(len(all), maxRecordsSent)]
+	}
+	return reply.Encode(), nil
+}
+
+// Pull takes over the records of another router. It reports whether that router has asked
+// others since it started, so that it knows what the fleet knows. The error is that of
+// the call, or of type [ErrMalformed].
+func (g *Guard) Pull(ctx context.Context, from coordination.Instance) (caughtUp bool, news int, err error) {
+	_, digest := g.table.live(time.Now())
+	b, err := g.transport.Call(ctx, from, TopicRecords, RecordsRequest{Digest: digest}.Encode())
+	if err != nil {
+		return false, 0, err
+	}
+	var reply RecordsReply
+	if err := decode(b, &reply); err != nil {
+		return false, 0, err
+	}
+	fresh := lo.Filter(reply.Records, func(r Record, _ int) bool { return g.merge(ctx, r) })
+	return reply.CaughtUp, len(fresh), nil
+}
+
+// BeginCatchUp makes all requests wait until EndCatchUp is called: a router that has just
+// started does not know yet which requests crash endpoints. It must be called before the
+// guard is used.
+func (g *Guard) BeginCatchUp() { g.caughtUp = make(chan struct{}) }
+
+// EndCatchUp ends the wait. It must be called once.
+func (g *Guard) EndCatchUp() { close(g.caughtUp) }
+
+// CaughtUp returns a channel that is closed when requests need not wait any longer.
+func (g *Guard) CaughtUp() <-chan struct{} { return g.caughtUp }
+
+func (g *Guard) isCaughtUp() bool {
+	select {
+	case <-g.caughtUp:
+		return true
+	default:
+		return false
+	}
+}
+
+// awaitCatchUp waits until the router knows what the others know. It returns false if
+// ctx ends before.
+func (g *Guard) awaitCatchUp(ctx context.Context) bool {
+	select {
+	case <-g.caughtUp:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/coordination/suspicion/guard.go
+++ b/coordination/suspicion/guard.go
@@ -37,7 +37,8 @@
 	transport   Transport
 	spreader    Spreader
 	completions *completions
-	locator     atomic.Value // holds a locatorBox
+	caughtUp    chan struct{} // closed when requests need not wait for the records of other routers
+	locator     atomic.Value  // holds a locatorBox
 
 	mu         sync.Mutex
 	lastNumber uint64
@@ -48,7 +49,7 @@
 
 // NewGuard returns the guard of a router; gate is that router's own gate.
 func NewGuard(id coordination.Instance, n coordination.Incarnation, gate *Gate, t Transport, s Spreader) *Guard {
-	return &Guard{
+	g := &Guard{
 		instance:    id,
 		incarnation: n,
 		table:       gate.table,
@@ -57,7 +58,10 @@
 		spreader:    s,
 		completions: newCompletions(gate.cfg.CompletionWindow, gate.cfg.Limit),
 		tracked:     make(map[Fingerprint][]*TrackedRequest),
+		caughtUp:    make(chan struct{}),
 	}
+	g.EndCatchUp()
+	return g
 }
 
 // Update sets a new list of routers and claims the suspects running on this
@@ -96,11 +100,16 @@
 	if err != nil {
 		return false, err
 	}
+	return g.merge(ctx, r), nil
+}
+
+// merge takes over a record and reports whether it was new.
+func (g *Guard) merge(ctx context.Context, r Record) bool {
 	if !g.table.Merge(time.Now(), r) {
-		return false, nil
+		return false
 	}
 	g.claim(ctx, r.Fingerprint)
-	return true, nil
+	return true
 }
 
 // claim registers with the gate the copies of a suspect that run here and that
@@ -175,9 +184,12 @@
 func (r *TrackedRequest) Alone() bool { return r.alone.Load() }
 
 // Begin starts tracking a request. For a suspect it waits until the gate admits
-// it or ctx ends. If the request must not run, Begin returns nil and the
-// refusal.
+// it or ctx ends, and any request waits while the router catches up with the others. If
+// the request must not run, Begin returns nil and the refusal.
 func (g *Guard) Begin(ctx context.Context, fp Fingerprint, p coordination.Pool) (*TrackedRequest, Refusal) {
+	if !g.awaitCatchUp(ctx) {
+		return nil, Refusal{RetryAfter: minRetryWait}
+	}
 	// Tracking starts before the check, so that a record that arrives in
 	// between finds either a copy to claim or a suspect that has to ask the
 	// gate.
--- a/coordination/suspicion/messages.go
+++ b/coordination/suspicion/messages.go
@@ -10,10 +10,12 @@
 )
 
 // Message topics. TopicGate carries a request to the gate of a fingerprint,
-// TopicRecord a record gossiped to all routers.
+// TopicRecord a record gossiped to all routers, and TopicRecords a request for all
+// records of a router.
 const (
-	TopicGate   = "suspicion-gate"
-	TopicRecord = "suspicion-record"
+	TopicGate    = "suspicion-gate"
+	TopicRecord  = "suspicion-record"
+	TopicRecords = "suspicion-records"
 )
 
 // Errors is the namespace of the package's errors.
--- a/wisteriarouter/daemon/callers.go
+++ b/wisteriarouter/daemon/callers.go
@@ -12,7 +12,6 @@
 	"github.com/samber/do/v2"
 
 	"wisteriaspool/coordination/order"
-	"wisteriaspool/coordination/suspicion"
 	"wisteriaspool/wisteriarouter/caller"
 	"wisteriaspool/wisteriarouter/engine"
 	"wisteriaspool/wisteriarouter/event"
@@ -66,19 +65,19 @@
 		state:    stateOf(i),
 		settings: do.MustInvoke[*teamSettings](i).sync.Ready(),
 		node:     s.node,
-		suspects: do.MustInvoke[*crashSuspicion](i).table,
+		suspects: do.MustInvoke[*crashSuspicion](i),
 		log:      s.log,
 	}.run(ctx)
 	return s, nil
 }
 
-// readiness marks the router ready once it has loaded the settings. Before that,
-// it would refuse every team as unknown.
+// readiness marks the router ready once it has loaded the settings and knows which
+// requests crash endpoints. Before that, it would refuse every team as unknown.
 type readiness struct {
 	state    *state
 	settings <-chan struct{}
 	node     *peer.Node
-	suspects *suspicion.Table
+	suspects *crashSuspicion
 	log      event.Log
 }
 
@@ -88,9 +87,14 @@
 		return
 	case <-r.settings:
 	}
+	select {
+	case <-ctx.Done():
+		return
+	case <-r.suspects.guard.CaughtUp():
+	}
 	r.state.ready.Store(true)
 	r.node.SetReady(true)
-	suspects, convicted := r.suspects.Counts(time.Now())
+	suspects, convicted := r.suspects.table.Counts(time.Now())
 	r.log.Emit(event.Ready, event.F("suspects", suspects), event.F("convicted", convicted))
 }
 
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -127,7 +127,7 @@
 			state:    stateOf(i),
 			settings: do.MustInvoke[*desiredState](i).ready,
 			node:     node,
-			suspects: do.MustInvoke[*crashSuspicion](i).table,
+			suspects: do.MustInvoke[*crashSuspicion](i),
 			log:      s.log,
 		},
 		entries: do.MustInvoke[*mirror.Mirror](i),
--- a/wisteriarouter/daemon/suspects.go
+++ b/wisteriarouter/daemon/suspects.go
@@ -61,12 +61,19 @@
 	node.Handle(suspicion.TopicGate, func(ctx context.Context, _ coordination.Instance, payload []byte) ([]byte, error) {
 		return s.guard.HandleGate(ctx, payload)
 	})
+	node.Handle(suspicion.TopicRecords, func(_ context.Context, _ coordination.Instance, payload []byte) ([]byte, error) {
+		return s.guard.HandleRecords(payload)
+	})
 	node.OnRumor(suspicion.TopicRecord, s.handleRecord)
 	node.OnChange(s.membersChanged)
 	s.placer.detector.Watch(s.updateGates)
 	s.placer.observe(s.endpointsChanged)
 	ctx, cancel := context.WithCancel(context.Background())
 	go s.loop(ctx)
+	if len(configOf(i).Peers.Seeds) > 0 {
+		s.guard.BeginCatchUp()
+		go catchUp{guard: s.guard, detector: s.placer.detector, self: st.instance, log: s.log}.run(ctx)
+	}
 	onStop(i, cancel)
 	return s, nil
 }
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -41,6 +41,7 @@
 	PeerBusy         = Kind{406, "peer-busy", logrus.WarnLevel, "Other routers made more concurrent calls than this router handles; some were refused. If this continues, the instance is too small or a peer repeats its calls."}
 	PeerAway         = Kind{407, "peer-away", logrus.WarnLevel, "A router does not answer calls; this one does not use it until it answers again. If this continues and the router is not declared dead, check the network path between the two."}
 	PeerBack         = Kind{408, "peer-back", logrus.InfoLevel, "A router that did not answer calls answers again."}
+	CatchUpFailed    = Kind{410, "catch-up-failed", logrus.WarnLevel, "No router that had run for longer told this one, as it started, which requests crash endpoints; it serves with what the platform's store says of them. Expected if all routers have been replaced at once; otherwise check the network path to the other routers."}
 	HintFailed       = Kind{409, "hint-failed", logrus.InfoLevel, "A router could not be notified of a change of the store, or a change that it announced could not be fetched from it. Other routers announce the change as well; check whether that router is reachable."}
 )
 
@@ -101,7 +102,7 @@
 		Started, Ready, Stopping, Stopped, Failed, Reloaded, ReloadFailed, LinesDropped, RequestDropped,
 		SettingsApplied, SettingsInvalid, SettingsRejected, SettingsChanged, SettingsLate,
 		PlatformLost, PlatformBack,
-		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumorShed, PeerBusy, PeerAway, PeerBack, HintFailed,
+		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumorShed, PeerBusy, PeerAway, PeerBack, HintFailed, CatchUpFailed,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
 		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
