Convictions of crashing requests outlast the routers

What was seen: once all routers had been killed, a request that all had refused was sent to endpoints again, and crashed two or three more after each kill.

Cause: what is known of crashing requests lived in the processes alone.

Change: the gate of a convicted request writes its record to the platform's store, once, under crashing/ and a lease of the conviction's time (ten minutes at most): two calls for each conviction. Routers watch the whole store already, so that the record comes with their copy of it, before the first desired state is in force. While the store is away the gate tries again about once a second; a router that becomes the gate writes what the store lacks.

--- a/coordination/suspicion/guard.go
+++ b/coordination/suspicion/guard.go
@@ -37,6 +37,7 @@
 	transport   Transport
 	spreader    Spreader
 	completions *completions
+	onChange    func()        // nil for none
 	caughtUp    chan struct{} // closed when requests need not wait for the records of other routers
 	locator     atomic.Value  // holds a locatorBox
 
@@ -70,6 +71,7 @@
 	g.locator.Store(locatorBox{p})
 	g.gate.MembersChanged(time.Now())
 	g.Renew(ctx)
+	g.changed() // this router may have become the gate of convicted requests
 }
 
 // Renew renews the claims of the suspects running on this router. The router
@@ -108,10 +110,31 @@
 	if !g.table.Merge(time.Now(), r) {
 		return false
 	}
+	g.changed()
 	g.claim(ctx, r.Fingerprint)
 	return true
 }
 
+// OnChange registers fn, which is called after each change of a record or of the list of
+// routers. It must be called before the guard is used.
+func (g *Guard) OnChange(fn func()) { g.onChange = fn }
+
+func (g *Guard) changed() {
+	if g.onChange != nil {
+		g.onChange()
+	}
+}
+
+// OwnConvictions returns the records of the convicted requests whose gate is this router.
+func (g *Guard) OwnConvictions() []Record {
+	now := time.Now()
+	all, _ := g.table.live(now)
+	return lo.Filter(all, func(r Record, _ int) bool {
+		_, state := g.table.Find(now, r.Fingerprint)
+		return state == Convicted && g.gateOf(r.Fingerprint) == g.instance
+	})
+}
+
 // claim registers with the gate the copies of a suspect that run here and that
 // the gate does not know of.
 func (g *Guard) claim(ctx context.Context, fp Fingerprint) {
@@ -151,6 +174,7 @@
 	reply, r := g.gate.Handle(time.Now(), m)
 	if r != nil {
 		g.spreader.Spread(TopicRecord, r.Encode())
+		g.changed()
 		g.claim(ctx, r.Fingerprint)
 	}
 	return reply
--- a/standin/hub/hub.go
+++ b/standin/hub/hub.go
@@ -44,17 +44,23 @@
 	changed   chan struct{}
 	faults    Faults
 	calls     int
+	lastLease int64
+	leases    map[int64][]string // keys of each lease
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{revision: 1, compacted: 1, items: make(map[string]Item), changed: make(chan struct{})}
+	return &Store{revision: 1, compacted: 1, items: make(map[string]Item), changed: make(chan struct{}), leases: make(map[int64][]string)}
 }
 
 // Put writes a key and returns its new revision.
 func (s *Store) Put(key string, value []byte) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.putLocked(key, value)
+}
+
+func (s *Store) putLocked(key string, value []byte) int64 {
 	s.revision++
 	item := Item{Key: key, Value: slices.Clone(value), Revision: s.revision, CreateRevision: s.revision}
 	if old, ok := s.items[key]; ok {
@@ -69,6 +75,10 @@
 func (s *Store) Delete(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.deleteLocked(key)
+}
+
+func (s *Store) deleteLocked(key string) {
 	if _, ok := s.items[key]; !ok {
 		return
 	}
@@ -130,6 +140,10 @@
 		s.handleRange(w, r)
 	case r.URL.Path == "/wisteriaspool/kv-watch":
 		s.handleWatch(w, r)
+	case r.URL.Path == "/wisteriaspool/kv-lease":
+		s.handleLease(w, r)
+	case r.URL.Path == "/wisteriaspool/kv-txn":
+		s.handleTxn(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
--- a/wisteriarouter/daemon/catchup.go
+++ b/wisteriarouter/daemon/catchup.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/samber/lo"
+	"github.com/samber/lo/mutable"
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/suspicion"
@@ -40,7 +41,8 @@
 	answered := make(map[coordination.Instance]bool)
 	for time.Since(began) < catchUpLimit {
 		others := c.others()
-		for _, id := range lo.Shuffle(others) {
+		mutable.Shuffle(others)
+		for _, id := range others {
 			if !answered[id] && c.pull(ctx, id, answered) {
 				return
 			}
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -27,6 +27,7 @@
 	do.Provide(i, newStoreDirectory)
 	do.Provide(i, newEntryTracker)
 	do.Provide(i, newRelayBasePlacer)
+	do.Provide(i, newConvictions)
 	do.Provide(i, newDesiredState)
 	do.Provide(i, newRelayPlacer)
 	do.Provide(i, newPoolRetries)
--- a/wisteriarouter/daemon/relay_desired.go
+++ b/wisteriarouter/daemon/relay_desired.go
@@ -38,9 +38,10 @@
 	d.relay.Store(configOf(i).Relay)
 	m := do.MustInvoke[*mirror.Mirror](i)
 	d.mirror = m
-	// Endpoints are read before the desired state: requests that wait for it
-	// would otherwise find their pools empty.
+	// Endpoints and crashing requests are read before the desired state: requests
+	// that wait for it would otherwise find their pools empty, or crash endpoints.
 	do.MustInvoke[*endpoint.EntryTracker](i)
+	do.MustInvoke[*convictions](i)
 	m.Observe(d.applyChanges)
 	m.Observe(newBehindMetric(do.MustInvoke[*prometheus.Registry](i)))
 	startFeed(i, m, d.callLog)
--- a/wisteriarouter/daemon/suspects.go
+++ b/wisteriarouter/daemon/suspects.go
@@ -95,11 +95,22 @@
 func (s *crashSuspicion) handleRecord(_ string, _ uint64, payload []byte) {
 	// A record that cannot be decoded is dropped: records are soft state, and
 	// the transport has already reported the message.
-	if isNew, err := s.guard.HandleRecord(context.Background(), payload); err == nil && isNew {
-		if r, err := suspicion.DecodeRecord(payload); err == nil {
-			s.log.Emit(event.RequestSuspected, event.F("fingerprint", r.Fingerprint.String()), event.F("crashes", len(r.Crashes)))
-		}
+	_ = s.takeOver(payload)
+}
+
+// takeOver takes over a record of another router and logs it if it is new. The error is of
+// type [suspicion.ErrMalformed].
+func (s *crashSuspicion) takeOver(payload []byte) error {
+	isNew, err := s.guard.HandleRecord(context.Background(), payload)
+	if err != nil || !isNew {
+		return err
+	}
+	r, err := suspicion.DecodeRecord(payload)
+	if err != nil {
+		return err
 	}
+	s.log.Emit(event.RequestSuspected, event.F("fingerprint", r.Fingerprint.String()), event.F("crashes", len(r.Crashes)))
+	return nil
 }
 
 // endpointsChanged records the loss of endpoints that have left the list or
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -58,6 +58,7 @@
 	RequestRefused    = Kind{506, "request-refused", logrus.WarnLevel, "A request was finally refused; gives the code, the reason, whether it has run, and after what time the caller was told to retry."}
 	RequestSuspected  = Kind{507, "request-suspected", logrus.WarnLevel, "A request ran on an endpoint that died."}
 	RequestConvicted  = Kind{508, "request-convicted", logrus.ErrorLevel, "A second endpoint died while it ran the same request. All routers refuse the request from now on; check the caller with its fingerprint."}
+	ConvictionStored  = Kind{520, "conviction-stored", logrus.InfoLevel, "A request that crashes endpoints was written to the platform's store, so that routers which start later refuse it; the status is conflict if another router had written it. No action needed."}
 	RetryBudgetSpent  = Kind{509, "retry-budget-spent", logrus.WarnLevel, "A request was not retried because the retry budget is exhausted. Look for failing endpoints."}
 	CallerGone        = Kind{511, "caller-gone", logrus.InfoLevel, "A caller disconnected; its attempt was cancelled."}
 	ChatPlaced        = Kind{514, "chat-placed", logrus.InfoLevel, "A chat was placed on an endpoint and is sent there; gives the duration of the placement and the time left until the start deadline. No action needed."}
@@ -104,7 +105,7 @@
 		PlatformLost, PlatformBack,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumorShed, PeerBusy, PeerAway, PeerBack, HintFailed, CatchUpFailed,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
-		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour,
+		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour, ConvictionStored,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
 		OrderGiven,
 		RelayAttempt, RelayAttemptLost, RelayRefused, RelayCut, RelayCallerGone, RelayBudgetSpent, RelayPlaced, RelayOverdue, RelayCrash,
