A gate learns of a suspect from the router that asks

A router that has just become the gate of a suspect lacked its record until rumors reached it, and admitted copies beside each other, each of which may crash an endpoint. Same class as the routers that start: what is known is known only to who was there. The question to the gate now carries the record of the router that asks.

TestGateLearnsOfCrashFromRouterThatAsks fails without it.

--- a/coordination/suspicion/guard.go
+++ b/coordination/suspicion/guard.go
@@ -171,6 +171,9 @@
 // handleStep processes a step at the own gate. A changed record also applies to
 // copies on this router, which gossip does not reach.
 func (g *Guard) handleStep(ctx context.Context, m GateRequest) GateReply {
+	if m.Known != nil {
+		g.merge(ctx, *m.Known)
+	}
 	reply, r := g.gate.Handle(time.Now(), m)
 	if r != nil {
 		g.spreader.Spread(TopicRecord, r.Encode())
@@ -372,6 +375,9 @@
 	if to == g.instance || to == "" {
 		return g.handleStep(ctx, m)
 	}
+	if known, _ := g.table.Find(time.Now(), r.fingerprint); len(known.Crashes) > 0 {
+		m.Known = &known
+	}
 	ctx, cancel := context.WithTimeout(ctx, gateTimeout)
 	defer cancel()
 	b, err := g.transport.Call(ctx, to, TopicGate, m.Encode())
--- a/coordination/suspicion/guard_test.go
+++ b/coordination/suspicion/guard_test.go
@@ -98,3 +98,23 @@
 		f.Abandoned(t.Context())
 	})
 }
+
+// Guards against a gate that admits copies of a suspect beside each other because it lacks
+// the record of the router that asks, as one that has just become the gate may.
+func TestGateLearnsOfCrashFromRouterThatAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := make(gates)
+		all.add("gate", "gate")
+		other := all.add("other", "gate")
+		now := time.Now()
+		other.table.addCrash(now, 1, Crash{Endpoint: "e1", Incarnation: 1, At: unixMillis(now)})
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		first, _ := other.Begin(ctx, 1, "m")
+		assert.Assert(t, first != nil)
+		second, refusal := other.Begin(ctx, 1, "m")
+		assert.Assert(t, second == nil, "a second copy runs beside the first one")
+		assert.Assert(t, !refusal.Poison)
+		first.Finished(t.Context())
+	})
+}
--- a/coordination/suspicion/messages.go
+++ b/coordination/suspicion/messages.go
@@ -51,6 +51,8 @@
 	Copy        Copy        `cbor:"2,keyasint"`
 	Step        Step        `cbor:"3,keyasint,omitempty"`
 	Crash       *Crash      `cbor:"4,keyasint,omitempty"`
+	// Known is the record of the router that asks, which the gate may lack.
+	Known *Record `cbor:"5,keyasint,omitempty"`
 }
 
 // Verdict is the gate's decision on a copy.
