A request convicted since its arrival is held back

A request that waits for a place, for a connection or for its next attempt was sent although all routers had come to refuse it meanwhile: the table was asked at its arrival only. It is asked again just before the first byte and after each attempt, and the request is refused with the time of its conviction.

TestRequestConvictedSinceItsArrivalIsHeldBack: 200 and one arrival before, 503 and none now.

--- a/coordination/suspicion/guard.go
+++ b/coordination/suspicion/guard.go
@@ -338,6 +338,17 @@
 	return r.enter(ctx)
 }
 
+// Convicted returns the refusal of a request that has been convicted since Begin and true,
+// or false if it has not.
+func (r *TrackedRequest) Convicted() (Refusal, bool) {
+	now := time.Now()
+	known, state := r.guard.table.Find(now, r.fingerprint)
+	if state != Convicted {
+		return Refusal{}, false
+	}
+	return Refusal{Poison: true, RetryAfter: known.Expires.Time().Sub(now)}, true
+}
+
 func (g *Guard) register(r *TrackedRequest) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -93,6 +93,12 @@
 	t.tracked.AttemptUnsettled(suspicion.Loss{Pool: t.pool, Endpoint: p.Endpoint, Incarnation: p.Incarnation, Cold: p.Cold})
 }
 
+// Convicted implements relay.TrackedRequest.
+func (t relayTrackedRequest) Convicted() *outcome.Refusal {
+	refusal, convicted := t.tracked.Convicted()
+	return t.toRefusal(refusal, !convicted)
+}
+
 // LatelyCompleted implements relay.TrackedRequest.
 func (t relayTrackedRequest) LatelyCompleted() bool { return t.tracked.LatelyCompleted() }
 
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -151,7 +151,7 @@
 		AtMostOnce: !x.route.Idempotent(),
 		Group:      string(x.pool),
 		Proceed: func(via coordination.Instance) bool {
-			return x.server.Placer.MaySend(p.Endpoint, p.Incarnation, via)
+			return x.convicted() == nil && x.server.Placer.MaySend(p.Endpoint, p.Incarnation, via)
 		},
 		Heard: func(via coordination.Instance, status int, h http.Header) {
 			x.heard(p, via, platform.DecodeResponse(status, h))
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -225,6 +225,10 @@
 			x.expire(ctx)
 			return false
 		}
+		if refusal := x.convicted(); refusal != nil {
+			x.respondWithoutResult(refusal.Message, refusal.RetryAfter)
+			return false
+		}
 		if !mayContinue || !x.takeRetry(end) {
 			x.fail(end)
 			return false
--- a/wisteriarouter/relay/suspects.go
+++ b/wisteriarouter/relay/suspects.go
@@ -32,6 +32,9 @@
 	// Unsettled records that an attempt got no complete response although its endpoint
 	// seems to be alive. If it dies soon, that counts as a crash.
 	Unsettled(p Placement)
+	// Convicted returns the refusal of the request if it has been found to crash endpoints
+	// since Track, and nil otherwise.
+	Convicted() *outcome.Refusal
 	// LatelyCompleted reports whether a copy of the request has lately run to completion,
 	// so that it hardly crashes endpoints.
 	LatelyCompleted() bool
@@ -148,6 +151,15 @@
 	return false
 }
 
+// convicted returns the refusal of a request that has been found to crash endpoints since
+// its arrival, or nil.
+func (x *exchange) convicted() *outcome.Refusal {
+	if x.tracked == nil {
+		return nil
+	}
+	return x.tracked.Convicted()
+}
+
 // endTracking stops tracking the request.
 func (x *exchange) endTracking(finished bool) {
 	if x.tracked != nil {
--- a/wisteriarouter/relay/withheld_test.go
+++ b/wisteriarouter/relay/withheld_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
@@ -73,7 +74,7 @@
 			defer srv.Close()
 			p.addresses = append(p.addresses, strings.TrimPrefix(srv.URL, "http://"))
 		}
-		w := serveOnce(t, p)
+		w := serveOnce(t, p, nil)
 		assert.Equal(t, w.Code, test.status)
 		var arrivals []int32
 		for n := range counts {
@@ -83,8 +84,38 @@
 	}
 }
 
+// lateConviction is a tracker of suspects that finds the request to crash endpoints while
+// it waits for a connection.
+type lateConviction struct{ TrackedRequest }
+
+func (lateConviction) Track(context.Context, uint64, coordination.Pool) (TrackedRequest, *outcome.Refusal) {
+	return lateConviction{}, nil
+}
+func (lateConviction) EndpointDied(coordination.Endpoint, coordination.Incarnation) {}
+func (lateConviction) Alone() bool                                                  { return false }
+func (lateConviction) End(bool)                                                     {}
+func (lateConviction) Convicted() *outcome.Refusal {
+	return &outcome.Refusal{Message: "it crashes endpoints", RetryAfter: time.Minute}
+}
+
+// Guards against a request that is sent although all routers have come to refuse it since
+// its arrival.
+func TestRequestConvictedSinceItsArrivalIsHeldBack(t *testing.T) {
+	arrivals := new(atomic.Int32)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrivals.Add(1)
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("X-Server-Signature", "s")
+	}))
+	defer srv.Close()
+	w := serveOnce(t, &listPlacer{addresses: []string{strings.TrimPrefix(srv.URL, "http://")}}, lateConviction{})
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, w.Header().Get("Retry-After"), "60.000")
+	assert.Equal(t, arrivals.Load(), int32(0))
+}
+
 // serveOnce serves one request that may be sent to two endpoints.
-func serveOnce(t *testing.T, p Placer) *httptest.ResponseRecorder {
+func serveOnce(t *testing.T, p Placer, suspects SuspectTracker) *httptest.ResponseRecorder {
 	known := make(chan struct{})
 	close(known)
 	sender, cleanup := upstream.NewClient(upstream.Config{})
@@ -94,7 +125,7 @@
 			Version: 1,
 			Routes:  []route.Route{{Host: "example.com", Prefix: "/", Public: true, Attempts: 2, Shares: []route.Share{{Pool: "p", Weight: 1}}}},
 		})},
-		Placer: p, Sender: sender, Retries: noRetries{},
+		Placer: p, Sender: sender, Retries: noRetries{}, Suspects: suspects,
 		Metrics: NewMetrics(prometheus.NewRegistry()),
 	}
 	r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/x", nil)
