The late death of an endpoint does not count against requests that complete

Callers that leave early, as many do, make their attempts unsettled; the death of the endpoint within 3 s for another reason would count against them all, and two such deaths would refuse a popular request to everybody. An attempt that did not break off is weak evidence, and a request that crashes endpoints never runs to its end: if a copy has completed within the completion window at the router, the death does not count.

--- a/coordination/suspicion/unsettled.go
+++ b/coordination/suspicion/unsettled.go
@@ -28,12 +28,16 @@
 }
 
 // EndpointDied counts the death of an endpoint against the requests whose attempts there
-// are unsettled, and returns their fingerprints.
+// are unsettled, and returns the fingerprints of those that it counts against.
 func (g *Guard) EndpointDied(ctx context.Context, e coordination.Endpoint, n coordination.Incarnation) []Fingerprint {
 	var counted []Fingerprint
 	for r, l := range g.takeUnsettled(time.Now(), e, n) {
-		r.recordCrash(ctx, l)
-		counted = append(counted, r.fingerprint)
+		// An attempt that did not break off is weak evidence, and a request that
+		// crashes endpoints never completes.
+		if !r.LatelyCompleted() {
+			r.recordCrash(ctx, l)
+			counted = append(counted, r.fingerprint)
+		}
 		if !r.endSettled() {
 			g.step(ctx, r, Claim, nil) // another attempt of the request runs, or may be unsettled
 		}
@@ -85,13 +89,13 @@
 func (d deferredEnd) run() { d.request.finishTracking(context.Background(), Abandoned) }
 
 // endSettled stops tracking a request that has ended and has no unsettled attempt left,
-// and reports whether it did. The gate has removed the copy with its last crash.
+// and reports whether it did.
 func (r *TrackedRequest) endSettled() bool {
 	r.guard.mu.Lock()
 	settled := r.ended && len(r.unsettled) == 0
 	r.guard.mu.Unlock()
 	if settled {
-		r.guard.untrack(r)
+		r.finishTracking(context.Background(), Abandoned)
 	}
 	return settled
 }
--- a/coordination/suspicion/unsettled_test.go
+++ b/coordination/suspicion/unsettled_test.go
@@ -55,6 +55,10 @@
 		r.Finished(t.Context())
 		assert.Equal(t, len(g.EndpointDied(t.Context(), "e2", 1)), 0)
 		assert.Equal(t, len(g.tracked), 0)
+
+		endUnsettled(t, g, "e3") // a copy has completed shortly before
+		assert.Equal(t, len(g.EndpointDied(t.Context(), "e3", 1)), 0)
+		assert.Equal(t, len(g.tracked), 0)
 	})
 }
 
--- a/wisteriarouter/daemon/relay_crash_evidence_test.go
+++ b/wisteriarouter/daemon/relay_crash_evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -121,3 +122,25 @@
 	}
 	assert.Equal(t, len(p.crashTimes()), before)
 }
+
+// Guards against a popular request being refused because callers leave while endpoints end
+// for another reason.
+func TestRelayServesPopularLookupWhoseCallersLeaveWhileEndpointsEnd(t *testing.T) {
+	s := newRelayCluster(t, 2, 0, 0)
+	p := newEndingPool(s, 5, 0, "")
+	s.awaitServed("/safe/popular")
+	begin := time.Now()
+	until := begin.Add(5 * time.Second)
+	staying := &lookups{cluster: s, path: "/safe/popular", interval: 30 * time.Millisecond, until: until}
+	leaving := &lookups{cluster: s, path: "/safe/popular", interval: 15 * time.Millisecond, until: until, patience: 30 * time.Millisecond}
+	var wg sync.WaitGroup
+	wg.Go(staying.run)
+	wg.Go(leaving.run)
+	for range 12 {
+		time.Sleep(300 * time.Millisecond)
+		p.endOne()
+	}
+	wg.Wait()
+	served, all := staying.served(begin)
+	assert.Equal(t, served, all)
+}
