Routers compare what they know of crashing requests with a neighbor each second

A router that was cut off from the others, or stood still, lacked the records of that time until the tables of rumors were compared, up to eight seconds later, and a rumor above the byte budget is dropped; routers are bound three seconds after they are in touch.

Each router asks one neighbor about once a second over the connection that it has; the question holds a digest, and the answer is empty if the records are the same.

--- a/coordination/membership/machine.go
+++ b/coordination/membership/machine.go
@@ -201,6 +201,18 @@
 	return l != nil && m.now.Before(l.neighborUntil)
 }
 
+// Neighbors returns the neighbors in the mesh to which there is a connection, sorted.
+func (m *Machine) Neighbors() []coordination.Instance {
+	var all []coordination.Instance
+	for id := range m.links {
+		if m.IsNeighbor(id) {
+			all = append(all, id)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
 // Linked reports whether there is a connection to peer.
 func (m *Machine) Linked(peer coordination.Instance) bool {
 	return m.links[peer] != nil
--- a/wisteriarouter/daemon/catchup.go
+++ b/wisteriarouter/daemon/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/samber/lo"
@@ -25,6 +26,10 @@
 	catchUpTimeout = 200 * time.Millisecond
 	// catchUpPause is the time between two looks at the list of routers.
 	catchUpPause = 10 * time.Millisecond
+	// compareInterval is the mean time between two comparisons with a neighbor. A router
+	// that was cut off or stood still, or a rumor that was dropped, is made good within
+	// a few of them.
+	compareInterval = time.Second
 )
 
 // catchUp asks the other routers for the records of requests that crash endpoints.
@@ -55,6 +60,34 @@
 	c.log.Emit(event.CatchUpFailed, event.F("answered", len(answered)), event.F("ms", time.Since(began).Milliseconds()))
 }
 
+// recordComparer compares the records of requests that crash endpoints with a neighbor
+// from time to time. If they are equal, that takes two messages of some ten bytes.
+type recordComparer struct {
+	guard *suspicion.Guard
+	node  *peer.Node
+	log   event.Log
+}
+
+func (c recordComparer) loop(ctx context.Context) {
+	for coordination.Sleep(ctx, coordination.Jitter(compareInterval)) {
+		neighbors := c.node.Neighbors()
+		if len(neighbors) == 0 {
+			continue
+		}
+		c.compare(ctx, neighbors[rand.IntN(len(neighbors))])
+	}
+}
+
+// compare asks one neighbor. One that does not answer is asked again later.
+func (c recordComparer) compare(ctx context.Context, id coordination.Instance) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	_, news, err := c.guard.Pull(ctx, id)
+	if err == nil && news > 0 {
+		c.log.Emit(event.RecordsMissed, event.F("peer", id), event.F("records", news))
+	}
+}
+
 // others returns the other routers that respond.
 func (c catchUp) others() (all []coordination.Instance) {
 	for _, m := range c.detector.Responsive() {
--- a/wisteriarouter/daemon/suspects.go
+++ b/wisteriarouter/daemon/suspects.go
@@ -70,6 +70,7 @@
 	s.placer.observe(s.endpointsChanged)
 	ctx, cancel := context.WithCancel(context.Background())
 	go s.loop(ctx)
+	go recordComparer{guard: s.guard, node: node, log: s.log}.loop(ctx)
 	if len(configOf(i).Peers.Seeds) > 0 {
 		s.guard.BeginCatchUp()
 		go catchUp{guard: s.guard, detector: s.placer.detector, self: st.instance, log: s.log}.run(ctx)
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -59,6 +59,7 @@
 	RequestSuspected  = Kind{507, "request-suspected", logrus.WarnLevel, "A request ran on an endpoint that died."}
 	RequestConvicted  = Kind{508, "request-convicted", logrus.ErrorLevel, "A second endpoint died while it ran the same request. All routers refuse the request from now on; check the caller with its fingerprint."}
 	ConvictionStored  = Kind{520, "conviction-stored", logrus.InfoLevel, "A request that crashes endpoints was written to the platform's store, so that routers which start later refuse it; the status is conflict if another router had written it. No action needed."}
+	RecordsMissed     = Kind{521, "records-missed", logrus.InfoLevel, "A comparison with a neighbor gave this router records of crashing requests that no rumor had brought in time. If this continues, look for dropped rumors (405)."}
 	RetryBudgetSpent  = Kind{509, "retry-budget-spent", logrus.WarnLevel, "A request was not retried because the retry budget is exhausted. Look for failing endpoints."}
 	CallerGone        = Kind{511, "caller-gone", logrus.InfoLevel, "A caller disconnected; its attempt was cancelled."}
 	ChatPlaced        = Kind{514, "chat-placed", logrus.InfoLevel, "A chat was placed on an endpoint and is sent there; gives the duration of the placement and the time left until the start deadline. No action needed."}
@@ -105,7 +106,7 @@
 		PlatformLost, PlatformBack,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumorShed, PeerBusy, PeerAway, PeerBack, HintFailed, CatchUpFailed,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
-		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour, ConvictionStored,
+		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour, ConvictionStored, RecordsMissed,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
 		OrderGiven,
 		RelayAttempt, RelayAttemptLost, RelayRefused, RelayCut, RelayCallerGone, RelayBudgetSpent, RelayPlaced, RelayOverdue, RelayCrash,
--- a/wisteriarouter/peer/api.go
+++ b/wisteriarouter/peer/api.go
@@ -31,6 +31,13 @@
 	return n.machine.Lookup(id)
 }
 
+// Neighbors returns the routers with which this one gossips over an open connection.
+func (n *Node) Neighbors() []coordination.Instance {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.machine.Neighbors()
+}
+
 // OnChange registers fn, which is called with the live members once and again after
 // each change. Changes in quick succession may be reported by one call. All
 // functions passed to OnChange and OnRumor are called by one goroutine, one at a
