--- a/standin/soak/crashes.go
+++ b/standin/soak/crashes.go
@@ -83,7 +83,7 @@
 		defer stop()
 		ctx = early
 	}
-	o := outcome{id: fmt.Sprintf("q%d", c.load.lastID.Add(1)), path: c.path, target: c.target, sent: time.Now()}
+	o := outcome{id: fmt.Sprintf("q%d", c.load.lastID.Add(1)), path: c.path, repeated: c.target, sent: time.Now()}
 	o.inTouch = c.load.soak.inTouch(r)
 	client := newClient()
 	defer client.CloseIdleConnections()
--- a/standin/soak/history.go
+++ b/standin/soak/history.go
@@ -80,7 +80,7 @@
 		switch {
 		case !ok:
 			violations = append(violations, fmt.Sprintf("endpoint %s ran request %q, which nobody sent", a.endpoint, a.ID))
-		case a.Path != o.target || a.Body != requestBody || a.Tenant != clientAccount:
+		case a.Path != o.target() || a.Body != requestBody || a.Tenant != clientAccount:
 			violations = append(violations, fmt.Sprintf("endpoint %s ran request %s changed: path %s, body %q, account %q", a.endpoint, a.ID, a.Path, a.Body, a.Tenant))
 		case a.service != routeServices[o.path]:
 			violations = append(violations, fmt.Sprintf("service %s ran request %s %s", a.service, a.ID, o.path))
--- a/standin/soak/load.go
+++ b/standin/soak/load.go
@@ -16,7 +16,7 @@
 type outcome struct {
 	id             string
 	path           string    // the prefix of its route
-	target         string    // the path that the request has
+	repeated       string    // the path of a request that comes again and again; empty for others
 	sent           time.Time // only set for requests that crash endpoints
 	inTouch        bool      // neither its router nor the store had a fault for contactTime before it
 	status         int       // 0 if no response headers were received
@@ -25,6 +25,14 @@
 	disconnectedAt time.Time // when the caller disconnected; zero if it stayed or its router had a fault
 }
 
+// target returns the path that the request has.
+func (o outcome) target() string {
+	if o.repeated != "" {
+		return o.repeated
+	}
+	return o.path + o.id
+}
+
 // repeatable reports whether the request may run more than once.
 func (o outcome) repeatable() bool {
 	return o.path == "/safe/" || o.path == "/resumable/" || o.path == "/long/"
@@ -218,14 +226,13 @@
 // sendContext sends a request, checks the answer, and disconnects when ctx ends.
 func (l *load) sendContext(ctx context.Context, client *http.Client, r *router, path, key string) outcome {
 	o := outcome{id: fmt.Sprintf("q%d", l.lastID.Add(1)), path: path}
-	o.target = path + o.id
 	l.exchange(ctx, client, r, &o, key)
 	return o
 }
 
 // exchange sends the request of o, and records what its caller received.
 func (l *load) exchange(ctx context.Context, client *http.Client, r *router, o *outcome, key string) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callerAddress+o.target, strings.NewReader(requestBody))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callerAddress+o.target(), strings.NewReader(requestBody))
 	if err != nil {
 		o.err = err
 		return
