The guard of crashing requests is set up before others use it

Found on reading: a router set up its wait for the records of others, and the function that is told of changes, after it had registered handlers that peers may call, without a lock between them. A record that a rumor brought in that moment was not written to the store until the next change.

--- a/coordination/suspicion/guard.go
+++ b/coordination/suspicion/guard.go
@@ -37,11 +37,11 @@
 	transport   Transport
 	spreader    Spreader
 	completions *completions
-	onChange    func()        // nil for none
 	caughtUp    chan struct{} // closed when requests need not wait for the records of other routers
 	locator     atomic.Value  // holds a locatorBox
 
 	mu         sync.Mutex
+	onChange   func() // nil for none
 	lastNumber uint64
 	tracked    map[Fingerprint][]*TrackedRequest
 }
@@ -116,12 +116,19 @@
 }
 
 // OnChange registers fn, which is called after each change of a record or of the list of
-// routers. It must be called before the guard is used.
-func (g *Guard) OnChange(fn func()) { g.onChange = fn }
+// routers. fn must not block.
+func (g *Guard) OnChange(fn func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.onChange = fn
+}
 
 func (g *Guard) changed() {
-	if g.onChange != nil {
-		g.onChange()
+	g.mu.Lock()
+	fn := g.onChange
+	g.mu.Unlock()
+	if fn != nil {
+		fn()
 	}
 }
 
--- a/wisteriarouter/daemon/convictions.go
+++ b/wisteriarouter/daemon/convictions.go
@@ -48,6 +48,7 @@
 	}
 	c.mirror.Observe(c.applyChanges)
 	c.crashSuspicion.guard.OnChange(c.signalChange)
+	c.signalChange() // rumors may have arrived before
 	ctx, cancel := context.WithCancel(context.Background())
 	go c.loop(ctx)
 	onStop(i, cancel)
--- a/wisteriarouter/daemon/suspects.go
+++ b/wisteriarouter/daemon/suspects.go
@@ -58,6 +58,10 @@
 		liveRouters: make(map[coordination.Instance]bool),
 	}
 	s.guard = suspicion.NewGuard(st.instance, st.incarnation, s.gate, s.placer.detector, recordSpreader{node})
+	hasSeeds := len(configOf(i).Peers.Seeds) > 0
+	if hasSeeds {
+		s.guard.BeginCatchUp()
+	}
 	node.Handle(suspicion.TopicGate, func(ctx context.Context, _ coordination.Instance, payload []byte) ([]byte, error) {
 		return s.guard.HandleGate(ctx, payload)
 	})
@@ -71,8 +75,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go s.loop(ctx)
 	go recordComparer{guard: s.guard, node: node, log: s.log}.loop(ctx)
-	if len(configOf(i).Peers.Seeds) > 0 {
-		s.guard.BeginCatchUp()
+	if hasSeeds {
 		go catchUp{guard: s.guard, detector: s.placer.detector, self: st.instance, log: s.log}.run(ctx)
 	}
 	onStop(i, cancel)
