A router that starts asks a bounded number of others what crashes endpoints

Found on reading: where a whole fleet starts, nobody has caught up, and each router asked every other one: at 295 routers 86,000 calls over as many connections within a second. It asks neighbors first, whose connections are open, and eight at most that have just started as well; the comparison with a neighbor each second and the store make good what it misses.

TestRelayNewRouterRefusesCrashingRequest passes as before.

--- a/coordination/suspicion/catchup.go
+++ b/coordination/suspicion/catchup.go
@@ -86,8 +86,8 @@
 }
 
 // Pull takes over the records of another router. It reports whether that router has asked
-// others since it started, so that it knows what the fleet knows. The error is that of
-// the call, or of type [ErrMalformed].
+// others since it started, so that it knows what the fleet knows, and how many records
+// were new. The error is that of the call, or of type [ErrMalformed].
 func (g *Guard) Pull(ctx context.Context, from coordination.Instance) (caughtUp bool, news int, err error) {
 	_, digest := g.table.live(time.Now())
 	b, err := g.transport.Call(ctx, from, TopicRecords, RecordsRequest{Digest: digest}.Encode())
--- a/wisteriarouter/daemon/suspects.go
+++ b/wisteriarouter/daemon/suspects.go
@@ -76,7 +76,7 @@
 	go s.loop(ctx)
 	go recordComparer{guard: s.guard, node: node, log: s.log}.loop(ctx)
 	if hasSeeds {
-		go catchUp{guard: s.guard, detector: s.placer.detector, self: st.instance, log: s.log}.run(ctx)
+		go (&catchUp{guard: s.guard, node: node, detector: s.placer.detector, log: s.log}).run(ctx)
 	}
 	onStop(i, cancel)
 	return s, nil
