--- a/wisteriarouter/daemon/convictions.go
+++ b/wisteriarouter/daemon/convictions.go
@@ -127,9 +127,18 @@
 		res = c.store.Create(ctx, key, r.Encode(), lease)
 	}
 	if res.Status != kv.Applied && res.Status != kv.Conflict {
+		c.log.Emit(event.ConvictionNotStored, event.F("fingerprint", r.Fingerprint.String()), event.F("status", res.Status.String()), event.F("error", errorText(res.Err)))
 		return false
 	}
 	c.stored[r.Fingerprint] = expires
 	c.log.Emit(event.ConvictionStored, event.F("fingerprint", r.Fingerprint.String()), event.F("revision", res.Revision), event.F("status", res.Status.String()))
 	return true
 }
+
+// errorText returns the text of an error for a log line.
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -47,27 +47,28 @@
 
 // Events of chats and endpoints.
 var (
-	EndpointLeaving   = Kind{500, "endpoint-leaving", logrus.InfoLevel, "An endpoint announced its shutdown and gets no new requests."}
-	EndpointLost      = Kind{501, "endpoint-lost", logrus.WarnLevel, "An endpoint died or restarted while it was running requests."}
-	StreamResumed     = Kind{502, "stream-resumed", logrus.InfoLevel, "An interrupted stream was resumed on the same endpoint."}
-	StreamContinued   = Kind{503, "stream-continued", logrus.InfoLevel, "A stream whose endpoint was lost continues on another endpoint."}
-	StreamMalformed   = Kind{504, "stream-malformed", logrus.ErrorLevel, "An endpoint sent a chunk that cannot be decoded; the attempt was cancelled."}
-	CancelFailed      = Kind{505, "cancel-failed", logrus.WarnLevel, "An attempt whose answer is no longer needed could not be cancelled; it ends at the endpoint's own limit."}
-	EndpointHeld      = Kind{512, "endpoint-held", logrus.InfoLevel, "An endpoint's entry was removed shortly after an outage of the store or together with many others; the endpoint is kept for a while in case the entry comes back."}
-	EndpointMalformed = Kind{513, "endpoint-malformed", logrus.WarnLevel, "An entry in the store is invalid and was ignored; the error gives the reason. Look for another writer."}
-	RequestRefused    = Kind{506, "request-refused", logrus.WarnLevel, "A request was finally refused; gives the code, the reason, whether it has run, and after what time the caller was told to retry."}
-	RequestSuspected  = Kind{507, "request-suspected", logrus.WarnLevel, "A request ran on an endpoint that died."}
-	RequestConvicted  = Kind{508, "request-convicted", logrus.ErrorLevel, "A second endpoint died while it ran the same request. All routers refuse the request from now on; check the caller with its fingerprint."}
-	ConvictionStored  = Kind{520, "conviction-stored", logrus.InfoLevel, "A request that crashes endpoints was written to the platform's store, so that routers which start later refuse it; the status is conflict if another router had written it. No action needed."}
-	RecordsMissed     = Kind{521, "records-missed", logrus.InfoLevel, "A comparison with a neighbor gave this router records of crashing requests that no rumor had brought in time. If this continues, look for dropped rumors (405)."}
-	RetryBudgetSpent  = Kind{509, "retry-budget-spent", logrus.WarnLevel, "A request was not retried because the retry budget is exhausted. Look for failing endpoints."}
-	CallerGone        = Kind{511, "caller-gone", logrus.InfoLevel, "A caller disconnected; its attempt was cancelled."}
-	ChatPlaced        = Kind{514, "chat-placed", logrus.InfoLevel, "A chat was placed on an endpoint and is sent there; gives the duration of the placement and the time left until the start deadline. No action needed."}
-	ChatAttempt       = Kind{515, "chat-attempt", logrus.InfoLevel, "An attempt of a chat has ended; gives the result, the duration, and the number of tokens delivered to the caller so far. Check the endpoint if attempts are lost there more often than elsewhere."}
-	ZoneEvacuated     = Kind{517, "zone-evacuated", logrus.WarnLevel, "An operator evacuated an availability zone: its endpoints get no new requests from this router. Those that run there go on."}
-	ZoneRestored      = Kind{518, "zone-restored", logrus.InfoLevel, "The evacuation of an availability zone has ended. Its endpoints get requests again, at the rate that cold ones tolerate."}
-	EndpointOutlier   = Kind{516, "endpoint-outlier", logrus.WarnLevel, "Based on the results of requests, the routers of an availability zone stopped or resumed sending requests to an endpoint that this router counts; gives the sum of the evidence and the pause before the endpoint is probed. Check the endpoint: its own health check may still pass."}
-	EndpointDetour    = Kind{519, "endpoint-detour", logrus.WarnLevel, "This router cannot connect to an endpoint, or not as fast as another router that has connected for it; requests go through other routers for some seconds. If this names many endpoints, check the links of this router."}
+	EndpointLeaving     = Kind{500, "endpoint-leaving", logrus.InfoLevel, "An endpoint announced its shutdown and gets no new requests."}
+	EndpointLost        = Kind{501, "endpoint-lost", logrus.WarnLevel, "An endpoint died or restarted while it was running requests."}
+	StreamResumed       = Kind{502, "stream-resumed", logrus.InfoLevel, "An interrupted stream was resumed on the same endpoint."}
+	StreamContinued     = Kind{503, "stream-continued", logrus.InfoLevel, "A stream whose endpoint was lost continues on another endpoint."}
+	StreamMalformed     = Kind{504, "stream-malformed", logrus.ErrorLevel, "An endpoint sent a chunk that cannot be decoded; the attempt was cancelled."}
+	CancelFailed        = Kind{505, "cancel-failed", logrus.WarnLevel, "An attempt whose answer is no longer needed could not be cancelled; it ends at the endpoint's own limit."}
+	EndpointHeld        = Kind{512, "endpoint-held", logrus.InfoLevel, "An endpoint's entry was removed shortly after an outage of the store or together with many others; the endpoint is kept for a while in case the entry comes back."}
+	EndpointMalformed   = Kind{513, "endpoint-malformed", logrus.WarnLevel, "An entry in the store is invalid and was ignored; the error gives the reason. Look for another writer."}
+	RequestRefused      = Kind{506, "request-refused", logrus.WarnLevel, "A request was finally refused; gives the code, the reason, whether it has run, and after what time the caller was told to retry."}
+	RequestSuspected    = Kind{507, "request-suspected", logrus.WarnLevel, "A request ran on an endpoint that died."}
+	RequestConvicted    = Kind{508, "request-convicted", logrus.ErrorLevel, "A second endpoint died while it ran the same request. All routers refuse the request from now on; check the caller with its fingerprint."}
+	ConvictionStored    = Kind{520, "conviction-stored", logrus.InfoLevel, "A request that crashes endpoints was written to the platform's store, so that routers which start later refuse it; the status is conflict if another router had written it. No action needed."}
+	ConvictionNotStored = Kind{522, "conviction-not-stored", logrus.WarnLevel, "A request that crashes endpoints could not be written to the platform's store; the router tries again about once a second. If all routers are restarted before, its next copies crash endpoints again. See the platform's own alarms."}
+	RecordsMissed       = Kind{521, "records-missed", logrus.InfoLevel, "A comparison with a neighbor gave this router records of crashing requests that no rumor had brought in time. If this continues, look for dropped rumors (405)."}
+	RetryBudgetSpent    = Kind{509, "retry-budget-spent", logrus.WarnLevel, "A request was not retried because the retry budget is exhausted. Look for failing endpoints."}
+	CallerGone          = Kind{511, "caller-gone", logrus.InfoLevel, "A caller disconnected; its attempt was cancelled."}
+	ChatPlaced          = Kind{514, "chat-placed", logrus.InfoLevel, "A chat was placed on an endpoint and is sent there; gives the duration of the placement and the time left until the start deadline. No action needed."}
+	ChatAttempt         = Kind{515, "chat-attempt", logrus.InfoLevel, "An attempt of a chat has ended; gives the result, the duration, and the number of tokens delivered to the caller so far. Check the endpoint if attempts are lost there more often than elsewhere."}
+	ZoneEvacuated       = Kind{517, "zone-evacuated", logrus.WarnLevel, "An operator evacuated an availability zone: its endpoints get no new requests from this router. Those that run there go on."}
+	ZoneRestored        = Kind{518, "zone-restored", logrus.InfoLevel, "The evacuation of an availability zone has ended. Its endpoints get requests again, at the rate that cold ones tolerate."}
+	EndpointOutlier     = Kind{516, "endpoint-outlier", logrus.WarnLevel, "Based on the results of requests, the routers of an availability zone stopped or resumed sending requests to an endpoint that this router counts; gives the sum of the evidence and the pause before the endpoint is probed. Check the endpoint: its own health check may still pass."}
+	EndpointDetour      = Kind{519, "endpoint-detour", logrus.WarnLevel, "This router cannot connect to an endpoint, or not as fast as another router that has connected for it; requests go through other routers for some seconds. If this names many endpoints, check the links of this router."}
 )
 
 // Events of actions.
@@ -106,7 +107,7 @@
 		PlatformLost, PlatformBack,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumorShed, PeerBusy, PeerAway, PeerBack, HintFailed, CatchUpFailed,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
-		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour, ConvictionStored, RecordsMissed,
+		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour, ConvictionStored, RecordsMissed, ConvictionNotStored,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
 		OrderGiven,
 		RelayAttempt, RelayAttemptLost, RelayRefused, RelayCut, RelayCallerGone, RelayBudgetSpent, RelayPlaced, RelayOverdue, RelayCrash,
