A router that has read the store does not wait for the records of others

Cause: it waited for another router in any case, though it reads the convictions with its copy of the store before it serves.

Change: the wait ends once the copy comes from the store itself. It lasts while the store is away, as before, when only the other routers know; they are still asked meanwhile, for suspects.

--- a/coordination/suspicion/catchup.go
+++ b/coordination/suspicion/catchup.go
@@ -107,8 +107,14 @@
 // anything else uses the guard.
 func (g *Guard) BeginCatchUp() { g.caughtUp = make(chan struct{}) }
 
-// EndCatchUp ends the wait. It must be called once.
-func (g *Guard) EndCatchUp() { close(g.caughtUp) }
+// EndCatchUp ends the wait. It may be called again.
+func (g *Guard) EndCatchUp() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.isCaughtUp() {
+		close(g.caughtUp)
+	}
+}
 
 // CaughtUp returns a channel that is closed when requests need not wait any longer.
 func (g *Guard) CaughtUp() <-chan struct{} { return g.caughtUp }
--- a/wisteriarouter/daemon/convictions.go
+++ b/wisteriarouter/daemon/convictions.go
@@ -55,7 +55,8 @@
 	return c, nil
 }
 
-// applyChanges takes over the records that other routers have written.
+// applyChanges takes over the records that other routers have written. A router that has
+// read them from the store itself need not wait for other routers.
 func (c *convictions) applyChanges(n mirror.Changes) {
 	for _, item := range n.Items {
 		if item.Deleted || !platform.IsCrashing(item.Key) {
@@ -65,6 +66,9 @@
 			c.log.Emit(event.SettingsInvalid, event.F("key", item.Key), event.F("revision", item.Revision), event.F("error", err.Error()))
 		}
 	}
+	if n.From == "" {
+		c.crashSuspicion.guard.EndCatchUp()
+	}
 }
 
 // signalChange makes the loop look for records to write. It does not block.
