A popular suspect does not wait for copies whose callers left

Cause: a copy whose attempt is unsettled stays tracked for 3 s after its end, and the gate of a suspect admits no other copy beside it, even where the late death of its endpoint would not count since a copy has lately run to completion.

Change: such a copy ends at once.

TestCopyOfCompletedRequestDoesNotHoldSuspect: refused before, admitted now.

--- a/coordination/suspicion/unsettled.go
+++ b/coordination/suspicion/unsettled.go
@@ -66,8 +66,12 @@
 }
 
 // deferEnd reports whether the request has to be tracked beyond its end because an
-// attempt is unsettled. Until then its gate admits no other copy of a suspect.
+// attempt is unsettled. Until then its gate admits no other copy of a suspect. A request
+// that has lately run to completion need not be: no late death would count against it.
 func (r *TrackedRequest) deferEnd() bool {
+	if r.LatelyCompleted() {
+		return false
+	}
 	g := r.guard
 	now := time.Now()
 	g.mu.Lock()
--- a/coordination/suspicion/unsettled_test.go
+++ b/coordination/suspicion/unsettled_test.go
@@ -117,3 +117,24 @@
 		guilty.Abandoned(t.Context())
 	})
 }
+
+// Guards against a popular suspect waiting for copies whose callers left and which no death
+// of their endpoint would count against.
+func TestCopyOfCompletedRequestDoesNotHoldSuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := make(gates).add("r", "r")
+		first, _ := g.Begin(t.Context(), 1, "m")
+		first.Finished(t.Context())
+		for _, e := range []coordination.Endpoint{"e1", "e2"} {
+			now := time.Now()
+			g.table.addCrash(now, 1, Crash{Endpoint: e, Incarnation: 1, At: unixMillis(now), Excused: true})
+		}
+		time.Sleep(g.gate.cfg.Hold)
+		endUnsettled(t, g, "e3")
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		next, refusal := g.Begin(ctx, 1, "m")
+		assert.Assert(t, next != nil, "%+v", refusal)
+		next.Finished(t.Context())
+	})
+}
