Tests: the address of a stopped proxy is not taken by other processes

Cause: proxies of tests listened on free ports of 127.0.0.1. Once an endpoint behind one had ended, a listener of another process could get its port, and routers took the dead endpoint for alive: one of 200 runs of TestRelayNewRouterRefusesCrashingRequest and ...AfterAllRoutersRestart (60 processes at once beside 8 busy loops, race detector) failed, and its log shows a connection to the address after it was refused.

Change: a proxy listens on a loopback address derived from the process id. The logs of a failed test's routers can be kept in a file.

Measured: 0 of 600 runs of the two tests, 50 at once beside 8 busy loops.

--- a/standin/proxy/proxy.go
+++ b/standin/proxy/proxy.go
@@ -5,6 +5,7 @@
 
 import (
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -28,11 +29,18 @@
 	conns   map[net.Conn]struct{}
 }
 
+// host returns a loopback address that other processes hardly use. The address of a proxy
+// that has stopped would else soon be that of another process's listener.
+func host() string {
+	pid := os.Getpid()
+	return net.IPv4(127, 1+byte(pid>>16)%254, byte(pid>>8), byte(pid)).String()
+}
+
 // New starts a proxy on a free loopback port that forwards to target, a
 // host:port. The returned function stops it and resets its connections. New
 // returns an error if it can't listen.
 func New(target string) (*Proxy, func(), error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(host(), "0"))
 	if err != nil {
 		return nil, nil, err
 	}
--- a/wisteriarouter/daemon/logs_test.go
+++ b/wisteriarouter/daemon/logs_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"os"
 	"strings"
 	"sync"
+	"testing"
 )
 
 // logs collects the logs of the routers of a test.
@@ -31,3 +33,19 @@
 	}
 	return found
 }
+
+// dumpOnFailure returns a clean-up function that writes the logs of a failed test to the
+// file named by the environment variable WISTERIA_TEST_LOGS, if it is set.
+func (l *logs) dumpOnFailure(t testing.TB) func() {
+	return func() {
+		name := os.Getenv("WISTERIA_TEST_LOGS")
+		if name == "" || !t.Failed() {
+			return
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if err := os.WriteFile(name, l.text.Bytes(), 0o644); err != nil {
+			t.Log(err)
+		}
+	}
+}
--- a/wisteriarouter/daemon/relay_site_test.go
+++ b/wisteriarouter/daemon/relay_site_test.go
@@ -80,6 +80,7 @@
 	for range routers {
 		s.addRouter()
 	}
+	t.Cleanup(s.logs.dumpOnFailure(t))
 	t.Cleanup(s.client.CloseIdleConnections) // so that the routers need not wait for idle connections when they stop
 	for n := range routers {
 		s.awaitReady(n)
