A crash counts after the entry of its endpoint has been removed

What callers saw: a request that had ended three endpoints was sent to others.

Cause: an endpoint whose attempt is unsettled is looked at again for 3 s, but one that was not listed any more counted as one that had left as planned. A process that ends is often unlisted before its listener is gone, or within the 0.8 s between two looks.

Change: only an endpoint that has announced its end has left as planned. Routers connect for others only to endpoints that are listed, so that for one that is not a refused connection counts, and only if this router is not cut off.

--- a/wisteriarouter/daemon/relay_crash_evidence_test.go
+++ b/wisteriarouter/daemon/relay_crash_evidence_test.go
@@ -64,6 +64,15 @@
 	}
 }
 
+// Guards against crashes that do not count because the entry of the endpoint is removed
+// before it is found dead.
+func TestRelayCountsCrashOfEndpointThatIsNotListedAnyMore(t *testing.T) {
+	p := &endingPool{listenerDelay: 300 * time.Millisecond, unlisted: true}
+	crashingCluster(t, p)
+	n := p.playLookups(&lookups{}, 5*time.Second)
+	assert.Assert(t, n >= 2 && n <= maxCrashes, "%d endpoints crashed", n)
+}
+
 // Guards against one request being taken for several because its host is spelled in
 // different ways, or its method differs.
 func TestRelayKnowsCrashingRequestByAnyHostSpelling(t *testing.T) {
--- a/wisteriarouter/daemon/relay_crash_test.go
+++ b/wisteriarouter/daemon/relay_crash_test.go
@@ -32,6 +32,8 @@
 	runTime time.Duration
 	// listenerDelay is how long an endpoint accepts connections after it has ended.
 	listenerDelay time.Duration
+	// unlisted removes the entry of an endpoint as its connections end.
+	unlisted bool
 	ctx           context.Context
 	ends          sync.WaitGroup
 
@@ -85,6 +87,9 @@
 		}
 		kill()
 		px.Reset()
+		if p.unlisted {
+			p.cluster.store.Delete(r.Key())
+		}
 		time.Sleep(p.listenerDelay)
 		stop()
 		close(e.ended)
--- a/wisteriarouter/daemon/relay_placer.go
+++ b/wisteriarouter/daemon/relay_placer.go
@@ -181,6 +181,11 @@
 	return ok && !p.directory.HasLeft(id, n)
 }
 
+// HasLeft implements relay.Placer.
+func (p *relayPlacer) HasLeft(id coordination.Endpoint, n coordination.Incarnation) bool {
+	return p.directory.HasLeft(id, n)
+}
+
 // Leaving implements relay.Placer. It tells the other routers, which may not hear of it
 // for long if the store is unavailable.
 func (p *relayPlacer) Leaving(id coordination.Endpoint, n coordination.Incarnation) {
--- a/wisteriarouter/relay/aftermath.go
+++ b/wisteriarouter/relay/aftermath.go
@@ -80,12 +80,17 @@
 	}
 }
 
-// dead reports whether the endpoint has died. One that leaves as planned has not.
+// dead reports whether the endpoint has died. One that leaves as planned has not. Other
+// routers are not asked whether they reach an endpoint that is not listed any more, so that
+// only a refused connection shows its death.
 func (w endpointWatch) dead() bool {
 	p := w.placement
-	if !w.server.Placer.Serving(p.Endpoint, p.Incarnation) {
+	if w.server.Placer.HasLeft(p.Endpoint, p.Incarnation) {
 		return false
 	}
 	err := w.server.Sender.Recheck(context.Background(), p.Address)
+	if !w.server.Placer.Serving(p.Endpoint, p.Incarnation) {
+		return upstream.Refused(err) && !w.server.Sender.Doubtful(p.Address)
+	}
 	return err != nil && !upstream.CutOff(err)
 }
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -87,6 +87,9 @@
 	// Serving reports whether an incarnation of an endpoint is listed and not known to
 	// be leaving.
 	Serving(e coordination.Endpoint, n coordination.Incarnation) bool
+	// HasLeft reports whether an incarnation of an endpoint is known to be leaving, listed
+	// or not.
+	HasLeft(e coordination.Endpoint, n coordination.Incarnation) bool
 	// Leaving records that an endpoint has said that it is shutting down.
 	Leaving(e coordination.Endpoint, n coordination.Incarnation)
 	// Pause records that an endpoint wants no requests for a time from this router,
--- a/wisteriarouter/relay/state_test.go
+++ b/wisteriarouter/relay/state_test.go
@@ -44,6 +44,8 @@
 
 func (p *fullPlacer) Serving(coordination.Endpoint, coordination.Incarnation) bool { return true }
 
+func (p *fullPlacer) HasLeft(coordination.Endpoint, coordination.Incarnation) bool { return false }
+
 func (p *fullPlacer) Leaving(coordination.Endpoint, coordination.Incarnation) {}
 
 func (p *fullPlacer) Pause(coordination.Endpoint, coordination.Incarnation, coordination.Instance, time.Duration) {
