A router without requests finds out that it is not cut off any more

Cause: a router that cannot connect to three endpoints takes itself for cut off until a connection succeeds. While no request needs one it kept that view, answered other routers that it cannot help, and so did not confirm that an endpoint is dead: the crash counted for nothing.

Change: while a router takes itself for cut off it tries an endpoint four times a second.

--- a/wisteriarouter/daemon/relay_cut_test.go
+++ b/wisteriarouter/daemon/relay_cut_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -304,6 +306,29 @@
 	assert.Equal(t, served, all)
 }
 
+// Guards against a router that takes itself for cut off for long after it has its links
+// again, and does not confirm the death of endpoints to others.
+func TestRelayRouterWithoutRequestsNoticesThatItIsNotCutOff(t *testing.T) {
+	l := newLinks(t)
+	s := newLinkedRelayCluster(t, l, 2, 4, 0)
+	p := &endingPool{cluster: s, crash: "/safe/crash"}
+	p.startAll(1)
+	s.awaitServed("/safe/first")
+	l.set(1, resetCut)
+	for range 10 {
+		s.lookup(1, "/safe/other")
+	}
+	l.set(1, noCut)
+	time.Sleep(time.Second)
+	for n := 0; len(p.crashTimes()) == 0; n++ {
+		assert.Assert(t, n < 100, "no endpoint has crashed")
+		s.lookup(0, "/safe/crash")
+	}
+	broken := lo.Filter(s.logs.lines("relay-attempt"), func(line string, _ int) bool { return strings.Contains(line, `"ended":"broken"`) })
+	assert.Equal(t, len(broken), 1)
+	assert.Assert(t, strings.Contains(broken[0], `"endpoint-liveness":"dead"`), broken[0])
+}
+
 // The only router that can help stops while another one is cut off. What goes through
 // it is served before it ends.
 func TestRelayServesThroughStoppingRouter(t *testing.T) {
--- a/wisteriarouter/daemon/relay_detour.go
+++ b/wisteriarouter/daemon/relay_detour.go
@@ -113,6 +113,10 @@
 	d := do.MustInvoke[*upstream.Detour](i)
 	directory := do.MustInvoke[*endpoint.Directory](i)
 	st := stateOf(i)
+	probe := endpointProbe{planner: d.Planner, directory: directory, sender: do.MustInvoke[*upstream.Client](i)}
+	ctx, cancel := context.WithCancel(context.Background())
+	go probe.loop(ctx)
+	onStop(i, cancel)
 	s := &peer.TunnelServer{
 		Dial: d.DialDirect,
 		Known: func(address string) bool {
@@ -122,7 +126,7 @@
 		CutOff: func(address string) bool {
 			return st.leaving.Load() || d.Planner.CutOff() || d.Planner.Blocked(time.Now(), detour.Address(address))
 		},
-		InTouch: endpointProbe{planner: d.Planner, directory: directory, sender: do.MustInvoke[*upstream.Client](i)}.inTouch,
+		InTouch: probe.inTouch,
 	}
 	do.MustInvoke[*prometheus.Registry](i).MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "wisteria_tunnels_open",
@@ -152,6 +156,21 @@
 	return lo.SomeBy(lo.Samples(others, maxProbes), func(k endpoint.Info) bool { return p.sender.Probe(ctx, k.Address) })
 }
 
+// probeInterval is the mean time between two probes while this router takes itself for cut
+// off.
+const probeInterval = 250 * time.Millisecond
+
+// loop finds out that this router is not cut off any more, which nothing else does while it
+// has no requests. Until then it neither counts crashes nor helps other routers.
+func (p endpointProbe) loop(ctx context.Context) {
+	for coordination.Sleep(ctx, coordination.Jitter(probeInterval)) {
+		all := p.directory.All()
+		if len(all) > 0 && p.planner.CutOff() {
+			p.sender.Probe(ctx, lo.Sample(all).Address)
+		}
+	}
+}
+
 // relayPeerHandler serves other routers.
 func relayPeerHandler(i do.Injector) http.Handler {
 	mux := http.NewServeMux()
