A crash counts that is confirmed only after a cut

What callers saw: a request that had ended three endpoints was sent to others.

Cause: a router that cannot tell whether an endpoint is dead, since it may be cut off, or no other router confirmed it in 250 ms, took the crash for no evidence and did not look again.

Change: such an attempt is unsettled like one whose endpoint seems to be alive. Its endpoint is looked at for 3 s, and a death that is confirmed in that time counts.

--- a/wisteriarouter/daemon/relay_crash_evidence_test.go
+++ b/wisteriarouter/daemon/relay_crash_evidence_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"strings"
@@ -24,7 +25,8 @@
 // playLookups repeats the request that crashes endpoints, each time after the answer to
 // the one before, and returns how many it has crashed.
 func (p *endingPool) playLookups(l *lookups, d time.Duration) int {
-	l.cluster, l.path, l.interval, l.sequential = p.cluster, p.crash, 300*time.Millisecond, true
+	l.cluster, l.path, l.sequential = p.cluster, p.crash, true
+	l.interval = cmp.Or(l.interval, 300*time.Millisecond)
 	l.until = time.Now().Add(d)
 	l.run()
 	return len(p.crashTimes())
@@ -64,6 +66,17 @@
 	}
 }
 
+// Guards against crashes that do not count because no router can connect to any endpoint as
+// one crashes.
+func TestRelayCountsCrashWhileRoutersAreCutOff(t *testing.T) {
+	s := newLinkedRelayCluster(t, newLinks(t), 2, 0, 2)
+	p := &endingPool{cluster: s, crash: "/safe/crash", cutTime: 400 * time.Millisecond}
+	p.startAll(3)
+	s.awaitServed("/safe/first")
+	n := p.playLookups(&lookups{interval: 1500 * time.Millisecond}, 10*time.Second)
+	assert.Assert(t, n >= 2 && n <= maxCrashes, "%d endpoints crashed", n)
+}
+
 // Guards against crashes that do not count because the entry of the endpoint is removed
 // before it is found dead.
 func TestRelayCountsCrashOfEndpointThatIsNotListedAnyMore(t *testing.T) {
--- a/wisteriarouter/daemon/relay_crash_test.go
+++ b/wisteriarouter/daemon/relay_crash_test.go
@@ -34,6 +34,8 @@
 	listenerDelay time.Duration
 	// unlisted removes the entry of an endpoint as its connections end.
 	unlisted bool
+	// cutTime is how long all routers are cut off from all endpoints as one ends.
+	cutTime time.Duration
 	ctx           context.Context
 	ends          sync.WaitGroup
 
@@ -82,6 +84,7 @@
 	assert.Check(p.cluster.t, err)
 	e := &endingEndpoint{pool: p, replica: r, ended: make(chan struct{})}
 	e.end = sync.OnceFunc(func() {
+		p.cluster.cutAll(p.cutTime, resetCut)
 		if p.listenerDelay == 0 {
 			stop()
 		}
@@ -92,6 +95,8 @@
 		}
 		time.Sleep(p.listenerDelay)
 		stop()
+		time.Sleep(p.cutTime)
+		p.cluster.cutAll(p.cutTime, noCut)
 		close(e.ended)
 	})
 	p.cluster.t.Cleanup(e.end)
@@ -126,6 +131,16 @@
 	}
 }
 
+// cutAll sets the links of all routers for a cut of length d, if that is not zero.
+func (s *relayCluster) cutAll(d time.Duration, k cutKind) {
+	if d == 0 {
+		return
+	}
+	for n := range s.routers {
+		s.links.set(n, k)
+	}
+}
+
 // crashed reports whether a request has crashed the endpoint, and counts it.
 func (e *endingEndpoint) crashed() bool {
 	for _, a := range e.replica.Arrivals() {
--- a/wisteriarouter/relay/suspects.go
+++ b/wisteriarouter/relay/suspects.go
@@ -119,10 +119,11 @@
 }
 
 // unsettled reports whether the last attempt, which ended with end, may have crashed its
-// endpoint although it seems to be alive, or was not checked because the caller left, the
-// deadline passed or the request moved on.
+// endpoint although that is not known to be dead: it seems to be alive, this router may be
+// cut off from it, or it was not checked because the caller left, the deadline passed or
+// the request moved on.
 func (x *exchange) unsettled(end attemptResult) bool {
-	return end == silent || x.liveness == alive || x.liveness == checkAborted
+	return end == silent || x.liveness == alive || x.liveness == unreachable || x.liveness == checkAborted
 }
 
 // recordUnsettled records an attempt that got no complete response from an endpoint that
