soak: a service that fails while all routers are killed

It tells whether routers that restart retry more than the budget of the fleet allows, which had only been read so far.

--- a/standin/soak/crashes.go
+++ b/standin/soak/crashes.go
@@ -39,14 +39,13 @@
 		s.load.wg.Go(c.run)
 		pause := time.Duration(rng.Int64N(int64(crashingPause)))
 		time.Sleep(pause)
-		s.killRouters(rng)
+		s.killRouters(rng, len(s.routers)/(1+rng.IntN(2)))
 		time.Sleep(crashingPause - pause)
 	}
 }
 
-// killRouters kills all routers or half of them at once.
-func (s *soak) killRouters(rng *rand.Rand) {
-	n := len(s.routers) / (1 + rng.IntN(2))
+// killRouters kills n routers at once.
+func (s *soak) killRouters(rng *rand.Rand, n int) {
 	s.logf("%d routers are killed at once", n)
 	for _, i := range rng.Perm(len(s.routers))[:n] {
 		r := s.routers[i]
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -37,7 +37,9 @@
 	Responses bool
 	// Crashes makes callers repeat requests that crash the endpoints that run them, too.
 	Crashes bool
-	Out     io.Writer // receives a line for each fault; nil means none
+	// Failures makes all endpoints of a service fail and kills all routers meanwhile, too.
+	Failures bool
+	Out      io.Writer // receives a line for each fault; nil means none
 }
 
 // Result is the result of a soak.
@@ -130,6 +132,9 @@
 	if o.Crashes {
 		further.Go(func() { s.repeatCrashingRequests(time.Now().Add(o.FaultDuration)) })
 	}
+	if o.Failures {
+		further.Go(func() { s.failServices(time.Now().Add(o.FaultDuration)) })
+	}
 	s.injectFaults()
 	further.Wait()
 	s.checkRecovery()
