Routers that restart begin with a small part of the retry budget

What callers and endpoints saw: while a pool failed and the routers were killed, the fleet retried more than its budget allows.

Cause: a budget began with the full burst, also in a process whose predecessor had just spent one. With all routers restarted a few times within ten seconds each start gave the fleet another burst of 40 retries; a reload that changes the budget did the same for one router, and routers that met nobody for a second each took the burst of the whole fleet.

Change: a budget begins with a credit, an eighth of the slack divided among the routers, and the rest of the burst accumulates with requests. Two restarts of all routers within the time for which the slack is meant stay within it.

--- a/coordination/retry/fleet_test.go
+++ b/coordination/retry/fleet_test.go
@@ -63,6 +63,40 @@
 	}
 }
 
+// Guards against a fleet whose routers take their burst again each time they restart.
+func TestFleetKeepsToShareAndSlackWhileAllRestart(t *testing.T) {
+	const (
+		share    = 0.15
+		burst    = 90.0
+		start    = 15.0 // of all routers
+		window   = 3000 // requests
+		restarts = 2
+	)
+	for _, routers := range []int{7, 61, 295} {
+		for seed := range uint64(20) {
+			f := newFleet(routers, share, burst, seed)
+			got := f.play(window/(restarts+1), false)
+			for range restarts {
+				f.restart(start)
+				got += f.play(window/(restarts+1), false)
+			}
+			limit := share*window + burst + restarts*start
+			if start/float64(routers) < 1 {
+				limit *= 1.1 // retries are drawn at random
+			}
+			assert.Assert(t, float64(got) <= limit, "%d routers, seed %d: %d retries", routers, seed, got)
+		}
+	}
+}
+
+// restart gives all routers new budgets that begin with a part of credit each.
+func (f *fleet) restart(credit float64) {
+	for n, old := range f.budgets {
+		f.budgets[n] = &Budget{Share: old.Share, Burst: old.Burst, Rand: old.Rand}
+		f.budgets[n].Limit(credit / float64(len(f.budgets)))
+	}
+}
+
 // Guards against retries that are forgotten when the burst shrinks, as it does while
 // a router meets the others.
 func TestRetriesTakenStayTaken(t *testing.T) {
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -32,8 +32,19 @@
 	// Rand returns random numbers in [0, 1). Nil means [rand.Float64].
 	Rand func() float64
 
-	mu    sync.Mutex
-	spent float64 // retries taken and not yet refilled
+	mu      sync.Mutex
+	spent   float64 // retries taken and not yet refilled
+	limited bool    // by earned
+	earned  float64 // credit at the start and what requests have added since, less retries taken
+}
+
+// Limit makes the budget begin with a number of retries in place of a full burst. Further
+// ones accumulate with requests. The routers of a fleet that restarts would else take the
+// burst again with each start.
+func (b *Budget) Limit(credit float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limited, b.earned = true, credit
 }
 
 // RecordRequest counts a request, which adds Share of a retry.
@@ -41,35 +52,50 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.spent = max(b.spent-b.share(), 0)
+	b.earned = min(b.earned+b.share(), b.burst())
 }
 
 // Take takes one retry and reports whether one was available.
 func (b *Budget) Take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	burst := b.burst()
-	if burst < 1 {
-		return b.takeFraction(burst)
+	if b.burst() < 1 {
+		return b.takeFraction()
 	}
-	if b.spent+1 > burst {
+	if b.left() < 1 {
 		return false
 	}
-	b.spent++
+	b.take(1)
 	return true
 }
 
 // takeFraction takes all that is left, which is less than one retry, and reports
 // true with the probability that it gives. On average, the retries of many routers
 // are as many as their budgets add up to. b.mu must be held.
-func (b *Budget) takeFraction(burst float64) bool {
-	left := burst - b.spent
+func (b *Budget) takeFraction() bool {
+	left := b.left()
 	if left <= 0 {
 		return false
 	}
-	b.spent = burst
+	b.take(left)
 	return b.random() < left
 }
 
+// left returns what may be taken now. b.mu must be held.
+func (b *Budget) left() float64 {
+	left := b.burst() - b.spent
+	if b.limited {
+		left = min(left, b.earned)
+	}
+	return max(left, 0)
+}
+
+// take takes n retries. b.mu must be held.
+func (b *Budget) take(n float64) {
+	b.spent += n
+	b.earned -= n
+}
+
 func (b *Budget) random() float64 {
 	if b.Rand == nil {
 		return rand.Float64()
@@ -89,7 +115,7 @@
 func (b *Budget) Left() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return int(max(b.burst()-b.spent, 0))
+	return int(b.left())
 }
 
 func (b *Budget) share() float64 {
--- a/wisteriarouter/daemon/relay_crash_test.go
+++ b/wisteriarouter/daemon/relay_crash_test.go
@@ -36,8 +36,8 @@
 	unlisted bool
 	// cutTime is how long all routers are cut off from all endpoints as one ends.
 	cutTime time.Duration
-	ctx           context.Context
-	ends          sync.WaitGroup
+	ctx     context.Context
+	ends    sync.WaitGroup
 
 	mu      sync.Mutex
 	started int
--- a/wisteriarouter/daemon/relay_retries.go
+++ b/wisteriarouter/daemon/relay_retries.go
@@ -28,10 +28,14 @@
 	budgets map[coordination.Pool]*retry.Budget
 }
 
-// burstShare is the part of the retry slack that the fleet uses as its burst. A
-// router that restarts begins with a full budget, although its previous process
-// may have spent one.
-const burstShare = 0.75
+const (
+	// burstShare is the part of the retry slack that the fleet uses as its burst.
+	burstShare = 0.75
+	// startShare is the part of the retry slack with which the routers begin when all of
+	// them restart, although their previous processes may have spent the burst. With two
+	// restarts within the time for which the slack is meant, the fleet keeps to it.
+	startShare = (1 - burstShare) / 2
+)
 
 func newPoolRetries(i do.Injector) (*poolRetries, error) {
 	cfg := configOf(i).Relay
@@ -60,11 +64,11 @@
 	}
 }
 
-// burst returns this router's part of the burst. A router with seeds that has just
-// started and met no other yet takes a part of at most one retry. The caller holds
+// part returns this router's part of a share of the slack. A router with seeds that has
+// just started and met no other yet takes a part of at most one retry. The caller holds
 // r.mu.
-func (r *poolRetries) burst() float64 {
-	part := r.slack * burstShare / float64(r.routers)
+func (r *poolRetries) part(share float64) float64 {
+	part := r.slack * share / float64(r.routers)
 	if r.routers == 1 && time.Now().Before(r.alone) {
 		part = min(part, 1)
 	}
@@ -77,9 +81,10 @@
 	b := r.budgets[p]
 	if b == nil {
 		b = &retry.Budget{Share: positiveOrNone(r.share)}
+		b.Limit(r.part(startShare))
 		r.budgets[p] = b
 	}
-	b.SetBurst(positiveOrNone(r.burst()))
+	b.SetBurst(positiveOrNone(r.part(burstShare)))
 	return b
 }
 
