A router answers readiness checks until it ends

Cause: the listener of readiness checks was closed at once, with its connections, after the others had been drained. The line of the log has draining false, 116 bytes of a request that was not the first on its connection, and comes 7 ms before the end.

Change: the readiness listener is drained last, for 0.7 s at most. Its responses close their connections once the router is leaving, so that there is hardly anything to wait for.

--- a/wisteriarouter/daemon/relay_stop_test.go
+++ b/wisteriarouter/daemon/relay_stop_test.go
@@ -2,17 +2,20 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"wisteriaspool/platform"
 	"wisteriaspool/standin/replica"
 )
 
@@ -215,3 +218,38 @@
 		return poll.Continue("the router still accepts connections")
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
 }
+
+// Guards against a readiness check that a router reads and does not answer as it ends.
+func TestRelayAnswersReadinessChecksUntilItEnds(t *testing.T) {
+	s := newRelayCluster(t, 1, 1, 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	var checks sync.WaitGroup
+	for range 8 {
+		checks.Go(readinessChecker{ctx: ctx, url: "http://" + s.routers[0].ReadinessAddress() + platform.ReadyPath}.run)
+	}
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, s.stops[0](), 0)
+	cancel()
+	checks.Wait()
+	assert.Equal(t, len(s.logs.lines("request-dropped")), 0)
+}
+
+// readinessChecker asks a router for its readiness without a pause.
+type readinessChecker struct {
+	ctx context.Context
+	url string
+}
+
+func (c readinessChecker) run() {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for c.ctx.Err() == nil {
+		resp, err := client.Get(c.url)
+		if err != nil {
+			time.Sleep(time.Millisecond) // the router has ended
+			continue
+		}
+		_, _ = io.Copy(io.Discard, resp.Body) // the connection is reused once the body is read
+		_ = resp.Body.Close()
+	}
+}
--- a/wisteriarouter/daemon/servers.go
+++ b/wisteriarouter/daemon/servers.go
@@ -147,19 +147,31 @@
 // requests.
 func (s *servers) leave(ctx context.Context) {
 	s.callers.DisableKeepAlives()
+	if s.readiness != nil {
+		s.readiness.DisableKeepAlives()
+	}
 	s.node.SetReady(false)
 	s.node.Leave(ctx)
 }
 
+// readinessDrainTime limits how long connections of readiness checks delay the end of a
+// router.
+const readinessDrainTime = 700 * time.Millisecond
+
 // drain waits until no request is in flight, no connection of callers is open and no
 // other router uses this one to reach endpoints, then closes the listeners. It returns
-// the number of requests left when ctx ended.
+// the number of requests left when ctx ended. Readiness checks are answered to the end.
 func (s *servers) drain(ctx context.Context) int {
 	left := s.callers.Drain(ctx)
 	left += s.operators.Drain(ctx)
 	if s.tunnels != nil {
 		s.tunnels.Drain(ctx)
 	}
+	if s.readiness != nil {
+		ctx, cancel := context.WithTimeout(ctx, readinessDrainTime)
+		defer cancel()
+		s.readiness.Drain(ctx)
+	}
 	return left
 }
 
