A suspect does not move on from an endpoint that answers nothing

What was seen: a request that hangs for a second before it crashes its endpoint ended four and more endpoints in soaks with killed routers.

Cause: a request whose response is overdue moves to another endpoint, also one that is suspected of having crashed an endpoint. Both endpoints then ended, though copies of a suspect run one at a time.

Change: the attempt of a suspect is not moved.

Evidence: TestOverdueSuspectDoesNotMove failed before.

--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -288,7 +288,7 @@
 		Arrived:         x.arrived,
 		Exclude:         slices.Clip(x.exclude),
 		PrefixCached:    x.route.Sticky,
-		Isolated:        x.tracked != nil && x.tracked.Alone(),
+		Isolated:        x.isSuspect(),
 		Residency:       x.regions,
 		Kind:            x.route.Name,
 		NonRetryable:    !x.policy().mayRetry(broken, x.sends+1, len(x.exclude)+1),
--- a/wisteriarouter/relay/silence.go
+++ b/wisteriarouter/relay/silence.go
@@ -48,7 +48,7 @@
 	w := &responseWatch{exchange: x, placement: p, began: time.Now(), request: x.placementRequest()}
 	w.request.Exclude = append(slices.Clip(x.exclude), p.Endpoint)
 	w.request.NoWait = true
-	w.retryable = x.policy().mayRetry(silent, x.sends+1, len(x.exclude)+1)
+	w.retryable = x.policy().mayRetry(silent, x.sends+1, len(x.exclude)+1) && !x.isSuspect()
 	w.ctx, w.cancel = context.WithCancelCause(ctx)
 	x.watch = w
 	w.overdueAfter = overdueDelay(p.FirstByteLimit, x.route.FirstTarget)
--- a/wisteriarouter/relay/silence_test.go
+++ b/wisteriarouter/relay/silence_test.go
@@ -1,10 +1,18 @@
 package relay
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/outcome"
 )
 
 // A response must become overdue while there is still time for another attempt.
@@ -24,3 +32,59 @@
 		assert.Equal(t, overdueDelay(test.patience, test.target), test.want, test.name)
 	}
 }
+
+// suspect is a tracker of suspects to which each request is one, or none.
+type suspect bool
+
+func (s suspect) Track(context.Context, uint64, coordination.Pool) (TrackedRequest, *outcome.Refusal) {
+	return trackedSuspect{suspect: s}, nil
+}
+func (suspect) EndpointDied(coordination.Endpoint, coordination.Incarnation) {}
+
+// trackedSuspect is a request that suspect tracks.
+type trackedSuspect struct {
+	TrackedRequest
+	suspect
+}
+
+func (s trackedSuspect) Alone() bool               { return bool(s.suspect) }
+func (trackedSuspect) Convicted() *outcome.Refusal { return nil }
+func (trackedSuspect) Unsettled(Placement)         {}
+func (trackedSuspect) End(bool)                    {}
+
+// manyRetries is a retry budget that is never spent.
+type manyRetries struct{ noRetries }
+
+func (manyRetries) Take(coordination.Pool) bool { return true }
+
+// Guards against a suspect that moves on from an endpoint that answers nothing before it
+// crashes, to the next one.
+func TestOverdueSuspectDoesNotMove(t *testing.T) {
+	for _, test := range []struct {
+		suspect suspect
+		second  int32 // requests that reach the second endpoint
+	}{{false, 1}, {true, 0}} {
+		var second atomic.Int32
+		answer := func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+			w.Header().Set("X-Server-Signature", "s")
+		}
+		slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(300 * time.Millisecond)
+			answer(w, r)
+		}))
+		defer slow.Close()
+		other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			second.Add(1)
+			answer(w, r)
+		}))
+		defer other.Close()
+		p := &listPlacer{firstByteLimit: 20 * time.Millisecond}
+		for _, srv := range []*httptest.Server{slow, other} {
+			p.addresses = append(p.addresses, strings.TrimPrefix(srv.URL, "http://"))
+		}
+		w := serveWithRetries(t, p, test.suspect, manyRetries{})
+		assert.Equal(t, w.Code, http.StatusOK)
+		assert.Equal(t, second.Load(), test.second)
+	}
+}
--- a/wisteriarouter/relay/suspects.go
+++ b/wisteriarouter/relay/suspects.go
@@ -161,6 +161,11 @@
 	return x.tracked.Convicted()
 }
 
+// isSuspect reports whether the request may have crashed an endpoint. It does not move on
+// from an endpoint that answers nothing: that may be about to crash as well, and the next
+// one after it.
+func (x *exchange) isSuspect() bool { return x.tracked != nil && x.tracked.Alone() }
+
 // endTracking stops tracking the request.
 func (x *exchange) endTracking(finished bool) {
 	if x.tracked != nil {
--- a/wisteriarouter/relay/withheld_test.go
+++ b/wisteriarouter/relay/withheld_test.go
@@ -26,12 +26,14 @@
 	fullPlacer
 	addresses []string // of the endpoints e0, e1, ...
 	left      []coordination.Endpoint
+	// firstByteLimit is after how long a response is overdue; zero for never.
+	firstByteLimit time.Duration
 }
 
 func (p *listPlacer) Place(_ context.Context, r PlacementRequest) (Placement, *outcome.Refusal) {
 	for n, address := range p.addresses {
 		if id := coordination.Endpoint(fmt.Sprintf("e%d", n)); !slices.Contains(r.Exclude, id) {
-			return Placement{Endpoint: id, Address: address, Release: func() {}}, nil
+			return Placement{Endpoint: id, Address: address, FirstByteLimit: p.firstByteLimit, Release: func() {}}, nil
 		}
 	}
 	return Placement{}, &outcome.Refusal{Message: "none is left"}
@@ -116,6 +118,11 @@
 
 // serveOnce serves one request that may be sent to two endpoints.
 func serveOnce(t *testing.T, p Placer, suspects SuspectTracker) *httptest.ResponseRecorder {
+	return serveWithRetries(t, p, suspects, noRetries{})
+}
+
+// serveWithRetries is serveOnce with a retry budget.
+func serveWithRetries(t *testing.T, p Placer, suspects SuspectTracker, retries RetryBudget) *httptest.ResponseRecorder {
 	known := make(chan struct{})
 	close(known)
 	sender, cleanup := upstream.NewClient(upstream.Config{})
@@ -123,9 +130,9 @@
 	s := &Server{
 		Desired: &lateDesired{known: known, table: route.NewTable(route.State{
 			Version: 1,
-			Routes:  []route.Route{{Host: "example.com", Prefix: "/", Public: true, Attempts: 2, Shares: []route.Share{{Pool: "p", Weight: 1}}}},
+			Routes:  []route.Route{{Kind: route.Safe, Host: "example.com", Prefix: "/", Public: true, Attempts: 2, Shares: []route.Share{{Pool: "p", Weight: 1}}}},
 		})},
-		Placer: p, Sender: sender, Retries: noRetries{}, Suspects: suspects,
+		Placer: p, Sender: sender, Retries: retries, Suspects: suspects,
 		Metrics: NewMetrics(prometheus.NewRegistry()),
 	}
 	r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/x", nil)
