A suspect does not run elsewhere while the endpoint it left may be dead

Cause: after an attempt that broke off, an endpoint that still accepted connections 50 ms later counted as alive, and the request ran elsewhere at once. Its listener outlived its connections by 300 ms.

Change: a suspect waits for up to 0.6 s for the death of the endpoint, also where this router may be cut off from it.

Evidence: TestSuspectWaitsUntilEndpointIsKnownToBeDead failed before.

--- a/wisteriarouter/relay/silence_test.go
+++ b/wisteriarouter/relay/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -49,8 +50,12 @@
 
 func (s trackedSuspect) Alone() bool               { return bool(s.suspect) }
 func (trackedSuspect) Convicted() *outcome.Refusal { return nil }
-func (trackedSuspect) Unsettled(Placement)         {}
-func (trackedSuspect) End(bool)                    {}
+func (trackedSuspect) LatelyCompleted() bool       { return false }
+func (trackedSuspect) Crashed(context.Context, Placement) *outcome.Refusal {
+	return &outcome.Refusal{Message: "it crashes endpoints"}
+}
+func (trackedSuspect) Unsettled(Placement) {}
+func (trackedSuspect) End(bool)            {}
 
 // manyRetries is a retry budget that is never spent.
 type manyRetries struct{ noRetries }
@@ -88,3 +93,52 @@
 		assert.Equal(t, second.Load(), test.second)
 	}
 }
+
+// breakingEndpoint starts an endpoint that breaks its first connection off after it has
+// received a part of a request, and refuses further ones after delay. It returns its
+// address.
+func breakingEndpoint(t *testing.T, delay time.Duration) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go breaker{l, delay}.run()
+	return l.Addr().String()
+}
+
+// breaker is the process of a breakingEndpoint.
+type breaker struct {
+	listener net.Listener
+	delay    time.Duration
+}
+
+func (b breaker) run() {
+	c, err := b.listener.Accept()
+	if err != nil {
+		return
+	}
+	_, _ = c.Read(make([]byte, 1))
+	_ = c.Close()
+	time.Sleep(b.delay)
+	_ = b.listener.Close()
+}
+
+// Guards against a suspect that runs at another endpoint while the one that it has crashed
+// still accepts connections.
+func TestSuspectWaitsUntilEndpointIsKnownToBeDead(t *testing.T) {
+	for _, test := range []struct {
+		suspect suspect
+		second  int32 // requests that reach the second endpoint
+	}{{false, 1}, {true, 0}} {
+		var second atomic.Int32
+		other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			second.Add(1)
+			w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+			w.Header().Set("X-Server-Signature", "s")
+		}))
+		defer other.Close()
+		p := &listPlacer{addresses: []string{breakingEndpoint(t, 200*time.Millisecond), strings.TrimPrefix(other.URL, "http://")}}
+		w := serveWithRetries(t, p, test.suspect, manyRetries{})
+		assert.Equal(t, w.Code == http.StatusOK, test.second == 1)
+		assert.Equal(t, second.Load(), test.second)
+	}
+}
--- a/wisteriarouter/relay/suspects.go
+++ b/wisteriarouter/relay/suspects.go
@@ -87,21 +87,37 @@
 	}
 }
 
-// secondCheck is how long after a response that broke off an endpoint that has accepted
-// a connection is checked again. The listener of a process that is being taken down may
-// outlive its connections.
-const secondCheck = 50 * time.Millisecond
+// How long an endpoint that accepts connections after a response broke off is checked
+// again before the request runs elsewhere: the listener of a process that is being taken
+// down may outlive its connections. A suspect waits for longer, so that it runs at one
+// endpoint at a time.
+const (
+	recheckTime        = 50 * time.Millisecond
+	suspectRecheckTime = 600 * time.Millisecond
+)
 
 // checkLiveness checks whether the endpoint of a broken attempt has died. An endpoint
 // that only lost a response still accepts connections, and the failure of a router that
-// is cut off says nothing. A request that would run elsewhere next waits for a second
-// check, unless it has lately run to completion.
+// is cut off says nothing. A request that would run elsewhere next waits for further
+// checks, unless it has lately run to completion.
 func (x *exchange) checkLiveness(ctx context.Context, p Placement, end attemptResult) liveness {
 	l := livenessOf(ctx, x.server.Sender.Check(ctx, p.Address))
-	if l != alive || !x.mayRetry(end) || x.tracked == nil || x.tracked.LatelyCompleted() || !coordination.Sleep(ctx, secondCheck) {
+	if !x.mayRetry(end) || x.tracked == nil || x.tracked.LatelyCompleted() {
 		return l
 	}
-	return livenessOf(ctx, x.server.Sender.Recheck(ctx, p.Address))
+	left := recheckTime
+	if x.isSuspect() {
+		left = suspectRecheckTime
+	}
+	for pause := recheckTime; left > 0 && (l == alive || l == unreachable && x.isSuspect()); pause *= 2 {
+		pause = min(pause, left)
+		left -= pause
+		if !coordination.Sleep(ctx, pause) {
+			return l
+		}
+		l = livenessOf(ctx, x.server.Sender.Recheck(ctx, p.Address))
+	}
+	return l
 }
 
 // livenessOf returns what the error of a check that was limited by ctx says.
