A router whose open connections serve requests is not cut off

Cause: a router takes itself for cut off when it cannot connect to three endpoints and to no other since. One that serves all requests over open connections makes no new ones, so that three endpoints that end are enough, as they do under a few crashing requests. It then confirms the death of no endpoint, and crashes count for nothing.

Change: a response over a direct connection forgets the failed connections, but for those to endpoints that were silent to this router alone.

Evidence: TestResponsesShowThatRouterIsNotCutOff failed before. The tests of routers that are cut off from endpoints pass as before.

--- a/coordination/detour/detour.go
+++ b/coordination/detour/detour.go
@@ -185,6 +185,19 @@
 	p.took += (took - p.took) / 8
 }
 
+// RecordResponse records that a response has arrived over a direct connection. A router
+// whose open connections serve requests makes hardly any new ones, and would else take
+// itself for cut off once some endpoints have ended.
+func (p *Planner) RecordResponse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a, f := range p.failing {
+		if !f.silent {
+			delete(p.failing, a)
+		}
+	}
+}
+
 // RecordFailure records that a direct connection to an endpoint has failed.
 func (p *Planner) RecordFailure(now time.Time, address Address) {
 	p.mu.Lock()
--- a/wisteriarouter/upstream/conn.go
+++ b/wisteriarouter/upstream/conn.go
@@ -61,6 +61,9 @@
 		if err != nil {
 			return nil, ErrBroken.Wrap(err, "answer of endpoint %s", c.address)
 		}
+		if d := c.client.cfg.Detour; d != nil && c.direct() {
+			d.Planner.RecordResponse()
+		}
 		if r.Heard != nil {
 			r.Heard(c.via(), resp.StatusCode, resp.Header)
 		}
--- a/wisteriarouter/upstream/detour_test.go
+++ b/wisteriarouter/upstream/detour_test.go
@@ -3,7 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -128,3 +133,37 @@
 		return poll.Success()
 	}, poll.WithTimeout(500*time.Millisecond), poll.WithDelay(10*time.Millisecond))
 }
+
+// Guards against a router that takes itself for cut off because some endpoints have ended,
+// although its open connections serve requests.
+func TestResponsesShowThatRouterIsNotCutOff(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer srv.Close()
+	address := strings.TrimPrefix(srv.URL, "http://")
+	d := &upstream.Detour{
+		Direct: func(ctx context.Context, network, to string) (net.Conn, error) {
+			if to != address {
+				return nil, syscall.ECONNREFUSED
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, to)
+		},
+		Tunnels: testTunnels{"a": {atOnce, errNoHelp}},
+		Planner: detour.NewPlanner(detour.Router{ID: "self"}),
+	}
+	c, closeAll := upstream.NewClient(upstream.Config{Detour: d})
+	defer closeAll()
+	send := func() {
+		resp, err := c.Send(t.Context(), address, &upstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		resp.Body.Close()
+	}
+	send()
+	for n := range 3 {
+		assert.Assert(t, c.Check(t.Context(), fmt.Sprintf("10.0.0.%d:80", n)) != nil)
+	}
+	assert.Assert(t, d.Planner.CutOff())
+	send()
+	assert.Assert(t, !d.Planner.CutOff())
+}
