--- a/wisteriarouter/config/config.go
+++ b/wisteriarouter/config/config.go
@@ -130,7 +130,7 @@
 		{Name: "store", Kind: schema.Address, Required: true, Doc: "Address of the platform's store."},
 		{Name: "readiness", Kind: schema.Address, Required: true, Doc: "Address for the readiness checks of the platform's load balancer."},
 		{Name: "retry-share", Kind: schema.Number, Unit: "for each request", Default: "0.15", Min: "0", Max: "1", Doc: "Retries of the whole fleet at a pool, for each of its requests."},
-		{Name: "retry-slack", Kind: schema.Number, Unit: "requests", Default: "54", Min: "0", Max: "100000", Doc: "Retries of the whole fleet at a pool beyond its share that the endpoints bear when many requests fail at once. The fleet uses three quarters of it."},
+		{Name: "retry-slack", Kind: schema.Number, Unit: "requests", Default: "54", Min: "0", Max: "100000", Doc: "Retries of the whole fleet at a pool beyond its share that the endpoints bear when many requests fail at once. The fleet uses three quarters of it, and an eighth when its routers start."},
 		{Name: "load-factor", Kind: schema.Number, Unit: "times the mean", Default: "1.8", Min: "1.05", Max: "10", Doc: "Maximum load of an endpoint, relative to the mean of its pool."},
 		{Name: "load-slack", Kind: schema.Integer, Unit: "requests", Default: "2", Min: "0", Max: "1000", Doc: "Requests that an endpoint may run beyond `load-factor`."},
 	}},
