--- a/wisteriarouter/relay/silence.go
+++ b/wisteriarouter/relay/silence.go
@@ -48,6 +48,7 @@
 	w := &responseWatch{exchange: x, placement: p, began: time.Now(), request: x.placementRequest()}
 	w.request.Exclude = append(slices.Clip(x.exclude), p.Endpoint)
 	w.request.NoWait = true
+	// An endpoint that answers nothing to a suspect may be about to crash.
 	w.retryable = x.policy().mayRetry(silent, x.sends+1, len(x.exclude)+1) && !x.isSuspect()
 	w.ctx, w.cancel = context.WithCancelCause(ctx)
 	x.watch = w
--- a/wisteriarouter/relay/suspects.go
+++ b/wisteriarouter/relay/suspects.go
@@ -177,9 +177,8 @@
 	return x.tracked.Convicted()
 }
 
-// isSuspect reports whether the request may have crashed an endpoint. It does not move on
-// from an endpoint that answers nothing: that may be about to crash as well, and the next
-// one after it.
+// isSuspect reports whether the request may have crashed an endpoint, so that it has to run
+// apart from other suspects and at one endpoint at a time.
 func (x *exchange) isSuspect() bool { return x.tracked != nil && x.tracked.Alone() }
 
 // endTracking stops tracking the request.
