--- a/standin/soak/responses.go
+++ b/standin/soak/responses.go
@@ -9,8 +9,8 @@
 )
 
 // faultResponses makes endpoints break responses off and end them as complete ones, leave
-// without a change of their entry, and ask for pauses, beside the other faults. It has its own random number generator, so that the
-// other faults of a seed are the same without it.
+// without a change of their entry, and ask for pauses, beside the other faults. It has its
+// own random number generator, so that the other faults of a seed are the same without it.
 func (s *soak) faultResponses(end time.Time) {
 	rng := rand.New(rand.NewPCG(s.opts.Seed, 1<<33))
 	for time.Now().Before(end) {
--- a/wisteriarouter/relay/aftermath.go
+++ b/wisteriarouter/relay/aftermath.go
@@ -47,8 +47,7 @@
 }
 
 // ended reports whether an endpoint need not be watched any longer, since it is dead or no
-// attempt there has ended lately,
-// and if so forgets it.
+// attempt there has ended lately, and if so forgets it.
 func (a *aftermath) ended(key endpointLifetime, dead bool) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
