Log and count watches that wait although the store has a later revision

Cause: a change that no waiting watch reports left no trace: all routers are late together, so none is behind the first, and a watch that runs out is logged nowhere. The pings beside a watch give the revision of the store, which was thrown away; a later one than the watch's, for 0.25 s, is now event 302 and wisteria_store_watches_overdue_total. No decision depends on it. Tests of mirror and event pass.

--- a/coordination/mirror/feed.go
+++ b/coordination/mirror/feed.go
@@ -29,6 +29,8 @@
 	// OnState, if set, is called with an error when the store becomes
 	// unreachable and with nil when it is reachable again.
 	OnState func(err error)
+	// OnOverdue, if set, is called when a watch of the store should have ended.
+	OnOverdue func(Overdue)
 	// CallLog, if set, records the calls to other routers.
 	CallLog *CallLog
 	// OnHintFailure, if set, is called with a router to which a hint could not
@@ -75,7 +77,7 @@
 	f.hints, f.fetcher = newHintSender(f), newFetcher(f)
 	f.store = &Follower{
 		Mirror:     cfg.Mirror,
-		Source:     StoreSource{Store: cfg.Store, Prefix: cfg.Prefix, Wait: f.watchWait},
+		Source:     StoreSource{Store: cfg.Store, Prefix: cfg.Prefix, Wait: f.watchWait, OnOverdue: cfg.OnOverdue},
 		Idle:       f.storeNotNeeded,
 		Wake:       make(chan struct{}, 1),
 		OnState:    f.stateChanged,
--- a/coordination/mirror/store.go
+++ b/coordination/mirror/store.go
@@ -17,8 +17,8 @@
 	// Watch waits up to wait for changes after a revision. The batch has a gap
 	// if the store no longer has some of the changes.
 	Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Batch, kv.Result)
-	// Ping checks whether the store replies. It costs a small part of the price
-	// of a watch.
+	// Ping checks whether the store replies, and returns its revision, which any
+	// change of a key advances. It costs a small part of the price of a watch.
 	Ping(ctx context.Context) kv.Result
 }
 
@@ -30,6 +30,17 @@
 	Store  Store
 	Prefix string
 	Wait   func() time.Duration // how long the next watch waits
+	// OnOverdue, if set, is called when a ping shows that a watch should have
+	// ended.
+	OnOverdue func(Overdue)
+}
+
+// Overdue describes a watch that still waits although the store has a later
+// revision.
+type Overdue struct {
+	Watched kv.Revision // the watch waits for changes after it
+	Store   kv.Revision // as of the ping
+	Waited  time.Duration
 }
 
 // Fetch implements Source. The error is [ErrSilent] if the store stopped
@@ -40,7 +51,8 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	go pinger{store: s.Store, cancel: cancel}.run(ctx)
+	p := pinger{store: s.Store, after: after, start: time.Now(), cancel: cancel, onOverdue: s.OnOverdue}
+	go p.run(ctx)
 	b, res := s.Store.Watch(ctx, s.Prefix, after, s.Wait())
 	if res.Status != kv.Applied && errorx.IsOfType(context.Cause(ctx), ErrSilent) {
 		return Update{}, context.Cause(ctx)
@@ -70,10 +82,17 @@
 	pingTimeout = 400 * time.Millisecond
 )
 
+// overdueGrace is how long the reply of a watch may take beyond that of a ping
+// that was sent later. It allows for a packet that is sent again.
+const overdueGrace = 250 * time.Millisecond
+
 // pinger pings the store during a watch.
 type pinger struct {
-	store  Store
-	cancel context.CancelCauseFunc // ends the watch
+	store     Store
+	after     kv.Revision             // the watch waits for changes after it
+	start     time.Time               // of the watch
+	cancel    context.CancelCauseFunc // ends the watch
+	onOverdue func(Overdue)           // may be nil
 }
 
 func (p pinger) run(ctx context.Context) {
@@ -81,21 +100,32 @@
 		if !coordination.Sleep(ctx, pingInterval) {
 			return
 		}
-		err := p.ping(ctx)
-		if err != nil {
+		revision, err := p.ping(ctx)
+		switch {
+		case err != nil:
 			p.cancel(ErrSilent.Wrap(err, "no reply to a ping during a watch"))
 			return
+		case revision > p.after && coordination.Sleep(ctx, overdueGrace):
+			p.reportOverdue(revision)
 		}
 	}
 }
 
-func (p pinger) ping(ctx context.Context) error {
+// ping returns the revision of the store.
+func (p pinger) ping(ctx context.Context) (kv.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	if res := p.store.Ping(ctx); res.Status != kv.Applied {
-		return res.Err
+	res := p.store.Ping(ctx)
+	if res.Status != kv.Applied {
+		return 0, res.Err
+	}
+	return res.Revision, nil
+}
+
+func (p pinger) reportOverdue(revision kv.Revision) {
+	if p.onOverdue != nil {
+		p.onOverdue(Overdue{Watched: p.after, Store: revision, Waited: time.Since(p.start)})
 	}
-	return nil
 }
 
 func (s StoreSource) list(ctx context.Context) (Update, error) {
--- a/wisteriarouter/daemon/relay_store.go
+++ b/wisteriarouter/daemon/relay_store.go
@@ -43,6 +43,7 @@
 		Transport:     detector,
 		Routers:       do.MustInvoke[*fleet](i).routers,
 		OnState:       storeLogger{logOf(i)}.logStatus,
+		OnOverdue:     newOverdueReporter(i).report,
 		CallLog:       callLog,
 		OnHintFailure: hintFailureLogger{logOf(i)}.logFailure,
 	})
@@ -71,3 +72,27 @@
 func (l hintFailureLogger) logFailure(id coordination.Instance, err error) {
 	l.log.Emit(event.HintFailed, event.F("peer", id), event.F("error", err.Error()))
 }
+
+// overdueReporter logs and counts watches that should have ended.
+type overdueReporter struct {
+	log     event.Log
+	watches prometheus.Counter
+}
+
+func newOverdueReporter(i do.Injector) overdueReporter {
+	r := overdueReporter{log: logOf(i), watches: prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "wisteria_store_watches_overdue_total",
+		Help: "Watches that still waited although the platform's store had a later revision.",
+	})}
+	do.MustInvoke[*prometheus.Registry](i).MustRegister(r.watches)
+	return r
+}
+
+func (r overdueReporter) report(o mirror.Overdue) {
+	r.watches.Inc()
+	r.log.Emit(event.WatchOverdue,
+		event.F("watched-revision", o.Watched),
+		event.F("store-revision", o.Store),
+		event.F("waited-ms", o.Waited.Milliseconds()),
+	)
+}
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -28,6 +28,7 @@
 var (
 	PlatformLost = Kind{300, "platform-lost", logrus.WarnLevel, "Calls to the platform's service fail. Chats continue with the last settings; non-idempotent actions are refused. See the platform's own alarms."}
 	PlatformBack = Kind{301, "platform-back", logrus.InfoLevel, "Calls to the platform's service succeed again."}
+	WatchOverdue = Kind{302, "watch-overdue", logrus.WarnLevel, "A watch still waited although the platform's service had a later revision; gives both revisions and how long the watch had waited. Changes reach routers late meanwhile. If this continues, see the platform's own alarms."}
 )
 
 // Events of peers.
@@ -104,7 +105,7 @@
 	return []Kind{
 		Started, Ready, Stopping, Stopped, Failed, Reloaded, ReloadFailed, LinesDropped, RequestDropped,
 		SettingsApplied, SettingsInvalid, SettingsRejected, SettingsChanged, SettingsLate,
-		PlatformLost, PlatformBack,
+		PlatformLost, PlatformBack, WatchOverdue,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumorShed, PeerBusy, PeerAway, PeerBack, HintFailed, CatchUpFailed,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
 		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour, ConvictionStored, RecordsMissed, ConvictionNotStored,
