Test of changes that no waiting watch reports; known red

What callers see: a desired state in force later than 2 s after its acknowledgement. Waiting watches hear nothing for 3 s while the store answers all else; beside it a slow store, a dead watcher, a lost reply. Nothing but its own end shows that a watch is deaf.

--- a/coordination/mirror/fakestore_test.go
+++ b/coordination/mirror/fakestore_test.go
@@ -17,9 +17,11 @@
 	pairs             map[string]kv.Pair
 	changed           chan struct{}
 	dropNotifications bool
+	deafToNewWatches  bool // a watch reports nothing, even if there are changes when it begins
 	down              bool
 	compacted         kv.Revision // history up to this revision is gone
 	calls             int
+	lists             int
 	pings             int
 }
 
@@ -77,6 +79,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+	s.lists++
 	if s.down {
 		return kv.Result{Status: kv.Unavailable, Err: errDown}
 	}
@@ -117,6 +120,8 @@
 	switch {
 	case s.down:
 		return kv.Batch{}, kv.Result{Status: kv.Unavailable, Err: errDown}, true
+	case s.deafToNewWatches:
+		return kv.Batch{Revision: after}, kv.Result{Status: kv.Applied}, false
 	case after < s.compacted:
 		return kv.Batch{Gap: true}, kv.Result{Status: kv.Applied}, true
 	}
--- a/coordination/mirror/fleet_test.go
+++ b/coordination/mirror/fleet_test.go
@@ -29,6 +29,7 @@
 	silent       map[int]bool                   // routers that the store does not reply to
 	delay        time.Duration                  // of each call and each reply, between routers and with the store
 	storeDelay   time.Duration                  // of each reply of the store, in addition to delay
+	lostReplies  int                            // so many of the next replies to watches, and to lists, with changes are lost
 	stateChanges atomic.Int32                   // how often a router has lost the store or reached it again
 	lossHints    atomic.Int32                   // hints sent that report the loss of the store
 	feeds        []*mirror.Feed
@@ -194,6 +195,25 @@
 	return false
 }
 
+// losesReply reports whether a reply is lost, and waits until the call has timed
+// out or ctx ends.
+func (s routerStore) losesReply(ctx context.Context, timeout <-chan time.Time) (lost bool) {
+	s.fleet.store.withLock(func() {
+		lost = s.fleet.lostReplies > 0
+		if lost {
+			s.fleet.lostReplies--
+		}
+	})
+	if !lost {
+		return false
+	}
+	select {
+	case <-timeout:
+	case <-ctx.Done():
+	}
+	return true
+}
+
 func (s routerStore) Ping(ctx context.Context) kv.Result {
 	timeout := time.After(storeTimeout)
 	if !coordination.Sleep(ctx, 2*s.fleet.delay) || !s.awaitAnswer(ctx, timeout) {
@@ -206,7 +226,7 @@
 	timeout := time.After(storeTimeout)
 	time.Sleep(2 * s.fleet.delay)
 	res := s.fleet.store.List(ctx, prefix)
-	if !s.awaitAnswer(ctx, timeout) {
+	if s.losesReply(ctx, timeout) || !s.awaitAnswer(ctx, timeout) {
 		return kv.Result{Status: kv.Unavailable, Err: errDown}
 	}
 	return res
@@ -220,7 +240,7 @@
 	time.Sleep(s.fleet.delay)
 	b, res := s.fleet.store.Watch(ctx, prefix, after, wait)
 	time.Sleep(s.fleet.delay)
-	if !s.awaitAnswer(ctx, timeout) {
+	if len(b.Events) > 0 && s.losesReply(ctx, timeout) || !s.awaitAnswer(ctx, timeout) {
 		return kv.Batch{}, kv.Result{Status: kv.Unavailable, Err: errDown}
 	}
 	return b, res
