A ping that shows a later revision ends a watch that still waits

What callers saw: a desired state in force later than 2 s after its acknowledgement. Cause: a watch that waits was taken for one that hears. Nothing but its own end, after 1.6 to 2.1 s, showed that the store did not report to it or that its reply was lost; the pings beside it gave the store's revision, which was not looked at. Now a later one than the watch's, for 0.25 s, ends the watch; a new one, or failing that a list, brings the change at once. Pings every 0.5 s in place of 0.6.

Not covered: reads that are seconds old while watches are deaf.

--- a/coordination/mirror/store.go
+++ b/coordination/mirror/store.go
@@ -18,12 +18,18 @@
 	// if the store no longer has some of the changes.
 	Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Batch, kv.Result)
 	// Ping checks whether the store replies, and returns its revision, which any
-	// change of a key advances. It costs a small part of the price of a watch.
+	// change of a key advances and which may be seconds old. It costs a small part
+	// of the price of a watch.
 	Ping(ctx context.Context) kv.Result
 }
 
-// ErrSilent means that the store did not reply to a ping during a watch.
-var ErrSilent = Errors.NewType("silent")
+var (
+	// ErrSilent means that the store did not reply to a ping during a watch.
+	ErrSilent = Errors.NewType("silent")
+	// errOverdue means that the store has a later revision than a watch that
+	// still waits.
+	errOverdue = Errors.NewType("overdue")
+)
 
 // StoreSource is a Source that fetches from the store.
 type StoreSource struct {
@@ -49,34 +55,69 @@
 	if after == 0 {
 		return s.list(ctx)
 	}
+	b, err := s.watch(ctx, after)
+	switch {
+	case errorx.IsOfType(err, errOverdue):
+		return s.catchUp(ctx, after)
+	case err != nil:
+		return Update{}, err
+	case b.Gap:
+		return s.list(ctx)
+	}
+	return batchUpdate(b), nil
+}
+
+func batchUpdate(b kv.Batch) Update {
+	u := Update{AsOf: b.Revision}
+	for _, e := range b.Events {
+		u.Items = append(u.Items, Item{Key: e.Pair.Key, Value: e.Pair.Value, Revision: e.Pair.Revision, Deleted: e.Deleted})
+	}
+	return u
+}
+
+// watch waits for changes. A ping that fails, or that shows a change that the watch
+// has not reported, ends it.
+func (s StoreSource) watch(ctx context.Context, after kv.Revision) (kv.Batch, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	p := pinger{store: s.Store, after: after, start: time.Now(), cancel: cancel, onOverdue: s.OnOverdue}
 	go p.run(ctx)
 	b, res := s.Store.Watch(ctx, s.Prefix, after, s.Wait())
-	if res.Status != kv.Applied && errorx.IsOfType(context.Cause(ctx), ErrSilent) {
-		return Update{}, context.Cause(ctx)
-	}
-	if res.Status != kv.Applied {
-		return Update{}, res.Err
+	cause := context.Cause(ctx)
+	switch {
+	case res.Status == kv.Applied:
+		return b, nil
+	case errorx.IsOfType(cause, ErrSilent), errorx.IsOfType(cause, errOverdue):
+		return kv.Batch{}, cause
 	}
-	if b.Gap {
+	return kv.Batch{}, res.Err
+}
+
+// catchUp fetches the changes that a watch has not reported. A list, which may
+// take several calls, is needed only if a new watch does not report them either.
+func (s StoreSource) catchUp(ctx context.Context, after kv.Revision) (Update, error) {
+	watchCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	b, res := s.Store.Watch(watchCtx, s.Prefix, after, catchUpWait)
+	if res.Status != kv.Applied || b.Gap || len(b.Events) == 0 {
 		return s.list(ctx)
 	}
-	u := Update{AsOf: b.Revision}
-	for _, e := range b.Events {
-		u.Items = append(u.Items, Item{Key: e.Pair.Key, Value: e.Pair.Value, Revision: e.Pair.Revision, Deleted: e.Deleted})
-	}
-	return u, nil
+	return batchUpdate(b), nil
 }
 
+// catchUpWait is the wait of a watch that should have changes to report at once.
+const catchUpWait = 50 * time.Millisecond
+
 // A watch that waits looks the same whether nothing changes or the store has
 // stopped replying to this router. Routers that wait at this one would learn of
 // no change before the watch times out, after up to three seconds, and none
 // would if all watchers were cut off at once. With these values the others
 // notice after pingInterval + pingTimeout and watch in place of this router.
+//
+// Nor does a watch show whether it will report a change: the store may not, or
+// its reply may be lost. The revision in the reply to a ping shows the change.
 const (
-	pingInterval = 600 * time.Millisecond
+	pingInterval = 500 * time.Millisecond
 	// pingTimeout allows for a store that takes 50 times the usual few
 	// milliseconds, and for a packet that is sent again.
 	pingTimeout = 400 * time.Millisecond
@@ -107,6 +148,8 @@
 			return
 		case revision > p.after && coordination.Sleep(ctx, overdueGrace):
 			p.reportOverdue(revision)
+			p.cancel(errOverdue.New("watch of changes after %d still waits at revision %d", p.after, revision))
+			return
 		}
 	}
 }
