Watchers of the store take turns by the time of the latest change

What callers saw: a desired state in force too late. Cause: watchers were to take turns, so that one begins a new watch every 0.6 s and learns what the others were not told, but each change ends all their watches at one moment, and from then on they waited and ended together, for 1.6 to 2.1 s; random waits part them only by chance. Pings do not help where the store's cheap reads are seconds old, as beside a store that drops its history. Now the end of a watch follows from the watcher's rank and the time since the latest change, by whatever way it came, which all watchers know alike.

--- a/coordination/mirror/fakestore_test.go
+++ b/coordination/mirror/fakestore_test.go
@@ -17,7 +17,8 @@
 	pairs             map[string]kv.Pair
 	changed           chan struct{}
 	dropNotifications bool
-	deafToNewWatches  bool // a watch reports nothing, even if there are changes when it begins
+	deafToNewWatches  bool        // a watch reports nothing, even if there are changes when it begins
+	stale             kv.Revision // pings return this revision, unless it is zero
 	down              bool
 	compacted         kv.Revision // history up to this revision is gone
 	calls             int
@@ -72,6 +73,9 @@
 	if s.down {
 		return kv.Result{Status: kv.Unavailable, Err: errDown}
 	}
+	if s.stale > 0 {
+		return kv.Result{Status: kv.Applied, Revision: s.stale}
+	}
 	return kv.Result{Status: kv.Applied, Revision: s.asOf}
 }
 
--- a/coordination/mirror/feed.go
+++ b/coordination/mirror/feed.go
@@ -232,8 +232,17 @@
 	return slices.Contains(f.currentCandidates().current(reach), f.cfg.Self)
 }
 
+// watchWait returns how long the next watch of the store waits.
 func (f *Feed) watchWait() time.Duration {
-	return WatchWait(len(f.currentWatchers()), f.store.Lost())
+	watchers := f.currentWatchers()
+	rank := slices.Index(watchers, f.cfg.Self)
+	switch {
+	case f.store.Lost():
+		return recoveryWatchWait
+	case rank < 0:
+		return watchPeriod(len(watchers))
+	}
+	return turnWait(rank, len(watchers), f.cfg.Mirror.sinceChange())
 }
 
 // storeNotNeeded reports whether this router need not call the store now. It
--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -68,6 +68,7 @@
 	deletedAt   map[string]time.Time // when each tombstone was received
 	learnedAt   map[string]time.Time // when the first router learned from the store of the last change of each key
 	asOf        kv.Revision
+	changedAt   time.Time   // when asOf last advanced
 	confirmedAt time.Time   // when the store last confirmed asOf to this router or to another one
 	prunedUpTo  kv.Revision // tombstones up to this revision may have been deleted
 	changed     chan struct{}
@@ -119,6 +120,13 @@
 	return time.Since(m.confirmedAt)
 }
 
+// sinceChange returns the time since AsOf last advanced.
+func (m *Mirror) sinceChange() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.changedAt)
+}
+
 // Find returns the item of a key and whether the key exists.
 func (m *Mirror) Find(key string) (Item, bool) {
 	m.mu.Lock()
@@ -165,6 +173,9 @@
 	}
 	m.pruneTombstones(now)
 	advanced := u.AsOf > m.asOf
+	if advanced {
+		m.changedAt = now
+	}
 	m.asOf = max(m.asOf, u.AsOf)
 	if at := now.Add(-time.Duration(u.AgeMs) * time.Millisecond); u.AsOf >= m.asOf && at.After(m.confirmedAt) {
 		recovered = !m.confirmedAt.IsZero() && at.Sub(m.confirmedAt) > OutageThreshold
--- a/coordination/mirror/overdue_test.go
+++ b/coordination/mirror/overdue_test.go
@@ -22,6 +22,7 @@
 	storeDelay       time.Duration // of each reply of the store
 	silentWatcher    bool          // the store does not reply to one of the watchers
 	loseReplies      int           // so many replies of watches are lost in each round
+	staleReads       bool          // pings do not show the changes
 	deafToNewWatches bool          // watches that begin meanwhile hear nothing either
 	seed             uint64
 }
@@ -47,6 +48,9 @@
 			f.store.dropNotifications = true
 			f.store.deafToNewWatches = s.deafToNewWatches
 			f.lostReplies = s.loseReplies
+			if s.staleReads {
+				f.store.stale = f.store.asOf
+			}
 		})
 		for n := range int(deafDuration / s.interval) {
 			f.store.put("a", fmt.Sprint(round, "-", n))
@@ -54,7 +58,7 @@
 			time.Sleep(s.interval)
 		}
 		f.store.withLock(func() {
-			f.store.dropNotifications, f.store.deafToNewWatches, f.lostReplies = false, false, 0
+			f.store.dropNotifications, f.store.deafToNewWatches, f.store.stale, f.lostReplies = false, false, 0, 0
 		})
 	}
 	time.Sleep(4 * time.Second)
@@ -75,6 +79,21 @@
 		{name: "slow store, a dead watcher, a reply lost", routers: 8, interval: quick, storeDelay: 150 * time.Millisecond, silentWatcher: true, loseReplies: 1, seed: 8},
 		{name: "slow store, a dead watcher, a reply lost, 64 routers", routers: 64, interval: quick, storeDelay: 150 * time.Millisecond, silentWatcher: true, loseReplies: 1, seed: 9},
 	}
+	runDeafScenarios(t, scenarios)
+}
+
+// Guards against watchers that wait and end together, so that no watch begins
+// for two seconds while pings are too old to show a change.
+func TestChangeReachesAllWhilePingsAreStale(t *testing.T) {
+	const quick, slow = 200 * time.Millisecond, 1700 * time.Millisecond
+	runDeafScenarios(t, []deafScenario{
+		{name: "quick changes", routers: 8, interval: quick, staleReads: true, seed: 5},
+		{name: "slow changes", routers: 8, interval: slow, staleReads: true, seed: 10},
+		{name: "64 routers", routers: 64, interval: quick, staleReads: true, seed: 11},
+	})
+}
+
+func runDeafScenarios(t *testing.T, scenarios []deafScenario) {
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			t.Parallel()
--- a/coordination/mirror/pace.go
+++ b/coordination/mirror/pace.go
@@ -1,7 +1,6 @@
 package mirror
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -125,11 +124,12 @@
 
 // A watch may report nothing although there are changes, and a reply that is
 // lost looks like a store without changes: a revoked key stays valid. Only a
-// new watch or a list reports the change. Each watch is a call that is billed,
-// so that the watchers take turns: with their waits spread over time, one of
+// new watch or a list is sure to report the change, as pings may be seconds old.
+// Each watch is a call that is billed, so that the watchers take turns: one of
 // them begins a new watch every watchInterval, and the other routers get the
 // change from it. The longest silence is then about three times watchInterval,
-// which is well within the two seconds in which a change has to be in force.
+// with two watchers that are dead or whose replies are lost, which is within the
+// two seconds in which a change has to be in force.
 const (
 	watchInterval = 600 * time.Millisecond
 	minWatchWait  = 1850 * time.Millisecond
@@ -140,14 +140,21 @@
 	recoveryWatchWait = 50 * time.Millisecond
 )
 
-// WatchWait returns how long the next watch of one of so many watchers waits.
-// lost means that its last watch failed. The result is random within an eighth
-// of the mean in either direction, to keep the watchers out of step.
-func WatchWait(watchers int, lost bool) time.Duration {
-	if lost {
-		return recoveryWatchWait
+// watchPeriod returns the time between two watches of one of so many watchers.
+func watchPeriod(watchers int) time.Duration {
+	return min(max(time.Duration(watchers)*watchInterval, minWatchWait), maxWatchWait)
+}
+
+// turnWait returns how long the watch waits that begins at the watcher of a
+// rank, counted from 0, some time after the latest change. A change ends the
+// watches of all watchers at one moment; without turns they would wait and end
+// together from then on.
+func turnWait(rank, watchers int, sinceChange time.Duration) time.Duration {
+	period := watchPeriod(watchers)
+	interval := period / time.Duration(watchers)
+	wait := (time.Duration(rank+1)*interval - sinceChange) % period
+	if wait < interval/4 {
+		wait += period
 	}
-	d := time.Duration(watchers) * watchInterval
-	d = min(max(d, minWatchWait), maxWatchWait)
-	return d - d/8 + rand.N(d/4)
+	return wait
 }
