Log at which version of the software a stream runs and what it takes up

Cause: events 800 and 806 named neither the version of an endpoint's software nor whether a request takes up a stream, so that they could not tell which of the hypotheses on joined streams holds. The entry's version is decoded, kept with the endpoint's incarnation and logged, as are the attempt that the caller names as the stream's first and the event after which it goes on. The stand-in replicas register a version and mark their events with it. No decision depends on it. Tests of platform and event pass.

--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -29,6 +29,10 @@
 // a plain service.
 type Pool string
 
+// SoftwareVersion names the version of the software of a pool's endpoints. Endpoints of
+// several versions may serve in one pool, in no order.
+type SoftwareVersion string
+
 // Model names a model without its version.
 type Model string
 
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -56,6 +56,9 @@
 	Incarnation coordination.Incarnation
 	State       State
 
+	// Version is the version of the incarnation's software; empty if it is not known.
+	Version coordination.SoftwareVersion
+
 	// Capacity is the maximum number of concurrent requests. Zero means that
 	// the endpoint's own report determines it.
 	Capacity int
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -26,6 +26,7 @@
 	Zone    string
 	Slots   int           // requests run at a time; 0 means 8. Half as many may wait for a slot
 	Events  int           // number of events in a stream; 0 means 5
+	Version string        // of the replica's software, which marks its events; empty means v1, without a mark
 	Delay   time.Duration // before each event of a stream, and before a single response
 	// Unregistered leaves it to the caller to register the replica.
 	Unregistered bool
@@ -158,8 +159,12 @@
 	state, address := r.state, r.registeredAddr
 	cold := max(time.Until(r.coldUntil), 0)
 	r.mu.Unlock()
+	version := r.opts.Version
+	if version == "" {
+		version = "v1"
+	}
 	entry, err := json.Marshal(map[string]any{
-		"backend": r.opts.Service, "address": address, "zone": r.opts.Zone, "version": "v1",
+		"backend": r.opts.Service, "address": address, "zone": r.opts.Zone, "version": version,
 		"slots": r.opts.Slots, "state": state, "coldLeftMs": cold.Milliseconds(), "seqno": 1, "born": r.startedAtMillis,
 	})
 	if err != nil {
@@ -517,6 +522,14 @@
 	return min(max(f.CutBytes, 0), len(event))
 }
 
+// event returns event n of a stream.
+func (r *Replica) event(n int) string {
+	if r.opts.Version == "" {
+		return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n)
+	}
+	return fmt.Sprintf("id: %d\ndata: token %d of %s\n\n", n, n, r.opts.Version)
+}
+
 // serveStream sends the events after the last one that the caller has received.
 // Events are numbered from 1.
 func (r *Replica) serveStream(w http.ResponseWriter, req *http.Request, a *Arrival, f Faults) {
@@ -527,7 +540,7 @@
 		if !r.waitDelay(req, a) {
 			return
 		}
-		event := fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n)
+		event := r.event(n)
 		if f.CutAfter < 0 {
 			endCut(f)
 			return
--- a/wisteriarouter/daemon/relay_entries.go
+++ b/wisteriarouter/daemon/relay_entries.go
@@ -81,5 +81,6 @@
 		Incarnation: e.Incarnation,
 		Capacity:    e.Slots,
 		ColdFor:     e.ColdFor,
+		Version:     e.Version,
 	}}, true
 }
--- a/wisteriarouter/daemon/relay_placer.go
+++ b/wisteriarouter/daemon/relay_placer.go
@@ -140,6 +140,7 @@
 		Observer:       seen,
 		Endpoint:       k.ID,
 		Incarnation:    g.Endpoint.Incarnation,
+		Version:        g.Endpoint.Version,
 		Address:        k.Address,
 		Rank:           g.Rank,
 		Cold:           g.Cold,
--- a/wisteriarouter/endpoint/directory.go
+++ b/wisteriarouter/endpoint/directory.go
@@ -171,6 +171,7 @@
 	e.Pool = l.Pool
 	e.Incarnation = l.Incarnation
 	e.Capacity = l.Capacity
+	e.Version = l.Version
 	e.ColdUntil = coldUntil(time.Now(), e.ColdUntil, l.ColdFor)
 	if l.State != platform.Live {
 		d.markLeaving(l.ID, l.Incarnation)
--- a/wisteriarouter/platform/instances.go
+++ b/wisteriarouter/platform/instances.go
@@ -42,6 +42,8 @@
 	Incarnation coordination.Incarnation `json:"incarnation"`
 	Capacity    int                      `json:"capacity"` // concurrent requests; zero if unknown
 	ColdFor     time.Duration            `json:"-"`        // how much longer the endpoint stays cold, if the source tells
+	// Version is the version of the endpoint's software, if the source tells.
+	Version coordination.SoftwareVersion `json:"-"`
 }
 
 type instanceList struct {
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -44,6 +44,7 @@
 type Placement struct {
 	Endpoint    coordination.Endpoint
 	Incarnation coordination.Incarnation
+	Version     coordination.SoftwareVersion // of the incarnation; empty if it is not known
 	Address     string
 	// Rank is the endpoint's position in the order in which requests with this
 	// key try endpoints; 0 is the one that has the shared prefix cached.
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -45,6 +45,15 @@
 	}
 }
 
+// resumesAfter returns the id of the event after which the next attempt goes on with a
+// stream, or an empty string for one that begins.
+func (x *exchange) resumesAfter() string {
+	if x.stream.lastEventID != "" {
+		return x.stream.lastEventID
+	}
+	return platform.LastEvent(x.r.Header)
+}
+
 // streamBuffer is the initial buffer size in bytes. It holds several events; most arrive singly.
 const streamBuffer = 4 << 10
 
