--- /dev/null
+++ b/wisteriarouter/daemon/relay_version_test.go
@@ -0,0 +1,267 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"wisteriaspool/standin/replica"
+)
+
+// versionedCluster is a relayCluster whose model pool has endpoints of several versions
+// of their software.
+type versionedCluster struct {
+	*relayCluster
+	perVersion int
+}
+
+// versionedEventDelay is the time between two events of the stand-in endpoints.
+const versionedEventDelay = 20 * time.Millisecond
+
+func newVersionedCluster(t *testing.T, routers, perVersion int, versions ...string) *versionedCluster {
+	s := &versionedCluster{newRelayCluster(t, routers, 0, 0), perVersion}
+	for _, v := range versions {
+		for n := range perVersion {
+			s.addVersion(v, n)
+		}
+	}
+	for n := range routers {
+		s.awaitEndpoints(n, len(versions)*perVersion)
+	}
+	return s
+}
+
+func (s *versionedCluster) addVersion(version string, n int) *replica.Replica {
+	return s.addReplica(replica.Options{
+		ID: fmt.Sprintf("m-%s-%d", version, n), Service: "model", Zone: "a", Version: version, Delay: versionedEventDelay, Events: 12, Slots: 32,
+	})
+}
+
+// awaitEndpoints waits until a router knows at least n endpoints.
+func (s *versionedCluster) awaitEndpoints(router, n int) {
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		resp, err := http.Get("http://" + s.routers[router].OperatorsAddress() + "/metrics")
+		if err != nil {
+			return poll.Error(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		text, err := io.ReadAll(resp.Body)
+		if err == nil && strings.Contains(string(text), fmt.Sprintf("wisteria_endpoints{pool=\"model\",state=\"live\"} %d\n", n)) {
+			return poll.Success()
+		}
+		return poll.Continue("router %d does not know %d endpoints", router, n)
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// versionsIn returns the versions that the events of a stream name, in order of their
+// first event.
+func versionsIn(body string) []string {
+	var found []string
+	for _, v := range strings.Split(body, " of ")[1:] {
+		v, _, _ = strings.Cut(v, "\n")
+		if len(found) == 0 || found[len(found)-1] != v {
+			found = append(found, v)
+		}
+	}
+	return found
+}
+
+// openStream is a stream of which a caller has read some events.
+type openStream struct {
+	attempt string
+	body    string // complete events
+	cancel  context.CancelFunc
+}
+
+// begin starts a stream and reads its first events. The caller then leaves it without a
+// word to the router, as one does whose router has gone.
+func (s *versionedCluster) begin(router, read int, header ...string) openStream {
+	ctx, cancel := context.WithCancel(s.t.Context())
+	header = append([]string{"X-Prefix-Hash", freshID() + ":50,cc:10"}, header...)
+	req := s.request(ctx, router, "/resumable/1", header...)
+	resp, err := s.client.Do(req)
+	assert.NilError(s.t, err)
+	assert.Equal(s.t, resp.StatusCode, 200)
+	st := openStream{attempt: req.Header.Get("X-Attempt-Id"), cancel: cancel}
+	r := bufio.NewReader(resp.Body)
+	for strings.Count(st.body, "\n\n") < read {
+		line, err := r.ReadString('\n')
+		assert.NilError(s.t, err)
+		st.body += line
+	}
+	return st
+}
+
+// resume asks a router for the rest of a stream.
+func (s *versionedCluster) resume(router int, st openStream) relayResponse {
+	return s.send(router, "/resumable/1",
+		"X-Prefix-Hash", freshID()+":50,cc:10", "Resumes", st.attempt, "Last-Event-Id", fmt.Sprint(strings.Count(st.body, "\n\n")))
+}
+
+// tally counts how streams ended.
+type tally struct {
+	mu                     sync.Mutex
+	whole, refused, joined int
+	other                  []string
+}
+
+func (c *tally) add(st openStream, r relayResponse) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch all := st.body + r.body; {
+	case len(versionsIn(all)) > 1:
+		c.joined++
+	case r.err == nil && r.status == 200 && strings.Count(all, "\n\n") == 12:
+		c.whole++
+	case r.status == 503 && r.header.Get("Retry-After") != "":
+		c.refused++
+	default:
+		c.other = append(c.other, fmt.Sprint(r.status, " ", r.err))
+	}
+}
+
+func (c *tally) check(t *testing.T, leastWhole int) {
+	t.Helper()
+	t.Logf("%d whole, %d refused, %d joined, others: %v", c.whole, c.refused, c.joined, c.other)
+	assert.Check(t, c.joined == 0, "%d streams hold events of two versions", c.joined)
+	assert.Check(t, c.whole >= leastWhole, "%d of the streams went on, where %d should", c.whole, leastWhole)
+	assert.Check(t, len(c.other) == 0)
+}
+
+// Guards against a router that goes on with a stream at another version within one response.
+func TestRelayGoesOnAtVersionThatBeganStream(t *testing.T) {
+	s := newVersionedCluster(t, 2, 2, "v1", "v1.1", "v1.2")
+	for _, r := range s.replicas {
+		r.SetFaults(replica.Faults{CutAfter: 3, Every: 2})
+	}
+	var c tally
+	for n := range 40 {
+		c.add(openStream{}, s.send(n%2, "/resumable/1", "X-Prefix-Hash", freshID()+":50,cc:10"))
+	}
+	c.other = nil // both endpoints of a version may cut the stream
+	c.check(t, 20)
+}
+
+// Guards against a stream that its caller takes up at another router and that goes on at
+// another version, while endpoints of all versions leave.
+func TestRelayTakesUpStreamAtVersionThatBeganIt(t *testing.T) {
+	s := newVersionedCluster(t, 3, 2, "v1", "v1.1", "v1.2")
+	var streams []openStream
+	for n := range 24 {
+		streams = append(streams, s.begin(0, 1+n%6))
+	}
+	time.Sleep(100 * time.Millisecond)
+	for n := 0; n < len(s.replicas); n += 2 {
+		s.replicas[n].Drain()
+	}
+	time.Sleep(100 * time.Millisecond)
+	var c tally
+	for n, st := range streams {
+		st.cancel()
+		c.add(st, s.resume(1+n%2, st))
+	}
+	c.check(t, len(streams))
+}
+
+// Guards against the loss of what is known of streams with the router that began them.
+func TestRelayTakesUpStreamOfRouterThatWasStopped(t *testing.T) {
+	s := newVersionedCluster(t, 3, 2, "v1", "v1.1", "v1.2")
+	var streams []openStream
+	for n := range 24 {
+		streams = append(streams, s.begin(0, 1+n%6))
+	}
+	time.Sleep(100 * time.Millisecond)
+	for _, st := range streams {
+		st.cancel()
+	}
+	s.stops[0]()
+	var c tally
+	for n, st := range streams {
+		c.add(st, s.resume(1+n%2, st))
+	}
+	c.check(t, len(streams))
+}
+
+// Guards against a router that has just started and guesses at which version a stream began.
+func TestRelayNewRouterTakesUpStreamAtVersionThatBeganIt(t *testing.T) {
+	s := newVersionedCluster(t, 2, 2, "v1", "v1.1", "v1.2")
+	var streams []openStream
+	for n := range 24 {
+		streams = append(streams, s.begin(0, 1+n%6))
+	}
+	s.addRouter()
+	s.awaitReady(2)
+	var c tally
+	for _, st := range streams {
+		st.cancel()
+		c.add(st, s.resume(2, st))
+	}
+	c.check(t, len(streams))
+}
+
+// Guards against a guess at the version of a stream of which no router knows.
+func TestRelayRefusesToTakeUpUnknownStream(t *testing.T) {
+	s := newVersionedCluster(t, 2, 2, "v1", "v1.1")
+	for n := range 4 {
+		start := time.Now()
+		got := s.resume(n%2, openStream{attempt: freshID(), body: "id: 1\ndata: token 1 of v1\n\n"})
+		assert.Equal(t, got.status, 503)
+		assert.Assert(t, got.header.Get("Retry-After") != "")
+		assert.Assert(t, time.Since(start) < time.Second)
+	}
+	assert.Equal(t, s.runs("/resumable/1"), 0)
+}
+
+// Guards against refusing streams of which no router knows where all endpoints are and
+// were of one version.
+func TestRelayTakesUpUnknownStreamOfSingleVersion(t *testing.T) {
+	s := newVersionedCluster(t, 2, 2, "v1")
+	got := s.resume(1, openStream{attempt: freshID(), body: "id: 1\ndata: token 1 of v1\n\n"})
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, strings.Count(got.body, "\n\n"), 11)
+}
+
+// Guards against a stream that waits, or goes on elsewhere, though no endpoint of its
+// version is left.
+func TestRelayRefusesStreamWhoseVersionHasGone(t *testing.T) {
+	s := newVersionedCluster(t, 2, 1, "v1", "v1.1")
+	var old openStream
+	for old.attempt == "" || versionsIn(old.body)[0] != "v1" {
+		old = s.begin(0, 2)
+	}
+	s.store.Delete(s.replicas[0].Key())
+	s.kill[0]()
+	s.awaitEndpoints(1, 1)
+	old.cancel()
+	start := time.Now()
+	got := s.resume(1, old)
+	assert.Equal(t, got.status, 503)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Assert(t, time.Since(start) < 500*time.Millisecond, "%v", time.Since(start))
+}
+
+// Guards against an endpoint that has started again under its id at another version and
+// is taken for the one that began the stream.
+func TestRelayDoesNotTakeRestartedEndpointForItsOldVersion(t *testing.T) {
+	s := newVersionedCluster(t, 2, 1, "v1", "v1.1")
+	var old openStream
+	for old.attempt == "" || versionsIn(old.body)[0] != "v1" {
+		old = s.begin(0, 2)
+	}
+	s.kill[0]()
+	time.Sleep(5 * time.Millisecond) // the start times of both lifetimes must differ
+	s.addReplica(replica.Options{ID: "m-v1-0", Service: "model", Zone: "a", Version: "v2", Delay: versionedEventDelay, Events: 12, Slots: 32})
+	time.Sleep(100 * time.Millisecond)
+	old.cancel()
+	got := s.resume(1, old)
+	assert.Equal(t, got.status, 503, got.body)
+}
