A router goes on with a stream only at the version that began it

What callers saw: streams whose events were written by two versions of the pool's software. Cause: when an endpoint breaks off, the router goes on at another one of the pool, and nothing asked for its version. Now the version of the endpoint that brought the first event narrows the candidates of further attempts, through owners, queues, pauses and the look before the first byte; where none of that version is known it is refused as version-gone. An endpoint that broke off such a stream and is alive is asked again if no other is left. A grant for an endpoint that has started again since is given back.

--- a/coordination/placement/candidates.go
+++ b/coordination/placement/candidates.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
@@ -27,6 +28,13 @@
 	weights   []float64
 	uniform   bool // all weights are equal
 	hints     map[Hint]int
+	versions  func() map[coordination.SoftwareVersion]*pool // the endpoints by version; computed on first use
+}
+
+func newPool() *pool {
+	p := &pool{uniform: true, hints: make(map[Hint]int)}
+	p.versions = sync.OnceValue(p.splitByVersion)
+	return p
 }
 
 // NewSet returns a snapshot of endpoints. [Set.Find] returns leaving and evacuated
@@ -57,9 +65,13 @@
 	}
 	p := s.pools[d.Pool]
 	if p == nil {
-		p = &pool{uniform: true, hints: make(map[Hint]int)}
+		p = newPool()
 		s.pools[d.Pool] = p
 	}
+	p.add(d)
+}
+
+func (p *pool) add(d *Descriptor) {
 	w := d.weight()
 	if len(p.weights) > 0 && p.weights[0] != w {
 		p.uniform = false
@@ -72,6 +84,17 @@
 	p.weights = append(p.weights, w)
 }
 
+func (p *pool) splitByVersion() map[coordination.SoftwareVersion]*pool {
+	all := make(map[coordination.SoftwareVersion]*pool)
+	for _, d := range p.endpoints {
+		if all[d.Version] == nil {
+			all[d.Version] = newPool()
+		}
+		all[d.Version].add(d)
+	}
+	return all
+}
+
 // Find returns the descriptor of an endpoint, or nil.
 func (s *Set) Find(id coordination.Endpoint) *Descriptor {
 	return s.byID[id]
@@ -85,6 +108,24 @@
 	return 0
 }
 
+// LenOfVersion returns the number of candidate endpoints of a pool whose software has a
+// version.
+func (s *Set) LenOfVersion(name coordination.Pool, v coordination.SoftwareVersion) int {
+	if p := s.ofVersion(name, v); p != nil {
+		return len(p.endpoints)
+	}
+	return 0
+}
+
+// ofVersion returns the candidates of a pool whose software has a version, or nil.
+func (s *Set) ofVersion(name coordination.Pool, v coordination.SoftwareVersion) *pool {
+	p := s.pools[name]
+	if p == nil {
+		return nil
+	}
+	return p.versions()[v]
+}
+
 // Pools returns the names of the pools that have candidates, sorted.
 func (s *Set) Pools() []coordination.Pool {
 	names := lo.Keys(s.pools)
@@ -132,7 +173,15 @@
 // the others by weighted rendezvous hashing. An unknown, stale or forged hint can
 // only reorder them; the owner decides what an endpoint may take.
 func (s *Set) Candidates(dst []*Descriptor, name coordination.Pool, key Key, hint Hint, limit int) []*Descriptor {
-	p := s.pools[name]
+	return s.pools[name].candidates(dst, key, hint, limit)
+}
+
+// CandidatesOfVersion is like Candidates for the endpoints whose software has a version.
+func (s *Set) CandidatesOfVersion(dst []*Descriptor, name coordination.Pool, v coordination.SoftwareVersion, key Key, hint Hint, limit int) []*Descriptor {
+	return s.ofVersion(name, v).candidates(dst, key, hint, limit)
+}
+
+func (p *pool) candidates(dst []*Descriptor, key Key, hint Hint, limit int) []*Descriptor {
 	if p == nil || limit <= 0 {
 		return dst
 	}
--- a/coordination/placement/messages.go
+++ b/coordination/placement/messages.go
@@ -144,6 +144,7 @@
 	Cold                   // the endpoint is cold and takes requests at a low rate
 	ZoneNotAllowed         // the request may not run in the zone of any endpoint of its pool
 	TooManyRounds          // the request has asked all candidates too many times
+	VersionGone            // no endpoint has the version of the software that began the stream
 )
 
 var codeNames = [...]string{
@@ -152,6 +153,7 @@
 	Settling: "settling", Cancelled: "cancelled", Unreachable: "unreachable", EndpointLost: "endpoint-lost",
 	NoKnownEndpoint: "no-endpoint-known", Outlier: "outlier", EndpointEvacuated: "evacuated", Cold: "cold",
 	ZoneNotAllowed: "zone-not-allowed", TooManyRounds: "too-many-rounds",
+	VersionGone: "version-gone",
 }
 
 // String returns the name of c used in logs, metrics and responses.
--- a/coordination/placement/walk.go
+++ b/coordination/placement/walk.go
@@ -39,6 +39,11 @@
 	// Avoid lists endpoints that have already failed this request.
 	Avoid []coordination.Endpoint
 
+	// Continues marks a request that goes on with a stream. Only endpoints whose
+	// software has Version may run it.
+	Continues bool
+	Version   coordination.SoftwareVersion
+
 	// Allowed reports whether the request may run in an availability zone. Nil
 	// allows all zones.
 	Allowed func(coordination.Zone) bool
@@ -125,13 +130,34 @@
 // newWalk returns a walk for req that starts at now.
 func newWalk(now time.Time, req Request, cfg *Config, set *Set, routers *Routers) *walk {
 	w := &walk{req: req, cfg: cfg, set: set, routers: routers, started: now, at: -1, redirectedAt: -1}
-	w.warm = set.Warm(req.Pool, req.Hint)
+	w.warm = w.warmEndpoint()
 	w.list = w.candidates(w.buf[:0], cfg.Candidates)
 	return w
 }
 
+// warmEndpoint returns the endpoint that the hint names, or nil if the request may
+// not run there.
+func (w *walk) warmEndpoint() *Descriptor {
+	d := w.set.Warm(w.req.Pool, w.req.Hint)
+	if d == nil || w.req.Continues && d.Version != w.req.Version {
+		return nil
+	}
+	return d
+}
+
+// size returns the number of endpoints that may take the request.
+func (w *walk) size() int {
+	if w.req.Continues {
+		return w.set.LenOfVersion(w.req.Pool, w.req.Version)
+	}
+	return w.set.Len(w.req.Pool)
+}
+
 // candidates appends to dst up to limit endpoints in the order to try them.
 func (w *walk) candidates(dst []*Descriptor, limit int) []*Descriptor {
+	if w.req.Continues {
+		return w.set.CandidatesOfVersion(dst, w.req.Pool, w.req.Version, w.req.Key, w.req.Hint, limit)
+	}
 	if w.req.SubsetSize > 0 {
 		return w.set.Subset(dst, w.req.Pool, w.req.SubsetKey, w.req.Key, w.req.SubsetSize, limit)
 	}
@@ -259,7 +285,7 @@
 	if w.latest != nil {
 		v := w.latest()
 		w.set, w.routers = v.set, v.routers
-		w.warm = w.set.Warm(w.req.Pool, w.req.Hint)
+		w.warm = w.warmEndpoint()
 		w.list = w.candidates(w.list[:0], w.cfg.Candidates)
 	}
 	w.redirectedAt = -1
@@ -317,7 +343,7 @@
 
 // tooManyOutliers reports whether more outliers were skipped than the pool can spare.
 func (w *walk) tooManyOutliers() bool {
-	return !w.allowOutliers && w.outliers > maxOutliers(w.set.Len(w.req.Pool))
+	return !w.allowOutliers && w.outliers > maxOutliers(w.size())
 }
 
 // skipOutlier counts the current candidate as skipped for its failures.
@@ -335,7 +361,7 @@
 // if a dozen endpoints are over the bound, then the mean lags behind a rising load,
 // and the others are over it too.
 func (w *walk) extend() bool {
-	n := w.set.Len(w.req.Pool)
+	n := w.size()
 	if w.overBound {
 		n = min(n, w.cfg.Candidates*extendFactor*(w.rounds+1))
 	}
@@ -428,6 +454,8 @@
 		code = EndpointEvacuated
 	case w.set.Len(w.req.Pool) == 0:
 		code = NoKnownEndpoint
+	case w.size() == 0:
+		code = VersionGone
 	case w.disallowed && !w.asked:
 		code = ZoneNotAllowed
 	case w.unowned:
--- a/wisteriarouter/daemon/pauses.go
+++ b/wisteriarouter/daemon/pauses.go
@@ -73,7 +73,8 @@
 // pauseTargets returns the endpoints that could take a request but for their load.
 func (p *placer) pauseTargets(req *placement.Request) []pause.Target {
 	return lo.FilterMap(p.directory.Pool(req.Pool), func(k endpoint.Info, _ int) (pause.Target, bool) {
-		usable := !k.Leaving() && !p.zones.Evacuated(k.Zone) && (req.Allowed == nil || req.Allowed(k.Zone))
+		usable := !k.Leaving() && !p.zones.Evacuated(k.Zone) && (req.Allowed == nil || req.Allowed(k.Zone)) &&
+			(!req.Continues || k.Version == req.Version)
 		return pause.Target{Endpoint: k.ID, Incarnation: k.Incarnation}, usable
 	})
 }
--- a/wisteriarouter/daemon/placer.go
+++ b/wisteriarouter/daemon/placer.go
@@ -349,7 +349,8 @@
 			final.RetryAfter = max(final.RetryAfter, p.pauseLeft(time.Now(), &req))
 			return nil, endpoint.Info{}, final
 		}
-		if k, ok := p.directory.Find(g.Endpoint.ID); ok && !p.zones.Evacuated(k.Zone) && p.mayStart(k.ID, g.Endpoint.Incarnation) {
+		if k, ok := p.directory.Find(g.Endpoint.ID); ok && !p.zones.Evacuated(k.Zone) && p.mayStart(k.ID, g.Endpoint.Incarnation) &&
+			(!req.Continues || k.Version == req.Version && k.Incarnation == g.Endpoint.Incarnation) {
 			return g, k, nil
 		}
 		g.Release()
--- a/wisteriarouter/daemon/relay_placer.go
+++ b/wisteriarouter/daemon/relay_placer.go
@@ -163,6 +163,8 @@
 		Avoid:        r.Exclude,
 		NonRetryable: r.NonRetryable,
 		NoWait:       r.NoWait,
+		Continues:    r.Continues,
+		Version:      r.Version,
 		Target:       r.FirstByteTarget,
 		Waited:       time.Since(r.Arrived),
 	}
@@ -199,7 +201,9 @@
 
 // MaySend implements relay.Placer.
 func (p *relayPlacer) MaySend(id coordination.Endpoint, n coordination.Incarnation, via coordination.Instance) bool {
-	return p.Serving(id, n) && p.pauses.Left(time.Now(), pause.Target{Endpoint: id, Incarnation: n, Via: via}) == 0
+	// An endpoint that has started again may have another version of its software.
+	k, ok := p.directory.Find(id)
+	return ok && k.Incarnation == n && p.Serving(id, n) && p.pauses.Left(time.Now(), pause.Target{Endpoint: id, Incarnation: n, Via: via}) == 0
 }
 
 // PauseLeft implements relay.Placer.
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -258,10 +258,10 @@
 	}
 	place, refusal := x.server.Placer.Place(ctx, x.placementRequest())
 	x.server.Metrics.placed(x.pool, time.Since(asked))
-	if refusal != nil && ctx.Err() == nil && x.failure != nil && len(x.exclude) > 0 {
+	if refusal != nil && ctx.Err() == nil && (x.failure != nil || x.stream.began && x.liveness != dead) && len(x.exclude) > 0 {
 		// No other endpoint is available. An endpoint that returned a failure may
 		// succeed on a retry: 14 in 100 responses of a plain service are
-		// transient failures.
+		// transient failures. One that broke off a stream is better than none.
 		x.exclude = nil
 		place, refusal = x.server.Placer.Place(ctx, x.placementRequest())
 	}
@@ -289,6 +289,8 @@
 		Exclude:         slices.Clip(x.exclude),
 		PrefixCached:    x.route.Sticky,
 		Isolated:        x.isSuspect(),
+		Continues:       x.stream.began,
+		Version:         x.stream.version,
 		Residency:       x.regions,
 		Kind:            x.route.Name,
 		NonRetryable:    !x.policy().mayRetry(broken, x.sends+1, len(x.exclude)+1),
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -31,6 +31,10 @@
 	PrefixCached    bool   // endpoints cache the shared prefix of the request
 	Isolated        bool   // the request is suspected of crashing endpoints
 	Kind            string // requests of one kind have similar latency and failure rates
+	// Continues reports that the attempt goes on with a stream that Version of the
+	// software began. What two versions write does not fit together.
+	Continues bool
+	Version   coordination.SoftwareVersion
 	// Residency says in which regions the request may run.
 	Residency route.Residency
 	// NonRetryable reports that a failure of this attempt cannot be retried.
@@ -100,7 +104,8 @@
 	// more than n requests within a second.
 	LimitRejections(pool coordination.Pool, n int)
 	// MaySend reports whether a request may be sent to an endpoint now, through
-	// another router if via is not empty: whether it is serving and does not pause.
+	// another router if via is not empty: whether this incarnation is serving and does
+	// not pause.
 	MaySend(e coordination.Endpoint, n coordination.Incarnation, via coordination.Instance) bool
 	// PauseLeft returns when a request may return because all endpoints that could
 	// take it pause, or zero if one does not.
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"wisteriaspool/coordination"
 	"wisteriaspool/platform"
 	"wisteriaspool/wisteriarouter/upstream"
 )
@@ -15,6 +16,10 @@
 // stream is the progress of a response, as far as the caller has received it.
 type stream struct {
 	headSent bool // the headers of a response were sent to the caller
+	// began reports that the caller has an event of the stream, from an endpoint whose
+	// software has version.
+	began   bool
+	version coordination.SoftwareVersion
 	// unrepeatable reports that the caller has part of a response that is not an
 	// event stream, and that another endpoint therefore cannot continue.
 	unrepeatable bool
@@ -32,6 +37,13 @@
 	return s.firstEventAt.Sub(arrived).Milliseconds()
 }
 
+// recordOrigin records at which version of the software the stream began.
+func (x *exchange) recordOrigin() {
+	if !x.stream.began {
+		x.stream.began, x.stream.version = true, x.watch.placement.Version
+	}
+}
+
 // recordEvents records the arrival of complete events.
 func (s *stream) recordEvents(now time.Time, events []byte) {
 	if s.firstEventAt.IsZero() {
@@ -80,6 +92,7 @@
 			resumed = false
 			now := time.Now()
 			x.watch.recordFirstByte(now)
+			x.recordOrigin()
 			x.stream.recordEvents(now, events)
 			if _, werr := x.w.Write(events); werr != nil {
 				return cut
