A stream that its caller takes up goes on only at the version that began it

What callers saw: streams whose events were written by two versions of the pool's software. Cause: nothing knew at which version a stream began once its router's response had broken off; a caller who took it up was placed at any endpoint. Now the router that forwards the first event tells two others, in different availability zones, that follow from the id of the caller's attempt (package origin); any router asks them, and those that are asked next in the order. Who has keepers that go, or stops, tells others. If nobody knows, the request is refused at once, 503 after 0.1 s, unless all endpoints have had one version for a minute; that a pool was mixed is noted in the platform's store, so that it is known after all routers have been killed. A router that has just started asks for up to half a second, until it has met the others.

--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -28,6 +28,8 @@
 	do.Provide(i, newEntryTracker)
 	do.Provide(i, newRelayBasePlacer)
 	do.Provide(i, newConvictions)
+	do.Provide(i, newVersionHistory)
+	do.Provide(i, newOrigins)
 	do.Provide(i, newDesiredState)
 	do.Provide(i, newRelayPlacer)
 	do.Provide(i, newPoolRetries)
@@ -59,6 +61,7 @@
 		Placer:          do.MustInvoke[*relayPlacer](i),
 		Sender:          do.MustInvoke[*upstream.Client](i),
 		Retries:         do.MustInvoke[*poolRetries](i),
+		Origins:         do.MustInvoke[*origins](i),
 		Suspects:        relaySuspectTracker{do.MustInvoke[*crashSuspicion](i)},
 		Log:             logOf(i),
 		Metrics:         relay.NewMetrics(do.MustInvoke[*prometheus.Registry](i)),
@@ -124,6 +127,7 @@
 	s.callers = newServer(bound.callers, do.MustInvoke[*relay.Server](i), cfg, s.fail)
 	stateOf(i).inFlight = s.callers.Active
 	onStop(i, s.close)
+	onStop(i, do.MustInvoke[*origins](i).handOver)
 	for _, each := range s.all() {
 		go each.run()
 	}
--- a/wisteriarouter/daemon/relay_desired.go
+++ b/wisteriarouter/daemon/relay_desired.go
@@ -42,6 +42,7 @@
 	// that wait for it would otherwise find their pools empty, or crash endpoints.
 	do.MustInvoke[*endpoint.EntryTracker](i)
 	do.MustInvoke[*convictions](i)
+	do.MustInvoke[*versionHistory](i)
 	m.Observe(d.applyChanges)
 	m.Observe(newBehindMetric(do.MustInvoke[*prometheus.Registry](i)))
 	startFeed(i, m, d.callLog)
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -69,6 +69,7 @@
 	ZoneEvacuated       = Kind{517, "zone-evacuated", logrus.WarnLevel, "An operator evacuated an availability zone: its endpoints get no new requests from this router. Those that run there go on."}
 	ZoneRestored        = Kind{518, "zone-restored", logrus.InfoLevel, "The evacuation of an availability zone has ended. Its endpoints get requests again, at the rate that cold ones tolerate."}
 	EndpointOutlier     = Kind{516, "endpoint-outlier", logrus.WarnLevel, "Based on the results of requests, the routers of an availability zone stopped or resumed sending requests to an endpoint that this router counts; gives the sum of the evidence and the pause before the endpoint is probed. Check the endpoint: its own health check may still pass."}
+	MixedVersions       = Kind{523, "mixed-versions", logrus.InfoLevel, "Endpoints of a pool have several versions of their software; this was written to the platform's store, so that routers which start later know that streams may have begun at any of them. The status is conflict if another router had written it. Gives the error if it could not be written; the router tries again."}
 	EndpointDetour      = Kind{519, "endpoint-detour", logrus.WarnLevel, "This router cannot connect to an endpoint, or not as fast as another router that has connected for it; requests go through other routers for some seconds. If this names many endpoints, check the links of this router."}
 )
 
@@ -100,17 +101,23 @@
 	RelayCrash       = Kind{808, "relay-crash", logrus.WarnLevel, "An endpoint ended while it ran a request; gives the fingerprint of the request, whether the request is tracked as a suspect, and whether the endpoint was cold. If one fingerprint is on several endpoints that ended, its caller's requests crash them."}
 )
 
+// Events of streams that callers take up.
+var (
+	RelayTakenUp  = Kind{809, "relay-taken-up", logrus.InfoLevel, "A caller asks for the rest of a stream; gives the attempt that brought its first event, at which version of the software it began, which router knew that, and how many did not reply. With any-version, all endpoints of the pool have had one version for long enough. If it is not known, the request is refused: see 802."}
+	OriginNotKept = Kind{411, "origin-not-kept", logrus.InfoLevel, "A router could not be told at which version streams began; another one is told in its place. If this continues, see whether that router is overloaded or cut off."}
+)
+
 // Catalogue returns every kind of event, ordered by number.
 func Catalogue() []Kind {
 	return []Kind{
 		Started, Ready, Stopping, Stopped, Failed, Reloaded, ReloadFailed, LinesDropped, RequestDropped,
 		SettingsApplied, SettingsInvalid, SettingsRejected, SettingsChanged, SettingsLate,
 		PlatformLost, PlatformBack, WatchOverdue,
-		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumorShed, PeerBusy, PeerAway, PeerBack, HintFailed, CatchUpFailed,
+		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumorShed, PeerBusy, PeerAway, PeerBack, HintFailed, CatchUpFailed, OriginNotKept,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
-		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour, ConvictionStored, RecordsMissed, ConvictionNotStored,
+		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour, ConvictionStored, RecordsMissed, ConvictionNotStored, MixedVersions,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
 		OrderGiven,
-		RelayAttempt, RelayAttemptLost, RelayRefused, RelayCut, RelayCallerGone, RelayBudgetSpent, RelayPlaced, RelayOverdue, RelayCrash,
+		RelayAttempt, RelayAttemptLost, RelayRefused, RelayCut, RelayCallerGone, RelayBudgetSpent, RelayPlaced, RelayOverdue, RelayCrash, RelayTakenUp,
 	}
 }
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -69,7 +69,7 @@
 		defer cancel()
 	}
 	x.server.Retries.RecordRequest(x.pool)
-	if !x.track(ctx) {
+	if !x.findOrigin(ctx) || !x.track(ctx) {
 		return
 	}
 	finished := false
--- /dev/null
+++ b/wisteriarouter/relay/origin.go
@@ -0,0 +1,89 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"wisteriaspool/coordination"
+	"wisteriaspool/platform"
+	"wisteriaspool/wisteriarouter/event"
+)
+
+// Origin is what is known of the beginning of a stream.
+type Origin struct {
+	// AnyVersion reports that the stream may go on at any endpoint of its pool: all have
+	// had one version of their software for as long as the stream can have lasted.
+	AnyVersion bool
+	Known      bool
+	Version    coordination.SoftwareVersion // at which the stream began, if that is known
+	From       coordination.Instance        // the router that knew it
+	Silent     int                          // routers that were asked and did not reply
+}
+
+// Origins knows at which version of the software streams began.
+type Origins interface {
+	// Record records the beginning of a stream that its caller may take up for some more
+	// time. a is the caller's attempt that brought the first event.
+	Record(a coordination.Attempt, p coordination.Pool, v coordination.SoftwareVersion, left time.Duration)
+	// Find returns what is known of a stream.
+	Find(ctx context.Context, a coordination.Attempt, p coordination.Pool) Origin
+}
+
+const (
+	// retryAfterUnknown is the Retry-After of a stream that no router knows: a router
+	// that is just starting to keep it has been told of it by then.
+	retryAfterUnknown = 100 * time.Millisecond
+	// takeUpSlack is how much longer than its caller waits a stream is remembered. A
+	// request that takes it up may have been delayed on its way.
+	takeUpSlack = time.Second
+)
+
+// findOrigin finds out at which version of the software the stream began whose rest the
+// request asks for, or refuses the request. What two versions write does not fit together.
+func (x *exchange) findOrigin(ctx context.Context) bool {
+	if x.server.Origins == nil || !platform.Resumes(x.r.Header) {
+		return true
+	}
+	asked := time.Now()
+	o := x.server.Origins.Find(ctx, x.metadata.Resumes, x.pool)
+	x.emit(event.RelayTakenUp,
+		event.F("resumes", x.metadata.Resumes),
+		event.F("after-event", x.resumesAfter()),
+		event.F("any-version", o.AnyVersion),
+		event.F("known", o.Known),
+		event.F("software-version", o.Version),
+		event.F("from", o.From),
+		event.F("silent", o.Silent),
+		event.F("find-ms", time.Since(asked).Milliseconds()),
+	)
+	switch {
+	case o.AnyVersion:
+		return true
+	case o.Known:
+		x.stream.began, x.stream.version = true, o.Version
+		return true
+	}
+	x.refuse(http.StatusServiceUnavailable, "no router knows at which version of the software the stream began", retryAfterUnknown)
+	return false
+}
+
+// recordOrigin records at which version of the software the stream began, when its first
+// event is about to be sent, and again when the first event after it was taken up is.
+func (x *exchange) recordOrigin() {
+	if x.stream.recorded {
+		return
+	}
+	if !x.stream.began {
+		x.stream.began, x.stream.version = true, x.watch.placement.Version
+	}
+	x.stream.recorded = true
+	if x.server.Origins == nil || !x.route.Idempotent() {
+		return
+	}
+	first := x.metadata.Resumes
+	if first == "" || !platform.Resumes(x.r.Header) {
+		first = x.metadata.Attempt
+	}
+	x.server.Origins.Record(first, x.pool, x.stream.version, x.remaining()+takeUpSlack)
+}
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -152,6 +152,7 @@
 	Sender   Sender
 	Retries  RetryBudget
 	Suspects SuspectTracker // nil if requests are not tracked
+	Origins  Origins        // nil if endpoints have one version of their software
 	Log      event.Log
 	Metrics  *Metrics
 	// Stopping reports whether responses close their connections.
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -20,6 +20,8 @@
 	// software has version.
 	began   bool
 	version coordination.SoftwareVersion
+	// recorded reports that other routers can learn of version.
+	recorded bool
 	// unrepeatable reports that the caller has part of a response that is not an
 	// event stream, and that another endpoint therefore cannot continue.
 	unrepeatable bool
@@ -37,13 +39,6 @@
 	return s.firstEventAt.Sub(arrived).Milliseconds()
 }
 
-// recordOrigin records at which version of the software the stream began.
-func (x *exchange) recordOrigin() {
-	if !x.stream.began {
-		x.stream.began, x.stream.version = true, x.watch.placement.Version
-	}
-}
-
 // recordEvents records the arrival of complete events.
 func (s *stream) recordEvents(now time.Time, events []byte) {
 	if s.firstEventAt.IsZero() {
