--- a/standin/hub/hub.go
+++ b/standin/hub/hub.go
@@ -43,6 +43,7 @@
 	compacted int64  // history up to this revision has been discarded
 	changed   chan struct{}
 	faults    Faults
+	lose      int // so many of the next replies to watches are lost
 	calls     int
 	lastLease int64
 	leases    map[int64][]string // keys of each lease
@@ -115,6 +116,25 @@
 	s.wakeWatchesLocked()
 }
 
+// LoseWatchReplies makes the store lose the next n replies that report changes to a watch:
+// the call gets no response, and its connection stays open.
+func (s *Store) LoseWatchReplies(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = n
+}
+
+// losesReply reports whether a reply is lost.
+func (s *Store) losesReply() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lose == 0 {
+		return false
+	}
+	s.lose--
+	return true
+}
+
 // Calls returns the number of calls received.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -192,6 +212,9 @@
 		case status == storeUnavailable:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
+		case len(events) > 0 && s.losesReply():
+			<-r.Context().Done()
+			return
 		case len(events) > 0:
 			writeJSON(w, watchResponse{Events: events, AsOf: asOf})
 			return
