Soak releases versions of a service's software; a restarted fleet remembers mixed pools

A service whose endpoints have several versions is released again and again, also back again, beside endpoints that crash or start again under their id at another version, routers that are killed, stopped and started, and replies to watches that are lost; callers take streams up by the attempt that brought their first event. Checked: no stream holds events of two versions or lacks one, and of those taken up at routers in touch, while two endpoints of their version serve, half as large a share goes on as of new ones that begin.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -142,6 +142,9 @@
 // Address returns the host and port on which the replica listens.
 func (r *Replica) Address() string { return r.listener.Addr().String() }
 
+// Version returns the version of the replica's software; empty if it marks no events.
+func (r *Replica) Version() string { return r.opts.Version }
+
 // Key returns the key of the replica's store entry.
 func (r *Replica) Key() string { return "servers/" + r.opts.ID }
 
--- a/standin/soak.go
+++ b/standin/soak.go
@@ -30,7 +30,8 @@
 
 func (*soakCommand) Usage() string {
 	return `standin soak -binary FILE [-seed N] [-for 20s] [-routers 4] [-dir DIR]
-             [-skip 3,7] [-zones] [-responses] [-crashes] [-failures] [-regressions]
+             [-skip 3,7] [-zones] [-responses] [-crashes] [-failures] [-versions]
+             [-regressions]
 
 Starts routers as processes on loopback, with a store and endpoints of its own
 and a proxy on each link, and prints each fault and what it broke. With a seed
@@ -52,6 +53,7 @@
 	f.BoolVar(&c.opts.Responses, "responses", false, "serve undelimited responses, break responses off as if they were complete, leave unheard and ask for pauses, too; the other faults of the seed stay the same")
 	f.BoolVar(&c.opts.Crashes, "crashes", false, "repeat requests that crash the endpoints that run them, too; the other faults of the seed stay the same")
 	f.BoolVar(&c.opts.Failures, "failures", false, "make all endpoints of a service fail and kill all routers meanwhile, too; the other faults of the seed stay the same")
+	f.BoolVar(&c.opts.Versions, "versions", false, "release versions of a service's software and lose replies to watches, too; the other faults of the seed stay the same")
 	f.BoolVar(&c.regressions, "regressions", false, "play the seeds that have failed once, and no other")
 	f.IntVar(&c.opts.Callers, "callers", 8, "how many callers")
 	f.StringVar(&c.opts.Dir, "dir", "", "`directory` for settings and logs; a new one by default, removed if nothing broke")
--- a/standin/soak/load.go
+++ b/standin/soak/load.go
@@ -35,7 +35,7 @@
 
 // repeatable reports whether the request may run more than once.
 func (o outcome) repeatable() bool {
-	return o.path == "/safe/" || o.path == "/resumable/" || o.path == "/long/"
+	return o.path == "/safe/" || o.path == "/resumable/" || o.path == "/long/" || o.path == releasePath
 }
 
 // notRun reports whether the response promises that the request did not run.
@@ -51,6 +51,8 @@
 	wg     sync.WaitGroup
 	lastID atomic.Int64
 	ready  atomic.Pointer[[]*router] // routers that the load balancer selects from
+	// releases counts the streams of endpoints of several versions.
+	releases releaseTally
 
 	mu  sync.Mutex
 	all []outcome
@@ -73,6 +75,11 @@
 	for n := range slowCallers {
 		l.wg.Go((&slowCaller{load: l, rng: rand.New(rand.NewPCG(l.soak.opts.Seed, uint64(50+n)))}).run)
 	}
+	if l.soak.opts.Versions {
+		for n := range releaseCallers {
+			l.wg.Go((&resumingCaller{load: l, rng: rand.New(rand.NewPCG(l.soak.opts.Seed, uint64(200+n))), tally: &l.releases}).run)
+		}
+	}
 	for _, r := range l.soak.routers {
 		l.wg.Go((&prober{load: l, router: r}).run)
 	}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -39,6 +39,9 @@
 	Crashes bool
 	// Failures makes all endpoints of a service fail and kills all routers meanwhile, too.
 	Failures bool
+	// Versions adds a service whose endpoints have several versions of their software,
+	// releases them one after the other and loses replies to watches meanwhile, too.
+	Versions bool
 	Out      io.Writer // receives a line for each fault; nil means none
 }
 
@@ -135,10 +138,16 @@
 	if o.Failures {
 		further.Go(func() { s.failServices(time.Now().Add(o.FaultDuration)) })
 	}
+	if o.Versions {
+		further.Go(func() { s.rollVersions(time.Now().Add(o.FaultDuration)) })
+	}
 	s.injectFaults()
 	further.Wait()
 	s.checkRecovery()
 	s.load.stop()
+	if o.Versions {
+		s.load.releases.report(s)
+	}
 	s.check()
 	return Result{Requests: s.load.count(), Served: s.load.countServed(), Faults: s.faults, Crashes: s.crashes(), Violations: s.violations}, nil
 }
@@ -169,6 +178,11 @@
 			return err
 		}
 	}
+	if s.opts.Versions {
+		if err := s.startVersions(); err != nil {
+			return err
+		}
+	}
 	s.putState()
 	if err := s.claimPorts(); err != nil {
 		return err
@@ -212,6 +226,11 @@
 
 // addEndpoint starts an endpoint and registers it under the address of its proxy.
 func (s *soak) addEndpoint(service string) (*endpoint, error) {
+	return s.addEndpointWith(service, func(*replica.Options) {})
+}
+
+// addEndpointWith is addEndpoint for an endpoint whose options change is called with.
+func (s *soak) addEndpointWith(service string, change func(*replica.Options)) (*endpoint, error) {
 	s.mu.Lock()
 	s.nextID++
 	n := s.nextID
@@ -226,6 +245,7 @@
 	if s.opts.Crashes && service != "long" {
 		o.CrashMark, o.OnCrash = crashMark, crash.run
 	}
+	change(&o)
 	r, kill, err := replica.Start(s.store, o)
 	if err != nil {
 		return nil, err
@@ -234,7 +254,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &endpoint{Replica: r, id: id, service: service, zone: o.Zone, proxy: p, kill: kill, stopProxy: stop, added: time.Now()}
+	e := &endpoint{Replica: r, id: o.ID, service: service, zone: o.Zone, proxy: p, kill: kill, stopProxy: stop, added: time.Now()}
 	crash.endpoint = e
 	r.RegisterAt(p.Address())
 	s.mu.Lock()
@@ -269,11 +289,13 @@
 			route("/stream/", "stream", "model", 1, false),
 			route("/resumable/", "stream", "model", 2, true),
 			route("/long/", "stream", "long", 2, true),
+			route(releasePath, "stream", releaseService, 2, true),
 		},
 		"backends": []any{
 			map[string]any{"name": "desk", "maxConns": 200},
 			map[string]any{"name": coldService, "maxConns": 200, "runtime": map[string]any{"slots": 8}, "coldPerS": coldRate, "coldStartS": coldTime.Seconds()},
 			map[string]any{"name": "long", "maxConns": 200, "runtime": map[string]any{"slots": 8}},
+			map[string]any{"name": releaseService, "maxConns": 200, "runtime": map[string]any{"slots": 32}},
 		},
 		"tenants": []any{map[string]any{"name": clientAccount, "apiKeys": keys}},
 		"limits":  map[string]any{"maxBodyBytes": 1 << 20},
--- /dev/null
+++ b/standin/soak/versions.go
@@ -0,0 +1,306 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"wisteriaspool/standin/replica"
+)
+
+const (
+	// releaseService is the service whose endpoints have several versions of their
+	// software, and which only serves streams.
+	releaseService = "release"
+	releasePath    = "/release/"
+	// endpointsPerVersion is the number of endpoints of each version.
+	endpointsPerVersion = 2
+	// releaseEvents is the number of events of a stream, which takes 1.2 s.
+	releaseEvents = 80
+	// releaseTries is how often a caller takes up a stream.
+	releaseTries = 4
+	// releaseCallers is the number of callers of the service.
+	releaseCallers = 12
+	// minTakenUp is the number of streams from which on the share of those that go on
+	// counts.
+	minTakenUp = 12
+)
+
+// startVersions adds the first endpoints of the service.
+func (s *soak) startVersions() error {
+	for v := range 3 {
+		if err := s.addVersion(v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addVersion adds endpoints of a version.
+func (s *soak) addVersion(v int) error {
+	for range endpointsPerVersion {
+		if _, err := s.addEndpointWith(releaseService, func(o *replica.Options) {
+			o.Version, o.Events, o.Slots = fmt.Sprint("v", v), releaseEvents, 32
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// rollVersions releases versions of the service one after the other, also the ones before
+// again, beside crashes and restarts of endpoints, routers that are killed, stopped and
+// started, and replies of the store's watches that are lost. It has its own random number
+// generator, so that the other faults of a seed are the same without it.
+func (s *soak) rollVersions(end time.Time) {
+	rng := rand.New(rand.NewPCG(s.opts.Seed, 1<<36))
+	for next := 3; time.Now().Before(end); {
+		switch rng.IntN(6) {
+		case 0:
+			s.logf("version %d is released", next%4)
+			if err := s.addVersion(next % 4); err != nil {
+				s.reportViolation("no new endpoint: %v", err)
+			}
+			next++
+			s.drainOldest(releaseService, endpointsPerVersion)
+		case 1:
+			s.restartAtVersion(s.chooseEndpoint(rng, releaseService), fmt.Sprint("v", rng.IntN(4)))
+		case 2:
+			s.crashVersioned(s.chooseEndpoint(rng, releaseService))
+		case 3:
+			s.logf("three replies to watches are lost")
+			s.markStoreFault()
+			s.store.LoseWatchReplies(3)
+		case 4:
+			s.killRouters(rng, 1)
+		case 5:
+			e := s.chooseEndpoint(rng, releaseService)
+			e.SetFaults(replica.Faults{CutAfter: 1 + rng.IntN(40), Times: 1})
+		}
+		time.Sleep(time.Duration(200+rng.IntN(900)) * time.Millisecond)
+	}
+}
+
+// drainOldest drains the oldest endpoints of a service.
+func (s *soak) drainOldest(service string, n int) {
+	up := s.upEndpoints([]string{service})
+	for _, e := range up[:max(min(n, len(up)-2*endpointsPerVersion), 0)] {
+		s.mu.Lock()
+		e.drained = time.Now()
+		s.mu.Unlock()
+		e.Drain()
+		s.after(drainTime, func() { s.store.Delete(e.Key()) })
+		s.after(2*drainTime, e.kill)
+	}
+}
+
+// restartAtVersion replaces an endpoint by a new process of the same id at another version
+// of its software.
+func (s *soak) restartAtVersion(e *endpoint, version string) {
+	s.logf("endpoint %s starts again at version %s", e.id, version)
+	s.endVersioned(e)
+	_, err := s.addEndpointWith(releaseService, func(o *replica.Options) {
+		o.ID, o.Version, o.Events, o.Slots = e.id, version, releaseEvents, 32
+	})
+	if err != nil {
+		s.reportViolation("no new endpoint: %v", err)
+	}
+}
+
+// crashVersioned kills an endpoint, and starts another one of its version.
+func (s *soak) crashVersioned(e *endpoint) {
+	s.logf("endpoint %s crashes", e.id)
+	s.endVersioned(e)
+	s.after(entryExpiry, func() { s.store.Delete(e.Key()) })
+	version := e.Version()
+	s.after(entryExpiry, func() {
+		if _, err := s.addEndpointWith(releaseService, func(o *replica.Options) {
+			o.Version, o.Events, o.Slots = version, releaseEvents, 32
+		}); err != nil {
+			s.reportViolation("no new endpoint: %v", err)
+		}
+	})
+}
+
+func (s *soak) endVersioned(e *endpoint) {
+	s.mu.Lock()
+	e.crashed = time.Now()
+	s.mu.Unlock()
+	e.kill()
+	e.stopProxy()
+}
+
+// resumingCaller requests streams, and takes up those that break off at other routers.
+type resumingCaller struct {
+	load  *load
+	rng   *rand.Rand
+	tally *releaseTally
+}
+
+// releaseTally counts streams of the service whose endpoints have several versions.
+type releaseTally struct {
+	mu           sync.Mutex
+	begun, whole int // streams that were asked for and those that were complete at once
+	// takenUp counts requests that took a stream up at a router in touch while enough
+	// endpoints of its version served, goOn and refused those of them that got an event
+	// and those that got 503.
+	takenUp, goOn, refused int
+	joined, broken         []string
+}
+
+// versionMark matches the version that wrote an event.
+var versionMark = regexp.MustCompile(`data: token (\d+) of (\w+)`)
+
+func (c *resumingCaller) run() {
+	for c.load.ctx.Err() == nil {
+		c.stream()
+		time.Sleep(time.Duration(c.rng.Int64N(int64(2 * callerPause))))
+	}
+}
+
+// versionOf returns the version that wrote the first event of a stream.
+func versionOf(body string) string {
+	m := versionMark.FindStringSubmatch(body)
+	if m == nil {
+		return ""
+	}
+	return m[2]
+}
+
+// countVersion returns how many endpoints of a version serve.
+func (s *soak) countVersion(version string) (n int) {
+	for _, e := range s.upEndpoints([]string{releaseService}) {
+		if e.Version() == version {
+			n++
+		}
+	}
+	return n
+}
+
+// stream requests one stream and takes it up until it is complete or tries run out.
+func (c *resumingCaller) stream() {
+	var body, first string
+	for try := range releaseTries {
+		ready := *c.load.ready.Load()
+		r := ready[c.rng.IntN(len(ready))]
+		id := fmt.Sprintf("s%d", c.load.lastID.Add(1))
+		resumes := first != ""
+		counts := r.healthySince(time.Now().Add(-contactTime)) && c.load.soak.countVersion(versionOf(body)) >= endpointsPerVersion
+		got, status := c.request(r, id, first, strings.Count(body, "\n\n"))
+		if first == "" && got != "" {
+			first = id
+		}
+		body += got
+		c.load.record(outcome{id: id, path: releasePath, status: status})
+		c.count(resumes, counts, got, status, try)
+		c.check(first, body)
+		if strings.Count(body, "\n\n") >= releaseEvents || c.load.ctx.Err() != nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// request asks a router for a stream, or for its rest, and returns its complete events.
+func (c *resumingCaller) request(r *router, id, first string, after int) (events string, status int) {
+	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callerAddress+releasePath+id, strings.NewReader(requestBody))
+	if err != nil {
+		return "", 0
+	}
+	req.Host = "soak.example"
+	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(callerDeadline.Milliseconds(), 10))
+	req.Header.Set("Authorization", "Bearer steady")
+	req.Header.Set("X-Token-Usage", "100,10")
+	req.Header.Set("X-Prefix-Hash", "aa:50,"+id+":40,"+id+"x:10")
+	if first != "" {
+		req.Header.Set("Resumes", first)
+		req.Header.Set("Last-Event-Id", strconv.Itoa(after))
+	}
+	client := newClient()
+	defer client.CloseIdleConnections()
+	resp, err := client.Do(req)
+	if err != nil {
+		return "", 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return "", resp.StatusCode
+	}
+	return readEvents(resp.Body), resp.StatusCode
+}
+
+// readEvents reads the complete events of a stream, until it ends or breaks off.
+func readEvents(r io.Reader) string {
+	b, _ := io.ReadAll(r) // what arrived before an error counts
+	end := strings.LastIndex(string(b), "\n\n")
+	if end < 0 {
+		return ""
+	}
+	return string(b[:end+2])
+}
+
+func (c *resumingCaller) count(resumes, counts bool, got string, status, try int) {
+	t := c.tally
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case !resumes && try == 0:
+		t.begun++
+		if got != "" {
+			t.whole++
+		}
+	case resumes && counts:
+		t.takenUp++
+		if got != "" {
+			t.goOn++
+		}
+		if status == http.StatusServiceUnavailable {
+			t.refused++
+		}
+	}
+}
+
+// check looks at all events of a stream that a caller has, over its tries.
+func (c *resumingCaller) check(id, body string) {
+	t := c.tally
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	version := ""
+	for n, m := range versionMark.FindAllStringSubmatch(body, -1) {
+		if m[1] != strconv.Itoa(n+1) {
+			t.broken = append(t.broken, id)
+			return
+		}
+		if version != "" && m[2] != version {
+			t.joined = append(t.joined, id)
+			return
+		}
+		version = m[2]
+	}
+}
+
+// report reports the streams that violate a guarantee.
+func (t *releaseTally) report(s *soak) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.logf("streams of several versions: %d of %d began, %d of %d that were taken up at routers in touch went on, %d were refused", t.whole, t.begun, t.goOn, t.takenUp, t.refused)
+	for _, id := range t.joined {
+		s.reportViolation("stream %s holds events of two versions", id)
+	}
+	for _, id := range t.broken {
+		s.reportViolation("stream %s lacks an event or has one twice", id)
+	}
+	if t.takenUp >= minTakenUp && 2*t.goOn*t.begun < t.whole*t.takenUp {
+		s.reportViolation("%d of %d streams went on that were taken up at routers in touch, and %d of %d began", t.goOn, t.takenUp, t.whole, t.begun)
+	}
+}
--- a/wisteriarouter/daemon/relay_version_test.go
+++ b/wisteriarouter/daemon/relay_version_test.go
@@ -269,3 +269,24 @@
 	got := s.resume(1, old)
 	assert.Equal(t, got.status, 503, got.body)
 }
+
+// Guards against routers that have all restarted and take a pool whose endpoints had two
+// versions until now for one that has always had one.
+func TestRelayRestartedFleetRemembersMixedPool(t *testing.T) {
+	s := newVersionedCluster(t, 2, 1, "v1", "v1.1")
+	old := s.begin(0, 2)
+	time.Sleep(300 * time.Millisecond) // for the note in the store
+	old.cancel()
+	for _, stop := range s.stops {
+		stop()
+	}
+	s.store.Delete(s.replicas[0].Key())
+	s.kill[0]()
+	s.addRouter()
+	s.awaitReady(2)
+	s.awaitEndpoints(2, 1)
+	got := s.resume(2, old)
+	assert.Equal(t, got.status, 503)
+	fresh := s.send(2, "/resumable/2", "X-Prefix-Hash", freshID()+":50,cc:10")
+	assert.Equal(t, fresh.status, 200)
+}
