--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -258,7 +258,7 @@
 	}
 	place, refusal := x.server.Placer.Place(ctx, x.placementRequest())
 	x.server.Metrics.placed(x.pool, time.Since(asked))
-	if refusal != nil && ctx.Err() == nil && (x.failure != nil || x.stream.began && x.liveness != dead) && len(x.exclude) > 0 {
+	if refusal != nil && ctx.Err() == nil && (x.failure != nil || x.stream.began && x.liveness == alive) && len(x.exclude) > 0 {
 		// No other endpoint is available. An endpoint that returned a failure may
 		// succeed on a retry: 14 in 100 responses of a plain service are
 		// transient failures. One that broke off a stream is better than none.
