Log the parts of the prompt of a request whose endpoint has ended

Event 808 named the fingerprint of the whole request only, so that the record of the incident cannot tell whether the requests that end endpoints have a part in common, and whether an endpoint had begun to write. It gives the shared parts of the prompt now, in one spelling, and for how long events had been written. No decision depends on it. Tests of platform, relay and event pass.

--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -98,7 +98,7 @@
 	RelayBudgetSpent = Kind{805, "relay-budget-spent", logrus.WarnLevel, "A request was not retried because the retry budget of its pool is exhausted. Look for failing endpoints."}
 	RelayPlaced      = Kind{806, "relay-placed", logrus.InfoLevel, "A request was placed on an endpoint and is sent there; gives the key, the version of the endpoint's software, the attempt whose stream it takes up and the event after which it goes on, the endpoint's rank among those of the key, the duration of the placement, and the age of the router's view of the store. No action needed."}
 	RelayOverdue     = Kind{807, "relay-overdue", logrus.InfoLevel, "An endpoint has sent no byte of an answer for longer than others take; gives the time waited, and whether the request may be sent to another endpoint. Check the endpoint if this happens there more often than elsewhere."}
-	RelayCrash       = Kind{808, "relay-crash", logrus.WarnLevel, "An endpoint ended while it ran a request; gives the fingerprint of the request, whether the request is tracked as a suspect, and whether the endpoint was cold. If one fingerprint is on several endpoints that ended, its caller's requests crash them."}
+	RelayCrash       = Kind{808, "relay-crash", logrus.WarnLevel, "An endpoint ended while it ran a request; gives the fingerprint of the request, the parts of its prompt that others may share, for how long its endpoints had written events, whether the request is tracked as a suspect, and whether the endpoint was cold. If one fingerprint, or one part, is on several endpoints that ended, requests with it crash them."}
 )
 
 // Events of streams that callers take up.
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -39,6 +39,9 @@
 	return s.firstEventAt.Sub(arrived).Milliseconds()
 }
 
+// writtenMs returns the time between the first and the last event in milliseconds.
+func (s *stream) writtenMs() int64 { return s.lastEventAt.Sub(s.firstEventAt).Milliseconds() }
+
 // recordEvents records the arrival of complete events.
 func (s *stream) recordEvents(now time.Time, events []byte) {
 	if s.firstEventAt.IsZero() {
--- a/wisteriarouter/relay/suspects.go
+++ b/wisteriarouter/relay/suspects.go
@@ -8,6 +8,7 @@
 	"wisteriaspool/coordination/outcome"
 	"wisteriaspool/coordination/route"
 	"wisteriaspool/coordination/suspicion"
+	"wisteriaspool/platform"
 	"wisteriaspool/wisteriarouter/event"
 	"wisteriaspool/wisteriarouter/upstream"
 )
@@ -156,7 +157,7 @@
 // whether the request may have another attempt. It may wait for long.
 func (x *exchange) recordCrash(ctx context.Context, p Placement) bool {
 	x.server.recordDeath(p)
-	x.emit(event.RelayCrash, event.F("endpoint", p.Endpoint), event.F("fingerprint", x.fingerprint.String()), event.F("cold", p.Cold), event.F("tracked", x.tracked != nil))
+	x.emit(event.RelayCrash, event.F("endpoint", p.Endpoint), event.F("fingerprint", x.fingerprint.String()), event.F("parts", platform.SharedParts(x.r.Header)), event.F("events-ms", x.stream.writtenMs()), event.F("cold", p.Cold), event.F("tracked", x.tracked != nil))
 	if x.tracked == nil {
 		return true
 	}
