--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -38,6 +38,11 @@
 	// answers the request. Empty means none.
 	CrashMark string
 	OnCrash   func()
+	// CrashPart does the same for each request whose prompt has this part, but not as its
+	// last one. The request runs for Delay, and CrashEvents events of its response are
+	// sent first: only the head if zero, nothing if negative.
+	CrashPart   string
+	CrashEvents int
 }
 
 // Faults selects the faults that the replica injects.
@@ -79,6 +84,7 @@
 	Tenant       string
 	LastEventID  string // id of the last event that the caller has received, from Last-Event-Id
 	KVFetch      string
+	Prompt       string // the parts of the prompt, from X-Prefix-Hash
 	Body         string
 	Timeout      time.Duration // time that the caller allows for the response; 0 means none given
 	StartedAt    time.Time     // when the request began to run
@@ -281,6 +287,13 @@
 	}
 	r.readBody(req, a)
 	if r.opts.CrashMark != "" && strings.Contains(a.Path, r.opts.CrashMark) {
+		time.Sleep(r.opts.Delay)
+		r.runCrash(req, a)
+		return
+	}
+	if r.opts.CrashPart != "" && HasPart(a.Prompt, r.opts.CrashPart) {
+		time.Sleep(r.opts.Delay)
+		r.beginResponse(w, a)
 		r.runCrash(req, a)
 		return
 	}
@@ -292,10 +305,7 @@
 	if f.Slow > 0 && !r.wait(req, a, f.Slow) {
 		return
 	}
-	h := w.Header()
-	h.Set("X-Attempt-Id", a.ID)
-	h.Set("X-Server-Signature", r.opts.ID+"."+a.ID)
-	h.Set("X-Instance-Load", fmt.Sprintf("%d,0,%d", r.runningCount(), r.opts.Slots))
+	r.setHead(w.Header(), a)
 	if req.Header.Get("X-Token-Usage") != "" && f.Status == 0 {
 		r.serveStream(w, req, a, f)
 		return
@@ -303,9 +313,33 @@
 	r.serveSingle(w, req, a, f)
 }
 
-// runCrash runs a request that crashes the replica.
+// HasPart reports whether a prompt, given as X-Prefix-Hash, has a part, but not as its
+// last one.
+func HasPart(prompt, part string) bool {
+	entries := strings.Split(prompt, ",")
+	return slices.ContainsFunc(entries[:len(entries)-1], func(entry string) bool {
+		id, _, _ := strings.Cut(entry, ":")
+		return strings.TrimLeft(strings.ToLower(strings.TrimSpace(id)), "0") == part
+	})
+}
+
+// beginResponse sends the first events of the response to a request that crashes the
+// replica.
+func (r *Replica) beginResponse(w http.ResponseWriter, a *Arrival) {
+	if r.opts.CrashEvents < 0 {
+		return
+	}
+	r.setHead(w.Header(), a)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := range r.opts.CrashEvents {
+		_, _ = w.Write([]byte(r.event(n + 1)))
+	}
+	_ = http.NewResponseController(w).Flush() // an error means that the caller disconnected
+}
+
+// runCrash crashes the replica, even if the caller has disconnected, and never ends the
+// response.
 func (r *Replica) runCrash(req *http.Request, a *Arrival) {
-	time.Sleep(r.opts.Delay) // the replica crashes even if the caller has disconnected
 	r.crash.Do(func() { go crasher{r}.run() })
 	<-req.Context().Done()
 	r.withLock(func() { a.Disconnected = true })
@@ -412,6 +446,7 @@
 		StartedAt: time.Now(), Timeout: callerTimeout(req),
 		ID: req.Header.Get("X-Attempt-Id"), Path: req.URL.Path, Tenant: req.Header.Get("X-Tenant"),
 		LastEventID: req.Header.Get("Last-Event-Id"), KVFetch: req.Header.Get("Kv-Fetch"),
+		Prompt: req.Header.Get("X-Prefix-Hash"),
 	}
 	r.arrivals = append(r.arrivals, a)
 	f := r.faults
@@ -426,6 +461,13 @@
 	return a, f, true
 }
 
+// setHead sets the headers of a response to a request that runs.
+func (r *Replica) setHead(h http.Header, a *Arrival) {
+	h.Set("X-Attempt-Id", a.ID)
+	h.Set("X-Server-Signature", r.opts.ID+"."+a.ID)
+	h.Set("X-Instance-Load", fmt.Sprintf("%d,0,%d", r.runningCount(), r.opts.Slots))
+}
+
 // setWords sets the headers that say of the replica itself.
 func (r *Replica) setWords(h http.Header) {
 	r.mu.Lock()
--- a/wisteriarouter/daemon/relay_crash_test.go
+++ b/wisteriarouter/daemon/relay_crash_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -8,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +36,12 @@
 	listenerDelay time.Duration
 	// unlisted removes the entry of an endpoint as its connections end.
 	unlisted bool
+	// part of prompts that ends an endpoint as it begins to answer, after this many
+	// events; empty if none does.
+	part       string
+	partEvents int
+	service    string        // "desk" if empty
+	restart    time.Duration // how long an endpoint is away; restartTime if zero
 	// cutTime is how long all routers are cut off from all endpoints as one ends.
 	cutTime time.Duration
 	ctx     context.Context
@@ -68,6 +76,7 @@
 	replica *replica.Replica
 	end     func()
 	ended   chan struct{}
+	fatal   atomic.Bool // a part of a prompt has crashed it
 }
 
 func (p *endingPool) start() {
@@ -75,6 +84,11 @@
 	defer p.mu.Unlock()
 	o := replica.Options{ID: fmt.Sprintf("e%d", p.started), Service: "desk", Zone: "a", Delay: 60 * time.Millisecond, Unregistered: true}
 	p.started++
+	e := &endingEndpoint{pool: p, ended: make(chan struct{})}
+	if p.part != "" {
+		o.Service, o.Delay, o.Slots = p.service, 20*time.Millisecond, 16
+		o.CrashPart, o.CrashEvents, o.OnCrash = p.part, p.partEvents, func() { e.fatal.Store(true) }
+	}
 	r, kill, err := replica.Start(p.cluster.store, o)
 	assert.Check(p.cluster.t, err)
 	if p.crash != "" {
@@ -82,7 +96,7 @@
 	}
 	px, stop, err := proxy.New(r.Address())
 	assert.Check(p.cluster.t, err)
-	e := &endingEndpoint{pool: p, replica: r, ended: make(chan struct{})}
+	e.replica = r
 	e.end = sync.OnceFunc(func() {
 		p.cluster.cutAll(p.cutTime, resetCut)
 		if p.listenerDelay == 0 {
@@ -125,7 +139,7 @@
 	e.end()
 	select {
 	case <-e.pool.ctx.Done():
-	case <-time.After(restartTime):
+	case <-time.After(cmp.Or(e.pool.restart, restartTime)):
 		e.pool.cluster.store.Delete(e.replica.Key())
 		e.pool.start()
 	}
@@ -144,7 +158,7 @@
 // crashed reports whether a request has crashed the endpoint, and counts it.
 func (e *endingEndpoint) crashed() bool {
 	for _, a := range e.replica.Arrivals() {
-		if a.Path == e.pool.crash {
+		if e.fatal.Load() || a.Path == e.pool.crash {
 			e.pool.mu.Lock()
 			defer e.pool.mu.Unlock()
 			e.pool.crashes = append(e.pool.crashes, time.Now())
--- /dev/null
+++ b/wisteriarouter/daemon/relay_parts_test.go
@@ -0,0 +1,195 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/standin/replica"
+)
+
+// crashingPart is the part of prompts that ends endpoints, as endpoints know it.
+const crashingPart = "5c1e07a2"
+
+const (
+	// maxLateSends is how many requests with a crashing part may reach endpoints later
+	// than cutDetection after the fifth end.
+	maxLateSends = 3
+	// partRestart is how long an endpoint that such a request has ended is away.
+	partRestart = 1500 * time.Millisecond
+)
+
+// partCase is one way in which requests with a crashing part come.
+type partCase struct {
+	name   string
+	path   string
+	prompt string // with %s for the crashing part and %d for what is different in each request
+	events int    // sent before the endpoint ends
+	delay  time.Duration
+	cold   time.Duration
+}
+
+var partCases = []partCase{
+	{name: "first-part", path: "/resumable/", prompt: "%s:40,aa:50,bb:30,%x:10"},
+	{name: "second-part-of-streams", path: "/stream/", prompt: "aa:50,%s:40,bb:30,%x:10", events: -1},
+	{name: "third-part-after-an-event", path: "/resumable/", prompt: "aa:50,bb:30,%s:40,%x:10", events: 1},
+	{name: "listener-outlives-connections", path: "/stream/", prompt: "aa:50,%s:40,bb:30,%x:10", delay: 100 * time.Millisecond},
+	{name: "endpoints-return-cold", path: "/resumable/", prompt: "aa:50,%s:40,bb:30,%x:10", cold: 3 * time.Second},
+	{name: "other-spellings", path: "/resumable/", prompt: "aa:50, 00%s:x,bb:30,%x:10", events: 1},
+}
+
+// Guards against requests that have only a part of their prompts in common and end one
+// endpoint after the other, as no two of them are alike.
+func TestRelayRefusesPartThatCrashesEndpoints(t *testing.T) {
+	for _, c := range partCases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			playCrashingPart(t, c, nil)
+		})
+	}
+}
+
+// playCrashingPart sends requests with a crashing part beside others of the same caller
+// with the same other parts, through each of three routers in turn, and checks how many
+// reach endpoints and how many of the others are served. It calls meanwhile, if that is
+// not nil, as they begin.
+func playCrashingPart(t *testing.T, c partCase, meanwhile func(s *relayCluster)) {
+	s := newRelayCluster(t, 3, 1, 0)
+	p := newPartPool(s, c)
+	s.awaitPrompt(c.path)
+	before := &prompts{cluster: s, path: c.path, prompt: soundPrompt(c), interval: 40 * time.Millisecond, until: time.Now().Add(time.Second)}
+	before.run()
+	until := time.Now().Add(12 * time.Second)
+	crashing := &prompts{cluster: s, path: c.path, prompt: strings.Replace(c.prompt, "%s", crashingPart, 1), interval: 150 * time.Millisecond, until: until}
+	sound := &prompts{cluster: s, path: c.path, prompt: soundPrompt(c), interval: 40 * time.Millisecond, until: until}
+	var wg sync.WaitGroup
+	wg.Go(crashing.run)
+	wg.Go(sound.run)
+	if meanwhile != nil {
+		meanwhile(s)
+	}
+	wg.Wait()
+	p.checkPart(before, sound)
+}
+
+// checkPart checks how many requests with the crashing part reached endpoints late, and that
+// sound requests were served afterwards at least half as often as before.
+func (p *endingPool) checkPart(before, sound *prompts) {
+	t := p.cluster.t
+	crashes := p.crashTimes()
+	assert.Assert(t, len(crashes) > 0, "no endpoint ended")
+	ended := crashes[min(4, len(crashes)-1)]
+	late := p.sendsAfter(ended.Add(cutDetection))
+	normal, all := before.served(time.Time{}, time.Now())
+	assert.Assert(t, all > 0)
+	served, sent := sound.served(ended.Add(2*cutDetection), sound.until)
+	during, duringAll := sound.served(crashes[0], ended.Add(2*cutDetection))
+	t.Logf("%d endpoints ended, %d requests late, sound ones served %d of %d before, %d of %d until 6 s after the ends, %d of %d then", len(crashes), late, normal, all, during, duringAll, served, sent)
+	assert.Check(t, late <= maxLateSends, "%d requests with the part reached endpoints later than %v after the fifth end", late, cutDetection)
+	assert.Assert(t, sent >= 20)
+	assert.Check(t, 2*served*all >= normal*sent, "%d of %d sound requests are served, %d of %d before", served, sent, normal, all)
+}
+
+// soundPrompt returns the prompt of a case with another part in place of the crashing one.
+func soundPrompt(c partCase) string { return strings.Replace(c.prompt, "%s", "ee", 1) }
+
+// newPartPool starts twelve endpoints of the service for models that requests with the
+// crashing part end.
+func newPartPool(s *relayCluster, c partCase) *endingPool {
+	p := &endingPool{cluster: s, service: "model", part: crashingPart, partEvents: c.events, listenerDelay: c.delay, cold: c.cold, restart: partRestart}
+	p.startAll(12)
+	return p
+}
+
+// sendsAfter returns how many requests with the crashing part began to run after a time.
+func (p *endingPool) sendsAfter(from time.Time) (n int) {
+	p.mu.Lock()
+	all := slices.Clone(p.current)
+	p.mu.Unlock()
+	for _, e := range all {
+		for _, a := range e.replica.Arrivals() {
+			if a.StartedAt.After(from) && replica.HasPart(a.Prompt, crashingPart) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// awaitPrompt waits until each router serves a request with a prompt.
+func (s *relayCluster) awaitPrompt(path string) {
+	for n := range s.routers {
+		for end := time.Now().Add(10 * time.Second); s.send(n, path+"first").status != http.StatusOK; {
+			assert.Assert(s.t, time.Now().Before(end), "router %d serves nothing", n)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// prompts sends requests with prompts, each through the next router, no two alike.
+type prompts struct {
+	cluster  *relayCluster
+	path     string
+	prompt   string // with %x for the last part
+	interval time.Duration
+	until    time.Time
+
+	mu      sync.Mutex
+	answers []promptAnswer
+	wg      sync.WaitGroup
+}
+
+// promptAnswer is the answer to one request, and when it was sent.
+type promptAnswer struct {
+	relayResponse
+	sent time.Time
+}
+
+func (p *prompts) run() {
+	for n := 0; time.Now().Before(p.until); n++ {
+		p.wg.Go(singlePrompt{p, n}.run)
+		time.Sleep(p.interval)
+	}
+	p.wg.Wait()
+}
+
+// singlePrompt is one request of prompts.
+type singlePrompt struct {
+	*prompts
+	n int
+}
+
+func (s singlePrompt) run() {
+	ctx, cancel := context.WithTimeout(s.cluster.t.Context(), 5*time.Second)
+	defer cancel()
+	id := freshID()
+	req := s.cluster.request(ctx, s.n%len(s.cluster.routers), s.path+id, "X-Prefix-Hash", fmt.Sprintf(s.prompt, id))
+	sent := time.Now()
+	got := promptAnswer{relayResponse: s.cluster.do(req), sent: sent}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers = append(s.answers, got)
+}
+
+// served returns how many requests that were sent in a span of time had a whole response.
+func (p *prompts) served(from, to time.Time) (served, all int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range p.answers {
+		if a.sent.Before(from) || a.sent.After(to) {
+			continue
+		}
+		all++
+		if a.status == http.StatusOK && a.err == nil {
+			served++
+		}
+	}
+	return served, all
+}
--- a/wisteriarouter/daemon/relay_site_test.go
+++ b/wisteriarouter/daemon/relay_site_test.go
@@ -228,7 +228,12 @@
 }
 
 func (s *relayCluster) send(router int, path string, header ...string) relayResponse {
-	resp, err := s.client.Do(s.request(s.t.Context(), router, path, header...))
+	return s.do(s.request(s.t.Context(), router, path, header...))
+}
+
+// do sends a request and reads the response.
+func (s *relayCluster) do(req *http.Request) relayResponse {
+	resp, err := s.client.Do(req)
 	if err != nil {
 		return relayResponse{err: err}
 	}
