Crashes count against the parts of prompts, which all routers refuse together

What callers saw: requests that had one part of their prompts in common ended one endpoint after the other, and with each of them what ran there. Cause: a crash counted against the fingerprint of the whole request only, a key that the cause does not have, so that each such request was sent as if it were new, twice.

Each shared part of a prompt is tracked by a second set of tables, gates and guards now. A part under whose requests endpoints have ended at three moments, with which none has completed, while others of the pool have, is refused by all routers. Before that, requests with it run one at a time in the fleet and apart from other suspects. A request that completes, or is written for a second, clears its parts, so that those which sound requests share are never refused. Endpoints that end within 0.5 s of each other count once: the loss of half a pool convicts nothing. A refused part is tried by one request after 1, 8 and 64 s, at most eight are refused at a time, and a verdict ends 15 min after its last crash. Records spread as those of requests do, by rumor, comparison and catch-up. A crash that a refused part explains does not count against the requests that ran beside it.

--- a/coordination/suspicion/catchup.go
+++ b/coordination/suspicion/catchup.go
@@ -17,7 +17,7 @@
 // maxRecordsSent is the maximum number of records in a reply. Convictions come first.
 const maxRecordsSent = 512
 
-// RecordsRequest asks a router for its records. It is sent on [TopicRecords].
+// RecordsRequest asks a router for its records. It is sent on [Topics.Records].
 type RecordsRequest struct {
 	Digest uint64 `cbor:"1,keyasint,omitempty"` // of the records of the router that asks
 }
@@ -71,7 +71,7 @@
 	return xxhash.Sum64(binary.LittleEndian.AppendUint64(b, crashes))
 }
 
-// HandleRecords answers a message received on [TopicRecords]. The error is of type
+// HandleRecords answers a message received on [Topics.Records]. The error is of type
 // [ErrMalformed].
 func (g *Guard) HandleRecords(payload []byte) ([]byte, error) {
 	var m RecordsRequest
@@ -90,7 +90,7 @@
 // were new. The error is that of the call, or of type [ErrMalformed].
 func (g *Guard) Pull(ctx context.Context, from coordination.Instance) (caughtUp bool, news int, err error) {
 	_, digest := g.table.live(time.Now())
-	b, err := g.transport.Call(ctx, from, TopicRecords, RecordsRequest{Digest: digest}.Encode())
+	b, err := g.transport.Call(ctx, from, g.table.cfg.Topics().Records, RecordsRequest{Digest: digest}.Encode())
 	if err != nil {
 		return false, 0, err
 	}
--- a/coordination/suspicion/gate.go
+++ b/coordination/suspicion/gate.go
@@ -65,7 +65,7 @@
 	defer g.mu.Unlock()
 	switch m.Step {
 	case Enter:
-		return g.enter(now, m), nil
+		return g.enter(now, m)
 	case Claim:
 		g.trackCopy(now, m)
 		return g.verdict(now, m), nil
@@ -75,19 +75,33 @@
 	case Finished:
 		g.untrackCopy(m)
 		return g.clearFinished(now, m)
+	case Answering:
+		return g.clearFinished(now, m)
+	case PoolServes:
+		return g.recordServed(now, m)
+	case Pardoned:
+		r, _ := g.table.clearCrashes(now, m.Fingerprint)
+		return GateReply{}, &r
 	default:
 		g.untrackCopy(m)
 		return GateReply{}, nil
 	}
 }
 
-// enter admits a copy unless its verdict is Poison or Busy.
-func (g *Gate) enter(now time.Time, m GateRequest) GateReply {
+// enter admits a copy unless its verdict is Poison or Busy. A copy that is let through as
+// a trial changes the record.
+func (g *Gate) enter(now time.Time, m GateRequest) (GateReply, *Record) {
 	v := g.verdict(now, m)
-	if v.Verdict == AllowedAlone || v.Verdict == Allowed {
+	switch v.Verdict {
+	case AllowedAlone, Allowed:
 		g.trackCopy(now, m)
+	case Poison:
+		if r, ok := g.table.beginTrial(now, m.Fingerprint); ok {
+			g.trackCopy(now, m)
+			return GateReply{Verdict: AllowedAlone, Trial: true}, &r
+		}
 	}
-	return v
+	return v, nil
 }
 
 // verdict returns the decision on a copy.
@@ -95,7 +109,7 @@
 	r, state := g.table.Find(now, m.Fingerprint)
 	switch state {
 	case Convicted:
-		return GateReply{Verdict: Poison, RetryAfter: millis(r.Expires.Time().Sub(now))}
+		return GateReply{Verdict: Poison, RetryAfter: millis(g.table.refusedUntil(r).Sub(now))}
 	case Clear:
 		return GateReply{Verdict: Allowed}
 	}
@@ -164,18 +178,35 @@
 	if m.Crash == nil {
 		return GateReply{}, nil
 	}
-	add := g.table.addCrash
-	if m.Late {
-		add = g.table.addLateCrash
-	}
-	r, _ := add(now, m.Fingerprint, *m.Crash)
+	r, _ := g.table.addReported(now, m)
 	return g.verdict(now, m), &r
 }
 
+// recordServed records that other requests of the pool of a suspect complete.
+func (g *Gate) recordServed(now time.Time, m GateRequest) (GateReply, *Record) {
+	r, state := g.table.Find(now, m.Fingerprint)
+	served := m.servedAt(now)
+	if state != Suspect || r.Served >= served {
+		return GateReply{}, nil
+	}
+	g.table.Merge(now, Record{Fingerprint: m.Fingerprint, Served: served, Expires: r.Expires})
+	r, _ = g.table.Find(now, m.Fingerprint)
+	return GateReply{}, &r
+}
+
+// servedAt returns Record.Served by the clock of the gate, zero if it is not known.
+func (m GateRequest) servedAt(now time.Time) UnixMillis {
+	if m.ServedAgo == 0 {
+		return 0
+	}
+	return unixMillis(now.Add(-m.ServedAgo.Duration()))
+}
+
 // clearFinished clears a request that is not convicted of its crashes: it has run
-// to completion and its endpoint is alive.
+// to completion and its endpoint is alive. A part of prompts is cleared even if it is
+// convicted, as no request with a part that crashes endpoints completes.
 func (g *Gate) clearFinished(now time.Time, m GateRequest) (GateReply, *Record) {
-	if r, state := g.table.Find(now, m.Fingerprint); state == Convicted || len(r.Crashes) == 0 {
+	if r, state := g.table.Find(now, m.Fingerprint); state == Convicted && !g.cfg.Parts || len(r.Crashes) == 0 {
 		return GateReply{}, nil
 	}
 	r, _ := g.table.clearCrashes(now, m.Fingerprint)
--- a/coordination/suspicion/guard.go
+++ b/coordination/suspicion/guard.go
@@ -44,6 +44,7 @@
 	onChange   func() // nil for none
 	lastNumber uint64
 	tracked    map[Fingerprint][]*TrackedRequest
+	served     map[coordination.Pool]time.Time // when a request last ran to completion; kept for parts only
 }
 
 type locatorBox struct{ GateLocator }
@@ -59,6 +60,7 @@
 		spreader:    s,
 		completions: newCompletions(gate.cfg.CompletionWindow, gate.cfg.Limit),
 		tracked:     make(map[Fingerprint][]*TrackedRequest),
+		served:      make(map[coordination.Pool]time.Time),
 		caughtUp:    make(chan struct{}),
 	}
 	g.EndCatchUp()
@@ -93,7 +95,7 @@
 	return all
 }
 
-// HandleRecord processes a record received on [TopicRecord] and reports whether
+// HandleRecord processes a record received on [Topics.Record] and reports whether
 // it was new. Copies of the request running here that the gate does not know of
 // are claimed, so that it admits no other copy at the same time. The error is
 // of type [ErrMalformed].
@@ -112,9 +114,37 @@
 	}
 	g.changed()
 	g.claim(ctx, r.Fingerprint)
+	g.reportServed(ctx, r.Fingerprint)
 	return true
 }
 
+// reportServed tells the gate of a part that requests of the same pool have completed since
+// its first crash, if nobody has. Routers that get few requests with the part may know.
+func (g *Guard) reportServed(ctx context.Context, fp Fingerprint) {
+	now := time.Now()
+	r, state := g.table.Find(now, fp)
+	if state != Suspect || r.Pool == "" || r.Served > r.Crashes[0].At {
+		return
+	}
+	ago := g.servedAgo(now, r.Pool)
+	if ago == 0 || unixMillis(now.Add(-ago.Duration())) <= r.Crashes[0].At {
+		return
+	}
+	g.report(ctx, GateRequest{Fingerprint: fp, Copy: Copy{Instance: g.instance, Incarnation: g.incarnation}, Step: PoolServes, ServedAgo: ago})
+}
+
+// servedAgo returns how long ago this router saw a request of a pool run to completion, and
+// zero if it has seen none.
+func (g *Guard) servedAgo(now time.Time, p coordination.Pool) Millis {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at, ok := g.served[p]
+	if !ok {
+		return 0
+	}
+	return max(millis(now.Sub(at)), 1)
+}
+
 // OnChange registers fn, which is called after each change of a record or of the list of
 // routers. fn must not block.
 func (g *Guard) OnChange(fn func()) {
@@ -158,14 +188,14 @@
 func (g *Guard) registerAll(f Fingerprint) []*TrackedRequest {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	unregistered := lo.Filter(g.tracked[f], func(r *TrackedRequest, _ int) bool { return !r.registered })
+	unregistered := lo.Filter(g.tracked[f], func(r *TrackedRequest, _ int) bool { return !r.registered && !r.waiting })
 	for _, r := range unregistered {
 		r.registered = true
 	}
 	return unregistered
 }
 
-// HandleGate answers a message received on [TopicGate]. The error is of type
+// HandleGate answers a message received on [Topics.Gate]. The error is of type
 // [ErrMalformed].
 func (g *Guard) HandleGate(ctx context.Context, payload []byte) ([]byte, error) {
 	m, err := DecodeGateRequest(payload)
@@ -183,9 +213,10 @@
 	}
 	reply, r := g.gate.Handle(time.Now(), m)
 	if r != nil {
-		g.spreader.Spread(TopicRecord, r.Encode())
+		g.spreader.Spread(g.table.cfg.Topics().Record, r.Encode())
 		g.changed()
 		g.claim(ctx, r.Fingerprint)
+		g.reportServed(ctx, r.Fingerprint)
 	}
 	return reply
 }
@@ -200,10 +231,13 @@
 type TrackedRequest struct {
 	guard       *Guard
 	fingerprint Fingerprint
+	pool        coordination.Pool
 	copy        Copy
 	alone       atomic.Bool
 	admitted    atomic.Bool        // by its gate
+	trial       atomic.Bool        // may run although its fingerprint is convicted
 	registered  bool               // known to its gate; guarded by Guard.mu
+	waiting     bool               // for its gate, so that it does not run; guarded by Guard.mu
 	unsettled   []unsettledAttempt // guarded by Guard.mu
 	ended       bool               // tracked only for its unsettled attempts; guarded by Guard.mu
 }
@@ -227,7 +261,7 @@
 	// Tracking starts before the check, so that a record that arrives in
 	// between finds either a copy to claim or a suspect that has to ask the
 	// gate.
-	r := g.track(fp)
+	r := g.track(fp, p)
 	advice, after := g.table.Check(time.Now(), fp, p)
 	if advice == Refuse {
 		r.Abandoned(context.WithoutCancel(ctx))
@@ -244,13 +278,14 @@
 	return r, Refusal{}
 }
 
-func (g *Guard) track(fp Fingerprint) *TrackedRequest {
+func (g *Guard) track(fp Fingerprint, p coordination.Pool) *TrackedRequest {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastNumber++
 	r := &TrackedRequest{
 		guard:       g,
 		fingerprint: fp,
+		pool:        p,
 		copy:        Copy{Instance: g.instance, Incarnation: g.incarnation, Number: g.lastNumber},
 	}
 	g.tracked[fp] = append(g.tracked[fp], r)
@@ -277,27 +312,37 @@
 // enter asks the gate until it admits or refuses the request, or ctx ends.
 func (r *TrackedRequest) enter(ctx context.Context) (Refusal, bool) {
 	for {
-		reply := r.guard.step(ctx, r, Enter)
-		switch reply.Verdict {
-		case Allowed:
-			r.admitted.Store(true)
-			return Refusal{}, true
-		case AllowedAlone:
-			r.alone.Store(true)
-			r.admitted.Store(true)
-			return Refusal{}, true
-		case Poison:
-			return Refusal{Poison: true, RetryAfter: reply.RetryAfter.Duration()}, false
+		refusal, ok := r.admit(r.guard.step(ctx, r, Enter))
+		if ok || refusal.Poison {
+			return refusal, ok
 		}
-		wait := max(reply.RetryAfter.Duration(), minRetryWait)
 		select {
-		case <-time.After(wait):
+		case <-time.After(refusal.RetryAfter):
 		case <-ctx.Done():
-			return Refusal{RetryAfter: wait}, false
+			return refusal, false
 		}
 	}
 }
 
+// admit notes the gate's reply and reports whether the request may run. If not, it returns
+// the refusal, or when to ask again.
+func (r *TrackedRequest) admit(reply GateReply) (Refusal, bool) {
+	switch reply.Verdict {
+	case Allowed:
+		r.admitted.Store(true)
+		return Refusal{}, true
+	case AllowedAlone:
+		r.trial.Store(reply.Trial)
+		r.alone.Store(true)
+		r.admitted.Store(true)
+		return Refusal{}, true
+	case Poison:
+		return Refusal{Poison: true, RetryAfter: reply.RetryAfter.Duration()}, false
+	default:
+		return Refusal{RetryAfter: max(reply.RetryAfter.Duration(), minRetryWait)}, false
+	}
+}
+
 const (
 	minRetryWait = 10 * time.Millisecond
 	gateTimeout  = 200 * time.Millisecond
@@ -328,6 +373,9 @@
 // tells that it was found some time after the attempt.
 func (r *TrackedRequest) recordCrash(ctx context.Context, l Loss, late bool) GateReply {
 	now := time.Now()
+	if r.guard.table.cfg.Parts {
+		return r.recordPartCrash(ctx, now, l)
+	}
 	mass := r.guard.table.RecordLoss(now, l.Pool, l.Endpoint)
 	completed := r.guard.completions.contains(now, r.fingerprint)
 	r.guard.register(r)
@@ -351,10 +399,16 @@
 func (r *TrackedRequest) Convicted() (Refusal, bool) {
 	now := time.Now()
 	known, state := r.guard.table.Find(now, r.fingerprint)
-	if state != Convicted {
+	if state != Convicted || r.trial.Load() {
 		return Refusal{}, false
 	}
-	return Refusal{Poison: true, RetryAfter: known.Expires.Time().Sub(now)}, true
+	return Refusal{Poison: true, RetryAfter: r.guard.table.refusedUntil(known).Sub(now)}, true
+}
+
+func (r *TrackedRequest) setWaiting(waiting bool) {
+	r.guard.mu.Lock()
+	defer r.guard.mu.Unlock()
+	r.waiting = waiting
 }
 
 func (g *Guard) register(r *TrackedRequest) {
@@ -366,10 +420,28 @@
 // Finished reports that the request has run to completion, which clears it of
 // suspicion.
 func (r *TrackedRequest) Finished(ctx context.Context) {
-	r.guard.completions.add(time.Now(), r.fingerprint)
+	r.recordCompletion()
 	r.finishTracking(ctx, Finished)
 }
 
+// recordCompletion records that the request has run to completion, or nearly so. It reports
+// whether its gate has to be told since crashes count against it.
+func (r *TrackedRequest) recordCompletion() (counts bool) {
+	g, now := r.guard, time.Now()
+	g.completions.add(now, r.fingerprint)
+	if !g.table.cfg.Parts {
+		return false
+	}
+	known, _ := g.table.Find(now, r.fingerprint)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.served[r.pool] = now
+	if len(known.Crashes) > 0 {
+		r.registered = true
+	}
+	return len(known.Crashes) > 0
+}
+
 // Abandoned reports that the request ended without evidence for or against it:
 // refused, cancelled by its caller, or failed while its endpoint stayed alive. If an
 // attempt is unsettled, the request stays tracked until that is no evidence any more.
@@ -403,7 +475,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, gateTimeout)
 	defer cancel()
-	b, err := g.transport.Call(ctx, to, TopicGate, m.Encode())
+	b, err := g.transport.Call(ctx, to, g.table.cfg.Topics().Gate, m.Encode())
 	if err == nil {
 		if reply, err := DecodeGateReply(b); err == nil {
 			return reply
@@ -426,7 +498,7 @@
 	}
 	switch r, state := g.table.Find(time.Now(), m.Fingerprint); state {
 	case Convicted:
-		return GateReply{Verdict: Poison, RetryAfter: millis(time.Until(r.Expires.Time()))}
+		return GateReply{Verdict: Poison, RetryAfter: millis(time.Until(g.table.refusedUntil(r)))}
 	case Suspect:
 		return GateReply{Verdict: Busy, RetryAfter: millis(gateTimeout)}
 	default:
--- a/coordination/suspicion/messages.go
+++ b/coordination/suspicion/messages.go
@@ -18,6 +18,16 @@
 	TopicRecords = "suspicion-records"
 )
 
+// Topics of the same messages about parts of prompts.
+const (
+	TopicPartGate    = "part-suspicion-gate"
+	TopicPartRecord  = "part-suspicion-record"
+	TopicPartRecords = "part-suspicion-records"
+)
+
+// Topics holds the topics of one kind of fingerprints.
+type Topics struct{ Gate, Record, Records string }
+
 // Errors is the namespace of the package's errors.
 var Errors = errorx.NewNamespace("suspicion")
 
@@ -38,11 +48,14 @@
 
 // Steps of a copy.
 const (
-	Enter     Step = iota // requests admission
-	Claim                 // is already running, or still running
-	Crashed               // its endpoint died
-	Finished              // ran to completion
-	Abandoned             // ended without evidence for or against the request
+	Enter      Step = iota // requests admission
+	Claim                  // is already running, or still running
+	Crashed                // its endpoint died
+	Finished               // ran to completion
+	Abandoned              // ended without evidence for or against the request
+	Answering              // still runs, and its endpoint has written its response for a while
+	Pardoned               // an operator has cleared the fingerprint
+	PoolServes             // other requests of the pool complete; says nothing of the copy
 )
 
 // GateRequest reports a step of a copy to the gate.
@@ -55,6 +68,11 @@
 	Known *Record `cbor:"5,keyasint,omitempty"`
 	// Late reports that Crash was found some time after the attempt.
 	Late bool `cbor:"6,keyasint,omitempty"`
+	// ServedAgo is how long ago the reporting router saw a request of the pool run to
+	// completion; zero if it has seen none. Clocks of routers differ.
+	ServedAgo Millis `cbor:"7,keyasint,omitempty"`
+	// Pool is the pool of the endpoint that crashed; set for parts.
+	Pool coordination.Pool `cbor:"8,keyasint,omitempty"`
 }
 
 // Verdict is the gate's decision on a copy.
@@ -72,6 +90,8 @@
 type GateReply struct {
 	Verdict    Verdict `cbor:"1,keyasint,omitempty"`
 	RetryAfter Millis  `cbor:"2,keyasint,omitempty"`
+	// Trial reports that the copy may run although its fingerprint is convicted.
+	Trial bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Millis is a duration in milliseconds.
--- a/coordination/suspicion/suspicion.go
+++ b/coordination/suspicion/suspicion.go
@@ -11,6 +11,10 @@
 // One crash that may well have had another cause is excused: during the loss of
 // many endpoints, of a cold endpoint, or of a request that has just run to
 // completion. Records spread by gossip and expire.
+//
+// Requests that have little in common may crash endpoints by one part of their prompts.
+// A second set of tables, gates and guards, with [Config.Parts], judges parts in place of
+// requests: a [TrackedPrompt] tracks all that a request shares with others.
 package suspicion
 
 import (
@@ -91,9 +95,34 @@
 	// Always makes routers ask the gate about every request, not only after the
 	// loss of an endpoint.
 	Always bool
+
+	// Parts makes fingerprints stand for parts of prompts. Many requests may share one,
+	// so what tells a part that crashes endpoints from the others is that no request
+	// with it completes. CompletionWindow is 5 min and Hold 500 ms by default then; MassLoss
+	// and LossWindow mean nothing.
+	Parts bool
+
+	// MaxRefused is the maximum number of parts that are refused at a time, 8 by default.
+	// If more crash endpoints, the cause is probably another one.
+	MaxRefused int
+}
+
+// Topics returns the topics of the messages between routers.
+func (c Config) Topics() Topics {
+	if c.Parts {
+		return Topics{Gate: TopicPartGate, Record: TopicPartRecord, Records: TopicPartRecords}
+	}
+	return Topics{Gate: TopicGate, Record: TopicRecord, Records: TopicRecords}
 }
 
 func (c Config) withDefaults() Config {
+	if c.Parts {
+		setDuration(&c.CompletionWindow, 5*time.Minute)
+		setDuration(&c.Hold, crashSpacing) // so that the next crash counts
+	}
+	if c.MaxRefused <= 0 {
+		c.MaxRefused = 8
+	}
 	setDuration(&c.SuspectTTL, 5*time.Minute)
 	setDuration(&c.ConvictTTL, 15*time.Minute)
 	setDuration(&c.Hold, time.Second)
@@ -148,10 +177,10 @@
 	// never ran without other suspects when it crashed an endpoint.
 	lateCrashesToConvict = 3
 
-	// maxCrashes is the number of crashes kept in a record. It exceeds
-	// crashesToConvict because some may turn out to be caused by another
-	// request.
-	maxCrashes = 4
+	// maxCrashes is the number of crashes kept in a record: the first and the last
+	// ones. It exceeds crashesToConvict because some may turn out to be caused by
+	// another request.
+	maxCrashes = 16
 )
 
 // Record holds the known crashes of a fingerprint. Merging two records of the
@@ -165,6 +194,15 @@
 	// Late lists the crashes that were found some time after the request's attempt. The
 	// request may have run elsewhere meanwhile, without being kept apart from others.
 	Late []EndpointLifetime `cbor:"5,keyasint,omitempty"`
+	// Served is when a router last saw a request of the pool of a part run to completion, as
+	// far as routers have told its gate.
+	Served UnixMillis `cbor:"6,keyasint,omitempty"`
+	// Pool is the pool in which a part crashed an endpoint first.
+	Pool coordination.Pool `cbor:"9,keyasint,omitempty"`
+	// Trials is how many requests with a convicted part were let through to find out
+	// whether it still crashes endpoints, the last one at Tried.
+	Trials int        `cbor:"7,keyasint,omitempty"`
+	Tried  UnixMillis `cbor:"8,keyasint,omitempty"`
 }
 
 // EndpointLifetime identifies one incarnation of an endpoint.
@@ -212,16 +250,25 @@
 			r.Crashes = append(r.Crashes, c)
 			continue
 		}
+		r.Crashes[i].At = min(r.Crashes[i].At, c.At)
 		r.Crashes[i].Alone = r.Crashes[i].Alone || c.Alone
 		r.Crashes[i].Excused = r.Crashes[i].Excused || c.Excused
 	}
 	r.Crashes = slices.DeleteFunc(r.Crashes, func(c Crash) bool { return c.At <= r.Cleared })
 	slices.SortFunc(r.Crashes, func(a, b Crash) int { return cmp.Compare(a.At, b.At) })
-	r.Crashes = r.Crashes[:min(len(r.Crashes), maxCrashes)]
+	if n := len(r.Crashes); n > maxCrashes {
+		r.Crashes = slices.Delete(r.Crashes, maxCrashes/2, n-maxCrashes/2)
+	}
+	r.Served = max(r.Served, s.Served)
+	r.Pool = cmp.Or(r.Pool, s.Pool)
+	r.Trials, r.Tried = max(r.Trials, s.Trials), max(r.Tried, s.Tried)
+	if r.Tried <= r.Cleared {
+		r.Trials, r.Tried = 0, 0
+	}
 	r.Late = lo.Filter(lo.Union(r.Late, s.Late), func(l EndpointLifetime, _ int) bool {
 		return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.lifetime() == l })
 	})
-	return r.Cleared != before.Cleared || len(r.Late) != len(before.Late) || !slices.EqualFunc(r.Crashes, before.Crashes, equalCrashes)
+	return r.Cleared != before.Cleared || r.Served != before.Served || r.Trials != before.Trials || len(r.Late) != len(before.Late) || !slices.EqualFunc(r.Crashes, before.Crashes, equalCrashes)
 }
 
 func equalCrashes(a, b Crash) bool {
--- a/coordination/suspicion/table.go
+++ b/coordination/suspicion/table.go
@@ -20,6 +20,10 @@
 	attributed map[EndpointLifetime]Fingerprint // convicted request that ran alone when it crashed the endpoint
 	losses     map[coordination.Endpoint]time.Time
 	lastLoss   map[coordination.Pool]time.Time // time of the last loss
+
+	refused   map[Fingerprint]bool      // convicted parts of prompts
+	explained map[EndpointLifetime]bool // crashed by one of them
+	parts     *Table                    // of the parts of prompts; nil for none
 }
 
 // NewTable returns an empty table.
@@ -70,10 +74,16 @@
 	r := t.find(now, f)
 	switch t.state(now, r) {
 	case Convicted:
-		return Refuse, r.Expires.Time().Sub(now)
+		if t.trialDue(now, r) {
+			return AskGate, 0
+		}
+		return Refuse, t.refusedUntil(r).Sub(now)
 	case Suspect:
 		return AskGate, 0
 	}
+	if t.cfg.Parts {
+		return Run, 0
+	}
 	lost, ok := t.lastLoss[p]
 	if t.cfg.Always || ok && now.Sub(lost) < t.cfg.LossWindow {
 		return AskGate, 0
@@ -107,11 +117,15 @@
 // suspect, beside the one that crashed both endpoints. It stays a suspect until it has
 // crashed an endpoint on its own, or another one more.
 func (t *Table) state(now time.Time, r Record) State {
+	if t.cfg.Parts {
+		return t.partState(r)
+	}
 	own := 0
 	alone, late, discounted, excused := false, false, false, false
 	var last UnixMillis
 	for _, c := range r.Crashes {
 		switch {
+		case t.parts != nil && t.parts.Explains(c.lifetime()):
 		case c.Excused && !excused:
 			excused = true
 		case !discounted && t.attributedToOther(c, r.Fingerprint):
@@ -161,6 +175,9 @@
 // forget removes a record and the attribution of its crashes.
 func (t *Table) forget(r *Record) {
 	delete(t.records, r.Fingerprint)
+	if t.refused[r.Fingerprint] {
+		t.updateRefused()
+	}
 	for _, c := range r.Crashes {
 		if t.attributed[c.lifetime()] == r.Fingerprint {
 			delete(t.attributed, c.lifetime())
@@ -192,7 +209,7 @@
 	// The clock of the sending router may be ahead. A crash time in the future
 	// would hold its suspects until then, and a clear time in the future would
 	// discount later crashes.
-	r.Cleared = min(r.Cleared, unixMillis(now))
+	r.Cleared, r.Tried, r.Served = min(r.Cleared, unixMillis(now)), min(r.Tried, unixMillis(now)), min(r.Served, unixMillis(now))
 	r.Crashes = lo.Map(r.Crashes, func(c Crash, _ int) Crash {
 		c.At = min(c.At, unixMillis(now))
 		return c
@@ -207,31 +224,43 @@
 	}
 	news := known.merge(r)
 	t.attributeCrashes(known)
+	if t.cfg.Parts && (t.refused[r.Fingerprint] || convicts(*known)) {
+		t.updateRefused()
+	}
 	return news
 }
 
 // addCrash adds a crash and returns the merged record with its state.
 func (t *Table) addCrash(now time.Time, f Fingerprint, c Crash) (Record, State) {
-	return t.add(now, f, c, nil)
+	return t.addReported(now, GateRequest{Fingerprint: f, Crash: &c})
 }
 
 // addLateCrash is addCrash for a crash that was found some time after the attempt.
 func (t *Table) addLateCrash(now time.Time, f Fingerprint, c Crash) (Record, State) {
-	return t.add(now, f, c, []EndpointLifetime{c.lifetime()})
+	return t.addReported(now, GateRequest{Fingerprint: f, Crash: &c, Late: true})
 }
 
-func (t *Table) add(now time.Time, f Fingerprint, c Crash, late []EndpointLifetime) (Record, State) {
+// addReported adds the crash that m reports and returns the merged record with its state.
+func (t *Table) addReported(now time.Time, m GateRequest) (Record, State) {
+	f, c := m.Fingerprint, *m.Crash
+	var late []EndpointLifetime
+	if m.Late {
+		late = []EndpointLifetime{c.lifetime()}
+	}
+	if t.cfg.Parts {
+		c.At = unixMillis(now) // one clock for all crashes of a part, as the time between them counts
+	}
 	r, _ := t.Find(now, f)
 	// Only one crash is excused. Otherwise a crashing request could itself keep
 	// up the losses that excuse it.
-	if lo.SomeBy(r.Crashes, func(old Crash) bool { return old.Excused && !old.sameIncarnation(c) }) {
+	if !t.cfg.Parts && lo.SomeBy(r.Crashes, func(old Crash) bool { return old.Excused && !old.sameIncarnation(c) }) {
 		c.Excused = false
 	}
 	ttl := t.cfg.SuspectTTL
 	if len(r.Crashes) > 0 && !r.Crashes[0].sameIncarnation(c) {
 		ttl = t.cfg.ConvictTTL
 	}
-	t.Merge(now, Record{Fingerprint: f, Crashes: []Crash{c}, Late: late, Expires: unixMillis(now.Add(ttl))})
+	t.Merge(now, Record{Fingerprint: f, Crashes: []Crash{c}, Late: late, Served: m.servedAt(now), Pool: m.Pool, Expires: unixMillis(now.Add(ttl))})
 	return t.Find(now, f)
 }
 
--- a/coordination/suspicion/unsettled.go
+++ b/coordination/suspicion/unsettled.go
@@ -22,6 +22,7 @@
 // dead within Config.EvidenceTime, the crash counts, even if the request has ended.
 func (r *TrackedRequest) AttemptUnsettled(l Loss) {
 	g := r.guard
+	r.trial.Store(false)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r.unsettled = append(r.unsettled, unsettledAttempt{loss: l, until: time.Now().Add(g.gate.cfg.EvidenceTime)})
--- a/wisteriarouter/daemon/callers.go
+++ b/wisteriarouter/daemon/callers.go
@@ -87,10 +87,12 @@
 		return
 	case <-r.settings:
 	}
-	select {
-	case <-ctx.Done():
-		return
-	case <-r.suspects.guard.CaughtUp():
+	for _, g := range r.suspects.guards() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.guard.CaughtUp():
+		}
 	}
 	r.state.ready.Store(true)
 	r.node.SetReady(true)
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -75,29 +75,63 @@
 type relaySuspectTracker struct{ *crashSuspicion }
 
 // Track implements relay.SuspectTracker.
-func (s relaySuspectTracker) Track(ctx context.Context, fingerprint uint64, p coordination.Pool) (relay.TrackedRequest, *outcome.Refusal) {
-	t, refusal := s.track(ctx, fingerprint, p)
-	if refusal != nil {
-		return nil, refusal
+func (s relaySuspectTracker) Track(ctx context.Context, x relay.Suspect, p coordination.Pool) (relay.TrackedRequest, *outcome.Refusal) {
+	prompt, refusal, part := s.parts.guard.BeginPrompt(ctx, x.Parts, p)
+	if prompt == nil {
+		return nil, s.newPartRefusal(refusal, part)
 	}
-	return relayTrackedRequest{t}, nil
+	t, refused := s.track(ctx, uint64(x.Request), p)
+	if refused != nil {
+		prompt.Abandoned(context.WithoutCancel(ctx))
+		return nil, refused
+	}
+	return relayTrackedRequest{requestTracker: t, prompt: prompt}, nil
 }
 
 // relayTrackedRequest implements relay.TrackedRequest.
-type relayTrackedRequest struct{ *requestTracker }
+type relayTrackedRequest struct {
+	*requestTracker
+	prompt *suspicion.TrackedPrompt
+}
 
-// Crashed implements relay.TrackedRequest.
-func (t relayTrackedRequest) Crashed(ctx context.Context, p relay.Placement) *outcome.Refusal {
-	return t.crashed(ctx, suspicion.Loss{Pool: t.pool, Endpoint: p.Endpoint, Incarnation: p.Incarnation, Cold: p.Cold})
+func (t relayTrackedRequest) loss(p relay.Placement) suspicion.Loss {
+	return suspicion.Loss{Pool: t.pool, Endpoint: p.Endpoint, Incarnation: p.Incarnation, Cold: p.Cold}
+}
+
+// Alone implements relay.TrackedRequest.
+func (t relayTrackedRequest) Alone() bool { return t.prompt.Alone() || t.requestTracker.Alone() }
+
+// Answering implements relay.TrackedRequest.
+func (t relayTrackedRequest) Answering() { t.prompt.Answering() }
+
+// Crashed implements relay.TrackedRequest. The crash counts against the parts at once, and
+// against the request as a whole before any of them has to wait.
+func (t relayTrackedRequest) Crashed(ctx context.Context, p relay.Placement, answering bool) *outcome.Refusal {
+	if !answering {
+		if refusal, part, ok := t.prompt.RecordCrash(ctx, t.loss(p)); !ok {
+			return t.newPartRefusal(refusal, part)
+		}
+	}
+	if refusal := t.crashed(ctx, t.loss(p)); refusal != nil {
+		return refusal
+	}
+	refusal, part, ok := t.prompt.Enter(ctx)
+	return t.partRefusal(refusal, part, ok)
 }
 
 // Unsettled implements relay.TrackedRequest.
-func (t relayTrackedRequest) Unsettled(p relay.Placement) {
-	t.tracked.AttemptUnsettled(suspicion.Loss{Pool: t.pool, Endpoint: p.Endpoint, Incarnation: p.Incarnation, Cold: p.Cold})
+func (t relayTrackedRequest) Unsettled(p relay.Placement, answering bool) {
+	if !answering {
+		t.prompt.AttemptUnsettled(t.loss(p))
+	}
+	t.tracked.AttemptUnsettled(t.loss(p))
 }
 
 // Convicted implements relay.TrackedRequest.
 func (t relayTrackedRequest) Convicted() *outcome.Refusal {
+	if refusal, part, convicted := t.prompt.Convicted(); convicted {
+		return t.newPartRefusal(refusal, part)
+	}
 	refusal, convicted := t.tracked.Convicted()
 	return t.toRefusal(refusal, !convicted)
 }
@@ -105,11 +139,24 @@
 // LatelyCompleted implements relay.TrackedRequest.
 func (t relayTrackedRequest) LatelyCompleted() bool { return t.tracked.LatelyCompleted() }
 
+// End implements relay.TrackedRequest.
+func (t relayTrackedRequest) End(finished, succeeded bool) {
+	if succeeded {
+		t.prompt.Finished(context.Background())
+	} else {
+		t.prompt.Abandoned(context.Background())
+	}
+	t.requestTracker.End(finished)
+}
+
 // relaySuspicionConfig configures suspicion for endpoints that crash and return
 // within seconds: a suspect request waits no longer than a rumor takes to reach
 // the whole fleet, and the other requests of its pool are not delayed.
 var relaySuspicionConfig = suspicion.Config{Hold: 200 * time.Millisecond, LossWindow: time.Millisecond}
 
+// partSuspicionConfig configures suspicion of parts of prompts.
+var partSuspicionConfig = suspicion.Config{Parts: true}
+
 // newRelayServers starts the listeners of a relaying router.
 func newRelayServers(i do.Injector) (*servers, error) {
 	cfg := newServerConfig(i)
--- a/wisteriarouter/daemon/rumors.go
+++ b/wisteriarouter/daemon/rumors.go
@@ -35,6 +35,7 @@
 	settings.TopicChange:       {Persistent: true},
 	settings.TopicConfirmation: {TTL: freshTTL},
 	suspicion.TopicRecord:      {TTL: suspicionTTL},
+	suspicion.TopicPartRecord:  {TTL: suspicionTTL},
 }
 
 // leavingBroadcaster announces leaving endpoints to the other routers.
--- a/wisteriarouter/daemon/suspects.go
+++ b/wisteriarouter/daemon/suspects.go
@@ -29,57 +29,79 @@
 // crashSuspicion connects the detection of requests that crash endpoints with the
 // other routers. It implements [caller.SuspectTracker].
 type crashSuspicion struct {
-	node        *peer.Node
-	gate        *suspicion.Gate
-	guard       *suspicion.Guard
-	placer      *placer
-	log         event.Log
-	liveRouters map[coordination.Instance]bool
-	table       *suspicion.Table
-	mu          sync.Mutex // guards endpoints
-	endpoints   *placement.Set
+	*sharedGuard              // of whole requests
+	parts        *sharedGuard // of parts of prompts; nil if requests have none
+	placer       *placer
+	liveRouters  map[coordination.Instance]bool
+	mu           sync.Mutex // guards endpoints
+	endpoints    *placement.Set
 }
 
 func newCrashSuspicion(i do.Injector) (*crashSuspicion, error) {
-	st := stateOf(i)
 	node := do.MustInvoke[*peer.Node](i)
+	s := &crashSuspicion{
+		endpoints:   placement.NewSet(nil),
+		placer:      do.MustInvoke[*placer](i),
+		liveRouters: make(map[coordination.Instance]bool),
+	}
 	var cfg suspicion.Config
 	if configOf(i).Relay != nil {
 		cfg = relaySuspicionConfig
+		s.parts = newSharedGuard(i, partSuspicionConfig, nil)
 	}
+	s.sharedGuard = newSharedGuard(i, cfg, s.parts)
+	node.OnChange(s.membersChanged)
+	s.placer.detector.Watch(s.updateGates)
+	s.placer.observe(s.endpointsChanged)
+	ctx, cancel := context.WithCancel(context.Background())
+	go s.loop(ctx)
+	onStop(i, cancel)
+	return s, nil
+}
+
+// guards returns the guards of all that crashes count against.
+func (s *crashSuspicion) guards() []*sharedGuard {
+	return lo.Compact([]*sharedGuard{s.sharedGuard, s.parts})
+}
+
+// sharedGuard is a guard whose records all routers of the fleet share.
+type sharedGuard struct {
+	node  *peer.Node
+	gate  *suspicion.Gate
+	guard *suspicion.Guard
+	table *suspicion.Table
+	log   event.Log
+}
+
+// newSharedGuard creates the guard of one kind of fingerprints. Crashes that a convicted
+// fingerprint of another guard explains do not count, if other is not nil.
+func newSharedGuard(i do.Injector, cfg suspicion.Config, other *sharedGuard) *sharedGuard {
+	st, node, detector := stateOf(i), do.MustInvoke[*peer.Node](i), do.MustInvoke[*peer.FailureDetector](i)
 	table := suspicion.NewTable(cfg)
-	s := &crashSuspicion{
-		node:        node,
-		gate:        suspicion.NewGate(table),
-		table:       table,
-		endpoints:   placement.NewSet(nil),
-		placer:      do.MustInvoke[*placer](i),
-		log:         logOf(i),
-		liveRouters: make(map[coordination.Instance]bool),
+	if other != nil {
+		table.ExplainedBy(other.table)
 	}
-	s.guard = suspicion.NewGuard(st.instance, st.incarnation, s.gate, s.placer.detector, recordSpreader{node})
+	s := &sharedGuard{node: node, table: table, gate: suspicion.NewGate(table), log: logOf(i)}
+	s.guard = suspicion.NewGuard(st.instance, st.incarnation, s.gate, detector, recordSpreader{node})
 	hasSeeds := len(configOf(i).Peers.Seeds) > 0
 	if hasSeeds {
 		s.guard.BeginCatchUp()
 	}
-	node.Handle(suspicion.TopicGate, func(ctx context.Context, _ coordination.Instance, payload []byte) ([]byte, error) {
+	topics := cfg.Topics()
+	node.Handle(topics.Gate, func(ctx context.Context, _ coordination.Instance, payload []byte) ([]byte, error) {
 		return s.guard.HandleGate(ctx, payload)
 	})
-	node.Handle(suspicion.TopicRecords, func(_ context.Context, _ coordination.Instance, payload []byte) ([]byte, error) {
+	node.Handle(topics.Records, func(_ context.Context, _ coordination.Instance, payload []byte) ([]byte, error) {
 		return s.guard.HandleRecords(payload)
 	})
-	node.OnRumor(suspicion.TopicRecord, s.handleRecord)
-	node.OnChange(s.membersChanged)
-	s.placer.detector.Watch(s.updateGates)
-	s.placer.observe(s.endpointsChanged)
+	node.OnRumor(topics.Record, s.handleRecord)
 	ctx, cancel := context.WithCancel(context.Background())
-	go s.loop(ctx)
 	go recordComparer{guard: s.guard, node: node, log: s.log}.loop(ctx)
 	if hasSeeds {
-		go (&catchUp{guard: s.guard, node: node, detector: s.placer.detector, log: s.log}).run(ctx)
+		go (&catchUp{guard: s.guard, node: node, detector: detector, log: s.log}).run(ctx)
 	}
 	onStop(i, cancel)
-	return s, nil
+	return s
 }
 
 // recordSpreader gossips suspicion records.
@@ -96,7 +118,7 @@
 	s.node.Broadcast(topic, strconv.FormatUint(xxhash.Sum64(payload), 16), 1, payload)
 }
 
-func (s *crashSuspicion) handleRecord(_ string, _ uint64, payload []byte) {
+func (s *sharedGuard) handleRecord(_ string, _ uint64, payload []byte) {
 	// A record that cannot be decoded is dropped: records are soft state, and
 	// the transport has already reported the message.
 	_ = s.takeOver(payload)
@@ -104,7 +126,7 @@
 
 // takeOver takes over a record of another router and logs it if it is new. The error is of
 // type [suspicion.ErrMalformed].
-func (s *crashSuspicion) takeOver(payload []byte) error {
+func (s *sharedGuard) takeOver(payload []byte) error {
 	isNew, err := s.guard.HandleRecord(context.Background(), payload)
 	if err != nil || !isNew {
 		return err
@@ -142,15 +164,21 @@
 	}
 	for id := range s.liveRouters {
 		if !live[id] {
-			s.gate.InstanceDied(now, id)
+			for _, g := range s.guards() {
+				g.gate.InstanceDied(now, id)
+			}
 		}
 	}
 	s.liveRouters = live
 	s.updateGates()
 }
 
-// updateGates informs the guard that gates may have moved to other routers.
-func (s *crashSuspicion) updateGates() { s.guard.Update(context.Background(), s.placer.fleet.owners()) }
+// updateGates informs the guards that gates may have moved to other routers.
+func (s *crashSuspicion) updateGates() {
+	for _, g := range s.guards() {
+		g.guard.Update(context.Background(), s.placer.fleet.owners())
+	}
+}
 
 func (s *crashSuspicion) loop(ctx context.Context) {
 	t := time.NewTicker(claimRenewInterval)
@@ -160,7 +188,9 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			s.guard.Renew(ctx)
+			for _, g := range s.guards() {
+				g.guard.Renew(ctx)
+			}
 		}
 	}
 }
@@ -171,8 +201,10 @@
 	if s.placer.directory.HasLeft(e, n) {
 		return
 	}
-	for _, f := range s.guard.EndpointDied(context.Background(), e, n) {
-		s.log.Emit(event.RequestSuspected, event.F("fingerprint", f.String()), event.F("endpoint", e), event.F("late", true))
+	for _, g := range s.guards() {
+		for _, f := range g.guard.EndpointDied(context.Background(), e, n) {
+			s.log.Emit(event.RequestSuspected, event.F("fingerprint", f.String()), event.F("endpoint", e), event.F("late", true))
+		}
 	}
 }
 
@@ -213,6 +245,28 @@
 	}
 }
 
+// newPartRefusal converts a refusal for a part of a prompt into one for callers.
+func (s *crashSuspicion) newPartRefusal(r suspicion.Refusal, part suspicion.Fingerprint) *outcome.Refusal {
+	refusal := &outcome.Refusal{
+		Code:       outcome.Overloaded,
+		Message:    "another request with part " + part.String() + " of its prompt runs elsewhere under suspicion of crashing endpoints",
+		Outcome:    outcome.NotRun,
+		RetryAfter: r.RetryAfter,
+	}
+	if r.Poison {
+		refusal.Code, refusal.Message = outcome.Poison, "endpoints died while they ran requests with part "+part.String()+" of its prompt; such requests are refused everywhere"
+	}
+	return refusal
+}
+
+// partRefusal is newPartRefusal, or nil if the request may proceed.
+func (s *crashSuspicion) partRefusal(r suspicion.Refusal, part suspicion.Fingerprint, proceed bool) *outcome.Refusal {
+	if proceed {
+		return nil
+	}
+	return s.newPartRefusal(r, part)
+}
+
 // requestTracker implements [caller.TrackedRequest].
 type requestTracker struct {
 	*crashSuspicion
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -18,7 +18,7 @@
 // attempt sends the request to one endpoint and forwards its response.
 func (x *exchange) attempt(ctx context.Context, p Placement) attemptResult {
 	id := coordination.Attempt(strconv.Itoa(x.evidence.Attempts()))
-	x.status, x.undelimited, x.reply, x.stream.partial = 0, false, platform.Response{}, 0
+	x.status, x.undelimited, x.reply, x.stream.partial, x.stream.answering = 0, false, platform.Response{}, 0, false
 	x.evidence.Begin(id)
 	ctx, stop := x.watchFirstByte(ctx, p)
 	defer stop()
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -25,6 +25,7 @@
 	// unrepeatable reports that the caller has part of a response that is not an
 	// event stream, and that another endpoint therefore cannot continue.
 	unrepeatable bool
+	answering    bool   // the last endpoint has written events for answeringTime
 	lastEventID  string // id of the last complete event sent to the caller
 	partial      int    // bytes of an incomplete event at the end of the last response
 	firstEventAt time.Time
@@ -81,6 +82,7 @@
 	e := eventReader{body: resp.Body, buf: make([]byte, 0, streamBuffer)}
 	defer func() { x.stream.partial = len(e.rest()) }()
 	flush := http.NewResponseController(x.w).Flush
+	var first time.Time // of the events of this endpoint
 	for {
 		events, err := e.next()
 		if len(events) > 0 {
@@ -89,6 +91,10 @@
 			}
 			resumed = false
 			now := time.Now()
+			if first.IsZero() {
+				first = now
+			}
+			x.recordAnswering(first, now)
 			x.watch.recordFirstByte(now)
 			x.recordOrigin()
 			x.stream.recordEvents(now, events)
--- a/wisteriarouter/relay/suspects.go
+++ b/wisteriarouter/relay/suspects.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
+	"github.com/samber/lo"
+
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/outcome"
 	"wisteriaspool/coordination/route"
@@ -13,11 +16,18 @@
 	"wisteriaspool/wisteriarouter/upstream"
 )
 
-// SuspectTracker prevents a request that crashes endpoints from crashing several in turn.
+// Suspect is what crashes of endpoints may count against.
+type Suspect struct {
+	Request suspicion.Fingerprint   // of the whole request
+	Parts   []suspicion.Fingerprint // of the parts of its prompt that others may share
+}
+
+// SuspectTracker prevents requests that crash endpoints from crashing several in turn: one
+// request that comes again, or many that share a part of their prompts.
 type SuspectTracker interface {
 	// Track starts to track a request, or refuses it. It may wait until another
 	// copy of a suspect has ended.
-	Track(ctx context.Context, fingerprint uint64, p coordination.Pool) (TrackedRequest, *outcome.Refusal)
+	Track(ctx context.Context, s Suspect, p coordination.Pool) (TrackedRequest, *outcome.Refusal)
 	// EndpointDied counts the death of an endpoint against the requests whose attempts
 	// there are unsettled.
 	EndpointDied(e coordination.Endpoint, n coordination.Incarnation)
@@ -27,22 +37,31 @@
 type TrackedRequest interface {
 	// Alone reports whether the next attempt must run apart from other suspects.
 	Alone() bool
-	// Crashed records that the endpoint that ran the request has died. It returns
-	// nil when the request may continue, or its refusal.
-	Crashed(ctx context.Context, p Placement) *outcome.Refusal
+	// Answering records that the endpoint has written the response for answeringTime, so
+	// that the parts of the prompt hardly crash endpoints. It does not block.
+	Answering()
+	// Crashed records that the endpoint that ran the request has died. With answering the
+	// attempt was reported to Answering, and the parts of its prompt are not blamed. It
+	// returns nil when the request may continue, or its refusal.
+	Crashed(ctx context.Context, p Placement, answering bool) *outcome.Refusal
 	// Unsettled records that an attempt got no complete response although its endpoint
 	// seems to be alive. If it dies soon, that counts as a crash.
-	Unsettled(p Placement)
+	Unsettled(p Placement, answering bool)
 	// Convicted returns the refusal of the request if it has been found to crash endpoints
 	// since Track, and nil otherwise.
 	Convicted() *outcome.Refusal
 	// LatelyCompleted reports whether a copy of the request has lately run to completion,
 	// so that it hardly crashes endpoints.
 	LatelyCompleted() bool
-	// End stops tracking; finished reports whether the request has run to its end.
-	End(finished bool)
+	// End stops tracking; finished reports whether the request has run to its end, and
+	// succeeded whether its response was a success.
+	End(finished, succeeded bool)
 }
 
+// answeringTime is for how long an endpoint has to write events of a response until the
+// request is not taken for one that crashes endpoints as they begin to answer.
+const answeringTime = time.Second
+
 // track starts to track a request, since it may be one that crashes endpoints. A request
 // that comes again has the same caller, path and body; its method and the spelling of its
 // host may differ.
@@ -51,7 +70,8 @@
 		return true
 	}
 	x.fingerprint = suspicion.FingerprintOf(string(x.account), route.Hostname(x.r.Host), x.r.URL.RequestURI(), string(x.body))
-	tracked, refusal := x.server.Suspects.Track(ctx, uint64(x.fingerprint), x.pool)
+	parts := lo.Map(platform.SharedParts(x.r.Header), func(id string, _ int) suspicion.Fingerprint { return suspicion.PartOf(id) })
+	tracked, refusal := x.server.Suspects.Track(ctx, Suspect{Request: x.fingerprint, Parts: parts}, x.pool)
 	if refusal != nil {
 		x.respondWithoutResult(refusal.Message, refusal.RetryAfter)
 		return false
@@ -149,7 +169,7 @@
 	if x.tracked == nil {
 		return
 	}
-	x.tracked.Unsettled(p)
+	x.tracked.Unsettled(p, x.stream.answering)
 	x.server.aftermath.watch(x.server, p)
 }
 
@@ -161,7 +181,7 @@
 	if x.tracked == nil {
 		return true
 	}
-	refusal := x.tracked.Crashed(ctx, p)
+	refusal := x.tracked.Crashed(ctx, p, x.stream.answering)
 	if refusal == nil {
 		return true
 	}
@@ -185,8 +205,17 @@
 // endTracking stops tracking the request.
 func (x *exchange) endTracking(finished bool) {
 	if x.tracked != nil {
-		x.tracked.End(finished)
+		x.tracked.End(finished, finished && x.status < http.StatusBadRequest)
+	}
+}
+
+// recordAnswering records that the endpoint has written events since first.
+func (x *exchange) recordAnswering(first, now time.Time) {
+	if x.tracked == nil || x.stream.answering || now.Sub(first) < answeringTime {
+		return
 	}
+	x.stream.answering = true
+	x.tracked.Answering()
 }
 
 // reportUnreachable handles a failed dial. A refused connection proves that the
