Crashing parts of prompts outlast the routers that refuse them

Cause: convictions of requests are in the platform's store, those of parts were in the memory of routers only; as all start again, each took itself for the gate of a part, and let a trial through. A guard of either kind keeps its convictions in the store now, under keys of its own, with the trials that it let through; a gate removes one that has been cleared, and lets no trial through for 3 s after the list of routers has changed. platform gets the calls that replace and remove a key.

Test: all routers of a fleet start again, and a router starts, beside a part that is refused.

--- a/coordination/suspicion/gate.go
+++ b/coordination/suspicion/gate.go
@@ -88,6 +88,10 @@
 	}
 }
 
+// trialHold is how long after a change of the list of routers a gate lets no trial through:
+// several routers may take themselves for the gate, or not know of earlier trials yet.
+const trialHold = 3 * time.Second
+
 // enter admits a copy unless its verdict is Poison or Busy. A copy that is let through as
 // a trial changes the record.
 func (g *Gate) enter(now time.Time, m GateRequest) (GateReply, *Record) {
@@ -96,6 +100,9 @@
 	case AllowedAlone, Allowed:
 		g.trackCopy(now, m)
 	case Poison:
+		if now.Sub(g.membersChangedAt) < trialHold {
+			break
+		}
 		if r, ok := g.table.beginTrial(now, m.Fingerprint); ok {
 			g.trackCopy(now, m)
 			return GateReply{Verdict: AllowedAlone, Trial: true}, &r
--- a/coordination/suspicion/guard.go
+++ b/coordination/suspicion/guard.go
@@ -172,6 +172,13 @@
 	})
 }
 
+// OwnsCleared reports whether this router is the gate of a fingerprint that was cleared and
+// is not convicted again.
+func (g *Guard) OwnsCleared(fp Fingerprint) bool {
+	r, state := g.table.Find(time.Now(), fp)
+	return r.Cleared > 0 && state != Convicted && g.gateOf(fp) == g.instance
+}
+
 // claim registers with the gate the copies of a suspect that run here and that
 // the gate does not know of.
 func (g *Guard) claim(ctx context.Context, fp Fingerprint) {
--- a/wisteriarouter/daemon/convictions.go
+++ b/wisteriarouter/daemon/convictions.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"sync"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -17,57 +19,101 @@
 // convictionStore is the part of the platform's store that convictions need.
 type convictionStore interface {
 	Grant(ctx context.Context, ttl time.Duration) (kv.Lease, kv.Result)
-	Create(ctx context.Context, key string, value []byte, lease kv.Lease) kv.Result
+	Replace(ctx context.Context, key string, value []byte, revision kv.Revision, lease kv.Lease) kv.Result
+	Delete(ctx context.Context, key string, revision kv.Revision) kv.Result
 }
 
-// convictions keeps the records of requests that crash endpoints in the platform's store,
-// so that they outlast the routers that saw the crashes: all may be killed at once. Each
-// record is written once, by its gate, and removed with its lease. All routers read it
-// with their copy of the store.
+// convictions keeps the records of requests, or of parts of prompts, that crash endpoints in
+// the platform's store, so that they outlast the routers that saw the crashes: all may be
+// killed at once. Each record is written by its gate, again after each trial, and removed with
+// its lease, or by its gate when it is cleared. All routers read it with their copy of the
+// store.
 type convictions struct {
-	crashSuspicion *crashSuspicion
-	store          convictionStore
-	mirror         *mirror.Mirror
-	log            event.Log
-	changed        chan struct{}
-	stored         map[suspicion.Fingerprint]time.Time // expiry of the records that the store has
+	guard   *sharedGuard
+	keyOf   func(fingerprint string) string
+	isKey   func(key string) bool
+	store   convictionStore
+	mirror  *mirror.Mirror
+	log     event.Log
+	changed chan struct{}
+	stored  map[suspicion.Fingerprint]storedRecord
+
+	mu     sync.Mutex
+	listed map[string]suspicion.Fingerprint // records in the copy of the store, by key
 }
 
 // storeRetryPause is the mean time between two attempts to write while the store is not
 // available.
 const storeRetryPause = time.Second
 
-func newConvictions(i do.Injector) (*convictions, error) {
+// storedRecord is what the store has of a record.
+type storedRecord struct {
+	expires time.Time
+	trials  int
+}
+
+// convictionStores holds the convictions of each guard.
+type convictionStores struct{ requests, parts *convictions }
+
+func newConvictions(i do.Injector) (*convictionStores, error) {
+	s := do.MustInvoke[*crashSuspicion](i)
+	return &convictionStores{
+		requests: storeConvictions(i, s.sharedGuard, platform.CrashingKey, platform.IsCrashing),
+		parts:    storeConvictions(i, s.parts, platform.CrashingPartKey, platform.IsCrashingPart),
+	}, nil
+}
+
+func storeConvictions(i do.Injector, g *sharedGuard, keyOf func(string) string, isKey func(string) bool) *convictions {
 	c := &convictions{
-		crashSuspicion: do.MustInvoke[*crashSuspicion](i),
-		store:          do.MustInvoke[*platform.Store](i),
-		mirror:         do.MustInvoke[*mirror.Mirror](i),
-		log:            logOf(i),
-		changed:        make(chan struct{}, 1),
-		stored:         make(map[suspicion.Fingerprint]time.Time),
+		guard:   g,
+		keyOf:   keyOf,
+		isKey:   isKey,
+		store:   do.MustInvoke[*platform.Store](i),
+		mirror:  do.MustInvoke[*mirror.Mirror](i),
+		log:     logOf(i),
+		changed: make(chan struct{}, 1),
+		stored:  make(map[suspicion.Fingerprint]storedRecord),
+		listed:  make(map[string]suspicion.Fingerprint),
 	}
 	c.mirror.Observe(c.applyChanges)
-	c.crashSuspicion.guard.OnChange(c.signalChange)
+	g.guard.OnChange(c.signalChange)
 	c.signalChange() // rumors may have arrived before
 	ctx, cancel := context.WithCancel(context.Background())
 	go c.loop(ctx)
 	onStop(i, cancel)
-	return c, nil
+	return c
 }
 
 // applyChanges takes over the records that other routers have written. A router that has
 // read them from the store itself need not wait for other routers.
 func (c *convictions) applyChanges(n mirror.Changes) {
 	for _, item := range n.Items {
-		if item.Deleted || !platform.IsCrashing(item.Key) {
+		if !c.isKey(item.Key) {
 			continue
 		}
-		if err := c.crashSuspicion.takeOver(item.Value); err != nil {
+		c.list(item)
+		if item.Deleted {
+			continue
+		}
+		if err := c.guard.takeOver(item.Value); err != nil {
 			c.log.Emit(event.SettingsInvalid, event.F("key", item.Key), event.F("revision", item.Revision), event.F("error", err.Error()))
 		}
 	}
 	if n.From == "" {
-		c.crashSuspicion.guard.EndCatchUp()
+		c.guard.guard.EndCatchUp()
+	}
+}
+
+// list notes whether the store has a record. One that is malformed has been written by
+// something else, and is left alone.
+func (c *convictions) list(item mirror.Item) {
+	r, err := suspicion.DecodeRecord(item.Value)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.listed, item.Key)
+	if !item.Deleted && err == nil {
+		c.listed[item.Key] = r.Fingerprint
+		c.signalChange()
 	}
 }
 
@@ -104,41 +150,78 @@
 // now.
 func (c *convictions) writeAll(ctx context.Context) bool {
 	now := time.Now()
-	for f, expires := range c.stored {
-		if !now.Before(expires) {
+	for f, r := range c.stored {
+		if !now.Before(r.expires) {
 			delete(c.stored, f)
 		}
 	}
 	complete := true
-	for _, r := range c.crashSuspicion.guard.OwnConvictions() {
-		if _, ok := c.stored[r.Fingerprint]; !ok && !c.write(ctx, r) {
+	for _, r := range c.guard.guard.OwnConvictions() {
+		if last, ok := c.stored[r.Fingerprint]; (!ok || last.trials < r.Trials) && !c.write(ctx, r) {
+			complete = false
+		}
+	}
+	c.mu.Lock()
+	listed := maps.Clone(c.listed)
+	c.mu.Unlock()
+	for key, f := range listed {
+		if c.guard.guard.OwnsCleared(f) && !c.remove(ctx, key, f) {
 			complete = false
 		}
 	}
 	return complete
 }
 
+// remove removes the record of a fingerprint that has been cleared, and reports whether the
+// store does not have it any more.
+func (c *convictions) remove(ctx context.Context, key string, f suspicion.Fingerprint) bool {
+	delete(c.stored, f)
+	item, ok := c.mirror.Find(key)
+	if !ok {
+		return true
+	}
+	res := c.store.Delete(ctx, key, item.Revision)
+	if res.Status != kv.Applied && res.Status != kv.Conflict {
+		c.log.Emit(event.ConvictionNotStored, event.F("fingerprint", f.String()), event.F("removed", true), event.F("status", res.Status.String()), event.F("error", errorText(res.Err)))
+		return false
+	}
+	c.log.Emit(event.ConvictionStored, event.F("fingerprint", f.String()), event.F("removed", true), event.F("revision", res.Revision), event.F("status", res.Status.String()))
+	return true
+}
+
 // write writes one record and reports whether the store has it.
 func (c *convictions) write(ctx context.Context, r suspicion.Record) bool {
-	key := platform.CrashingKey(r.Fingerprint.String())
+	key := c.keyOf(r.Fingerprint.String())
 	expires := r.Expires.Time()
-	if _, ok := c.mirror.Find(key); ok {
-		c.stored[r.Fingerprint] = expires
+	written := storedRecord{expires: expires, trials: r.Trials}
+	item, ok := c.mirror.Find(key)
+	if ok && c.hasTrials(item, r) {
+		c.stored[r.Fingerprint] = written
 		return true
 	}
+	var revision kv.Revision // of the record that is replaced; zero if there is none
+	if ok {
+		revision = item.Revision
+	}
 	lease, res := c.store.Grant(ctx, min(time.Until(expires), platform.MaxLease))
 	if res.Status == kv.Applied {
-		res = c.store.Create(ctx, key, r.Encode(), lease)
+		res = c.store.Replace(ctx, key, r.Encode(), revision, lease)
 	}
 	if res.Status != kv.Applied && res.Status != kv.Conflict {
 		c.log.Emit(event.ConvictionNotStored, event.F("fingerprint", r.Fingerprint.String()), event.F("status", res.Status.String()), event.F("error", errorText(res.Err)))
 		return false
 	}
-	c.stored[r.Fingerprint] = expires
-	c.log.Emit(event.ConvictionStored, event.F("fingerprint", r.Fingerprint.String()), event.F("revision", res.Revision), event.F("status", res.Status.String()))
+	c.stored[r.Fingerprint] = written
+	c.log.Emit(event.ConvictionStored, event.F("fingerprint", r.Fingerprint.String()), event.F("trials", r.Trials), event.F("revision", res.Revision), event.F("status", res.Status.String()))
 	return true
 }
 
+// hasTrials reports whether a record in the store counts all trials of r, or is not a record.
+func (c *convictions) hasTrials(item mirror.Item, r suspicion.Record) bool {
+	known, err := suspicion.DecodeRecord(item.Value)
+	return err != nil || known.Trials >= r.Trials
+}
+
 // errorText returns the text of an error for a log line.
 func errorText(err error) string {
 	if err == nil {
--- a/wisteriarouter/daemon/relay_desired.go
+++ b/wisteriarouter/daemon/relay_desired.go
@@ -41,7 +41,7 @@
 	// Endpoints and crashing requests are read before the desired state: requests
 	// that wait for it would otherwise find their pools empty, or crash endpoints.
 	do.MustInvoke[*endpoint.EntryTracker](i)
-	do.MustInvoke[*convictions](i)
+	do.MustInvoke[*convictionStores](i)
 	do.MustInvoke[*versionHistory](i)
 	m.Observe(d.applyChanges)
 	m.Observe(newBehindMetric(do.MustInvoke[*prometheus.Registry](i)))
--- a/wisteriarouter/daemon/relay_parts_test.go
+++ b/wisteriarouter/daemon/relay_parts_test.go
@@ -197,3 +197,55 @@
 	}
 	return served, all
 }
+
+// partCluster starts three routers before a pool of endpoints that a part ends, sends
+// requests with it until it is refused, and returns the case.
+func partCluster(t *testing.T) (*endingPool, partCase) {
+	c := partCases[0]
+	s := newRelayCluster(t, 3, 1, 0)
+	p := newPartPool(s, c)
+	s.awaitPrompt(c.path)
+	until := time.Now().Add(4 * time.Second)
+	crashing := &prompts{cluster: s, path: c.path, prompt: strings.Replace(c.prompt, "%s", crashingPart, 1), interval: 150 * time.Millisecond, until: until}
+	sound := &prompts{cluster: s, path: c.path, prompt: soundPrompt(c), interval: 40 * time.Millisecond, until: until}
+	var wg sync.WaitGroup
+	wg.Go(crashing.run)
+	wg.Go(sound.run)
+	wg.Wait()
+	assert.Assert(t, len(p.crashTimes()) >= 3, "the part is not refused yet")
+	return p, c
+}
+
+// sendPart sends one request with the crashing part through a router.
+func (p *endingPool) sendPart(router int, c partCase) relayResponse {
+	prompt := fmt.Sprintf(strings.Replace(c.prompt, "%s", crashingPart, 1), freshID())
+	return p.cluster.send(router, c.path+freshID(), "X-Prefix-Hash", prompt)
+}
+
+// Guards against routers that start and do not know which parts of prompts crash endpoints.
+func TestRelayNewRouterRefusesCrashingPart(t *testing.T) {
+	p, c := partCluster(t)
+	s := p.cluster
+	before := len(p.crashTimes())
+	for range 2 {
+		s.addRouter()
+		newest := len(s.routers) - 1
+		for end := time.Now().Add(500 * time.Millisecond); time.Now().Before(end); {
+			p.sendPart(newest, c)
+			time.Sleep(10 * time.Millisecond)
+		}
+		s.awaitReady(newest)
+	}
+	assert.Assert(t, len(p.crashTimes()) <= before+1, "%d endpoints crashed, %d before; one may be a trial", len(p.crashTimes()), before)
+}
+
+// Guards against what is known of crashing parts ending with the processes that know it.
+func TestRelayRefusesCrashingPartAfterAllRoutersRestart(t *testing.T) {
+	p, c := partCluster(t)
+	before := len(p.crashTimes())
+	p.cluster.restartAll(3)
+	for n := range 30 {
+		p.sendPart(n%3, c)
+	}
+	assert.Assert(t, len(p.crashTimes()) <= before+1, "%d endpoints crashed, %d before; one may be a trial", len(p.crashTimes()), before)
+}
