Operators see what routers suspect, and clear it

Cause: a verdict on a part of prompts, or on a request, could be seen in logs only, and ended by time alone. wisteriactl suspects list shows what a router knows: the endpoints that ended, the trials, when the next one is due and when the record ends; suspects clear ends a verdict on all routers and in the store, with who and why in the log (event 527). Events 524 to 526 say when requests with a part are refused, when they would be but for the bound of eight parts (spared: one at a time), and when they are served again. The relaying routers serve these two operations beside their metrics.

--- a/coordination/suspicion/guard.go
+++ b/coordination/suspicion/guard.go
@@ -42,6 +42,7 @@
 
 	mu         sync.Mutex
 	onChange   func() // nil for none
+	onState    func(r Record, before, after State)
 	lastNumber uint64
 	tracked    map[Fingerprint][]*TrackedRequest
 	served     map[coordination.Pool]time.Time // when a request last ran to completion; kept for parts only
@@ -109,10 +110,12 @@
 
 // merge takes over a record and reports whether it was new.
 func (g *Guard) merge(ctx context.Context, r Record) bool {
+	_, before := g.table.Find(time.Now(), r.Fingerprint)
 	if !g.table.Merge(time.Now(), r) {
 		return false
 	}
 	g.changed()
+	g.stateChanged(r.Fingerprint, before)
 	g.claim(ctx, r.Fingerprint)
 	g.reportServed(ctx, r.Fingerprint)
 	return true
@@ -153,6 +156,23 @@
 	g.onChange = fn
 }
 
+// OnState registers fn, which is called when a record has changed the state of its
+// fingerprint. fn must not block.
+func (g *Guard) OnState(fn func(r Record, before, after State)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.onState = fn
+}
+
+func (g *Guard) stateChanged(fp Fingerprint, before State) {
+	g.mu.Lock()
+	fn := g.onState
+	g.mu.Unlock()
+	if r, after := g.table.Find(time.Now(), fp); fn != nil && after != before {
+		fn(r, before, after)
+	}
+}
+
 func (g *Guard) changed() {
 	g.mu.Lock()
 	fn := g.onChange
@@ -172,6 +192,37 @@
 	})
 }
 
+// Judged is a record and the state derived from it.
+type Judged struct {
+	Record
+	State     State
+	NextTrial time.Time // zero if there is none
+}
+
+// Judged returns the records with crashes that this router knows, convictions first.
+func (g *Guard) Judged() []Judged {
+	now := time.Now()
+	all, _ := g.table.live(now)
+	return lo.FilterMap(all, func(r Record, _ int) (Judged, bool) {
+		j := Judged{Record: r}
+		_, j.State = g.table.Find(now, r.Fingerprint)
+		if at, ok := nextTrial(r); ok && g.table.cfg.Parts && j.State == Convicted {
+			j.NextTrial = at
+		}
+		return j, len(r.Crashes) > 0
+	})
+}
+
+// Pardon clears a fingerprint on all routers as an operator says, and reports whether
+// crashes count against it.
+func (g *Guard) Pardon(ctx context.Context, fp Fingerprint) bool {
+	if r, _ := g.table.Find(time.Now(), fp); len(r.Crashes) == 0 {
+		return false
+	}
+	g.report(ctx, GateRequest{Fingerprint: fp, Copy: Copy{Instance: g.instance, Incarnation: g.incarnation}, Step: Pardoned})
+	return true
+}
+
 // OwnsCleared reports whether this router is the gate of a fingerprint that was cleared and
 // is not convicted again.
 func (g *Guard) OwnsCleared(fp Fingerprint) bool {
@@ -182,7 +233,7 @@
 // claim registers with the gate the copies of a suspect that run here and that
 // the gate does not know of.
 func (g *Guard) claim(ctx context.Context, fp Fingerprint) {
-	if _, state := g.table.Find(time.Now(), fp); state != Suspect {
+	if _, state := g.table.Find(time.Now(), fp); state != Suspect && state != Spared {
 		return
 	}
 	for _, r := range g.registerAll(fp) {
@@ -218,8 +269,10 @@
 	if m.Known != nil {
 		g.merge(ctx, *m.Known)
 	}
+	_, before := g.table.Find(time.Now(), m.Fingerprint)
 	reply, r := g.gate.Handle(time.Now(), m)
 	if r != nil {
+		g.stateChanged(m.Fingerprint, before)
 		g.spreader.Spread(g.table.cfg.Topics().Record, r.Encode())
 		g.changed()
 		g.claim(ctx, r.Fingerprint)
@@ -506,7 +559,7 @@
 	switch r, state := g.table.Find(time.Now(), m.Fingerprint); state {
 	case Convicted:
 		return GateReply{Verdict: Poison, RetryAfter: millis(time.Until(g.table.refusedUntil(r)))}
-	case Suspect:
+	case Suspect, Spared:
 		return GateReply{Verdict: Busy, RetryAfter: millis(gateTimeout)}
 	default:
 		return GateReply{Verdict: Allowed}
--- a/coordination/suspicion/part.go
+++ b/coordination/suspicion/part.go
@@ -72,7 +72,9 @@
 	switch {
 	case t.refused[r.Fingerprint]:
 		return Convicted
-	case convicts(r) || len(newCrashes(r)) > 0:
+	case convicts(r):
+		return Spared
+	case len(newCrashes(r)) > 0:
 		return Suspect
 	default:
 		return Clear
--- a/standin/hub/hub.go
+++ b/standin/hub/hub.go
@@ -61,6 +61,14 @@
 	return s.putLocked(key, value)
 }
 
+// Has reports whether a key exists.
+func (s *Store) Has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.items[key]
+	return ok
+}
+
 func (s *Store) putLocked(key string, value []byte) int64 {
 	s.revision++
 	item := Item{Key: key, Value: slices.Clone(value), Revision: s.revision, CreateRevision: s.revision}
--- a/wisteriactl/command.go
+++ b/wisteriactl/command.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"regexp"
 	"strings"
 
 	"github.com/google/subcommands"
@@ -22,6 +23,9 @@
 	defaultRouter  = "http://127.0.0.1:8081"
 )
 
+// fingerprintPattern matches the fingerprint of a suspect.
+var fingerprintPattern = regexp.MustCompile("^[0-9a-f]{1,16}$")
+
 // command implements subcommands.Command for all commands but settings.
 type command struct {
 	app
@@ -30,12 +34,14 @@
 	args         string // synopsis of the arguments, such as "-file F TEAM"
 	takesTeam    bool   // whether a team name is required
 	takesRequest bool   // whether a request ID is required
+	takesSuspect bool   // whether the fingerprint of a suspect is required
 	offline      bool   // whether it runs without a router
 	flags        func(f *flag.FlagSet)
 	do           func(ctx context.Context, c *command) error
 
 	teamName  coordination.Team
 	requestID coordination.Attempt
+	suspectID string
 	client    *client
 	routers   string
 	format    string
@@ -104,6 +110,18 @@
 			return errUsage.New("wrong flags: %v", err)
 		}
 	}
+	if c.takesSuspect {
+		if f.NArg() == 0 {
+			return errUsage.New("%s needs a FINGERPRINT; see wisteriactl suspects list", c.name)
+		}
+		c.suspectID = strings.ToLower(f.Arg(0))
+		if err := f.Parse(f.Args()[1:]); err != nil {
+			return errUsage.New("wrong flags: %v", err)
+		}
+		if !fingerprintPattern.MatchString(c.suspectID) {
+			return errUsage.New("%q is no fingerprint", c.suspectID)
+		}
+	}
 	if f.NArg() > 0 {
 		return errUsage.New("%q is one argument too many", f.Arg(0))
 	}
--- a/wisteriactl/main.go
+++ b/wisteriactl/main.go
@@ -23,6 +23,9 @@
   wisteriactl settings put -file F -reason R [-wait 4s] TEAM
   wisteriactl settings history [flags] TEAM   who changed what, when and why
   wisteriactl status [flags]                  a router, its peers and endpoints
+  wisteriactl suspects list [flags]           requests and parts of prompts that end endpoints
+  wisteriactl suspects clear -author A -reason R [-kind part] FINGERPRINT
+                                              let refused requests run again
   wisteriactl explain REQUEST < LOGS          what became of a request, from routers' logs
   wisteriactl losses < LOGS                   how many requests were late, failed or refused, and by what
 
@@ -47,7 +50,7 @@
 
 // run executes the command named by args and returns its exit code.
 func run(ctx context.Context, args []string, a app) exitCode {
-	return execute(ctx, a, "wisteriactl", args, a.status(), a.explain(), a.losses(), settingsGroup{a})
+	return execute(ctx, a, "wisteriactl", args, a.status(), a.explain(), a.losses(), settingsGroup{a}, suspectsGroup{a})
 }
 
 // execute executes the command of cmds that is named by args.
--- a/wisteriactl/main_test.go
+++ b/wisteriactl/main_test.go
@@ -39,6 +39,14 @@
 		"settings":[{"team":"solco","in_force":{"sequence":12,"revision":12},"since":"2026-12-02T09:00:01Z","refused":{"verdict":"older","revision":15,"time":"2026-12-02T10:00:00Z"}}]}`
 )
 
+const (
+	suspectsJSON = `{"suspects":[
+		{"kind":"part","fingerprint":"5c1e07a2","state":"convicted","pool":"chat@7","crashes":4,"last":"2026-12-02T10:00:00Z","trials":1,"next_trial":"2026-12-02T10:00:09Z","expires":"2026-12-02T10:15:00Z"},
+		{"kind":"request","fingerprint":"91bd","state":"suspect","crashes":1,"last":"2026-12-02T09:59:00Z","trials":0,"expires":"2026-12-02T10:04:00Z"}]}`
+	clearedJSON   = `{"kind":"part","fingerprint":"5c1e07a2"}`
+	noSuspectJSON = `{"error":{"code":"unknown-suspect","message":"this router knows of no such suspect"}}`
+)
+
 // cannedResponse is the response of a fakeRouter to one method and path.
 type cannedResponse struct {
 	status int
@@ -127,6 +135,11 @@
 		{"put-invalid", strings.Fields("settings put -file testdata/bad.ini -author ada -reason raise solco"), nil, exitInvalid},
 		{"put-no-reason", strings.Fields("settings put -file testdata/good.ini -author ada solco"), nil, exitUsage},
 		{"put-other-team", strings.Fields("settings put -file testdata/good.ini -author ada -reason raise msimbazi"), nil, exitUsage},
+		{"suspects", strings.Fields("suspects list"), map[string]cannedResponse{"GET suspects": okResponse(suspectsJSON)}, exitOK},
+		{"suspects-clear", strings.Fields("suspects clear -author ada -reason fixed 5C1E07A2"), map[string]cannedResponse{"POST suspects/part/5c1e07a2/clear": okResponse(clearedJSON)}, exitOK},
+		{"suspects-clear-unknown", strings.Fields("suspects clear -kind request -author ada -reason fixed 1f"), map[string]cannedResponse{"POST suspects/request/1f/clear": {404, noSuspectJSON}}, exitFailed},
+		{"suspects-clear-no-reason", strings.Fields("suspects clear -author ada 5c1e07a2"), nil, exitUsage},
+		{"suspects-clear-bad", strings.Fields("suspects clear -author ada -reason fixed part-5"), nil, exitUsage},
 		{"status", strings.Fields("status"), map[string]cannedResponse{"GET status": okResponse(statusJSON)}, exitOK},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/wisteriarouter/daemon/operators.go
+++ b/wisteriarouter/daemon/operators.go
@@ -41,6 +41,7 @@
 		Log:     logOf(i),
 	}
 	s.Register(api)
+	do.MustInvoke[*crashSuspicion](i).suspectServer().Register(api)
 }
 
 // Get implements [settings.EditorStore].
--- a/wisteriarouter/daemon/relay_metrics.go
+++ b/wisteriarouter/daemon/relay_metrics.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/samber/do/v2"
@@ -73,6 +75,7 @@
 	registry := do.MustInvoke[*prometheus.Registry](i)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	addHealthChecks(mux, stateOf(i))
+	do.MustInvoke[*crashSuspicion](i).suspectServer().Register(humago.New(mux, huma.DefaultConfig("wisteriaspool operators", version)))
 	return mux
 }
 
--- a/wisteriarouter/daemon/relay_parts_test.go
+++ b/wisteriarouter/daemon/relay_parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -11,8 +12,11 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
+	"wisteriaspool/platform"
 	"wisteriaspool/standin/replica"
+	"wisteriaspool/wisteriarouter/operator"
 )
 
 // crashingPart is the part of prompts that ends endpoints, as endpoints know it.
@@ -249,3 +253,53 @@
 	}
 	assert.Assert(t, len(p.crashTimes()) <= before+1, "%d endpoints crashed, %d before; one may be a trial", len(p.crashTimes()), before)
 }
+
+// suspects returns the suspects that a router tells operators of.
+func (s *relayCluster) suspects(router int) (all []operator.Suspect) {
+	resp, err := http.Get("http://" + s.routers[router].OperatorsAddress() + "/operator/v1/suspects")
+	assert.NilError(s.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var body struct{ Suspects []operator.Suspect }
+	assert.NilError(s.t, json.NewDecoder(resp.Body).Decode(&body))
+	return body.Suspects
+}
+
+// partState returns the state of the crashing part as a router tells operators, or an empty
+// string if it does not know the part.
+func (s *relayCluster) partState(router int) string {
+	for _, x := range s.suspects(router) {
+		if x.Kind == "part" && x.Fingerprint == crashingPart {
+			return x.State
+		}
+	}
+	return ""
+}
+
+// Guards against a verdict that operators can neither see nor end.
+func TestRelayOperatorClearsCrashingPart(t *testing.T) {
+	p, c := partCluster(t)
+	s := p.cluster
+	for n := range s.routers {
+		assert.Equal(t, s.partState(n), "convicted")
+	}
+	clear := "http://" + s.routers[1].OperatorsAddress() + "/operator/v1/suspects/part/" + crashingPart + "/clear"
+	resp, err := http.Post(clear, "application/json", strings.NewReader(`{"author":"ada","reason":"fixed"}`))
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for n := range s.routers {
+			if state := s.partState(n); state != "" {
+				return poll.Continue("router %d has it as %s", n, state)
+			}
+		}
+		if s.store.Has(platform.CrashingPartKey(crashingPart)) {
+			return poll.Continue("the store has it")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(20*time.Millisecond))
+	before := len(p.crashTimes())
+	p.sendPart(2, c)
+	assert.Assert(t, len(p.crashTimes()) > before, "requests with the part are refused")
+	assert.Equal(t, len(s.logs.lines("suspect-cleared")), 1)
+}
--- a/wisteriarouter/daemon/suspects.go
+++ b/wisteriarouter/daemon/suspects.go
@@ -48,6 +48,7 @@
 	if configOf(i).Relay != nil {
 		cfg = relaySuspicionConfig
 		s.parts = newSharedGuard(i, partSuspicionConfig, nil)
+		s.parts.guard.OnState(s.parts.logPart)
 	}
 	s.sharedGuard = newSharedGuard(i, cfg, s.parts)
 	node.OnChange(s.membersChanged)
@@ -104,6 +105,20 @@
 	return s
 }
 
+// logPart logs that requests with a part of prompts are refused, or served again.
+func (s *sharedGuard) logPart(r suspicion.Record, before, after suspicion.State) {
+	kind := event.PartCleared
+	switch {
+	case after == suspicion.Convicted:
+		kind = event.PartConvicted
+	case after == suspicion.Spared:
+		kind = event.PartSpared
+	case before != suspicion.Convicted && before != suspicion.Spared:
+		return
+	}
+	s.log.Emit(kind, event.F("part", r.Fingerprint.String()), event.F("pool", r.Pool), event.F("crashes", len(r.Crashes)), event.F("trials", r.Trials))
+}
+
 // recordSpreader gossips suspicion records.
 type recordSpreader struct {
 	node *peer.Node
--- a/wisteriarouter/operator/failure.go
+++ b/wisteriarouter/operator/failure.go
@@ -20,6 +20,8 @@
 	CodeInvalid     Code = "invalid"
 	CodeUnavailable Code = "platform-unavailable"
 	CodeUnknown     Code = "unknown"
+
+	CodeUnknownSuspect Code = "unknown-suspect"
 )
 
 var httpStatus = map[Code]int{
@@ -28,6 +30,8 @@
 	CodeInvalid:     http.StatusUnprocessableEntity,
 	CodeUnavailable: http.StatusServiceUnavailable,
 	CodeUnknown:     http.StatusGatewayTimeout,
+
+	CodeUnknownSuspect: http.StatusNotFound,
 }
 
 // Failure is the error response of the API.
