Suspicion: copies that wait for a gate are not claimed as running

What callers saw: copies of a popular request that had met a crash waited for each other until their deadlines, 504 after 2.1 s, others 503. Cause: as the list of routers changes, a router renews its claims at gates that may have moved, also those of copies that only wait; each of two then counts as running for the other. A copy that waits is marked as such, and is not claimed.

Test: three copies wait as the list changes; all refused after 10 s before, admitted one after the other now. That the red test of a popular lookup met this is suspected only.

--- a/coordination/suspicion/guard.go
+++ b/coordination/suspicion/guard.go
@@ -86,12 +86,12 @@
 }
 
 // registeredRequests returns the requests that their gates know of, or should
-// know of.
+// know of. Those that wait for their gates do not run.
 func (g *Guard) registeredRequests() []*TrackedRequest {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	all := lo.Flatten(lo.Values(g.tracked))
-	all = lo.Filter(all, func(r *TrackedRequest, _ int) bool { return r.registered })
+	all = lo.Filter(all, func(r *TrackedRequest, _ int) bool { return r.registered && !r.waiting })
 	slices.SortFunc(all, func(a, b *TrackedRequest) int { return int(a.copy.Number) - int(b.copy.Number) })
 	return all
 }
@@ -371,6 +371,8 @@
 
 // enter asks the gate until it admits or refuses the request, or ctx ends.
 func (r *TrackedRequest) enter(ctx context.Context) (Refusal, bool) {
+	r.setWaiting(true)
+	defer r.setWaiting(false)
 	for {
 		refusal, ok := r.admit(r.guard.step(ctx, r, Enter))
 		if ok || refusal.Poison {
--- a/coordination/suspicion/guard_test.go
+++ b/coordination/suspicion/guard_test.go
@@ -118,3 +118,27 @@
 		first.Finished(t.Context())
 	})
 }
+
+// Guards against copies of a suspect that wait for each other, since a change of the list of
+// routers has claimed them as running.
+func TestWaitingCopiesAreNotClaimed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := make(gates).add("r", "r")
+		g.table.addCrash(time.Now(), 1, Crash{Endpoint: "e1", Incarnation: 1, At: unixMillis(time.Now())})
+		var wg sync.WaitGroup
+		for range 3 {
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				r, refusal := g.Begin(ctx, 1, "m")
+				if assert.Check(t, r != nil, "%+v", refusal) {
+					time.Sleep(100 * time.Millisecond)
+					r.Finished(t.Context())
+				}
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		g.Update(t.Context(), gateAt("r"))
+		wg.Wait()
+	})
+}
