Suspicion: a claim that the request's own report overtakes is withdrawn

Cause: as the first copy reports a crash, its router and the others claim their copies at the gate; a copy that reports the same crash at that moment is counted as running again by a claim that arrives later, and two of these wait for each other. A copy counts as waiting from its own report on, and a claim of a copy that waits or has ended by the time of the reply is withdrawn.

Test: claims that arrive 50 ms late; both copies refused after 10 s before, admitted now.

--- a/coordination/suspicion/guard.go
+++ b/coordination/suspicion/guard.go
@@ -81,7 +81,7 @@
 // has to call it twice within each Config.MaxRun.
 func (g *Guard) Renew(ctx context.Context) {
 	for _, r := range g.registeredRequests() {
-		g.step(ctx, r, Claim)
+		g.sendClaim(ctx, r)
 	}
 }
 
@@ -237,10 +237,26 @@
 		return
 	}
 	for _, r := range g.registerAll(fp) {
-		g.step(ctx, r, Claim)
+		g.sendClaim(ctx, r)
 	}
 }
 
+// sendClaim tells a gate that a request runs. The request's own report that it does not any
+// more may overtake that, so that the claim is withdrawn then.
+func (g *Guard) sendClaim(ctx context.Context, r *TrackedRequest) {
+	g.step(ctx, r, Claim)
+	if !g.runs(r) {
+		g.step(ctx, r, Abandoned)
+	}
+}
+
+// runs reports whether a request is tracked and does not wait for its gate.
+func (g *Guard) runs(r *TrackedRequest) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !r.waiting && slices.Contains(g.tracked[r.fingerprint], r)
+}
+
 // registerAll marks the requests of a fingerprint as known to the gate and
 // returns those that were not.
 func (g *Guard) registerAll(f Fingerprint) []*TrackedRequest {
@@ -424,6 +440,7 @@
 // returns true once the request may run again, on an endpoint without other
 // suspects if Alone reports so; otherwise it returns the refusal and false.
 func (r *TrackedRequest) EndpointCrashed(ctx context.Context, l Loss) (Refusal, bool) {
+	r.setWaiting(true) // from now on a claim would be wrong
 	reply := r.recordCrash(ctx, l, false)
 	if reply.Verdict == Poison {
 		return Refusal{Poison: true, RetryAfter: reply.RetryAfter.Duration()}, false
--- a/coordination/suspicion/guard_test.go
+++ b/coordination/suspicion/guard_test.go
@@ -142,3 +142,47 @@
 		wg.Wait()
 	})
 }
+
+// lateClaims delivers claims late, so that later messages overtake them.
+type lateClaims struct{ gates }
+
+// Call implements Transport.
+func (l lateClaims) Call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error) {
+	if m, err := DecodeGateRequest(payload); err == nil && m.Step == Claim {
+		time.Sleep(50 * time.Millisecond)
+	}
+	return l.gates.Call(ctx, to, topic, payload)
+}
+
+// Guards against copies of a popular request that all met the end of one endpoint and then
+// wait for each other, since claims made as the others reported it arrive after their own
+// reports.
+func TestClaimsOvertakenByCrashesAreWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := make(gates)
+		all.add("gate", "gate")
+		other := NewGuard("other", 1, NewGate(NewTable(Config{})), lateClaims{all}, all)
+		other.locator.Store(locatorBox{gateAt("gate")})
+		var copies []*TrackedRequest
+		for range 2 {
+			r, _ := other.Begin(t.Context(), 1, "m")
+			copies = append(copies, r)
+		}
+		record := Record{Fingerprint: 1, Crashes: []Crash{{Endpoint: "e0", Incarnation: 1, At: unixMillis(time.Now())}}, Expires: unixMillis(time.Now().Add(time.Minute))}
+		all["gate"].merge(t.Context(), record)
+		var wg sync.WaitGroup
+		wg.Go(func() { _, _ = other.HandleRecord(t.Context(), record.Encode()) })
+		time.Sleep(10 * time.Millisecond) // the first claim is under way
+		for _, r := range copies {
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				refusal, ok := r.EndpointCrashed(ctx, Loss{Pool: "m", Endpoint: "e0", Incarnation: 1})
+				assert.Check(t, ok, "%+v", refusal)
+				time.Sleep(100 * time.Millisecond)
+				r.Finished(t.Context())
+			})
+		}
+		wg.Wait()
+	})
+}
--- a/coordination/suspicion/prompt.go
+++ b/coordination/suspicion/prompt.go
@@ -115,6 +115,7 @@
 // the refusal and the part that it is for if the request must not run again. Otherwise
 // Enter tells when it may.
 func (t *TrackedPrompt) RecordCrash(ctx context.Context, l Loss) (Refusal, Fingerprint, bool) {
+	t.setWaiting(true) // from now on a claim would be wrong
 	for _, r := range t.parts {
 		r.trial.Store(false)
 		if reply := r.recordCrash(ctx, l, false); reply.Verdict == Poison {
--- a/coordination/suspicion/unsettled.go
+++ b/coordination/suspicion/unsettled.go
@@ -40,7 +40,7 @@
 			counted = append(counted, r.fingerprint)
 		}
 		if !r.endSettled() {
-			g.step(ctx, r, Claim) // another attempt of the request runs, or may be unsettled
+			g.sendClaim(ctx, r) // another attempt of the request runs, or may be unsettled
 		}
 	}
 	return counted
