Soak sends requests with a part that crashes endpoints, beside routers that stop and are killed

Checked: at most three requests with the part reach endpoints later than 3 s after the fifth end, sent by routers without a fault of their own for 3 s.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -38,8 +38,8 @@
 	// answers the request. Empty means none.
 	CrashMark string
 	OnCrash   func()
-	// CrashPart does the same for each request whose prompt has this part, but not as its
-	// last one. The request runs for Delay, and CrashEvents events of its response are
+	// CrashPart does the same for each request whose prompt has a part that begins so, but
+	// not as its last one. The request runs for Delay, and CrashEvents events of its response are
 	// sent first: only the head if zero, nothing if negative.
 	CrashPart   string
 	CrashEvents int
@@ -313,13 +313,13 @@
 	r.serveSingle(w, req, a, f)
 }
 
-// HasPart reports whether a prompt, given as X-Prefix-Hash, has a part, but not as its
-// last one.
+// HasPart reports whether a prompt, given as X-Prefix-Hash, has a part that begins with part,
+// but not as its last one.
 func HasPart(prompt, part string) bool {
 	entries := strings.Split(prompt, ",")
 	return slices.ContainsFunc(entries[:len(entries)-1], func(entry string) bool {
 		id, _, _ := strings.Cut(entry, ":")
-		return strings.TrimLeft(strings.ToLower(strings.TrimSpace(id)), "0") == part
+		return strings.HasPrefix(strings.TrimLeft(strings.ToLower(strings.TrimSpace(id)), "0"), part)
 	})
 }
 
--- a/standin/soak/crashes.go
+++ b/standin/soak/crashes.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"wisteriaspool/standin/replica"
 )
 
 // crashMark is in the path of each request that crashes the endpoints that run it.
@@ -152,7 +154,7 @@
 func (h *history) crashingRuns() map[string][]crashingRun {
 	sent := make(map[string]outcome)
 	for _, o := range h.outcomes {
-		if !o.sent.IsZero() {
+		if !o.sent.IsZero() && o.part == "" {
 			sent[o.id] = o
 		}
 	}
@@ -218,7 +220,7 @@
 func (s *soak) crashes() (n int) {
 	for _, e := range s.endpoints {
 		for _, a := range e.Arrivals() {
-			if strings.Contains(a.Path, crashMark) {
+			if strings.Contains(a.Path, crashMark) || replica.HasPart(a.Prompt, crashPart) {
 				n++
 				break
 			}
--- a/standin/soak/load.go
+++ b/standin/soak/load.go
@@ -17,6 +17,7 @@
 	id             string
 	path           string    // the prefix of its route
 	repeated       string    // the path of a request that comes again and again; empty for others
+	part           string    // of its prompt that crashes endpoints; empty for others
 	sent           time.Time // only set for requests that crash endpoints
 	inTouch        bool      // neither its router nor the store had a fault for contactTime before it
 	status         int       // 0 if no response headers were received
@@ -33,6 +34,14 @@
 	return o.path + o.id
 }
 
+// prompt returns the parts of the request's prompt.
+func (o outcome) prompt() string {
+	if o.part != "" {
+		return "aa:50," + o.part + ":40," + o.id + ":10"
+	}
+	return "aa:50,bb:40," + o.id + ":10"
+}
+
 // repeatable reports whether the request may run more than once.
 func (o outcome) repeatable() bool {
 	return o.path == "/safe/" || o.path == "/resumable/" || o.path == "/long/" || o.path == releasePath
@@ -251,7 +260,7 @@
 	req.Header.Set("Authorization", "Bearer "+key)
 	if isStream(o.path) {
 		req.Header.Set("X-Token-Usage", "100,10")
-		req.Header.Set("X-Prefix-Hash", "aa:50,bb:40,"+o.id+":10")
+		req.Header.Set("X-Prefix-Hash", o.prompt())
 	}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -37,6 +37,8 @@
 	Responses bool
 	// Crashes makes callers repeat requests that crash the endpoints that run them, too.
 	Crashes bool
+	// Parts makes requests with a part in common crash the endpoints that run them, too.
+	Parts bool
 	// Failures makes all endpoints of a service fail and kills all routers meanwhile, too.
 	Failures bool
 	// Versions adds a service whose endpoints have several versions of their software,
@@ -136,6 +138,9 @@
 	if o.Crashes {
 		further.Go(func() { s.repeatCrashingRequests(time.Now().Add(o.FaultDuration)) })
 	}
+	if o.Parts {
+		further.Go(func() { s.sendCrashingParts(time.Now().Add(o.FaultDuration)) })
+	}
 	if o.Failures {
 		further.Go(func() { s.failServices(time.Now().Add(o.FaultDuration)) })
 	}
@@ -246,6 +251,9 @@
 	if s.opts.Crashes && service != "long" {
 		o.CrashMark, o.OnCrash = crashMark, crash.run
 	}
+	if s.opts.Parts && service == "model" {
+		o.CrashPart, o.CrashEvents, o.OnCrash = crashPart, n%3-1, crash.run
+	}
 	change(&o)
 	r, kill, err := replica.Start(s.store, o)
 	if err != nil {
@@ -387,6 +395,9 @@
 	for _, line := range h.crashCounts() {
 		s.logf("%s", line)
 	}
+	for _, line := range h.checkParts() {
+		s.reportViolation("%s", line)
+	}
 	for _, line := range h.checkCrashes() {
 		s.reportViolation("%s", line)
 	}
