A suspect does not move from an endpoint that no router can check

Traced in a kept log: its endpoint had ended, the router took itself for cut off, looked 0.6 s for the endpoint in vain, and sent the suspect to the next one. Now a suspect fails with 502 then; its next copy waits at its gate until the attempt is settled.

Test: an endpoint breaks off, and neither this router nor another can tell whether it lives; a suspect reached a second endpoint before, does not now, an innocent request still does.

--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -229,7 +229,7 @@
 			x.respondWithoutResult(refusal.Message, refusal.RetryAfter)
 			return false
 		}
-		if !mayContinue || !x.takeRetry(end) {
+		if !mayContinue || x.mayHaveCrashed() || !x.takeRetry(end) {
 			x.fail(end)
 			return false
 		}
--- a/wisteriarouter/relay/suspects.go
+++ b/wisteriarouter/relay/suspects.go
@@ -163,6 +163,10 @@
 	return end == silent || x.liveness == alive || x.liveness == unreachable || x.liveness == checkAborted
 }
 
+// mayHaveCrashed reports whether a suspect may have crashed the endpoint of its last attempt,
+// which this router cannot reach to find out. It must not run elsewhere before that is known.
+func (x *exchange) mayHaveCrashed() bool { return x.isSuspect() && x.liveness == unreachable }
+
 // recordUnsettled records an attempt that got no complete response from an endpoint that
 // seems to be alive, and has the endpoint watched.
 func (x *exchange) recordUnsettled(p Placement) {
--- a/wisteriarouter/relay/withheld_test.go
+++ b/wisteriarouter/relay/withheld_test.go
@@ -123,10 +123,15 @@
 
 // serveWithRetries is serveOnce with a retry budget.
 func serveWithRetries(t *testing.T, p Placer, suspects SuspectTracker, retries RetryBudget) *httptest.ResponseRecorder {
-	known := make(chan struct{})
-	close(known)
 	sender, cleanup := upstream.NewClient(upstream.Config{})
 	defer cleanup()
+	return serveWith(t, sender, p, suspects, retries)
+}
+
+// serveWith is serveWithRetries with a client that sends requests to endpoints.
+func serveWith(t *testing.T, sender Sender, p Placer, suspects SuspectTracker, retries RetryBudget) *httptest.ResponseRecorder {
+	known := make(chan struct{})
+	close(known)
 	s := &Server{
 		Desired: &lateDesired{known: known, table: route.NewTable(route.State{
 			Version: 1,
