--- a/wisteriarouter/daemon/relay_parts_test.go
+++ b/wisteriarouter/daemon/relay_parts_test.go
@@ -303,3 +303,29 @@
 	assert.Assert(t, len(p.crashTimes()) > before, "requests with the part are refused")
 	assert.Equal(t, len(s.logs.lines("suspect-cleared")), 1)
 }
+
+// Guards against refusing a prompt that is new as half of a pool ends for another reason.
+func TestRelayServesNewPromptWhileHalfOfPoolEnds(t *testing.T) {
+	c := partCases[0]
+	s := newRelayCluster(t, 3, 1, 0)
+	p := newPartPool(s, c)
+	s.awaitPrompt(c.path)
+	until := time.Now().Add(8 * time.Second)
+	fresh := &prompts{cluster: s, path: c.path, prompt: "f1:40,f2:50,f3:30,%x:10", interval: 40 * time.Millisecond, until: until}
+	var wg sync.WaitGroup
+	wg.Go(fresh.run)
+	for _, n := range []int{6, 2, 2} {
+		time.Sleep(700 * time.Millisecond)
+		var ends sync.WaitGroup
+		for range n {
+			ends.Go(p.endOne)
+		}
+		ends.Wait()
+	}
+	wg.Wait()
+	for _, line := range s.logs.lines("relay-refused") {
+		assert.Check(t, !strings.Contains(line, "of its prompt"), line)
+	}
+	served, sent := fresh.served(until.Add(-4*time.Second), until)
+	assert.Equal(t, served, sent)
+}
