Suspicion of parts: routers say that a pool serves only where that decides

Cause, found by reading: each record of a suspected part made each router that had seen its pool serve call the part's gate, and the gate spread each later time it heard, so that an end of an endpoint with tens of requests cost hundreds of calls, and with clocks that differ by seconds a call for each completion. A router calls now only if a conviction lacks nothing else, and the gate takes one time, if it lies after the first end by its own clock. Unused code goes.

--- a/coordination/suspicion/gate.go
+++ b/coordination/suspicion/gate.go
@@ -193,7 +193,7 @@
 func (g *Gate) recordServed(now time.Time, m GateRequest) (GateReply, *Record) {
 	r, state := g.table.Find(now, m.Fingerprint)
 	served := m.servedAt(now)
-	if state != Suspect || r.Served >= served {
+	if state != Suspect || r.poolServes() || served <= r.Crashes[0].At {
 		return GateReply{}, nil
 	}
 	g.table.Merge(now, Record{Fingerprint: m.Fingerprint, Served: served, Expires: r.Expires})
--- a/coordination/suspicion/guard.go
+++ b/coordination/suspicion/guard.go
@@ -122,11 +122,12 @@
 }
 
 // reportServed tells the gate of a part that requests of the same pool have completed since
-// its first crash, if nobody has. Routers that get few requests with the part may know.
+// its first crash, if only that is missing for a conviction. Routers that get few requests
+// with the part may know.
 func (g *Guard) reportServed(ctx context.Context, fp Fingerprint) {
 	now := time.Now()
 	r, state := g.table.Find(now, fp)
-	if state != Suspect || r.Pool == "" || r.Served > r.Crashes[0].At {
+	if state != Suspect || r.Pool == "" || r.poolServes() || countSpaced(newCrashes(r)) < partCrashesToConvict {
 		return
 	}
 	ago := g.servedAgo(now, r.Pool)
--- a/coordination/suspicion/part.go
+++ b/coordination/suspicion/part.go
@@ -58,13 +58,16 @@
 	return lo.Reject(r.Crashes, func(c Crash, _ int) bool { return c.Excused })
 }
 
+// poolServes reports whether other requests of the pool are known to have completed since
+// the first crash of a record that has one.
+func (r Record) poolServes() bool { return r.Served > r.Crashes[0].At }
+
 // convicts reports whether the crashes of a record are enough to convict a part.
 func convicts(r Record) bool {
 	if len(r.Crashes) == 0 {
 		return false
 	}
-	others := r.Served > r.Crashes[0].At
-	return countSpaced(r.Crashes) >= knownPartCrashesToConvict || others && countSpaced(newCrashes(r)) >= partCrashesToConvict
+	return countSpaced(r.Crashes) >= knownPartCrashesToConvict || r.poolServes() && countSpaced(newCrashes(r)) >= partCrashesToConvict
 }
 
 // partState derives the state of a part of prompts. The caller holds t.mu.
--- a/coordination/suspicion/table.go
+++ b/coordination/suspicion/table.go
@@ -235,11 +235,6 @@
 	return t.addReported(now, GateRequest{Fingerprint: f, Crash: &c})
 }
 
-// addLateCrash is addCrash for a crash that was found some time after the attempt.
-func (t *Table) addLateCrash(now time.Time, f Fingerprint, c Crash) (Record, State) {
-	return t.addReported(now, GateRequest{Fingerprint: f, Crash: &c, Late: true})
-}
-
 // addReported adds the crash that m reports and returns the merged record with its state.
 func (t *Table) addReported(now time.Time, m GateRequest) (Record, State) {
 	f, c := m.Fingerprint, *m.Crash
