Tests of streams that are taken up: callers do so within their deadlines

Traced in kept logs, 12 of 12: the caller took it up 4.5 to 5.1 s after its beginning, beyond its own deadline of 4 s and the second for which a stream is remembered after it, as the 24 are taken up one after the other. Callers wait 20 s now, as in the third such test; what is checked is the same, all of 24.

--- a/wisteriarouter/daemon/relay_version_test.go
+++ b/wisteriarouter/daemon/relay_version_test.go
@@ -161,7 +161,7 @@
 	s := newVersionedCluster(t, 3, 2, "v1", "v1.1", "v1.2")
 	var streams []openStream
 	for n := range 24 {
-		streams = append(streams, s.begin(0, 1+n%6))
+		streams = append(streams, s.begin(0, 1+n%6, "X-Deadline-Ms", "20000"))
 	}
 	time.Sleep(100 * time.Millisecond)
 	for n := 0; n < len(s.replicas); n += 2 {
@@ -201,7 +201,7 @@
 	s := newVersionedCluster(t, 2, 2, "v1", "v1.1", "v1.2")
 	var streams []openStream
 	for n := range 24 {
-		streams = append(streams, s.begin(0, 1+n%6))
+		streams = append(streams, s.begin(0, 1+n%6, "X-Deadline-Ms", "20000"))
 	}
 	s.addRouter()
 	s.awaitReady(2)
