Test of pauses counts Retry-After from the response, as callers do

Cause, by the figures of the check: it added what the response says to the moment before the request was sent, so that a response which takes longer than the first refusals took after the test's beginning looks too early by that.

--- a/wisteriarouter/daemon/relay_pause_test.go
+++ b/wisteriarouter/daemon/relay_pause_test.go
@@ -81,7 +81,7 @@
 		assert.Assert(t, time.Since(start) < 200*time.Millisecond, "%v", time.Since(start))
 		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
 		assert.NilError(t, err)
-		returns := start.Add(time.Duration(after * float64(time.Second)))
+		returns := time.Now().Add(time.Duration(after * float64(time.Second))) // callers count from the response
 		assert.Assert(t, returns.After(begin.Add(pause)), "told to return after %v s", after)
 		time.Sleep(50 * time.Millisecond)
 	}
