--- a/coordination/suspicion/gate.go
+++ b/coordination/suspicion/gate.go
@@ -79,7 +79,7 @@
 		return g.clearFinished(now, m)
 	case PoolServes:
 		return g.recordServed(now, m)
-	case Pardoned:
+	case ClearedByOperator:
 		r, _ := g.table.clearCrashes(now, m.Fingerprint)
 		return GateReply{}, &r
 	default:
--- a/coordination/suspicion/guard.go
+++ b/coordination/suspicion/guard.go
@@ -193,19 +193,19 @@
 	})
 }
 
-// Judged is a record and the state derived from it.
-type Judged struct {
+// Status is a record and the state derived from it.
+type Status struct {
 	Record
 	State     State
 	NextTrial time.Time // zero if there is none
 }
 
-// Judged returns the records with crashes that this router knows, convictions first.
-func (g *Guard) Judged() []Judged {
+// Statuses returns the records with crashes that this router knows, convictions first.
+func (g *Guard) Statuses() []Status {
 	now := time.Now()
 	all, _ := g.table.live(now)
-	return lo.FilterMap(all, func(r Record, _ int) (Judged, bool) {
-		j := Judged{Record: r}
+	return lo.FilterMap(all, func(r Record, _ int) (Status, bool) {
+		j := Status{Record: r}
 		_, j.State = g.table.Find(now, r.Fingerprint)
 		if at, ok := nextTrial(r); ok && g.table.cfg.Parts && j.State == Convicted {
 			j.NextTrial = at
@@ -214,13 +214,13 @@
 	})
 }
 
-// Pardon clears a fingerprint on all routers as an operator says, and reports whether
+// Clear clears a fingerprint on all routers as an operator says, and reports whether
 // crashes count against it.
-func (g *Guard) Pardon(ctx context.Context, fp Fingerprint) bool {
+func (g *Guard) Clear(ctx context.Context, fp Fingerprint) bool {
 	if r, _ := g.table.Find(time.Now(), fp); len(r.Crashes) == 0 {
 		return false
 	}
-	g.report(ctx, GateRequest{Fingerprint: fp, Copy: Copy{Instance: g.instance, Incarnation: g.incarnation}, Step: Pardoned})
+	g.report(ctx, GateRequest{Fingerprint: fp, Copy: Copy{Instance: g.instance, Incarnation: g.incarnation}, Step: ClearedByOperator})
 	return true
 }
 
@@ -234,7 +234,7 @@
 // claim registers with the gate the copies of a suspect that run here and that
 // the gate does not know of.
 func (g *Guard) claim(ctx context.Context, fp Fingerprint) {
-	if _, state := g.table.Find(time.Now(), fp); state != Suspect && state != Spared {
+	if _, state := g.table.Find(time.Now(), fp); state != Suspect && state != Exempt {
 		return
 	}
 	for _, r := range g.registerAll(fp) {
@@ -579,7 +579,7 @@
 	switch r, state := g.table.Find(time.Now(), m.Fingerprint); state {
 	case Convicted:
 		return GateReply{Verdict: Poison, RetryAfter: millis(time.Until(g.table.refusedUntil(r)))}
-	case Suspect, Spared:
+	case Suspect, Exempt:
 		return GateReply{Verdict: Busy, RetryAfter: millis(gateTimeout)}
 	default:
 		return GateReply{Verdict: Allowed}
--- a/coordination/suspicion/messages.go
+++ b/coordination/suspicion/messages.go
@@ -48,14 +48,14 @@
 
 // Steps of a copy.
 const (
-	Enter      Step = iota // requests admission
-	Claim                  // is already running, or still running
-	Crashed                // its endpoint died
-	Finished               // ran to completion
-	Abandoned              // ended without evidence for or against the request
-	Answering              // still runs, and its endpoint has written its response for a while
-	Pardoned               // an operator has cleared the fingerprint
-	PoolServes             // other requests of the pool complete; says nothing of the copy
+	Enter             Step = iota // requests admission
+	Claim                         // is already running, or still running
+	Crashed                       // its endpoint died
+	Finished                      // ran to completion
+	Abandoned                     // ended without evidence for or against the request
+	Answering                     // still runs, and its endpoint has written its response for a while
+	ClearedByOperator             // an operator has cleared the fingerprint
+	PoolServes                    // other requests of the pool complete; says nothing of the copy
 )
 
 // GateRequest reports a step of a copy to the gate.
--- a/coordination/suspicion/part.go
+++ b/coordination/suspicion/part.go
@@ -76,7 +76,7 @@
 	case t.refused[r.Fingerprint]:
 		return Convicted
 	case convicts(r):
-		return Spared
+		return Exempt
 	case len(newCrashes(r)) > 0:
 		return Suspect
 	default:
--- a/coordination/suspicion/part_state_test.go
+++ b/coordination/suspicion/part_state_test.go
@@ -67,7 +67,7 @@
 	for f := range Fingerprint(4) {
 		now = reportCrashes(table, f, 3, time.Second, false, true)
 	}
-	for f, want := range []State{Convicted, Convicted, Spared, Spared} {
+	for f, want := range []State{Convicted, Convicted, Exempt, Exempt} {
 		_, state := table.Find(now, Fingerprint(f))
 		assert.Equal(t, state, want, "part %d", f)
 	}
--- a/coordination/suspicion/suspicion.go
+++ b/coordination/suspicion/suspicion.go
@@ -224,7 +224,7 @@
 	Clear     State = iota // no crash counts against it
 	Suspect                // one crash counts, or a conviction is still on hold
 	Convicted              // refused by all routers
-	Spared                 // a part that would be convicted, but too many are
+	Exempt                 // a part that would be convicted, but too many are
 )
 
 // String returns the name of s used in logs and metrics.
@@ -234,8 +234,8 @@
 		return "suspect"
 	case Convicted:
 		return "convicted"
-	case Spared:
-		return "spared"
+	case Exempt:
+		return "exempt"
 	default:
 		return "clear"
 	}
--- a/coordination/suspicion/table.go
+++ b/coordination/suspicion/table.go
@@ -78,7 +78,7 @@
 			return AskGate, 0
 		}
 		return Refuse, t.refusedUntil(r).Sub(now)
-	case Suspect, Spared:
+	case Suspect, Exempt:
 		return AskGate, 0
 	}
 	if t.cfg.Parts {
--- a/wisteriarouter/daemon/relay_parts_test.go
+++ b/wisteriarouter/daemon/relay_parts_test.go
@@ -1,7 +1,6 @@
 package daemon_test
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -68,11 +67,11 @@
 	s := newRelayCluster(t, 3, 1, 0)
 	p := newPartPool(s, c)
 	s.awaitPrompt(c.path)
-	before := &prompts{cluster: s, path: c.path, prompt: soundPrompt(c), interval: 40 * time.Millisecond, until: time.Now().Add(time.Second)}
+	before := s.newPrompts(c.path, soundPrompt(c), 40*time.Millisecond, time.Now().Add(time.Second))
 	before.run()
 	until := time.Now().Add(12 * time.Second)
-	crashing := &prompts{cluster: s, path: c.path, prompt: strings.Replace(c.prompt, "%s", crashingPart, 1), interval: 150 * time.Millisecond, until: until}
-	sound := &prompts{cluster: s, path: c.path, prompt: soundPrompt(c), interval: 40 * time.Millisecond, until: until}
+	crashing := s.newPrompts(c.path, crashingPrompt(c), 150*time.Millisecond, until)
+	sound := s.newPrompts(c.path, soundPrompt(c), 40*time.Millisecond, until)
 	var wg sync.WaitGroup
 	wg.Go(crashing.run)
 	wg.Go(sound.run)
@@ -85,7 +84,7 @@
 
 // checkPart checks how many requests with the crashing part reached endpoints late, and that
 // sound requests were served afterwards at least half as often as before.
-func (p *endingPool) checkPart(before, sound *prompts) {
+func (p *endingPool) checkPart(before, sound *requestSender) {
 	t := p.cluster.t
 	crashes := p.crashTimes()
 	assert.Assert(t, len(crashes) > 0, "no endpoint ended")
@@ -100,11 +99,38 @@
 	served, sent := sound.served(settled, sound.until)
 	during, duringAll := sound.served(crashes[0], settled)
 	t.Logf("%d endpoints ended, %d requests late, sound ones served %d of %d before, %d of %d at first, %d of %d then", len(crashes), late, normal, all, during, duringAll, served, sent)
+	p.checkRefusedEverywhere()
 	assert.Check(t, late <= maxLateSends, "%d requests with the part reached endpoints later than %v after the fifth end", late, cutDetection)
 	assert.Assert(t, sent >= 20)
 	assert.Check(t, 2*served*all >= normal*sent, "%d of %d sound requests are served, %d of %d before", served, sent, normal, all)
 }
 
+// checkRefusedEverywhere checks that all routers came to refuse the crashing part within
+// cutDetection of the first one.
+func (p *endingPool) checkRefusedEverywhere() {
+	refused := make(map[string]time.Time) // when a router did first
+	var first, last time.Time
+	for _, line := range p.cluster.logs.lines("part-convicted") {
+		var e struct {
+			Router string
+			Time   time.Time
+		}
+		assert.NilError(p.cluster.t, json.Unmarshal([]byte(line[strings.IndexByte(line, '{'):]), &e))
+		if refused[e.Router].IsZero() {
+			refused[e.Router], last = e.Time, e.Time
+		}
+		if first.IsZero() {
+			first = e.Time
+		}
+	}
+	p.cluster.t.Logf("%d routers refuse the part, the last one %v after the first", len(refused), last.Sub(first))
+	assert.Check(p.cluster.t, len(refused) == len(p.cluster.routers), "%d of %d routers refuse the part", len(refused), len(p.cluster.routers))
+	assert.Check(p.cluster.t, last.Sub(first) <= cutDetection)
+}
+
+// crashingPrompt returns the prompt of a case with %x for its last part.
+func crashingPrompt(c partCase) string { return strings.Replace(c.prompt, "%s", crashingPart, 1) }
+
 // soundPrompt returns the prompt of a case with another part in place of the crashing one.
 func soundPrompt(c partCase) string { return strings.Replace(c.prompt, "%s", "ee", 1) }
 
@@ -141,67 +167,6 @@
 	}
 }
 
-// prompts sends requests with prompts, each through the next router, no two alike.
-type prompts struct {
-	cluster  *relayCluster
-	path     string
-	prompt   string // with %x for the last part
-	interval time.Duration
-	until    time.Time
-
-	mu      sync.Mutex
-	answers []promptAnswer
-	wg      sync.WaitGroup
-}
-
-// promptAnswer is the answer to one request, and when it was sent.
-type promptAnswer struct {
-	relayResponse
-	sent time.Time
-}
-
-func (p *prompts) run() {
-	for n := 0; time.Now().Before(p.until); n++ {
-		p.wg.Go(singlePrompt{p, n}.run)
-		time.Sleep(p.interval)
-	}
-	p.wg.Wait()
-}
-
-// singlePrompt is one request of prompts.
-type singlePrompt struct {
-	*prompts
-	n int
-}
-
-func (s singlePrompt) run() {
-	ctx, cancel := context.WithTimeout(s.cluster.t.Context(), 5*time.Second)
-	defer cancel()
-	id := freshID()
-	req := s.cluster.request(ctx, s.n%len(s.cluster.routers), s.path+id, "X-Prefix-Hash", fmt.Sprintf(s.prompt, id))
-	sent := time.Now()
-	got := promptAnswer{relayResponse: s.cluster.do(req), sent: sent}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.answers = append(s.answers, got)
-}
-
-// served returns how many requests that were sent in a span of time had a whole response.
-func (p *prompts) served(from, to time.Time) (served, all int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, a := range p.answers {
-		if a.sent.Before(from) || a.sent.After(to) {
-			continue
-		}
-		all++
-		if a.status == http.StatusOK && a.err == nil {
-			served++
-		}
-	}
-	return served, all
-}
-
 // partCluster starts three routers before a pool of endpoints that a part ends, sends
 // requests with it until it is refused, and returns the case.
 func partCluster(t *testing.T) (*endingPool, partCase) {
@@ -210,8 +175,8 @@
 	p := newPartPool(s, c)
 	s.awaitPrompt(c.path)
 	until := time.Now().Add(4 * time.Second)
-	crashing := &prompts{cluster: s, path: c.path, prompt: strings.Replace(c.prompt, "%s", crashingPart, 1), interval: 150 * time.Millisecond, until: until}
-	sound := &prompts{cluster: s, path: c.path, prompt: soundPrompt(c), interval: 40 * time.Millisecond, until: until}
+	crashing := s.newPrompts(c.path, crashingPrompt(c), 150*time.Millisecond, until)
+	sound := s.newPrompts(c.path, soundPrompt(c), 40*time.Millisecond, until)
 	var wg sync.WaitGroup
 	wg.Go(crashing.run)
 	wg.Go(sound.run)
@@ -222,7 +187,7 @@
 
 // sendPart sends one request with the crashing part through a router.
 func (p *endingPool) sendPart(router int, c partCase) relayResponse {
-	prompt := fmt.Sprintf(strings.Replace(c.prompt, "%s", crashingPart, 1), freshID())
+	prompt := fmt.Sprintf(crashingPrompt(c), freshID())
 	return p.cluster.send(router, c.path+freshID(), "X-Prefix-Hash", prompt)
 }
 
@@ -311,7 +276,7 @@
 	p := newPartPool(s, c)
 	s.awaitPrompt(c.path)
 	until := time.Now().Add(8 * time.Second)
-	fresh := &prompts{cluster: s, path: c.path, prompt: "f1:40,f2:50,f3:30,%x:10", interval: 40 * time.Millisecond, until: until}
+	fresh := s.newPrompts(c.path, "f1:40,f2:50,f3:30,%x:10", 40*time.Millisecond, until)
 	var wg sync.WaitGroup
 	wg.Go(fresh.run)
 	for _, n := range []int{6, 2, 2} {
--- a/wisteriarouter/daemon/suspects.go
+++ b/wisteriarouter/daemon/suspects.go
@@ -111,9 +111,9 @@
 	switch {
 	case after == suspicion.Convicted:
 		kind = event.PartConvicted
-	case after == suspicion.Spared:
-		kind = event.PartSpared
-	case before != suspicion.Convicted && before != suspicion.Spared:
+	case after == suspicion.Exempt:
+		kind = event.PartExempt
+	case before != suspicion.Convicted && before != suspicion.Exempt:
 		return
 	}
 	s.log.Emit(kind, event.F("part", r.Fingerprint.String()), event.F("pool", r.Pool), event.F("crashes", len(r.Crashes)), event.F("trials", r.Trials))
--- a/wisteriarouter/daemon/suspects_api.go
+++ b/wisteriarouter/daemon/suspects_api.go
@@ -31,7 +31,7 @@
 }
 
 func (s *sharedGuard) list(kind string) []operator.Suspect {
-	return lo.Map(s.guard.Judged(), func(j suspicion.Judged, _ int) operator.Suspect {
+	return lo.Map(s.guard.Statuses(), func(j suspicion.Status, _ int) operator.Suspect {
 		o := operator.Suspect{
 			Kind: kind, Fingerprint: j.Fingerprint.String(), State: j.State.String(), Pool: j.Pool,
 			Crashes: len(j.Crashes), Last: j.Crashes[len(j.Crashes)-1].At.Time().UTC(), Trials: j.Trials, Expires: j.Expires.Time().UTC(),
@@ -54,5 +54,5 @@
 	if kind == kindPart {
 		g = s.parts
 	}
-	return g != nil && g.guard.Pardon(ctx, suspicion.Fingerprint(f))
+	return g != nil && g.guard.Clear(ctx, suspicion.Fingerprint(f))
 }
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -71,8 +71,8 @@
 	EndpointOutlier     = Kind{516, "endpoint-outlier", logrus.WarnLevel, "Based on the results of requests, the routers of an availability zone stopped or resumed sending requests to an endpoint that this router counts; gives the sum of the evidence and the pause before the endpoint is probed. Check the endpoint: its own health check may still pass."}
 	MixedVersions       = Kind{523, "mixed-versions", logrus.InfoLevel, "Endpoints of a pool have several versions of their software; this was written to the platform's store, so that routers which start later know that streams may have begun at any of them. The status is conflict if another router had written it. Gives the error if it could not be written; the router tries again."}
 	PartConvicted       = Kind{524, "part-convicted", logrus.ErrorLevel, "Endpoints ended under requests with one part in their prompts, and none of these has completed. All routers refuse requests with the part, but for a few trials; gives the part, the pool, how many endpoints ended and how often it was tried. See wisteriactl suspects."}
-	PartSpared          = Kind{525, "part-spared", logrus.ErrorLevel, "As 524, but so many parts are refused that the cause is probably another one: requests with this part are not refused, and run one at a time. Look at the endpoints of the pool."}
-	PartCleared         = Kind{526, "part-cleared", logrus.WarnLevel, "Requests with a part that was refused, or spared, are served again: one has completed, or an operator has cleared the part."}
+	PartExempt          = Kind{525, "part-exempt", logrus.ErrorLevel, "As 524, but so many parts are refused that the cause is probably another one: requests with this part are not refused, and run one at a time. Look at the endpoints of the pool."}
+	PartCleared         = Kind{526, "part-cleared", logrus.WarnLevel, "Requests with a part that was refused, or exempt, are served again: one has completed, or an operator has cleared the part."}
 	SuspectCleared      = Kind{527, "suspect-cleared", logrus.WarnLevel, "An operator cleared a request or a part of prompts under which endpoints have ended; gives who did and why."}
 	EndpointDetour      = Kind{519, "endpoint-detour", logrus.WarnLevel, "This router cannot connect to an endpoint, or not as fast as another router that has connected for it; requests go through other routers for some seconds. If this names many endpoints, check the links of this router."}
 )
@@ -119,7 +119,7 @@
 		PlatformLost, PlatformBack, WatchOverdue,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumorShed, PeerBusy, PeerAway, PeerBack, HintFailed, CatchUpFailed, OriginNotKept,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
-		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour, ConvictionStored, RecordsMissed, ConvictionNotStored, MixedVersions, PartConvicted, PartSpared, PartCleared, SuspectCleared,
+		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour, ConvictionStored, RecordsMissed, ConvictionNotStored, MixedVersions, PartConvicted, PartExempt, PartCleared, SuspectCleared,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
 		OrderGiven,
 		RelayAttempt, RelayAttemptLost, RelayRefused, RelayCut, RelayCallerGone, RelayBudgetSpent, RelayPlaced, RelayOverdue, RelayCrash, RelayTakenUp,
--- a/wisteriarouter/operator/suspects.go
+++ b/wisteriarouter/operator/suspects.go
@@ -15,7 +15,7 @@
 type Suspect struct {
 	Kind        string            `json:"kind" enum:"request,part"`
 	Fingerprint string            `json:"fingerprint" doc:"Of the request; of a part its id."`
-	State       string            `json:"state" doc:"clear, suspect, convicted or spared. Requests are refused if it is convicted. A spared one would be, but too many parts are."`
+	State       string            `json:"state" doc:"clear, suspect, convicted or exempt. Requests are refused if it is convicted. An exempt one would be, but too many parts are."`
 	Pool        coordination.Pool `json:"pool,omitempty" doc:"In which a part ended an endpoint first."`
 	Crashes     int               `json:"crashes" doc:"Endpoints that ended."`
 	Last        time.Time         `json:"last" doc:"When the last one ended."`
--- a/wisteriarouter/relay/cutoff_test.go
+++ b/wisteriarouter/relay/cutoff_test.go
@@ -4,9 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
-	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -33,13 +30,7 @@
 		second  int32 // requests that reach the second endpoint
 	}{{false, 1}, {true, 0}} {
 		var second atomic.Int32
-		other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			second.Add(1)
-			w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
-			w.Header().Set("X-Server-Signature", "s")
-		}))
-		defer other.Close()
-		p := &listPlacer{addresses: []string{breakingEndpoint(t, 0), strings.TrimPrefix(other.URL, "http://")}}
+		p := &listPlacer{addresses: []string{breakingEndpoint(t, 0), countingEndpoint(t, &second)}}
 		sender, cleanup := upstream.NewClient(upstream.Config{Detour: &upstream.Detour{
 			Direct: (&net.Dialer{}).DialContext, Tunnels: helpless{}, Planner: detour.NewPlanner(detour.Router{ID: "self"}),
 		}})
--- a/wisteriarouter/relay/silence_test.go
+++ b/wisteriarouter/relay/silence_test.go
@@ -94,6 +94,18 @@
 	}
 }
 
+// countingEndpoint starts an endpoint that answers and counts requests, and returns its
+// address.
+func countingEndpoint(t *testing.T, n *atomic.Int32) string {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.Add(1)
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("X-Server-Signature", "s")
+	}))
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
 // breakingEndpoint starts an endpoint that breaks its first connection off after it has
 // received a part of a request, and refuses further ones after delay. It returns its
 // address.
@@ -130,13 +142,7 @@
 		second  int32 // requests that reach the second endpoint
 	}{{false, 1}, {true, 0}} {
 		var second atomic.Int32
-		other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			second.Add(1)
-			w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
-			w.Header().Set("X-Server-Signature", "s")
-		}))
-		defer other.Close()
-		p := &listPlacer{addresses: []string{breakingEndpoint(t, 200*time.Millisecond), strings.TrimPrefix(other.URL, "http://")}}
+		p := &listPlacer{addresses: []string{breakingEndpoint(t, 200*time.Millisecond), countingEndpoint(t, &second)}}
 		w := serveWithRetries(t, p, test.suspect, manyRetries{})
 		assert.Equal(t, w.Code == http.StatusOK, test.second == 1)
 		assert.Equal(t, second.Load(), test.second)
--- a/wisteriarouter/relay/withheld_test.go
+++ b/wisteriarouter/relay/withheld_test.go
@@ -104,13 +104,7 @@
 // its arrival.
 func TestRequestConvictedSinceItsArrivalIsHeldBack(t *testing.T) {
 	arrivals := new(atomic.Int32)
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		arrivals.Add(1)
-		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
-		w.Header().Set("X-Server-Signature", "s")
-	}))
-	defer srv.Close()
-	w := serveOnce(t, &listPlacer{addresses: []string{strings.TrimPrefix(srv.URL, "http://")}}, lateConviction{})
+	w := serveOnce(t, &listPlacer{addresses: []string{countingEndpoint(t, arrivals)}}, lateConviction{})
 	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
 	assert.Equal(t, w.Header().Get("Retry-After"), "60.000")
 	assert.Equal(t, arrivals.Load(), int32(0))
