--- a/coordination/mirror/fleet_test.go
+++ b/coordination/mirror/fleet_test.go
@@ -27,6 +27,7 @@
 	refused      map[int]bool                   // routers that the store rejects
 	poweredOff   map[coordination.Instance]bool // routers that have lost power, as all others know
 	silent       map[int]bool                   // routers that the store does not reply to
+	unreachable  map[coordination.Instance]bool // routers that have lost power, which the others have not noticed
 	delay        time.Duration                  // of each call and each reply, between routers and with the store
 	storeDelay   time.Duration                  // of each reply of the store, in addition to delay
 	lostReplies  int                            // so many of the next replies to watches, and to lists, with changes are lost
@@ -121,6 +122,13 @@
 	return p.fleet.feeds[i], nil
 }
 
+// isCut reports whether this router or another one has lost power unnoticed.
+func (p peerTransport) isCut(to coordination.Instance) (cut bool) {
+	f := p.fleet
+	f.store.withLock(func() { cut = f.unreachable[to] || f.unreachable[f.routers[p.router].ID] })
+	return cut
+}
+
 // Call implements mirror.Transport.
 func (p peerTransport) Call(ctx context.Context, to coordination.Instance, _ string, payload []byte) ([]byte, error) {
 	feed, err := p.feed(to)
@@ -128,6 +136,10 @@
 		return nil, err
 	}
 	p.fleet.countCall(p.fleet.routers[p.router].ID, to)
+	if p.isCut(to) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	time.Sleep(p.fleet.delay)
 	b, err := feed.Handle(ctx, p.fleet.routers[p.router].ID, payload)
 	time.Sleep(p.fleet.delay)
@@ -135,12 +147,16 @@
 }
 
 // Notify implements mirror.Transport.
-func (p peerTransport) Notify(_ context.Context, to coordination.Instance, _ string, payload []byte) error {
+func (p peerTransport) Notify(ctx context.Context, to coordination.Instance, _ string, payload []byte) error {
 	feed, err := p.feed(to)
 	if err != nil {
 		return err
 	}
 	p.fleet.countHint(payload)
+	if p.isCut(to) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	time.Sleep(p.fleet.delay)
 	return feed.HandleHint(p.fleet.routers[p.router].ID, payload)
 }
