Fallback watchers share the turns of three watchers

What callers saw: a change in force 2.0 to 2.6 s after its acknowledgement while the store is silent to all watchers and some of the routers that take their place, waiting watches hear nothing and pings are stale. Cause: each of up to 15 fallbacks had a turn of its own, a period of 9 s; if the store serves only a few of them, no watch began for seconds.

Now fallbacks share as many turns as there are watchers by default, so that a watch begins every 0.6 s in each of which several take part.

The red test has another cause and stays red.

--- a/coordination/mirror/feed.go
+++ b/coordination/mirror/feed.go
@@ -242,7 +242,10 @@
 	case rank < 0:
 		return watchPeriod(len(watchers))
 	}
-	return turnWait(rank, len(watchers), f.cfg.Mirror.sinceChange())
+	// Of the fallbacks, which are more, the store may serve only a few: with a turn for each,
+	// no watch would begin for seconds.
+	turns := min(len(watchers), len(f.currentCandidates().defaults))
+	return turnWait(rank%turns, turns, f.cfg.Mirror.sinceChange())
 }
 
 // storeNotNeeded reports whether this router need not call the store now. It
--- a/coordination/mirror/two_faults_test.go
+++ b/coordination/mirror/two_faults_test.go
@@ -93,6 +93,7 @@
 	scenarios := []twoFaults{
 		{name: "61, store silent to a third", routers: 61, rounds: 4, silentShare: 0.35, seed: 1},
 		{name: "61, store silent to two thirds", routers: 61, rounds: 20, silentShare: 0.65, watchers: true, seed: 2},
+		{name: "61, store silent to half", routers: 61, rounds: 20, silentShare: 0.5, watchers: true, seed: 2},
 		{name: "61, slow store silent to a third", routers: 61, rounds: 4, silentShare: 0.35, storeDelay: 150 * time.Millisecond, seed: 3},
 		{name: "61, a watcher loses power", routers: 61, rounds: 4, deadWatchers: 1, deadFor: unnoticed, seed: 4},
 		{name: "61, two watchers lose power", routers: 61, rounds: 4, deadWatchers: 2, deadFor: unnoticed, seed: 5},
