Up to 24 routers watch the store in place of its watchers

What callers saw: a change in force 3.4 s after its acknowledgement while the store is silent to all watchers and two thirds of the other routers. Cause: all 15 that may watch in their place were among these, and then the store counts as down for all. Evidence: a trace of all watches.

24 of them make that a case in 8,500 in place of one in 176 at two thirds (0.65 to the power of 21 and of 12). The price is nine more routers that call a store which is down for all. TestCurrentWatchers names the exact number, 21 beside the three watchers, as it did before.

--- a/coordination/mirror/pace.go
+++ b/coordination/mirror/pace.go
@@ -37,8 +37,8 @@
 // fallbackCount is the number of routers that watch the store if it serves none
 // of the default watchers. Three fallbacks might be cut off as well, and each
 // such group costs a second in which no router learns of a change. A store that
-// serves none of fifteen is considered down for all.
-const fallbackCount = 15
+// serves none of so many is considered down for all.
+const fallbackCount = 24
 
 // enoughFallbacks is the number of fallbacks that must have sent a revision
 // from the store before the other fallbacks stop watching, because each watch
--- a/coordination/mirror/pace_test.go
+++ b/coordination/mirror/pace_test.go
@@ -35,8 +35,8 @@
 	}{
 		{name: "the store serves all", watchers: 3, defaultCount: 3},
 		{name: "one of those that watch is cut off", refused: defaults[:1], watchers: 3, defaultCount: 2},
-		{name: "all that watch are cut off", refused: defaults, watchers: 12},
-		{name: "one stand-in has told", refused: defaults, confirmed: fallbackWatchers(routers, defaults)[:1], watchers: 12},
+		{name: "all that watch are cut off", refused: defaults, watchers: 21},
+		{name: "one stand-in has told", refused: defaults, confirmed: fallbackWatchers(routers, defaults)[:1], watchers: 21},
 		{name: "two stand-ins have told", refused: defaults, confirmed: fallbackWatchers(routers, defaults)[:2], watchers: 2},
 		{name: "the store is away for all", allRefused: true, watchers: 3, defaultCount: 3},
 	}
--- a/coordination/mirror/two_faults_test.go
+++ b/coordination/mirror/two_faults_test.go
@@ -23,8 +23,8 @@
 type twoFaults struct {
 	name         string
 	routers      int
-	silentShare  float64       // of the routers, that the store does not reply to
-	watchers     bool          // all default watchers are among them
+	silentShare  float64 // of the routers, that the store does not reply to
+	watchers     bool    // all default watchers are among them
 	rounds       int
 	deadWatchers int           // watchers that lose power
 	deadFor      time.Duration // until the others notice
