Revisions are ordered by the era of the store first

What callers saw: after the store came back from a copy, changes, revoked keys and notices of leaving endpoints were not in force for seconds, or never. Cause: all that comes from the store was ordered by its revision alone, which had gone back: a list with a lower revision changed nothing, a write at a revision that had been seen was taken for old, and once the store's revisions had passed the router's, what lay between was missed without a sign.

The boundary makes one number of Store-Era and revision, so that nothing above it has to tell them apart. A watch that is answered in another era has a gap. A mirror that gets a full update of a later era takes it over as a whole and tells its observers; parts of a later era and late replies of an earlier one are ignored. Routers send each other the number and the era apart: one that knows no eras reads what it did before. Event 303, wisteria_store_era.

--- a/coordination/kv/kv.go
+++ b/coordination/kv/kv.go
@@ -10,11 +10,50 @@
 
 // Revision numbers the writes to the service. It increases with every write,
 // across all keys. Zero means that a key does not exist.
+//
+// A service that has been restored from a copy gives out the numbers since then
+// again. Its era, in the upper bits, orders revisions all the same: any revision
+// of a later era is greater.
 type Revision int64
 
-// Lease identifies a lease. Zero means no lease.
+// Era counts how often the service has been restored from a copy. It is zero if
+// the service does not tell.
+type Era int32
+
+// numberBits is the width of a number within an era.
+const numberBits = 40
+
+const (
+	// MaxNumber is the largest number of a revision or a lease within an era.
+	MaxNumber = 1<<numberBits - 1
+	// MaxEra is the latest era.
+	MaxEra Era = 1<<(63-numberBits) - 1
+)
+
+// NewRevision returns the revision with a number, at most MaxNumber, in an era, at
+// most MaxEra.
+func NewRevision(era Era, n int64) Revision { return Revision(int64(era)<<numberBits | n) }
+
+// Era returns the era in which r was given out.
+func (r Revision) Era() Era { return Era(r >> numberBits) }
+
+// Number returns the number of r within its era, as the service knows it.
+func (r Revision) Number() int64 { return int64(r & MaxNumber) }
+
+// Lease identifies a lease. Zero means no lease. As with revisions, the upper bits
+// hold the era in which it was granted.
 type Lease int64
 
+// NewLease returns the lease with a number, at most MaxNumber, in an era, at most
+// MaxEra.
+func NewLease(era Era, n int64) Lease { return Lease(NewRevision(era, n)) }
+
+// Era returns the era in which l was granted.
+func (l Lease) Era() Era { return Revision(l).Era() }
+
+// Number returns the number of l within its era, as the service knows it.
+func (l Lease) Number() int64 { return Revision(l).Number() }
+
 // Pair is a key with its value and the revision of its last write.
 type Pair struct {
 	Key      string
--- a/coordination/mirror/fakestore_test.go
+++ b/coordination/mirror/fakestore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -41,6 +42,29 @@
 	}
 }
 
+// restore replaces the contents by a copy of them, in which revisions begin again after
+// asOf, and begins a new era.
+func (s *fakeStore) restore(asOf kv.Revision, pairs map[string]kv.Pair) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := s.asOf.Era() + 1
+	s.asOf = kv.NewRevision(era, asOf.Number())
+	s.pairs = make(map[string]kv.Pair)
+	for key, p := range pairs {
+		p.Revision = kv.NewRevision(era, p.Revision.Number())
+		s.pairs[key] = p
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// copy returns what restore takes.
+func (s *fakeStore) copy() (asOf kv.Revision, pairs map[string]kv.Pair) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asOf, maps.Clone(s.pairs)
+}
+
 func (s *fakeStore) revision() (n kv.Revision) {
 	s.withLock(func() { n = s.asOf })
 	return n
@@ -126,7 +150,7 @@
 		return kv.Batch{}, kv.Result{Status: kv.Unavailable, Err: errDown}, true
 	case s.deafToNewWatches:
 		return kv.Batch{Revision: after}, kv.Result{Status: kv.Applied}, false
-	case after < s.compacted:
+	case after < s.compacted, after.Era() != s.asOf.Era():
 		return kv.Batch{Gap: true}, kv.Result{Status: kv.Applied}, true
 	}
 	b := kv.Batch{Revision: s.asOf}
--- a/coordination/mirror/hint.go
+++ b/coordination/mirror/hint.go
@@ -22,8 +22,9 @@
 // complete, and whether the sender reaches the store. It has no reply.
 type Hint struct {
 	Prefix string      `cbor:"1,keyasint"`
-	AsOf   kv.Revision `cbor:"2,keyasint"`
+	AsOf   kv.Revision `cbor:"2,keyasint"` // its number
 	Lost   bool        `cbor:"3,keyasint,omitempty"`
+	Era    messageEra  `cbor:"4,keyasint,omitempty"` // of AsOf
 }
 
 // A router that waits for changes at another one learns only what that one
@@ -158,6 +159,7 @@
 		return
 	}
 	h.Prefix = s.feed.cfg.Prefix
+	h.Era, h.AsOf = newMessageEra(h.AsOf.Era()), numberOnly(h.AsOf)
 	go hintDelivery{feed: s.feed, to: to, hint: h}.run(ctx)
 }
 
@@ -226,8 +228,9 @@
 	if !h.Lost {
 		f.recordConfirmation(from)
 	}
-	f.hints.recordHint(from, h.AsOf)
-	f.fetcher.add(from, h.AsOf)
+	asOf := kv.NewRevision(h.Era.era(f.cfg.Mirror.AsOf().Era()), h.AsOf.Number())
+	f.hints.recordHint(from, asOf)
+	f.fetcher.add(from, asOf)
 	return nil
 }
 
--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -2,9 +2,15 @@
 // platform's store. Updates come from the store and from other routers that
 // keep the same copy, in any order. The highest revision of each key wins, so
 // that a value never reverts to an older one.
+//
+// If the store is restored from a copy, its era rises, and the mirror takes over
+// its contents as a whole. These may be older than what the mirror had, until the
+// writers have written again what was lost. Observers are told so, and keep what
+// they know to be later.
 package mirror
 
 import (
+	"bytes"
 	"context"
 	"math"
 	"slices"
@@ -33,6 +39,8 @@
 	AsOf  kv.Revision `cbor:"3,keyasint"` // includes all changes up to this revision
 	// AgeMs is how many milliseconds ago the store itself confirmed AsOf.
 	AgeMs uint32 `cbor:"4,keyasint,omitempty"`
+	// Era is set while the update is in a message.
+	Era messageEra `cbor:"5,keyasint,omitempty"`
 	// BehindMs is how many milliseconds ago the first router learned from the
 	// store of the oldest of the items. It is zero if the update comes from the
 	// store or is Full.
@@ -51,6 +59,12 @@
 	// Behind is how long ago the first router learned from the store of the
 	// oldest of the items, as far as that is known.
 	Behind time.Duration
+	// Restored reports that the store has been restored from a copy since the last
+	// update. Items then are all keys whose value or existence differs, and may be
+	// older than what was known.
+	Restored bool
+	// AsOf and Before are the revisions of the mirror after and before the update.
+	AsOf, Before kv.Revision
 	// Unconfirmed is how long before the update the store last confirmed the
 	// contents of the mirror to any router, as far as this one knows.
 	Unconfirmed time.Duration
@@ -136,7 +150,8 @@
 }
 
 // Apply applies an update and calls the observers with the changes. Items that
-// are older than those in the mirror are ignored.
+// are older than those in the mirror are ignored, and so is an update of an
+// earlier era of the store.
 func (m *Mirror) Apply(u Update) {
 	m.notifying.Lock()
 	defer m.notifying.Unlock()
@@ -146,7 +161,7 @@
 			fn()
 		}
 	}
-	if len(changes.Items) == 0 {
+	if len(changes.Items) == 0 && !changes.Restored {
 		return
 	}
 	for _, fn := range m.observers {
@@ -162,14 +177,16 @@
 		changes.Unconfirmed = now.Sub(m.confirmedAt)
 	}
 	learnedAt := now.Add(-changes.Behind)
-	for _, item := range u.Items {
-		if m.put(now, item) {
-			m.learnedAt[item.Key] = learnedAt
-			changes.Items = append(changes.Items, item)
-		}
-	}
-	if u.Full {
-		changes.Items = append(changes.Items, m.deleteUnlisted(now, u)...)
+	changes.Before, changes.AsOf = m.asOf, max(m.asOf, u.AsOf)
+	later := m.asOf > 0 && u.AsOf.Era() > m.asOf.Era()
+	switch {
+	case u.AsOf.Era() < m.asOf.Era(), later && !u.Full:
+		return changes, false
+	case later:
+		changes.Restored = true
+		changes.Items = m.replaceAll(now, u)
+	default:
+		changes.Items = m.mergeItems(now, learnedAt, u)
 	}
 	m.pruneTombstones(now)
 	advanced := u.AsOf > m.asOf
@@ -187,6 +204,45 @@
 	return changes, recovered
 }
 
+// mergeItems applies the items of an update and returns those that have changed.
+func (m *Mirror) mergeItems(now, learnedAt time.Time, u Update) (changed []Item) {
+	for _, item := range u.Items {
+		if m.put(now, item) {
+			m.learnedAt[item.Key] = learnedAt
+			changed = append(changed, item)
+		}
+	}
+	if u.Full {
+		changed = append(changed, m.deleteUnlisted(now, u)...)
+	}
+	return changed
+}
+
+// replaceAll replaces the contents by those of a full update of a later era and returns the
+// items whose value or existence differs. Keys that are gone get a tombstone.
+func (m *Mirror) replaceAll(now time.Time, u Update) (changed []Item) {
+	old := m.items
+	m.items = make(map[string]Item, len(u.Items))
+	m.deletedAt = make(map[string]time.Time)
+	m.learnedAt = make(map[string]time.Time, len(u.Items))
+	for _, item := range u.Items {
+		m.items[item.Key], m.learnedAt[item.Key] = item, now
+		if known, ok := old[item.Key]; !ok || known.Deleted || !bytes.Equal(known.Value, item.Value) {
+			changed = append(changed, item)
+		}
+	}
+	for key, known := range old {
+		if _, ok := m.items[key]; ok || known.Deleted {
+			continue
+		}
+		tombstone := Item{Key: key, Revision: u.AsOf, Deleted: true}
+		m.put(now, tombstone)
+		m.learnedAt[key] = now
+		changed = append(changed, tombstone)
+	}
+	return changed
+}
+
 // put stores an item if it is newer than the known state of its key.
 func (m *Mirror) put(now time.Time, item Item) bool {
 	if old, ok := m.items[item.Key]; ok && old.Revision >= item.Revision {
@@ -233,11 +289,11 @@
 }
 
 // Since returns the changes after a revision, or a full update if after is zero
-// or some of the tombstones since then have been deleted.
+// or of an earlier era, or if some of the tombstones since then have been deleted.
 func (m *Mirror) Since(after kv.Revision) Update {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	u := Update{Full: after == 0 || after < m.prunedUpTo, AsOf: m.asOf, AgeMs: elapsedMs(m.confirmedAt)}
+	u := Update{Full: after == 0 || after < m.prunedUpTo || after.Era() < m.asOf.Era(), AsOf: m.asOf, AgeMs: elapsedMs(m.confirmedAt)}
 	for _, item := range m.items {
 		if u.Full && !item.Deleted || !u.Full && item.Revision > after {
 			u.Items = append(u.Items, item)
--- a/coordination/mirror/peers.go
+++ b/coordination/mirror/peers.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,8 +34,52 @@
 // for a change for up to WaitMs milliseconds.
 type Request struct {
 	Prefix string      `cbor:"1,keyasint"`
-	After  kv.Revision `cbor:"2,keyasint"`
+	After  kv.Revision `cbor:"2,keyasint"` // its number
 	WaitMs uint32      `cbor:"3,keyasint"`
+	Era    messageEra  `cbor:"4,keyasint,omitempty"` // of After
+}
+
+func newRequest(prefix string, after kv.Revision, wait time.Duration) Request {
+	return Request{Prefix: prefix, After: numberOnly(after), Era: newMessageEra(after.Era()), WaitMs: uint32(wait.Milliseconds())}
+}
+
+// messageEra is one more than the era of all revisions in a message, which hold only their
+// numbers. It is zero in messages of routers that do not know eras and take the number for
+// the revision. What these send is taken to be of the receiver's own era.
+type messageEra int32
+
+func newMessageEra(era kv.Era) messageEra { return messageEra(era) + 1 }
+
+// era returns the era, or own if the message has none.
+func (e messageEra) era(own kv.Era) kv.Era {
+	if e <= 0 || kv.Era(e) > kv.MaxEra {
+		return own
+	}
+	return kv.Era(e - 1)
+}
+
+// numberOnly returns the number of a revision as it is in messages.
+func numberOnly(r kv.Revision) kv.Revision { return kv.NewRevision(0, r.Number()) }
+
+// numbersOnly returns the update as it is in messages.
+func (u Update) numbersOnly() Update {
+	u.Items = slices.Clone(u.Items)
+	for i := range u.Items {
+		u.Items[i].Revision = numberOnly(u.Items[i].Revision)
+	}
+	u.Era, u.AsOf = newMessageEra(u.AsOf.Era()), numberOnly(u.AsOf)
+	return u
+}
+
+// inEra returns an update of a message with the revisions in its era, or in own if the
+// message has none.
+func (u Update) inEra(own kv.Era) Update {
+	era := u.Era.era(own)
+	for i, item := range u.Items {
+		u.Items[i].Revision = kv.NewRevision(era, item.Revision.Number())
+	}
+	u.AsOf = kv.NewRevision(era, u.AsOf.Number())
+	return u
 }
 
 // Transport sends calls and messages to other routers.
@@ -86,11 +131,11 @@
 func (s PeerSource) call(ctx context.Context, to coordination.Instance, after kv.Revision, wait time.Duration) (Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+s.Timeout)
 	defer cancel()
-	b, err := s.Transport.Call(ctx, to, Topic, encode(Request{Prefix: s.Prefix, After: after, WaitMs: uint32(wait.Milliseconds())}))
+	b, err := s.Transport.Call(ctx, to, Topic, encode(newRequest(s.Prefix, after, wait)))
 	if err != nil {
 		return Update{}, err
 	}
-	u, err := decodeReply(b)
+	u, err := decodeReply(b, after.Era())
 	if err != nil {
 		return Update{}, ErrMalformed.Wrap(err, "decoding the update from %s", to)
 	}
@@ -114,7 +159,8 @@
 // the largest value that the store allows.
 const maxUpdateSize = 16 << 20
 
-func decodeReply(b []byte) (Update, error) {
+// decodeReply decodes a reply. own is the era of this router's mirror.
+func decodeReply(b []byte, own kv.Era) (Update, error) {
 	var r reply
 	if err := cbor.Unmarshal(b, &r); err != nil {
 		return Update{}, err
@@ -132,7 +178,7 @@
 		return Update{}, err
 	}
 	u.AgeMs, u.BehindMs, u.Lost = r.AgeMs, r.BehindMs, r.Lost
-	return u, nil
+	return u.inEra(own), nil
 }
 
 // minCompressSize is the size in bytes from which an update is compressed. A
@@ -145,7 +191,7 @@
 // late everywhere. Compressed, it is a tenth of that.
 func encodeUpdate(u Update) reply {
 	u.AgeMs = 0
-	encoded := encode(u)
+	encoded := encode(u.numbersOnly())
 	if len(encoded) < minCompressSize {
 		return reply{Plain: encoded}
 	}
@@ -216,23 +262,24 @@
 	wait := min(time.Duration(req.WaitMs)*time.Millisecond, maxHold)
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	m.Wait(ctx, req.After, s.Lost)
-	u := m.Since(req.After)
-	r := s.cachedReply(req, u)
+	after := kv.NewRevision(req.Era.era(m.AsOf().Era()), req.After.Number())
+	m.Wait(ctx, after, s.Lost)
+	u := m.Since(after)
+	r := s.cachedReply(req.Prefix, after, u)
 	r.AgeMs, r.BehindMs, r.Lost = u.AgeMs, u.BehindMs, s.Lost != nil && s.Lost()
 	return encode(r), u.AsOf, nil
 }
 
 // cachedReply returns an encoded update, from the cache if it is there.
-func (s *Server) cachedReply(req Request, u Update) reply {
+func (s *Server) cachedReply(prefix string, after kv.Revision, u Update) reply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.cache {
-		if c.prefix == req.Prefix && c.after == req.After && c.asOf == u.AsOf {
+		if c.prefix == prefix && c.after == after && c.asOf == u.AsOf {
 			return c.reply
 		}
 	}
-	c := cachedUpdate{prefix: req.Prefix, after: req.After, asOf: u.AsOf, reply: encodeUpdate(u)}
+	c := cachedUpdate{prefix: prefix, after: after, asOf: u.AsOf, reply: encodeUpdate(u)}
 	s.cache = append(s.cache, c)
 	if len(s.cache) > maxCachedUpdates {
 		s.cache = s.cache[1:]
--- a/wisteriarouter/daemon/convictions.go
+++ b/wisteriarouter/daemon/convictions.go
@@ -96,7 +96,7 @@
 			continue
 		}
 		if err := c.guard.takeOver(item.Value); err != nil {
-			c.log.Emit(event.SettingsInvalid, event.F("key", item.Key), event.F("revision", item.Revision), event.F("error", err.Error()))
+			c.log.Emit(event.SettingsInvalid, event.F("key", item.Key), event.F("revision", item.Revision.Number()), event.F("error", err.Error()))
 		}
 	}
 	if n.From == "" {
@@ -185,7 +185,7 @@
 		c.log.Emit(event.ConvictionNotStored, event.F("fingerprint", f.String()), event.F("removed", true), event.F("status", res.Status.String()), event.F("error", errorText(res.Err)))
 		return false
 	}
-	c.log.Emit(event.ConvictionStored, event.F("fingerprint", f.String()), event.F("removed", true), event.F("revision", res.Revision), event.F("status", res.Status.String()))
+	c.log.Emit(event.ConvictionStored, event.F("fingerprint", f.String()), event.F("removed", true), event.F("revision", res.Revision.Number()), event.F("status", res.Status.String()))
 	return true
 }
 
@@ -212,7 +212,7 @@
 		return false
 	}
 	c.stored[r.Fingerprint] = written
-	c.log.Emit(event.ConvictionStored, event.F("fingerprint", r.Fingerprint.String()), event.F("trials", r.Trials), event.F("revision", res.Revision), event.F("status", res.Status.String()))
+	c.log.Emit(event.ConvictionStored, event.F("fingerprint", r.Fingerprint.String()), event.F("trials", r.Trials), event.F("revision", res.Revision.Number()), event.F("status", res.Status.String()))
 	return true
 }
 
--- a/wisteriarouter/daemon/relay_desired.go
+++ b/wisteriarouter/daemon/relay_desired.go
@@ -38,6 +38,7 @@
 	d.relay.Store(configOf(i).Relay)
 	m := do.MustInvoke[*mirror.Mirror](i)
 	d.mirror = m
+	m.Observe(restoreLogger{d.log}.applyChanges)
 	// Endpoints and crashing requests are read before the desired state: requests
 	// that wait for it would otherwise find their pools empty, or crash endpoints.
 	do.MustInvoke[*endpoint.EntryTracker](i)
@@ -95,7 +96,7 @@
 	d.log.Emit(kind,
 		event.F("availability-zone", zone),
 		event.F("endpoints", d.placer.countEndpoints(zone)),
-		event.F("revision", item.Revision),
+		event.F("revision", item.Revision.Number()),
 		event.F("from", sourceName(n.From)),
 		event.F("behind-ms", n.Behind.Milliseconds()),
 		event.F("unconfirmed-ms", n.Unconfirmed.Milliseconds()),
@@ -105,19 +106,19 @@
 func (d *desiredState) apply(item mirror.Item, n mirror.Changes) {
 	s, err := platform.DecodeState(item.Value)
 	if err != nil {
-		d.log.Emit(event.SettingsInvalid, event.F("revision", item.Revision), event.F("error", err.Error()))
+		d.log.Emit(event.SettingsInvalid, event.F("revision", item.Revision.Number()), event.F("error", err.Error()))
 		return
 	}
 	old := d.table.Load()
 	if old != nil && s.Version <= old.Version {
-		d.log.Emit(event.SettingsInvalid, event.F("revision", item.Revision), event.F("version", s.Version), event.F("in-force", old.Version))
+		d.log.Emit(event.SettingsInvalid, event.F("revision", item.Revision.Number()), event.F("version", s.Version), event.F("in-force", old.Version))
 		return
 	}
 	d.table.Store(route.NewTable(s))
 	d.placer.applyBounds(s, d.relay.Load())
 	d.log.Emit(event.SettingsApplied,
 		event.F("version", s.Version),
-		event.F("revision", item.Revision),
+		event.F("revision", item.Revision.Number()),
 		event.F("routes", len(s.Routes)),
 		event.F("from", sourceName(n.From)),
 		event.F("behind-ms", n.Behind.Milliseconds()),
--- a/wisteriarouter/daemon/relay_entries.go
+++ b/wisteriarouter/daemon/relay_entries.go
@@ -64,7 +64,7 @@
 	}
 	e, err := platform.DecodeEntry(item.Key, item.Value)
 	if err != nil {
-		r.log.Emit(event.EndpointMalformed, event.F("key", item.Key), event.F("revision", item.Revision), event.F("error", err.Error()))
+		r.log.Emit(event.EndpointMalformed, event.F("key", item.Key), event.F("revision", item.Revision.Number()), event.F("error", err.Error()))
 		return endpoint.Change{}, false
 	}
 	state := instances.Live
--- a/wisteriarouter/daemon/relay_store.go
+++ b/wisteriarouter/daemon/relay_store.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/mirror"
@@ -20,8 +21,12 @@
 
 func newStore(i do.Injector) (*platform.Store, error) {
 	cfg := configOf(i).Relay
-	observe := newStoreMetrics(do.MustInvoke[*prometheus.Registry](i))
-	s, cleanup := platform.NewStore(platform.StoreConfig{Address: cfg.Store, Timeout: storeTimeout, OnCall: observe})
+	registry := do.MustInvoke[*prometheus.Registry](i)
+	s, cleanup := platform.NewStore(platform.StoreConfig{Address: cfg.Store, Timeout: storeTimeout, OnCall: newStoreMetrics(registry)})
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "wisteria_store_era",
+		Help: "The era of the platform's store as last told to this router. It rises each time the store is restored from a copy.",
+	}, func() float64 { return float64(s.Era()) }))
 	onStop(i, cleanup)
 	return s, nil
 }
@@ -55,6 +60,22 @@
 	onStop(i, f.Start())
 }
 
+// restoreLogger logs that the store has been restored from a copy.
+type restoreLogger struct{ log event.Log }
+
+func (l restoreLogger) applyChanges(n mirror.Changes) {
+	if !n.Restored {
+		return
+	}
+	gone := lo.CountBy(n.Items, func(item mirror.Item) bool { return item.Deleted })
+	l.log.Emit(event.StoreRestored,
+		event.F("era", n.AsOf.Era()), event.F("revision", n.AsOf.Number()),
+		event.F("era-before", n.Before.Era()), event.F("revision-before", n.Before.Number()),
+		event.F("keys-differ", len(n.Items)-gone), event.F("keys-gone", gone),
+		event.F("from", sourceName(n.From)),
+	)
+}
+
 // storeLogger logs that the store has become unavailable or available again.
 type storeLogger struct{ log event.Log }
 
@@ -91,8 +112,9 @@
 func (r overdueReporter) report(o mirror.Overdue) {
 	r.watches.Inc()
 	r.log.Emit(event.WatchOverdue,
-		event.F("watched-revision", o.Watched),
-		event.F("store-revision", o.Store),
+		event.F("era", o.Store.Era()),
+		event.F("watched-revision", o.Watched.Number()),
+		event.F("store-revision", o.Store.Number()),
 		event.F("waited-ms", o.Waited.Milliseconds()),
 	)
 }
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -26,9 +26,10 @@
 
 // Events of the platform's service.
 var (
-	PlatformLost = Kind{300, "platform-lost", logrus.WarnLevel, "Calls to the platform's service fail. Chats continue with the last settings; non-idempotent actions are refused. See the platform's own alarms."}
-	PlatformBack = Kind{301, "platform-back", logrus.InfoLevel, "Calls to the platform's service succeed again."}
-	WatchOverdue = Kind{302, "watch-overdue", logrus.WarnLevel, "A watch still waited although the platform's service had a later revision; gives both revisions and how long the watch had waited. Changes reach routers late meanwhile. If this continues, see the platform's own alarms."}
+	PlatformLost  = Kind{300, "platform-lost", logrus.WarnLevel, "Calls to the platform's service fail. Chats continue with the last settings; non-idempotent actions are refused. See the platform's own alarms."}
+	PlatformBack  = Kind{301, "platform-back", logrus.InfoLevel, "Calls to the platform's service succeed again."}
+	WatchOverdue  = Kind{302, "watch-overdue", logrus.WarnLevel, "A watch still waited although the platform's service had a later revision; gives both revisions and how long the watch had waited. Changes reach routers late meanwhile. If this continues, see the platform's own alarms."}
+	StoreRestored = Kind{303, "store-restored", logrus.WarnLevel, "The platform's store has been restored from a copy: what was written since then is lost until its writers have written it again. Gives the era and revision before and after, and how many keys differ or are gone. Routers keep what they know to be later. Compare with the desired state that was meant to be in force."}
 )
 
 // Events of peers.
@@ -116,7 +117,7 @@
 	return []Kind{
 		Started, Ready, Stopping, Stopped, Failed, Reloaded, ReloadFailed, LinesDropped, RequestDropped,
 		SettingsApplied, SettingsInvalid, SettingsRejected, SettingsChanged, SettingsLate,
-		PlatformLost, PlatformBack, WatchOverdue,
+		PlatformLost, PlatformBack, WatchOverdue, StoreRestored,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumorShed, PeerBusy, PeerAway, PeerBack, HintFailed, CatchUpFailed, OriginNotKept,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
 		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour, ConvictionStored, RecordsMissed, ConvictionNotStored, MixedVersions, PartConvicted, PartExempt, PartCleared, SuspectCleared,
