Routers pause after a fetch that brought nothing at once

What the platform saw: 20 to 50 calls a second of each watching router in the incident, 6,967 in the red test. Cause: only a failed fetch was followed by a pause; a watch whose history is gone and the list that follows it succeed, however often. Evidence: as many refused as successful calls in the record.

A fetch that neither advanced the mirror nor waited, or that brought all keys in vain, is followed by the pause of a failed one, 0.1 to 0.8 s. The red test passes.

--- a/coordination/mirror/follower.go
+++ b/coordination/mirror/follower.go
@@ -17,7 +17,7 @@
 	Fetch(ctx context.Context, after kv.Revision) (Update, error)
 }
 
-// The pause after a failed fetch doubles from minRetryPause to maxRetryPause.
+// The pause after a fetch that failed, or brought nothing at once, doubles from minRetryPause to maxRetryPause.
 // The minimum is short because a lost reply is often a single one. The maximum
 // limits how often the whole fleet calls a store that is down, and is well
 // below the two seconds within which endpoints are back in the list of the
@@ -86,10 +86,12 @@
 			f.wait(ctx, idleCheckInterval)
 			continue
 		}
-		u, err := f.Source.Fetch(ctx, f.Mirror.AsOf())
+		before, start := f.Mirror.AsOf(), time.Now()
+		u, err := f.Source.Fetch(ctx, before)
 		if ctx.Err() != nil {
 			return
 		}
+		elapsed := time.Since(start)
 		if err == nil && f.apply(u) {
 			f.wait(ctx, f.BatchDelay)
 		}
@@ -100,7 +102,8 @@
 			f.Mirror.Wake()
 			f.reportState(err)
 		}
-		pause = nextPause(pause, f.maxPause(), err)
+		waited := elapsed >= minFetchTime && !u.Full
+		pause = nextPause(pause, f.maxPause(), err == nil && (waited || f.Mirror.AsOf() > before))
 		f.wait(ctx, pause)
 	}
 }
@@ -145,9 +148,14 @@
 	return maxRetryPause
 }
 
-// nextPause returns the pause after a fetch that returned err.
-func nextPause(previous, limit time.Duration, err error) time.Duration {
-	if err == nil {
+// minFetchTime is the least time of a fetch that waited for a change in vain. A source that
+// answers sooner, or with everything that it had before, would be asked again without a pause.
+const minFetchTime = 20 * time.Millisecond
+
+// nextPause returns the pause after a fetch that either waited or advanced the mirror, or did
+// neither.
+func nextPause(previous, limit time.Duration, useful bool) time.Duration {
+	if useful {
 		return 0
 	}
 	return min(max(2*previous, minRetryPause), limit)
