Entries in a restored store do not undo what is known of endpoints

Cause: the entries of a copy were taken for the latest ones.

Of the differences that a restore brings, an entry counts only if it is later than the latest known one of that endpoint, by its start and the counter of its entries.

--- a/wisteriarouter/daemon/relay_entries.go
+++ b/wisteriarouter/daemon/relay_entries.go
@@ -55,6 +55,10 @@
 			changes = append(changes, c)
 		}
 	}
+	if n.Restored {
+		r.tracker.ApplyRestored(changes)
+		return
+	}
 	r.tracker.Apply(changes)
 }
 
@@ -82,5 +86,6 @@
 		Capacity:    e.Slots,
 		ColdFor:     e.ColdFor,
 		Version:     e.Version,
+		Sequence:    e.Sequence,
 	}}, true
 }
--- a/wisteriarouter/daemon/relay_restore_test.go
+++ b/wisteriarouter/daemon/relay_restore_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/poll"
 
 	"wisteriaspool/standin/hub"
+	"wisteriaspool/standin/replica"
 )
 
 // restoreCase is a way in which the store comes back from a copy.
@@ -137,3 +138,38 @@
 	perSecond := float64(s.store.Calls()-before) / time.Since(began).Seconds() / float64(len(s.routers))
 	assert.Check(t, perSecond < 10, "%.1f calls a second of each router", perSecond)
 }
+
+// Guards against requests to an endpoint that has left, and whose entry is in the copy from
+// which the store was restored.
+func TestRelayAvoidsEndpointThatLeftSinceTheCopy(t *testing.T) {
+	s := newRelayCluster(t, 3, 3, 0)
+	c := s.store.Copy()
+	s.store.Delete(s.replicas[0].Key())
+	time.Sleep(drainTime / 2)
+	before := len(s.replicas[0].Arrivals())
+	s.store.Restore(c)
+	s.replicas[1].Register()
+	s.replicas[2].Register()
+	for until := time.Now().Add(drainTime); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		s.send(0, "/safe/1", "X-Prefix-Hash", freshID()+":50,cc:10")
+		s.send(1, "/safe/1", "X-Prefix-Hash", freshID()+":50,cc:10")
+	}
+	assert.Equal(t, len(s.replicas[0].Arrivals()), before)
+}
+
+// Guards against a pool that is taken for empty because its endpoint has started since the
+// copy from which the store was restored.
+func TestRelayKeepsEndpointThatStartedSinceTheCopy(t *testing.T) {
+	s := newRelayCluster(t, 3, 0, 0)
+	c := s.store.Copy()
+	s.addReplica(replica.Options{ID: "d1", Service: "desk", Zone: "a"})
+	s.awaitStatus("/safe/1", http.StatusOK)
+	s.store.Restore(c)
+	time.AfterFunc(1500*time.Millisecond, s.replicas[0].Register)
+	for until := time.Now().Add(drainTime); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		for n := range s.routers {
+			got := s.send(n, "/safe/1")
+			assert.Assert(t, got.status == http.StatusOK, "router %d answers %d %s", n, got.status, got.body)
+		}
+	}
+}
--- a/wisteriarouter/endpoint/register.go
+++ b/wisteriarouter/endpoint/register.go
@@ -48,6 +48,8 @@
 	recoveredAt    time.Time // when the store last recovered
 	recentRemovals []time.Time
 	removalTimers  map[coordination.Endpoint]*time.Timer
+	latest         map[coordination.Endpoint]latestEntry
+	returnTimers   map[coordination.Endpoint]*time.Timer // of entries that a restored store has again
 }
 
 // StoreRecovered records that the store is available again after an outage for
@@ -62,15 +64,22 @@
 func (t *EntryTracker) Apply(changes []Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
+	t.apply(time.Now(), changes)
+}
+
+// apply is Apply for callers that hold t.mu.
+func (t *EntryTracker) apply(now time.Time, changes []Change) {
 	var put []platform.Entry
 	var removed []coordination.Endpoint
 	for _, c := range changes {
+		t.cancelReturn(c.ID)
 		if !c.Removed {
 			t.cancelRemoval(c.ID)
+			t.recordEntry(c.Entry)
 			put = append(put, c.Entry)
 			continue
 		}
+		t.recordRemoved(now, c.ID)
 		if t.holdRemoved(now, c.ID) {
 			continue
 		}
@@ -80,7 +89,7 @@
 }
 
 // holdRemoved delays the removal of an endpoint if its entry may come back, and
-// reports whether it does. The caller holds r.mu.
+// reports whether it does. The caller holds t.mu.
 func (t *EntryTracker) holdRemoved(now time.Time, id coordination.Endpoint) bool {
 	info, ok := t.Directory.Find(id)
 	if !ok || info.Leaving() {
@@ -111,7 +120,7 @@
 }
 
 // scheduleRemoval removes an endpoint after d unless the removal is canceled.
-// The caller holds r.mu.
+// The caller holds t.mu.
 func (t *EntryTracker) scheduleRemoval(id coordination.Endpoint, d time.Duration) {
 	if t.removalTimers == nil {
 		t.removalTimers = make(map[coordination.Endpoint]*time.Timer)
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -75,6 +75,7 @@
 	PartExempt          = Kind{525, "part-exempt", logrus.ErrorLevel, "As 524, but so many parts are refused that the cause is probably another one: requests with this part are not refused, and run one at a time. Look at the endpoints of the pool."}
 	PartCleared         = Kind{526, "part-cleared", logrus.WarnLevel, "Requests with a part that was refused, or exempt, are served again: one has completed, or an operator has cleared the part."}
 	SuspectCleared      = Kind{527, "suspect-cleared", logrus.WarnLevel, "An operator cleared a request or a part of prompts under which endpoints have ended; gives who did and why."}
+	EndpointNotReturned = Kind{528, "endpoint-not-returned", logrus.InfoLevel, "A restored store has an entry of an endpoint again that had been removed; the endpoint gets no requests until it writes a later entry, or until the entry has stayed for some seconds."}
 	EndpointDetour      = Kind{519, "endpoint-detour", logrus.WarnLevel, "This router cannot connect to an endpoint, or not as fast as another router that has connected for it; requests go through other routers for some seconds. If this names many endpoints, check the links of this router."}
 )
 
@@ -120,7 +121,7 @@
 		PlatformLost, PlatformBack, WatchOverdue, StoreRestored,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumorShed, PeerBusy, PeerAway, PeerBack, HintFailed, CatchUpFailed, OriginNotKept,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
-		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour, ConvictionStored, RecordsMissed, ConvictionNotStored, MixedVersions, PartConvicted, PartExempt, PartCleared, SuspectCleared,
+		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour, ConvictionStored, RecordsMissed, ConvictionNotStored, MixedVersions, PartConvicted, PartExempt, PartCleared, SuspectCleared, EndpointNotReturned,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
 		OrderGiven,
 		RelayAttempt, RelayAttemptLost, RelayRefused, RelayCut, RelayCallerGone, RelayBudgetSpent, RelayPlaced, RelayOverdue, RelayCrash, RelayTakenUp,
--- a/wisteriarouter/platform/instances.go
+++ b/wisteriarouter/platform/instances.go
@@ -44,6 +44,8 @@
 	ColdFor     time.Duration            `json:"-"`        // how much longer the endpoint stays cold, if the source tells
 	// Version is the version of the endpoint's software, if the source tells.
 	Version coordination.SoftwareVersion `json:"-"`
+	// Sequence rises with the entries that one incarnation writes, if the source tells.
+	Sequence int64 `json:"-"`
 }
 
 type instanceList struct {
