Records of what crashes endpoints are written again in a restored store

What callers would see: after a restore and a stop of all routers, requests that crash endpoints are new again. Cause: a router noted once that the store had a record and never wrote it again. Evidence: the new test, in which the store has no record 5 s after the restore; now it has, and routers that are all restarted refuse the part.

--- a/standin/hub/restore.go
+++ b/standin/hub/restore.go
@@ -60,3 +60,10 @@
 	item, ok := s.items[key]
 	return item.Value, ok
 }
+
+// Without returns a copy that lacks a key, as if it had been made before the key was written.
+func (c Copy) Without(key string) Copy {
+	c.items = maps.Clone(c.items)
+	delete(c.items, key)
+	return c
+}
--- a/wisteriarouter/daemon/convictions.go
+++ b/wisteriarouter/daemon/convictions.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -36,7 +37,10 @@
 	mirror  *mirror.Mirror
 	log     event.Log
 	changed chan struct{}
-	stored  map[suspicion.Fingerprint]storedRecord
+	stored  map[suspicion.Fingerprint]storedRecord // used by the loop only
+
+	// storeRestored reports that the store may have lost what is in stored.
+	storeRestored atomic.Bool
 
 	mu     sync.Mutex
 	listed map[string]suspicion.Fingerprint // records in the copy of the store, by key
@@ -87,6 +91,10 @@
 // applyChanges takes over the records that other routers have written. A router that has
 // read them from the store itself need not wait for other routers.
 func (c *convictions) applyChanges(n mirror.Changes) {
+	if n.Restored {
+		c.storeRestored.Store(true)
+		c.signalChange()
+	}
 	for _, item := range n.Items {
 		if !c.isKey(item.Key) {
 			continue
@@ -149,6 +157,9 @@
 // writeAll writes the records that the store lacks and reports whether it has all of them
 // now.
 func (c *convictions) writeAll(ctx context.Context) bool {
+	if c.storeRestored.Swap(false) {
+		clear(c.stored)
+	}
 	now := time.Now()
 	for f, r := range c.stored {
 		if !now.Before(r.expires) {
--- a/wisteriarouter/daemon/relay_restore_test.go
+++ b/wisteriarouter/daemon/relay_restore_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"wisteriaspool/platform"
 	"wisteriaspool/standin/hub"
 	"wisteriaspool/standin/replica"
 )
@@ -173,3 +174,30 @@
 		}
 	}
 }
+
+// Guards against what is known of crashing parts ending with the routers that know it,
+// because the store has lost it.
+func TestRelayStoresCrashingPartAgainInRestoredStore(t *testing.T) {
+	p, c := partCluster(t)
+	s := p.cluster
+	key := platform.CrashingPartKey(crashingPart)
+	awaitKey := func() {
+		t.Helper()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if s.store.Has(key) {
+				return poll.Success()
+			}
+			return poll.Continue("the store does not have it")
+		}, poll.WithTimeout(5*time.Second), poll.WithDelay(20*time.Millisecond))
+	}
+	awaitKey()
+	s.store.Restore(s.store.Copy().Without(key))
+	assert.Assert(t, !s.store.Has(key))
+	awaitKey()
+	before := len(p.crashTimes())
+	s.restartAll(3)
+	for n := range 30 {
+		p.sendPart(n%3, c)
+	}
+	assert.Assert(t, len(p.crashTimes()) <= before+1, "%d endpoints crashed, %d before; one may be a trial", len(p.crashTimes()), before)
+}
