Notes on mixed versions outlast a restore of the store

What callers would see: a stream that is taken up after a restore is joined from two versions. Cause: a note that the store had lost counted as ended, and was written again only at the next look, up to 5 s later, by routers that had seen both versions themselves. Evidence: the new test, without a note 2 s after the restore before.

A note that is gone with a restore still counts for its time, and any router that knew it writes one at once.

--- a/wisteriarouter/daemon/relay_restore_test.go
+++ b/wisteriarouter/daemon/relay_restore_test.go
@@ -181,19 +181,10 @@
 	p, c := partCluster(t)
 	s := p.cluster
 	key := platform.CrashingPartKey(crashingPart)
-	awaitKey := func() {
-		t.Helper()
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			if s.store.Has(key) {
-				return poll.Success()
-			}
-			return poll.Continue("the store does not have it")
-		}, poll.WithTimeout(5*time.Second), poll.WithDelay(20*time.Millisecond))
-	}
-	awaitKey()
+	s.awaitKey(key)
 	s.store.Restore(s.store.Copy().Without(key))
 	assert.Assert(t, !s.store.Has(key))
-	awaitKey()
+	s.awaitKey(key)
 	before := len(p.crashTimes())
 	s.restartAll(3)
 	for n := range 30 {
--- a/wisteriarouter/daemon/relay_version_test.go
+++ b/wisteriarouter/daemon/relay_version_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"wisteriaspool/platform"
 	"wisteriaspool/standin/replica"
 )
 
@@ -291,3 +292,38 @@
 	fresh := s.send(2, "/resumable/2", "X-Prefix-Hash", freshID()+":50,cc:10")
 	assert.Equal(t, fresh.status, 200)
 }
+
+// Guards against a restored store that makes routers forget that a pool had two versions:
+// those that saw them, and one that knew it from the store alone.
+func TestRelayRemembersMixedPoolOfRestoredStore(t *testing.T) {
+	s := newVersionedCluster(t, 2, 1, "v1", "v1.1")
+	old := s.begin(0, 2)
+	note := platform.MixedKey("model", "0")
+	s.awaitKey(note)
+	old.cancel()
+	s.store.Restore(s.store.Copy().Without(note))
+	s.awaitKey(note)
+	for _, stop := range s.stops {
+		stop()
+	}
+	s.store.Delete(s.replicas[0].Key())
+	s.kill[0]()
+	s.addRouter()
+	s.awaitReady(2)
+	s.awaitEndpoints(2, 1)
+	s.store.Restore(s.store.Copy().Without(note))
+	time.Sleep(300 * time.Millisecond)
+	got := s.resume(2, old)
+	assert.Equal(t, got.status, 503)
+}
+
+// awaitKey waits until the store has a key.
+func (s *relayCluster) awaitKey(key string) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if s.store.Has(key) {
+			return poll.Success()
+		}
+		return poll.Continue("the store does not have %s", key)
+	}, poll.WithTimeout(2*time.Second), poll.WithDelay(10*time.Millisecond))
+}
--- a/wisteriarouter/daemon/versions.go
+++ b/wisteriarouter/daemon/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -46,10 +47,16 @@
 	mu      sync.Mutex
 	current map[coordination.Pool]versionSet
 	gone    map[coordination.Pool]map[coordination.SoftwareVersion]time.Time // when each version was last listed
-	notes   map[coordination.Pool]map[string]time.Time                       // when this router first saw each note
+	notes   map[coordination.Pool]map[string]note                            // by key
 	latest  map[coordination.Pool]kv.Revision                                // of the latest note
 }
 
+// note is a note in the store that a pool is mixed.
+type note struct {
+	seen time.Time // when this router first saw it
+	lost bool      // a restored store does not have it any more
+}
+
 type versionSet map[coordination.SoftwareVersion]bool
 
 // noteStore is the part of the platform's store that notes need.
@@ -66,7 +73,7 @@
 		changed:   make(chan struct{}, 1),
 		current:   make(map[coordination.Pool]versionSet),
 		gone:      make(map[coordination.Pool]map[coordination.SoftwareVersion]time.Time),
-		notes:     make(map[coordination.Pool]map[string]time.Time),
+		notes:     make(map[coordination.Pool]map[string]note),
 		latest:    make(map[coordination.Pool]kv.Revision),
 	}
 	do.MustInvoke[*mirror.Mirror](i).Observe(h.applyChanges)
@@ -77,7 +84,8 @@
 	return h, nil
 }
 
-// applyChanges reads the notes in the store.
+// applyChanges reads the notes in the store. Those that a restored store has lost still
+// count, and are written again.
 func (h *versionHistory) applyChanges(n mirror.Changes) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -85,18 +93,32 @@
 		pool, ok := platform.MixedPool(item.Key)
 		switch {
 		case !ok:
-		case item.Deleted:
-			delete(h.notes[pool], item.Key)
-		default:
+		case !item.Deleted:
 			if h.notes[pool] == nil {
-				h.notes[pool] = make(map[string]time.Time)
+				h.notes[pool] = make(map[string]note)
 			}
-			h.notes[pool][item.Key] = time.Now()
+			h.notes[pool][item.Key] = note{seen: time.Now()}
 			h.latest[pool] = max(h.latest[pool], item.Revision)
+		case !n.Restored:
+			delete(h.notes[pool], item.Key)
+		default:
+			if lost, ok := h.notes[pool][item.Key]; ok {
+				lost.lost = true
+				h.notes[pool][item.Key] = lost
+			}
+			h.signalChange()
 		}
 	}
 }
 
+// signalChange makes the loop look for pools to note. It does not block.
+func (h *versionHistory) signalChange() {
+	select {
+	case h.changed <- struct{}{}:
+	default:
+	}
+}
+
 // update records the versions in a list of endpoints, before requests are placed by it.
 func (h *versionHistory) update(all []endpoint.Info) {
 	now := time.Now()
@@ -121,10 +143,7 @@
 		}
 	}
 	h.current = next
-	select {
-	case h.changed <- struct{}{}:
-	default:
-	}
+	h.signalChange()
 }
 
 // Single reports whether all endpoints of a pool have, and had for as long as a stream
@@ -136,8 +155,16 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.addRecent(time.Now(), pool, versions)
-	return len(versions) <= 1 && len(h.notes[pool]) == 0
+	now := time.Now()
+	h.addRecent(now, pool, versions)
+	return len(versions) <= 1 && !h.noted(now, pool)
+}
+
+// noted reports whether there is a note on a pool, and forgets lost ones that would have
+// ended by now. The caller holds h.mu.
+func (h *versionHistory) noted(now time.Time, pool coordination.Pool) bool {
+	maps.DeleteFunc(h.notes[pool], func(_ string, n note) bool { return n.lost && now.Sub(n.seen) > noteTTL })
+	return len(h.notes[pool]) > 0
 }
 
 // addRecent adds to a set the versions that the endpoints of a pool have had lately. The
@@ -174,7 +201,8 @@
 	}
 }
 
-// unnoted returns the mixed pools of which the store has no recent note.
+// unnoted returns the mixed pools of which the store has no recent note, and those whose
+// notes it has lost.
 func (h *versionHistory) unnoted() []coordination.Pool {
 	now := time.Now()
 	h.mu.Lock()
@@ -183,17 +211,25 @@
 	for pool := range h.current {
 		versions := make(versionSet)
 		h.addRecent(now, pool, versions)
-		recent := false
-		for _, seen := range h.notes[pool] {
-			recent = recent || now.Sub(seen) < noteInterval
-		}
-		if len(versions) > 1 && !recent {
+		mixed := len(versions) > 1 || h.noted(now, pool)
+		if mixed && !h.hasRecentNote(now, pool, len(versions) > 1) {
 			pools = append(pools, pool)
 		}
 	}
 	return pools
 }
 
+// hasRecentNote reports whether the store has a note on a pool. While the pool is mixed, a
+// note that is about to end does not count. The caller holds h.mu.
+func (h *versionHistory) hasRecentNote(now time.Time, pool coordination.Pool, mixed bool) bool {
+	for _, n := range h.notes[pool] {
+		if !n.lost && (!mixed || now.Sub(n.seen) < noteInterval) {
+			return true
+		}
+	}
+	return false
+}
+
 // note writes that a pool is mixed. Routers that know the same notes write the same key, so
 // that one of them succeeds. If that fails, the next check tries again.
 func (h *versionHistory) note(ctx context.Context, pool coordination.Pool) {
