A restored store changes evacuations only after a hold

What callers would see: requests at endpoints of an evacuated zone, 6 in a second in the new test, and a zone without requests whose evacuation had ended. Cause: the keys of a copy were taken for the operators' latest word. Evidence: both tests, failing before.

A change of an evacuation that a restore brings takes effect after 5 s, unless the operators write again before. Evacuations have a file of their own.

--- a/wisteriarouter/daemon/relay_desired.go
+++ b/wisteriarouter/daemon/relay_desired.go
@@ -19,13 +19,14 @@
 // desiredState holds the desired state in force. It implements
 // relay.DesiredState.
 type desiredState struct {
-	log     event.Log
-	table   atomic.Pointer[route.Table]
-	placer  *placer
-	mirror  *mirror.Mirror
-	callLog *mirror.CallLog
-	relay   atomic.Pointer[config.Relay]
-	ready   chan struct{} // closed with the first desired state
+	log         event.Log
+	table       atomic.Pointer[route.Table]
+	placer      *placer
+	mirror      *mirror.Mirror
+	callLog     *mirror.CallLog
+	evacuations *evacuations
+	relay       atomic.Pointer[config.Relay]
+	ready       chan struct{} // closed with the first desired state
 }
 
 func newDesiredState(i do.Injector) (*desiredState, error) {
@@ -35,6 +36,7 @@
 		callLog: new(mirror.CallLog),
 		ready:   make(chan struct{}),
 	}
+	d.evacuations = newEvacuations(d.placer, d.log)
 	d.relay.Store(configOf(i).Relay)
 	m := do.MustInvoke[*mirror.Mirror](i)
 	d.mirror = m
@@ -63,7 +65,7 @@
 // decoded, or that is not newer than the one in force, is ignored. Evacuations come
 // first: requests that wait for the first desired state must respect them.
 func (d *desiredState) applyChanges(n mirror.Changes) {
-	d.applyEvacuations(n)
+	d.evacuations.applyChanges(n)
 	for _, item := range n.Items {
 		if item.Key == platform.StateKey && !item.Deleted {
 			d.apply(item, n)
@@ -71,38 +73,6 @@
 	}
 }
 
-// applyEvacuations evacuates availability zones and restores them.
-func (d *desiredState) applyEvacuations(n mirror.Changes) {
-	changed := false
-	for _, item := range n.Items {
-		zone, ok := platform.EvacuatedZone(item.Key)
-		if !ok {
-			continue
-		}
-		changed = true
-		if item.Deleted {
-			d.placer.zones.Restore(time.Now(), zone)
-			d.logEvacuation(event.ZoneRestored, zone, item, n)
-		} else if d.placer.zones.Evacuate(zone) {
-			d.logEvacuation(event.ZoneEvacuated, zone, item, n)
-		}
-	}
-	if changed {
-		d.placer.signalChange()
-	}
-}
-
-func (d *desiredState) logEvacuation(kind event.Kind, zone coordination.Zone, item mirror.Item, n mirror.Changes) {
-	d.log.Emit(kind,
-		event.F("availability-zone", zone),
-		event.F("endpoints", d.placer.countEndpoints(zone)),
-		event.F("revision", item.Revision.Number()),
-		event.F("from", sourceName(n.From)),
-		event.F("behind-ms", n.Behind.Milliseconds()),
-		event.F("unconfirmed-ms", n.Unconfirmed.Milliseconds()),
-	)
-}
-
 func (d *desiredState) apply(item mirror.Item, n mirror.Changes) {
 	s, err := platform.DecodeState(item.Value)
 	if err != nil {
--- a/wisteriarouter/daemon/relay_restore_test.go
+++ b/wisteriarouter/daemon/relay_restore_test.go
@@ -192,3 +192,62 @@
 	}
 	assert.Assert(t, len(p.crashTimes()) <= before+1, "%d endpoints crashed, %d before; one may be a trial", len(p.crashTimes()), before)
 }
+
+// arrivalsAt returns the number of requests that have reached some endpoints.
+func (s *relayCluster) arrivalsAt(replicas []*replica.Replica) (n int) {
+	for _, r := range replicas {
+		n += len(r.Arrivals())
+	}
+	return n
+}
+
+// Guards against requests to a zone that was evacuated since the copy from which the store
+// was restored, until the operators write so again, and against a zone that then stays
+// evacuated.
+func TestRelayKeepsZoneEvacuatedInRestoredStore(t *testing.T) {
+	s := newTwoZoneCluster(t, 2)
+	c := s.store.Copy()
+	s.store.Put("op/evacuate/b", []byte("{}"))
+	s.awaitEvent("zone-evacuated")
+	s.store.Restore(c)
+	s.awaitEvent("store-restored")
+	before := s.arrivalsAt(s.replicas[2:])
+	s.sendStreamsFor(time.Second)
+	s.store.Put("op/evacuate/b", []byte("{}"))
+	s.sendStreamsFor(time.Second)
+	assert.Equal(t, s.arrivalsAt(s.replicas[2:]), before)
+	s.store.Delete("op/evacuate/b")
+	s.awaitEvent("zone-restored")
+	s.sendStreamsFor(time.Second)
+	assert.Assert(t, s.arrivalsAt(s.replicas[2:]) > before)
+}
+
+// Guards against the evacuation of a zone that had ended since the copy, which the store has
+// again until the operators end it once more, and against one that is not heeded for good.
+func TestRelayKeepsZoneThatWasRestoredSinceTheCopy(t *testing.T) {
+	s := newTwoZoneCluster(t, 2)
+	s.store.Put("op/evacuate/b", []byte("{}"))
+	s.awaitEvent("zone-evacuated")
+	c := s.store.Copy()
+	s.store.Delete("op/evacuate/b")
+	s.awaitEvent("zone-restored")
+	s.store.Restore(c)
+	s.awaitEvent("store-restored")
+	before := s.arrivalsAt(s.replicas[2:])
+	s.sendStreamsFor(time.Second)
+	assert.Assert(t, s.arrivalsAt(s.replicas[2:]) > before)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := len(s.logs.lines("zone-evacuated")); n < 4 {
+			return poll.Continue("%d of 4 evacuations", n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+// sendStreamsFor sends streams through all routers for a time.
+func (s *relayCluster) sendStreamsFor(d time.Duration) {
+	for until, n := time.Now().Add(d), 0; time.Now().Before(until); n++ {
+		got := s.send(n%len(s.routers), "/stream/1", "X-Prefix-Hash", freshID()+":50,cc:10")
+		assert.Equal(s.t, got.status, http.StatusOK)
+	}
+}
