Routers that start learn from others what a restored store has lost

What callers would see: a router that starts just after a restore takes an older desired state from the copy, accepts a revoked key, and sends requests to an endpoint that has left. Cause: it knows no later word, and reads the store first.

A mirror keeps for a minute what it knew, before a restore, of keys that have not been written since. A router that starts asks another one for it before it is ready, half a second at most, and its observers get it as if they had been there. It passes it on in turn.

--- a/coordination/mirror/era_test.go
+++ b/coordination/mirror/era_test.go
@@ -125,3 +125,38 @@
 		f.waitForValue(t, maxAfterAck, "a", written+" and changed")
 	}
 }
+
+// Guards against a router that starts after a restore and does not learn what the store has
+// lost, also through one that has itself started since, and against what was written again
+// being undone by it.
+func TestNewRouterLearnsWhatRestoredStoreLost(t *testing.T) {
+	m := mirror.New()
+	m.Apply(mirror.Update{Full: true, AsOf: kv.NewRevision(1, 30), Items: []mirror.Item{
+		item("older", "2", 1, 30), item("gone", "1", 1, 20), item("again", "2", 1, 25),
+	}})
+	m.Apply(mirror.Update{AsOf: kv.NewRevision(1, 31), Items: []mirror.Item{{Key: "left", Revision: kv.NewRevision(1, 31), Deleted: true}}})
+	copied := mirror.Update{Full: true, AsOf: kv.NewRevision(2, 16), Items: []mirror.Item{
+		item("older", "1", 2, 12), item("again", "1", 2, 11), item("left", "1", 2, 10),
+	}}
+	m.Apply(copied)
+	m.Apply(mirror.Update{AsOf: kv.NewRevision(2, 17), Items: []mirror.Item{item("again", "3", 2, 17)}})
+
+	for range 2 {
+		var seen []string
+		starting := mirror.New()
+		starting.Observe(func(n mirror.Changes) {
+			for _, each := range n.Items {
+				seen = append(seen, fmt.Sprint(each.Key, "=", string(each.Value), " restored ", n.Restored))
+			}
+		})
+		starting.Apply(copied)
+		seen = nil
+		starting.ApplyRetained("r", m.Retained())
+		assert.DeepEqual(t, seen, []string{
+			"gone=1 restored false", "left= restored false", "older=2 restored false",
+			"gone= restored true", "left=1 restored true", "older=1 restored true",
+		})
+		assert.Equal(t, valueOf(starting, "older"), "1")
+		m = starting
+	}
+}
--- a/coordination/mirror/feed.go
+++ b/coordination/mirror/feed.go
@@ -26,6 +26,8 @@
 	// Routers returns the routers that are alive, as far as this one knows,
 	// including this one.
 	Routers func() []placement.Router
+	// Alone reports that this router has no others to ask when it starts.
+	Alone bool
 	// OnState, if set, is called with an error when the store becomes
 	// unreachable and with nil when it is reachable again.
 	OnState func(err error)
@@ -49,6 +51,7 @@
 	server  *Server
 	hints   *hintSender
 	fetcher *fetcher
+	started chan struct{}
 
 	mu             sync.Mutex
 	candidates     *watcherCandidates                  // for the routers that were alive at the last call of currentCandidates
@@ -70,6 +73,7 @@
 // NewFeed returns a feed. Until Start it only answers other routers.
 func NewFeed(cfg FeedConfig) *Feed {
 	f := &Feed{
+		started:        make(chan struct{}),
 		cfg:            cfg,
 		lossReportedAt: make(map[coordination.Instance]time.Time),
 		confirmedAt:    make(map[coordination.Instance]time.Time),
@@ -104,6 +108,7 @@
 	hintsDone, fetchDone := make(chan struct{}), make(chan struct{})
 	go f.hints.run(ctx, hintsDone)
 	go f.fetcher.run(ctx, fetchDone)
+	go (&starter{feed: f, answered: make(map[coordination.Instance]bool)}).run(ctx)
 	stopStore, stopPeers := f.store.Start(), f.peers.Start()
 	return func() {
 		cancel()
@@ -111,9 +116,14 @@
 		stopPeers()
 		<-hintsDone
 		<-fetchDone
+		<-f.started
 	}
 }
 
+// Started returns a channel that is closed when another router has told this one, since
+// Start, what it knew before a restore of the store, or none has within half a second.
+func (f *Feed) Started() <-chan struct{} { return f.started }
+
 // RecheckStore makes the feed check at once whether this router has to call the
 // store itself, for instance because another router has failed. If all watchers
 // lose power together, no other router learns of changes until this check.
--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -82,9 +82,11 @@
 	deletedAt   map[string]time.Time // when each tombstone was received
 	learnedAt   map[string]time.Time // when the first router learned from the store of the last change of each key
 	asOf        kv.Revision
-	changedAt   time.Time   // when asOf last advanced
-	confirmedAt time.Time   // when the store last confirmed asOf to this router or to another one
-	prunedUpTo  kv.Revision // tombstones up to this revision may have been deleted
+	changedAt   time.Time       // when asOf last advanced
+	confirmedAt time.Time       // when the store last confirmed asOf to this router or to another one
+	prunedUpTo  kv.Revision     // tombstones up to this revision may have been deleted
+	retained    map[string]Item // what was known of keys before a restore, unless they were written since
+	retainedAt  time.Time       // of the latest restore
 	changed     chan struct{}
 	notifying   sync.Mutex // held while an update is applied and the observers are called
 	observers   []func(Changes)
@@ -98,6 +100,7 @@
 		items:     make(map[string]Item),
 		deletedAt: make(map[string]time.Time),
 		learnedAt: make(map[string]time.Time),
+		retained:  make(map[string]Item),
 		changed:   make(chan struct{}),
 	}
 }
@@ -215,6 +218,9 @@
 	if u.Full {
 		changed = append(changed, m.deleteUnlisted(now, u)...)
 	}
+	for _, item := range changed {
+		delete(m.retained, item.Key)
+	}
 	return changed
 }
 
@@ -222,13 +228,19 @@
 // items whose value or existence differs. Keys that are gone get a tombstone.
 func (m *Mirror) replaceAll(now time.Time, u Update) (changed []Item) {
 	old := m.items
+	m.retainedAt = now
 	m.items = make(map[string]Item, len(u.Items))
 	m.deletedAt = make(map[string]time.Time)
 	m.learnedAt = make(map[string]time.Time, len(u.Items))
 	for _, item := range u.Items {
 		m.items[item.Key], m.learnedAt[item.Key] = item, now
-		if known, ok := old[item.Key]; !ok || known.Deleted || !bytes.Equal(known.Value, item.Value) {
-			changed = append(changed, item)
+		known, ok := old[item.Key]
+		if ok && !known.Deleted && bytes.Equal(known.Value, item.Value) {
+			continue
+		}
+		changed = append(changed, item)
+		if ok {
+			m.retain(known)
 		}
 	}
 	for key, known := range old {
@@ -238,6 +250,7 @@
 		tombstone := Item{Key: key, Revision: u.AsOf, Deleted: true}
 		m.put(now, tombstone)
 		m.learnedAt[key] = now
+		m.retain(known)
 		changed = append(changed, tombstone)
 	}
 	return changed
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -189,19 +189,26 @@
 			log:      s.log,
 		},
 		entries: do.MustInvoke[*mirror.Mirror](i),
+		asked:   do.MustInvoke[*desiredState](i).asked,
 	}.run(ctx)
 	return s, nil
 }
 
-// relayReadiness marks the router ready once it has a desired state and has
-// read the list of endpoints.
+// relayReadiness marks the router ready once it has a desired state, has read the
+// list of endpoints and has asked other routers whether they know of later ones.
 type relayReadiness struct {
 	readiness
 	entries *mirror.Mirror
+	asked   <-chan struct{}
 }
 
 func (r relayReadiness) run(ctx context.Context) {
 	r.entries.Wait(ctx, 0, nil)
+	select {
+	case <-ctx.Done():
+		return
+	case <-r.asked:
+	}
 	r.readiness.run(ctx)
 }
 
--- a/wisteriarouter/daemon/relay_desired.go
+++ b/wisteriarouter/daemon/relay_desired.go
@@ -26,7 +26,8 @@
 	callLog     *mirror.CallLog
 	evacuations *evacuations
 	relay       atomic.Pointer[config.Relay]
-	ready       chan struct{} // closed with the first desired state
+	ready       chan struct{}   // closed with the first desired state
+	asked       <-chan struct{} // closed when other routers have been asked for a later one
 }
 
 func newDesiredState(i do.Injector) (*desiredState, error) {
@@ -48,7 +49,7 @@
 	do.MustInvoke[*versionHistory](i)
 	m.Observe(d.applyChanges)
 	m.Observe(newBehindMetric(do.MustInvoke[*prometheus.Registry](i)))
-	startFeed(i, m, d.callLog)
+	d.asked = startFeed(i, m, d.callLog)
 	return d, nil
 }
 
--- a/wisteriarouter/daemon/relay_restore_test.go
+++ b/wisteriarouter/daemon/relay_restore_test.go
@@ -251,3 +251,29 @@
 		assert.Equal(s.t, got.status, http.StatusOK)
 	}
 }
+
+// Guards against a router that starts as the store has been restored, and takes what the copy
+// says for the latest word: an older desired state, and an endpoint that has left.
+func TestRelayNewRouterKnowsWhatRestoredStoreLost(t *testing.T) {
+	s := newRelayCluster(t, 3, 3, 0)
+	c := s.store.Copy()
+	d := plainState()
+	d.tenants = d.tenants[1:]
+	s.put(d)
+	s.store.Delete(s.replicas[0].Key())
+	s.awaitStatus("/safe/1", http.StatusUnauthorized)
+	s.store.Restore(c)
+	s.awaitEvent("store-restored")
+	before := len(s.replicas[0].Arrivals())
+	for range 3 {
+		s.addRouter()
+		newest := len(s.routers) - 1
+		s.awaitReady(newest)
+		for n := range 30 {
+			assert.Equal(t, s.send(newest, "/safe/1").status, http.StatusUnauthorized)
+			got := s.send(newest, fmt.Sprintf("/safe/%d", n), "Authorization", "Bearer k2", "X-Prefix-Hash", freshID()+":50,cc:10")
+			assert.Equal(t, got.status, http.StatusOK)
+		}
+	}
+	assert.Equal(t, len(s.replicas[0].Arrivals()), before)
+}
--- a/wisteriarouter/daemon/relay_store.go
+++ b/wisteriarouter/daemon/relay_store.go
@@ -36,8 +36,9 @@
 func newMirror(do.Injector) (*mirror.Mirror, error) { return mirror.New(), nil }
 
 // startFeed starts to feed the mirror from the store and from other routers.
-// All observers of the mirror have to be set before.
-func startFeed(i do.Injector, m *mirror.Mirror, callLog *mirror.CallLog) {
+// All observers of the mirror have to be set before. The returned channel is closed when
+// this router has asked the others what they knew before a restore of the store.
+func startFeed(i do.Injector, m *mirror.Mirror, callLog *mirror.CallLog) <-chan struct{} {
 	node := do.MustInvoke[*peer.Node](i)
 	detector := do.MustInvoke[*peer.FailureDetector](i)
 	f := mirror.NewFeed(mirror.FeedConfig{
@@ -50,14 +51,19 @@
 		OnState:       storeLogger{logOf(i)}.logStatus,
 		OnOverdue:     newOverdueReporter(i).report,
 		CallLog:       callLog,
+		Alone:         len(configOf(i).Peers.Seeds) == 0,
 		OnHintFailure: hintFailureLogger{logOf(i)}.logFailure,
 	})
 	node.Handle(mirror.Topic, f.Handle)
 	node.Handle(mirror.TopicHint, func(_ context.Context, from coordination.Instance, payload []byte) ([]byte, error) {
 		return nil, f.HandleHint(from, payload)
 	})
+	node.Handle(mirror.TopicRetained, func(_ context.Context, _ coordination.Instance, payload []byte) ([]byte, error) {
+		return f.HandleRetained(payload)
+	})
 	detector.Watch(f.RecheckStore)
 	onStop(i, f.Start())
+	return f.Started()
 }
 
 // restoreLogger logs that the store has been restored from a copy.
