The head of a response is bounded in bytes and in time

What callers would see: a router that dies, and their requests with it, as an endpoint sends bytes that are no response without an end. Cause: heads were read by a reader without a bound. Evidence: the new test, seven kinds of such bytes at once: 9.3 GB in 8 s before, when it ran out of memory.

A head and the interim responses before it may have 64 KiB, and 2 s from the first byte to the last; then the connection is closed and the attempt fails like one that breaks off, so that the endpoint counts as failing and the request goes on elsewhere where it may. Seven kinds: cut off within 0.03 s, a byte at a time within 2 s. Bodies, and heads of 30 KiB on a reused connection, are as before.

--- a/wisteriarouter/upstream/conn.go
+++ b/wisteriarouter/upstream/conn.go
@@ -34,7 +34,8 @@
 	client      *Client
 	address     string
 	nc          net.Conn
-	r           *bufio.Reader
+	head        *headLimiter  // reads from nc
+	r           *bufio.Reader // reads from head
 	served      int
 	idleSince   time.Time     // start of the idle period
 	expires     time.Time     // when the endpoint may close the connection
@@ -43,7 +44,8 @@
 }
 
 func newConn(c *Client, address string, nc net.Conn) *conn {
-	return &conn{client: c, address: address, nc: nc, r: bufio.NewReaderSize(nc, readBuffer)}
+	head := newHeadLimiter(nc)
+	return &conn{client: c, address: address, nc: nc, head: head, r: bufio.NewReaderSize(head, readBuffer)}
 }
 
 // abort closes the connection. If there are unread bytes the kernel resets it, which
@@ -90,6 +92,8 @@
 
 // readHead reads the headers of the final response, after any interim (1xx) ones.
 func (c *conn) readHead(r *Request) (*http.Response, error) {
+	c.head.begin()
+	defer c.head.end()
 	for {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
 		if err != nil {
@@ -98,6 +102,7 @@
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
+		c.head.endInterim()
 	}
 }
 
