An event of a stream is bounded

What callers would see: an event without an end fills the memory of their router, and their stream breaks off at the deadline. Cause: an event was collected whole, whatever its length.

An event may have 256 KiB; a longer one ends the attempt as if the endpoint had broken off. The tests of a restored store run side by side.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wisteriaspool/standin/hub"
@@ -66,6 +67,8 @@
 	// body.
 	Stall time.Duration
 	Mute  bool // requests run but are never answered
+	// Endless makes the second event of each stream go on until the caller disconnects.
+	Endless bool
 	// Slow is an extra delay before a response or the first event of a stream.
 	Slow time.Duration
 	// Every limits these faults to every n-th request; 0 means all requests.
@@ -100,8 +103,9 @@
 	listener        net.Listener
 	server          *http.Server
 	startedAtMillis int64
-	registeredAddr  string // address in the store entry
-	seqno           int    // of the latest store entry
+	registeredAddr  string       // address in the store entry
+	endless         atomic.Int64 // bytes written of endless events
+	seqno           int          // of the latest store entry
 
 	crash sync.Once
 
@@ -244,6 +248,9 @@
 	r.faults = f
 }
 
+// EndlessBytes returns the number of bytes written of endless events.
+func (r *Replica) EndlessBytes() int64 { return r.endless.Load() }
+
 // Arrivals returns copies of the records of all requests that began to run.
 func (r *Replica) Arrivals() []Arrival {
 	r.mu.Lock()
--- a/standin/replica/respond.go
+++ b/standin/replica/respond.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 )
 
 // serveSingle sends a single response.
@@ -64,6 +65,10 @@
 			return
 		}
 		event := r.event(n)
+		if f.Endless && n > lastID+1 {
+			r.serveEndlessEvent(w, event)
+			return
+		}
 		if f.CutAfter < 0 {
 			endCut(f)
 			return
@@ -84,3 +89,15 @@
 	}
 	r.withLock(func() { a.Completed = true })
 }
+
+// serveEndlessEvent sends an event that does not end before the caller disconnects.
+func (r *Replica) serveEndlessEvent(w http.ResponseWriter, event string) {
+	chunk := []byte(strings.TrimRight(event, "\n") + strings.Repeat(" more", 1000))
+	for {
+		n, err := w.Write(chunk)
+		r.endless.Add(int64(n))
+		if err != nil {
+			return
+		}
+	}
+}
--- a/wisteriarouter/daemon/relay_restore_test.go
+++ b/wisteriarouter/daemon/relay_restore_test.go
@@ -81,6 +81,7 @@
 func TestRelayAppliesChangesOfRestoredStore(t *testing.T) {
 	for _, test := range restoreCases {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			s := newRelayCluster(t, 4, 2, 0)
 			c := s.store.Copy()
 			s.awaitRoute("/first/")
@@ -100,6 +101,7 @@
 func TestRelayRefusesKeyRevokedInRestoredStore(t *testing.T) {
 	for _, test := range restoreCases {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			s := newRelayCluster(t, 4, 2, 0)
 			s.restoreStore(s.store.Copy(), test, func() {
 				d := plainState()
@@ -116,6 +118,7 @@
 func TestRelayAvoidsEndpointThatLeavesInRestoredStore(t *testing.T) {
 	for _, test := range restoreCases {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			s := newRelayCluster(t, 4, 3, 0)
 			s.restoreStore(s.store.Copy(), test, s.replicas[0].Drain)
 			time.Sleep(drainTime)
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -125,6 +125,12 @@
 	return delivered
 }
 
+// maxEvent bounds the bytes of an event that is not complete. An event of a stream has a few
+// hundred bytes.
+const maxEvent = 256 << 10
+
+var errEventTooLong = errors.New("relay: an event of the stream is too long")
+
 // eventReader reads complete events.
 type eventReader struct {
 	body *upstream.Body
@@ -134,8 +140,11 @@
 
 // next returns the complete events after one read, which may be none. With io.EOF it
 // returns what is left. The error is io.ErrUnexpectedEOF if the body ends inside an
-// event, however it was delimited.
+// event, however it was delimited, and errEventTooLong if an event exceeds maxEvent.
 func (e *eventReader) next() ([]byte, error) {
+	if len(e.rest()) > maxEvent {
+		return nil, errEventTooLong
+	}
 	e.buf = append(e.buf[:0], e.rest()...)
 	if len(e.buf) == cap(e.buf) {
 		e.buf = append(e.buf, 0)[:len(e.buf)]
