Soak restores the store from older copies, beside routers that are killed

-restores: copies up to 6 s old, the store away for up to 3 s, its writers again up to 2 s later, and in half of the cases some or all routers killed around that moment, on top of the faults of the seed. Checked besides the rest: routers without a fault apply the newest version 3 s after it was written again.

--- a/standin/hub/restore.go
+++ b/standin/hub/restore.go
@@ -1,8 +1,10 @@
 package hub
 
 import (
+	"bytes"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -29,12 +31,16 @@
 	return c
 }
 
+// Lost is what a store has lost by a restore.
+type Lost struct{ before, restored map[string]Item }
+
 // Restore replaces the contents of the store by those of a copy and begins a new era. What
 // was written since is lost, and its revisions and leases are given out again. Watches that
 // wait are cut.
-func (s *Store) Restore(c Copy) {
+func (s *Store) Restore(c Copy) Lost {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	lost := Lost{before: s.items, restored: c.items}
 	s.era++
 	s.revision, s.compacted, s.lastLease = c.revision, c.compacted, c.lastLease
 	s.items, s.history = maps.Clone(c.items), slices.Clone(c.history)
@@ -44,6 +50,24 @@
 		time.AfterFunc(time.Until(l.ends), leaseEnd{s, s.era, id}.run)
 	}
 	s.wakeWatchesLocked()
+	return lost
+}
+
+// WriteAgain writes what was lost of the keys that start with prefix, and deletes those that
+// had been deleted, unless they were written since the restore.
+func (s *Store) WriteAgain(l Lost, prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, item := range l.before {
+		if strings.HasPrefix(key, prefix) && s.items[key].Revision == l.restored[key].Revision && !bytes.Equal(s.items[key].Value, item.Value) {
+			s.putLocked(key, item.Value)
+		}
+	}
+	for key, item := range l.restored {
+		if _, ok := l.before[key]; !ok && strings.HasPrefix(key, prefix) && s.items[key].Revision == item.Revision {
+			s.deleteLocked(key)
+		}
+	}
 }
 
 // Era returns how often the store has been restored, counted from 1.
--- a/standin/soak.go
+++ b/standin/soak.go
@@ -52,6 +52,7 @@
 	f.BoolVar(&c.opts.Zones, "zones", false, "evacuate availability zones and make endpoints cold, too; the other faults of the seed stay the same")
 	f.BoolVar(&c.opts.Responses, "responses", false, "serve undelimited responses, break responses off as if they were complete, leave unheard and ask for pauses, too; the other faults of the seed stay the same")
 	f.BoolVar(&c.opts.Crashes, "crashes", false, "repeat requests that crash the endpoints that run them, too; the other faults of the seed stay the same")
+	f.BoolVar(&c.opts.Restores, "restores", false, "restore the store from older copies, too; the other faults of the seed stay the same")
 	f.BoolVar(&c.opts.Parts, "parts", false, "send requests that have only a part of their prompts in common, which crashes endpoints, too; the other faults of the seed stay the same")
 	f.BoolVar(&c.opts.Failures, "failures", false, "make all endpoints of a service fail and kill all routers meanwhile, too; the other faults of the seed stay the same")
 	f.BoolVar(&c.opts.Versions, "versions", false, "release versions of a service's software and lose replies to watches, too; the other faults of the seed stay the same")
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -39,6 +39,8 @@
 	Crashes bool
 	// Parts makes requests with a part in common crash the endpoints that run them, too.
 	Parts bool
+	// Restores makes the store come back from older copies, beside routers that are killed.
+	Restores bool
 	// Failures makes all endpoints of a service fail and kills all routers meanwhile, too.
 	Failures bool
 	// Versions adds a service whose endpoints have several versions of their software,
@@ -72,8 +74,9 @@
 	mu             sync.Mutex
 	endpoints      []*endpoint
 	nextID         int
-	version        int // of the desired state
-	previous       int // version before the current one
+	version        int       // of the desired state
+	previous       int       // version before the current one
+	changedAt      time.Time // when the desired state was last changed
 	revoked        bool
 	evacuated      map[string]bool // by availability zone
 	faultSpans     []timeSpan
@@ -138,6 +141,9 @@
 	if o.Crashes {
 		further.Go(func() { s.repeatCrashingRequests(time.Now().Add(o.FaultDuration)) })
 	}
+	if o.Restores {
+		further.Go(func() { s.restoreStore(time.Now().Add(o.FaultDuration)) })
+	}
 	if o.Parts {
 		further.Go(func() { s.sendCrashingParts(time.Now().Add(o.FaultDuration)) })
 	}
@@ -278,7 +284,7 @@
 func (s *soak) putState() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.previous = s.version
+	s.previous, s.changedAt = s.version, time.Now()
 	s.version += 1 + s.rng.IntN(3)
 	keys := []string{"steady", versionKey(s.version)}
 	if !s.revoked {
@@ -326,6 +332,13 @@
 	return s.version, s.previous
 }
 
+// versionAt returns when the desired state was last changed.
+func (s *soak) versionAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changedAt
+}
+
 // recordFaultSpan records that an endpoint is faulty from now on for d.
 func (s *soak) recordFaultSpan(d time.Duration) {
 	s.mu.Lock()
