--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -68,7 +68,7 @@
 	case 10:
 		s.logf("the store forgets its history, and a change is made that no watch hears")
 		s.store.SetFaults(hub.Faults{StallWatches: true})
-		s.putState()
+		s.putState(1 + s.rng.IntN(3))
 		s.store.Compact()
 		s.store.SetFaults(hub.Faults{})
 	case 11:
@@ -249,7 +249,7 @@
 	s.revoked = !s.revoked
 	revoked := s.revoked
 	s.mu.Unlock()
-	s.putState()
+	s.putState(1 + s.rng.IntN(3))
 	at := time.Now()
 	s.logf("the key is revoked: %v", revoked)
 	if revoked {
--- a/standin/soak/restores.go
+++ b/standin/soak/restores.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"wisteriaspool/standin/hub"
@@ -14,6 +15,8 @@
 	restoreAge, restoreAway = 6 * time.Second, 3 * time.Second
 	// restoreAgain bounds the time until its writers have written again.
 	restoreAgain = 2 * time.Second
+	// maxNotes bounds the writes of one key that a restore loses.
+	maxNotes = 60
 	// restorePause is the time between two restores.
 	restorePause = 5 * time.Second
 )
@@ -26,6 +29,10 @@
 		c := s.store.Copy()
 		time.Sleep(500*time.Millisecond + randomBelow(rng, restoreAge))
 		away, again := randomBelow(rng, restoreAway), randomBelow(rng, restoreAgain)
+		// Written again once, so that the revisions stay behind for a while.
+		for n := range rng.IntN(maxNotes) {
+			s.store.Put("op/note", []byte(strconv.Itoa(n)))
+		}
 		s.logf("the store is away for %v and restored; what was lost is written again %v later", away, again)
 		if killed := rng.IntN(len(s.routers) + 1); rng.IntN(2) == 0 {
 			s.after(randomBelow(rng, away+again+1), func() { s.killRouters(rand.New(rand.NewPCG(s.opts.Seed, uint64(killed))), killed) })
@@ -39,6 +46,7 @@
 		s.store.WriteAgain(lost, "op/")
 		s.store.WriteAgain(lost, "servers/")
 		s.markStoreFault()
+		s.putState(1 + rng.IntN(3))
 		time.Sleep(propagationTimeout)
 		s.checkNewestVersion(time.Now().Add(-propagationTimeout))
 		time.Sleep(randomBelow(rng, restorePause))
@@ -46,7 +54,7 @@
 }
 
 // checkNewestVersion checks that all routers without faults since a moment apply the newest
-// version of the desired state, if it was written before.
+// version of the desired state, if it was written before and the store had no fault since.
 func (s *soak) checkNewestVersion(since time.Time) {
 	newest, _ := s.versions()
 	for _, r := range s.routers {
@@ -56,9 +64,9 @@
 		client.CloseIdleConnections()
 		now, _ := s.versions()
 		s.mu.Lock()
-		stable := !s.lastStoreFault.After(since.Add(100 * time.Millisecond))
+		stable := !s.lastStoreFault.After(since)
 		s.mu.Unlock()
-		if stable && now == newest && s.versionAt().Before(since) && r.healthySince(since) && o.status == http.StatusUnauthorized {
+		if stable && now == newest && !s.versionAt().After(since) && r.healthySince(since) && o.status == http.StatusUnauthorized {
 			s.reportViolation("router %d does not apply version %d, %v after the store was restored", r.n, newest, time.Since(since).Round(time.Millisecond))
 		}
 	}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -195,7 +195,7 @@
 			return err
 		}
 	}
-	s.putState()
+	s.putState(1 + s.rng.IntN(3))
 	if err := s.claimPorts(); err != nil {
 		return err
 	}
@@ -281,11 +281,11 @@
 }
 
 // putState writes the next version of the desired state.
-func (s *soak) putState() {
+func (s *soak) putState(step int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.previous, s.changedAt = s.version, time.Now()
-	s.version += 1 + s.rng.IntN(3)
+	s.version += step
 	keys := []string{"steady", versionKey(s.version)}
 	if !s.revoked {
 		keys = append(keys, "revocable")
