A connection between routers that has fallen silent is replaced

Cause: a silent connection was used for 10 s more, for calls and for the probes that show whether a router responds. Routers took each other for gone until then, and each had other owners for the same endpoints. Evidence: events 407 from 9 s on, 408 only at 18.5 to 20 s, on all routers; the endpoints over the bound had it in that time.

A router that fails its probes for half a second is dialled beside the connection that it has, on which a reply is due, and the new one replaces it on both sides.

--- a/standin/proxy/proxy.go
+++ b/standin/proxy/proxy.go
@@ -23,10 +23,12 @@
 	target   string
 	listener net.Listener
 
-	mu      sync.Mutex
-	mode    Mode
-	changed chan struct{}
-	conns   map[net.Conn]struct{}
+	mu       sync.Mutex
+	mode     Mode
+	changed  chan struct{}
+	conns    map[net.Conn]struct{}
+	accepted int // connections
+	severed  int // connections up to this one hold all data back for good
 }
 
 // host returns a loopback address that other processes hardly use. The address of a proxy
@@ -61,6 +63,20 @@
 	p.changed = make(chan struct{})
 }
 
+// Sever makes all open connections silent for good, while new ones work.
+func (p *Proxy) Sever() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.severed = p.accepted
+}
+
+// isSevered reports whether a connection is silent for good.
+func (p *Proxy) isSevered(n int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return n <= p.severed
+}
+
 // Reset closes all open connections with a TCP reset.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
@@ -90,7 +106,11 @@
 			_ = c.Close()
 			continue
 		}
-		go connPair{proxy: p, client: c}.run()
+		p.mu.Lock()
+		p.accepted++
+		pair := connPair{proxy: p, client: c, n: p.accepted}
+		p.mu.Unlock()
+		go pair.run()
 	}
 }
 
@@ -117,6 +137,7 @@
 type connPair struct {
 	proxy  *Proxy
 	client net.Conn
+	n      int // of the connections accepted
 }
 
 func (c connPair) run() {
@@ -129,15 +150,16 @@
 	}
 	c.proxy.trackConn(target)
 	defer c.proxy.closeConn(target)
-	toClient := forwarder{proxy: c.proxy, from: target, to: c.client, done: make(chan struct{})}
+	toClient := forwarder{proxy: c.proxy, n: c.n, from: target, to: c.client, done: make(chan struct{})}
 	go toClient.run()
-	forwarder{proxy: c.proxy, from: c.client, to: target, toTarget: true, done: make(chan struct{})}.run()
+	forwarder{proxy: c.proxy, n: c.n, from: c.client, to: target, toTarget: true, done: make(chan struct{})}.run()
 	<-toClient.done
 }
 
 // forwarder copies one direction of a connPair.
 type forwarder struct {
 	proxy    *Proxy
+	n        int
 	from, to net.Conn
 	toTarget bool // copies from the client to the target
 	done     chan struct{}
@@ -169,7 +191,7 @@
 func (f forwarder) waitForMode() {
 	for {
 		mode, changed := f.proxy.currentMode()
-		if !mode.Silent && (!mode.OneWay || !f.toTarget) {
+		if !f.proxy.isSevered(f.n) && !mode.Silent && (!mode.OneWay || !f.toTarget) {
 			time.Sleep(mode.Delay)
 			return
 		}
--- a/wisteriarouter/peer/codec.go
+++ b/wisteriarouter/peer/codec.go
@@ -55,6 +55,8 @@
 	Member membership.Member `cbor:"4,keyasint"`
 	// Gossip is set if the connection was made for the gossip mesh.
 	Gossip bool `cbor:"5,keyasint,omitempty"`
+	// Replaces is set if the sender gets no replies on the connection that it has.
+	Replaces bool `cbor:"6,keyasint,omitempty"`
 }
 
 var (
--- a/wisteriarouter/peer/conn.go
+++ b/wisteriarouter/peer/conn.go
@@ -21,6 +21,7 @@
 	peer        membership.Member
 	dialled     bool // this side dialled
 	gossip      bool // made for the gossip mesh
+	replaces    bool // it replaces the connection to the peer, on which one side gets no replies
 	connectedAt time.Time
 
 	ctx    context.Context
@@ -73,6 +74,7 @@
 		peer:        peer.Member,
 		dialled:     dialled,
 		gossip:      peer.Gossip,
+		replaces:    peer.Replaces,
 		connectedAt: now,
 		ctx:         ctx,
 		cancel:      cancel,
--- a/wisteriarouter/peer/dial.go
+++ b/wisteriarouter/peer/dial.go
@@ -15,30 +15,46 @@
 // dialAttempt is an attempt to connect to an address. Several callers may wait for
 // it.
 type dialAttempt struct {
-	node    *Node
-	address string
-	gossip  bool
-	pending []membership.Message // messages to send once connected
-	done    chan struct{}
-	conn    *conn // valid once done is closed
-	err     error // valid once done is closed
+	node     *Node
+	address  string
+	gossip   bool
+	replaces bool                 // the connection replaces a silent one
+	pending  []membership.Message // messages to send once connected
+	done     chan struct{}
+	conn     *conn // valid once done is closed
+	err      error // valid once done is closed
 }
 
 // dial starts an attempt to connect to address, or joins the one in progress.
 func (n *Node) dial(address string, gossip bool, pending ...membership.Message) *dialAttempt {
+	return n.startDial(&dialAttempt{node: n, address: address, gossip: gossip, pending: pending, done: make(chan struct{})})
+}
+
+// Redial replaces the connection to a member by a new one, in the background, if nothing has
+// been received on it since a reply became due. A connection may be silent for good while new
+// ones work.
+func (n *Node) Redial(id coordination.Instance) {
+	c := n.current(id)
+	if c == nil || !c.awaitsReply(time.Now()) {
+		return
+	}
+	n.startDial(&dialAttempt{node: n, address: c.peer.Address, gossip: c.gossip, replaces: true, done: make(chan struct{})})
+}
+
+// startDial starts an attempt, or joins the one to the same address that is in progress.
+func (n *Node) startDial(d *dialAttempt) *dialAttempt {
 	n.connMu.Lock()
 	defer n.connMu.Unlock()
-	if d := n.dialAttempts[address]; d != nil {
-		d.pending = append(d.pending, pending...)
-		return d
+	if other := n.dialAttempts[d.address]; other != nil {
+		other.pending = append(other.pending, d.pending...)
+		return other
 	}
-	d := &dialAttempt{node: n, address: address, gossip: gossip, pending: pending, done: make(chan struct{})}
 	if n.stopped || len(n.conns)+len(n.dialAttempts) >= n.cfg.MaxConns {
 		d.err = errTooManyConns
 		close(d.done)
 		return d
 	}
-	n.dialAttempts[address] = d
+	n.dialAttempts[d.address] = d
 	n.wg.Add(1)
 	go d.run()
 	return d
@@ -93,7 +109,7 @@
 // handshake exchanges hellos on a connection that this side dialled.
 func (d *dialAttempt) handshake(ctx context.Context, ws *websocket.Conn) (*conn, error) {
 	n := d.node
-	if err := n.sendHello(ctx, ws, d.gossip, true); err != nil {
+	if err := n.sendHello(ctx, ws, helloOptions{gossip: d.gossip, replaces: d.replaces}, true); err != nil {
 		return nil, err
 	}
 	h, err := n.readHello(ctx, ws, false)
@@ -101,17 +117,21 @@
 		n.reportRefused(h, d.address, err)
 		return nil, err
 	}
-	h.Gossip = d.gossip
+	h.Gossip, h.Replaces = d.gossip, d.replaces
 	return newConn(n, ws, h, true), nil
 }
 
-func (n *Node) sendHello(ctx context.Context, ws *websocket.Conn, gossip, masked bool) error {
+// helloOptions is what the hello of a dialled connection tells of it.
+type helloOptions struct{ gossip, replaces bool }
+
+func (n *Node) sendHello(ctx context.Context, ws *websocket.Conn, o helloOptions, masked bool) error {
 	b := encode(&message{Kind: kindHello, Hello: &hello{
-		Major:  MajorVersion,
-		Minor:  MinorVersion,
-		Fleet:  n.cfg.Fleet,
-		Member: n.Self(),
-		Gossip: gossip,
+		Major:    MajorVersion,
+		Minor:    MinorVersion,
+		Fleet:    n.cfg.Fleet,
+		Member:   n.Self(),
+		Gossip:   o.gossip,
+		Replaces: o.replaces,
 	}})
 	n.count(kindHello, "", true, framed(len(b), masked))
 	return ws.Write(ctx, websocket.MessageBinary, b)
@@ -172,7 +192,7 @@
 	}
 	h, err := n.readHello(n.ctx, ws, true)
 	if err == nil {
-		err = n.sendHello(n.ctx, ws, false, false)
+		err = n.sendHello(n.ctx, ws, helloOptions{}, false)
 	}
 	if err != nil {
 		n.reportRefused(h, r.RemoteAddr, err)
@@ -203,7 +223,8 @@
 // kept. If both sides dialled at once there are two; both sides then keep the one
 // that was dialled by the member with the lower instance name. An existing
 // connection on which nothing was received for longer than DialTimeout is replaced
-// in any case, since it may be broken with only the other side aware of it.
+// in any case, since it may be broken with only the other side aware of it, and so is
+// one on which either side gets no replies.
 func (n *Node) register(c *conn) (*conn, error) {
 	n.connMu.Lock()
 	if n.stopped {
@@ -213,7 +234,7 @@
 	}
 	id := c.peer.Instance
 	old := n.conns[id]
-	if old != nil && old.peer.Incarnation == c.peer.Incarnation && old.preferred() && !c.preferred() && !old.quiet(time.Now()) {
+	if old != nil && old.peer.Incarnation == c.peer.Incarnation && !c.replaces && old.preferred() && !c.preferred() && !old.quiet(time.Now()) {
 		n.connMu.Unlock()
 		c.ws.Close(websocket.StatusNormalClosure, errDuplicate.Error())
 		return old, nil
--- a/wisteriarouter/peer/reach.go
+++ b/wisteriarouter/peer/reach.go
@@ -35,6 +35,8 @@
 type Transport interface {
 	Call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error)
 	Notify(ctx context.Context, to coordination.Instance, topic string, payload []byte) error
+	// Redial replaces the connection to a router on which a reply is due.
+	Redial(to coordination.Instance)
 	Members() []membership.Member
 	Handle(topic string, fn Handler)
 }
@@ -184,8 +186,10 @@
 	return !mayBeDown(err)
 }
 
-// recordMiss records a failed probe.
+// recordMiss records a failed probe. A router that does not respond may do so on a new
+// connection.
 func (p probe) recordMiss(now time.Time) {
+	defer p.redial(now)
 	p.mu.Lock()
 	s := p.outages[p.id]
 	nowUnresponsive := !s.unresponsive && now.Sub(s.since) >= unresponsiveAfter
@@ -199,6 +203,15 @@
 	}
 }
 
+func (p probe) redial(now time.Time) {
+	p.mu.Lock()
+	since := p.outages[p.id].since
+	p.mu.Unlock()
+	if now.Sub(since) >= unresponsiveAfter {
+		p.transport.Redial(p.id)
+	}
+}
+
 // finish ends the tracking of the router.
 func (p probe) finish() {
 	p.mu.Lock()
--- a/wisteriarouter/peer/reach_test.go
+++ b/wisteriarouter/peer/reach_test.go
@@ -54,6 +54,9 @@
 	return nil, nil
 }
 
+// Redial does nothing, as there are no connections.
+func (f *fakeTransport) Redial(coordination.Instance) {}
+
 // Handle does nothing, as no router probes this one.
 func (f *fakeTransport) Handle(string, Handler) {}
 
