The event of an evacuation is logged once requests are placed by it

Cause: the line was written before the router's list of endpoints had changed, which its loop did later.

--- a/wisteriarouter/daemon/relay_evacuations.go
+++ b/wisteriarouter/daemon/relay_evacuations.go
@@ -24,14 +24,6 @@
 	held map[coordination.Zone]*heldEvacuation
 }
 
-// heldEvacuation is a change that a restore of the store has brought.
-type heldEvacuation struct {
-	evacuations *evacuations
-	zone        coordination.Zone
-	item        mirror.Item
-	changes     mirror.Changes
-}
-
 func newEvacuations(p *placer, log event.Log) *evacuations {
 	return &evacuations{placer: p, log: log, held: make(map[coordination.Zone]*heldEvacuation)}
 }
@@ -41,25 +33,36 @@
 func (e *evacuations) applyChanges(n mirror.Changes) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	changed := false
+	var changes []evacuationChange
 	for _, item := range n.Items {
 		zone, ok := platform.EvacuatedZone(item.Key)
 		if !ok {
 			continue
 		}
 		delete(e.held, zone)
+		c := evacuationChange{zone: zone, item: item, changes: n}
 		if n.Restored {
-			h := &heldEvacuation{evacuations: e, zone: zone, item: item, changes: n}
+			h := &heldEvacuation{evacuationChange: c, evacuations: e}
 			e.held[zone] = h
 			time.AfterFunc(evacuationHold, h.run)
 			continue
 		}
-		e.apply(zone, item, n)
-		changed = true
-	}
-	if changed {
-		e.placer.signalChange()
+		changes = append(changes, c)
 	}
+	e.apply(changes)
+}
+
+// evacuationChange evacuates an availability zone or restores it.
+type evacuationChange struct {
+	zone    coordination.Zone
+	item    mirror.Item
+	changes mirror.Changes
+}
+
+// heldEvacuation is a change that a restore of the store has brought.
+type heldEvacuation struct {
+	evacuationChange
+	evacuations *evacuations
 }
 
 func (h *heldEvacuation) run() {
@@ -70,27 +73,38 @@
 		return
 	}
 	delete(e.held, h.zone)
-	e.apply(h.zone, h.item, h.changes)
-	e.placer.signalChange()
+	e.apply([]evacuationChange{h.evacuationChange})
 }
 
-// apply evacuates an availability zone or restores it. The caller holds e.mu.
-func (e *evacuations) apply(zone coordination.Zone, item mirror.Item, n mirror.Changes) {
-	if item.Deleted {
-		e.placer.zones.Restore(time.Now(), zone)
-		e.logChange(event.ZoneRestored, zone, item, n)
-	} else if e.placer.zones.Evacuate(zone) {
-		e.logChange(event.ZoneEvacuated, zone, item, n)
+// apply makes changes and logs them once requests are placed by them. The caller holds e.mu.
+func (e *evacuations) apply(changes []evacuationChange) {
+	if len(changes) == 0 {
+		return
+	}
+	kinds := make([]event.Kind, len(changes))
+	for i, c := range changes {
+		if c.item.Deleted {
+			e.placer.zones.Restore(time.Now(), c.zone)
+			kinds[i] = event.ZoneRestored
+		} else if e.placer.zones.Evacuate(c.zone) {
+			kinds[i] = event.ZoneEvacuated
+		}
+	}
+	e.placer.update()
+	for i, c := range changes {
+		if kinds[i] != (event.Kind{}) {
+			e.logChange(kinds[i], c)
+		}
 	}
 }
 
-func (e *evacuations) logChange(kind event.Kind, zone coordination.Zone, item mirror.Item, n mirror.Changes) {
+func (e *evacuations) logChange(kind event.Kind, c evacuationChange) {
 	e.log.Emit(kind,
-		event.F("availability-zone", zone),
-		event.F("endpoints", e.placer.countEndpoints(zone)),
-		event.F("revision", item.Revision.Number()),
-		event.F("from", sourceName(n.From)),
-		event.F("behind-ms", n.Behind.Milliseconds()),
-		event.F("unconfirmed-ms", n.Unconfirmed.Milliseconds()),
+		event.F("availability-zone", c.zone),
+		event.F("endpoints", e.placer.countEndpoints(c.zone)),
+		event.F("revision", c.item.Revision.Number()),
+		event.F("from", sourceName(c.changes.From)),
+		event.F("behind-ms", c.changes.Behind.Milliseconds()),
+		event.F("unconfirmed-ms", c.changes.Unconfirmed.Milliseconds()),
 	)
 }
