Routers that start wait for others to notice a restore

Found by reading the change again; causes: a router in an earlier era has nothing to tell and was taken for one that knows; what had been kept for over a minute was dropped only when somebody asked; a value could be applied that had been written since.

A router in an earlier era is told of the later one and asked again; half a second counts from the first update.

--- a/coordination/mirror/era_test.go
+++ b/coordination/mirror/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"wisteriaspool/coordination/kv"
 	"wisteriaspool/coordination/mirror"
+	"wisteriaspool/coordination/placement"
 	"wisteriaspool/coordination/synctest"
 )
 
@@ -151,7 +153,7 @@
 		})
 		starting.Apply(copied)
 		seen = nil
-		starting.ApplyRetained("r", m.Retained())
+		starting.ApplyRetained(mirror.Update{Items: m.Retained(), AsOf: m.AsOf()})
 		assert.DeepEqual(t, seen, []string{
 			"gone=1 restored false", "left= restored false", "older=2 restored false",
 			"gone= restored true", "left=1 restored true", "older=1 restored true",
@@ -160,3 +162,62 @@
 		m = starting
 	}
 }
+
+// Guards against a value from before an earlier restore, or from before a write that the
+// starting router has seen, that is taken for the one before the latest restore.
+func TestRetainedItemsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := mirror.New()
+		apply := func(era kv.Era, value string) {
+			m.Apply(mirror.Update{Full: true, AsOf: kv.NewRevision(era, 30), Items: []mirror.Item{item("a", value, era, 30)}})
+		}
+		apply(1, "1")
+		apply(2, "0")
+		assert.Equal(t, string(m.Retained()[0].Value), "1")
+		apply(3, "00")
+		assert.Equal(t, string(m.Retained()[0].Value), "1", "two restores in a row")
+		time.Sleep(2 * time.Minute)
+		assert.Equal(t, len(m.Retained()), 0)
+		apply(4, "2")
+		assert.Equal(t, string(m.Retained()[0].Value), "00")
+
+		m.ApplyRetained(mirror.Update{AsOf: kv.NewRevision(4, 29), Items: []mirror.Item{item("a", "late", 3, 10)}})
+		assert.Equal(t, string(m.Retained()[0].Value), "00")
+		m.Apply(mirror.Update{AsOf: kv.NewRevision(4, 31), Items: []mirror.Item{item("a", "3", 4, 31)}})
+		m.ApplyRetained(mirror.Update{AsOf: kv.NewRevision(4, 30), Items: []mirror.Item{item("a", "late", 3, 10)}})
+		assert.Equal(t, len(m.Retained()), 0)
+	})
+}
+
+// Guards against a router that starts and asks one which has not noticed the restore yet.
+func TestNewRouterAsksUntilOthersNoticedRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		f.store.put("a", "1")
+		f.waitForValue(t, 5*time.Second, "a", "1")
+		time.Sleep(5 * time.Second)
+		asOf, pairs := f.store.copy()
+		f.store.put("a", "2")
+		f.waitForValue(t, 5*time.Second, "a", "2")
+		f.store.withLock(func() { f.refused[0], f.refused[1] = true, true })
+		f.store.restore(asOf, pairs)
+
+		starting := mirror.New()
+		var values []string
+		starting.Observe(func(n mirror.Changes) {
+			for _, each := range n.Items {
+				values = append(values, string(each.Value))
+			}
+		})
+		f.mirrors = append(f.mirrors, starting)
+		f.routers = append(f.routers, placement.Router{ID: "2"})
+		feed := mirror.NewFeed(mirror.FeedConfig{
+			Self: "2", Mirror: starting, Store: routerStore{f, 2}, Transport: peerTransport{f, 2},
+			Routers: f.poweredOn,
+		})
+		f.feeds = append(f.feeds, feed)
+		t.Cleanup(feed.Start())
+		<-feed.Started()
+		assert.Assert(t, slices.Contains(values, "2"), "%v", values)
+	})
+}
--- a/coordination/mirror/feed.go
+++ b/coordination/mirror/feed.go
@@ -108,7 +108,7 @@
 	hintsDone, fetchDone := make(chan struct{}), make(chan struct{})
 	go f.hints.run(ctx, hintsDone)
 	go f.fetcher.run(ctx, fetchDone)
-	go (&starter{feed: f, answered: make(map[coordination.Instance]bool)}).run(ctx)
+	go newStarter(f).run(ctx)
 	stopStore, stopPeers := f.store.Start(), f.peers.Start()
 	return func() {
 		cancel()
@@ -121,7 +121,8 @@
 }
 
 // Started returns a channel that is closed when another router has told this one, since
-// Start, what it knew before a restore of the store, or none has within half a second.
+// Start, what it knew before a restore of the store, or none has within half a second of the
+// first update.
 func (f *Feed) Started() <-chan struct{} { return f.started }
 
 // RecheckStore makes the feed check at once whether this router has to call the
--- a/coordination/mirror/fleet_test.go
+++ b/coordination/mirror/fleet_test.go
@@ -130,7 +130,7 @@
 }
 
 // Call implements mirror.Transport.
-func (p peerTransport) Call(ctx context.Context, to coordination.Instance, _ string, payload []byte) ([]byte, error) {
+func (p peerTransport) Call(ctx context.Context, to coordination.Instance, topic string, payload []byte) ([]byte, error) {
 	feed, err := p.feed(to)
 	if err != nil {
 		return nil, err
@@ -141,6 +141,9 @@
 		return nil, ctx.Err()
 	}
 	time.Sleep(p.fleet.delay)
+	if topic == mirror.TopicRetained {
+		return feed.HandleRetained(payload)
+	}
 	b, err := feed.Handle(ctx, p.fleet.routers[p.router].ID, payload)
 	time.Sleep(p.fleet.delay)
 	return b, err
--- a/coordination/mirror/follower.go
+++ b/coordination/mirror/follower.go
@@ -17,7 +17,8 @@
 	Fetch(ctx context.Context, after kv.Revision) (Update, error)
 }
 
-// The pause after a fetch that failed, or brought nothing at once, doubles from minRetryPause to maxRetryPause.
+// The pause after a fetch that failed, or brought nothing at once, doubles from
+// minRetryPause to maxRetryPause.
 // The minimum is short because a lost reply is often a single one. The maximum
 // limits how often the whole fleet calls a store that is down, and is well
 // below the two seconds within which endpoints are back in the list of the
--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -228,6 +228,7 @@
 // items whose value or existence differs. Keys that are gone get a tombstone.
 func (m *Mirror) replaceAll(now time.Time, u Update) (changed []Item) {
 	old := m.items
+	m.forgetRetained(now)
 	m.retainedAt = now
 	m.items = make(map[string]Item, len(u.Items))
 	m.deletedAt = make(map[string]time.Time)
--- a/coordination/mirror/retained.go
+++ b/coordination/mirror/retained.go
@@ -31,33 +31,39 @@
 	}
 }
 
+// forgetRetained forgets what was kept for longer than retainedTTL. The caller holds m.mu.
+func (m *Mirror) forgetRetained(now time.Time) {
+	if now.Sub(m.retainedAt) > retainedTTL {
+		clear(m.retained)
+	}
+}
+
 // Retained returns what was known, before the latest restore of the store, of keys that have
 // not been written since, sorted by key.
 func (m *Mirror) Retained() []Item {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if time.Since(m.retainedAt) > retainedTTL {
-		clear(m.retained)
-	}
+	m.forgetRetained(time.Now())
 	items := slices.Collect(maps.Values(m.retained))
 	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
 	return items
 }
 
 // ApplyRetained takes over what another router knew before a restore of the store that this
-// one has not seen. The observers are called with it, and then with what the store has now,
-// as if the mirror had been there.
-func (m *Mirror) ApplyRetained(from coordination.Instance, items []Item) {
+// one has not seen: the items that it retains, and the revision of its mirror. The observers
+// are called with the items, and then with what the store has now, as if the mirror had been
+// there.
+func (m *Mirror) ApplyRetained(u Update) {
 	m.notifying.Lock()
 	defer m.notifying.Unlock()
-	before, now := m.mergeRetained(items)
+	before, now := m.mergeRetained(u)
 	if len(before) == 0 {
 		return
 	}
 	asOf := m.AsOf()
 	for _, changes := range []Changes{
-		{Items: before, From: from, Before: asOf, AsOf: asOf},
-		{Items: now, From: from, Before: asOf, AsOf: asOf, Restored: true},
+		{Items: before, From: u.From, Before: asOf, AsOf: asOf},
+		{Items: now, From: u.From, Before: asOf, AsOf: asOf, Restored: true},
 	} {
 		for _, fn := range m.observers {
 			fn(changes)
@@ -65,17 +71,18 @@
 	}
 }
 
-// mergeRetained keeps the items and returns those that differ from what the mirror has, and
-// what it has in their place.
-func (m *Mirror) mergeRetained(items []Item) (before, now []Item) {
+// mergeRetained keeps the items that were not written since, and returns them with what the
+// mirror has in their place.
+func (m *Mirror) mergeRetained(u Update) (before, now []Item) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, item := range items {
-		if _, ok := m.retained[item.Key]; ok {
+	m.forgetRetained(time.Now())
+	for _, item := range u.Items {
+		current, ok := m.items[item.Key]
+		if _, retained := m.retained[item.Key]; retained || current.Revision > u.AsOf {
 			continue
 		}
 		m.retained[item.Key], m.retainedAt = item, time.Now()
-		current, ok := m.items[item.Key]
 		if !ok {
 			current = Item{Key: item.Key, Revision: m.asOf, Deleted: true}
 		}
@@ -104,7 +111,8 @@
 }
 
 const (
-	// startLimit is how long a router that starts asks others for what they retain.
+	// startLimit is how long a router that starts, once it has read the store, asks others
+	// for what they retain.
 	startLimit = 500 * time.Millisecond
 	// startSettle is how long it does so if all that answer have just started as well.
 	startSettle = 300 * time.Millisecond
@@ -119,6 +127,11 @@
 type starter struct {
 	feed     *Feed
 	answered map[coordination.Instance]bool // have just started as well
+	hinted   map[coordination.Instance]bool // were in an earlier era, and have been told
+}
+
+func newStarter(f *Feed) *starter {
+	return &starter{feed: f, answered: make(map[coordination.Instance]bool), hinted: make(map[coordination.Instance]bool)}
 }
 
 func (s *starter) run(ctx context.Context) {
@@ -126,6 +139,7 @@
 	if s.feed.cfg.Alone {
 		return
 	}
+	s.feed.cfg.Mirror.Wait(ctx, 0, nil)
 	for began := time.Now(); time.Since(began) < startLimit; {
 		others := lo.Reject(s.feed.cfg.Routers(), func(r placement.Router, _ int) bool {
 			return r.ID == s.feed.cfg.Self || s.answered[r.ID]
@@ -143,9 +157,9 @@
 // ask asks one router and reports whether it has run for longer.
 func (s *starter) ask(ctx context.Context, id coordination.Instance) bool {
 	cfg := s.feed.cfg
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	b, err := cfg.Transport.Call(ctx, id, TopicRetained, encode(Request{Prefix: cfg.Prefix}))
+	b, err := cfg.Transport.Call(callCtx, id, TopicRetained, encode(Request{Prefix: cfg.Prefix}))
 	if err != nil {
 		return false
 	}
@@ -154,6 +168,15 @@
 		s.answered[id] = true
 		return false
 	}
-	cfg.Mirror.ApplyRetained(id, u.Items)
+	if asOf := cfg.Mirror.AsOf(); u.AsOf.Era() < asOf.Era() {
+		// It has not noticed the restore yet.
+		if !s.hinted[id] {
+			s.hinted[id] = true
+			s.feed.hints.send(ctx, id, Hint{AsOf: asOf})
+		}
+		return false
+	}
+	u.From = id
+	cfg.Mirror.ApplyRetained(u)
 	return true
 }
