--- a/wisteriarouter/daemon/relay_restore_test.go
+++ b/wisteriarouter/daemon/relay_restore_test.go
@@ -256,7 +256,7 @@
 }
 
 // Guards against a router that starts as the store has been restored, and takes what the copy
-// says for the latest word: an older desired state, and an endpoint that has left.
+// says for the latest state: an older desired state, and an endpoint that has left.
 func TestRelayNewRouterKnowsWhatRestoredStoreLost(t *testing.T) {
 	s := newRelayCluster(t, 3, 3, 0)
 	c := s.store.Copy()
