Test of notes in a restored store waits for any note

Traced from the code: the mark in the key is the revision of the latest note. The test now lets the routers see the note first, and waits for a note under any mark; what it demands of them is the same.

--- a/standin/hub/hub.go
+++ b/standin/hub/hub.go
@@ -72,6 +72,18 @@
 	return ok
 }
 
+// HasPrefix reports whether any key starts with prefix.
+func (s *Store) HasPrefix(prefix string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Store) putLocked(key string, value []byte) int64 {
 	s.revision++
 	item := Item{Key: key, Value: slices.Clone(value), Revision: s.revision, CreateRevision: s.revision}
--- a/standin/hub/restore.go
+++ b/standin/hub/restore.go
@@ -85,9 +85,10 @@
 	return item.Value, ok
 }
 
-// Without returns a copy that lacks a key, as if it had been made before the key was written.
-func (c Copy) Without(key string) Copy {
+// Without returns a copy that lacks the keys that start with prefix, as if it had been made
+// before they were written.
+func (c Copy) Without(prefix string) Copy {
 	c.items = maps.Clone(c.items)
-	delete(c.items, key)
+	maps.DeleteFunc(c.items, func(key string, _ Item) bool { return strings.HasPrefix(key, prefix) })
 	return c
 }
