--- a/coordination/mirror/era_test.go
+++ b/coordination/mirror/era_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,7 +11,6 @@
 
 	"wisteriaspool/coordination/kv"
 	"wisteriaspool/coordination/mirror"
-	"wisteriaspool/coordination/placement"
 	"wisteriaspool/coordination/synctest"
 )
 
@@ -192,32 +192,33 @@
 // Guards against a router that starts and asks one which has not noticed the restore yet.
 func TestNewRouterAsksUntilOthersNoticedRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 2)
+		const starting = 2
+		var mu sync.Mutex
+		var values []string
+		f := newStoppedFleet(3, 0, func(router int, n mirror.Changes) {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, each := range n.Items {
+				if router == starting {
+					values = append(values, string(each.Value))
+				}
+			}
+		})
+		t.Cleanup(f.feeds[0].Start())
+		t.Cleanup(f.feeds[1].Start())
 		f.store.put("a", "1")
-		f.waitForValue(t, 5*time.Second, "a", "1")
 		time.Sleep(5 * time.Second)
 		asOf, pairs := f.store.copy()
 		f.store.put("a", "2")
-		f.waitForValue(t, 5*time.Second, "a", "2")
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, valueOf(f.mirrors[0], "a"), "2")
+		assert.Equal(t, valueOf(f.mirrors[1], "a"), "2")
 		f.store.withLock(func() { f.refused[0], f.refused[1] = true, true })
 		f.store.restore(asOf, pairs)
-
-		starting := mirror.New()
-		var values []string
-		starting.Observe(func(n mirror.Changes) {
-			for _, each := range n.Items {
-				values = append(values, string(each.Value))
-			}
-		})
-		f.mirrors = append(f.mirrors, starting)
-		f.routers = append(f.routers, placement.Router{ID: "2"})
-		feed := mirror.NewFeed(mirror.FeedConfig{
-			Self: "2", Mirror: starting, Store: routerStore{f, 2}, Transport: peerTransport{f, 2},
-			Routers: f.poweredOn,
-		})
-		f.feeds = append(f.feeds, feed)
-		t.Cleanup(feed.Start())
-		<-feed.Started()
+		t.Cleanup(f.feeds[starting].Start())
+		<-f.feeds[starting].Started()
+		mu.Lock()
+		defer mu.Unlock()
 		assert.Assert(t, slices.Contains(values, "2"), "%v", values)
 	})
 }
--- a/coordination/mirror/fleet_test.go
+++ b/coordination/mirror/fleet_test.go
@@ -68,6 +68,15 @@
 // newFleetWithDelay returns a fleet whose calls and replies each take delay.
 // observe is called with the changes at each router.
 func newFleetWithDelay(t *testing.T, n int, delay time.Duration, observe func(router int, n mirror.Changes)) *fleet {
+	f := newStoppedFleet(n, delay, observe)
+	for _, feed := range f.feeds {
+		t.Cleanup(feed.Start())
+	}
+	return f
+}
+
+// newStoppedFleet is newFleetWithDelay for a fleet whose feeds are not started.
+func newStoppedFleet(n int, delay time.Duration, observe func(router int, n mirror.Changes)) *fleet {
 	f := &fleet{store: newFakeStore(), refused: map[int]bool{}, silent: map[int]bool{}, delay: delay}
 	for i := range n {
 		m := mirror.New()
@@ -85,9 +94,6 @@
 			Routers:   f.poweredOn,
 		}))
 	}
-	for _, feed := range f.feeds {
-		t.Cleanup(feed.Start())
-	}
 	return f
 }
 
