--- a/coordination/kv/kvtest/kvtest.go
+++ b/coordination/kv/kvtest/kvtest.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -156,6 +157,30 @@
 	}
 }
 
+// Copy is a copy of a store at one moment.
+type Copy struct {
+	revision  kv.Revision
+	pairs     map[string]kv.Pair
+	leases    map[kv.Lease]lease
+	lastLease kv.Lease
+}
+
+// Copy returns a copy of the store.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{revision: s.revision, pairs: maps.Clone(s.pairs), leases: maps.Clone(s.leases), lastLease: s.lastLease}
+}
+
+// Restore replaces the contents of the store by those of a copy. Revisions and leases since
+// then are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.lastLease = c.revision, c.lastLease
+	s.pairs, s.leases = maps.Clone(c.pairs), maps.Clone(c.leases)
+}
+
 // Get implements kv.Store.
 func (s *Store) Get(ctx context.Context, key string) kv.Result {
 	if res, ok := s.begin(ctx, "get", key); !ok {
