--- a/coordination/mirror/late_test.go
+++ b/coordination/mirror/late_test.go
@@ -88,6 +88,16 @@
 	return afterAck, afterFirst
 }
 
+// checkLatest checks that each router had each change in force within limit of its
+// acknowledgement.
+func (a *arrivals) checkLatest(t *testing.T, limit time.Duration) {
+	t.Helper()
+	afterAck, _ := a.delays(t)
+	latest := afterAck[len(afterAck)-1]
+	t.Logf("%d changes applied, the latest %v after the acknowledgement", len(afterAck), latest)
+	assert.Check(t, latest <= limit)
+}
+
 // silenceScenario runs rounds in which the store stops replying to a part of
 // the fleet for some seconds, in the middle of its watches and without an
 // error, while an operator makes changes.
@@ -229,9 +239,7 @@
 		t.Run(fmt.Sprintf("%d-%.2f", s.routers, s.share), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				afterAck, _ := s.run(t).delays(t)
-				t.Logf("%d changes applied, the latest %v after the acknowledgement", len(afterAck), afterAck[len(afterAck)-1])
-				assert.Check(t, afterAck[len(afterAck)-1] <= maxAfterAck)
+				s.run(t).checkLatest(t, maxAfterAck)
 			})
 		})
 	}
--- a/coordination/mirror/overdue_test.go
+++ b/coordination/mirror/overdue_test.go
@@ -98,10 +98,7 @@
 		t.Run(s.name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				afterAck, _ := s.run(t).delays(t)
-				latest := afterAck[len(afterAck)-1]
-				t.Logf("%d changes applied, the latest %v after the acknowledgement", len(afterAck), latest)
-				assert.Check(t, latest <= maxAfterAck)
+				s.run(t).checkLatest(t, maxAfterAck)
 			})
 		})
 	}
--- a/coordination/mirror/two_faults_test.go
+++ b/coordination/mirror/two_faults_test.go
@@ -7,8 +7,6 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/kv"
 	"wisteriaspool/coordination/mirror"
@@ -105,10 +103,7 @@
 		t.Run(s.name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				afterAck, _ := s.run(t).delays(t)
-				latest := afterAck[len(afterAck)-1]
-				t.Logf("%d changes applied, the latest %v after the acknowledgement", len(afterAck), latest)
-				assert.Check(t, latest <= applyLimit)
+				s.run(t).checkLatest(t, applyLimit)
 			})
 		})
 	}
