--- a/wisteriarouter/endpoint/register.go
+++ b/wisteriarouter/endpoint/register.go
@@ -47,9 +47,20 @@
 	mu             sync.Mutex
 	recoveredAt    time.Time // when the store last recovered
 	recentRemovals []time.Time
-	removalTimers  map[coordination.Endpoint]*time.Timer
+	removalTimers  endpointTimers
 	latest         map[coordination.Endpoint]latestEntry
-	returnTimers   map[coordination.Endpoint]*time.Timer // of entries that a restored store has again
+	returnTimers   endpointTimers // of entries that a restored store has again
+}
+
+// endpointTimers holds a timer for some endpoints.
+type endpointTimers map[coordination.Endpoint]*time.Timer
+
+// cancel stops and removes the timer of an endpoint, if any.
+func (t endpointTimers) cancel(id coordination.Endpoint) {
+	if timer := t[id]; timer != nil {
+		timer.Stop()
+		delete(t, id)
+	}
 }
 
 // StoreRecovered records that the store is available again after an outage for
@@ -72,9 +83,9 @@
 	var put []platform.Entry
 	var removed []coordination.Endpoint
 	for _, c := range changes {
-		t.cancelReturn(c.ID)
+		t.returnTimers.cancel(c.ID)
 		if !c.Removed {
-			t.cancelRemoval(c.ID)
+			t.removalTimers.cancel(c.ID)
 			t.recordEntry(c.Entry)
 			put = append(put, c.Entry)
 			continue
@@ -99,7 +110,7 @@
 	if d <= 0 {
 		return false
 	}
-	t.cancelRemoval(id)
+	t.removalTimers.cancel(id)
 	t.scheduleRemoval(id, d)
 	t.Log.Emit(event.EndpointHeld, event.F("endpoint", id), event.F("for-ms", d.Milliseconds()))
 	return true
@@ -123,7 +134,7 @@
 // The caller holds t.mu.
 func (t *EntryTracker) scheduleRemoval(id coordination.Endpoint, d time.Duration) {
 	if t.removalTimers == nil {
-		t.removalTimers = make(map[coordination.Endpoint]*time.Timer)
+		t.removalTimers = make(endpointTimers)
 	}
 	t.removalTimers[id] = time.AfterFunc(d, func() { t.removeHeld(id) })
 }
@@ -141,15 +152,6 @@
 	return len(t.recentRemovals) > 1 && float64(len(t.recentRemovals)) > bulkFraction*float64(endpoints)
 }
 
-// cancelRemoval cancels the scheduled removal of an endpoint, if any. The
-// caller holds r.mu.
-func (t *EntryTracker) cancelRemoval(id coordination.Endpoint) {
-	if timer := t.removalTimers[id]; timer != nil {
-		timer.Stop()
-		delete(t.removalTimers, id)
-	}
-}
-
 // removeHeld removes an endpoint whose entry has not come back. While the store
 // is unavailable, a missing entry says nothing about its endpoint, and the
 // removal is postponed.
--- a/wisteriarouter/endpoint/restored.go
+++ b/wisteriarouter/endpoint/restored.go
@@ -47,7 +47,7 @@
 		case c.Removed || !ok || known.precedes(c.Entry):
 			later = append(later, c)
 		case known.removedAt.IsZero():
-			t.cancelRemoval(c.ID)
+			t.removalTimers.cancel(c.ID)
 		default:
 			t.scheduleReturn(c)
 		}
@@ -80,22 +80,14 @@
 // scheduleReturn applies an entry after returnHold unless a later change of the endpoint
 // comes before. The caller holds t.mu.
 func (t *EntryTracker) scheduleReturn(c Change) {
-	t.cancelReturn(c.ID)
+	t.returnTimers.cancel(c.ID)
 	if t.returnTimers == nil {
-		t.returnTimers = make(map[coordination.Endpoint]*time.Timer)
+		t.returnTimers = make(endpointTimers)
 	}
 	t.returnTimers[c.ID] = time.AfterFunc(returnHold, func() { t.applyReturned(c) })
 	t.Log.Emit(event.EndpointNotReturned, event.F("endpoint", c.ID), event.F("for-ms", returnHold.Milliseconds()))
 }
 
-// cancelReturn cancels the scheduled return of an endpoint, if any. The caller holds t.mu.
-func (t *EntryTracker) cancelReturn(id coordination.Endpoint) {
-	if timer := t.returnTimers[id]; timer != nil {
-		timer.Stop()
-		delete(t.returnTimers, id)
-	}
-}
-
 func (t *EntryTracker) applyReturned(c Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
