review: a stream of a leaving replica that is gone looks complete

An answer without a length that a leaving replica has begun, and that ends with its process, is ended by the router as a complete one: the caller gets a stream that lacks events and looks whole.

--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +19,7 @@
 	path     string
 	key      string
 	usage    string // X-Token-Usage; empty for a request without a stream
+	part     string // the id of the shared part of its prompt
 	deadline time.Duration
 	body     []byte
 }
@@ -31,6 +33,7 @@
 	status  int // 0 if no answer came
 	signed  bool
 	body    int
+	events  int  // complete events of a stream
 	whole   bool // the answer is complete
 	closing bool // the channel ends with it
 	err     error
@@ -70,7 +73,7 @@
 		fmt.Fprintf(&b, "Authorization: Bearer %s\r\n", q.key)
 	}
 	if q.usage != "" {
-		fmt.Fprintf(&b, "X-Model: m\r\nX-Token-Usage: %s\r\nX-Prefix-Hash: 5c1e07a2:699,%s:130\r\n", q.usage, q.id[8:])
+		fmt.Fprintf(&b, "X-Model: m\r\nX-Token-Usage: %s\r\nX-Prefix-Hash: %s:699,%s:130\r\n", q.usage, cmp.Or(q.part, "5c1e07a2"), q.id[8:])
 	}
 	if q.method == http.MethodPost {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.body))
@@ -95,7 +98,26 @@
 		return
 	}
 	a.status, a.signed = resp.StatusCode, resp.Header.Get("X-Server-Signature") != ""
-	n, err := io.Copy(io.Discard, resp.Body)
+	events := &eventCounter{}
+	n, err := io.Copy(events, resp.Body)
+	a.events = events.n
 	_ = resp.Body.Close()
 	a.body, a.err, a.whole, a.closing = int(n), err, err == nil, resp.Close || err != nil
 }
+
+// eventCounter counts the complete events that are written to it.
+type eventCounter struct {
+	n    int
+	last byte
+}
+
+// Write implements io.Writer.
+func (e *eventCounter) Write(b []byte) (int, error) {
+	for _, c := range b {
+		if c == '\n' && e.last == '\n' {
+			e.n++
+		}
+		e.last = c
+	}
+	return len(b), nil
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -15,13 +15,18 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*fleet) (bool, error){
-	"lost-at-stop":  lostAtStop,
-	"key-passed-on": keyPassedOn,
-	"large-bodies":  largeBodies,
-	"stray-refusal": strayRefusal,
+	"lost-at-stop":    lostAtStop,
+	"key-passed-on":   keyPassedOn,
+	"large-bodies":    largeBodies,
+	"cut-with-notice": cutWithNotice,
+	"stray-refusal":   strayRefusal,
 }
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "replica" {
+		fmt.Fprintln(os.Stderr, replica(os.Args[2], os.Args[3]))
+		os.Exit(2)
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE DIR")
 		os.Exit(2)
