--- a/review/stand/case_body.go
+++ b/review/stand/case_body.go
@@ -40,7 +40,7 @@
 		go r.limitMemory()
 	}
 	var wg sync.WaitGroup
-	s := &bodySenders{fleet: f, end: time.Now().Add(20 * time.Second)}
+	s := &bodySenders{fleet: f, end: time.Now().Add(20 * time.Second), body: make([]byte, maxBody)}
 	for _, r := range f.routers {
 		for _, key := range keys {
 			for range usualClients {
@@ -69,6 +69,7 @@
 type bodySenders struct {
 	fleet *fleet
 	end   time.Time
+	body  []byte
 
 	mu   sync.Mutex
 	lost []answer // ended without an answer, on kept channels
@@ -77,9 +78,8 @@
 
 // run is one client: it sends one request after the other, until end.
 func (s *bodySenders) run(r *router, key string, end time.Time) {
-	body := make([]byte, maxBody)
-	small := request{method: http.MethodPost, path: "/draft/2f", key: key, usage: "829,10", deadline: 15 * time.Second, body: body[:800]}
-	large := request{method: http.MethodPost, path: "/draft/2f", key: key, usage: "11812,400", deadline: 15 * time.Second, body: body}
+	small := request{method: http.MethodPost, path: "/draft/2f", key: key, usage: "829,10", deadline: 15 * time.Second, body: s.body[:800]}
+	large := request{method: http.MethodPost, path: "/draft/2f", key: key, usage: "11812,400", deadline: 15 * time.Second, body: s.body}
 	for time.Now().Before(end) {
 		c, err := r.open()
 		if err != nil {
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -79,9 +79,9 @@
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.body))
 	}
 	b.WriteString("\r\n")
-	b.Write(q.body)
 	_ = c.nc.SetDeadline(time.Now().Add(q.deadline))
-	if _, a.err = c.nc.Write(b.Bytes()); a.err == nil {
+	parts := net.Buffers{b.Bytes(), q.body}
+	if _, a.err = parts.WriteTo(c.nc); a.err == nil {
 		a.sent = time.Now()
 		c.read(q, &a)
 	}
