A stopping router takes only requests that must end before it does

Cause: fitsBeforeShutdown took a request if 1.5 times the longest recent response of its route fitted. That is an estimate from other requests, and the next one was 12 times as long. Ruled out: the number of output tokens that a request states would be no bound either, as an endpoint may become slower. Only the deadline of the request and the timeout of its route are bounds, so they decide now. The check counts to the moment at which requests are cut off, 0.2 s before the end of the stop, and is repeated once the body has been read. A request that came before and has waited since is not sent if the estimate says that it would be cut off.

--- a/wisteriarouter/daemon/daemon.go
+++ b/wisteriarouter/daemon/daemon.go
@@ -35,22 +35,22 @@
 
 // state is the lifecycle state of a router, shared by its parts.
 type state struct {
-	instance     coordination.Instance
-	incarnation  coordination.Incarnation
-	started      time.Time
-	ready        atomic.Bool               // settings and endpoints are known
-	leaving      atomic.Bool               // the router announces that it is stopping
-	stopping     atomic.Bool               // new requests are refused
-	stopDeadline atomic.Pointer[time.Time] // when requests in flight are cut off; nil before stopping
-	drainCtx     context.Context           // done when requests in flight must be answered
-	cancelDrain  context.CancelFunc        // cancels drainCtx
-	inFlight     func() int                // number of callers' requests; set before the listeners serve
+	instance    coordination.Instance
+	incarnation coordination.Incarnation
+	started     time.Time
+	ready       atomic.Bool               // settings and endpoints are known
+	leaving     atomic.Bool               // the router announces that it is stopping
+	stopping    atomic.Bool               // new requests are refused
+	answerBy    atomic.Pointer[time.Time] // when requests in flight are cut off; nil before stopping
+	drainCtx    context.Context           // done when requests in flight must be answered
+	cancelDrain context.CancelFunc        // cancels drainCtx
+	inFlight    func() int                // number of callers' requests; set before the listeners serve
 }
 
 // remaining returns how long a stopping router still serves requests. It
 // reports false if the router is not stopping.
 func (s *state) remaining() (time.Duration, bool) {
-	ends := s.stopDeadline.Load()
+	ends := s.answerBy.Load()
 	if ends == nil {
 		return 0, false
 	}
@@ -208,8 +208,9 @@
 	// not ready. They are served, so that callers see no failure.
 	time.Sleep(d.stopDelay)
 	if end, ok := ctx.Deadline(); ok {
-		d.state.stopDeadline.Store(&end)
-		defer time.AfterFunc(time.Until(end.Add(-answerReserve)), d.state.cancelDrain).Stop()
+		answerBy := end.Add(-answerReserve)
+		d.state.answerBy.Store(&answerBy)
+		defer time.AfterFunc(time.Until(answerBy), d.state.cancelDrain).Stop()
 	}
 	d.state.stopping.Store(true)
 	left := d.servers.drain(ctx)
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -66,6 +66,10 @@
 	if !x.matchRoute() || !x.authenticate() || !x.fitsBeforeShutdown() || !x.readBody() {
 		return
 	}
+	// The shutdown may have begun while the body was read.
+	if !x.fitsBeforeShutdown() {
+		return
+	}
 	ctx, stop := x.server.withShutdown(x.r.Context())
 	defer stop()
 	if !x.deadline.IsZero() {
@@ -149,26 +153,40 @@
 // because the load balancer already directs callers to other routers.
 const retryAfterStop = 50 * time.Millisecond
 
-// fitsBeforeShutdown refuses a request that will probably not be complete when the
-// router shuts down. Asking another router now costs the caller less than a
-// truncated response.
+// aboutToStop is the message of a request that a router refuses before it stops.
+const aboutToStop = "the router is about to stop"
+
+// fitsBeforeShutdown refuses a request that a router which is shutting down may have
+// to cut off. Only the deadline of a request bounds how long its response takes: those
+// before it say nothing of an endpoint that has just become slow. Asking another router
+// now costs the caller less than a truncated response, or one of unknown outcome.
 func (x *exchange) fitsBeforeShutdown() bool {
-	if x.server.ShutdownIn == nil {
+	left, ends := x.shutdownIn()
+	if !ends || x.remaining()+giveUpSlack <= left {
 		return true
 	}
-	left, ends := x.server.ShutdownIn()
+	x.refuse(http.StatusServiceUnavailable, aboutToStop, retryAfterStop)
+	return false
+}
+
+// beginsTooLate reports whether an attempt that begins now would probably be cut off. It
+// is for requests that arrived before the router began to refuse those which may take
+// too long, and have waited since.
+func (x *exchange) beginsTooLate() bool {
+	left, ends := x.shutdownIn()
 	if !ends {
-		return true
+		return false
 	}
 	needs, known := x.server.durations.expected(x.route.Name)
-	if limit := x.remaining(); !known || limit < needs {
-		needs = limit
-	}
-	if needs <= left {
-		return true
+	return known && min(needs, x.remaining()) > left
+}
+
+// shutdownIn is Server.ShutdownIn, and reports false if that is not set.
+func (x *exchange) shutdownIn() (time.Duration, bool) {
+	if x.server.ShutdownIn == nil {
+		return 0, false
 	}
-	x.refuse(http.StatusServiceUnavailable, "the router is about to stop", retryAfterStop)
-	return false
+	return x.server.ShutdownIn()
 }
 
 // defaultBodyBytes limits the size of a request body if the desired state does not.
@@ -234,7 +252,7 @@
 		x.logAttempt(place, end)
 		if end == delivered {
 			x.server.Metrics.delivered(x)
-			x.server.durations.record(x.route.Name, time.Since(x.arrived))
+			x.server.durations.record(x.route.Name, time.Since(x.sentAt))
 			return true
 		}
 		if x.unsettled(end) {
@@ -292,6 +310,10 @@
 	case refusal != nil:
 		x.respondWithoutResult(refusal.Message, refusal.RetryAfter)
 		return Placement{}, false
+	case x.sends == 0 && x.beginsTooLate():
+		place.Release()
+		x.refuse(http.StatusServiceUnavailable, aboutToStop, retryAfterStop)
+		return Placement{}, false
 	}
 	x.logPlacement(place, time.Since(asked))
 	return place, true
--- a/wisteriarouter/relay/longest.go
+++ b/wisteriarouter/relay/longest.go
@@ -9,7 +9,8 @@
 // the previous window count as recent.
 const durationWindow = 10 * time.Second
 
-// durationTracker holds the longest recent response time of each route.
+// durationTracker holds the longest recent response time of each route, counted from
+// the moment at which the request was sent to its endpoint.
 type durationTracker struct {
 	mu       sync.Mutex
 	since    time.Time                // start of the current window
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -161,8 +161,8 @@
 	Metrics  *Metrics
 	// Stopping reports whether responses close their connections.
 	Stopping func() bool
-	// ShutdownIn returns how long a router that accepts no new connections still
-	// serves the existing ones; false if it is not shutting down.
+	// ShutdownIn returns the time until ShutdownContext is done for a router that accepts
+	// no new connections; false if it is not shutting down.
 	ShutdownIn func() (time.Duration, bool)
 
 	// ShutdownContext is done when requests in flight must be answered because the
