What requests hold is bounded and shared among client accounts

Cause: each body was bounded, all together were not. A body was held until its response had ended, also where it could not be sent again; it was read into a buffer that grows by copying, copied to be sent and copied to be hashed; the runtime knew no limit; an upload that stopped was held for ever. Ruled out as sufficient: freeing bodies early alone, as uploads that come slowly and requests that wait for a full pool hold them as well.

coordination/memory is a budget of two fifths of [limits] memory. Headers, bodies and buffered responses take from it before they are allocated. An account may hold as many bytes as are free, so that something is left for others; small requests may be taken beside large ones. Who may not gets a 503 with Retry-After, and what it still sends is discarded, so that the refusal reaches it. Bodies are kept in segments and freed when no attempt needs them. An upload that stops gets 408 at its deadline.

--- a/coordination/suspicion/suspicion.go
+++ b/coordination/suspicion/suspicion.go
@@ -39,17 +39,41 @@
 // body of a call.
 func FingerprintOf(parts ...string) Fingerprint {
 	d := xxhash.New()
-	var size [8]byte
-	for _, p := range parts {
-		// The length prefix gives ("ab", "c") and ("a", "bc") different
-		// fingerprints.
-		binary.LittleEndian.PutUint64(size[:], uint64(len(p)))
-		_, _ = d.Write(size[:])
-		_, _ = d.WriteString(p)
+	addParts(d, parts)
+	return Fingerprint(d.Sum64())
+}
+
+// FingerprintOfCall returns the fingerprint of the parts and of a body, given in segments,
+// as FingerprintOf does of the parts and the body in one piece.
+func FingerprintOfCall(body [][]byte, parts ...string) Fingerprint {
+	d := xxhash.New()
+	addParts(d, parts)
+	n := 0
+	for _, segment := range body {
+		n += len(segment)
+	}
+	addLength(d, n)
+	for _, segment := range body {
+		_, _ = d.Write(segment) // cannot fail
 	}
 	return Fingerprint(d.Sum64())
 }
 
+func addParts(d *xxhash.Digest, parts []string) {
+	for _, p := range parts {
+		addLength(d, len(p))
+		_, _ = d.WriteString(p) // cannot fail
+	}
+}
+
+// addLength adds the length of a part. It gives ("ab", "c") and ("a", "bc") different
+// fingerprints.
+func addLength(d *xxhash.Digest, n int) {
+	var size [8]byte
+	binary.LittleEndian.PutUint64(size[:], uint64(n))
+	_, _ = d.Write(size[:]) // cannot fail
+}
+
 // String returns f in hexadecimal.
 func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
 
--- a/wisteriarouter/config/config.go
+++ b/wisteriarouter/config/config.go
@@ -71,6 +71,7 @@
 // Limits holds the limits on requests, calls to endpoints and the shutdown. Sizes
 // are in bytes.
 type Limits struct {
+	Memory       int
 	BodyBytes    int
 	HeaderBytes  int
 	HeaderWait   time.Duration
@@ -141,6 +142,7 @@
 		{Name: "capacity", Kind: schema.Name, Default: capacity.Slots.String(), OneOf: capacityModes, Doc: "What limits the load of an endpoint beside `load-factor`: its slots alone (`slots`), or also its measured speed and useful concurrency, in pools whose endpoints report how fast they are (`reported`) or in all pools (`measured`). Must be the same on all routers."},
 	}},
 	{Name: "limits", Doc: "Limits on requests, calls to endpoints and the shutdown.", Keys: []schema.Key{
+		{Name: "memory", Kind: schema.Size, Default: "1GiB", Min: "16MiB", Max: "100GiB", Doc: "Memory that the process may use. Requests hold at most two fifths of it; those that would hold more are refused."},
 		{Name: "body", Kind: schema.Size, Default: "1MiB", Min: "1KiB", Max: "64MiB", Doc: "Maximum size of a request body."},
 		{Name: "headers", Kind: schema.Size, Default: "16KiB", Min: "4KiB", Max: "1MiB", Doc: "Maximum size of the headers of a request."},
 		{Name: "header-wait", Kind: schema.Duration, Default: "5s", Min: "100ms", Max: "60s", Doc: "Timeout for reading the headers of a request."},
@@ -290,6 +292,7 @@
 		EngineCall:   v.Duration("engine-call"),
 		CancelFor:    v.Duration("cancel-for"),
 		LoadInterval: v.Duration("load-interval"),
+		Memory:       v.Int("memory"),
 		StopWithin:   v.Duration("stop-within"),
 		StopDelay:    v.Duration("stop-delay"),
 	}
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -9,6 +9,7 @@
 	"github.com/samber/do/v2"
 
 	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/memory"
 	"wisteriaspool/coordination/mirror"
 	"wisteriaspool/coordination/outcome"
 	"wisteriaspool/coordination/suspicion"
@@ -33,6 +34,7 @@
 	do.Provide(i, newDesiredState)
 	do.Provide(i, newRelayPlacer)
 	do.Provide(i, newPoolRetries)
+	do.Provide(i, newMemoryBudget)
 	do.Provide(i, newDetour)
 	do.Provide(i, newTunnelServer)
 	do.Provide(i, newSender)
@@ -65,12 +67,20 @@
 		Suspects:        relaySuspectTracker{do.MustInvoke[*crashSuspicion](i)},
 		Log:             logOf(i),
 		Metrics:         relay.NewMetrics(do.MustInvoke[*prometheus.Registry](i)),
+		Memory:          do.MustInvoke[*memory.Budget](i),
 		Stopping:        stateOf(i).leaving.Load,
 		ShutdownIn:      stateOf(i).remaining,
 		ShutdownContext: stateOf(i).drainCtx,
 	}, nil
 }
 
+// newMemoryBudget creates the budget of what requests hold: two fifths of the memory of
+// the process. The others are for what it knows of the fleet, for connections, and for
+// garbage until it is collected.
+func newMemoryBudget(i do.Injector) (*memory.Budget, error) {
+	return memory.NewBudget(memory.Bytes(configOf(i).Limits.Memory) * 2 / 5), nil
+}
+
 // relaySuspectTracker implements relay.SuspectTracker.
 type relaySuspectTracker struct{ *crashSuspicion }
 
@@ -166,6 +176,7 @@
 		desired: do.MustInvoke[*desiredState](i),
 		placer:  do.MustInvoke[*placer](i),
 		retries: do.MustInvoke[*poolRetries](i),
+		memory:  do.MustInvoke[*memory.Budget](i),
 	})
 	s := &servers{node: node, tunnels: do.MustInvoke[*peer.TunnelServer](i), log: logOf(i), failed: make(chan struct{})}
 	s.peers = newServer(bound.peers, relayPeerHandler(i), cfg, s.fail)
--- a/wisteriarouter/daemon/relay_metrics.go
+++ b/wisteriarouter/daemon/relay_metrics.go
@@ -11,6 +11,7 @@
 	"github.com/samber/do/v2"
 
 	"wisteriaspool/coordination/kv"
+	"wisteriaspool/coordination/memory"
 	"wisteriaspool/coordination/mirror"
 	"wisteriaspool/platform"
 	"wisteriaspool/wisteriarouter/relay"
@@ -87,6 +88,7 @@
 	desired *desiredState
 	placer  *placer
 	retries *poolRetries
+	memory  *memory.Budget
 }
 
 var (
@@ -100,6 +102,8 @@
 		"1 for each evacuated availability zone.", []string{"zone"}, nil)
 	retriesLeft = prometheus.NewDesc("wisteria_retries_left",
 		"Second attempts that this router could make now.", []string{"pool"}, nil)
+	heldBytes = prometheus.NewDesc("wisteria_held_bytes",
+		"Memory that requests hold, the most that they have held at once, and the most that they may hold.", []string{"kind"}, nil)
 )
 
 // Describe implements prometheus.Collector.
@@ -109,6 +113,7 @@
 	ch <- endpointStates
 	ch <- evacuatedZones
 	ch <- retriesLeft
+	ch <- heldBytes
 }
 
 // Collect implements prometheus.Collector.
@@ -134,4 +139,8 @@
 	for pool, n := range c.retries.remaining() {
 		gauge(retriesLeft, float64(n), string(pool))
 	}
+	usage := c.memory.Usage()
+	gauge(heldBytes, float64(usage.Held), "now")
+	gauge(heldBytes, float64(usage.Peak), "peak")
+	gauge(heldBytes, float64(usage.Limit), "limit")
 }
--- a/wisteriarouter/daemon/relay_site_test.go
+++ b/wisteriarouter/daemon/relay_site_test.go
@@ -34,6 +34,7 @@
 	routers  []*daemon.Daemon
 	stops    []func() int
 	version  int
+	limits   string // lines of the section [limits] of routers that are added
 	logs     *logs
 	links    *links // between routers and endpoints; nil if all connect directly
 	client   *http.Client
@@ -158,7 +159,8 @@
 [limits]
 stop-delay = 50ms
 stop-within = 5s
-`, n, seeds, s.address)
+%s
+`, n, seeds, s.address, s.limits)
 	cfg, problems := config.Parse("test", []byte(text))
 	assert.Equal(s.t, len(problems), 0, "%v", problems)
 	dial := (&net.Dialer{Timeout: 400 * time.Millisecond}).DialContext
--- a/wisteriarouter/daemon/relay_version_test.go
+++ b/wisteriarouter/daemon/relay_version_test.go
@@ -48,7 +48,7 @@
 }
 
 // awaitEndpoints waits until a router knows at least n endpoints.
-func (s *versionedCluster) awaitEndpoints(router, n int) {
+func (s *relayCluster) awaitEndpoints(router, n int) {
 	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
 		resp, err := http.Get("http://" + s.routers[router].OperatorsAddress() + "/metrics")
 		if err != nil {
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"maps"
 	"net/http"
@@ -50,6 +51,9 @@
 	case broken:
 		return broken
 	}
+	if !x.mayRetry(cut) {
+		x.body.drop()
+	}
 	return x.forward(resp)
 }
 
@@ -57,7 +61,7 @@
 // response.
 type failure struct {
 	resp *upstream.Response
-	body []byte
+	body buffer
 }
 
 const (
@@ -73,9 +77,12 @@
 	if resp.Length < 0 || resp.Length > maxFailureBody {
 		return false
 	}
+	body := buffer{hold: x.hold}
+	if !body.reserve(resp.Length) {
+		return false
+	}
 	resp.Body.LimitTime(maxFailureWait)
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
+	if body.readAll(resp) != nil {
 		return true // there is nothing to forward
 	}
 	x.failure = &failure{resp: resp, body: body}
@@ -149,7 +156,8 @@
 		Target:     x.r.RequestURI,
 		Host:       x.r.Host,
 		Header:     h,
-		Body:       x.body,
+		Body:       x.body.beginSend(),
+		Sent:       x.body.endSend,
 		AtMostOnce: !x.route.Idempotent(),
 		Group:      string(x.pool),
 		Proceed: func(via coordination.Instance) bool {
@@ -206,22 +214,19 @@
 	if x.stream.headSent {
 		return cut // the caller has received part of a stream, and this response is not one
 	}
+	body := buffer{hold: x.hold}
 	if resp.Length > maxBufferedBody {
-		return x.forwardLong(resp)
+		return x.forwardLong(resp, &body)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody+1))
-	if err != nil {
+	switch err := body.readAll(resp); {
+	case errors.Is(err, errTooLong), errors.Is(err, errNoMemory):
+		return x.forwardLong(resp, &body)
+	case err != nil:
 		return x.watch.result(broken)
-	}
-	if len(body) <= maxBufferedBody && x.endedByDeath(resp) {
+	case x.endedByDeath(resp):
 		return broken
 	}
-	if len(body) > maxBufferedBody {
-		return x.forwardLong(&upstream.Response{
-			Status: resp.Status, Header: resp.Header, Length: resp.Length, Undelimited: resp.Undelimited, Body: resp.Body,
-		}, body...)
-	}
-	x.write(resp, body)
+	x.write(resp, &body)
 	return delivered
 }
 
@@ -231,22 +236,22 @@
 }
 
 // write forwards a buffered response.
-func (x *exchange) write(resp *upstream.Response, body []byte) {
+func (x *exchange) write(resp *upstream.Response, body *buffer) {
 	x.copyHeader(resp)
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.Header().Set("Content-Length", strconv.FormatInt(body.size, 10))
 	x.w.WriteHeader(resp.Status)
-	_, _ = x.w.Write(body) // the caller may have disconnected
+	_ = body.writeTo(x.w) // the caller may have disconnected
 }
 
 // forwardLong forwards a response as it arrives, after the bytes already read.
-func (x *exchange) forwardLong(resp *upstream.Response, read ...byte) attemptResult {
+func (x *exchange) forwardLong(resp *upstream.Response, read *buffer) attemptResult {
 	x.copyHeader(resp)
 	if resp.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
 	x.w.WriteHeader(resp.Status)
 	x.stream.headSent, x.stream.unrepeatable = true, true
-	if _, err := x.w.Write(read); err != nil {
+	if read.writeTo(x.w) != nil {
 		return cut
 	}
 	if _, err := io.Copy(x.w, resp.Body); err != nil || x.endedByDeath(resp) {
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -14,6 +13,7 @@
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/capacity"
+	"wisteriaspool/coordination/memory"
 	"wisteriaspool/coordination/outcome"
 	"wisteriaspool/coordination/route"
 	"wisteriaspool/coordination/suspicion"
@@ -35,7 +35,9 @@
 	priority coordination.Priority
 	regions  route.Residency
 	pool     coordination.Pool
-	body     []byte
+	hold     *memory.Hold // what the request holds besides its body
+	body     requestBody
+	bodyRead bool      // nothing more is read of the body
 	deadline time.Time // by which the response must be complete; zero for no limit
 
 	evidence      outcome.Evidence
@@ -63,7 +65,11 @@
 const giveUpSlack = 100 * time.Millisecond
 
 func (x *exchange) serve() {
-	if !x.matchRoute() || !x.authenticate() || !x.fitsBeforeShutdown() || !x.readBody() {
+	if !x.matchRoute() || !x.authenticate() || !x.fitsBeforeShutdown() {
+		return
+	}
+	defer x.releaseMemory()
+	if !x.holdOverhead() || !x.readBody() {
 		return
 	}
 	// The shutdown may have begun while the body was read.
@@ -189,34 +195,6 @@
 	return x.server.ShutdownIn()
 }
 
-// defaultBodyBytes limits the size of a request body if the desired state does not.
-const defaultBodyBytes = 4 << 20
-
-// readBody reads the whole body, or refuses the request. The request can then be
-// sent again where that is allowed, and a slow caller does not occupy an endpoint.
-func (x *exchange) readBody() bool {
-	limit := int64(x.table.BodyBytes)
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if x.r.ContentLength > limit {
-		x.refuse(http.StatusRequestEntityTooLarge, "the body is too large", 0)
-		return false
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		x.refuse(http.StatusRequestEntityTooLarge, "the body is too large", 0)
-		return false
-	case err != nil:
-		x.refuse(http.StatusBadRequest, "the body cannot be read", 0)
-		return false
-	}
-	x.body = body
-	return true
-}
-
 // routingKey returns the key that routes the request to the endpoint that has its
 // prompt cached: the id of the longest part that other requests share, which is
 // the last but one part. A request without parts may go to any endpoint.
@@ -409,7 +387,7 @@
 		x.abortResponse(why)
 	}
 	if x.failure != nil {
-		x.write(x.failure.resp, x.failure.body)
+		x.write(x.failure.resp, &x.failure.body)
 		x.server.Metrics.ended(x, strconv.Itoa(x.failure.resp.Status))
 		return
 	}
@@ -442,11 +420,11 @@
 	x.emit(event.RelayRefused, event.F("account", x.account), event.F("status", status), event.F("why", why), event.F("retry-after-ms", after.Milliseconds()))
 	h := x.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(why)+1))
 	if after > 0 {
 		platform.SetRetryAfter(h, after)
 	}
-	x.w.WriteHeader(status)
-	_, _ = io.WriteString(x.w, why+"\n") // the caller may have disconnected
+	x.sendRefusal(status, why+"\n")
 }
 
 // emit logs an event with the fields of the request.
--- a/wisteriarouter/relay/metrics.go
+++ b/wisteriarouter/relay/metrics.go
@@ -19,6 +19,7 @@
 	refusals         *prometheus.CounterVec
 	sends            *prometheus.CounterVec
 	tokens           *prometheus.CounterVec
+	memoryRefusals   prometheus.Counter
 }
 
 // Buckets are in seconds. The longest time to first byte that is still on time is
@@ -47,7 +48,8 @@
 		sends:            counter("sends_total", "Attempts by what the endpoint is expected to have cached of the prompt: warm, fetched from another endpoint, or cold.", "pool", "cache"),
 		tokens:           counter("shared_tokens_total", "Tokens of the shared parts of prompts, by the same; those that are cold are read again.", "pool", "cache"),
 	}
-	r.MustRegister(m.requests, m.placeSeconds, m.firstByteSeconds, m.pauseSeconds, m.retries, m.refusals, m.sends, m.tokens)
+	m.memoryRefusals = prometheus.NewCounter(prometheus.CounterOpts{Name: "wisteria_relay_memory_refusals_total", Help: "Requests refused since those of their client account held too much memory."})
+	r.MustRegister(m.memoryRefusals, m.requests, m.placeSeconds, m.firstByteSeconds, m.pauseSeconds, m.retries, m.refusals, m.sends, m.tokens)
 	return m
 }
 
@@ -78,6 +80,12 @@
 	}
 }
 
+func (m *Metrics) refusedForMemory() {
+	if m != nil {
+		m.memoryRefusals.Inc()
+	}
+}
+
 func (m *Metrics) refused(x *exchange, status int) {
 	if m == nil {
 		return
--- a/wisteriarouter/relay/relay.go
+++ b/wisteriarouter/relay/relay.go
@@ -12,6 +12,7 @@
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/capacity"
+	"wisteriaspool/coordination/memory"
 	"wisteriaspool/coordination/outcome"
 	"wisteriaspool/coordination/route"
 	"wisteriaspool/platform"
@@ -159,6 +160,7 @@
 	Origins  Origins        // nil if endpoints have one version of their software
 	Log      event.Log
 	Metrics  *Metrics
+	Memory   *memory.Budget // what requests may hold; nil for no limit
 	// Stopping reports whether responses close their connections.
 	Stopping func() bool
 	// ShutdownIn returns the time until ShutdownContext is done for a router that accepts
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/memory"
 	"wisteriaspool/platform"
 	"wisteriaspool/wisteriarouter/upstream"
 )
@@ -79,7 +80,7 @@
 		x.w.WriteHeader(resp.Status)
 		x.stream.headSent = true
 	}
-	e := eventReader{body: resp.Body, buf: make([]byte, 0, streamBuffer)}
+	e := eventReader{body: resp.Body, hold: x.hold, buf: make([]byte, 0, streamBuffer)}
 	defer func() { x.stream.partial = len(e.rest()) }()
 	flush := http.NewResponseController(x.w).Flush
 	x.gaps.stream = true
@@ -138,20 +139,25 @@
 // eventReader reads complete events.
 type eventReader struct {
 	body *upstream.Body
+	hold *memory.Hold // of the memory beyond the initial buffer
 	buf  []byte
 	used int // number of bytes of buf already returned
 }
 
 // next returns the complete events after one read, which may be none. With io.EOF it
 // returns what is left. The error is io.ErrUnexpectedEOF if the body ends inside an
-// event, however it was delimited, and errEventTooLong if an event exceeds maxEvent.
+// event, however it was delimited, errEventTooLong if an event exceeds maxEvent, and
+// errNoMemory if the client account may not hold the event.
 func (e *eventReader) next() ([]byte, error) {
 	if len(e.rest()) > maxEvent {
 		return nil, errEventTooLong
 	}
-	e.buf = append(e.buf[:0], e.rest()...)
+	e.buf, e.used = append(e.buf[:0], e.rest()...), 0
 	if len(e.buf) == cap(e.buf) {
-		e.buf = append(e.buf, 0)[:len(e.buf)]
+		if !e.hold.Take(memory.Bytes(cap(e.buf))) {
+			return nil, errNoMemory
+		}
+		e.buf = append(make([]byte, 0, 2*cap(e.buf)), e.buf...)
 	}
 	n, err := e.body.Read(e.buf[len(e.buf):cap(e.buf)])
 	e.buf = e.buf[:len(e.buf)+n]
--- a/wisteriarouter/relay/suspects.go
+++ b/wisteriarouter/relay/suspects.go
@@ -69,7 +69,7 @@
 	if x.server.Suspects == nil {
 		return true
 	}
-	x.fingerprint = suspicion.FingerprintOf(string(x.account), route.Hostname(x.r.Host), x.r.URL.RequestURI(), string(x.body))
+	x.fingerprint = suspicion.FingerprintOfCall(x.body.buffer.segments, string(x.account), route.Hostname(x.r.Host), x.r.URL.RequestURI())
 	parts := lo.Map(platform.SharedParts(x.r.Header), func(id string, _ int) suspicion.Fingerprint { return suspicion.PartOf(id) })
 	tracked, refusal := x.server.Suspects.Track(ctx, Suspect{Request: x.fingerprint, Parts: parts}, x.pool)
 	if refusal != nil {
--- a/wisteriarouter/serve.go
+++ b/wisteriarouter/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/google/subcommands"
@@ -41,6 +42,9 @@
 	if cfg == nil {
 		return subcommands.ExitFailure
 	}
+	// Garbage is collected sooner when the process approaches the limit of its memory. The
+	// rest is for what the runtime does not count.
+	debug.SetMemoryLimit(int64(cfg.Limits.Memory) * 3 / 4)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	d, shutdown, err := daemon.Start(cfg)
--- a/wisteriarouter/upstream/conn.go
+++ b/wisteriarouter/upstream/conn.go
@@ -126,44 +126,75 @@
 
 // write sends a request, in the background if it is long.
 func (c *conn) write(r *Request) error {
-	b := encode(r)
+	length := r.bodyLength()
+	head := encodeHead(r, length)
 	c.written = nil
-	if len(b) <= inlineBody {
-		_, err := c.nc.Write(b)
+	if len(head)+length <= inlineBody {
+		defer r.sent()
+		_, err := c.nc.Write(appendAll(head, r.Body))
 		return err
 	}
 	c.written = make(chan struct{})
-	go writer{conn: c, data: b}.run()
+	go writer{conn: c, head: head, request: r}.run()
 	return nil
 }
 
+// singleWrite is the size in bytes up to which a request is copied, to be written in one
+// packet. A longer one is written without being copied.
+const singleWrite = 16 << 10
+
 // writer writes one request in the background.
 type writer struct {
-	conn *conn
-	data []byte
+	conn    *conn
+	head    []byte
+	request *Request
 }
 
 func (w writer) run() {
 	defer close(w.conn.written)
-	if _, err := w.conn.nc.Write(w.data); err != nil {
+	defer w.request.sent()
+	if err := w.write(); err != nil {
 		// Reading fails as well, unless the endpoint answered before it had read
 		// the whole request.
 		w.conn.writeFailed.Store(true)
 	}
 }
 
-// encode returns the request in HTTP/1.1 wire format. A single buffer keeps the
-// number of packets to a minimum.
-func encode(r *Request) []byte {
+func (w writer) write() error {
+	segments := w.request.Body
+	if len(segments) > 0 && len(w.head)+len(segments[0]) <= singleWrite {
+		w.head, segments = append(w.head, segments[0]...), segments[1:]
+	}
+	if _, err := w.conn.nc.Write(w.head); err != nil {
+		return err
+	}
+	for _, segment := range segments {
+		if _, err := w.conn.nc.Write(segment); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// appendAll appends the segments to b.
+func appendAll(b []byte, segments [][]byte) []byte {
+	for _, segment := range segments {
+		b = append(b, segment...)
+	}
+	return b
+}
+
+// encodeHead returns the request line and headers in HTTP/1.1 wire format. There is room
+// for a short body, so that both can be written in one packet.
+func encodeHead(r *Request, length int) []byte {
 	var b bytes.Buffer
-	b.Grow(len(r.Body) + 1<<10)
+	b.Grow(1<<10 + min(length, singleWrite))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.WriteSubset(&b, framing) // writes to a Buffer do not fail
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if length > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
--- a/wisteriarouter/upstream/upstream.go
+++ b/wisteriarouter/upstream/upstream.go
@@ -69,7 +69,10 @@
 	Target string // path and query as sent by the caller
 	Host   string
 	Header http.Header // without hop-by-hop headers
-	Body   []byte
+	Body   [][]byte    // in segments; not changed
+	// Sent, if set, is called once for each Send, when Body is not read any more. That
+	// may be after the response has arrived.
+	Sent func()
 	// AtMostOnce reports that the request may run at most once. It is not sent on a
 	// connection that has been idle for long: the endpoint may just be closing it,
 	// and whether the request has run could not be determined.
@@ -91,6 +94,19 @@
 	Matches func(status int, h http.Header) bool
 }
 
+func (r *Request) sent() {
+	if r.Sent != nil {
+		r.Sent()
+	}
+}
+
+func (r *Request) bodyLength() (n int) {
+	for _, segment := range r.Body {
+		n += len(segment)
+	}
+	return n
+}
+
 // Response is an endpoint's response. Its Body must be read to its end or closed.
 // The connection is reused only if it was read to its end.
 type Response struct {
@@ -206,9 +222,11 @@
 func (c *Client) Send(ctx context.Context, address string, r *Request) (*Response, error) {
 	cn, err := c.connect(ctx, address, r)
 	if err != nil {
+		r.sent()
 		return nil, err
 	}
 	if r.Proceed != nil && !r.Proceed(cn.via()) {
+		r.sent()
 		c.putBack(cn)
 		return nil, ErrWithheld.New("endpoint %s", address)
 	}
--- a/wisteriarouter/upstream/upstream_test.go
+++ b/wisteriarouter/upstream/upstream_test.go
@@ -296,7 +296,7 @@
 	}
 	c := newClient(t, upstream.Config{})
 	r := request("1")
-	r.Method, r.Body = "POST", []byte(strings.Repeat("x", 8<<20))
+	r.Method, r.Body = "POST", [][]byte{[]byte(strings.Repeat("x", 8<<20))}
 	body, err := do(c, e.address(), r)
 	assert.NilError(t, err)
 	assert.Equal(t, body, "no")
