No route passes on the API keys of callers

Cause: the header was taken off only if the account of the request had been found, and it was looked for only on routes that need a key. Authorization is now taken off whenever the desired state in force, or one before it, has client accounts. A known key on a public route sets the account. Ruled out: taking off known keys only, as a key that has just been revoked is not known.

--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -156,6 +156,10 @@
 // immutable, so it may be shared without locks. The zero Table has no routes.
 type Table struct {
 	State
+	// KeysInUse reports whether callers may send API keys: this state has client accounts,
+	// or one before it had.
+	KeysInUse bool
+
 	hosts map[string][]*Route // by host, longest prefix first
 
 	lowest, highest coordination.Priority // route priorities
@@ -163,7 +167,7 @@
 
 // NewTable returns the table of a state.
 func NewTable(s State) *Table {
-	t := &Table{State: s, hosts: make(map[string][]*Route)}
+	t := &Table{State: s, KeysInUse: s.Accounts != nil, hosts: make(map[string][]*Route)}
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -97,7 +97,8 @@
 	ID           string
 	Path         string
 	Tenant       string
-	LastEventID  string // id of the last event that the caller has received, from Last-Event-Id
+	Credentials  []string // values of Authorization
+	LastEventID  string   // id of the last event that the caller has received, from Last-Event-Id
 	KVFetch      string
 	Prompt       string // the parts of the prompt, from X-Prefix-Hash
 	Body         string
@@ -361,6 +362,7 @@
 	a := &Arrival{
 		StartedAt: time.Now(), Timeout: callerTimeout(req),
 		ID: req.Header.Get("X-Attempt-Id"), Path: req.URL.Path, Tenant: req.Header.Get("X-Tenant"),
+		Credentials: req.Header.Values("Authorization"),
 		LastEventID: req.Header.Get("Last-Event-Id"), KVFetch: req.Header.Get("Kv-Fetch"),
 		Prompt: req.Header.Get("X-Prefix-Hash"),
 	}
--- a/wisteriarouter/daemon/relay_desired.go
+++ b/wisteriarouter/daemon/relay_desired.go
@@ -85,7 +85,9 @@
 		d.log.Emit(event.SettingsInvalid, event.F("revision", item.Revision.Number()), event.F("version", s.Version), event.F("in-force", old.Version))
 		return
 	}
-	d.table.Store(route.NewTable(s))
+	table := route.NewTable(s)
+	table.KeysInUse = table.KeysInUse || old != nil && old.KeysInUse
+	d.table.Store(table)
 	d.placer.applyBounds(s, d.relay.Load())
 	d.log.Emit(event.SettingsApplied,
 		event.F("version", s.Version),
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -143,7 +143,7 @@
 		Endpoint:           p.Endpoint,
 		Deadline:           x.remaining(),
 		Account:            x.account,
-		StripAuthorization: x.account != "",
+		StripAuthorization: x.table.KeysInUse,
 		LastEvent:          x.stream.lastEventID,
 	}
 	f.Fetch = p.CacheSource
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -134,17 +134,17 @@
 	return x.arrived.Add(wait)
 }
 
-// authenticate checks the caller's API key, or refuses the request.
+// authenticate finds the client account that holds the caller's API key, or refuses the
+// request. A public route needs no key, but a request that has one is of its account.
 func (x *exchange) authenticate() bool {
-	if x.table.Accounts == nil || x.route.Public {
-		return true
-	}
 	tenant, ok := x.table.Tenant(x.metadata.Key)
-	if !ok {
+	switch {
+	case ok:
+		x.useTenant(tenant)
+	case x.table.Accounts != nil && !x.route.Public:
 		x.refuse(http.StatusUnauthorized, "the key is not known", 0)
 		return false
 	}
-	x.useTenant(tenant)
 	return true
 }
 
--- a/wisteriarouter/relay/preview.go
+++ b/wisteriarouter/relay/preview.go
@@ -56,10 +56,10 @@
 
 // previewAccount sets the account by its name instead of a key.
 func (x *exchange) previewAccount(name coordination.Account) PreviewProblem {
-	if x.table.Accounts == nil || x.route.Public {
+	switch {
+	case x.table.Accounts == nil, x.route.Public && name == "":
 		return ""
-	}
-	if name == "" {
+	case name == "":
 		return KeyRequired
 	}
 	key, ok := lo.FindKeyBy(x.table.Accounts, func(_ route.Key, t route.Tenant) bool { return t.Account == name })
