Routers that start notice a version that changed while none was running

Callers took up streams after all routers had been killed, and got the rest from another version of the software than the one that began them, with 200.

Cause: a pool that a new router has seen with one version only counted as one that has had no other for a minute. Ruled out: the notes on pools with several versions; where a router had seen both, all was refused.

The platform's store now has a lasting record of the version of each pool. A router that starts counts a recorded version as one that streams may have begun at. TestRelayRestartedFleetNoticesVersionThatNoRouterSawChange fails on the code before (200 where 503 is due) and passes now; with the same version after the restart streams go on, before and now.

--- a/wisteriarouter/daemon/relay_version_test.go
+++ b/wisteriarouter/daemon/relay_version_test.go
@@ -293,6 +293,54 @@
 	assert.Equal(t, fresh.status, 200)
 }
 
+// Guards against streams joined from two versions, as all routers were killed and an old
+// version was replaced by a new one while none was running to see it.
+func TestRelayRestartedFleetNoticesVersionThatNoRouterSawChange(t *testing.T) {
+	for _, tc := range []struct {
+		version string // of the endpoints after the restart
+		status  int
+	}{{"v1.1", http.StatusServiceUnavailable}, {"v1", http.StatusOK}} {
+		t.Run(tc.version, func(t *testing.T) {
+			s := newVersionedCluster(t, 2, 2, "v1")
+			s.awaitPrefix(platform.VersionsKey)
+			var streams []openStream
+			for n := range 8 {
+				streams = append(streams, s.begin(n%2, 1+n%6))
+			}
+			for _, st := range streams {
+				st.cancel()
+			}
+			for _, stop := range s.stops {
+				stop()
+			}
+			for n, r := range s.replicas {
+				s.kill[n]()
+				s.store.Delete(r.Key())
+			}
+			for n := range 2 {
+				s.addVersion(tc.version, 10+n)
+			}
+			s.addRouter()
+			s.awaitReady(2)
+			s.awaitEndpoints(2, 2)
+			for _, st := range streams {
+				got := s.resume(2, st)
+				assert.Equal(t, got.status, tc.status, got.body)
+			}
+			assert.Equal(t, s.send(2, "/resumable/2", "X-Prefix-Hash", freshID()+":50,cc:10").status, http.StatusOK)
+
+			// A second restart, before the pool counts as one of a single version again.
+			s.stops[2]()
+			s.addRouter()
+			s.awaitReady(3)
+			s.awaitEndpoints(3, 2)
+			for _, st := range streams {
+				assert.Equal(t, s.resume(3, st).status, tc.status)
+			}
+		})
+	}
+}
+
 // Guards against a restored store that makes routers forget that a pool had two versions:
 // those that saw them, and one that knew it from the store alone.
 func TestRelayRemembersMixedPoolOfRestoredStore(t *testing.T) {
--- a/wisteriarouter/daemon/versions.go
+++ b/wisteriarouter/daemon/versions.go
@@ -32,13 +32,19 @@
 	noteSpread = 100 * time.Millisecond
 	// noteCheckInterval is how often a router looks whether notes have to be renewed.
 	noteCheckInterval = 5 * time.Second
+	// recordSpread is the range of the random delay before the versions of pools are
+	// recorded. All routers find at one moment, when the fleet starts, that they are not.
+	recordSpread = 500 * time.Millisecond
 )
 
 // versionHistory tells which pools have endpoints of several versions of their software,
 // or had within maxStreamAge. What this router has seen is kept in the platform's store
 // as well, as notes that expire, so that routers that start know it, also after all have
-// been killed.
+// been killed. The store also has a lasting record of the version of each pool that has only
+// one. A router that starts compares the pools with it, so that it notices a change which
+// came while no router was running, or which none could note.
 type versionHistory struct {
+	mirror    *mirror.Mirror
 	store     noteStore
 	directory *endpoint.Directory
 	log       event.Log
@@ -49,6 +55,10 @@
 	gone    map[coordination.Pool]map[coordination.SoftwareVersion]time.Time // when each version was last listed
 	notes   map[coordination.Pool]map[string]note                            // by key
 	latest  map[coordination.Pool]kv.Revision                                // of the latest note
+	// inherited is the record that this router has found in the store, and inheritedAt
+	// when, which is zero before. Streams that began at these versions may be taken up.
+	inherited   map[coordination.Pool]coordination.SoftwareVersion
+	inheritedAt time.Time
 }
 
 // note is a note in the store that a pool is mixed.
@@ -63,10 +73,12 @@
 type noteStore interface {
 	Grant(ctx context.Context, ttl time.Duration) (kv.Lease, kv.Result)
 	Create(ctx context.Context, key string, value []byte, lease kv.Lease) kv.Result
+	Replace(ctx context.Context, key string, value []byte, revision kv.Revision, lease kv.Lease) kv.Result
 }
 
 func newVersionHistory(i do.Injector) (*versionHistory, error) {
 	h := &versionHistory{
+		mirror:    do.MustInvoke[*mirror.Mirror](i),
 		store:     do.MustInvoke[*platform.Store](i),
 		directory: do.MustInvoke[*endpoint.Directory](i),
 		log:       logOf(i),
@@ -76,10 +88,11 @@
 		notes:     make(map[coordination.Pool]map[string]note),
 		latest:    make(map[coordination.Pool]kv.Revision),
 	}
-	do.MustInvoke[*mirror.Mirror](i).Observe(h.applyChanges)
+	h.mirror.Observe(h.applyChanges)
 	do.MustInvoke[*placer](i).observe(h.update)
 	ctx, cancel := context.WithCancel(context.Background())
 	go h.loop(ctx)
+	go h.run(ctx)
 	onStop(i, cancel)
 	return h, nil
 }
@@ -92,6 +105,8 @@
 	for _, item := range n.Items {
 		pool, ok := platform.MixedPool(item.Key)
 		switch {
+		case item.Key == platform.VersionsKey:
+			h.inherit(item)
 		case !ok:
 		case !item.Deleted:
 			if h.notes[pool] == nil {
@@ -111,6 +126,20 @@
 	}
 }
 
+// inherit reads the record of the versions if it is the first that this router sees. Later
+// ones tell nothing that it has not seen itself. The caller holds h.mu.
+func (h *versionHistory) inherit(item mirror.Item) {
+	if !h.inheritedAt.IsZero() || item.Deleted {
+		return
+	}
+	versions, err := platform.DecodeVersions(item.Value)
+	if err != nil {
+		h.log.Emit(event.SettingsInvalid, event.F("key", item.Key), event.F("revision", item.Revision.Number()), event.F("error", err.Error()))
+		return
+	}
+	h.inherited, h.inheritedAt = versions, time.Now()
+}
+
 // signalChange makes the loop look for pools to note. It does not block.
 func (h *versionHistory) signalChange() {
 	select {
@@ -170,6 +199,9 @@
 // addRecent adds to a set the versions that the endpoints of a pool have had lately. The
 // caller holds h.mu.
 func (h *versionHistory) addRecent(now time.Time, pool coordination.Pool, versions versionSet) {
+	if v, ok := h.inherited[pool]; ok && now.Sub(h.inheritedAt) <= maxStreamAge {
+		versions[v] = true
+	}
 	for v := range h.current[pool] {
 		versions[v] = true
 	}
@@ -242,3 +274,63 @@
 	}
 	h.log.Emit(event.MixedVersions, event.F("pool", pool), event.F("status", res.Status.String()), event.F("error", errorText(res.Err)))
 }
+
+// run records the versions of pools that have one version only.
+func (h *versionHistory) run(ctx context.Context) {
+	t := time.NewTicker(recordSpread)
+	defer t.Stop()
+	h.mirror.Wait(ctx, 0, nil)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if _, _, changed := h.unrecorded(); changed && coordination.Sleep(ctx, rand.N(recordSpread)) {
+			h.record(ctx)
+		}
+	}
+}
+
+// unrecorded returns what the record should be, and the revision of the one in the store,
+// or zero if there is none. It reports whether they differ. A pool that is mixed, or was
+// lately, keeps its former record: routers that start meanwhile must not take it for one
+// that has always had one version.
+func (h *versionHistory) unrecorded() (versions map[coordination.Pool]coordination.SoftwareVersion, revision kv.Revision, changed bool) {
+	item, ok := h.mirror.Find(platform.VersionsKey)
+	if ok {
+		revision = item.Revision
+		// What cannot be decoded is overwritten.
+		versions, _ = platform.DecodeVersions(item.Value)
+	}
+	if versions == nil {
+		versions = make(map[coordination.Pool]coordination.SoftwareVersion)
+	}
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for pool, current := range h.current {
+		all := maps.Clone(current)
+		h.addRecent(now, pool, all)
+		if len(all) != 1 || h.noted(now, pool) {
+			continue
+		}
+		for v := range all {
+			if recorded, ok := versions[pool]; !ok || recorded != v {
+				versions[pool], changed = v, true
+			}
+		}
+	}
+	return versions, revision, changed
+}
+
+// record writes the record, unless another router has done so. If that fails, the next
+// check tries again.
+func (h *versionHistory) record(ctx context.Context) {
+	versions, revision, changed := h.unrecorded()
+	if !changed {
+		return
+	}
+	res := h.store.Replace(ctx, platform.VersionsKey, platform.EncodeVersions(versions), revision, 0)
+	h.log.Emit(event.VersionsRecorded, event.F("pools", len(versions)), event.F("status", res.Status.String()), event.F("error", errorText(res.Err)))
+}
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -76,6 +76,7 @@
 	PartCleared         = Kind{526, "part-cleared", logrus.WarnLevel, "Requests with a part that was refused, or exempt, are served again: one has completed, or an operator has cleared the part."}
 	SuspectCleared      = Kind{527, "suspect-cleared", logrus.WarnLevel, "An operator cleared a request or a part of prompts under which endpoints have ended; gives who did and why."}
 	EndpointNotReturned = Kind{528, "endpoint-not-returned", logrus.InfoLevel, "A restored store has an entry of an endpoint again that had been removed; the endpoint gets no requests until it writes a later entry, or until the entry has stayed for some seconds."}
+	VersionsRecorded    = Kind{530, "versions-recorded", logrus.InfoLevel, "The versions of the software of pools were written to the platform's store, so that routers which start later notice a change that no router has seen. The status is conflict if another router had written them. Gives the error if they could not be written; the router tries again."}
 	EndpointCapacity    = Kind{529, "endpoint-capacity", logrus.InfoLevel, "The measured speed of an endpoint that this router counts has moved away from the mean of its pool, or back to it, or the number of concurrent requests that it handles well has changed; gives its pace and the pool's mean in percent, that limit, and the slots. At most one line a second for each endpoint. If one endpoint stays slow, check its machine."}
 	EndpointDetour      = Kind{519, "endpoint-detour", logrus.WarnLevel, "This router cannot connect to an endpoint, or not as fast as another router that has connected for it; requests go through other routers for some seconds. If this names many endpoints, check the links of this router."}
 )
@@ -122,7 +123,7 @@
 		PlatformLost, PlatformBack, WatchOverdue, StoreRestored,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumorShed, PeerBusy, PeerAway, PeerBack, HintFailed, CatchUpFailed, OriginNotKept,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
-		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour, ConvictionStored, RecordsMissed, ConvictionNotStored, MixedVersions, PartConvicted, PartExempt, PartCleared, SuspectCleared, EndpointNotReturned, EndpointCapacity,
+		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour, ConvictionStored, RecordsMissed, ConvictionNotStored, MixedVersions, PartConvicted, PartExempt, PartCleared, SuspectCleared, EndpointNotReturned, EndpointCapacity, VersionsRecorded,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
 		OrderGiven,
 		RelayAttempt, RelayAttemptLost, RelayRefused, RelayCut, RelayCallerGone, RelayBudgetSpent, RelayPlaced, RelayOverdue, RelayCrash, RelayTakenUp,
