Test of uploads reads all responses at once, and serves other accounts beside them

Read one after the other with 0.3 s each, the last ones could be those of uploads whose deadline had passed on a busy machine (408 in place of 503).

--- a/wisteriarouter/daemon/relay_memory_test.go
+++ b/wisteriarouter/daemon/relay_memory_test.go
@@ -57,15 +57,25 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 4000\r\nAuthorization: Bearer k1\r\n%s\r\n\r\n", path, freshID(), framing)
 }
 
-// refusal reads the response to an upload that is not whole; nil if there is none within
-// some time.
-func (c *connection) refusal() *http.Response {
-	assert.NilError(c.t, c.SetReadDeadline(time.Now().Add(300*time.Millisecond)))
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+// upload sends a part of a request on a connection of its own and reads the response, if
+// there is one while the router waits for the rest.
+type upload struct {
+	connection *connection
+	text       string
+	got        chan<- *http.Response // nil if there is no response
+}
+
+// uploadWait is how long an upload waits for a response: less than its route allows.
+const uploadWait = 1500 * time.Millisecond
+
+func (u upload) run() {
+	go u.connection.send(u.text)
+	_ = u.connection.SetReadDeadline(time.Now().Add(uploadWait)) // reading fails if this does
+	resp, err := http.ReadResponse(u.connection.r, nil)
 	if err != nil {
-		return nil
+		resp = nil
 	}
-	return resp
+	u.got <- resp
 }
 
 // Guards against uploads of one client account that exhaust the memory of a router, with
@@ -78,15 +88,22 @@
 			if chunked {
 				part = fmt.Sprintf("%x\r\n%s", largeBody, part)
 			}
-			var uploads []*connection
-			for range 24 {
-				c := s.connect(0)
-				go c.send(largeHead("/unsafe/upload", chunked) + part)
-				uploads = append(uploads, c)
+			const uploads = 24
+			got := make(chan *http.Response, uploads)
+			for range uploads {
+				go upload{s.connect(0), largeHead("/unsafe/upload", chunked) + part, got}.run()
 			}
+			time.Sleep(300 * time.Millisecond) // until the uploads have begun
+			for range 20 {
+				assert.Equal(t, s.send(0, "/unsafe/small", "Authorization", "Bearer k2").status, http.StatusOK)
+				assert.Equal(t, s.send(0, "/unsafe/small").status, http.StatusOK)
+			}
+			large := s.request(t.Context(), 0, "/unsafe/large", "Authorization", "Bearer k2")
+			large.Body, large.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("y", largeBody))), largeBody
+			assert.Equal(t, s.do(large).status, http.StatusOK)
 			refused := 0
-			for _, c := range uploads {
-				resp := c.refusal()
+			for range uploads {
+				resp := <-got
 				if resp == nil {
 					continue
 				}
@@ -94,14 +111,7 @@
 				assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
 				assert.Assert(t, resp.Header.Get("Retry-After") != "")
 			}
-			assert.Assert(t, refused >= 18 && refused < 24, "%d of 24 were refused", refused)
-			for range 20 {
-				assert.Equal(t, s.send(0, "/unsafe/small", "Authorization", "Bearer k2").status, http.StatusOK)
-				assert.Equal(t, s.send(0, "/unsafe/small").status, http.StatusOK)
-			}
-			large := s.request(t.Context(), 0, "/unsafe/large", "Authorization", "Bearer k2")
-			large.Body, large.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("y", largeBody))), largeBody
-			assert.Equal(t, s.do(large).status, http.StatusOK)
+			assert.Assert(t, refused >= 18 && refused < uploads, "%d of %d were refused", refused, uploads)
 			assert.Assert(t, s.heldBytes("peak") <= s.heldBytes("limit"))
 			assert.Equal(t, s.runs("/unsafe/upload"), 0)
 		})
