Stand-in store: a waiting watch does not skip changes that were discarded

Traced: the test holds a change back from the watches and discards the history. A watch that was waiting meanwhile got the next event that came and the revision behind it, without the change before: the stand-in let it skip what it had discarded. The platform's page has 410 for that, and a store loses nothing that it has acknowledged. The stand-in now answers 410.

--- a/standin/hub/hub.go
+++ b/standin/hub/hub.go
@@ -284,8 +284,8 @@
 
 // eventsAfter returns the events after a revision and the store's current
 // revision. first marks the first check of a watch: only that one reports a
-// compacted revision, and only that one returns events while StallWatches is
-// set.
+// compacted revision at once, and only that one returns events while StallWatches is
+// set. A later check reports it in place of events: those before them were discarded.
 func (s *Store) eventsAfter(prefix string, after int64, first bool) ([]Item, int64, historyStatus) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -303,6 +303,9 @@
 			events = append(events, item)
 		}
 	}
+	if len(events) > 0 && after < s.compacted {
+		return nil, 0, historyCompacted
+	}
 	return events, s.revision, historyAvailable
 }
 
