A router out of step does not guess at which version a stream began

What callers saw: a stream that had begun at an endpoint of a newer version, through another router, went on at an older version at a router that was cut off (ORDER).

Cause: if no router knew a stream, its pool counted as one of a single version when this router's own view said so and was "recent": the mirror younger than 4.2 s, or any one reply of another router, or no name of the stream at all. None of these shows that no other version has joined. Once the failure detector had given up the others, nobody was asked and nobody counted as silent. The class: no news, an empty list of routers or a missing reply taken for nothing to fear.

Change: the router compares its mirror with the store after the request has come (mirror.Feed.Confirm: one linearizable read, shared by the requests that wait, and the changes if there are any). If the store does not reply to it, it asks six routers that were members within a minute, across zones, which do the same. Without the store the version counts as certain only if all of them reply, see the same single version, and the store has confirmed that within a minute. Else the stream is refused at once. The version is fixed for the placement. Event 809 tells how many were asked, and whether the store has confirmed the version.

--- a/coordination/mirror/fakestore_test.go
+++ b/coordination/mirror/fakestore_test.go
@@ -103,6 +103,16 @@
 	return kv.Result{Status: kv.Applied, Revision: s.asOf}
 }
 
+func (s *fakeStore) Revision(context.Context) kv.Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return kv.Result{Status: kv.Unavailable, Err: errDown}
+	}
+	return kv.Result{Status: kv.Applied, Revision: s.asOf}
+}
+
 func (s *fakeStore) List(_ context.Context, _ string) kv.Result {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/coordination/mirror/feed.go
+++ b/coordination/mirror/feed.go
@@ -45,13 +45,14 @@
 // router the others ask. A router that the store rejects still learns of
 // changes from the routers that the store serves.
 type Feed struct {
-	cfg     FeedConfig
-	store   *Follower
-	peers   *Follower
-	server  *Server
-	hints   *hintSender
-	fetcher *fetcher
-	started chan struct{}
+	cfg      FeedConfig
+	store    *Follower
+	peers    *Follower
+	server   *Server
+	hints    *hintSender
+	fetcher  *fetcher
+	confirms confirmer
+	started  chan struct{}
 
 	mu             sync.Mutex
 	candidates     *watcherCandidates                  // for the routers that were alive at the last call of currentCandidates
@@ -79,6 +80,7 @@
 		confirmedAt:    make(map[coordination.Instance]time.Time),
 	}
 	f.hints, f.fetcher = newHintSender(f), newFetcher(f)
+	f.confirms.feed = f
 	f.store = &Follower{
 		Mirror:     cfg.Mirror,
 		Source:     StoreSource{Store: cfg.Store, Prefix: cfg.Prefix, Wait: f.watchWait, OnOverdue: cfg.OnOverdue},
--- a/coordination/mirror/fleet_test.go
+++ b/coordination/mirror/fleet_test.go
@@ -247,6 +247,14 @@
 	return s.fleet.store.Ping(ctx)
 }
 
+func (s routerStore) Revision(ctx context.Context) kv.Result {
+	timeout := time.After(storeTimeout)
+	if !coordination.Sleep(ctx, 2*s.fleet.delay) || !s.awaitAnswer(ctx, timeout) {
+		return kv.Result{Status: kv.Unavailable, Err: errDown}
+	}
+	return s.fleet.store.Revision(ctx)
+}
+
 func (s routerStore) List(ctx context.Context, prefix string) kv.Result {
 	timeout := time.After(storeTimeout)
 	time.Sleep(2 * s.fleet.delay)
--- a/coordination/mirror/store.go
+++ b/coordination/mirror/store.go
@@ -21,6 +21,8 @@
 	// change of a key advances and which may be seconds old. It costs a small part
 	// of the price of a watch.
 	Ping(ctx context.Context) kv.Result
+	// Revision returns the revision of the store at some moment of the call.
+	Revision(ctx context.Context) kv.Result
 }
 
 var (
--- a/coordination/origin/keeper.go
+++ b/coordination/origin/keeper.go
@@ -205,6 +205,9 @@
 	Silent  int                   // routers that did not reply
 }
 
+// Asked returns how many routers were asked.
+func (f Found) Asked() int { return f.Replied + f.Silent }
+
 // Find searches for a stream, here and at the routers that may keep it.
 func (k *Keeper) Find(ctx context.Context, attempt coordination.Attempt, pool coordination.Pool) Found {
 	if attempt == "" {
--- a/wisteriarouter/daemon/origins.go
+++ b/wisteriarouter/daemon/origins.go
@@ -26,6 +26,7 @@
 type origins struct {
 	keeper  *origin.Keeper
 	writer  *origin.Writer
+	witness *origin.Witness
 	history *versionHistory
 	mirror  *mirror.Mirror
 	log     event.Log
@@ -91,7 +92,7 @@
 	})
 	onStop(i, stopWriter)
 	o := &origins{
-		keeper: keeper, writer: writer, history: do.MustInvoke[*versionHistory](i), mirror: do.MustInvoke[*mirror.Mirror](i), log: log,
+		keeper: keeper, writer: writer, witness: newWitness(i), history: do.MustInvoke[*versionHistory](i), mirror: do.MustInvoke[*mirror.Mirror](i), log: log,
 		loadedBy: stateOf(i).started.Add(originLoadWait), loaded: make(chan struct{}),
 	}
 	o.history.onMixed(func(p coordination.Pool) { writer.Write(keeper.Own(p)...) })
@@ -104,6 +105,25 @@
 	return o, nil
 }
 
+// newWitness creates what finds out whether a pool has one version of its software.
+func newWitness(i do.Injector) *origin.Witness {
+	node := do.MustInvoke[*peer.Node](i)
+	history := do.MustInvoke[*versionHistory](i)
+	w := origin.NewWitness(origin.WitnessConfig{
+		Self:      node.Self().Instance,
+		Transport: do.MustInvoke[*peer.FailureDetector](i),
+		Recent:    do.MustInvoke[*recentRouters](i).list,
+		Confirm:   do.MustInvoke[*mirror.Feed](i).Confirm,
+		View:      history.view,
+		Recently:  history.recent,
+		Alone:     len(configOf(i).Peers.Seeds) == 0,
+	})
+	node.Handle(origin.TopicView, func(ctx context.Context, _ coordination.Instance, payload []byte) ([]byte, error) {
+		return w.HandleView(ctx, payload)
+	})
+	return w
+}
+
 // responsiveRouters lists the routers that reply, with their incarnations.
 type responsiveRouters struct{ detector *peer.FailureDetector }
 
@@ -204,24 +224,29 @@
 // router knows: it may not have heard of another one yet.
 func (o *origins) Find(ctx context.Context, a coordination.Attempt, p coordination.Pool) relay.Origin {
 	f := o.keeper.Find(ctx, a, p)
-	if !f.Known && o.history.Single(p) && (a == "" || o.inTouch(f)) {
-		return relay.Origin{AnyVersion: true, Silent: f.Silent}
+	if f.Known {
+		return knownOrigin(f)
+	}
+	t := o.witness.Ask(ctx, p)
+	if t.Single {
+		return relay.Origin{Single: true, Version: t.Version, Confirmed: t.Confirmed, Asked: f.Asked() + t.Asked, Silent: f.Silent + t.Silent}
 	}
+	// A router that cannot tell whether its pool has one version does not reach the store.
+	readable := !o.history.Single(p)
 	for !f.Known && o.mayLearn() && coordination.Sleep(ctx, originAskPause) {
 		f = o.keeper.Find(ctx, a, p)
 	}
-	if !f.Known && a != "" {
+	if !f.Known && a != "" && readable {
 		o.reload(ctx)
 		f = o.keeper.Find(ctx, a, p)
 	}
-	return relay.Origin{Known: f.Known, Version: f.Version, From: f.From, Silent: f.Silent}
+	result := knownOrigin(f)
+	result.Asked, result.Silent = result.Asked+t.Asked, result.Silent+t.Silent
+	return result
 }
 
-// inTouch reports whether what this router knows of a pool's versions is recent, or has been
-// compared with what other routers know of a stream.
-func (o *origins) inTouch(f origin.Found) bool {
-	alone := o.joined.IsZero() && f.Silent == 0
-	return alone || f.Replied > 0 || o.mirror.Age() <= mirror.OutageThreshold
+func knownOrigin(f origin.Found) relay.Origin {
+	return relay.Origin{Known: f.Known, Version: f.Version, From: f.From, Asked: f.Asked(), Silent: f.Silent}
 }
 
 // handOverTimeout limits how long a router that stops tells others of streams.
--- a/wisteriarouter/daemon/relay_desired.go
+++ b/wisteriarouter/daemon/relay_desired.go
@@ -34,7 +34,7 @@
 	d := &desiredState{
 		log:     logOf(i),
 		placer:  do.MustInvoke[*placer](i),
-		callLog: new(mirror.CallLog),
+		callLog: do.MustInvoke[*mirror.CallLog](i),
 		ready:   make(chan struct{}),
 	}
 	d.evacuations = newEvacuations(d.placer, d.log)
@@ -49,7 +49,7 @@
 	do.MustInvoke[*origins](i).writer.OnMalformed(malformedBatchLogger{d.log}.logBatch) // with the versions of pools
 	m.Observe(d.applyChanges)
 	m.Observe(newBehindMetric(do.MustInvoke[*prometheus.Registry](i)))
-	d.asked = startFeed(i, m, d.callLog)
+	d.asked = startFeed(i)
 	return d, nil
 }
 
--- a/wisteriarouter/daemon/relay_site_test.go
+++ b/wisteriarouter/daemon/relay_site_test.go
@@ -158,11 +158,17 @@
 }
 
 func (s *relayCluster) addRouter() {
-	n := len(s.routers)
 	var seeds string
-	if n > 0 {
-		seeds = "seeds = " + s.routers[0].PeersAddress()
+	if len(s.routers) > 0 {
+		seeds = s.routers[0].PeersAddress()
 	}
+	s.addRouterWith(s.address, "127.0.0.1:0", "seeds = "+seeds)
+}
+
+// addRouterWith adds a router with an address of the store, one at which it listens for other
+// routers, and lines of the section [peers].
+func (s *relayCluster) addRouterWith(store, listen, peers string) {
+	n := len(s.routers)
 	text := fmt.Sprintf(`
 [router]
 instance = r%d
@@ -174,7 +180,7 @@
 [listen]
 callers = 127.0.0.1:0
 operators = 127.0.0.1:0
-peers = 127.0.0.1:0
+peers = %s
 [peers]
 %s
 [relay]
@@ -184,7 +190,7 @@
 stop-delay = 50ms
 stop-within = 5s
 %s
-`, n, seeds, s.address, s.limits)
+`, n, listen, peers, store, s.limits)
 	cfg, problems := config.Parse("test", []byte(text))
 	assert.Equal(s.t, len(problems), 0, "%v", problems)
 	dial := (&net.Dialer{Timeout: 400 * time.Millisecond}).DialContext
--- a/wisteriarouter/daemon/relay_store.go
+++ b/wisteriarouter/daemon/relay_store.go
@@ -40,22 +40,19 @@
 	return m, nil
 }
 
-// startFeed starts to feed the mirror from the store and from other routers.
-// All observers of the mirror have to be set before. The returned channel is closed when
-// this router has asked the others what they knew before a restore of the store.
-func startFeed(i do.Injector, m *mirror.Mirror, callLog *mirror.CallLog) <-chan struct{} {
+// newFeed creates the feed of the mirror, which answers other routers until it is started.
+func newFeed(i do.Injector) (*mirror.Feed, error) {
 	node := do.MustInvoke[*peer.Node](i)
-	detector := do.MustInvoke[*peer.FailureDetector](i)
 	f := mirror.NewFeed(mirror.FeedConfig{
 		Self:          node.Self().Instance,
 		Prefix:        platform.WatchPrefix,
-		Mirror:        m,
+		Mirror:        do.MustInvoke[*mirror.Mirror](i),
 		Store:         do.MustInvoke[*platform.Store](i),
-		Transport:     detector,
+		Transport:     do.MustInvoke[*peer.FailureDetector](i),
 		Routers:       do.MustInvoke[*fleet](i).routers,
 		OnState:       storeLogger{logOf(i)}.logStatus,
 		OnOverdue:     newOverdueReporter(i).report,
-		CallLog:       callLog,
+		CallLog:       do.MustInvoke[*mirror.CallLog](i),
 		Alone:         len(configOf(i).Peers.Seeds) == 0,
 		OnHintFailure: hintFailureLogger{logOf(i)}.logFailure,
 	})
@@ -66,7 +63,15 @@
 	node.Handle(mirror.TopicRetained, func(_ context.Context, _ coordination.Instance, payload []byte) ([]byte, error) {
 		return f.HandleRetained(payload)
 	})
-	detector.Watch(f.RecheckStore)
+	return f, nil
+}
+
+// startFeed starts to feed the mirror from the store and from other routers.
+// All observers of the mirror have to be set before. The returned channel is closed when
+// this router has asked the others what they knew before a restore of the store.
+func startFeed(i do.Injector) <-chan struct{} {
+	f := do.MustInvoke[*mirror.Feed](i)
+	do.MustInvoke[*peer.FailureDetector](i).Watch(f.RecheckStore)
 	onStop(i, f.Start())
 	return f.Started()
 }
--- a/wisteriarouter/daemon/versions.go
+++ b/wisteriarouter/daemon/versions.go
@@ -13,6 +13,7 @@
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/kv"
 	"wisteriaspool/coordination/mirror"
+	"wisteriaspool/coordination/origin"
 	"wisteriaspool/platform"
 	"wisteriaspool/wisteriarouter/endpoint"
 	"wisteriaspool/wisteriarouter/event"
@@ -244,8 +245,24 @@
 }
 
 // Single reports whether all endpoints of a pool have, and had for as long as a stream
-// may last, one version of their software.
+// may last, one version of their software, as far as this router knows.
 func (h *versionHistory) Single(pool coordination.Pool) bool {
+	_, single := h.only(pool)
+	return single
+}
+
+// view returns what this router knows of a pool's versions.
+func (h *versionHistory) view(pool coordination.Pool) origin.View {
+	v, single := h.only(pool)
+	return origin.View{Single: single, Version: v}
+}
+
+// recent reports whether the store has confirmed what this router knows within maxStreamAge.
+func (h *versionHistory) recent() bool { return h.mirror.Age() <= maxStreamAge }
+
+// only returns the version of a pool's endpoints, which is empty if it has none, and whether
+// there is, and was for as long as a stream may last, no other.
+func (h *versionHistory) only(pool coordination.Pool) (v coordination.SoftwareVersion, single bool) {
 	versions := make(versionSet)
 	for _, k := range h.directory.Pool(pool) {
 		versions[k.Version] = true
@@ -254,7 +271,10 @@
 	defer h.mu.Unlock()
 	now := time.Now()
 	h.addRecent(now, pool, versions)
-	return len(versions) <= 1 && !h.noted(now, pool)
+	for v = range versions {
+		break
+	}
+	return v, len(versions) <= 1 && !h.noted(now, pool)
 }
 
 // noted reports whether there is a note on a pool, and forgets lost ones that would have
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -117,7 +117,7 @@
 
 // Events of streams that callers take up.
 var (
-	RelayTakenUp  = Kind{809, "relay-taken-up", logrus.InfoLevel, "A caller asks for the rest of a stream; gives the attempt that brought its first event, at which version of the software it began, which router knew that, and how many did not reply. With any-version, all endpoints of the pool have had one version for long enough. If it is not known, the request is refused: see 802."}
+	RelayTakenUp  = Kind{809, "relay-taken-up", logrus.InfoLevel, "A caller asks for the rest of a stream; gives the attempt that brought its first event, at which version of the software it began, which router knew that, how many were asked, and how many of them did not reply. With single-version, all endpoints of the pool have had one version for long enough, and with confirmed the store says so now. If the version is not known, the request is refused: see 802."}
 	OriginNotKept = Kind{411, "origin-not-kept", logrus.InfoLevel, "A router could not be told at which version streams began; another one is told in its place. If this continues, see whether that router is overloaded or cut off."}
 )
 
--- a/wisteriarouter/relay/origin.go
+++ b/wisteriarouter/relay/origin.go
@@ -12,13 +12,15 @@
 
 // Origin is what is known of the beginning of a stream.
 type Origin struct {
-	// AnyVersion reports that the stream may go on at any endpoint of its pool: all have
-	// had one version of their software for as long as the stream can have lasted.
-	AnyVersion bool
-	Known      bool
-	Version    coordination.SoftwareVersion // at which the stream began, if that is known
-	From       coordination.Instance        // the router that knew it
-	Silent     int                          // routers that were asked and did not reply
+	Known bool                  // a router knew at which version the stream began
+	From  coordination.Instance // that router
+	// Single reports that all endpoints of the stream's pool have had one version of their
+	// software for as long as the stream can have lasted.
+	Single    bool
+	Confirmed bool                         // the store has confirmed Single
+	Version   coordination.SoftwareVersion // at which the stream began, if it is Known or Single
+	Asked     int                          // routers that were asked
+	Silent    int                          // routers among them that did not reply
 }
 
 // Origins knows at which version of the software streams began.
@@ -52,21 +54,22 @@
 	x.emit(event.RelayTakenUp,
 		event.F("resumes", x.metadata.Resumes),
 		event.F("after-event", x.resumesAfter()),
-		event.F("any-version", o.AnyVersion),
 		event.F("known", o.Known),
+		event.F("single-version", o.Single),
+		event.F("confirmed", o.Confirmed),
 		event.F("software-version", o.Version),
 		event.F("from", o.From),
+		event.F("asked", o.Asked),
 		event.F("silent", o.Silent),
 		event.F("find-ms", time.Since(asked).Milliseconds()),
 	)
 	switch {
-	case o.AnyVersion:
-		return true
-	case o.Known && !x.server.Placer.HasVersion(x.pool, o.Version):
+	case !o.Known && !o.Single:
+	case !x.server.Placer.HasVersion(x.pool, o.Version):
 		// A suspect would wait before its placement is refused.
 		x.refuse(http.StatusServiceUnavailable, "no endpoint has the version of the software that began the stream", retryAfterVersionGone)
 		return false
-	case o.Known:
+	default:
 		x.stream.began, x.stream.version = true, o.Version
 		return true
 	}
