Events of an attempt that was given up as overdue are not forwarded

Cause: an attempt whose first event is overdue is given up in favour of one at another endpoint, which was chosen for a stream that has not begun. If the first event had arrived just then, or lay in the buffer behind the head, it was forwarded all the same, and the second attempt went on after it, at any version. The class: a decision that is taken in one goroutine and not looked at in the other.

Change: an event of an attempt that was given up is not forwarded. The second attempt writes the stream from its beginning.

--- a/wisteriarouter/relay/silence.go
+++ b/wisteriarouter/relay/silence.go
@@ -87,12 +87,16 @@
 	}
 }
 
-// recordFirstByte records that the response has begun.
-func (w *responseWatch) recordFirstByte(now time.Time) {
+// recordFirstByte records that the response has begun. It returns false if the request has
+// moved to another endpoint, which writes the response from its beginning.
+func (w *responseWatch) recordFirstByte(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.firstByteSeen {
-		return
+		return true
+	}
+	if w.next != nil {
+		return false
 	}
 	w.firstByteSeen = true
 	if w.timer != nil {
@@ -101,6 +105,7 @@
 	if w.placement.Observer != nil {
 		w.placement.Observer.RecordFirstByte(now.Sub(w.began))
 	}
+	return true
 }
 
 // result returns silent if the attempt was cancelled as overdue, and otherwise the
--- a/wisteriarouter/relay/silence_test.go
+++ b/wisteriarouter/relay/silence_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -14,6 +16,8 @@
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/coordination/route"
+	"wisteriaspool/wisteriarouter/upstream"
 )
 
 // A response must become overdue while there is still time for another attempt.
@@ -148,3 +152,48 @@
 		assert.Equal(t, second.Load(), test.second)
 	}
 }
+
+// lateSender returns the response of an address only once its attempt has been given up.
+type lateSender struct {
+	Sender
+	address string
+}
+
+func (s lateSender) Send(ctx context.Context, address string, r *upstream.Request) (*upstream.Response, error) {
+	resp, err := s.Sender.Send(ctx, address, r)
+	if address == s.address {
+		<-ctx.Done()
+	}
+	return resp, err
+}
+
+// streamEndpoint starts an endpoint that writes events up to an id, which name it. It ends the
+// stream after the second one, or else when its caller leaves. It returns its address.
+func streamEndpoint(t *testing.T, name string, last int) string {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("X-Server-Signature", "s")
+		w.Header().Set("Content-Type", "text/event-stream")
+		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		for n := after + 1; n <= last; n++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, name)
+		}
+		_ = http.NewResponseController(w).Flush()
+		if last < 2 {
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+// Guards against a stream of two endpoints' events, as the first event arrives just when the
+// request moves on because it is overdue.
+func TestEventsOfOverdueAttemptAreNotForwarded(t *testing.T) {
+	client, cleanup := upstream.NewClient(upstream.Config{})
+	defer cleanup()
+	p := &listPlacer{firstByteLimit: 20 * time.Millisecond, addresses: []string{streamEndpoint(t, "first", 1), streamEndpoint(t, "second", 2)}}
+	w := serveRoute(t, route.Route{Kind: route.Stream, Resumable: true}, lateSender{client, p.addresses[0]}, p, nil, manyRetries{})
+	assert.Equal(t, w.Code, http.StatusOK)
+	assert.Equal(t, w.Body.String(), "id: 1\ndata: second\n\nid: 2\ndata: second\n\n")
+}
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -100,8 +100,10 @@
 			if first.IsZero() {
 				first = now
 			}
+			if !x.watch.recordFirstByte(now) {
+				return x.watch.result(cut)
+			}
 			x.recordAnswering(first, now)
-			x.watch.recordFirstByte(now)
 			x.recordOrigin()
 			x.stream.recordEvents(now, events)
 			x.gaps.record(now, events, together)
--- a/wisteriarouter/relay/withheld_test.go
+++ b/wisteriarouter/relay/withheld_test.go
@@ -124,12 +124,18 @@
 
 // serveWith is serveWithRetries with a client that sends requests to endpoints.
 func serveWith(t *testing.T, sender Sender, p Placer, suspects SuspectTracker, retries RetryBudget) *httptest.ResponseRecorder {
+	return serveRoute(t, route.Route{Kind: route.Safe}, sender, p, suspects, retries)
+}
+
+// serveRoute is serveWith for a kind of route.
+func serveRoute(t *testing.T, kind route.Route, sender Sender, p Placer, suspects SuspectTracker, retries RetryBudget) *httptest.ResponseRecorder {
+	kind.Host, kind.Prefix, kind.Public, kind.Attempts, kind.Shares = "example.com", "/", true, 2, []route.Share{{Pool: "p", Weight: 1}}
 	known := make(chan struct{})
 	close(known)
 	s := &Server{
 		Desired: &lateDesired{known: known, table: route.NewTable(route.State{
 			Version: 1,
-			Routes:  []route.Route{{Kind: route.Safe, Host: "example.com", Prefix: "/", Public: true, Attempts: 2, Shares: []route.Share{{Pool: "p", Weight: 1}}}},
+			Routes:  []route.Route{kind},
 		})},
 		Placer: p, Sender: sender, Retries: retries, Suspects: suspects,
 		Metrics: NewMetrics(prometheus.NewRegistry()),
