Streams that their callers do not name are found by their content

What callers saw: a caller that sends only Last-Event-Id, as the users' pages describe it, was refused wherever its pool had, or had within a minute, two versions: nothing but a header that no page names told which stream it asked for. All of our own callers send that header.

Cause: a stream was known by its caller's attempt only, and a caller that takes it up has a new one. By the pages the request is repeated with the same path, body, prompt and key.

Change: a record of a stream also has a hash of these. Once a pool has several versions, the routers that know its streams tell the keepers of each content, and the store; in a pool of one version nothing is sent, as the version is certain there. A content whose streams began at several versions counts as unknown, so that none is joined.

--- a/coordination/origin/keeper.go
+++ b/coordination/origin/keeper.go
@@ -87,10 +87,25 @@
 // forwarded and that may still be taken up.
 func (k *Keeper) Own(pool coordination.Pool) []Record {
 	return lo.FilterMap(k.table.all(time.Now()), func(r known, _ int) (Record, bool) {
-		return r.Record, r.own && r.Pool == pool
+		return r.Record, r.own && r.Pool == pool && !isContent(r.Attempt)
 	})
 }
 
+// KeepByContent makes the streams of a pool that this router knows known by their content
+// as well, here and at the keepers of each content.
+func (k *Keeper) KeepByContent(pool coordination.Pool) {
+	var records []Record
+	for _, r := range k.table.all(time.Now()) {
+		if r.Pool == pool {
+			records = append(records, r.Record)
+		}
+	}
+	for _, r := range ByContent(records) {
+		k.table.put(time.Now(), r, false)
+		k.enqueue(keepersOf(r.Attempt, k.cfg.Routers(), k.cfg.Self), r)
+	}
+}
+
 func (k *Keeper) enqueue(to []placement.Router, r Record) {
 	k.mu.Lock()
 	for _, keeper := range to {
@@ -201,6 +216,7 @@
 	Known   bool
 	Version coordination.SoftwareVersion
 	From    coordination.Instance // the router that knew the stream
+	Several bool                  // the streams with the content began at several versions
 	Replied int                   // other routers that replied
 	Silent  int                   // routers that did not reply
 }
@@ -208,6 +224,39 @@
 // Asked returns how many routers were asked.
 func (f Found) Asked() int { return f.Replied + f.Silent }
 
+// FindByContent searches for the streams with a content, here and at the routers that may keep
+// them. They are known only if all began at one version.
+func (k *Keeper) FindByContent(ctx context.Context, c Content, pool coordination.Pool) Found {
+	if c == 0 {
+		return Found{}
+	}
+	own := Found{From: k.cfg.Self}
+	own.Version, own.Known = k.table.find(time.Now(), streamID{c.attempt(), pool})
+	replies, n := k.inquire(ctx, c.attempt(), pool)
+	return mergeFound(own, replies, n)
+}
+
+// mergeFound returns what n replies and this router's own knowledge tell together of streams
+// with the same content.
+func mergeFound(own Found, replies <-chan Found, n int) Found {
+	result := own
+	for range n {
+		f := <-replies
+		result.Replied += f.Replied
+		result.Silent += f.Silent
+		switch {
+		case !f.Known:
+		case !result.Known:
+			result.Known, result.Version, result.From = true, f.Version, f.From
+		case result.Version != f.Version:
+			result.Version = severalVersions
+		}
+	}
+	result.Several = result.Known && result.Version == severalVersions
+	result.Known = result.Known && !result.Several
+	return result
+}
+
 // Find searches for a stream, here and at the routers that may keep it.
 func (k *Keeper) Find(ctx context.Context, attempt coordination.Attempt, pool coordination.Pool) Found {
 	if attempt == "" {
@@ -216,15 +265,9 @@
 	if v, ok := k.table.find(time.Now(), streamID{attempt, pool}); ok {
 		return Found{Known: true, Version: v, From: k.cfg.Self}
 	}
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
-	defer cancel()
-	asked := firstOthers(order(attempt, k.cfg.Routers()), k.cfg.Self, askedCount)
-	replies := make(chan Found, len(asked))
-	for _, r := range asked {
-		go inquiry{transport: k.cfg.Transport, to: r.ID, question: question{attempt, pool}, replies: replies}.run(ctx)
-	}
+	replies, n := k.inquire(ctx, attempt, pool)
 	var result Found
-	for range asked {
+	for range n {
 		f := <-replies
 		result.Replied += f.Replied
 		result.Silent += f.Silent
@@ -236,6 +279,16 @@
 	return result
 }
 
+// inquire asks the routers that may keep a stream, and returns a channel that gets the n replies.
+func (k *Keeper) inquire(ctx context.Context, attempt coordination.Attempt, pool coordination.Pool) (replies <-chan Found, n int) {
+	asked := firstOthers(order(attempt, k.cfg.Routers()), k.cfg.Self, askedCount)
+	c := make(chan Found, len(asked))
+	for _, r := range asked {
+		go inquiry{transport: k.cfg.Transport, to: r.ID, question: question{attempt, pool}, replies: c}.run(ctx)
+	}
+	return c, len(asked)
+}
+
 // inquiry asks one router for a stream.
 type inquiry struct {
 	transport Transport
@@ -245,6 +298,8 @@
 }
 
 func (q inquiry) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
 	b, err := q.transport.Call(ctx, q.to, TopicFind, encode(q.question))
 	var a answer
 	if err != nil || cbor.Unmarshal(b, &a) != nil {
--- a/coordination/origin/table.go
+++ b/coordination/origin/table.go
@@ -26,6 +26,7 @@
 // entry is what a router knows of one stream.
 type entry struct {
 	version coordination.SoftwareVersion
+	content Content
 	expires time.Time
 	own     bool // this router forwarded the first event
 }
@@ -60,7 +61,16 @@
 	if !ok {
 		s.order = append(s.order, id)
 	}
-	s.entries[id] = entry{version: r.Version, expires: now.Add(r.left()), own: own || old.own}
+	e := entry{version: r.Version, content: r.Content, expires: now.Add(r.left()), own: own || old.own}
+	if isContent(r.Attempt) && ok && now.Before(old.expires) {
+		if old.version != r.Version {
+			e.version = severalVersions
+		}
+		if old.expires.After(e.expires) {
+			e.expires = old.expires
+		}
+	}
+	s.entries[id] = e
 	s.latest[r.Attempt] = r.Pool
 	s.prune(now)
 }
@@ -117,7 +127,7 @@
 	defer s.mu.Unlock()
 	for id, e := range s.entries {
 		if left := e.expires.Sub(now); left > 0 {
-			r := Record{Attempt: id.attempt, Pool: id.pool, Version: e.version, LeftMs: uint32(left.Milliseconds())}
+			r := Record{Attempt: id.attempt, Pool: id.pool, Version: e.version, LeftMs: uint32(left.Milliseconds()), Content: e.content}
 			list = append(list, known{r, e.own})
 		}
 	}
--- a/wisteriarouter/daemon/origins.go
+++ b/wisteriarouter/daemon/origins.go
@@ -95,7 +95,7 @@
 		keeper: keeper, writer: writer, witness: newWitness(i), history: do.MustInvoke[*versionHistory](i), mirror: do.MustInvoke[*mirror.Mirror](i), log: log,
 		loadedBy: stateOf(i).started.Add(originLoadWait), loaded: make(chan struct{}),
 	}
-	o.history.onMixed(func(p coordination.Pool) { writer.Write(keeper.Own(p)...) })
+	o.history.onMixed(o.poolMixed)
 	ctx, cancel := context.WithCancel(context.Background())
 	onStop(i, cancel)
 	go o.run(ctx)
@@ -211,19 +211,32 @@
 }
 
 // Record implements relay.Origins.
-func (o *origins) Record(a coordination.Attempt, p coordination.Pool, v coordination.SoftwareVersion, left time.Duration) {
+func (o *origins) Record(s relay.StreamID, p coordination.Pool, v coordination.SoftwareVersion, left time.Duration) {
 	left = min(max(left, 0), maxStreamAge)
-	r := origin.Record{Attempt: a, Pool: p, Version: v, LeftMs: uint32(min(left.Milliseconds(), math.MaxUint32))}
+	r := origin.Record{Attempt: s.Attempt, Pool: p, Version: v, LeftMs: uint32(min(left.Milliseconds(), math.MaxUint32)), Content: s.Content}
 	o.keeper.Record(r)
-	if !o.history.Single(p) {
-		o.writer.Write(r)
+	if o.history.Single(p) {
+		return
 	}
+	o.writer.Write(r)
+	for _, each := range origin.ByContent([]origin.Record{r}) {
+		o.keeper.Record(each)
+		o.writer.Write(each)
+	}
+}
+
+// poolMixed is called with a pool that has become mixed. Its streams are from now on known by
+// their content as well, which tells nothing in a pool of one version.
+func (o *origins) poolMixed(p coordination.Pool) {
+	own := o.keeper.Own(p)
+	o.writer.Write(append(own, origin.ByContent(own)...)...)
+	o.keeper.KeepByContent(p)
 }
 
 // Find implements relay.Origins. It asks also if the pool has one version, as far as this
 // router knows: it may not have heard of another one yet.
-func (o *origins) Find(ctx context.Context, a coordination.Attempt, p coordination.Pool) relay.Origin {
-	f := o.keeper.Find(ctx, a, p)
+func (o *origins) Find(ctx context.Context, s relay.StreamID, p coordination.Pool) relay.Origin {
+	f := o.find(ctx, s, p)
 	if f.Known {
 		return knownOrigin(f)
 	}
@@ -234,17 +247,25 @@
 	// A router that cannot tell whether its pool has one version does not reach the store.
 	readable := !o.history.Single(p)
 	for !f.Known && o.mayLearn() && coordination.Sleep(ctx, originAskPause) {
-		f = o.keeper.Find(ctx, a, p)
+		f = o.find(ctx, s, p)
 	}
-	if !f.Known && a != "" && readable {
+	if !f.Known && readable {
 		o.reload(ctx)
-		f = o.keeper.Find(ctx, a, p)
+		f = o.find(ctx, s, p)
 	}
 	result := knownOrigin(f)
 	result.Asked, result.Silent = result.Asked+t.Asked, result.Silent+t.Silent
 	return result
 }
 
+// find searches for a stream by the attempt that its caller names, or by its content.
+func (o *origins) find(ctx context.Context, s relay.StreamID, p coordination.Pool) origin.Found {
+	if s.Attempt == "" {
+		return o.keeper.FindByContent(ctx, s.Content, p)
+	}
+	return o.keeper.Find(ctx, s.Attempt, p)
+}
+
 func knownOrigin(f origin.Found) relay.Origin {
 	return relay.Origin{Known: f.Known, Version: f.Version, From: f.From, Asked: f.Asked(), Silent: f.Silent}
 }
--- a/wisteriarouter/daemon/origins_test.go
+++ b/wisteriarouter/daemon/origins_test.go
@@ -114,7 +114,7 @@
 		witness: origin.NewWitness(origin.WitnessConfig{Self: "r0", Transport: tr, Recent: known(true), Confirm: confirm, View: h.view, Recently: h.recent, Alone: l.alone}),
 	}
 	time.Sleep(l.age)
-	return o.Find(t.Context(), a, "model")
+	return o.Find(t.Context(), relay.StreamID{Attempt: a}, "model")
 }
 
 // Guards against a stream that goes on at another version at a router that has not heard of
--- a/wisteriarouter/daemon/relay_version_test.go
+++ b/wisteriarouter/daemon/relay_version_test.go
@@ -90,7 +90,10 @@
 	req := s.request(ctx, router, "/resumable/1", header...)
 	resp, err := s.client.Do(req)
 	assert.NilError(s.t, err)
-	assert.Equal(s.t, resp.StatusCode, 200)
+	if resp.StatusCode != 200 {
+		why, _ := io.ReadAll(resp.Body)
+		s.t.Fatalf("a stream was answered %d: %s", resp.StatusCode, why)
+	}
 	st := openStream{attempt: req.Header.Get("X-Attempt-Id"), cancel: cancel}
 	r := bufio.NewReader(resp.Body)
 	for strings.Count(st.body, "\n\n") < read {
@@ -304,3 +307,71 @@
 	got := s.resume(1, old)
 	assert.Equal(t, got.status, 503, got.body)
 }
+
+// Guards against refusing the streams of callers that send the id of the last event, and
+// nothing that names the stream, and against taking them up at another version.
+func TestRelayTakesUpStreamThatItsCallerDoesNotName(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name   string
+		joined bool // the second version joins after the streams have begun
+	}{{"mixed before", false}, {"mixed meanwhile", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			versions := []string{"v1", "v1.1"}
+			if tc.joined {
+				versions = versions[:1]
+			}
+			s := newVersionedCluster(t, 3, 2, versions...)
+			var c tally
+			var streams []openStream
+			var prompts []string
+			for n := range 16 {
+				prompts = append(prompts, freshID()+":50,cc:10")
+				streams = append(streams, s.begin(n%3, 1+n%6, "X-Deadline-Ms", "20000", "X-Prefix-Hash", prompts[n]))
+			}
+			if tc.joined {
+				for n := range 2 {
+					s.addVersion("v1.1", n)
+				}
+				for n := range s.routers {
+					s.awaitEndpoints(n, 4)
+				}
+			}
+			time.Sleep(200 * time.Millisecond)
+			for n, st := range streams {
+				st.cancel()
+				after := fmt.Sprint(strings.Count(st.body, "\n\n"))
+				c.add(st, s.send((n+1)%3, "/resumable/1", "X-Prefix-Hash", prompts[n], "Last-Event-Id", after))
+			}
+			c.check(t, len(streams))
+			other := s.send(0, "/resumable/1", "X-Prefix-Hash", freshID()+":50,cc:10", "Last-Event-Id", "1")
+			assert.Equal(t, other.status, 503)
+		})
+	}
+}
+
+// Guards against a stream taken up by its content at the version of another stream of the same
+// content.
+func TestRelayRefusesUnnamedStreamOfContentAtSeveralVersions(t *testing.T) {
+	t.Parallel()
+	s := newVersionedCluster(t, 3, 1, "v1", "v1.1")
+	prompt := freshID() + ":50,cc:10"
+	first := s.begin(0, 2, "X-Deadline-Ms", "20000", "X-Prefix-Hash", prompt)
+	first.cancel()
+	for _, r := range s.replicas {
+		if r.Version() == versionsIn(first.body)[0] {
+			r.SetFaults(replica.Faults{FullEvery: 1})
+		}
+	}
+	second := s.begin(1, 2, "X-Deadline-Ms", "20000", "X-Prefix-Hash", prompt)
+	second.cancel()
+	assert.Assert(t, versionsIn(second.body)[0] != versionsIn(first.body)[0])
+	for _, r := range s.replicas {
+		r.SetFaults(replica.Faults{})
+	}
+	time.Sleep(200 * time.Millisecond)
+	for n := range 3 {
+		got := s.send(n, "/resumable/1", "X-Prefix-Hash", prompt, "Last-Event-Id", "2")
+		assert.Equal(t, got.status, 503, got.body)
+	}
+}
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -56,7 +56,7 @@
 	watch         *responseWatch        // on the current attempt
 	nextPlacement *Placement            // reserved for the next attempt after an overdue one; nil if there is none
 	tracked       TrackedRequest        // nil for a request that is not tracked
-	fingerprint   suspicion.Fingerprint // of a tracked request
+	fingerprint   suspicion.Fingerprint // of the request, with its caller and its body
 }
 
 // giveUpSlack is how long the router waits beyond the deadline given to the
@@ -83,6 +83,7 @@
 		ctx, cancel = context.WithDeadline(ctx, x.deadline.Add(giveUpSlack))
 		defer cancel()
 	}
+	x.identify()
 	x.server.Retries.RecordRequest(x.pool)
 	if !x.findOrigin(ctx) || !x.track(ctx) {
 		return
--- a/wisteriarouter/relay/origin.go
+++ b/wisteriarouter/relay/origin.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/origin"
+	"wisteriaspool/coordination/suspicion"
 	"wisteriaspool/platform"
 	"wisteriaspool/wisteriarouter/event"
 )
@@ -23,13 +25,19 @@
 	Silent    int                          // routers among them that did not reply
 }
 
+// StreamID identifies a stream.
+type StreamID struct {
+	Attempt coordination.Attempt // of its caller, that brought the first event; empty if the caller does not name it
+	Content origin.Content       // of the request
+}
+
 // Origins knows at which version of the software streams began.
 type Origins interface {
 	// Record records the beginning of a stream that its caller may take up for some more
-	// time. a is the caller's attempt that brought the first event.
-	Record(a coordination.Attempt, p coordination.Pool, v coordination.SoftwareVersion, left time.Duration)
+	// time.
+	Record(s StreamID, p coordination.Pool, v coordination.SoftwareVersion, left time.Duration)
 	// Find returns what is known of a stream.
-	Find(ctx context.Context, a coordination.Attempt, p coordination.Pool) Origin
+	Find(ctx context.Context, s StreamID, p coordination.Pool) Origin
 }
 
 const (
@@ -50,7 +58,7 @@
 		return true
 	}
 	asked := time.Now()
-	o := x.server.Origins.Find(ctx, x.metadata.Resumes, x.pool)
+	o := x.server.Origins.Find(ctx, StreamID{x.metadata.Resumes, x.content()}, x.pool)
 	x.emit(event.RelayTakenUp,
 		event.F("resumes", x.metadata.Resumes),
 		event.F("after-event", x.resumesAfter()),
@@ -94,5 +102,10 @@
 	if first == "" || !platform.Resumes(x.r.Header) {
 		first = x.metadata.Attempt
 	}
-	x.server.Origins.Record(first, x.pool, x.stream.version, x.remaining()+takeUpSlack)
+	x.server.Origins.Record(StreamID{first, x.content()}, x.pool, x.stream.version, x.remaining()+takeUpSlack)
+}
+
+// content identifies the content of the request: its caller, path, body and prompt.
+func (x *exchange) content() origin.Content {
+	return origin.Content(suspicion.FingerprintOfCall(nil, x.fingerprint.String(), platform.Prompt(x.r.Header)))
 }
--- a/wisteriarouter/relay/suspects.go
+++ b/wisteriarouter/relay/suspects.go
@@ -62,6 +62,11 @@
 // request is not taken for one that crashes endpoints as they begin to answer.
 const answeringTime = time.Second
 
+// identify sets what identifies the request when it comes again.
+func (x *exchange) identify() {
+	x.fingerprint = suspicion.FingerprintOfCall(x.body.buffer.segments, string(x.account), route.Hostname(x.r.Host), x.r.URL.RequestURI())
+}
+
 // track starts to track a request, since it may be one that crashes endpoints. A request
 // that comes again has the same caller, path and body; its method and the spelling of its
 // host may differ.
@@ -69,7 +74,6 @@
 	if x.server.Suspects == nil {
 		return true
 	}
-	x.fingerprint = suspicion.FingerprintOfCall(x.body.buffer.segments, string(x.account), route.Hostname(x.r.Host), x.r.URL.RequestURI())
 	parts := lo.Map(platform.SharedParts(x.r.Header), func(id string, _ int) suspicion.Fingerprint { return suspicion.PartOf(id) })
 	tracked, refusal := x.server.Suspects.Track(ctx, Suspect{Request: x.fingerprint, Parts: parts}, x.pool)
 	if refusal != nil {
