A router that is cut off refuses streams of unknown version sooner

Cause: it first waited for its own call to the store, which may have begun behind another one (up to 0.8 s), then for other routers (0.5 s), and each request did so anew.

Change: other routers are asked 0.1 s after the store, beside it. A question that finds neither the store nor all others ends those under way, and for 0.4 s further ones are refused at once. A read of the store that takes long does not delay the next one.

TestWitnessRefusesAtOnceWhileCutOff is new.

--- a/coordination/mirror/confirm.go
+++ b/coordination/mirror/confirm.go
@@ -16,6 +16,8 @@
 	confirmPause = 200 * time.Millisecond
 	// confirmWait is the wait of a watch that should have changes to report at once.
 	confirmWait = time.Millisecond
+	// confirmOverlap is how long a read may take before the next one begins beside it.
+	confirmOverlap = 50 * time.Millisecond
 )
 
 // confirmer brings a mirror up to date when a caller asks for that. Callers that come while
@@ -25,8 +27,9 @@
 
 	mu       sync.Mutex
 	next     *confirmation // that has not begun; nil if nobody waits for one
-	running  bool
-	failedAt time.Time // when the latest one failed; zero if it succeeded
+	readers  int           // goroutines that read the store
+	begunAt  time.Time     // when the latest read began
+	failedAt time.Time     // when the latest one failed; zero if it succeeded
 }
 
 // confirmation is one read of the store.
@@ -60,8 +63,9 @@
 	if c.next == nil {
 		c.next = &confirmation{done: make(chan struct{})}
 	}
-	if !c.running {
-		c.running = true
+	if c.readers == 0 || time.Since(c.begunAt) >= confirmOverlap {
+		c.readers++
+		c.begunAt = time.Now()
 		go c.run()
 	}
 	return c.next
@@ -86,7 +90,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := c.next
-	c.next, c.running = nil, n != nil
+	c.next, c.begunAt = nil, time.Now()
+	if n == nil {
+		c.readers--
+	}
 	return n
 }
 
--- a/coordination/origin/witness.go
+++ b/coordination/origin/witness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -52,14 +53,24 @@
 // another version joined and began streams.
 type Witness struct {
 	cfg WitnessConfig
+
+	mu       sync.Mutex
+	failed   chan struct{} // closed when a question has had no certain result
+	failedAt time.Time     // when the latest one had none
 }
 
 // NewWitness returns a Witness.
-func NewWitness(cfg WitnessConfig) *Witness { return &Witness{cfg} }
-
-// viewTimeout bounds a question about the versions of a pool. The router that is asked reads
-// the store.
-const viewTimeout = 500 * time.Millisecond
+func NewWitness(cfg WitnessConfig) *Witness { return &Witness{cfg: cfg, failed: make(chan struct{})} }
+
+const (
+	// viewTimeout bounds a question about the versions of a pool, which other routers answer
+	// once they have read the store.
+	viewTimeout = 700 * time.Millisecond
+	// viewDelay is how long the store may take to reply before other routers are asked.
+	viewDelay = 100 * time.Millisecond
+	// viewPause is how long after a question without a certain result others have none, either.
+	viewPause = 400 * time.Millisecond
+)
 
 // Testimony tells how a Witness came to a result.
 type Testimony struct {
@@ -72,33 +83,110 @@
 // the store, here or at another router, or if no router that may know otherwise reaches the
 // store or is silent.
 func (w *Witness) Ask(ctx context.Context, pool coordination.Pool) Testimony {
-	own := w.look(ctx, pool)
-	if !own.Single || own.Confirmed {
-		return Testimony{View: own}
+	v := w.cfg.View(pool)
+	failed, ok := w.begin()
+	if !v.Single || !ok {
+		return Testimony{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
-	asked := firstOthers(order(coordination.Attempt(pool), w.cfg.Recent()), w.cfg.Self, askedCount)
-	replies := make(chan *View, len(asked))
-	for _, r := range asked {
-		go viewInquiry{transport: w.cfg.Transport, to: r.ID, question: viewQuestion{pool}, replies: replies}.run(ctx)
+	a := &ask{witness: w, pool: pool, view: v, own: make(chan View, 1)}
+	go a.run(ctx)
+	t, known := a.result(ctx, failed)
+	if !known {
+		w.fail()
 	}
-	result := Testimony{View: own, Asked: len(asked)}
-	for range asked {
-		v := <-replies
-		switch {
-		case v == nil:
-			result.Silent++
-		case !v.Single || v.Version != own.Version:
-			result.Single = false
-			return result
-		case v.Confirmed:
-			result.Confirmed = true
-			return result
+	return t
+}
+
+// begin returns a channel that is closed when another question has had no certain result. It
+// returns false if that was the case a moment ago.
+func (w *Witness) begin() (failed <-chan struct{}, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failed, time.Since(w.failedAt) >= viewPause
+}
+
+// fail ends the questions that are under way, which would have no certain result, either.
+func (w *Witness) fail() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failedAt = time.Now()
+	close(w.failed)
+	w.failed = make(chan struct{})
+}
+
+// ask is one question of this router.
+type ask struct {
+	witness *Witness
+	pool    coordination.Pool
+	view    View      // what the router knew before
+	own     chan View // buffered; gets what it knows when it has read the store
+	replies chan *View
+	asked   int // other routers
+}
+
+// run finds out what this router knows.
+func (a *ask) run(ctx context.Context) { a.own <- a.witness.look(ctx, a.pool) }
+
+// askOthers asks other routers, unless that was done.
+func (a *ask) askOthers(ctx context.Context) {
+	if a.replies != nil {
+		return
+	}
+	cfg := a.witness.cfg
+	others := firstOthers(order(coordination.Attempt(a.pool), cfg.Recent()), cfg.Self, askedCount)
+	a.asked, a.replies = len(others), make(chan *View, len(others))
+	for _, r := range others {
+		go viewInquiry{transport: cfg.Transport, to: r.ID, question: viewQuestion{a.pool}, replies: a.replies}.run(ctx)
+	}
+}
+
+// result waits for this router's own view and, if the store does not confirm it soon, for those
+// of others. It returns false if neither the store nor all others can be reached.
+func (a *ask) result(ctx context.Context, failed <-chan struct{}) (t Testimony, known bool) {
+	delay := time.NewTimer(viewDelay)
+	defer delay.Stop()
+	replied, looked, recent := 0, false, false
+	for !looked || replied < a.asked {
+		t.Asked = a.asked
+		select {
+		case own := <-a.own:
+			looked, recent = true, own.Single
+			if own.Confirmed {
+				t.View = own
+				return t, true
+			}
+			if now := a.witness.cfg.View(a.pool); !now.Single || now.Version != a.view.Version {
+				return t, true
+			}
+			a.askOthers(ctx)
+		case <-delay.C:
+			a.askOthers(ctx)
+		case v := <-a.replies:
+			replied++
+			switch {
+			case v == nil:
+				t.Silent++
+			case !v.Single || v.Version != a.view.Version:
+				return t, true
+			case v.Confirmed:
+				t.View = *v
+				return t, true
+			}
+		case <-failed:
+			return t, true // as known already
+		case <-ctx.Done():
+			t.Silent = a.asked - replied + t.Silent
+			return t, false
 		}
 	}
-	result.Single = result.Silent == 0 && (len(asked) > 0 || w.cfg.Alone)
-	return result
+	t.Asked = a.asked
+	if !recent || t.Silent > 0 || a.asked == 0 && !a.witness.cfg.Alone {
+		return t, false
+	}
+	t.View = a.view
+	return t, true
 }
 
 // look returns what this router knows, compared with the store if that can be reached.
--- a/coordination/origin/witness_test.go
+++ b/coordination/origin/witness_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"gotest.tools/v3/assert"
 
 	"wisteriaspool/coordination"
@@ -64,3 +67,37 @@
 		})
 	}
 }
+
+// Guards against requests that wait, one after the other, for what a router which is cut off
+// can't find out.
+func TestWitnessRefusesAtOnceWhileCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		routers := []placement.Router{{ID: "r0"}, {ID: "r1"}, {ID: "r2"}}
+		w := NewWitness(WitnessConfig{
+			Self: "r0", Transport: viewReplies{},
+			Recent: func() []placement.Router { return routers },
+			Confirm: func(ctx context.Context) bool {
+				<-ctx.Done()
+				return false
+			},
+			Recently: func() bool { return true },
+			View:     func(coordination.Pool) View { return View{Single: true, Version: "v1"} },
+		})
+		var waited []time.Duration
+		var mu sync.Mutex
+		var group sync.WaitGroup
+		for range 40 {
+			group.Go(func() {
+				start := time.Now()
+				assert.Check(t, !w.Ask(t.Context(), "model").Single)
+				mu.Lock()
+				defer mu.Unlock()
+				waited = append(waited, time.Since(start))
+			})
+			time.Sleep(50 * time.Millisecond)
+		}
+		group.Wait()
+		assert.Assert(t, slices.Max(waited) <= viewTimeout)
+		assert.Assert(t, lo.Sum(waited)/40 <= viewTimeout/2, "%v", waited)
+	})
+}
--- a/wisteriarouter/daemon/origins_test.go
+++ b/wisteriarouter/daemon/origins_test.go
@@ -145,7 +145,7 @@
 		{"other has seen another version only", lagging{otherStore: true, otherSees: "v1.1"}, "b", relay.Origin{Asked: 1}},
 		{"store down for all", lagging{otherSees: "v1", age: 30 * second}, "b", relay.Origin{Single: true, Version: "v1", Asked: 1}},
 		{"store down for all, without id", lagging{otherSees: "v1", age: 30 * second}, "", relay.Origin{Single: true, Version: "v1", Asked: 1}},
-		{"store down for longer than streams last", lagging{otherSees: "v1", age: 2 * time.Minute}, "b", relay.Origin{}},
+		{"store down for longer than streams last", lagging{otherSees: "v1", age: 2 * time.Minute}, "b", relay.Origin{Asked: 1}},
 		{"store down, mixed before", lagging{}, "b", relay.Origin{Asked: 1}},
 		{"store down, no other router", lagging{alone: true}, "b", relay.Origin{Single: true, Version: "v1"}},
 	} {
