Calls on a connection between routers that is not kept are answered

Cause: two routers dial each other at one moment. The side that accepts a connection uses it as soon as it has sent its hello, while the side that dials it registers it when it reads that hello. If the latter has the other, preferred connection by then, it closed the new one at once, with the first call of its peer unread in it. The same happens with the roles exchanged.

Change: a connection that is not kept drains as one that is replaced does: it is served until its calls have completed, and the peer is sent a goodbye, so that it starts no further call on it.

--- a/wisteriarouter/peer/conn.go
+++ b/wisteriarouter/peer/conn.go
@@ -22,6 +22,7 @@
 	dialled     bool // this side dialled
 	gossip      bool // made for the gossip mesh
 	replaces    bool // it replaces the connection to the peer, on which one side gets no replies
+	duplicate   bool // not kept, as there is another connection to the peer
 	connectedAt time.Time
 
 	ctx    context.Context
--- a/wisteriarouter/peer/dial.go
+++ b/wisteriarouter/peer/dial.go
@@ -82,9 +82,7 @@
 	for _, m := range pending {
 		_ = c.post(&message{Kind: kindGossip, Gossip: &m})
 	}
-	if c == made {
-		n.serveConn(c)
-	}
+	n.serveConn(made)
 }
 
 func (d *dialAttempt) connect() (*conn, error) {
@@ -200,11 +198,9 @@
 		return
 	}
 	c := newConn(n, ws, h, false)
-	kept, err := n.register(c)
-	if err != nil || kept != c {
-		return
+	if _, err := n.register(c); err == nil {
+		n.serveConn(c)
 	}
-	n.serveConn(c)
 }
 
 // admitConn reports whether another connection may be accepted, and if so adds it
@@ -224,7 +220,8 @@
 // that was dialled by the member with the lower instance name. An existing
 // connection on which nothing was received for longer than DialTimeout is replaced
 // in any case, since it may be broken with only the other side aware of it, and so is
-// one on which either side gets no replies.
+// one on which either side gets no replies. A connection that is not kept drains, as
+// the peer may have sent a call on it before it had the other one.
 func (n *Node) register(c *conn) (*conn, error) {
 	n.connMu.Lock()
 	if n.stopped {
@@ -234,18 +231,19 @@
 	}
 	id := c.peer.Instance
 	old := n.conns[id]
+	n.wg.Add(1)
+	go writer{c}.run()
 	if old != nil && old.peer.Incarnation == c.peer.Incarnation && !c.replaces && old.preferred() && !c.preferred() && !old.quiet(time.Now()) {
+		c.duplicate = true
+		n.startDrain(c)
 		n.connMu.Unlock()
-		c.ws.Close(websocket.StatusNormalClosure, errDuplicate.Error())
+		_ = c.post(&message{Kind: kindGoodbye})
 		return old, nil
 	}
 	n.conns[id] = c
 	if old != nil {
-		n.draining[old] = struct{}{}
-		old.drain()
+		n.startDrain(old)
 	}
-	n.wg.Add(1)
-	go writer{c}.run()
 	n.connMu.Unlock()
 	n.linkUp(c)
 	return c, nil
@@ -263,6 +261,12 @@
 	return c.lastReceived.Ago(now) > c.node.cfg.DialTimeout
 }
 
+// startDrain makes c drain until its calls have completed. The caller holds n.connMu.
+func (n *Node) startDrain(c *conn) {
+	n.draining[c] = struct{}{}
+	c.drain()
+}
+
 // drain marks c as draining; it is not used for new calls.
 func (c *conn) drain() {
 	c.mu.Lock()
@@ -281,9 +285,8 @@
 	if current {
 		delete(n.conns, c.peer.Instance)
 	}
-	n.draining[c] = struct{}{}
+	n.startDrain(c)
 	n.connMu.Unlock()
-	c.drain()
 	if sendGoodbye {
 		_ = c.post(&message{Kind: kindGoodbye})
 	}
@@ -305,6 +308,9 @@
 	if current {
 		n.linkDown(c)
 	}
+	if c.duplicate {
+		return // never reported as connected
+	}
 	n.event(Event{Kind: Disconnected, Peer: c.peer.Instance, Incarnation: c.peer.Incarnation, Address: c.peer.Address, Err: err})
 }
 
