A reply read after a suspension does not count as sent just now

What operators and other routers saw: a router that had stood still told, for a moment after it, that the store had confirmed its view 0 ms ago, although the store had been down for seconds. Other routers take over such an age, if they have the same revision, and then do not notice an outage of the store for 4.2 s more.

Cause: the age of an update is counted from when it is read. A reply that was sent before the suspension waits in a socket and is read first, and the timeouts of its call are due at the same moment, so that which of them wins is open.

Change: a feed notices that its process was suspended, by a gap of 0.5 s between two checks that are 0.25 s apart, and adds to the age of an update the time for which it may have waited: since the suspension began, or since the call if that is later. The check is also made when a reply is read, as that may be before the next regular one.

--- a/coordination/mirror/confirm.go
+++ b/coordination/mirror/confirm.go
@@ -95,6 +95,7 @@
 func (c *confirmer) confirm() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
+	start := time.Now()
 	res := c.feed.cfg.Store.Revision(ctx)
 	if res.Status != kv.Applied {
 		return false
@@ -108,7 +109,7 @@
 		if err != nil {
 			return false
 		}
-		c.feed.store.apply(u)
+		c.feed.store.apply(u, start)
 	}
 	return m.AsOf() >= res.Revision
 }
--- a/coordination/mirror/feed.go
+++ b/coordination/mirror/feed.go
@@ -53,6 +53,8 @@
 	fetcher  *fetcher
 	confirms confirmer
 	started  chan struct{}
+	// suspensions are those of this process.
+	suspensions suspensions
 
 	mu             sync.Mutex
 	candidates     *watcherCandidates                  // for the routers that were alive at the last call of currentCandidates
@@ -89,8 +91,9 @@
 		OnState:    f.stateChanged,
 		BatchDelay: batchDelay,
 		OnAdvance:  f.hints.announce,
+		Delay:      f.suspensions.delay,
 	}
-	f.peers = &Follower{Mirror: cfg.Mirror, Source: PeerSource{
+	f.peers = &Follower{Mirror: cfg.Mirror, Delay: f.suspensions.delay, Source: PeerSource{
 		Transport:      cfg.Transport,
 		Choose:         f.choosePeer,
 		Prefix:         cfg.Prefix,
@@ -107,7 +110,8 @@
 // of the mirror have to be set before.
 func (f *Feed) Start() (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	hintsDone, fetchDone := make(chan struct{}), make(chan struct{})
+	hintsDone, fetchDone, suspensionsDone := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	go f.suspensions.run(ctx, suspensionsDone)
 	go f.hints.run(ctx, hintsDone)
 	go f.fetcher.run(ctx, fetchDone)
 	go newStarter(f).run(ctx)
@@ -118,6 +122,7 @@
 		stopPeers()
 		<-hintsDone
 		<-fetchDone
+		<-suspensionsDone
 		<-f.started
 	}
 }
--- a/coordination/mirror/fetcher.go
+++ b/coordination/mirror/fetcher.go
@@ -86,10 +86,11 @@
 		OnReachability: f.feed.recordReachability,
 		CallLog:        cfg.CallLog,
 	}
+	start := time.Now()
 	u, err := source.Fetch(ctx, cfg.Mirror.AsOf())
 	switch {
 	case err == nil:
-		cfg.Mirror.Apply(u)
+		f.feed.peers.apply(u, start)
 	case ctx.Err() == nil:
 		f.feed.reportHintFailure(from, err)
 	}
--- a/coordination/mirror/follower.go
+++ b/coordination/mirror/follower.go
@@ -61,6 +61,9 @@
 	// complete, each time the source has advanced it. The first update does not
 	// count.
 	OnAdvance func(kv.Revision)
+	// Delay, if set, returns for how long the reply to a fetch that began at start, which
+	// has just been read, may have waited.
+	Delay func(now, start time.Time) time.Duration
 
 	lost atomic.Bool
 }
@@ -93,7 +96,7 @@
 			return
 		}
 		elapsed := time.Since(start)
-		if err == nil && f.apply(u) {
+		if err == nil && f.apply(u, start) {
 			f.wait(ctx, f.BatchDelay)
 		}
 		if u.Lost {
@@ -123,9 +126,12 @@
 	}
 }
 
-// apply applies an update to the mirror and reports whether the update advanced
-// it. The first update does not count.
-func (f *Follower) apply(u Update) (advanced bool) {
+// apply applies an update that was asked for at start to the mirror and reports whether the
+// update advanced it. The first update does not count.
+func (f *Follower) apply(u Update, start time.Time) (advanced bool) {
+	if f.Delay != nil {
+		u = u.aged(f.Delay(time.Now(), start))
+	}
 	before := f.Mirror.AsOf()
 	f.Mirror.Apply(u)
 	advanced = before > 0 && u.AsOf > before
--- a/wisteriarouter/daemon/relay_frozen_test.go
+++ b/wisteriarouter/daemon/relay_frozen_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -15,6 +17,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"wisteriaspool/standin/hub"
 	"wisteriaspool/wisteriarouter/config"
 	"wisteriaspool/wisteriarouter/daemon"
 )
@@ -50,6 +53,7 @@
 	*versionedCluster
 	process *os.Process
 	address string // at which the process listens for callers
+	status  string // at which it listens for operators
 	resumed time.Time
 }
 
@@ -61,7 +65,7 @@
 func newFrozenCluster(t *testing.T, routers, endpoints int) *frozenCluster {
 	s := &frozenCluster{versionedCluster: newVersionedCluster(t, routers-1, endpoints, "v1")}
 	addresses := freeAddresses(t, 4)
-	s.address = addresses[0]
+	s.address, s.status = addresses[0], addresses[1]
 	text := fmt.Sprintf("[router]\ninstance = frozen\navailability-zone = a\n[listen]\ncallers = %s\noperators = %s\npeers = %s\n[peers]\nseeds = %s\n[relay]\nstore = %s\nreadiness = %s\n",
 		addresses[0], addresses[1], addresses[2], s.routers[0].PeersAddress(), s.relayCluster.address, addresses[3])
 	log, err := os.Create(filepath.Join(t.TempDir(), "frozen.log"))
@@ -207,3 +211,42 @@
 		c.check(t, 0)
 	})
 }
+
+// storeAge returns how long ago the store confirmed what a router knows, as it says.
+func storeAge(t *testing.T, address string) time.Duration {
+	resp, err := http.Get("http://" + address + "/metrics")
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	_, value, ok := strings.Cut(string(text), "\nwisteria_store_age_seconds ")
+	assert.Assert(t, ok)
+	value, _, _ = strings.Cut(value, "\n")
+	seconds, err := strconv.ParseFloat(value, 64)
+	assert.NilError(t, err)
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// Guards against a router that, after it has stood still, takes a reply that the store sent
+// before for new, and tells the others so while the store is down.
+func TestRelayFrozenRouterTellsAgeOfWhatItRead(t *testing.T) {
+	t.Parallel()
+	eachFreeze(t, func(t *testing.T, d time.Duration) {
+		s := newFrozenCluster(t, 3, 3)
+		var down time.Time
+		s.freeze(d, func() {
+			s.store.Put("servers/none", []byte("{}"))
+			time.Sleep(100 * time.Millisecond)
+			down = time.Now()
+			s.store.SetFaults(hub.Faults{Outage: true})
+		})
+		for time.Since(s.resumed) < 2*time.Second {
+			for _, address := range []string{s.status, s.routers[0].OperatorsAddress(), s.routers[1].OperatorsAddress()} {
+				passed := time.Since(down)
+				age := storeAge(t, address)
+				assert.Assert(t, age > passed-500*time.Millisecond, "%v after the resumption the store, down for %v, has confirmed the view %v ago", time.Since(s.resumed), passed, age)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
