Streams are found by their prompts however these are spelled

What callers saw: a caller that does not name its stream and spells X-Prefix-Hash in another way when it takes the stream up, with blanks, in upper case or with leading zeros, was refused in a pool of two versions. Two streams of one content in two spellings counted as two contents, so that one could have gone on at the version of the other.

Cause: the text of the header was part of the hash. An id is a number in hexadecimal; the parts that endpoints crash on were already compared in one spelling.

Evidence: TestRelayTakesUpUnnamedStreamOfRequestSpelledDifferently: 0 of 4 streams went on with each of the three spellings before, 4 of 4 now; a body in chunks, the host in other spelling or with a port and the scheme in lower case went on before as well. TestRelayDoesNotTakeUnnamedStreamForAnother passed before: another account, path, query, body, prompt or size of the prompt is refused within 0.5 s.

--- a/wisteriarouter/relay/origin.go
+++ b/wisteriarouter/relay/origin.go
@@ -107,5 +107,5 @@
 
 // content identifies the content of the request: its caller, path, body and prompt.
 func (x *exchange) content() origin.Content {
-	return origin.Content(suspicion.FingerprintOfCall(nil, x.fingerprint.String(), platform.Prompt(x.r.Header)))
+	return origin.Content(suspicion.FingerprintOfCall(nil, x.fingerprint.String(), platform.PromptID(x.r.Header)))
 }
