Confirm waits until the observers have seen the changes

What callers would see: a stream that began at a new version goes on at another one, at a router to which a watch reports the new version at that moment.

Cause: the mirror's revision advances before its observers are called. A confirmation that found the revision reached returned true while the directory and the history of versions still had the former contents, and the pool was taken for one of a single version, confirmed.

Change: a confirmation reads the mirror's revision between updates, never during one.

Evidence: TestConfirmWaitsForObservers, with an observer that takes 100 ms, failed 3 of 3 with the former reads and passes 3 of 3 with the race detector, as the other tests of Confirm.

--- a/coordination/mirror/confirm.go
+++ b/coordination/mirror/confirm.go
@@ -101,7 +101,7 @@
 	}
 	m := c.feed.cfg.Mirror
 	for _, fetch := range []func(context.Context) (Update, error){c.fetchChanges, c.fetchAll} {
-		if m.AsOf() >= res.Revision {
+		if m.observed() >= res.Revision {
 			return true
 		}
 		u, err := fetch(ctx)
@@ -110,7 +110,7 @@
 		}
 		c.feed.store.apply(u)
 	}
-	return m.AsOf() >= res.Revision
+	return m.observed() >= res.Revision
 }
 
 // fetchChanges fetches the changes since the mirror's revision, or all keys if the store
--- a/coordination/mirror/confirm_test.go
+++ b/coordination/mirror/confirm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,6 +54,28 @@
 	}
 }
 
+// Guards against a router that decides by what its observers knew before the change that the
+// mirror already has.
+func TestConfirmWaitsForObservers(t *testing.T) {
+	t.Parallel()
+	began := make(chan struct{})
+	var ended atomic.Bool
+	f := newFleetWithDelay(t, 1, time.Millisecond, func(_ int, n mirror.Changes) {
+		if string(n.Items[0].Value) != "2" {
+			return
+		}
+		close(began)
+		time.Sleep(100 * time.Millisecond)
+		ended.Store(true)
+	})
+	f.store.put("a", "1")
+	f.waitForValue(t, 2*time.Second, "a", "1")
+	f.store.put("a", "2")
+	<-began
+	assert.Assert(t, f.feeds[0].Confirm(t.Context()))
+	assert.Assert(t, ended.Load())
+}
+
 // Guards against a router that takes its view for confirmed although the store does not reply
 // to it, and against callers that wait for that one after the other.
 func TestConfirmFailsWithoutStore(t *testing.T) {
--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -136,6 +136,13 @@
 	return m.asOf
 }
 
+// observed is AsOf, and returns once the observers have seen all changes up to it.
+func (m *Mirror) observed() kv.Revision {
+	m.notifying.Lock()
+	defer m.notifying.Unlock()
+	return m.AsOf()
+}
+
 // Age returns how long ago the store confirmed the contents of the mirror, to
 // this router or to one that passed it on.
 func (m *Mirror) Age() time.Duration {
