Confirm reads the store only while the feed runs

What callers would see: a router that starts has no desired state, or no endpoints, until these change.

Cause: another router's question about versions may arrive while this one is being put together. Confirm then filled the mirror before all its observers were set; those set later never see these contents. A confirmation could also change the mirror after the feed had been stopped.

Change: Confirm fails before Start and after the feed has stopped, and stopping waits for the read that runs.

--- a/coordination/mirror/confirm.go
+++ b/coordination/mirror/confirm.go
@@ -23,8 +23,11 @@
 type confirmer struct {
 	feed *Feed
 
+	group sync.WaitGroup // of run
+
 	mu       sync.Mutex
-	next     *confirmation // that has not begun; nil if nobody waits for one
+	ctx      context.Context // of the reads; nil unless the feed runs
+	next     *confirmation   // that has not begun; nil if nobody waits for one
 	running  bool
 	failedAt time.Time // when the latest one failed; zero if it succeeded
 }
@@ -37,6 +40,7 @@
 
 // Confirm brings the mirror up to date with what the store holds when Confirm is called, or
 // later, and reports whether it could. The mirror's observers have seen the changes then.
+// It cannot before Start, when some of them may not be set yet.
 func (f *Feed) Confirm(ctx context.Context) bool {
 	n := f.confirms.join()
 	if n == nil {
@@ -50,11 +54,27 @@
 	}
 }
 
-// join returns the next confirmation, or nil if one has just failed.
+// start allows confirmations until stop is called.
+func (c *confirmer) start(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ctx = ctx
+}
+
+// stop returns when no confirmation runs any more. The context given to start has to be
+// cancelled before.
+func (c *confirmer) stop() {
+	c.mu.Lock()
+	c.ctx = nil
+	c.mu.Unlock()
+	c.group.Wait()
+}
+
+// join returns the next confirmation, or nil if one has just failed or the feed does not run.
 func (c *confirmer) join() *confirmation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Since(c.failedAt) < confirmPause {
+	if c.ctx == nil || time.Since(c.failedAt) < confirmPause {
 		return nil
 	}
 	if c.next == nil {
@@ -62,15 +82,16 @@
 	}
 	if !c.running {
 		c.running = true
-		go c.run()
+		ctx := c.ctx
+		c.group.Go(func() { c.run(ctx) })
 	}
 	return c.next
 }
 
 // run reads the store until nobody waits for that any more.
-func (c *confirmer) run() {
+func (c *confirmer) run(ctx context.Context) {
 	for n := c.begin(); n != nil; n = c.begin() {
-		n.ok = c.confirm()
+		n.ok = c.confirm(ctx)
 		c.mu.Lock()
 		c.failedAt = time.Time{}
 		if !n.ok {
@@ -92,8 +113,8 @@
 
 // confirm reads the revision of the store and, until the mirror has reached it, first the
 // changes and then all keys.
-func (c *confirmer) confirm() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+func (c *confirmer) confirm(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	res := c.feed.cfg.Store.Revision(ctx)
 	if res.Status != kv.Applied {
--- a/coordination/mirror/confirm_test.go
+++ b/coordination/mirror/confirm_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"wisteriaspool/coordination/kv"
 	"wisteriaspool/coordination/mirror"
 	"wisteriaspool/coordination/synctest"
 )
@@ -76,6 +77,23 @@
 	assert.Assert(t, ended.Load())
 }
 
+// Guards against changes that some observers never see, as they are set only after the mirror
+// has them, or see although the router has stopped.
+func TestConfirmFailsUnlessFeedRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStoppedFleet(1, 2*time.Millisecond, func(int, mirror.Changes) {})
+		f.store.put("a", "1")
+		assert.Assert(t, !f.feeds[0].Confirm(t.Context()))
+		assert.Equal(t, f.mirrors[0].AsOf(), kv.Revision(0))
+		stop := f.feeds[0].Start()
+		assert.Assert(t, f.feeds[0].Confirm(t.Context()))
+		stop()
+		f.store.put("a", "2")
+		assert.Assert(t, !f.feeds[0].Confirm(t.Context()))
+		assert.Equal(t, valueOf(f.mirrors[0], "a"), "1")
+	})
+}
+
 // Guards against a router that takes its view for confirmed although the store does not reply
 // to it, and against callers that wait for that one after the other.
 func TestConfirmFailsWithoutStore(t *testing.T) {
--- a/coordination/mirror/feed.go
+++ b/coordination/mirror/feed.go
@@ -107,6 +107,7 @@
 // of the mirror have to be set before.
 func (f *Feed) Start() (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
+	f.confirms.start(ctx)
 	hintsDone, fetchDone := make(chan struct{}), make(chan struct{})
 	go f.hints.run(ctx, hintsDone)
 	go f.fetcher.run(ctx, fetchDone)
@@ -114,6 +115,7 @@
 	stopStore, stopPeers := f.store.Start(), f.peers.Start()
 	return func() {
 		cancel()
+		f.confirms.stop()
 		stopStore()
 		stopPeers()
 		<-hintsDone
