--- a/coordination/mirror/confirm.go
+++ b/coordination/mirror/confirm.go
@@ -25,11 +25,14 @@
 type confirmer struct {
 	feed *Feed
 
+	group sync.WaitGroup // of run
+
 	mu       sync.Mutex
-	next     *confirmation // that has not begun; nil if nobody waits for one
-	readers  int           // goroutines that read the store
-	begunAt  time.Time     // when the latest read began
-	failedAt time.Time     // when the latest one failed; zero if it succeeded
+	ctx      context.Context // of the reads; nil unless the feed runs
+	next     *confirmation   // that has not begun; nil if nobody waits for one
+	readers  int             // goroutines that read the store
+	begunAt  time.Time       // when the latest read began
+	failedAt time.Time       // when the latest one failed; zero if it succeeded
 }
 
 // confirmation is one read of the store.
@@ -40,6 +43,7 @@
 
 // Confirm brings the mirror up to date with what the store holds when Confirm is called, or
 // later, and reports whether it could. The mirror's observers have seen the changes then.
+// It cannot before Start, when some of them may not be set yet.
 func (f *Feed) Confirm(ctx context.Context) bool {
 	n := f.confirms.join()
 	if n == nil {
@@ -53,11 +57,27 @@
 	}
 }
 
-// join returns the next confirmation, or nil if one has just failed.
+// start allows confirmations until stop is called.
+func (c *confirmer) start(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ctx = ctx
+}
+
+// stop returns when no confirmation runs any more. The context given to start has to be
+// cancelled before.
+func (c *confirmer) stop() {
+	c.mu.Lock()
+	c.ctx = nil
+	c.mu.Unlock()
+	c.group.Wait()
+}
+
+// join returns the next confirmation, or nil if one has just failed or the feed does not run.
 func (c *confirmer) join() *confirmation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Since(c.failedAt) < confirmPause {
+	if c.ctx == nil || time.Since(c.failedAt) < confirmPause {
 		return nil
 	}
 	if c.next == nil {
@@ -66,15 +86,16 @@
 	if c.readers == 0 || time.Since(c.begunAt) >= confirmOverlap {
 		c.readers++
 		c.begunAt = time.Now()
-		go c.run()
+		ctx := c.ctx
+		c.group.Go(func() { c.run(ctx) })
 	}
 	return c.next
 }
 
 // run reads the store until nobody waits for that any more.
-func (c *confirmer) run() {
+func (c *confirmer) run(ctx context.Context) {
 	for n := c.begin(); n != nil; n = c.begin() {
-		n.ok = c.confirm()
+		n.ok = c.confirm(ctx)
 		c.mu.Lock()
 		c.failedAt = time.Time{}
 		if !n.ok {
@@ -99,8 +120,8 @@
 
 // confirm reads the revision of the store and, until the mirror has reached it, first the
 // changes and then all keys.
-func (c *confirmer) confirm() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+func (c *confirmer) confirm(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	start := time.Now()
 	res := c.feed.cfg.Store.Revision(ctx)
@@ -109,7 +130,7 @@
 	}
 	m := c.feed.cfg.Mirror
 	for _, fetch := range []func(context.Context) (Update, error){c.fetchChanges, c.fetchAll} {
-		if m.AsOf() >= res.Revision {
+		if m.observed() >= res.Revision {
 			return true
 		}
 		u, err := fetch(ctx)
@@ -118,7 +139,7 @@
 		}
 		c.feed.store.apply(u, start)
 	}
-	return m.AsOf() >= res.Revision
+	return m.observed() >= res.Revision
 }
 
 // fetchChanges fetches the changes since the mirror's revision, or all keys if the store
--- a/coordination/mirror/feed.go
+++ b/coordination/mirror/feed.go
@@ -110,6 +110,7 @@
 // of the mirror have to be set before.
 func (f *Feed) Start() (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
+	f.confirms.start(ctx)
 	hintsDone, fetchDone, suspensionsDone := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	go f.suspensions.run(ctx, suspensionsDone)
 	go f.hints.run(ctx, hintsDone)
@@ -118,6 +119,7 @@
 	stopStore, stopPeers := f.store.Start(), f.peers.Start()
 	return func() {
 		cancel()
+		f.confirms.stop()
 		stopStore()
 		stopPeers()
 		<-hintsDone
