Pools that share a route are not taken for pools of one version each

What callers saw: a stream that began at one service went on at another one's software, at a router that had been told to move its route, or to divide it among both. It happened to all callers that do not name their streams, and to streams of which no router knows.

Cause: whether all endpoints of a pool have one version was asked of the pool that the request goes to now. The stream may have begun in another one: a route that is divided chooses by the id of the attempt, which is new when the caller takes the stream up, and a route that is moved has another pool altogether. Each pool had one version, so that nothing was kept by content.

Change: pools that share a route, or between which one was moved within the time that a stream may last, count each other's versions as their own. What follows from that is as for a pool of several versions: notes, streams in the store, streams known by content. A content is kept without a pool, so that streams of one content in two pools count as several.

Two services whose software has the same version text still count as the same software.

--- a/coordination/origin/keeper.go
+++ b/coordination/origin/keeper.go
@@ -87,7 +87,7 @@
 // forwarded and that may still be taken up.
 func (k *Keeper) Own(pool coordination.Pool) []Record {
 	return lo.FilterMap(k.table.all(time.Now()), func(r known, _ int) (Record, bool) {
-		return r.Record, r.own && r.Pool == pool && !isContent(r.Attempt)
+		return r.Record, r.own && r.Pool == pool
 	})
 }
 
@@ -226,13 +226,13 @@
 
 // FindByContent searches for the streams with a content, here and at the routers that may keep
 // them. They are known only if all began at one version.
-func (k *Keeper) FindByContent(ctx context.Context, c Content, pool coordination.Pool) Found {
+func (k *Keeper) FindByContent(ctx context.Context, c Content) Found {
 	if c == 0 {
 		return Found{}
 	}
 	own := Found{From: k.cfg.Self}
-	own.Version, own.Known = k.table.find(time.Now(), streamID{c.attempt(), pool})
-	replies, n := k.inquire(ctx, c.attempt(), pool)
+	own.Version, own.Known = k.table.find(time.Now(), streamID{attempt: c.attempt()})
+	replies, n := k.inquire(ctx, c.attempt(), "")
 	return mergeFound(own, replies, n)
 }
 
--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -55,7 +55,7 @@
 type Record struct {
 	// Attempt is the caller's attempt that brought the first event.
 	Attempt coordination.Attempt `cbor:"1,keyasint"`
-	Pool    coordination.Pool    `cbor:"2,keyasint"`
+	Pool    coordination.Pool    `cbor:"2,keyasint"` // empty in the record of a content: its route may have several
 	// Version is severalVersions in the record of a content whose streams began at several.
 	Version coordination.SoftwareVersion `cbor:"3,keyasint"`
 	LeftMs  uint32                       `cbor:"4,keyasint"` // how much longer the caller may take the stream up
@@ -72,7 +72,7 @@
 		if r.Content == 0 {
 			return Record{}, false
 		}
-		return Record{Attempt: r.Content.attempt(), Pool: r.Pool, Version: r.Version, LeftMs: r.LeftMs}, true
+		return Record{Attempt: r.Content.attempt(), Version: r.Version, LeftMs: r.LeftMs}, true
 	})
 }
 
--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -122,6 +122,20 @@
 	return r.Shares[len(r.Shares)-1].Pool
 }
 
+// Pools returns the pools that Pool may return.
+func (r *Route) Pools() []coordination.Pool {
+	var all []coordination.Pool
+	for _, s := range r.Shares {
+		if s.Weight > 0 {
+			all = append(all, s.Pool)
+		}
+	}
+	if len(all) == 0 {
+		return []coordination.Pool{r.Shares[0].Pool}
+	}
+	return all
+}
+
 // Pool describes a set of endpoints that serve the same requests.
 type Pool struct {
 	Name coordination.Pool
--- a/wisteriarouter/daemon/origins.go
+++ b/wisteriarouter/daemon/origins.go
@@ -261,7 +261,7 @@
 // find searches for a stream by the attempt that its caller names, or by its content.
 func (o *origins) find(ctx context.Context, s relay.StreamID, p coordination.Pool) origin.Found {
 	if s.Attempt == "" {
-		return o.keeper.FindByContent(ctx, s.Content, p)
+		return o.keeper.FindByContent(ctx, s.Content)
 	}
 	return o.keeper.Find(ctx, s.Attempt, p)
 }
--- a/wisteriarouter/daemon/relay_desired.go
+++ b/wisteriarouter/daemon/relay_desired.go
@@ -22,6 +22,7 @@
 	log         event.Log
 	table       atomic.Pointer[route.Table]
 	placer      *placer
+	history     *versionHistory
 	mirror      *mirror.Mirror
 	callLog     *mirror.CallLog
 	evacuations *evacuations
@@ -34,6 +35,7 @@
 	d := &desiredState{
 		log:     logOf(i),
 		placer:  do.MustInvoke[*placer](i),
+		history: do.MustInvoke[*versionHistory](i),
 		callLog: do.MustInvoke[*mirror.CallLog](i),
 		ready:   make(chan struct{}),
 	}
@@ -87,6 +89,7 @@
 	}
 	table := route.NewTable(s)
 	table.KeysInUse = table.KeysInUse || old != nil && old.KeysInUse
+	d.history.applyRoutes(old, table)
 	d.table.Store(table)
 	d.placer.applyBounds(s, d.relay.Load())
 	d.log.Emit(event.SettingsApplied,
--- a/wisteriarouter/daemon/relay_unnamed_stream_test.go
+++ b/wisteriarouter/daemon/relay_unnamed_stream_test.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"wisteriaspool/standin/replica"
 )
 
 // unnamedStream is a stream whose caller repeats its request to take it up, and names nothing
@@ -107,3 +110,74 @@
 		})
 	}
 }
+
+// twoServices returns the routes with the streams divided among two services.
+func twoServices(shares ...map[string]any) desiredState {
+	d := plainState()
+	for _, r := range d.routes {
+		if r["prefix"] == "/resumable/" {
+			delete(r, "backend")
+			r["split"] = shares
+		}
+	}
+	return d
+}
+
+// Guards against streams joined from the software of two services, each of which has one
+// version, as their route was moved, or is divided among both.
+func TestRelayDoesNotJoinUnnamedStreamOfAnotherService(t *testing.T) {
+	t.Parallel()
+	model, desk := map[string]any{"backend": "model", "weight": 1}, map[string]any{"backend": "desk", "weight": 1}
+	for _, tc := range []struct {
+		name          string
+		before, after desiredState
+	}{
+		{"moved", plainState(), twoServices(desk)},
+		{"divided", twoServices(model, desk), twoServices(model, desk)},
+		{"divided meanwhile", plainState(), twoServices(model, desk)},
+		{"no longer divided", twoServices(model, desk), twoServices(desk)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newVersionedCluster(t, 2, 2, "v1")
+			for n := range 2 {
+				s.addReplica(replica.Options{ID: fmt.Sprint("d", n), Service: "desk", Zone: "a", Version: "v2", Delay: versionedEventDelay, Events: 12, Slots: 32})
+			}
+			s.put(tc.before)
+			for n := range s.routers {
+				s.awaitState(n)
+			}
+			var streams []unnamedStream
+			for n := range 16 {
+				streams = append(streams, s.beginUnnamed(n%2, 1+n%6))
+			}
+			s.put(tc.after)
+			for n := range s.routers {
+				s.awaitState(n)
+			}
+			time.Sleep(100 * time.Millisecond)
+			var c tally
+			for n, st := range streams {
+				st.cancel()
+				c.add(st.openStream, s.do(s.unnamedRequest((n+1)%2, st)))
+			}
+			c.check(t, 0)
+		})
+	}
+}
+
+// awaitState waits until a router has the latest desired state in force.
+func (s *relayCluster) awaitState(router int) {
+	want := fmt.Sprintf("wisteria_desired_state_version %d\n", s.version)
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		resp, err := http.Get("http://" + s.routers[router].OperatorsAddress() + "/metrics")
+		if err != nil {
+			return poll.Error(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		text, err := io.ReadAll(resp.Body)
+		if err == nil && strings.Contains(string(text), want) {
+			return poll.Success()
+		}
+		return poll.Continue("router %d does not have the state", router)
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+}
--- a/wisteriarouter/daemon/versions.go
+++ b/wisteriarouter/daemon/versions.go
@@ -58,8 +58,9 @@
 	mu      sync.Mutex
 	current map[coordination.Pool]versionSet
 	gone    map[coordination.Pool]map[coordination.SoftwareVersion]time.Time // when each version was last listed
-	notes   map[platform.NotedPool]map[string]note                           // by key
-	latest  map[platform.NotedPool]kv.Revision                               // of the latest note
+	links   poolLinks
+	notes   map[platform.NotedPool]map[string]note // by key
+	latest  map[platform.NotedPool]kv.Revision     // of the latest note
 	// inherited is the record that this router has found in the store, and inheritedAt
 	// when, which is zero before. Streams that began at these versions may be taken up.
 	inherited   map[coordination.Pool]coordination.SoftwareVersion
@@ -244,8 +245,8 @@
 	return mixed
 }
 
-// Single reports whether all endpoints of a pool have, and had for as long as a stream
-// may last, one version of their software, as far as this router knows.
+// Single reports whether all endpoints at which streams of a pool's routes may have begun have
+// one version of their software, as far as this router knows.
 func (h *versionHistory) Single(pool coordination.Pool) bool {
 	_, single := h.only(pool)
 	return single
@@ -261,7 +262,8 @@
 func (h *versionHistory) recent() bool { return h.mirror.Age() <= maxStreamAge }
 
 // only returns the version of a pool's endpoints, which is empty if it has none, and whether
-// there is, and was for as long as a stream may last, no other.
+// there is, and was for as long as a stream may last, no other, also in the pools that it shares
+// routes with.
 func (h *versionHistory) only(pool coordination.Pool) (v coordination.SoftwareVersion, single bool) {
 	versions := make(versionSet)
 	for _, k := range h.directory.Pool(pool) {
@@ -285,9 +287,18 @@
 	return len(h.notes[noted]) > 0
 }
 
-// addRecent adds to a set the versions that the endpoints of a pool have had lately. The
-// caller holds h.mu.
+// addRecent adds to a set the versions at which the streams of a pool's routes may have begun
+// lately. The caller holds h.mu.
 func (h *versionHistory) addRecent(now time.Time, pool coordination.Pool, versions versionSet) {
+	h.addOwn(now, pool, versions)
+	for linked := range h.links.recent(now, pool) {
+		h.addOwn(now, linked, versions)
+	}
+}
+
+// addOwn adds to a set the versions that the endpoints of a pool have had lately. The caller
+// holds h.mu.
+func (h *versionHistory) addOwn(now time.Time, pool coordination.Pool, versions versionSet) {
 	if v, ok := h.inherited[pool]; ok && now.Sub(h.inheritedAt) <= maxStreamAge {
 		versions[v] = true
 	}
@@ -338,7 +349,8 @@
 	if len(h.current[pool]) > 1 {
 		return now
 	}
-	if v, ok := h.inherited[pool]; ok && !h.current[pool][v] {
+	last = h.lastLinked(now, pool)
+	if v, ok := h.inherited[pool]; ok && !h.current[pool][v] && h.inheritedAt.After(last) {
 		last = h.inheritedAt
 	}
 	for v, at := range h.gone[pool] {
