Requests that are not convicted excuse no crash; excused ones stay suspects

Change: a crash is put down only to a request that is convicted without those of its own crashes that are put down to a third one. That is checked when it is asked for, so that the order in which records arrive does not matter. A request with a discounted crash stays a suspect until it completes.

--- a/coordination/suspicion/excused_test.go
+++ b/coordination/suspicion/excused_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination"
 )
 
 // Guards against concurrent copies of a crashing request whose only crash is
@@ -29,3 +31,30 @@
 	assert.Assert(t, enter(4) != Poison)
 	assert.Equal(t, enter(5), Busy, "a second copy runs concurrently with the first")
 }
+
+// Guards against an innocent request, convicted of nothing, that excuses a crash of a
+// request which then takes a third endpoint.
+func TestRequestThatIsNotConvictedExcusesNoCrash(t *testing.T) {
+	now := testNow
+	first, second, innocent := FingerprintOf("first"), FingerprintOf("second"), FingerprintOf("innocent")
+	crash := func(e coordination.Endpoint, after time.Duration, alone bool) Crash {
+		return Crash{Endpoint: e, Incarnation: 1, At: unixMillis(now.Add(after)), Alone: alone}
+	}
+	expires := unixMillis(now.Add(time.Minute))
+	records := []Record{
+		{Fingerprint: first, Crashes: []Crash{crash("e1", 0, false), crash("e2", 2*time.Second, true)}, Expires: expires},
+		{Fingerprint: innocent, Crashes: []Crash{crash("e2", 2*time.Second, false), crash("e3", 4*time.Second, true)}, Expires: expires},
+		{Fingerprint: second, Crashes: []Crash{crash("e3", 4*time.Second, false), crash("e4", 6*time.Second, true)}, Expires: expires},
+	}
+	now = now.Add(6 * time.Second)
+	for _, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
+		table := NewTable(Config{})
+		for _, i := range order {
+			table.Merge(now, records[i])
+		}
+		for fp, want := range map[Fingerprint]State{first: Convicted, second: Convicted, innocent: Suspect} {
+			_, state := table.Find(now, fp)
+			assert.Equal(t, state, want, "order %v", order)
+		}
+	}
+}
--- a/coordination/suspicion/table.go
+++ b/coordination/suspicion/table.go
@@ -104,7 +104,8 @@
 // the same endpoint and was convicted of it: a common prompt may well have run
 // on both endpoints that a crashing request took down. Only one such crash is
 // discounted, since several concurrent crashing requests could otherwise
-// discount each other's crashes indefinitely.
+// discount each other's crashes indefinitely. A request with a discounted crash stays
+// a suspect until it completes, since it may crash endpoints as well.
 //
 // A request that never ran without other suspects when it crashed is convicted
 // only after Config.Hold, so that the record of another request's conviction
@@ -120,40 +121,64 @@
 	if t.cfg.Parts {
 		return t.partState(r)
 	}
-	own := 0
-	alone, late, discounted, excused := false, false, false, false
-	var last UnixMillis
-	for _, c := range r.Crashes {
-		switch {
-		case t.parts != nil && t.parts.Explains(c.lifetime()):
-		case c.Excused && !excused:
-			excused = true
-		case !discounted && t.attributedToOther(c, r.Fingerprint):
-			discounted = true
-		default:
-			own++
-			alone = alone || c.Alone
-			late = late || slices.Contains(r.Late, c.lifetime())
-			last = max(last, c.At)
-		}
-	}
+	n := t.count(r, t.attributedToOther)
 	switch {
-	case own >= crashesToConvict && !alone && now.Before(last.Time().Add(t.cfg.Hold)):
+	case n.own >= crashesToConvict && !n.alone && now.Before(n.last.Time().Add(t.cfg.Hold)):
 		return Suspect
-	case own >= crashesToConvict && late && !alone && own < lateCrashesToConvict:
+	case n.own >= crashesToConvict && n.late && !n.alone && n.own < lateCrashesToConvict:
 		return Suspect
-	case own >= crashesToConvict:
+	case n.own >= crashesToConvict:
 		return Convicted
-	case own > 0:
+	case n.own > 0, n.discounted:
 		return Suspect
 	default:
 		return Clear
 	}
 }
 
+// crashCount is how many crashes of a record count against its request.
+type crashCount struct {
+	own         int
+	alone, late bool // one of them at least
+	last        UnixMillis
+	discounted  bool // another crash is attributed to another request
+}
+
+// count counts the crashes of a record; toOther reports whether a crash of a
+// request is attributed to another one.
+func (t *Table) count(r Record, toOther func(Crash, Fingerprint) bool) (n crashCount) {
+	excused := false
+	for _, c := range r.Crashes {
+		switch {
+		case t.parts != nil && t.parts.Explains(c.lifetime()):
+		case c.Excused && !excused:
+			excused = true
+		case !n.discounted && toOther(c, r.Fingerprint):
+			n.discounted = true
+		default:
+			n.own++
+			n.alone = n.alone || c.Alone
+			n.late = n.late || slices.Contains(r.Late, c.lifetime())
+			n.last = max(n.last, c.At)
+		}
+	}
+	return n
+}
+
 // attributedToOther reports whether another request is known to have caused a
-// crash.
+// crash. That request must be convicted without those of its own crashes that are
+// attributed to a third one: an innocent request that meets two crashing ones in
+// turn, the second time as the only suspect, would otherwise excuse the second.
 func (t *Table) attributedToOther(c Crash, f Fingerprint) bool {
+	if !t.recordedForOther(c, f) {
+		return false
+	}
+	r := t.records[t.attributed[c.lifetime()]]
+	return r != nil && t.count(*r, t.recordedForOther).own >= crashesToConvict
+}
+
+// recordedForOther is attributedToOther without the check of the other request.
+func (t *Table) recordedForOther(c Crash, f Fingerprint) bool {
 	by, decided := t.attributed[c.lifetime()]
 	return decided && by != f && !c.Alone
 }
