Tests: routers and endpoints listen at addresses of their own

Cause: routers and endpoints of tests listened at free ports of 127.0.0.1. The port of one that was stopped or killed is soon that of another test's or process's listener, which then gets the connections of all that still know the address, and a dead endpoint seems to be alive. Seen in 1 of 20 runs of the tests of versions, two processes at once: an endpoint of TestRelayRestartedFleetDoesNotTakeVersionOnRecordForOrigin got requests for /v1/tunnel that were meant for a router of another fleet, which failed the test.

Change: each router, endpoint and proxy listens at a random address of 127.0.0.0/8. Proxies had one by process.

No failure of another test is put down to this.

--- a/standin/proxy/proxy.go
+++ b/standin/proxy/proxy.go
@@ -5,9 +5,10 @@
 
 import (
 	"net"
-	"os"
 	"sync"
 	"time"
+
+	"wisteriaspool/standin/loopback"
 )
 
 // Mode sets how a proxy handles its connections.
@@ -31,18 +32,11 @@
 	severed  int // connections up to this one hold all data back for good
 }
 
-// host returns a loopback address that other processes hardly use. The address of a proxy
-// that has stopped would else soon be that of another process's listener.
-func host() string {
-	pid := os.Getpid()
-	return net.IPv4(127, 1+byte(pid>>16)%254, byte(pid>>8), byte(pid)).String()
-}
-
 // New starts a proxy on a free loopback port that forwards to target, a
 // host:port. The returned function stops it and resets its connections. New
 // returns an error if it can't listen.
 func New(target string) (*Proxy, func(), error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(host(), "0"))
+	l, err := net.Listen("tcp", loopback.Address())
 	if err != nil {
 		return nil, nil, err
 	}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"wisteriaspool/standin/hub"
+	"wisteriaspool/standin/loopback"
 )
 
 // Options configures a Replica.
@@ -154,7 +155,7 @@
 	if o.Inspector == nil {
 		o.Inspector = NewInspector()
 	}
-	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.ParseIP(loopback.Host())})
 	if err != nil {
 		return nil, nil, err
 	}
--- a/wisteriarouter/daemon/catchup_test.go
+++ b/wisteriarouter/daemon/catchup_test.go
@@ -15,6 +15,7 @@
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/membership"
 	"wisteriaspool/coordination/suspicion"
+	"wisteriaspool/standin/loopback"
 	"wisteriaspool/wisteriarouter/event"
 	"wisteriaspool/wisteriarouter/peer"
 )
@@ -27,7 +28,7 @@
 }
 
 func newSuspectsRouter(t *testing.T, id coordination.Instance, seeds ...string) *suspectsRouter {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopback.Address())
 	assert.NilError(t, err)
 	self := membership.Member{Instance: id, Address: l.Addr().String(), Zone: "a", Incarnation: 1}
 	n, stop, err := peer.New(peer.Config{Fleet: "test", Self: self, Seeds: seeds})
--- a/wisteriarouter/daemon/daemon_test.go
+++ b/wisteriarouter/daemon/daemon_test.go
@@ -17,6 +17,7 @@
 
 	"wisteriaspool/coordination/settings"
 	standinengine "wisteriaspool/standin/engine"
+	"wisteriaspool/standin/loopback"
 	standinplatform "wisteriaspool/standin/platform"
 	standinservice "wisteriaspool/standin/service"
 	"wisteriaspool/wisteriarouter/config"
@@ -115,23 +116,23 @@
 	}
 	text := fmt.Sprintf(`
 [router]
-instance = r%d
+instance = r%[1]d
 availability-zone = a
 [listen]
-callers = 127.0.0.1:0
-operators = 127.0.0.1:0
-peers = 127.0.0.1:0
+callers = %[2]s
+operators = %[2]s
+peers = %[2]s
 [platform]
-kv = %s
-instances = %s
-refresh = %s
+kv = %[3]s
+instances = %[3]s
+refresh = %[4]s
 [limits]
 stop-delay = 0s
 [transfer]
 link = 1192MiB
 [log]
 level = warning
-%s`, n, w.address, w.address, w.refresh, seeds)
+%[5]s`, n, loopback.Address(), w.address, w.refresh, seeds)
 	cfg, problems := config.Parse("test.ini", []byte(text))
 	assert.Equal(w.t, len(problems), 0, "%v", problems)
 	d, stop, err := daemon.StartWithLog(cfg, w.logs)
--- a/wisteriarouter/daemon/process_test.go
+++ b/wisteriarouter/daemon/process_test.go
@@ -14,6 +14,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"wisteriaspool/standin/loopback"
 )
 
 // processes is a fleet of separate processes on loopback addresses.
@@ -63,7 +65,7 @@
 func freeAddresses(t *testing.T, n int) []string {
 	var all []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", loopback.Address())
 		assert.NilError(t, err)
 		defer l.Close()
 		all = append(all, l.Addr().String())
--- a/wisteriarouter/daemon/relay_out_of_step_test.go
+++ b/wisteriarouter/daemon/relay_out_of_step_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"wisteriaspool/standin/loopback"
 	"wisteriaspool/standin/proxy"
 )
 
@@ -18,7 +19,7 @@
 // addProxied adds a router whose links to the others and to the store pass through proxies.
 func (l *peerLinks) addProxied(s *versionedCluster) {
 	s.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", loopback.Address())
 	assert.NilError(s.t, err)
 	address := listener.Addr().String()
 	assert.NilError(s.t, listener.Close())
--- a/wisteriarouter/daemon/relay_site_test.go
+++ b/wisteriarouter/daemon/relay_site_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/poll"
 
 	"wisteriaspool/standin/hub"
+	"wisteriaspool/standin/loopback"
 	"wisteriaspool/standin/replica"
 	"wisteriaspool/wisteriarouter/config"
 	"wisteriaspool/wisteriarouter/daemon"
@@ -162,7 +163,7 @@
 	if len(s.routers) > 0 {
 		seeds = s.routers[0].PeersAddress()
 	}
-	s.addRouterWith(s.address, "127.0.0.1:0", "seeds = "+seeds)
+	s.addRouterWith(s.address, loopback.Address(), "seeds = "+seeds)
 }
 
 // addRouterWith adds a router with an address of the store, one at which it listens for other
@@ -171,26 +172,26 @@
 	n := len(s.routers)
 	text := fmt.Sprintf(`
 [router]
-instance = r%d
+instance = r%[1]d
 availability-zone = a
 [zone "a"]
 region = north
 [zone "b"]
 region = south
 [listen]
-callers = 127.0.0.1:0
-operators = 127.0.0.1:0
-peers = %s
+callers = %[2]s
+operators = %[2]s
+peers = %[3]s
 [peers]
-%s
+%[4]s
 [relay]
-store = %s
-readiness = 127.0.0.1:0
+store = %[5]s
+readiness = %[2]s
 [limits]
 stop-delay = 50ms
 stop-within = 5s
-%s
-`, n, listen, peers, store, s.limits)
+%[6]s
+`, n, loopback.Address(), listen, peers, store, s.limits)
 	cfg, problems := config.Parse("test", []byte(text))
 	assert.Equal(s.t, len(problems), 0, "%v", problems)
 	dial := (&net.Dialer{Timeout: 400 * time.Millisecond}).DialContext
