An endpoint at which a caller takes up a stream does not repeat events

What callers saw: a caller that sent Last-Event-Id got events twice if the endpoint started too early, from the beginning for example.

Cause: whether events come after the last one was checked only of an endpoint that goes on within one response, not of the first endpoint of a request which asks for the rest of a stream.

Change: the check compares with the id that the next attempt continues after, which is the caller's until an event was sent. Another endpoint is tried; if none is left, the response breaks off before the events. A route that is not resumable passes all on as before.

--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -66,6 +66,12 @@
 	return platform.LastEvent(x.r.Header)
 }
 
+// resumes reports whether the next response goes on with a stream of which the caller has
+// events.
+func (x *exchange) resumes() bool {
+	return x.stream.headSent || x.route.Resumable && platform.Resumes(x.r.Header)
+}
+
 // streamBuffer is the initial buffer size in bytes. It holds several events; most arrive singly.
 const streamBuffer = 4 << 10
 
@@ -74,8 +80,8 @@
 // sends in full. If the endpoint that continues a stream starts too early, the
 // response ends, so that the caller receives no event twice.
 func (x *exchange) forwardStream(resp *upstream.Response) attemptResult {
-	resumed := x.stream.headSent // and no event with an id has come since
-	if !resumed {
+	resumed := x.resumes() // and no event with an id has come since
+	if !x.stream.headSent {
 		x.copyHeader(resp)
 		x.w.WriteHeader(resp.Status)
 		x.stream.headSent = true
@@ -92,7 +98,7 @@
 		if len(events) > 0 {
 			if resumed {
 				id := firstID(events)
-				if !idAfter(id, x.stream.lastEventID) {
+				if !idAfter(id, x.resumesAfter()) {
 					return cut
 				}
 				resumed = id == "" // as comments have none
