The last id of an event counts

What callers saw: where an event has two lines with an id, a response that went on at another endpoint was cut although it was in order, or repeated an event.

Both are read by one function now, which reads fields in place of looking for text.

TestWholeEvents checks the same ids through the new function.

--- a/wisteriarouter/relay/relay_test.go
+++ b/wisteriarouter/relay/relay_test.go
@@ -91,8 +91,9 @@
 	for _, test := range tests {
 		n := wholeEvents([]byte(test.in))
 		assert.Equal(t, n, test.whole, "%q", test.in)
-		assert.Equal(t, firstID([]byte(test.in)[:n]), test.first, "%q", test.in)
-		assert.Equal(t, lastID([]byte(test.in)[:n]), test.id, "%q", test.in)
+		ids := readIDs([]byte(test.in)[:n])
+		assert.Equal(t, ids.first, test.first, "%q", test.in)
+		assert.Equal(t, ids.last, test.id, "%q", test.in)
 	}
 }
 
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -52,7 +52,7 @@
 		s.longestPause = max(s.longestPause, now.Sub(s.lastEventAt))
 	}
 	s.lastEventAt = now
-	if id := lastID(events); id != "" {
+	if id := readIDs(events).last; id != "" {
 		s.lastEventID = id
 	}
 }
@@ -97,7 +97,7 @@
 		now := time.Now()
 		if len(events) > 0 {
 			if resumed {
-				id := firstID(events)
+				id := readIDs(events).first
 				if !idAfter(id, x.resumesAfter()) {
 					return cut
 				}
@@ -230,33 +230,40 @@
 	return b[start:end], next, true
 }
 
-// lastID returns the id of the last event in b that has one.
-func lastID(b []byte) string {
-	return idAt(b, max(bytes.LastIndex(b, []byte("\nid:")), bytes.LastIndex(b, []byte("\rid:"))))
+// eventIDs holds the ids of events.
+type eventIDs struct {
+	first, last string // empty if no event has one
 }
 
-// firstID returns the id of the first event in b that has one.
-func firstID(b []byte) string {
+// readIDs returns the ids of the complete events in b. The last id of an event counts.
+func readIDs(b []byte) (ids eventIDs) {
+	var id string
 	for start := 0; ; {
 		line, next, ok := nextLine(b, start)
-		if !ok || bytes.HasPrefix(line, []byte("id:")) {
-			return idAt(b, start-1)
+		if !ok {
+			return ids
 		}
 		start = next
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch {
+		case len(line) == 0:
+			ids.add(id)
+			id = ""
+		case string(name) == "id":
+			id = string(bytes.TrimSpace(value))
+		}
 	}
 }
 
-// idAt returns the id in the line that begins after the line break at index i. An i
-// of -1 stands for the start of b.
-func idAt(b []byte, i int) string {
-	line, ok := bytes.CutPrefix(b[i+1:], []byte("id:"))
-	if !ok {
-		return ""
+// add adds the id of an event.
+func (ids *eventIDs) add(id string) {
+	if id == "" {
+		return
 	}
-	if end := bytes.IndexAny(line, "\r\n"); end >= 0 {
-		line = line[:end]
+	if ids.first == "" {
+		ids.first = id
 	}
-	return string(bytes.TrimSpace(line))
+	ids.last = id
 }
 
 // idAfter reports whether an event id comes after another one. Ids are compared as whole
