A response whose last event has no id does not go on at another endpoint

What callers saw: events twice, where a response of a resumable route broke off after an event without an id, with an empty one, or with one that cannot stand in a header. A stream without any ids came again from its beginning within the same response.

Cause: the next endpoint was asked for what follows the last id that was read, or for the whole stream if there was none, whatever had been sent after it.

Change: such a response breaks off, as that of a route which is not resumable.

--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -96,7 +96,7 @@
 }
 
 func (x *exchange) policy() retryPolicy {
-	return retryPolicy{idempotent: x.route.Idempotent() && !x.stream.unrepeatable, attempts: x.route.Attempts}
+	return retryPolicy{idempotent: x.route.Idempotent() && !x.stream.unrepeatable && !x.stream.unnamed, attempts: x.route.Attempts}
 }
 
 // unanswered handles an attempt that got no response, and returns its result.
--- a/wisteriarouter/relay/event_id_test.go
+++ b/wisteriarouter/relay/event_id_test.go
@@ -85,6 +85,11 @@
 		{"two ids in an event", "id: 1\nid: 2\ndata: x\n\n", "id: 2\nid: 3\ndata: x\n\n", "2", []string{"2", "3"}},
 		{"two ids, too early", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", "id: 3\nid: 2\ndata: x\n\n", "2", []string{"1", "2"}},
 		{"comment between", "id: 1\ndata: x\n\n: c\n\n", "id: 1\ndata: x\n\n", "1", []string{"1"}},
+		{"no ids", "data: x\n\n", "data: x\n\n", "", []string{""}},
+		{"no id at last", "id: 1\ndata: x\n\ndata: x\n\n", "id: 2\ndata: x\n\n", "", []string{"1", "1"}},
+		{"empty id at last", "id: 1\ndata: x\n\nid:\ndata: x\n\n", "id: 2\ndata: x\n\n", "", []string{"1", ""}},
+		{"id without a colon at last", "id: 1\ndata: x\n\nid\ndata: x\n\n", "id: 2\ndata: x\n\n", "", []string{"1", ""}},
+		{"control byte in an id", "id: 1\x01\ndata: x\n\n", "id: 2\ndata: x\n\n", "", []string{"1\x01"}},
 		{"no id at first, then too early", "id: 1\ndata: x\n\n", "data: x\n\nid: 1\ndata: x\n\n", "1", []string{"1"}},
 		{"field that begins with id", "id: 1\nidx: 7\ndata: x\n\n", "id: 2\ndata: x\n\n", "1", []string{"1", "2"}},
 	} {
--- a/wisteriarouter/relay/relay_test.go
+++ b/wisteriarouter/relay/relay_test.go
@@ -91,7 +91,7 @@
 	for _, test := range tests {
 		n := wholeEvents([]byte(test.in))
 		assert.Equal(t, n, test.whole, "%q", test.in)
-		ids := readIDs([]byte(test.in)[:n])
+		ids := readIDs([]byte(test.in)[:n], false)
 		assert.Equal(t, ids.first, test.first, "%q", test.in)
 		assert.Equal(t, ids.last, test.id, "%q", test.in)
 	}
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -7,6 +7,7 @@
 	"math/big"
 	"net/http"
 	"time"
+	"unicode"
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/memory"
@@ -26,6 +27,8 @@
 	// unrepeatable reports that the caller has part of a response that is not an
 	// event stream, and that another endpoint therefore cannot continue.
 	unrepeatable bool
+	// unnamed reports that the last event has no id. Another endpoint would repeat it.
+	unnamed      bool
 	answering    bool   // the last endpoint has written events for answeringTime
 	lastEventID  string // id of the last complete event sent to the caller
 	partial      int    // bytes of an incomplete event at the end of the last response
@@ -52,9 +55,11 @@
 		s.longestPause = max(s.longestPause, now.Sub(s.lastEventAt))
 	}
 	s.lastEventAt = now
-	if id := readIDs(events).last; id != "" {
-		s.lastEventID = id
+	ids := readIDs(events, s.unnamed)
+	if ids.last != "" {
+		s.lastEventID = ids.last
 	}
+	s.unnamed = ids.unnamed
 }
 
 // resumesAfter returns the id of the event after which the next attempt goes on with a
@@ -97,7 +102,7 @@
 		now := time.Now()
 		if len(events) > 0 {
 			if resumed {
-				id := readIDs(events).first
+				id := readIDs(events, false).first
 				if !idAfter(id, x.resumesAfter()) {
 					return cut
 				}
@@ -233,11 +238,15 @@
 // eventIDs holds the ids of events.
 type eventIDs struct {
 	first, last string // empty if no event has one
+	unnamed     bool   // the last event with data has no id
 }
 
-// readIDs returns the ids of the complete events in b. The last id of an event counts.
-func readIDs(b []byte) (ids eventIDs) {
+// readIDs returns the ids of the complete events in b. They follow on an event that has no id
+// if unnamed is set. The last id of an event counts.
+func readIDs(b []byte, unnamed bool) eventIDs {
+	ids := eventIDs{unnamed: unnamed}
 	var id string
+	var data bool
 	for start := 0; ; {
 		line, next, ok := nextLine(b, start)
 		if !ok {
@@ -247,23 +256,36 @@
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		switch {
 		case len(line) == 0:
-			ids.add(id)
-			id = ""
+			ids.add(id, data)
+			id, data = "", false
 		case string(name) == "id":
-			id = string(bytes.TrimSpace(value))
+			id = usableID(value)
+		case string(name) == "data":
+			data = true
 		}
 	}
 }
 
-// add adds the id of an event.
-func (ids *eventIDs) add(id string) {
+// add adds an event.
+func (ids *eventIDs) add(id string, data bool) {
 	if id == "" {
+		ids.unnamed = ids.unnamed || data
 		return
 	}
 	if ids.first == "" {
 		ids.first = id
 	}
-	ids.last = id
+	ids.last, ids.unnamed = id, false
+}
+
+// usableID returns the id in the value of a field, or an empty string for one that cannot be the
+// value of a header.
+func usableID(value []byte) string {
+	value = bytes.TrimSpace(value)
+	if bytes.ContainsFunc(value, unicode.IsControl) {
+		return ""
+	}
+	return string(value)
 }
 
 // idAfter reports whether an event id comes after another one. Ids are compared as whole
