A byte order mark is no part of the first event of a stream

What callers saw: an event twice, or a byte order mark in the middle of a stream with which the event after it lost its id, where the endpoint that went on within one response, or began it, sends one.

Cause: the line with the first id was not recognized behind the mark, so that neither the check for events that come again nor the id to go on after saw it.

Change: the mark is passed over where ids are read, and dropped where a response goes on.

Evidence: TestStreamGoesOnAfterIDInAnyForm: both cases with a mark failed before.

--- a/wisteriarouter/relay/event_id_test.go
+++ b/wisteriarouter/relay/event_id_test.go
@@ -82,6 +82,8 @@
 		{"id after data", "data: x\nid: 1\n\n", "data: x\nid: 2\n\n", "1", []string{"1", "2"}},
 		{"without a blank", "id:1\ndata: x\n\n", "id:2\ndata: x\n\n", "1", []string{"1", "2"}},
 		{"large step", "id: 1\ndata: x\n\n", "id: 99999999999999999999999\ndata: x\n\n", "1", []string{"1", "99999999999999999999999"}},
+		{"byte order mark", "\ufeffid: 1\ndata: x\n\n", "\ufeffid: 2\ndata: x\n\n", "1", []string{"1", "2"}},
+		{"byte order mark, too early", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", "\ufeffid: 2\ndata: x\n\n", "2", []string{"1", "2"}},
 		{"two ids in an event", "id: 1\nid: 2\ndata: x\n\n", "id: 2\nid: 3\ndata: x\n\n", "2", []string{"2", "3"}},
 		{"two ids, too early", "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", "id: 3\nid: 2\ndata: x\n\n", "2", []string{"1", "2"}},
 		{"comment between", "id: 1\ndata: x\n\n: c\n\n", "id: 1\ndata: x\n\n", "1", []string{"1"}},
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -101,6 +101,9 @@
 		events, err := e.next()
 		now := time.Now()
 		if len(events) > 0 {
+			if first.IsZero() && !x.stream.firstEventAt.IsZero() {
+				events = bytes.TrimPrefix(events, byteOrderMark) // it may only begin a response
+			}
 			if resumed {
 				id := readIDs(events, false).first
 				if !idAfter(id, x.resumesAfter()) {
@@ -244,6 +247,7 @@
 // readIDs returns the ids of the complete events in b. They follow on an event that has no id
 // if unnamed is set. The last id of an event counts.
 func readIDs(b []byte, unnamed bool) eventIDs {
+	b = bytes.TrimPrefix(b, byteOrderMark)
 	ids := eventIDs{unnamed: unnamed}
 	var id string
 	var data bool
@@ -278,6 +282,9 @@
 	ids.last, ids.unnamed = id, false
 }
 
+// byteOrderMark may begin an event stream, and is no part of its first event.
+var byteOrderMark = []byte("\ufeff")
+
 // usableID returns the id in the value of a field, or an empty string for one that cannot be the
 // value of a header.
 func usableID(value []byte) string {
