The id of an attempt cannot be the key of a content

What callers saw: nothing yet. A caller that gave its attempt the id of another one's content, "content " and a number, could have made that stream unknown, or known at another version.

Cause: streams are kept by the ids of attempts, which callers choose, and by their content in one table, with keys that both could have.

Change: the key of a content begins with a byte that no header may hold.

Evidence: TestAttemptIsNotTakenForContent failed before. TestContentOfSeveralVersionsIsNotKnown, six sets of streams learned of in three ways, passed before as well.

--- a/coordination/origin/origin.go
+++ b/coordination/origin/origin.go
@@ -40,8 +40,9 @@
 type Content uint64
 
 // contentPrefix begins the key under which a stream is kept by its content. Several streams
-// of the same content share it.
-const contentPrefix = "content "
+// of the same content share it. No header of a caller may hold the first byte, so that no
+// attempt has such an id.
+const contentPrefix = "\x00content "
 
 // attempt returns the key of the streams with a content.
 func (c Content) attempt() coordination.Attempt {
