--- a/coordination/origin/table.go
+++ b/coordination/origin/table.go
@@ -12,7 +12,7 @@
 const (
 	shardCount = 16
 	// maxShardRecords bounds the memory of a table: with all shards full it is about
-	// 10 MB. The oldest records of a full shard are those of streams that have most
+	// 25 MB. The oldest records of a full shard are those of streams that have most
 	// likely ended.
 	maxShardRecords = 4096
 )
