A router that waits for a slow store still answers others about versions

What callers would see: a stream refused with 503, in a pool that has had one version only, while the store is slow, and a request held for up to 1.3 s before that answer.

Cause: a confirmation may wait for one that has begun, up to 0.8 s, but a router that asks another one takes it for silent after 0.5 s, and one silent router is enough to refuse.

Change: a router compares its view with the store for 0.4 s at most and then replies that it is not confirmed.

--- a/coordination/origin/witness.go
+++ b/coordination/origin/witness.go
@@ -57,9 +57,13 @@
 // NewWitness returns a Witness.
 func NewWitness(cfg WitnessConfig) *Witness { return &Witness{cfg} }
 
-// viewTimeout bounds a question about the versions of a pool. The router that is asked reads
-// the store.
-const viewTimeout = 500 * time.Millisecond
+const (
+	// viewTimeout bounds a question about the versions of a pool.
+	viewTimeout = 500 * time.Millisecond
+	// lookTimeout bounds how long a router compares its view with the store, alone or for
+	// another one, which takes it for silent after viewTimeout.
+	lookTimeout = 400 * time.Millisecond
+)
 
 // Testimony tells how a Witness came to a result.
 type Testimony struct {
@@ -106,6 +110,8 @@
 	if v := w.cfg.View(pool); !v.Single {
 		return v
 	}
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
 	confirmed := w.cfg.Confirm(ctx)
 	v := w.cfg.View(pool)
 	v.Single = v.Single && (confirmed || w.cfg.Recently())
--- a/coordination/origin/witness_test.go
+++ b/coordination/origin/witness_test.go
@@ -64,3 +64,52 @@
 		})
 	}
 }
+
+// loopback is the Transport between two witnesses.
+type loopback map[coordination.Instance]*Witness
+
+func (l loopback) Call(ctx context.Context, to coordination.Instance, _ string, payload []byte) ([]byte, error) {
+	type result struct {
+		b   []byte
+		err error
+	}
+	replies := make(chan result, 1)
+	go func() {
+		// The context of the caller does not reach the other router.
+		b, err := l[to].HandleView(context.WithoutCancel(ctx), payload)
+		replies <- result{b, err}
+	}()
+	select {
+	case r := <-replies:
+		return r.b, r.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Guards against a router that takes others for silent, and holds a request for long, as a slow
+// store makes all of them wait.
+func TestWitnessRepliesWhileStoreIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		routers := []placement.Router{{ID: "r0"}, {ID: "r1"}, {ID: "r2"}}
+		all := make(loopback)
+		for _, r := range routers {
+			all[r.ID] = NewWitness(WitnessConfig{
+				Self: r.ID, Transport: all,
+				Recent: func() []placement.Router { return routers },
+				// A confirmation waits for another one that has begun, and both fail.
+				Confirm: func(ctx context.Context) bool {
+					coordination.Sleep(ctx, 800*time.Millisecond)
+					return false
+				},
+				Recently: func() bool { return true },
+				View:     func(coordination.Pool) View { return View{Single: true, Version: "v1"} },
+			})
+		}
+		start := time.Now()
+		got := all["r0"].Ask(t.Context(), "model")
+		assert.Equal(t, got.Silent, 0)
+		assert.Assert(t, got.Single)
+		assert.Assert(t, time.Since(start) <= 2*viewTimeout, "%v", time.Since(start))
+	})
+}
