Links between pools are found by the hosts of routes

Cause: with each desired state every resumable route was compared with every former route of all hosts, each time through the table, which grows with the square of the routes and more.

Change: former routes are grouped by host, and the one that had all paths of a route is looked up once. TestPoolLinksOfChangedRoutes and TestRelayDoesNotJoinUnnamedStreamOfAnotherService pass unchanged. Not measured on a large state.

--- a/wisteriarouter/daemon/version_links.go
+++ b/wisteriarouter/daemon/version_links.go
@@ -25,17 +25,36 @@
 			}
 		}
 	}
-	for i := range current.Routes {
-		r := &current.Routes[i]
-		if !r.Resumable {
-			continue
-		}
+	formerByHost := make(map[string][]*route.Route)
+	for _, f := range resumableRoutes(former) {
+		formerByHost[f.Host] = append(formerByHost[f.Host], f)
+	}
+	for _, r := range resumableRoutes(current) {
 		pools := r.Pools()
 		l.connect(pools, pools, time.Time{})
-		for _, f := range formerRoutes(former, current, r) {
-			l.connect(pools, f.Pools(), now)
+		var whole *route.Route // that had all paths of r
+		if former != nil {
+			whole = former.Match(r.Host, r.Prefix)
+		}
+		for _, f := range formerByHost[r.Host] {
+			if f == whole || strings.HasPrefix(f.Prefix, r.Prefix) && current.Match(f.Host, f.Prefix) == r {
+				l.connect(pools, f.Pools(), now)
+			}
+		}
+	}
+}
+
+// resumableRoutes returns the routes of a table, which may be nil, whose streams may be taken up.
+func resumableRoutes(t *route.Table) (routes []*route.Route) {
+	if t == nil {
+		return nil
+	}
+	for i := range t.Routes {
+		if t.Routes[i].Resumable {
+			routes = append(routes, &t.Routes[i])
 		}
 	}
+	return routes
 }
 
 // connect links each pool of a to each other one of b. A link that lasts stays.
@@ -60,24 +79,6 @@
 	}
 }
 
-// formerRoutes returns the routes of the former table that had paths which are r's in the
-// current one.
-func formerRoutes(former, current *route.Table, r *route.Route) (routes []*route.Route) {
-	if former == nil {
-		return nil
-	}
-	if f := former.Match(r.Host, r.Prefix); f != nil && f.Resumable {
-		routes = append(routes, f)
-	}
-	for i := range former.Routes {
-		f := &former.Routes[i]
-		if f.Resumable && f.Host == r.Host && strings.HasPrefix(f.Prefix, r.Prefix) && current.Match(f.Host, f.Prefix) == r {
-			routes = append(routes, f)
-		}
-	}
-	return routes
-}
-
 // recent returns the pools that a pool is linked to, or was within maxStreamAge, with the time
 // when that ended.
 func (l poolLinks) recent(now time.Time, pool coordination.Pool) map[coordination.Pool]time.Time {
