Tests of unnamed streams whose routers end

TestRelayRestartedFleetTakesUpUnnamedStreams: all routers stop and one starts, 12 of 12 go on with one version, with two, and with one that joined meanwhile.

--- a/wisteriarouter/daemon/relay_unnamed_stream_test.go
+++ b/wisteriarouter/daemon/relay_unnamed_stream_test.go
@@ -13,6 +13,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"wisteriaspool/platform"
+	"wisteriaspool/standin/proxy"
 	"wisteriaspool/standin/replica"
 )
 
@@ -181,3 +183,97 @@
 		return poll.Continue("router %d does not have the state", router)
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
 }
+
+// Guards against streams that go on at another version, or are answered otherwise than by their
+// rest or a refusal, as the router that began them ends soon after their first event.
+func TestRelayTakesUpUnnamedStreamOfRouterThatEnds(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		delay time.Duration // after the first event
+		join  bool          // the second version joins just then
+		least int           // streams that go on
+	}{
+		{5 * time.Millisecond, false, 0},
+		{20 * time.Millisecond, false, 0},
+		{100 * time.Millisecond, false, 8},
+		{500 * time.Millisecond, false, 8},
+		{5 * time.Millisecond, true, 0},
+		{100 * time.Millisecond, true, 0},
+		{500 * time.Millisecond, true, 0},
+	} {
+		t.Run(fmt.Sprint(tc.delay, ", a version joins: ", tc.join), func(t *testing.T) {
+			s, l := newProxiedCluster(t, 3, "v1")
+			if !tc.join {
+				s.addVersion("v1.1", 0)
+				s.addVersion("v1.1", 1)
+				for n := range s.routers {
+					s.awaitEndpoints(n, 4)
+				}
+			}
+			var streams []unnamedStream
+			for range 8 {
+				streams = append(streams, s.beginUnnamed(0, 1))
+			}
+			if tc.join {
+				s.addVersion("v1.1", 0)
+				s.addVersion("v1.1", 1)
+			}
+			time.Sleep(tc.delay)
+			l.peers[0].SetMode(proxy.Mode{Silent: true})
+			l.stores[0].SetMode(proxy.Mode{Silent: true})
+			for _, st := range streams {
+				st.cancel()
+			}
+			var c tally
+			for n, st := range streams {
+				c.add(st.openStream, s.do(s.unnamedRequest(1+n%2, st)))
+			}
+			c.check(t, tc.least)
+		})
+	}
+}
+
+// Guards against unnamed streams that are refused, or joined from two versions, once all routers
+// were killed.
+func TestRelayRestartedFleetTakesUpUnnamedStreams(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name     string
+		versions []string
+		join     bool // the second version joins while the streams run
+	}{
+		{"one version", []string{"v1"}, false},
+		{"mixed before", []string{"v1", "v1.1"}, false},
+		{"mixed meanwhile", []string{"v1"}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newVersionedCluster(t, 3, 2, tc.versions...)
+			if len(tc.versions) == 1 {
+				s.awaitPrefix(platform.VersionsKey)
+			}
+			var streams []unnamedStream
+			for n := range 12 {
+				streams = append(streams, s.beginUnnamed(n%3, 1+n%6))
+			}
+			if tc.join {
+				s.addVersion("v1.1", 0)
+				s.addVersion("v1.1", 1)
+			}
+			time.Sleep(600 * time.Millisecond)
+			for _, st := range streams {
+				st.cancel()
+			}
+			for _, stop := range s.stops {
+				stop()
+			}
+			s.addRouter()
+			s.awaitReady(3)
+			s.awaitEndpoints(3, len(s.replicas))
+			var c tally
+			for _, st := range streams {
+				c.add(st.openStream, s.do(s.unnamedRequest(3, st)))
+			}
+			c.check(t, len(streams))
+		})
+	}
+}
