Half of the soak's callers that take streams up do not name them

They repeat the request with the path and the prompt of their stream, as the platform's pages ask, and a new attempt; until now each attempt had a path and a prompt of its own, which the routers cannot take for the same stream without its name. Streams of both kinds of callers are counted apart and reported together, as before; it is also a violation if none of one kind goes on.

--- a/standin/soak/load.go
+++ b/standin/soak/load.go
@@ -80,8 +80,9 @@
 	wg     sync.WaitGroup
 	lastID atomic.Int64
 	ready  atomic.Pointer[[]*router] // routers that the load balancer selects from
-	// releases counts the streams of endpoints of several versions.
-	releases releaseTally
+	// named and unnamed count the streams of endpoints of several versions, by whether their
+	// callers name them.
+	named, unnamed releaseTally
 
 	mu  sync.Mutex
 	all []outcome
@@ -106,7 +107,11 @@
 	}
 	if l.soak.opts.Versions {
 		for n := range releaseCallers {
-			l.wg.Go((&resumingCaller{load: l, rng: rand.New(rand.NewPCG(l.soak.opts.Seed, uint64(200+n))), tally: &l.releases}).run)
+			c := &resumingCaller{load: l, rng: rand.New(rand.NewPCG(l.soak.opts.Seed, uint64(200+n))), tally: &l.unnamed}
+			if n%2 == 0 {
+				c.named, c.tally = true, &l.named
+			}
+			l.wg.Go(c.run)
 		}
 	}
 	if l.soak.opts.Uneven {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -174,7 +174,10 @@
 	s.checkRecovery()
 	s.load.stop()
 	if o.Versions {
-		s.load.releases.report(s)
+		s.load.named.reportKind(s, "named")
+		s.load.unnamed.reportKind(s, "unnamed")
+		s.load.named.merge(&s.load.unnamed)
+		s.load.named.report(s)
 	}
 	if o.Uneven {
 		s.checkUneven()
--- a/standin/soak/versions.go
+++ b/standin/soak/versions.go
@@ -142,8 +142,11 @@
 	load  *load
 	rng   *rand.Rand
 	tally *releaseTally
+	named bool // it names the attempt that began a stream, which the platform's pages do not ask for
 }
 
+func (c *resumingCaller) freshID() string { return fmt.Sprintf("s%d", c.load.lastID.Add(1)) }
+
 // releaseTally counts streams of the service whose endpoints have several versions.
 type releaseTally struct {
 	mu           sync.Mutex
@@ -194,6 +197,7 @@
 
 // streamProgress is what the caller of a stream has got over its tries.
 type streamProgress struct {
+	id      string // of the stream, which its path and its prompt name
 	first   string // the attempt that brought the first event
 	body    string // complete events
 	takenUp bool   // it was taken up while it should go on
@@ -202,7 +206,7 @@
 
 // stream requests one stream and takes it up until it is complete or tries run out.
 func (c *resumingCaller) stream() {
-	var p streamProgress
+	p := streamProgress{id: c.freshID()}
 	for range releaseTries {
 		c.try(&p)
 		c.check(p.first, p.body)
@@ -219,11 +223,11 @@
 func (c *resumingCaller) try(p *streamProgress) {
 	ready := *c.load.ready.Load()
 	r := ready[c.rng.IntN(len(ready))]
-	id := fmt.Sprintf("s%d", c.load.lastID.Add(1))
+	id := c.freshID()
 	counts := p.first != "" && r.healthySince(time.Now().Add(-contactTime)) &&
 		c.load.soak.countVersion(versionOf(p.body)) >= endpointsPerVersion
-	got, status := c.request(r, id, p.first, strings.Count(p.body, "\n\n"))
-	c.load.record(outcome{id: id, path: releasePath, status: status})
+	got, status := c.request(r, id, p)
+	c.load.record(outcome{id: id, path: releasePath, repeated: releasePath + p.id, status: status})
 	p.takenUp = p.takenUp || counts
 	p.goesOn = p.goesOn || counts && got != ""
 	if p.first == "" && got != "" {
@@ -233,10 +237,11 @@
 }
 
 // request asks a router for a stream, or for its rest, and returns its complete events.
-func (c *resumingCaller) request(r *router, id, first string, after int) (events string, status int) {
+func (c *resumingCaller) request(r *router, id string, p *streamProgress) (events string, status int) {
+	after := strings.Count(p.body, "\n\n")
 	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callerAddress+releasePath+id, strings.NewReader(requestBody))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callerAddress+releasePath+p.id, strings.NewReader(requestBody))
 	if err != nil {
 		return "", 0
 	}
@@ -245,11 +250,13 @@
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(callerDeadline.Milliseconds(), 10))
 	req.Header.Set("Authorization", "Bearer "+steadyKey)
 	req.Header.Set("X-Token-Usage", "100,10")
-	req.Header.Set("X-Prefix-Hash", "aa:50,"+id+":40,"+id+"x:10")
-	if first != "" {
-		req.Header.Set("Resumes", first)
+	req.Header.Set("X-Prefix-Hash", "aa:50,"+p.id+":40,"+p.id+"x:10")
+	if p.first != "" {
 		req.Header.Set("Last-Event-Id", strconv.Itoa(after))
 	}
+	if p.first != "" && c.named {
+		req.Header.Set("Resumes", p.first)
+	}
 	client := c.load.newClient()
 	defer client.CloseIdleConnections()
 	resp, err := client.Do(req)
@@ -263,7 +270,7 @@
 	}
 	events = readEvents(resp.Body)
 	if problem := eventProblem(events, after); problem != "" {
-		c.load.soak.reportViolation("stream %s, which goes on with %q: %s", id, first, problem)
+		c.load.soak.reportViolation("stream %s, which goes on with %q: %s", id, p.first, problem)
 	}
 	return events, resp.StatusCode
 }
@@ -329,3 +336,25 @@
 		s.reportViolation("%d of %d streams went on that were taken up at routers in touch, and %d of %d began", t.goOn, t.takenUp, t.begun, t.asked)
 	}
 }
+
+// reportKind reports if no stream of one kind of callers went on.
+func (t *releaseTally) reportKind(s *soak, kind string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.logf("%s streams: %d of %d taken up went on, %d of %d after all routers were killed", kind, t.goOn, t.takenUp, t.outlasted, t.outlasting)
+	if t.takenUp >= minTakenUp && t.goOn == 0 {
+		s.reportViolation("none of %d %s streams went on that were taken up at routers in touch", t.takenUp, kind)
+	}
+}
+
+// merge adds what another tally has counted.
+func (t *releaseTally) merge(other *releaseTally) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	t.asked, t.begun = t.asked+other.asked, t.begun+other.begun
+	t.takenUp, t.goOn = t.takenUp+other.takenUp, t.goOn+other.goOn
+	t.outlasting, t.outlasted = t.outlasting+other.outlasting, t.outlasted+other.outlasted
+	t.joined, t.broken = append(t.joined, other.joined...), append(t.broken, other.broken...)
+}
