--- a/wisteriarouter/daemon/origins.go
+++ b/wisteriarouter/daemon/origins.go
@@ -30,6 +30,8 @@
 	history *versionHistory
 	mirror  *mirror.Mirror
 	log     event.Log
+	// recent lists the routers that may have begun streams, and replying those that reply.
+	recent, replying func() []placement.Router
 	// joined is when the router knows the others at the latest, if it joins a fleet.
 	joined time.Time
 	// loadedBy is when the router gives up waiting for the streams in the store, and loaded
@@ -37,9 +39,8 @@
 	loadedBy time.Time
 	loaded   chan struct{}
 
-	mu       sync.Mutex
-	loading  chan struct{} // closed when the latest read of the store ends; nil before the first
-	loadedAt time.Time     // when that read began
+	mu      sync.Mutex
+	reading *reading // the latest read of the store; nil before the first
 }
 
 const (
@@ -54,6 +55,12 @@
 	// originLoadInterval is the least time between two reads of the store for streams that no
 	// router knows.
 	originLoadInterval = time.Second
+	// originRecheckInterval is the least time between two reads for streams that another router
+	// knows while some router is silent.
+	originRecheckInterval = 200 * time.Millisecond
+	// originWriteTime is how long after its beginning a stream is in the store, unless that is
+	// slow, also if its router has to find out that the one which writes for it is silent.
+	originWriteTime = 500 * time.Millisecond
 	// originLoadTimeout bounds such a read.
 	originLoadTimeout = time.Second
 	// originLoadPause is the mean time between two attempts to read the store.
@@ -93,6 +100,7 @@
 	onStop(i, stopWriter)
 	o := &origins{
 		keeper: keeper, writer: writer, witness: newWitness(i), history: do.MustInvoke[*versionHistory](i), mirror: do.MustInvoke[*mirror.Mirror](i), log: log,
+		recent: do.MustInvoke[*recentRouters](i).list, replying: responsiveRouters{detector}.list,
 		loadedBy: stateOf(i).started.Add(originLoadWait), loaded: make(chan struct{}),
 	}
 	o.history.onMixed(o.poolMixed)
@@ -169,19 +177,22 @@
 	return res.Status == kv.Applied
 }
 
-// reload reads the streams in the store again, unless that was done lately, and returns when
-// the latest read has ended. This router may live on while all that knew a stream were killed.
-func (o *origins) reload(ctx context.Context) {
+// reload reads the streams in the store again, unless the latest read is younger than interval,
+// and returns when that has ended. It reports whether the store could be read. This router may
+// live on while all that knew a stream were killed.
+func (o *origins) reload(ctx context.Context, interval time.Duration) bool {
 	o.mu.Lock()
-	if time.Since(o.loadedAt) > originLoadInterval {
-		o.loading, o.loadedAt = make(chan struct{}), time.Now()
-		go reading{o, o.loading}.run()
+	if o.reading == nil || time.Since(o.reading.began) > interval {
+		o.reading = &reading{origins: o, began: time.Now(), done: make(chan struct{})}
+		go o.reading.run()
 	}
-	loading := o.loading
+	r := o.reading
 	o.mu.Unlock()
 	select {
-	case <-loading:
+	case <-r.done:
+		return r.ok
 	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -189,14 +200,16 @@
 // ends, as others may wait for it.
 type reading struct {
 	origins *origins
-	done    chan<- struct{}
+	began   time.Time
+	done    chan struct{} // closed when it has ended
+	ok      bool          // set before
 }
 
-func (r reading) run() {
+func (r *reading) run() {
 	ctx, cancel := context.WithTimeout(context.Background(), originLoadTimeout)
 	defer cancel()
 	defer close(r.done)
-	r.origins.load(ctx)
+	r.ok = r.origins.load(ctx)
 }
 
 // mayLearn reports whether this router may soon know more streams, as it has just started.
@@ -250,7 +263,7 @@
 		f = o.find(ctx, s, p)
 	}
 	if !f.Known && readable {
-		o.reload(ctx)
+		o.reload(ctx, originLoadInterval)
 		f = o.find(ctx, s, p)
 	}
 	result := knownOrigin(f)
@@ -260,10 +273,26 @@
 
 // find searches for a stream by the attempt that its caller names, or by its content.
 func (o *origins) find(ctx context.Context, s relay.StreamID, p coordination.Pool) origin.Found {
-	if s.Attempt == "" {
-		return o.keeper.FindByContent(ctx, s.Content)
+	if s.Attempt != "" {
+		return o.keeper.Find(ctx, s.Attempt, p)
 	}
-	return o.keeper.Find(ctx, s.Attempt, p)
+	f := o.keeper.FindByContent(ctx, s.Content)
+	if !f.Known || f.Silent == 0 && o.allReply() {
+		return f
+	}
+	// A router that does not reply may have begun another stream of this content, at another
+	// version, and has written that to the store.
+	if !coordination.Sleep(ctx, originWriteTime) || !o.reload(ctx, originRecheckInterval) {
+		f.Known = false
+		return f
+	}
+	return o.keeper.FindByContent(ctx, s.Content)
+}
+
+// allReply reports whether all routers that may have begun streams reply to this one.
+func (o *origins) allReply() bool {
+	replying := lo.SliceToMap(o.replying(), func(r placement.Router) (coordination.Instance, bool) { return r.ID, true })
+	return lo.EveryBy(o.recent(), func(r placement.Router) bool { return replying[r.ID] })
 }
 
 func knownOrigin(f origin.Found) relay.Origin {
