An endpoint whose version is in doubt gets no requests

What callers would see: a stream that began at an endpoint which had started again at another version goes on at the former one elsewhere (ORDER).

Cause: an entry with an earlier start than is known, as of an endpoint whose clock was set back, is held for 1.5 s. Until then the router takes the endpoint for one of the former version, also after a confirmation by the store, which has the other one.

Change: while such an entry of another version is held, its endpoint is not listed. Its next entry, which it writes soon, or the end of the hold tells which version it has.

Evidence: TestEndpointIsNotListedWhileItsVersionIsInDoubt failed before and passes; package endpoint with the race detector passes.

--- a/wisteriarouter/endpoint/register.go
+++ b/wisteriarouter/endpoint/register.go
@@ -100,6 +100,10 @@
 		if !c.Removed && t.Directory.Supersedes(c.ID, c.Incarnation) {
 			t.removalTimers.cancel(c.ID)
 			t.holdEarlier(c.Entry)
+			// Which of the versions the endpoint has is not known before its next entry.
+			if known, ok := t.Directory.Find(c.ID); ok && known.Version != c.Version {
+				removed = append(removed, c.ID)
+			}
 			continue
 		}
 		t.dropEarlier(c.ID)
--- a/wisteriarouter/endpoint/register_test.go
+++ b/wisteriarouter/endpoint/register_test.go
@@ -186,3 +186,35 @@
 		assert.Assert(t, !listed(r, "x"))
 	})
 }
+
+// Guards against streams at an endpoint that is taken for one of another version while its entry
+// of an earlier start is held.
+func TestEndpointIsNotListedWhileItsVersionIsInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		versionChange := func(n coordination.Incarnation, v coordination.SoftwareVersion) []Change {
+			c := bornChange("x", n, platform.Live)
+			c.Version = v
+			return []Change{c}
+		}
+		r := newTracker(9)
+		for _, last := range []Change{versionChange(5, "v2")[0], versionChange(9, "v1")[0]} {
+			r.Apply(versionChange(9, "v1"))
+			r.Apply(versionChange(5, "v2"))
+			assert.Assert(t, !listed(r, "x"))
+			time.Sleep(time.Second)
+			r.Apply([]Change{last})
+			k, ok := r.Directory.Find("x")
+			assert.Assert(t, ok)
+			assert.Equal(t, k.Version, last.Version)
+			time.Sleep(2 * time.Second)
+			synctest.Wait()
+		}
+		r.Apply(versionChange(9, "v1"))
+		r.Apply(versionChange(5, "v2"))
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		k, ok := r.Directory.Find("x")
+		assert.Assert(t, ok)
+		assert.Equal(t, k.Version, coordination.SoftwareVersion("v2"))
+	})
+}
