A router does not stand still when a pool becomes mixed

What callers would see, in a fleet of hundreds of routers: no new endpoint or desired state in force for a second or more at the beginning of a release.

Cause: as a pool becomes mixed, each router finds the keepers of the contents of all streams that it knows, which orders all routers for each of them, while it applies the change that it has learned.

Change: that work is done beside, with pauses. The router's own table has the contents at once.

Evidence: TestKeepByContentDoesNotBlock, with a list of routers that takes 1 s, failed before (1 s) and passes with the race detector; so do the tests of origin for witnesses, stopping routers and finding streams.

--- a/coordination/origin/keeper.go
+++ b/coordination/origin/keeper.go
@@ -34,6 +34,7 @@
 // of. It is safe for concurrent use.
 type Keeper struct {
 	cfg     Config
+	ctx     context.Context // until the keeper is stopped
 	table   table
 	pending chan struct{} // buffered; holds a value if there is something to send
 	changed chan struct{} // buffered; holds a value if routers have come or gone
@@ -56,13 +57,14 @@
 
 // NewKeeper returns a Keeper, and a function that stops it.
 func NewKeeper(cfg Config) (*Keeper, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
 	k := &Keeper{
 		cfg:      cfg,
+		ctx:      ctx,
 		pending:  make(chan struct{}, 1),
 		changed:  make(chan struct{}, 1),
 		outgoing: make(map[coordination.Instance][]Record),
 	}
-	ctx, cancel := context.WithCancel(context.Background())
 	go k.run(ctx)
 	go k.loop(ctx, cfg.Routers())
 	return k, cancel
@@ -92,7 +94,7 @@
 }
 
 // KeepByContent makes the streams of a pool that this router knows known by their content
-// as well, here and at the keepers of each content.
+// as well, here and soon at the keepers of each content. It does not block.
 func (k *Keeper) KeepByContent(pool coordination.Pool) {
 	var records []Record
 	for _, r := range k.table.all(time.Now()) {
@@ -100,9 +102,39 @@
 			records = append(records, r.Record)
 		}
 	}
-	for _, r := range ByContent(records) {
+	records = ByContent(records)
+	for _, r := range records {
 		k.table.put(time.Now(), r, false)
-		k.enqueue(keepersOf(r.Attempt, k.cfg.Routers(), k.cfg.Self), r)
+	}
+	go announcement{keeper: k, records: records}.run()
+}
+
+// announcement tells the keepers of some records. To order the routers of a large fleet for
+// each of many records takes seconds, so that it leaves time for other work.
+type announcement struct {
+	keeper  *Keeper
+	records []Record
+}
+
+const (
+	// announceTime is how long an announcement works at once, and announcePause how many times
+	// as long it then pauses.
+	announceTime  = 5 * time.Millisecond
+	announcePause = 3
+)
+
+func (a announcement) run() {
+	cfg, begun := a.keeper.cfg, time.Now()
+	for _, r := range a.records {
+		a.keeper.enqueue(keepersOf(r.Attempt, cfg.Routers(), cfg.Self), r)
+		took := time.Since(begun)
+		if took < announceTime {
+			continue
+		}
+		if !coordination.Sleep(a.keeper.ctx, announcePause*took) {
+			return
+		}
+		begun = time.Now()
 	}
 }
 
--- a/coordination/origin/origin_test.go
+++ b/coordination/origin/origin_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -270,3 +271,26 @@
 		assert.Assert(t, !f.keeper("r2").Find(t.Context(), "a", "third").Known)
 	})
 }
+
+// Guards against a router that stands still when a pool becomes mixed, as to find the keepers of
+// many contents takes long.
+func TestKeepByContentDoesNotBlock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var slow atomic.Bool
+		k, stop := origin.NewKeeper(origin.Config{Self: "r0", Routers: func() []placement.Router {
+			if slow.Load() {
+				time.Sleep(time.Second)
+			}
+			return nil
+		}})
+		t.Cleanup(stop)
+		k.Learn([]origin.Record{{Attempt: "a", Pool: "model", Version: "v1", LeftMs: 30_000, Content: 7}})
+		slow.Store(true)
+		start := time.Now()
+		k.KeepByContent("model")
+		assert.Equal(t, time.Since(start), time.Duration(0))
+		slow.Store(false)
+		assert.Assert(t, k.FindByContent(t.Context(), 7, "model").Known)
+		time.Sleep(2 * time.Second)
+	})
+}
