A second look finds a killed plain service whose listener closes after its connections

What callers could see: an undelimited response of a plain service that is killed inside it counts as complete, and its action as run.

Evidence: the case "its listener is closed later" of TestUndelimitedResponseOfDeadServiceIsTruncated failed before (ran, not unknown) and passes. The end of an undelimited response comes 50 ms later.

--- a/wisteriarouter/service/client.go
+++ b/wisteriarouter/service/client.go
@@ -158,6 +158,15 @@
 	if res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Header.Get(headerState) == stateLeaving {
 		return false
 	}
+	// The kernel may close the connections of a process before its listener.
+	return c.refuses(ctx, address) || coordination.Sleep(ctx, exitTime) && c.refuses(ctx, address)
+}
+
+// exitTime is within which time the kernel closes all sockets of a process that ends.
+const exitTime = 50 * time.Millisecond
+
+// refuses reports whether a service refuses connections.
+func (c *Client) refuses(ctx context.Context, address string) bool {
 	conn, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
--- a/wisteriarouter/service/client_test.go
+++ b/wisteriarouter/service/client_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -132,18 +133,23 @@
 		name   string
 		header string
 		exits  bool
+		lag    time.Duration // by which the kernel closes the listener after the connection
 		want   outcome.Outcome
 	}{
-		{"lives on", "", false, outcome.Ran},
-		{"has ended", "", true, outcome.Unknown},
-		{"shuts down", "X-State: leaving\r\n", true, outcome.Ran},
+		{"lives on", "", false, 0, outcome.Ran},
+		{"has ended", "", true, 0, outcome.Unknown},
+		{"has ended, its listener is closed later", "", true, 10 * time.Millisecond, outcome.Unknown},
+		{"shuts down", "X-State: leaving\r\n", true, 0, outcome.Ran},
 	} {
 		var srv *httptest.Server
 		srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body) // unread bytes would reset the connection
 			conn, _, err := http.NewResponseController(w).Hijack()
 			assert.Check(t, err)
-			if test.exits {
+			switch {
+			case test.lag > 0:
+				time.AfterFunc(test.lag, func() { _ = srv.Listener.Close() })
+			case test.exits:
 				assert.Check(t, srv.Listener.Close())
 			}
 			_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+test.header+"\r\nboo")
