Soak: streams checked piece by piece while routers are out of step

The users saw pieces out of order with real processes (ORDER); none of the soak's callers checked more than events with ids 1, 2, 3, and no router was ever cut off in both directions.

New mode -order, with a random generator of its own: routers are cut off from all others and from the store for 1 s to 6 s, or stopped by SIGSTOP, in series and overlapping; a version joins 0.3 s later; meanwhile connections of callers are reset, routers killed, endpoints killed and silent. Streams differ in the number, size and ids of their events, in comments, pauses and framing. Callers use open connections until their router is gone, take streams up elsewhere, half of them without naming the stream, and check each piece. Proxies tell the sources of connections apart by the kernel's tables, so that one router is cut off whoever dials. The end of an endpoint's process is simulated as the kernel carries it out: connections are closed in order, the listener later; where the soak itself took longer for that than 40 ms, ends that look complete are not judged.

--- a/standin/replica/crash.go
+++ b/standin/replica/crash.go
@@ -25,7 +25,7 @@
 	r.setHead(w.Header(), a)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := range r.opts.CrashEvents {
-		r.opts.Inspector.recordEvent(a.ID, n+1)
+		r.opts.Inspector.RecordEvent(a.ID, n+1)
 		_, _ = w.Write([]byte(r.event(n + 1)))
 	}
 	_ = http.NewResponseController(w).Flush() // an error means that the caller disconnected
--- a/standin/replica/inspector.go
+++ b/standin/replica/inspector.go
@@ -66,8 +66,8 @@
 	}
 }
 
-// recordEvent records that an endpoint is about to write a whole event of a stream.
-func (i *Inspector) recordEvent(attempt string, n int) {
+// RecordEvent records that an endpoint is about to write a whole event of a stream.
+func (i *Inspector) RecordEvent(attempt string, n int) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.written[attempt] = max(i.written[attempt], n)
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -56,6 +56,8 @@
 	// percent.
 	Reports   Reports
 	FalsePace int
+	// Serve, if set, writes the responses to requests that run, in place of the replica.
+	Serve http.HandlerFunc
 	// Inspector checks the requests of routers; nil means one of the replica's own.
 	Inspector *Inspector
 }
@@ -126,6 +128,8 @@
 	crash sync.Once
 
 	mu           sync.Mutex
+	conns        map[*inspectedConn]struct{}
+	ending       bool // the process ends; connections are accepted and not served
 	faults       Faults
 	requestCount int // requests that began to run
 	offered      int // requests that arrived
@@ -158,7 +162,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	r := &Replica{opts: o, store: store, listener: l, startedAt: time.Now(), startedAtMillis: time.Now().UnixMilli(), state: "ready"}
+	r := &Replica{opts: o, store: store, listener: l, startedAt: time.Now(), startedAtMillis: time.Now().UnixMilli(), state: "ready", conns: make(map[*inspectedConn]struct{})}
 	r.server = &http.Server{Handler: r}
 	r.registeredAddr = r.Address()
 	go r.run()
@@ -343,6 +347,10 @@
 		return
 	}
 	r.setHead(w.Header(), a)
+	if r.opts.Serve != nil {
+		r.opts.Serve(w, req)
+		return
+	}
 	if req.Header.Get("X-Token-Usage") != "" && f.Status == 0 {
 		r.serveStream(w, req, a, f)
 		return
--- a/standin/replica/replica_test.go
+++ b/standin/replica/replica_test.go
@@ -1,7 +1,10 @@
 package replica
 
 import (
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,3 +71,41 @@
 	_ = resp.Body.Close()
 	a.statuses <- resp.StatusCode
 }
+
+// Guards against a simulated end of a process that differs from the kernel's: connections are
+// closed in order, and the listener accepts others for a while, which get no response.
+func TestEndProcessClosesConnectionsBeforeListener(t *testing.T) {
+	began := make(chan struct{})
+	r, stop, err := Start(hub.New(), Options{ID: "a", Service: "s", Serve: func(w http.ResponseWriter, _ *http.Request) {
+		w, end := Undelimited(w)
+		defer end()
+		_, _ = w.Write([]byte("id: 1\n\n"))
+		_ = http.NewResponseController(w).Flush()
+		close(began)
+		time.Sleep(time.Second)
+	}})
+	assert.NilError(t, err)
+	defer stop()
+	c, err := net.Dial("tcp", r.Address())
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: 1000\r\n\r\n")
+	assert.NilError(t, err)
+	<-began
+	ended := make(chan struct{})
+	time.AfterFunc(0, func() {
+		defer close(ended)
+		r.EndProcess(200 * time.Millisecond)
+	})
+	b, err := io.ReadAll(c)
+	assert.NilError(t, err) // in order
+	assert.Assert(t, strings.HasSuffix(string(b), "id: 1\n\n"), string(b))
+	late, err := net.Dial("tcp", r.Address())
+	assert.NilError(t, err)
+	defer late.Close()
+	<-ended
+	_, err = io.ReadAll(late)
+	assert.Assert(t, err != nil)
+	_, err = net.Dial("tcp", r.Address())
+	assert.Assert(t, err != nil)
+}
--- a/standin/replica/respond.go
+++ b/standin/replica/respond.go
@@ -75,7 +75,7 @@
 		}
 		if f.CutAfter > 0 && n > f.CutAfter {
 			if cutBytes(f, event) == len(event) {
-				r.opts.Inspector.recordEvent(a.ID, n)
+				r.opts.Inspector.RecordEvent(a.ID, n)
 			}
 			_, _ = w.Write([]byte(event[:cutBytes(f, event)]))
 			_ = flush()
@@ -85,7 +85,7 @@
 			endCut(f)
 			return
 		}
-		r.opts.Inspector.recordEvent(a.ID, n)
+		r.opts.Inspector.RecordEvent(a.ID, n)
 		if _, err := w.Write([]byte(event)); err != nil || flush() != nil {
 			r.withLock(func() { a.Disconnected = true })
 			return
--- a/standin/replica/undelimited.go
+++ b/standin/replica/undelimited.go
@@ -16,6 +16,12 @@
 	status int // 0 before the header is written
 }
 
+// Undelimited takes the connection of a request over and returns a writer of a response that
+// ends with it, and a function that ends it, which the handler must defer.
+func Undelimited(w http.ResponseWriter) (http.ResponseWriter, func()) {
+	return newUndelimitedWriter(w)
+}
+
 // newUndelimitedWriter takes the connection of a request over. The returned function
 // ends the response: in order, or with a reset if the handler panics.
 func newUndelimitedWriter(w http.ResponseWriter) (*undelimitedWriter, func()) {
--- a/standin/soak.go
+++ b/standin/soak.go
@@ -31,7 +31,7 @@
 func (*soakCommand) Usage() string {
 	return `standin soak -binary FILE [-seed N] [-for 20s] [-routers 4] [-dir DIR]
              [-skip 3,7] [-zones] [-responses] [-crashes] [-parts] [-failures] [-versions]
-             [-uneven] [-regressions]
+             [-uneven] [-order] [-regressions]
 
 Starts routers as processes on loopback, with a store and endpoints of its own
 and a proxy on each link, and prints each fault and what it broke. With a seed
@@ -59,6 +59,7 @@
 	f.BoolVar(&c.opts.Failures, "failures", false, "make all endpoints of a service fail and kill all routers meanwhile, too; the other faults of the seed stay the same")
 	f.BoolVar(&c.opts.Versions, "versions", false, "release versions of a service's software and lose replies to watches, too; the other faults of the seed stay the same")
 	f.BoolVar(&c.opts.Uneven, "uneven", false, "serve a service whose endpoints differ in speed while one client account requests many times its share, too; the other faults of the seed stay the same")
+	f.BoolVar(&c.opts.Order, "order", false, "check streams piece by piece while routers are cut off or stand still and versions are released, too; the other faults of the seed stay the same")
 	f.BoolVar(&c.regressions, "regressions", false, "play the seeds that have failed once, and no other")
 	f.IntVar(&c.opts.Callers, "callers", 8, "how many callers")
 	f.StringVar(&c.opts.Dir, "dir", "", "`directory` for settings and logs; a new one by default, removed if nothing broke")
--- a/standin/soak/history.go
+++ b/standin/soak/history.go
@@ -65,7 +65,7 @@
 }
 
 // routeServices maps each route prefix to its service.
-var routeServices = map[string]string{"/safe/": "desk", "/unsafe/": "desk", "/stream/": "model", "/resumable/": "model", "/long/": "long", releasePath: releaseService, unevenPath: unevenService}
+var routeServices = map[string]string{"/safe/": "desk", "/unsafe/": "desk", "/stream/": "model", "/resumable/": "model", "/long/": "long", releasePath: releaseService, unevenPath: unevenService, piecesPath: orderService, oncePath: orderService}
 
 // checkContents finds runs that do not match a request sent by a caller: unknown
 // requests, a different path, body or client account, or the service of another
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -49,7 +49,10 @@
 	// Uneven adds a service whose endpoints differ in speed and report it correctly, falsely
 	// or not at all, while one client account requests many times its share, too.
 	Uneven bool
-	Out    io.Writer // receives a line for each fault; nil means none
+	// Order adds a service whose streams callers check piece by piece, and takes routers out
+	// of step while versions of it are released, too.
+	Order bool
+	Out   io.Writer // receives a line for each fault; nil means none
 }
 
 // Result is the result of a soak.
@@ -88,6 +91,7 @@
 	lastStoreFault time.Time // when a fault of the store last began or ended
 	fleetKilled    time.Time // when all routers were last killed
 	loads          loadTally // of the service whose endpoints differ in speed
+	order          *order    // nil unless Options.Order is set
 	violations     []string
 	faults         int
 	cleanups       []func()
@@ -169,6 +173,9 @@
 		further.Go(func() { s.surge(time.Now().Add(o.FaultDuration)) })
 		further.Go(func() { s.sampleLoads(time.Now().Add(o.FaultDuration)) })
 	}
+	if o.Order {
+		further.Go(func() { s.loseStep(time.Now().Add(o.FaultDuration)) })
+	}
 	s.injectFaults()
 	further.Wait()
 	s.checkRecovery()
@@ -179,6 +186,9 @@
 	if o.Uneven {
 		s.checkUneven()
 	}
+	if o.Order {
+		s.order.tally.report(s)
+	}
 	s.check()
 	return Result{Requests: s.load.count(), Served: s.load.countServed(), Faults: s.faults, Crashes: s.crashes(), Violations: s.violations}, nil
 }
@@ -219,6 +229,11 @@
 			return err
 		}
 	}
+	if s.opts.Order {
+		if err := s.startOrder(); err != nil {
+			return err
+		}
+	}
 	s.putState(1 + s.rng.IntN(3))
 	if err := s.claimPorts(); err != nil {
 		return err
@@ -295,7 +310,11 @@
 	}
 	e := &endpoint{Replica: r, id: o.ID, service: service, zone: o.Zone, proxy: p, kill: kill, stopProxy: stop, added: time.Now()}
 	crash.endpoint = e
-	r.RegisterAt(p.Address())
+	if service == orderService {
+		r.Register() // the kernel's own ends of connections count there
+	} else {
+		r.RegisterAt(p.Address())
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.endpoints = append(s.endpoints, e)
@@ -344,6 +363,13 @@
 			tenants = append(tenants, map[string]any{"name": account, "apiKeys": granted[account]})
 		}
 	}
+	if s.opts.Order {
+		for _, r := range []map[string]any{route(piecesPath, "stream", orderService, 2, true), route(oncePath, "stream", orderService, 2, false)} {
+			r["ttftTargetMs"], r["itlTargetMs"] = 600, 200
+			routes = append(routes, r)
+		}
+		backends = append(backends, map[string]any{"name": orderService, "maxConns": 400, "runtime": map[string]any{"slots": pieceSlots}})
+	}
 	value, err := json.Marshal(map[string]any{
 		"version": s.version, "routes": routes, "backends": backends, "tenants": tenants,
 		"limits": map[string]any{"maxBodyBytes": 1 << 20},
