An undelimited response whose endpoint refuses connections is not complete, confirmed or not

Cause: the router finds that the endpoint refuses connections, and asks another router through a tunnel to confirm that it is not cut off itself. If that one does not reply within 250 ms, as it is cut off, has stood still or its link is silent, the refusal was taken to say nothing, and the response for complete. The class: no reply taken for nothing to fear.

Change: a refused connection is enough, also at a router that may be cut off, and of an endpoint that is not listed any more.

The price: a router whose direct connections are refused by the network, and whose detours fail, ends complete undelimited responses as cut off.

--- a/wisteriarouter/daemon/relay_end_test.go
+++ b/wisteriarouter/daemon/relay_end_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"wisteriaspool/standin/proxy"
 	"wisteriaspool/standin/replica"
 )
 
@@ -237,3 +239,28 @@
 		})
 	}
 }
+
+// Guards against the same where the other routers, which would confirm that the endpoint refuses connections, do not reply.
+func TestRelayShowsUndelimitedResponseOfDeadEndpointWhileOthersAreSilent(t *testing.T) {
+	for _, path := range []string{"/stream/1", "/resumable/1"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			s, l := newProxiedCluster(t, 3, "v1")
+			exits := s.addReplica(replica.Options{ID: "bare", Service: "model", Zone: "a", Version: "v1", Undelimited: true, Delay: eventDelay, Events: 12})
+			for n := range l.peers {
+				s.awaitEndpoints(n, 3)
+			}
+			exits.SetFaults(replica.Faults{CutAfter: 2, CutBytes: -1, CutInOrder: true, CutExits: true})
+			for _, p := range l.peers {
+				p.SetMode(proxy.Mode{Silent: true})
+			}
+			deadline := time.Now().Add(10 * time.Second)
+			for before := len(exits.Arrivals()); len(exits.Arrivals()) == before; {
+				assert.Assert(t, time.Now().Before(deadline), "no request reaches the endpoint")
+				got := s.send(0, path, "X-Prefix-Hash", freshID()+":50,cc:10")
+				whole := got.err == nil && got.status == http.StatusOK
+				assert.Assert(t, !whole || strings.Count(got.body, "\n\n") == 12, "%q", got.body)
+			}
+		})
+	}
+}
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -268,8 +268,7 @@
 // endpoint's process has: the kernel closes the connections of a process in order, so
 // that the response looks complete. A router that is cut off from the endpoint does not see
 // the refusal itself, but another one confirms it. A leaving endpoint serves until its
-// process ends, with what still runs there. Other routers are not asked whether they reach
-// one that is not listed any more.
+// process ends, with what still runs there.
 func (x *exchange) endedByDeath(resp *upstream.Response) bool {
 	if !resp.Undelimited {
 		return false
@@ -285,17 +284,11 @@
 const exitTime = 50 * time.Millisecond
 
 // processGone reports whether the endpoint's process has probably ended: connections are
-// refused.
+// refused, also if no other router confirms that this one is not cut off. Nothing else shows
+// that the response is complete.
 func (x *exchange) processGone() bool {
-	p := x.watch.placement
-	err := x.server.Sender.Check(x.watch.ctx, p.Address)
-	if upstream.Unreachable(err) {
-		return true
-	}
-	if !upstream.Refused(err) || upstream.CutOff(err) {
-		return false
-	}
-	return x.server.Placer.Serving(p.Endpoint, p.Incarnation) || !x.server.Sender.Doubtful(p.Address)
+	err := x.server.Sender.Check(x.watch.ctx, x.watch.placement.Address)
+	return upstream.Unreachable(err) || upstream.Refused(err)
 }
 
 // copyHeader copies the headers of a response to the caller's.
