--- a/coordination/origin/witness.go
+++ b/coordination/origin/witness.go
@@ -66,6 +66,9 @@
 	// viewTimeout bounds a question about the versions of a pool, which other routers answer
 	// once they have read the store.
 	viewTimeout = 700 * time.Millisecond
+	// lookTimeout bounds how long a router compares its view with the store, alone or for
+	// another one, which takes it for silent after viewTimeout.
+	lookTimeout = 400 * time.Millisecond
 	// viewDelay is how long the store may take to reply before other routers are asked.
 	viewDelay = 100 * time.Millisecond
 	// viewPause is how long after a question without a certain result others have none, either.
@@ -194,6 +197,8 @@
 	if v := w.cfg.View(pool); !v.Single {
 		return v
 	}
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
 	confirmed := w.cfg.Confirm(ctx)
 	v := w.cfg.View(pool)
 	v.Single = v.Single && (confirmed || w.cfg.Recently())
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -7,6 +7,7 @@
 	"math/big"
 	"net/http"
 	"time"
+	"unicode"
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/memory"
@@ -26,6 +27,8 @@
 	// unrepeatable reports that the caller has part of a response that is not an
 	// event stream, and that another endpoint therefore cannot continue.
 	unrepeatable bool
+	// unnamed reports that the last event has no id. Another endpoint would repeat it.
+	unnamed      bool
 	answering    bool   // the last endpoint has written events for answeringTime
 	lastEventID  string // id of the last complete event sent to the caller
 	partial      int    // bytes of an incomplete event at the end of the last response
@@ -52,9 +55,11 @@
 		s.longestPause = max(s.longestPause, now.Sub(s.lastEventAt))
 	}
 	s.lastEventAt = now
-	if id := lastID(events); id != "" {
-		s.lastEventID = id
+	ids := readIDs(events, s.unnamed)
+	if ids.last != "" {
+		s.lastEventID = ids.last
 	}
+	s.unnamed = ids.unnamed
 }
 
 // resumesAfter returns the id of the event after which the next attempt goes on with a
@@ -66,6 +71,12 @@
 	return platform.LastEvent(x.r.Header)
 }
 
+// resumes reports whether the next response goes on with a stream of which the caller has
+// events.
+func (x *exchange) resumes() bool {
+	return x.stream.headSent || x.route.Resumable && platform.Resumes(x.r.Header)
+}
+
 // streamBuffer is the initial buffer size in bytes. It holds several events; most arrive singly.
 const streamBuffer = 4 << 10
 
@@ -74,8 +85,8 @@
 // sends in full. If the endpoint that continues a stream starts too early, the
 // response ends, so that the caller receives no event twice.
 func (x *exchange) forwardStream(resp *upstream.Response) attemptResult {
-	resumed := x.stream.headSent // and no event with an id has come since
-	if !resumed {
+	resumed := x.resumes() // and no event with an id has come since
+	if !x.stream.headSent {
 		x.copyHeader(resp)
 		x.w.WriteHeader(resp.Status)
 		x.stream.headSent = true
@@ -90,9 +101,12 @@
 		events, err := e.next()
 		now := time.Now()
 		if len(events) > 0 {
+			if first.IsZero() && !x.stream.firstEventAt.IsZero() {
+				events = bytes.TrimPrefix(events, byteOrderMark) // it may only begin a response
+			}
 			if resumed {
-				id := firstID(events)
-				if !idAfter(id, x.stream.lastEventID) {
+				id := readIDs(events, false).first
+				if !idAfter(id, x.resumesAfter()) {
 					return cut
 				}
 				resumed = id == "" // as comments have none
@@ -224,33 +238,61 @@
 	return b[start:end], next, true
 }
 
-// lastID returns the id of the last event in b that has one.
-func lastID(b []byte) string {
-	return idAt(b, max(bytes.LastIndex(b, []byte("\nid:")), bytes.LastIndex(b, []byte("\rid:"))))
+// eventIDs holds the ids of events.
+type eventIDs struct {
+	first, last string // empty if no event has one
+	unnamed     bool   // the last event with data has no id
 }
 
-// firstID returns the id of the first event in b that has one.
-func firstID(b []byte) string {
+// readIDs returns the ids of the complete events in b. They follow on an event that has no id
+// if unnamed is set. The last id of an event counts.
+func readIDs(b []byte, unnamed bool) eventIDs {
+	b = bytes.TrimPrefix(b, byteOrderMark)
+	ids := eventIDs{unnamed: unnamed}
+	var id string
+	var data bool
 	for start := 0; ; {
 		line, next, ok := nextLine(b, start)
-		if !ok || bytes.HasPrefix(line, []byte("id:")) {
-			return idAt(b, start-1)
+		if !ok {
+			return ids
 		}
 		start = next
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch {
+		case len(line) == 0:
+			ids.add(id, data)
+			id, data = "", false
+		case string(name) == "id":
+			id = usableID(value)
+		case string(name) == "data":
+			data = true
+		}
 	}
 }
 
-// idAt returns the id in the line that begins after the line break at index i. An i
-// of -1 stands for the start of b.
-func idAt(b []byte, i int) string {
-	line, ok := bytes.CutPrefix(b[i+1:], []byte("id:"))
-	if !ok {
-		return ""
+// add adds an event.
+func (ids *eventIDs) add(id string, data bool) {
+	if id == "" {
+		ids.unnamed = ids.unnamed || data
+		return
+	}
+	if ids.first == "" {
+		ids.first = id
 	}
-	if end := bytes.IndexAny(line, "\r\n"); end >= 0 {
-		line = line[:end]
+	ids.last, ids.unnamed = id, false
+}
+
+// byteOrderMark may begin an event stream, and is no part of its first event.
+var byteOrderMark = []byte("\ufeff")
+
+// usableID returns the id in the value of a field, or an empty string for one that cannot be the
+// value of a header.
+func usableID(value []byte) string {
+	value = bytes.TrimSpace(value)
+	if bytes.ContainsFunc(value, unicode.IsControl) {
+		return ""
 	}
-	return string(bytes.TrimSpace(line))
+	return string(value)
 }
 
 // idAfter reports whether an event id comes after another one. Ids are compared as whole
