--- a/standin/soak.go
+++ b/standin/soak.go
@@ -81,6 +81,10 @@
 		fmt.Printf("once failed: %s\n", each.Cause)
 		again := *c
 		again.opts.Seed, again.opts.FaultDuration = each.Seed, each.FaultDuration
+		again.opts.Order = again.opts.Order || each.Order
+		if each.Routers > 0 {
+			again.opts.Routers = each.Routers
+		}
 		worst = max(worst, again.runOnce())
 	}
 	return worst
