--- a/standin/soak/regressions.go
+++ b/standin/soak/regressions.go
@@ -24,4 +24,5 @@
 	{Seed: 102, FaultDuration: 20 * time.Second, Routers: 6, Order: true, Cause: "an endpoint repeated an event as a caller took its stream up"},
 	{Seed: 201, FaultDuration: 20 * time.Second, Routers: 6, Order: true, Cause: "an undelimited stream of a killed endpoint was ended as complete, and streams with one content began at two versions of which a router that was cut off knew one"},
 	{Seed: 202, FaultDuration: 20 * time.Second, Routers: 6, Order: true, Cause: "as seed 201 with Order"},
+	{Seed: 301, FaultDuration: 20 * time.Second, Routers: 6, Order: true, Cause: "streams with one content began at two versions of which a router that was cut off knew one"},
 }
