A stream of a content at several versions is refused at once

What callers saw: a request for the rest of such a stream waited up to a second for the store, which cannot tell either which of the streams it means, and was then refused.

Evidence: TestRelayRefusesStreamOfSeveralVersionsAtOnce, with a silent store: refused after 1.004 s before, within the 0.5 s that the test allows now.

--- a/wisteriarouter/daemon/origins.go
+++ b/wisteriarouter/daemon/origins.go
@@ -246,10 +246,10 @@
 	}
 	// A router that cannot tell whether its pool has one version does not reach the store.
 	readable := !o.history.Single(p)
-	for !f.Known && o.mayLearn() && coordination.Sleep(ctx, originAskPause) {
+	for !f.Known && !f.Several && o.mayLearn() && coordination.Sleep(ctx, originAskPause) {
 		f = o.find(ctx, s, p)
 	}
-	if !f.Known && readable {
+	if !f.Known && !f.Several && readable {
 		o.reload(ctx)
 		f = o.find(ctx, s, p)
 	}
--- a/wisteriarouter/daemon/relay_unnamed_stream_test.go
+++ b/wisteriarouter/daemon/relay_unnamed_stream_test.go
@@ -277,3 +277,30 @@
 		})
 	}
 }
+
+// Guards against a request that waits for the store although its stream cannot be told from
+// another one of the same content.
+func TestRelayRefusesStreamOfSeveralVersionsAtOnce(t *testing.T) {
+	t.Parallel()
+	s, l := newProxiedCluster(t, 2, "v1")
+	s.addVersion("v1.1", 0)
+	for n := range s.routers {
+		s.awaitEndpoints(n, 3)
+	}
+	st := s.beginUnnamed(0, 1)
+	st.cancel()
+	for _, r := range s.replicas {
+		if r.Version() == versionsIn(st.body)[0] {
+			r.SetFaults(replica.Faults{FullEvery: 1})
+		}
+	}
+	s.begin(0, 1, "X-Deadline-Ms", "20000", "X-Prefix-Hash", st.prompt).cancel()
+	time.Sleep(2 * time.Second) // until the routers no longer wait for what the store has at their start
+	for _, p := range l.stores {
+		p.SetMode(proxy.Mode{Silent: true})
+	}
+	start := time.Now()
+	got := s.do(s.unnamedRequest(1, st))
+	assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+	assert.Assert(t, time.Since(start) < 500*time.Millisecond, "%v", time.Since(start))
+}
