The soak does not wait for the rest of streams that are complete

In the logs of the routers 40 of the requests for the rest of a stream, 20 with its name and 20 without, asked for what follows the 80th event of 80 and were answered 200 with nothing. No stream was joined or broken.

Cause: after all routers were killed, a caller asked again and again for the rest of a stream until it went on, also of one that it had in full, and each counted as one that did not go on.

Change: such streams are not taken up, and count neither way. The check itself and its bound are unchanged for all streams that lack events.

--- a/standin/soak/versions.go
+++ b/standin/soak/versions.go
@@ -204,14 +204,19 @@
 	goesOn  bool   // one such try brought an event
 }
 
+// complete reports whether the caller has all events, so that no more can come.
+func (p *streamProgress) complete() bool { return strings.Count(p.body, "\n\n") >= releaseEvents }
+
 // stream requests one stream and takes it up until it is complete or tries run out.
 func (c *resumingCaller) stream() {
 	p := streamProgress{id: c.freshID()}
 	for range releaseTries {
 		c.try(&p)
 		c.check(p.first, p.body)
-		c.outlast(&p)
-		if strings.Count(p.body, "\n\n") >= releaseEvents || c.load.ctx.Err() != nil {
+		if !p.complete() {
+			c.outlast(&p)
+		}
+		if p.complete() || c.load.ctx.Err() != nil {
 			break
 		}
 		time.Sleep(100 * time.Millisecond)
