--- a/coordination/origin/origin_test.go
+++ b/coordination/origin/origin_test.go
@@ -290,7 +290,7 @@
 		k.KeepByContent("model")
 		assert.Equal(t, time.Since(start), time.Duration(0))
 		slow.Store(false)
-		assert.Assert(t, k.FindByContent(t.Context(), 7, "model").Known)
+		assert.Assert(t, k.FindByContent(t.Context(), 7).Known)
 		time.Sleep(2 * time.Second)
 	})
 }
