An endpoint that is listed again is not taken for lost

What callers saw: 503 "no endpoint can take the request now: endpoint-lost" for an endpoint whose entry was removed from the store and written again, at a router whose owner had not read the new entry yet.

Cause: an owner remembered for a minute that an endpoint was removed, and replied for that long that it is lost. The same incarnation may be listed again, as in TestRelayOddEntryDoesNotOutlastItself.

Change: it is remembered for Config.LostTTL, as long as an endpoint that was found dead is avoided.

TestOwnerReportsRemovedEndpointAsLost checks the time. The tests of package placement pass but for TestBoundHoldsForShortRequests.

--- a/coordination/placement/admit.go
+++ b/coordination/placement/admit.go
@@ -80,7 +80,7 @@
 	defer s.mu.Unlock()
 	l := s.loads[req.Endpoint]
 	if l == nil {
-		return o.notOwnerReply(req), nil
+		return o.notOwnerReply(now, req), nil
 	}
 	if wait, avoid := l.mustAvoid(now, &req, zone); avoid {
 		return AdmitReply{Decision: Next, Code: Outlier, RetryAfter: millis(wait)}, nil
@@ -89,14 +89,15 @@
 }
 
 // notOwnerReply returns the reply for an endpoint that this router does not own. One that
-// it does not know may be new, and is not reported as lost.
-func (o *Owner) notOwnerReply(req AdmitRequest) AdmitReply {
+// it does not know may be new, or listed again after its removal, and is reported as lost
+// only for Config.LostTTL after that.
+func (o *Owner) notOwnerReply(now time.Time, req AdmitRequest) AdmitReply {
 	v := o.view.Load()
 	d := v.set.Find(req.Endpoint)
 	if d != nil {
 		return AdmitReply{Decision: Next, Code: NotOwner, Owner: v.routers.Owner(d.ID, d.Zone)}
 	}
-	if r, ok := v.removed[req.Endpoint]; ok && req.Incarnation <= r.incarnation {
+	if r, ok := v.removed[req.Endpoint]; ok && req.Incarnation <= r.incarnation && now.Sub(r.at) < o.cfg.Load().LostTTL {
 		return AdmitReply{Decision: Next, Code: EndpointLost}
 	}
 	return AdmitReply{Decision: Next, Code: NotOwner}
--- a/coordination/placement/owner.go
+++ b/coordination/placement/owner.go
@@ -87,7 +87,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	old := o.view.Load()
-	o.view.Store(&view{set: set, routers: routers, removed: old.removedBy(now, set)})
+	o.view.Store(&view{set: set, routers: routers, removed: old.removedBy(now, set, o.cfg.Load().LostTTL)})
 	fleet := o.peak.share(now, routers.Len())
 	for _, d := range set.byID {
 		o.poolLoad(d.Pool)
--- a/coordination/placement/preview.go
+++ b/coordination/placement/preview.go
@@ -84,7 +84,7 @@
 	req.Sequence, req.Releases = 0, nil
 	l := o.copyLoad(req.Endpoint)
 	if l == nil {
-		return PreviewReply{Reply: o.notOwnerReply(req)}
+		return PreviewReply{Reply: o.notOwnerReply(now, req)}
 	}
 	p := l.describe(now, &req, cfg)
 	if wait, avoid := l.mustAvoid(now, &req, zone); avoid {
--- a/coordination/placement/removed.go
+++ b/coordination/placement/removed.go
@@ -12,15 +12,12 @@
 	at          time.Time
 }
 
-// removalTTL is how long an owner remembers removals. Other routers may learn of them
-// later than the owner.
-const removalTTL = time.Minute
-
-// removedBy returns the removals to remember when the list of v is replaced by set.
-func (v *view) removedBy(now time.Time, set *Set) map[coordination.Endpoint]removal {
+// removedBy returns the removals to remember, each for ttl, when the list of v is replaced
+// by set.
+func (v *view) removedBy(now time.Time, set *Set, ttl time.Duration) map[coordination.Endpoint]removal {
 	all := make(map[coordination.Endpoint]removal)
 	for id, r := range v.removed {
-		if now.Sub(r.at) < removalTTL {
+		if now.Sub(r.at) < ttl {
 			all[id] = r
 		}
 	}
