Tests wait for a router's metrics, and make records of streams, in one place

Three functions read the metrics of a router until a line is there, and two tests made the same records. awaitMetric and costRecord replace them; what is waited for, and for how long, is unchanged. TestRelayTakesUpUnknownStreamOfSingleVersion, TestRelayServesEachRouteType, TestRelayDoesNotJoinUnnamedStreamOfAnotherService and the tests of costs pass.

--- a/coordination/origin/cost_test.go
+++ b/coordination/origin/cost_test.go
@@ -14,6 +14,8 @@
 	"wisteriaspool/coordination/synctest"
 )
 
+const costPool coordination.Pool = "chat-model-1"
+
 // countingTransport counts calls and the bytes of their payloads.
 type countingTransport struct {
 	transport
@@ -41,6 +43,14 @@
 	}
 }
 
+// costRecord returns the record of the nth stream, with texts of the usual lengths.
+func costRecord(n int) origin.Record {
+	return origin.Record{
+		Attempt: coordination.Attempt(fmt.Sprintf("%016x", n)), Pool: costPool, Version: "v1.1", LeftMs: 15_000,
+		Content: origin.Content(uint64(1+n) * 0x9e3779b97f4a7c15),
+	}
+}
+
 // recordingCost returns what a fleet sends in 10 s, in which each router begins 10 streams a
 // second.
 func recordingCost(t *testing.T, routers int, byContent bool) (calls, bytes int64) {
@@ -53,10 +63,7 @@
 	}
 	for n := range 100 {
 		for i, r := range f.routers {
-			rec := origin.Record{
-				Attempt: coordination.Attempt(fmt.Sprintf("%016x", n*routers+i)), Pool: "ficu95-model", Version: "v1.1", LeftMs: 15_000,
-				Content: origin.Content(uint64(1+n*routers+i) * 0x9e3779b97f4a7c15),
-			}
+			rec := costRecord(n*routers + i)
 			f.keepers[r.ID].Record(rec)
 			if byContent {
 				f.keepers[r.ID].Record(origin.ByContent([]origin.Record{rec})[0])
@@ -81,18 +88,14 @@
 					t.Cleanup(stop)
 					f.keepers[r.ID] = k
 					for n := range 100 {
-						id := n*routers + i
-						k.Record(origin.Record{
-							Attempt: coordination.Attempt(fmt.Sprintf("%016x", id)), Pool: "ficu95-model", Version: "v1.1", LeftMs: 15_000,
-							Content: origin.Content(uint64(1+id) * 0x9e3779b97f4a7c15),
-						})
+						k.Record(costRecord(n*routers + i))
 					}
 				}
 				time.Sleep(time.Second)
 				c.Store(0)
 				b.Store(0)
 				for _, r := range f.routers {
-					f.keepers[r.ID].KeepByContent("ficu95-model")
+					f.keepers[r.ID].KeepByContent(costPool)
 				}
 				time.Sleep(time.Second)
 				t.Logf("%d routers, 100 streams each: %d calls, %d bytes", routers, c.Load(), b.Load())
--- a/wisteriarouter/daemon/relay_site_test.go
+++ b/wisteriarouter/daemon/relay_site_test.go
@@ -108,7 +108,16 @@
 
 // awaitMembers waits until a router has all others in its membership list.
 func (s *relayCluster) awaitMembers(n, routers int) {
-	want := fmt.Sprintf("wisteria_members{state=\"alive\"} %d\n", routers)
+	s.awaitMetric(n, fmt.Sprintf("wisteria_members{state=\"alive\"} %d", routers), 10*time.Second)
+}
+
+// awaitState waits until a router has the latest desired state in force.
+func (s *relayCluster) awaitState(n int) {
+	s.awaitMetric(n, fmt.Sprintf("wisteria_desired_state_version %d", s.version), 5*time.Second)
+}
+
+// awaitMetric waits until a router's metrics have a line.
+func (s *relayCluster) awaitMetric(n int, line string, limit time.Duration) {
 	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
 		resp, err := http.Get("http://" + s.routers[n].OperatorsAddress() + "/metrics")
 		if err != nil {
@@ -116,11 +125,11 @@
 		}
 		defer func() { _ = resp.Body.Close() }()
 		text, err := io.ReadAll(resp.Body)
-		if err == nil && strings.Contains(string(text), want) {
+		if err == nil && strings.Contains(string(text), line+"\n") {
 			return poll.Success()
 		}
-		return poll.Continue("router %d does not list all others as alive", n)
-	}, poll.WithTimeout(10*time.Second), poll.WithDelay(20*time.Millisecond))
+		return poll.Continue("router %d does not have %q among its metrics", n, line)
+	}, poll.WithTimeout(limit), poll.WithDelay(10*time.Millisecond))
 }
 
 func (s *relayCluster) addReplica(o replica.Options) *replica.Replica {
--- a/wisteriarouter/daemon/relay_unnamed_stream_test.go
+++ b/wisteriarouter/daemon/relay_unnamed_stream_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"wisteriaspool/platform"
 	"wisteriaspool/standin/proxy"
@@ -167,23 +166,6 @@
 	}
 }
 
-// awaitState waits until a router has the latest desired state in force.
-func (s *relayCluster) awaitState(router int) {
-	want := fmt.Sprintf("wisteria_desired_state_version %d\n", s.version)
-	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
-		resp, err := http.Get("http://" + s.routers[router].OperatorsAddress() + "/metrics")
-		if err != nil {
-			return poll.Error(err)
-		}
-		defer func() { _ = resp.Body.Close() }()
-		text, err := io.ReadAll(resp.Body)
-		if err == nil && strings.Contains(string(text), want) {
-			return poll.Success()
-		}
-		return poll.Continue("router %d does not have the state", router)
-	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
-}
-
 // Guards against streams that go on at another version, or are answered otherwise than by their
 // rest or a refusal, as the router that began them ends soon after their first event.
 func TestRelayDoesNotJoinUnnamedStreamOfRouterThatEnds(t *testing.T) {
--- a/wisteriarouter/daemon/relay_version_test.go
+++ b/wisteriarouter/daemon/relay_version_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -48,18 +47,7 @@
 
 // awaitEndpoints waits until a router knows at least n endpoints.
 func (s *relayCluster) awaitEndpoints(router, n int) {
-	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
-		resp, err := http.Get("http://" + s.routers[router].OperatorsAddress() + "/metrics")
-		if err != nil {
-			return poll.Error(err)
-		}
-		defer func() { _ = resp.Body.Close() }()
-		text, err := io.ReadAll(resp.Body)
-		if err == nil && strings.Contains(string(text), fmt.Sprintf("wisteria_endpoints{pool=\"model\",state=\"live\"} %d\n", n)) {
-			return poll.Success()
-		}
-		return poll.Continue("router %d does not know %d endpoints", router, n)
-	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+	s.awaitMetric(router, fmt.Sprintf("wisteria_endpoints{pool=\"model\",state=\"live\"} %d", n), 5*time.Second)
 }
 
 // versionsIn returns the versions that the events of a stream name, in order of their
