--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -70,7 +72,11 @@
 
 // newFleet prepares n routers. Each has a loopback address of its own, as the port of the
 // operators is the same on all machines.
-func newFleet(binary, store string, base, n int) (*fleet, error) {
+func newFleet(binary, store string, n int) (*fleet, error) {
+	base, err := freeBase(n)
+	if err != nil {
+		return nil, err
+	}
 	dir, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		return nil, err
@@ -100,6 +106,25 @@
 	return f, nil
 }
 
+// freeBase returns the third byte of addresses of which n have a free port for operators.
+func freeBase(n int) (int, error) {
+	for range 100 {
+		base, free := 1+rand.IntN(250), true
+		for i := range n {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:9464", base, i+1))
+			if err != nil {
+				free = false
+				break
+			}
+			l.Close()
+		}
+		if free {
+			return base, nil
+		}
+	}
+	return 0, errors.New("no addresses are free")
+}
+
 func freeAddress(ip string) (string, error) {
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -41,7 +41,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE ROUTER RECORD")
 		os.Exit(notAble)
 	}
-	plays := map[string]func(*trial) error{"leave": playLeave, "keys": playKeys, "revision": playRevision}
+	plays := map[string]func(*trial) error{"leave": playLeave, "keys": playKeys, "revision": playRevision, "slow": playSlow, "exit": playExit}
 	play := plays[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "stand-2: no such case")
@@ -86,7 +86,7 @@
 	if t.store, err = newStore("127.77.0.1", first); err != nil {
 		return err
 	}
-	for i := range 6 {
+	for i := range 7 {
 		r, err := newReplica("127.77.0.2", fmt.Sprintf("i-%d", i+1), service, fmt.Sprintf("z%d", i%3+1))
 		if err != nil {
 			return err
@@ -94,7 +94,7 @@
 		t.all = append(t.all, r)
 		t.store.put("servers/"+r.id, r.entry("ready"))
 	}
-	if t.fleet, err = newFleet(binary, t.store.address(), 1, 3); err != nil {
+	if t.fleet, err = newFleet(binary, t.store.address(), 3); err != nil {
 		return err
 	}
 	return play(t)
@@ -117,7 +117,7 @@
 
 func (t *trial) close() {
 	if t.fleet != nil {
-		t.fleet.close(false)
+		t.fleet.close(os.Getenv("KEEP") != "")
 	}
 }
 
@@ -166,7 +166,10 @@
 
 // runsOf returns the replica and the run of an attempt, or nil.
 func (t *trial) runsOf(attempt string) (at *replica, first *run, n int) {
-	for _, r := range t.all {
+	t.mu.Lock()
+	replicas := append([]*replica(nil), t.all...)
+	t.mu.Unlock()
+	for _, r := range replicas {
 		for _, each := range r.all() {
 			if each.header.Get("X-Attempt-Id") == attempt {
 				at, first, n = r, &each, n+1
--- a/review/stand-2/replica.go
+++ b/review/stand-2/replica.go
@@ -6,19 +6,23 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // replica is a stand-in for a replica of a service.
 type replica struct {
-	id       string
-	service  string
-	zone     string
-	listener net.Listener
-	born     int64
-	mu       sync.Mutex
-	seqno    int64
-	runs     []run
+	id        string
+	service   string
+	zone      string
+	listener  net.Listener
+	born      int64
+	mu        sync.Mutex
+	seqno     int64
+	runs      []run
+	running   atomic.Int64 // requests that run; kept by some answers only
+	brokenOff []string     // attempts whose channel ended before the answer
+	sheds     func() bool  // reports whether the next request is rejected as not run; may be nil
 	// serve, if set, answers the requests that run in place of the default.
 	serve func(w http.ResponseWriter, r *http.Request, n int)
 }
@@ -78,6 +82,11 @@
 	if err != nil {
 		return
 	}
+	if r.sheds != nil && r.sheds() {
+		h.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	r.mu.Lock()
 	n := len(r.runs)
 	r.runs = append(r.runs, run{time.Now(), req.Header.Clone(), req.Method, req.RequestURI, string(body)})
