A reset that only the writer is told of does not end a response in order

Callers got a part of a response as a complete one: an endpoint answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. While the request is written in the background, the writer may get it (ECONNRESET), and the reader then sees an ordinary end of input, which is how a response without a length ends. The same holds for a timeout of the connection (ETIMEDOUT), for the router at the far end of a tunnel, which passed the end on as an orderly one, and for the client of plain services, where net/http writes in the background.

http1.Conn keeps the error by which a Write has learned that a connection did not end in order, and its Read returns that error in place of io.EOF. At the end of the input it interrupts a Write in progress and waits for it, so that the outcome does not depend on which goroutine runs first; nothing can follow an end of input that would still need the rest of the request. EPIPE does not count: Linux returns it after an orderly end, also if a reset follows that, so that such responses still count as complete.

Not affected: the store, the JSON gateway, orders and load reports (JSON values end by themselves), streams of engines (need their last chunk), KV caches without a length (rejected), connections between routers (frames).

--- a/wisteriarouter/peer/tunnel.go
+++ b/wisteriarouter/peer/tunnel.go
@@ -15,6 +15,7 @@
 	"github.com/coder/websocket"
 
 	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/http1"
 )
 
 // TunnelPath is the HTTP path on which a router connects another router to an
@@ -127,7 +128,7 @@
 	dialCtx, cancelDial := context.WithTimeout(ctx, within*2/3)
 	defer cancelDial()
 	began := time.Now()
-	c, err := s.Dial(dialCtx, "tcp", address)
+	c, err := http1.Dial(s.Dial)(dialCtx, "tcp", address)
 	if err != nil && s.InTouch(ctx, address, began) {
 		err = fmt.Errorf("%w: %w", ErrEndpointUnreachable, err)
 	}
--- a/wisteriarouter/relay/stray_refusal_test.go
+++ b/wisteriarouter/relay/stray_refusal_test.go
@@ -27,6 +27,8 @@
 	// answer returns the response to a request that is the n-th on its connection,
 	// from 1 on, and how the connection ends after it.
 	answer func(r *http.Request, n int) (string, connEnd)
+	// early reports that the endpoint answers before it reads the body.
+	early bool
 }
 
 // connEnd is what an endpoint does with a connection after a response.
@@ -36,13 +38,23 @@
 	keepOpen connEnd = iota
 	endInOrder
 	endByReset
+	endOfResponse // closes the sending side only, and reads on
 )
 
 func startRawEndpoint(t *testing.T, answer func(r *http.Request, n int) (string, connEnd)) *rawEndpoint {
+	return (&rawEndpoint{answer: answer}).start(t)
+}
+
+// startEarlyEndpoint starts an endpoint that answers before it reads the body.
+func startEarlyEndpoint(t *testing.T, answer func(r *http.Request, n int) (string, connEnd)) *rawEndpoint {
+	return (&rawEndpoint{answer: answer, early: true}).start(t)
+}
+
+func (e *rawEndpoint) start(t *testing.T) *rawEndpoint {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	e := &rawEndpoint{listener: l, answer: answer}
+	e.listener = l
 	go e.run()
 	return e
 }
@@ -72,8 +84,10 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
+		if !c.early {
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
 		}
 		c.runs.Add(1)
 		response, end := c.answer(r, n)
@@ -87,6 +101,10 @@
 		case endByReset:
 			_ = c.conn.SetLinger(0) // makes Close reset the connection
 			return
+		case endOfResponse:
+			_ = c.conn.CloseWrite()
+			_, _ = io.Copy(io.Discard, in) // until the router closes the connection
+			return
 		}
 	}
 }
--- a/wisteriarouter/service/client.go
+++ b/wisteriarouter/service/client.go
@@ -18,6 +18,7 @@
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/execution"
+	"wisteriaspool/coordination/http1"
 	"wisteriaspool/coordination/outcome"
 	"wisteriaspool/coordination/pause"
 )
@@ -52,12 +53,10 @@
 type Client struct {
 	singleUse        *http.Client // one connection for each call, for non-idempotent actions
 	pooled           *http.Client
-	dial             dialFunc
+	dial             http1.DialFunc
 	maxResponseBytes int64
 }
 
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // NewClient returns a client, and a function that closes its idle connections.
 func NewClient(opts Options) (*Client, func()) {
 	if opts.DialTimeout <= 0 {
@@ -70,6 +69,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: opts.DialTimeout}).DialContext
 	}
+	dial = http1.Dial(dial)
 	pooled := &http.Transport{
 		DialContext:         dial,
 		DisableCompression:  true,
--- a/wisteriarouter/upstream/conn.go
+++ b/wisteriarouter/upstream/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/http1"
 )
 
 const (
@@ -44,6 +45,9 @@
 }
 
 func newConn(c *Client, address string, nc net.Conn) *conn {
+	if _, ok := nc.(tunnelled); !ok {
+		nc = http1.NewConn(nc) // the far end of a tunnel does so
+	}
 	head := newHeadLimiter(nc)
 	return &conn{client: c, address: address, nc: nc, head: head, r: bufio.NewReaderSize(head, readBuffer)}
 }
@@ -155,8 +159,8 @@
 	defer close(w.conn.written)
 	defer w.request.sent()
 	if err := w.write(); err != nil {
-		// Reading fails as well, unless the endpoint answered before it had read
-		// the whole request.
+		// Reading fails as well, unless the endpoint has sent a whole response before
+		// it had read the request.
 		w.conn.writeFailed.Store(true)
 	}
 }
@@ -286,13 +290,9 @@
 	if t, ok := c.nc.(tunnelled); ok {
 		return t.Quiet()
 	}
-	sc, ok := c.nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.nc.(*http1.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return errors.Is(err, errors.ErrUnsupported)
 	}
 	var readErr error
 	err = raw.Read(func(fd uintptr) bool {
