A response whose status code HTTP does not have is no response

What callers saw: a status of 600 or 999 was passed on with the endpoint's signature. A head of status 000 (also 099, -00, +20) was taken for an interim one and skipped, so that what followed it, which may be its body, reached callers as a 200 that no endpoint had given; the same behind a 101. An action of a plain service with status 000 came back with the endpoint's claim that it had not run, an order to an engine as declined, a write to the store as one that had not happened.

Cause: net/http accepts any three bytes that strconv.Atoi reads as a number of 0 or more, and each client compared only with the codes that it knows.

http1.Check accepts codes of three digits in the classes 1 to 5, and 101 only for a request that asks for another protocol. What fails counts like a connection that broke off: the request may have run, is repeated only where it may be, and its caller gets 502 of the router's own.

A 600 or 999 is invalid by RFC 9110, section 15, and a gateway answers an invalid response with 502.

Status 000 by itself ended as 502 before as well.

--- a/wisteriarouter/engine/engine.go
+++ b/wisteriarouter/engine/engine.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/http1"
 	"wisteriaspool/coordination/pause"
 )
 
@@ -146,7 +147,7 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
-	return &Client{http: &http.Client{Transport: tr}, callTimeout: opts.CallTimeout}, tr.CloseIdleConnections
+	return &Client{http: &http.Client{Transport: http1.Transport(tr)}, callTimeout: opts.CallTimeout}, tr.CloseIdleConnections
 }
 
 // Start sends one attempt to the engine at address and returns the open stream
--- a/wisteriarouter/platform/client.go
+++ b/wisteriarouter/platform/client.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"wisteriaspool/coordination/http1"
 	"wisteriaspool/coordination/kv"
 )
 
@@ -102,7 +103,7 @@
 	}
 	c.instancesURL = base
 	transport := newTransport(cfg)
-	c.httpClient = &http.Client{Transport: transport, CheckRedirect: refuseRedirect}
+	c.httpClient = &http.Client{Transport: http1.Transport(transport), CheckRedirect: refuseRedirect}
 	return c, transport.CloseIdleConnections, nil
 }
 
--- /dev/null
+++ b/wisteriarouter/relay/broken_head_test.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination/route"
+	"wisteriaspool/standin/raw"
+)
+
+// testBrokenHeads sends heads that are no part of a response. It checks that callers get the response of another endpoint where the request
+// may be repeated, and otherwise a failure of the router's own.
+func testBrokenHeads(t *testing.T, heads []string, text func(r *http.Request, head string) string) {
+	for _, h := range heads {
+		for kind, r := range kinds {
+			t.Run(fmt.Sprintf("%q/%s", h, kind), func(t *testing.T) {
+				t.Parallel()
+				testBrokenHead(t, r, func(r *http.Request) string { return text(r, h) })
+			})
+		}
+	}
+}
+
+func testBrokenHead(t *testing.T, r route.Route, text func(r *http.Request) string) {
+	first := startRawEndpoint(t, func(r *http.Request, _ int) (string, connEnd) { return text(r), endInOrder })
+	second := startRawEndpoint(t, func(r *http.Request, _ int) (string, connEnd) {
+		return signedHead(r, "200 OK") + "Content-Length: 5\r\n\r\nsound", keepOpen
+	})
+	resp, body, err := callRouter(t, http.MethodPost, startRouter(t, r, first, second), "a")
+	assert.NilError(t, err)
+	if r.Idempotent() {
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Equal(t, body, "sound")
+		return
+	}
+	assert.Equal(t, resp.StatusCode, http.StatusBadGateway, "%q", body)
+	assert.Equal(t, resp.Header.Get("X-Server-Signature"), "")
+	assert.Equal(t, second.runs.Load(), int32(0), "the request ran at a second endpoint")
+}
+
+// Guards against a status code that HTTP does not have and that reaches a caller.
+func TestResponseWithBrokenStatusIsNoResponse(t *testing.T) {
+	testBrokenHeads(t, raw.Statuses(), func(r *http.Request, status string) string {
+		return signedHead(r, status) + "Content-Length: 5\r\n\r\nhello"
+	})
+}
+
+// Guards against a head with such a status that is taken for an interim one, so that a part
+// of the body is taken for the response.
+func TestHeadWithBrokenStatusIsNotInterim(t *testing.T) {
+	testBrokenHeads(t, raw.Statuses(), func(r *http.Request, status string) string {
+		return "HTTP/1.1 " + status + "\r\n\r\n" + signedHead(r, "200 OK") + "Content-Length: 6\r\n\r\nforged"
+	})
+}
--- /dev/null
+++ b/wisteriarouter/service/broken_head_test.go
@@ -0,0 +1,35 @@
+package service_test
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/standin/raw"
+	"wisteriaspool/wisteriarouter/service"
+)
+
+// callRaw calls a service that answers with text.
+func callRaw(t *testing.T, text string, once bool) (service.Reply, outcome.Outcome, error) {
+	s, closeServer, err := raw.Listen(func(*http.Request) string { return text })
+	assert.NilError(t, err)
+	defer closeServer()
+	c, cleanup := service.NewClient(service.Options{})
+	defer cleanup()
+	var e outcome.Evidence
+	reply, err := c.Do(t.Context(), &e, service.Call{Attempt: "a", Address: s.Address(), Action: "book", NonIdempotent: once})
+	return reply, e.Outcome(), err
+}
+
+// Guards against a status code that HTTP does not have and that counts as the answer of an action.
+func TestBrokenStatusIsNoAnswer(t *testing.T) {
+	for _, status := range raw.Statuses() {
+		for _, once := range []bool{false, true} {
+			reply, got, err := callRaw(t, "HTTP/1.1 "+status+"\r\nX-Outcome: not-run\r\nContent-Length: 5\r\n\r\nhello", once)
+			assert.Check(t, err != nil, "%q: %+v", status, reply)
+			assert.Check(t, got == outcome.Unknown, "%q: %v", status, got)
+		}
+	}
+}
--- a/wisteriarouter/service/client.go
+++ b/wisteriarouter/service/client.go
@@ -85,8 +85,8 @@
 		DisableKeepAlives:  true,
 	}
 	c := &Client{
-		singleUse:        &http.Client{Transport: singleUse, CheckRedirect: refuseRedirect},
-		pooled:           &http.Client{Transport: pooled, CheckRedirect: refuseRedirect},
+		singleUse:        &http.Client{Transport: http1.Transport(singleUse), CheckRedirect: refuseRedirect},
+		pooled:           &http.Client{Transport: http1.Transport(pooled), CheckRedirect: refuseRedirect},
 		dial:             dial,
 		maxResponseBytes: opts.MaxResponseBytes,
 	}
--- a/wisteriarouter/upstream/conn.go
+++ b/wisteriarouter/upstream/conn.go
@@ -104,6 +104,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := http1.Check(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
