A head with a blank in a field name is no head of a response

What callers saw: a response whose head held a field name with a blank in it or before the colon was passed on as a success, with that line. With "Content-Length :" or "Transfer-Encoding :" the body was not the endpoint's: the framing that it meant was ignored, and the caller got chunk sizes or bytes of what follows as a part of the body.

Cause: net/http accepts blanks in field names, for servers that put one before the colon, and leaves such fields in the header under the name with the blank. RFC 9112, section 5.1, allows no blank; all other bytes that are not in a token are refused by net/http already.

http1.Check refuses a response with such a name, for endpoints in interim heads too.

Evidence: the tests send names with each byte that no token has, names that are empty, and lines without a colon. Control bytes, delimiters and bytes over 127, and a blank at the start of the first line, were refused before.

--- a/coordination/http1/response.go
+++ b/coordination/http1/response.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/joomcode/errorx"
 )
@@ -23,6 +24,12 @@
 	if resp.StatusCode == http.StatusSwitchingProtocols && !asksForProtocol(resp.Request) {
 		return ErrInvalid.New("status %.20q without an Upgrade header in the request", resp.Status)
 	}
+	for name := range resp.Header {
+		// net/http refuses all other bytes that are not allowed in a name.
+		if strings.Contains(name, " ") {
+			return ErrInvalid.New("field name %.60q", name)
+		}
+	}
 	return nil
 }
 
--- a/wisteriarouter/engine/broken_head_test.go
+++ b/wisteriarouter/engine/broken_head_test.go
@@ -42,3 +42,12 @@
 		checkProvesNothing(t, "HTTP/1.1 "+status+"\r\nX-Outcome: not-run\r\nContent-Length: 2\r\n\r\n{}")
 	}
 }
+
+// Guards against a field name with a blank or a control byte in a head that proves what an engine has done.
+func TestBrokenFieldNameOfEngineProvesNothing(t *testing.T) {
+	for _, line := range raw.FieldLines() {
+		for _, status := range []string{"200 OK", "404 Not Found"} {
+			checkProvesNothing(t, "HTTP/1.1 "+status+"\r\n"+line+"\r\nX-Outcome: not-run\r\nContent-Length: 2\r\n\r\n{}")
+		}
+	}
+}
--- a/wisteriarouter/platform/broken_head_test.go
+++ b/wisteriarouter/platform/broken_head_test.go
@@ -36,3 +36,11 @@
 		}
 	}
 }
+
+// Guards against a field name with a blank or a control byte in a head that proves what the service has done.
+func TestBrokenFieldNameOfServiceProvesNothing(t *testing.T) {
+	const body = `{"header":{"revision":"7"},"succeeded":true,"instances":[]}`
+	for _, line := range raw.FieldLines() {
+		checkProvesNothing(t, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s\r\nContent-Length: %d\r\n\r\n%s", line, len(body), body))
+	}
+}
--- a/wisteriarouter/relay/broken_head_test.go
+++ b/wisteriarouter/relay/broken_head_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
+	"github.com/samber/lo"
 	"gotest.tools/v3/assert"
 
 	"wisteriaspool/coordination/route"
@@ -55,3 +57,29 @@
 		return "HTTP/1.1 " + status + "\r\n\r\n" + signedHead(r, "200 OK") + "Content-Length: 6\r\n\r\nforged"
 	})
 }
+
+// Guards against a field name with a blank, a control byte or a delimiter that reaches a caller
+// with the rest of the response.
+func TestResponseWithBrokenFieldNameIsNoResponse(t *testing.T) {
+	testBrokenHeads(t, raw.FieldLines(), func(r *http.Request, line string) string {
+		return strings.Replace(signedHead(r, "200 OK"), "\r\n", "\r\n"+line+"\r\n", 1) + "Content-Length: 5\r\n\r\nhello"
+	})
+}
+
+// Guards against such a name that ends a head otherwise than its endpoint meant, as the last
+// field of the head.
+func TestBodyBehindBrokenFieldNameIsNoBody(t *testing.T) {
+	lines := lo.Reject(raw.FieldLines(), func(line string, _ int) bool {
+		return strings.HasPrefix(line, " ") || strings.HasPrefix(line, "\t") // continues the line before
+	})
+	testBrokenHeads(t, lines, func(r *http.Request, line string) string {
+		return signedHead(r, "200 OK") + line + "\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+	})
+}
+
+// Guards against such a name in an interim head.
+func TestInterimHeadWithBrokenFieldNameIsNoHead(t *testing.T) {
+	testBrokenHeads(t, raw.FieldLines(), func(r *http.Request, line string) string {
+		return "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + signedHead(r, "200 OK") + "Content-Length: 5\r\n\r\nhello"
+	})
+}
--- a/wisteriarouter/service/broken_head_test.go
+++ b/wisteriarouter/service/broken_head_test.go
@@ -33,3 +33,14 @@
 		}
 	}
 }
+
+// Guards against a field name with a blank or a control byte in a head that counts as the answer of an action.
+func TestBrokenFieldNameIsNoAnswer(t *testing.T) {
+	for _, line := range raw.FieldLines() {
+		for _, once := range []bool{false, true} {
+			reply, got, err := callRaw(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nX-Outcome: not-run\r\nContent-Length: 5\r\n\r\nhello", once)
+			assert.Check(t, err != nil, "%q: %+v", line, reply)
+			assert.Check(t, got == outcome.Unknown, "%q: %v", line, got)
+		}
+	}
+}
