Heads of other versions and with faulty framing are no heads of a response

What callers saw: a response of HTTP/1.0 with "Transfer-Encoding: chunked" reached them with the chunk sizes as a part of its body. One with both chunks and a length was passed on although its fields contradict each other about where it ends; heads of HTTP/0.9, 2.0, 3.1 and 9.9 and status lines with control bytes were passed on; an interim head with a length was skipped, and its body, which it must not have, was taken for the response.

Cause: net/http ignores and removes Transfer-Encoding in HTTP/1.0, removes Content-Length beside chunks, accepts any digit as a version, and does not look at the reason of a status line or at the framing of interim heads.

http1.Check refuses other major versions, control bytes in the status line and interim heads with a length or chunks. As the fields that contradict each other are gone from the parsed header, the client of endpoints keeps the bytes of a head while it is read and looks for them there. RFC 9112 demands the first of these two (6.1) and recommends the second (6.3).

Not done: the client of plain services reads through net/http, which shows neither field afterwards, so that chunks in HTTP/1.0 still are a part of the body there.

--- a/coordination/http1/response.go
+++ b/coordination/http1/response.go
@@ -18,9 +18,15 @@
 // Check returns nil if a response that net/http has read, final or interim, is valid, and
 // otherwise an ErrInvalid.
 func Check(resp *http.Response) error {
-	if !validStatus(resp.Status) {
+	if resp.ProtoMajor != 1 {
+		return ErrInvalid.New("version %.20q", resp.Proto)
+	}
+	if !validStatus(resp.Status) || strings.ContainsFunc(resp.Status, isControl) {
 		return ErrInvalid.New("status %.20q", resp.Status)
 	}
+	if resp.StatusCode < http.StatusOK && (resp.Header.Get("Content-Length") != "" || len(resp.TransferEncoding) > 0) {
+		return ErrInvalid.New("interim response %d with a body", resp.StatusCode)
+	}
 	if resp.StatusCode == http.StatusSwitchingProtocols && !asksForProtocol(resp.Request) {
 		return ErrInvalid.New("status %.20q without an Upgrade header in the request", resp.Status)
 	}
@@ -41,6 +47,10 @@
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
+// isControl reports whether r is a control character other than a tab, which none of the
+// parts of a head may hold.
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
 func asksForProtocol(r *http.Request) bool { return r != nil && r.Header.Get("Upgrade") != "" }
 
 // transport is a transport whose responses are valid.
--- a/standin/raw/heads.go
+++ b/standin/raw/heads.go
@@ -11,6 +11,11 @@
 	}
 }
 
+// Reasons returns statuses whose reason holds a control byte.
+func Reasons() []string {
+	return []string{"200 O\x00K", "200 \x01", "200 O\rK", "200 O\x1b[2JK", "200 OK\x7f", "200 OK\r"}
+}
+
 // FieldLines returns lines of a head whose field names are no tokens: they hold a blank, a
 // control byte, a delimiter or another byte that may not be in them, or are empty.
 func FieldLines() []string {
@@ -26,6 +31,25 @@
 	return lines
 }
 
+// Versions returns protocol versions that no response to a request of HTTP/1.1 has.
+func Versions() []string {
+	return []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.1", "HTTP/9.9", "HTTP/1.10", "HTTP/1", "HTTP/1.", "HTTP/+1.1", "http/1.1", "HTTP 1.1", "ICY", "RTSP/1.0", ""}
+}
+
+// Framings returns fields of a head that do not tell for certain where a body with a length of 5
+// bytes, or in chunks, ends.
+func Framings() []string {
+	return []string{
+		"Transfer-Encoding: chunked\r\nContent-Length: 5", "Content-Length: 5\r\nTransfer-Encoding: chunked",
+		"Transfer-Encoding: chunked\r\ncontent-length: 5", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+		"Transfer-Encoding: chunked, chunked", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, identity",
+		"Transfer-Encoding: identity", "Transfer-Encoding: \"chunked\"", "Transfer-Encoding: ", "Transfer-Encoding: chunked;a=b",
+		"Content-Length: 5\r\nContent-Length: 6", "Content-Length: 5, 6", "Content-Length: +5", "Content-Length: -5",
+		"Content-Length: 0x5", "Content-Length: 5 5", "Content-Length: 5\r\n 5", "Content-Length: 5.0", "Content-Length: ",
+		"Content-Length: 18446744073709551621",
+	}
+}
+
 // isTokenByte reports whether a byte may be in a token by RFC 9110, section 5.6.2.
 func isTokenByte(c byte) bool {
 	return '0' <= c && c <= '9' || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
--- a/wisteriarouter/relay/broken_head_test.go
+++ b/wisteriarouter/relay/broken_head_test.go
@@ -83,3 +83,43 @@
 		return "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + signedHead(r, "200 OK") + "Content-Length: 5\r\n\r\nhello"
 	})
 }
+
+// Guards against a head of another protocol or version that reaches a caller as a response.
+func TestHeadOfOtherVersionIsNoResponse(t *testing.T) {
+	testBrokenHeads(t, raw.Versions(), func(r *http.Request, version string) string {
+		return strings.Replace(signedHead(r, "200 OK"), "HTTP/1.1", version, 1) + "Content-Length: 5\r\n\r\nhello"
+	})
+}
+
+// Guards against a status line with control bytes that reaches a caller as a response.
+func TestStatusWithControlByteIsNoResponse(t *testing.T) {
+	testBrokenHeads(t, raw.Reasons(), func(r *http.Request, status string) string {
+		return signedHead(r, status) + "Content-Length: 5\r\n\r\nhello"
+	})
+}
+
+// Guards against a body whose end depends on which of its fields are believed.
+func TestResponseWithFaultyFramingIsNoResponse(t *testing.T) {
+	for name, body := range map[string]string{"length": "hello", "chunked": "5\r\nhello\r\n0\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			testBrokenHeads(t, raw.Framings(), func(r *http.Request, fields string) string {
+				return signedHead(r, "200 OK") + fields + "\r\n\r\n" + body
+			})
+		})
+	}
+}
+
+// Guards against chunks that reach a caller as a part of the body, as HTTP/1.0 has none.
+func TestChunkedResponseOfOldVersionIsNoResponse(t *testing.T) {
+	fields := []string{"Transfer-Encoding: chunked", "transfer-encoding:chunked", "Transfer-Encoding: chunked\r\nContent-Length: 15"}
+	testBrokenHeads(t, fields, func(r *http.Request, fields string) string {
+		return strings.Replace(signedHead(r, "200 OK"), "HTTP/1.1", "HTTP/1.0", 1) + fields + "\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+	})
+}
+
+// Guards against the body of an interim response, which has none, that is taken for the final one.
+func TestInterimHeadWithBodyIsNoHead(t *testing.T) {
+	testBrokenHeads(t, []string{"Content-Length: 500", "content-length: 500", "Transfer-Encoding: chunked"}, func(r *http.Request, field string) string {
+		return "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + signedHead(r, "200 OK") + "Content-Length: 6\r\n\r\nforged"
+	})
+}
--- a/wisteriarouter/upstream/conn.go
+++ b/wisteriarouter/upstream/conn.go
@@ -100,6 +100,7 @@
 	c.head.begin()
 	defer c.head.end()
 	for {
+		c.head.startRecording(c.r)
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
@@ -107,6 +108,9 @@
 		if err := http1.Check(resp); err != nil {
 			return nil, err
 		}
+		if err := checkFraming(resp, c.head.recorded(c.r)); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
