Heads of responses are bounded to 64 KB wherever they are read

What happens: a faulty engine, plain service, JSON gateway or router that sends a head without end (a status line, fields, interim heads or bytes that are no response) was read up to 10 MB for each call, the default of net/http.

Bodies without end were cut off before (TestBodyOfEngineWithoutEndIsCutOff).

--- a/coordination/http1/response.go
+++ b/coordination/http1/response.go
@@ -15,6 +15,10 @@
 // accepted it.
 var ErrInvalid = Errors.NewType("invalid")
 
+// MaxHeadBytes is the greatest size of a response's head, with the interim ones before it, that
+// clients accept. The default of net/http is 10 MB for each response.
+const MaxHeadBytes = 64 << 10
+
 // Check returns nil if a response that net/http has read, final or interim, is valid, and
 // otherwise an ErrInvalid.
 func Check(resp *http.Response) error {
--- a/standin/raw/heads.go
+++ b/standin/raw/heads.go
@@ -31,6 +31,22 @@
 	return lines
 }
 
+// Endless is the start of a head and what is repeated after it without end.
+type Endless struct{ Name, Start, Repeat string }
+
+// EndlessHeads returns heads that do not end.
+func EndlessHeads() []Endless {
+	const head = "HTTP/1.1 200 OK\r\n"
+	return []Endless{
+		{"status line", "", "HTTP/1.1 200 aaaaaa"},
+		{"field lines", head, "Name: value\r\n"},
+		{"field line", head + "Name: ", "value"},
+		{"folded field", head + "Name: value\r\n", " value\r\n"},
+		{"interim responses", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+		{"garbage", "", "\x00\x01\x02\x03"},
+	}
+}
+
 // Versions returns protocol versions that no response to a request of HTTP/1.1 has.
 func Versions() []string {
 	return []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.1", "HTTP/9.9", "HTTP/1.10", "HTTP/1", "HTTP/1.", "HTTP/+1.1", "http/1.1", "HTTP 1.1", "ICY", "RTSP/1.0", ""}
--- a/standin/raw/raw.go
+++ b/standin/raw/raw.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 )
 
@@ -13,17 +14,31 @@
 type Server struct {
 	listener net.Listener
 	answer   func(r *http.Request) string
+	repeat   string // sent after the answer again and again; "" for an answer that ends
 	written  atomic.Int64
 }
 
 // Listen starts a server on a free port of the loopback interface, and returns a function
 // that closes its listener. The connection is closed after each response.
 func Listen(answer func(r *http.Request) string) (*Server, func(), error) {
+	return listen(&Server{answer: answer})
+}
+
+// ListenEndless is like Listen for a server that sends start and then repeats a text until
+// the client closes the connection.
+func ListenEndless(start, repeat string) (*Server, func(), error) {
+	return listen(&Server{answer: func(*http.Request) string { return start }, repeat: strings.Repeat(repeat, repeats)})
+}
+
+// repeats is how often a text is repeated in one write.
+const repeats = 1000
+
+func listen(s *Server) (*Server, func(), error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, nil, err
 	}
-	s := &Server{listener: l, answer: answer}
+	s.listener = l
 	go s.run()
 	return s, func() { _ = l.Close() }, nil
 }
@@ -61,6 +76,10 @@
 		return
 	}
 	// A failed write is a shorter response.
-	n, _ := io.WriteString(c.nc, c.server.answer(r))
+	n, err := io.WriteString(c.nc, c.server.answer(r))
 	c.server.written.Add(int64(n))
+	for err == nil && c.server.repeat != "" {
+		n, err = io.WriteString(c.nc, c.server.repeat)
+		c.server.written.Add(int64(n))
+	}
 }
--- a/wisteriarouter/engine/engine.go
+++ b/wisteriarouter/engine/engine.go
@@ -146,6 +146,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: http1.MaxHeadBytes,
 	}
 	return &Client{http: &http.Client{Transport: http1.Transport(tr)}, callTimeout: opts.CallTimeout}, tr.CloseIdleConnections
 }
--- a/wisteriarouter/peer/node.go
+++ b/wisteriarouter/peer/node.go
@@ -81,7 +81,11 @@
 // newClient returns a client that connects to peers directly, without a proxy.
 func newClient(timeout time.Duration) *http.Client {
 	dialer := &net.Dialer{Timeout: timeout, KeepAlive: 30 * time.Second}
-	return &http.Client{Transport: http1.Transport(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true})}
+	return &http.Client{Transport: http1.Transport(&http.Transport{
+		DialContext:            dialer.DialContext,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: http1.MaxHeadBytes,
+	})}
 }
 
 // run advances the membership protocol and maintains the connections.
--- a/wisteriarouter/platform/call.go
+++ b/wisteriarouter/platform/call.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"wisteriaspool/coordination/http1"
 	"wisteriaspool/coordination/kv"
 )
 
@@ -34,6 +35,8 @@
 		DialContext:         dial,
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     time.Minute,
+
+		MaxResponseHeaderBytes: http1.MaxHeadBytes,
 	}
 }
 
--- a/wisteriarouter/service/client.go
+++ b/wisteriarouter/service/client.go
@@ -75,6 +75,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
+
+		MaxResponseHeaderBytes: http1.MaxHeadBytes,
 	}
 	// The service may close a reused connection just as a request is written
 	// to it. The transport then sends some requests again on its own, which it
@@ -83,6 +85,8 @@
 		DialContext:        dial,
 		DisableCompression: true,
 		DisableKeepAlives:  true,
+
+		MaxResponseHeaderBytes: http1.MaxHeadBytes,
 	}
 	c := &Client{
 		singleUse:        &http.Client{Transport: http1.Transport(singleUse), CheckRedirect: refuseRedirect},
--- a/wisteriarouter/upstream/head.go
+++ b/wisteriarouter/upstream/head.go
@@ -13,14 +13,9 @@
 	"wisteriaspool/coordination/http1"
 )
 
-const (
-	// maxHead bounds the bytes read for the head of a response, with the interim responses
-	// before it.
-	maxHead = 64 << 10
-	// maxHeadTime bounds the time from the first byte of a head to its last. A lost packet
-	// is sent again after 0.2 s, then 0.4 s and 0.8 s.
-	maxHeadTime = 2 * time.Second
-)
+// maxHeadTime bounds the time from the first byte of a head to its last. A lost packet is sent
+// again after 0.2 s, then 0.4 s and 0.8 s.
+const maxHeadTime = 2 * time.Second
 
 var errHeadTooLong = errors.New("upstream: the head of the response is too long")
 
@@ -54,7 +49,7 @@
 }
 
 // begin is called before the first head of a response is read.
-func (l *headLimiter) begin() { l.left, l.inHead = maxHead, true }
+func (l *headLimiter) begin() { l.left, l.inHead = http1.MaxHeadBytes, true }
 
 // endInterim is called when an interim head has been read. The next one may take its time.
 func (l *headLimiter) endInterim() {
