A message of a watch is bounded

What happens: a JSON gateway that sends a message of a watch without end fills the memory of each router that watches, which the system then kills with the requests of all its callers.

Cause: lists and single calls are read up to a limit, but the stream of a watch was decoded without one, and a decoder keeps a value until it is whole. Now each message may take 16 MB. A watch that gets a longer one breaks off like one whose connection fails: it is opened again, and after six failures its keys are listed again.

Evidence: TestMessageOfWatchWithoutEndIsCutOff.

--- a/wisteriarouter/platform/watch.go
+++ b/wisteriarouter/platform/watch.go
@@ -21,6 +21,10 @@
 	maxReopenAttempts = 6
 )
 
+// maxMessageBytes limits what is read for one message of a watch. A watch that gets a longer
+// one breaks off; its keys are read again when it cannot be reopened.
+const maxMessageBytes = 16 << 20
+
 // watch is the state of a watch across its connections.
 type watch struct {
 	client   *Client
@@ -29,7 +33,8 @@
 	gap      bool        // whether the next batch reports a gap
 	out      chan kv.Batch
 	body     io.ReadCloser
-	stream   *json.Decoder
+	limit    *io.LimitedReader  // reads from body
+	stream   *json.Decoder      // reads from limit
 	cancel   context.CancelFunc // closes the current connection
 }
 
@@ -80,7 +85,8 @@
 		return res
 	}
 	w.body = resp.Body
-	w.stream = json.NewDecoder(resp.Body)
+	w.limit = &io.LimitedReader{R: resp.Body}
+	w.stream = json.NewDecoder(w.limit)
 	first, err := w.next()
 	if err != nil {
 		_ = w.body.Close()
@@ -110,6 +116,7 @@
 // ended the watch, unless it did so because of a compaction.
 func (w *watch) next() (*watchResult, error) {
 	var msg watchResponse
+	w.limit.N = maxMessageBytes
 	if err := w.stream.Decode(&msg); err != nil {
 		return nil, fmt.Errorf("platform: reading watch stream: %w", err)
 	}
