Chunks that an engine sends out of order are bounded in bytes

What happens: an engine that leaves out one event of a stream and sends large ones after it makes a router keep 64 events of up to 256 KB, each twice, which is 26 MB for a stream in the test.

Cause: the window for chunks out of order counts chunks, not bytes. A stream now also counts as truncated when more than 1 MB is kept, some 16 KB a chunk of the window.

--- a/wisteriarouter/engine/engine.go
+++ b/wisteriarouter/engine/engine.go
@@ -34,7 +34,9 @@
 // Limits on the size of what is read from an engine.
 const (
 	maxEventBytes = 256 << 10
-	maxReplyBytes = 1 << 20
+	// maxReorderBytes limits the chunks of a stream that are buffered out of order.
+	maxReorderBytes = 1 << 20
+	maxReplyBytes   = 1 << 20
 )
 
 // ErrTruncated means that a stream or a KV cache ended before it was complete.
--- a/wisteriarouter/engine/stream.go
+++ b/wisteriarouter/engine/stream.go
@@ -47,6 +47,7 @@
 	attempt       coordination.Attempt
 	offset        int           // offset of the last chunk returned by Next
 	outOfOrder    map[int]Chunk // chunks received before their predecessors, by offset
+	reorderBytes  int           // size of outOfOrder
 	final         *Chunk        // last chunk of the answer, nil until received
 	finished      bool          // the final chunk has been returned
 	foreignChunks int
@@ -81,7 +82,7 @@
 		if s.finished {
 			return Chunk{}, io.EOF
 		}
-		if len(s.outOfOrder) > reorderWindow {
+		if len(s.outOfOrder) > reorderWindow || s.reorderBytes > maxReorderBytes {
 			return Chunk{}, fmt.Errorf("%w: token %d is missing", ErrTruncated, s.offset+1)
 		}
 		e, err, ok := s.readEvent()
@@ -110,6 +111,7 @@
 func (s *Stream) nextBuffered() (Chunk, bool) {
 	if c, ok := s.outOfOrder[s.offset+1]; ok {
 		delete(s.outOfOrder, s.offset+1)
+		s.reorderBytes -= size(c)
 		s.offset++
 		return c, true
 	}
@@ -153,5 +155,9 @@
 	if s.outOfOrder == nil {
 		s.outOfOrder = make(map[int]Chunk)
 	}
+	s.reorderBytes += size(c) - size(s.outOfOrder[c.Offset])
 	s.outOfOrder[c.Offset] = c
 }
+
+// size returns about how many bytes a chunk takes.
+func size(c Chunk) int { return len(c.Data) + len(c.Text) }
