An answer of an engine may have no more text than a request

What happens: an engine whose events have up to 256 KB of text each, in place of a token, makes a router keep up to a gigabyte for one answer, as the text of an answer is kept for another endpoint to continue it and for callers that do not stream. The limit of an answer counted tokens only.

An answer that is longer than the body of a request may be ("body" in section [limits]) now counts as malformed. Neither could its chat return with it, nor another endpoint continue it.

--- a/wisteriarouter/caller/stream.go
+++ b/wisteriarouter/caller/stream.go
@@ -43,7 +43,7 @@
 			return limitReached
 		case ctx.Err() != nil, errors.Is(err, errCallerDisconnected):
 			return callerGone
-		case errors.Is(err, engine.ErrMalformed):
+		case errors.Is(err, engine.ErrMalformed), errors.Is(err, errAnswerTooLong):
 			a.emit(event.StreamMalformed, event.F("endpoint", at.placement.Endpoint), event.F("attempt", at.id))
 			return streamMalformed
 		}
@@ -59,6 +59,10 @@
 // because the engine was given none or ignores it.
 var errTokenLimit = errors.New("caller: answer exceeds the token limit")
 
+// errAnswerTooLong is the error of an answer that is larger than a request may be, so that
+// neither the chat could return with it nor another endpoint continue it.
+var errAnswerTooLong = errors.New("caller: answer is too long")
+
 // copyChunks passes chunks to the sink. It returns nil after a complete
 // answer.
 func (a *chatRun) copyChunks(at *attempt) error {
@@ -76,6 +80,9 @@
 		if c.Finish == "" && c.Offset > a.chat.maxTokens {
 			return errTokenLimit
 		}
+		if int64(a.text.Len()+len(c.Text)) > a.Limits.MaxBodyBytes {
+			return errAnswerTooLong
+		}
 		if err := a.sink.chunk(at.id, c); err != nil {
 			return err
 		}
