Test that bodies without end are not kept

An endpoint that sends a body, a failure, a rejection or the response to another request without end: its bytes go to the caller as it reads them, or are dropped, and the connection is closed when the caller leaves or another endpoint answers.

--- a/wisteriarouter/relay/stray_refusal_test.go
+++ b/wisteriarouter/relay/stray_refusal_test.go
@@ -29,6 +29,8 @@
 	answer func(r *http.Request, n int) (string, connEnd)
 	// early reports that the endpoint answers before it reads the body.
 	early bool
+	// endless is how many bytes have been sent after a response that ends with endNever.
+	endless atomic.Int64
 }
 
 // connEnd is what an endpoint does with a connection after a response.
@@ -39,6 +41,7 @@
 	endInOrder
 	endByReset
 	endOfResponse // closes the sending side only, and reads on
+	endNever      // sends bytes until the router closes the connection
 )
 
 func startRawEndpoint(t *testing.T, answer func(r *http.Request, n int) (string, connEnd)) *rawEndpoint {
@@ -105,6 +108,19 @@
 			_ = c.conn.CloseWrite()
 			_, _ = io.Copy(io.Discard, in) // until the router closes the connection
 			return
+		case endNever:
+			c.sendEndlessly()
+			return
+		}
+	}
+}
+
+func (c rawConn) sendEndlessly() {
+	bytes := make([]byte, 16<<10)
+	for {
+		n, err := c.conn.Write(bytes)
+		if c.endless.Add(int64(n)); err != nil {
+			return
 		}
 	}
 }
