No request goes through another router that stops as planned

What callers see: a router that is cut off from an endpoint sends its requests through another router. When that one stops as planned, requests that come until the end of its grace still go through it, and those in flight then are cut with no answer, among them requests that may not be repeated.

Cause: a router that leaves accepts no new tunnels, and the others ask it for none, but idle tunnels were used again, by each request that came before they were idle for 4 s. Under load they never were, and the stop lasted until its limit.

The client of endpoints now neither uses nor keeps connections through a router that leaves or is silent, and closes idle ones within a second, so that the router can end as soon as the requests in flight are answered.

--- a/wisteriarouter/daemon/relay_detour.go
+++ b/wisteriarouter/daemon/relay_detour.go
@@ -67,6 +67,11 @@
 	return c, err
 }
 
+// Serves implements upstream.Tunnels.
+func (t tunnels) Serves(via coordination.Instance) bool {
+	return lo.ContainsBy(t.detector.Responsive(), func(m membership.Member) bool { return m.Instance == via })
+}
+
 // newDetour creates the dialer of connections to endpoints.
 func newDetour(i do.Injector) (*upstream.Detour, error) {
 	cfg := configOf(i)
--- a/wisteriarouter/relay/cutoff_test.go
+++ b/wisteriarouter/relay/cutoff_test.go
@@ -18,6 +18,8 @@
 type helpless struct{}
 
 func (helpless) Routers(string) []detour.Router { return []detour.Router{{ID: "other"}} }
+
+func (helpless) Serves(coordination.Instance) bool { return false }
 func (helpless) Open(context.Context, coordination.Instance, string) (net.Conn, error) {
 	return nil, errors.New("cut off as well")
 }
--- a/wisteriarouter/upstream/conn.go
+++ b/wisteriarouter/upstream/conn.go
@@ -287,15 +287,24 @@
 }
 
 // outdated reports whether the connection goes through another router while a direct
-// one may be possible again.
-func (c *conn) outdated() bool { return !c.direct() && !c.client.Detours(c.address) }
+// one may be possible again, or through one that leaves.
+func (c *conn) outdated() bool {
+	return !c.direct() && !c.client.Detours(c.address) || !c.viaServes()
+}
+
+// viaServes reports whether the connection is direct or goes through a router that neither
+// leaves nor is silent.
+func (c *conn) viaServes() bool {
+	d := c.client.cfg.Detour
+	return d == nil || c.direct() || d.Tunnels.Serves(c.via())
+}
 
 // usable reports whether an idle connection is still open and has received nothing.
 // If the endpoint has closed it or sent a second response, the next request on it
-// would fail.
+// would fail, and if it goes through a router that leaves, the request may be cut off.
 func (c *conn) usable() bool {
 	if t, ok := c.nc.(tunnelled); ok {
-		return t.Quiet()
+		return t.Quiet() && c.viaServes()
 	}
 	raw, err := c.nc.(*http1.Conn).SyscallConn()
 	if err != nil {
--- a/wisteriarouter/upstream/detour.go
+++ b/wisteriarouter/upstream/detour.go
@@ -17,6 +17,9 @@
 	// Open connects to an endpoint through another router. The error wraps
 	// ErrUnreachable if that router, which reaches others, cannot connect to it.
 	Open(ctx context.Context, via coordination.Instance, address string) (net.Conn, error)
+	// Serves reports whether a router neither leaves nor is silent. One that leaves cuts off
+	// what goes through it when it ends.
+	Serves(via coordination.Instance) bool
 }
 
 // ErrUnreachable reports that a router which reaches other endpoints cannot connect
--- a/wisteriarouter/upstream/detour_test.go
+++ b/wisteriarouter/upstream/detour_test.go
@@ -56,6 +56,8 @@
 	return t[via].connect(ctx)
 }
 
+func (t testTunnels) Serves(coordination.Instance) bool { return true }
+
 const (
 	never  = time.Hour
 	atOnce = time.Millisecond
--- a/wisteriarouter/upstream/pool.go
+++ b/wisteriarouter/upstream/pool.go
@@ -61,14 +61,15 @@
 	p.conns[c.address] = all
 }
 
-// sweep closes the connections that endpoints may be about to close.
+// sweep closes the connections that endpoints may be about to close, and those through
+// routers that leave, which wait for them.
 func (p *pool) sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, all := range p.conns {
 		kept := all[:0]
 		for _, c := range all {
-			if now.After(c.expires) {
+			if now.After(c.expires) || !c.viaServes() {
 				c.abort()
 				continue
 			}
