Tests of broken heads use few connections, callers a client of their own

TestWallClockUsesAreListed: http1.Conn used time.Unix for a write deadline in the past. It uses time.Now, which expires at once as well.

TestResponseCutAfterEachByteIsNotComplete, "no content", unsafe, once: "transport connection broken: http: CloseIdleConnections called". The callers of these tests share http.DefaultClient, and closing a server of httptest closes its idle connections, also one that a test running beside it is about to use; the new tests close hundreds of servers. Callers now have a client of their own.

Runs of the package in series then failed to listen, as 70,000 connections were in TIME_WAIT: each head, kind and test had two endpoints and a router of its own. They now share them for each kind and test: 2,800 connections in all of these tests, the same heads and checks. With the checks of the product switched off, all ten tests still fail.

--- a/coordination/http1/conn.go
+++ b/coordination/http1/conn.go
@@ -70,7 +70,7 @@
 func (c *Conn) end() error {
 	// Interrupts a Write that waits for the peer. It fails only if the connection is closed,
 	// which interrupts it as well.
-	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	_ = c.SetWriteDeadline(time.Now())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.failed != nil {
--- a/wisteriarouter/relay/broken_head_test.go
+++ b/wisteriarouter/relay/broken_head_test.go
@@ -1,46 +1,47 @@
 package relay
 
 import (
-	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/samber/lo"
 	"gotest.tools/v3/assert"
 
-	"wisteriaspool/coordination/route"
 	"wisteriaspool/standin/raw"
 )
 
-// testBrokenHeads sends heads that are no part of a response. It checks that callers get the response of another endpoint where the request
-// may be repeated, and otherwise a failure of the router's own.
+// testBrokenHeads sends heads that are no part of a response. It checks that callers get the
+// response of another endpoint where the request may be repeated, and otherwise a failure of
+// the router's own.
 func testBrokenHeads(t *testing.T, heads []string, text func(r *http.Request, head string) string) {
-	for _, h := range heads {
-		for kind, r := range kinds {
-			t.Run(fmt.Sprintf("%q/%s", h, kind), func(t *testing.T) {
-				t.Parallel()
-				testBrokenHead(t, r, func(r *http.Request) string { return text(r, h) })
+	for kind, r := range kinds {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			var current atomic.Int64 // index of the head to send
+			first := startRawEndpoint(t, func(r *http.Request, _ int) (string, connEnd) {
+				return text(r, heads[current.Load()]), endInOrder
 			})
-		}
-	}
-}
-
-func testBrokenHead(t *testing.T, r route.Route, text func(r *http.Request) string) {
-	first := startRawEndpoint(t, func(r *http.Request, _ int) (string, connEnd) { return text(r), endInOrder })
-	second := startRawEndpoint(t, func(r *http.Request, _ int) (string, connEnd) {
-		return signedHead(r, "200 OK") + "Content-Length: 5\r\n\r\nsound", keepOpen
-	})
-	resp, body, err := callRouter(t, http.MethodPost, startRouter(t, r, first, second), "a")
-	assert.NilError(t, err)
-	if r.Idempotent() {
-		assert.Equal(t, resp.StatusCode, http.StatusOK)
-		assert.Equal(t, body, "sound")
-		return
+			second := startRawEndpoint(t, func(r *http.Request, _ int) (string, connEnd) {
+				return signedHead(r, "200 OK") + "Content-Length: 5\r\n\r\nsound", keepOpen
+			})
+			url := startRouter(t, r, first, second)
+			for n, head := range heads {
+				current.Store(int64(n))
+				resp, body, err := callRouter(t, http.MethodPost, url, "a")
+				assert.NilError(t, err, "%q", head)
+				assert.Equal(t, first.runs.Load(), int32(n+1), "%q", head)
+				if r.Idempotent() {
+					assert.Check(t, resp.StatusCode == http.StatusOK && body == "sound", "%q: %d %q", head, resp.StatusCode, body)
+					continue
+				}
+				assert.Check(t, resp.StatusCode == http.StatusBadGateway, "%q: %d %q", head, resp.StatusCode, body)
+				assert.Check(t, resp.Header.Get("X-Server-Signature") == "", "%q", head)
+				assert.Check(t, second.runs.Load() == 0, "%q: the request ran at a second endpoint", head)
+			}
+		})
 	}
-	assert.Equal(t, resp.StatusCode, http.StatusBadGateway, "%q", body)
-	assert.Equal(t, resp.Header.Get("X-Server-Signature"), "")
-	assert.Equal(t, second.runs.Load(), int32(0), "the request ran at a second endpoint")
 }
 
 // Guards against a status code that HTTP does not have and that reaches a caller.
--- a/wisteriarouter/relay/early_reset_test.go
+++ b/wisteriarouter/relay/early_reset_test.go
@@ -25,7 +25,7 @@
 	r.Host = "example.com"
 	r.Header.Set("X-Attempt-Id", "a")
 	r.Header.Set("X-Deadline-Ms", "8000")
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := testClient.Do(r)
 	if err != nil {
 		return 0, "", err
 	}
--- a/wisteriarouter/relay/endless_test.go
+++ b/wisteriarouter/relay/endless_test.go
@@ -40,7 +40,7 @@
 				r.Host = "example.com"
 				r.Header.Set("X-Attempt-Id", "a")
 				r.Header.Set("X-Deadline-Ms", "8000")
-				resp, err := http.DefaultClient.Do(r)
+				resp, err := testClient.Do(r)
 				assert.NilError(t, err)
 				got, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
 				assert.NilError(t, err)
--- a/wisteriarouter/relay/stray_refusal_test.go
+++ b/wisteriarouter/relay/stray_refusal_test.go
@@ -147,6 +147,10 @@
 	return srv.URL
 }
 
+// testClient is the client of all callers. Closing a server of httptest closes the idle connections
+// of the default one, also those on which a test that runs beside it is about to send.
+var testClient = &http.Client{Transport: &http.Transport{}}
+
 // callRouter sends a request and returns its response and body. The error is set unless
 // the response is complete.
 func callRouter(t *testing.T, method, url, id string) (*http.Response, string, error) {
@@ -157,7 +161,7 @@
 	r.Host = "example.com"
 	r.Header.Set("X-Attempt-Id", id)
 	r.Header.Set("X-Deadline-Ms", "3000")
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := testClient.Do(r)
 	if err != nil {
 		return nil, "", err
 	}
--- a/wisteriarouter/relay/take_up_test.go
+++ b/wisteriarouter/relay/take_up_test.go
@@ -36,7 +36,7 @@
 	r.Header.Set("X-Attempt-Id", "a")
 	r.Header.Set("X-Deadline-Ms", "3000")
 	r.Header.Set("Last-Event-Id", after)
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := testClient.Do(r)
 	if err != nil {
 		return "", err
 	}
