A router that reaches the store again counts itself as confirmed

A change has to be in force after two seconds: until then requests for a new route are refused, and a revoked key is served.

Cause: when a router reaches the store again it tells all others, and each of them counts it as confirmed from then on. The router itself did not. While the default watchers are cut off, the first three confirmed routers watch. Traced (views of all 15 routers each 0.33 s): the others relied on 0, 1 and 12; 0 relied on 1, 12 and 13; 1 on 0, 12 and 13; 12 on 0, 1 and 13; and 13 stopped for 0, 1 and 12. So no router watched, until the mirrors had gone unconfirmed for five seconds. It needs three routers that reach the store again within ten seconds of each other, after the last loss that others heard of, and default watchers that stay cut off.

Ruled out: the load of the machine. The test runs on a paused clock; what differs from run to run is the order of goroutines and the jitter.

Change: the router records its own confirmation when it sends that message, as it does when it announces a revision.

--- a/coordination/mirror/feed_test.go
+++ b/coordination/mirror/feed_test.go
@@ -13,6 +13,7 @@
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/kv"
 	"wisteriaspool/coordination/mirror"
+	"wisteriaspool/coordination/placement"
 	"wisteriaspool/coordination/synctest"
 )
 
@@ -155,6 +156,32 @@
 	})
 }
 
+// Guards against routers that count on each other to watch the store once they reach it again,
+// so that none does and a change is seconds late.
+func TestRoutersThatReachTheStoreAgainWatchIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 15)
+		f.store.put("a", "0")
+		f.waitForValue(t, 2*time.Second, "a", "0")
+		time.Sleep(5 * time.Second)
+		watchers := mirror.DefaultWatchers(f.routers)
+		replies := slices.IndexFunc(f.routers, func(r placement.Router) bool { return !slices.Contains(watchers, r.ID) })
+		f.store.withLock(func() {
+			for i := range f.routers {
+				f.silent[i] = i != replies
+			}
+		})
+		time.Sleep(5 * time.Second)
+		f.silenceWatchers(len(watchers))
+		for n := range 5 {
+			time.Sleep(3 * time.Second)
+			value := fmt.Sprint(n + 1)
+			f.store.put("a", value)
+			f.waitForValue(t, maxAfterAck, "a", value)
+		}
+	})
+}
+
 // Only a recovery from an outage that affected all routers may keep expired
 // entries alive. A router that is rejected while the store serves others must
 // not report one.
--- a/coordination/mirror/hint.go
+++ b/coordination/mirror/hint.go
@@ -149,6 +149,10 @@
 		return
 	}
 	s.announcedLoss = lost
+	if !lost {
+		// The others count this router as confirmed and may rely on it to watch.
+		s.feed.recordConfirmation(s.feed.cfg.Self)
+	}
 	for _, r := range s.feed.cfg.Routers() {
 		s.send(ctx, r.ID, Hint{AsOf: s.feed.cfg.Mirror.AsOf(), Lost: lost})
 	}
