The test of a slow direct connection runs on a paused clock

TestSlowDirectConnectionEndsDetour failed once at a load of 25, before its last lines: "d.Planner.Blocked" was false already. The detour wins after 81 ms, the direct connection after 200 ms, and the test looked in between only if it ran within those 119 ms. The code is right: a direct connection that is made ends the detour.

--- a/wisteriarouter/upstream/detour_test.go
+++ b/wisteriarouter/upstream/detour_test.go
@@ -14,10 +14,10 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/detour"
+	"wisteriaspool/coordination/synctest"
 	"wisteriaspool/wisteriarouter/upstream"
 )
 
@@ -117,23 +117,23 @@
 
 // Guards against detours that go on because one direct connection was slow.
 func TestSlowDirectConnectionEndsDetour(t *testing.T) {
-	d := &upstream.Detour{
-		Direct: func(ctx context.Context, _, _ string) (net.Conn, error) {
-			return dialOutcome{200 * time.Millisecond, nil}.connect(ctx)
-		},
-		Tunnels: testTunnels{"a": dialOutcome{atOnce, nil}},
-		Planner: detour.NewPlanner(detour.Router{ID: "self"}),
-	}
-	c, err := d.DialContext(t.Context(), "tcp", "e")
-	assert.NilError(t, err)
-	_ = c.Close()
-	assert.Assert(t, d.Planner.Blocked(time.Now(), "e"))
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if d.Planner.Blocked(time.Now(), "e") {
-			return poll.Continue("the endpoint is still reached through another router")
+	synctest.Test(t, func(t *testing.T) {
+		const slow = 200 * time.Millisecond
+		d := &upstream.Detour{
+			Direct: func(ctx context.Context, _, _ string) (net.Conn, error) {
+				return dialOutcome{slow, nil}.connect(ctx)
+			},
+			Tunnels: testTunnels{"a": dialOutcome{atOnce, nil}},
+			Planner: detour.NewPlanner(detour.Router{ID: "self"}),
 		}
-		return poll.Success()
-	}, poll.WithTimeout(500*time.Millisecond), poll.WithDelay(10*time.Millisecond))
+		c, err := d.DialContext(t.Context(), "tcp", "e")
+		assert.NilError(t, err)
+		_ = c.Close()
+		assert.Assert(t, d.Planner.Blocked(time.Now(), "e"))
+		time.Sleep(slow)
+		synctest.Wait()
+		assert.Assert(t, !d.Planner.Blocked(time.Now(), "e"), "the endpoint is still reached through another router")
+	})
 }
 
 // Guards against a router that takes itself for cut off because some endpoints have ended,
