All clients check interim heads, and fields that net/http removes

What was seen: the checks of interim heads, and of chunks in HTTP/1.0 or beside a length, held at endpoints of the relay only. Plain services, engines, the store, the JSON gateway and other routers are read through net/http. There, the body of an interim response that must not have one was taken for the final response, so that a peer in trouble could send an answer which was not its own; interim heads of version 9.1, with a control byte or with a blank in a field name were passed over; chunk sizes of HTTP/1.0 were a part of the body; and a response with chunks and a length counted although the two disagree. An action counted as run, an order as applied, a write to the store as applied or, with 412, as one that had not happened.

Cause: net/http returns only the final response, ignores Transfer-Encoding in HTTP/1.0 and drops Content-Length beside chunks. http1.Check saw what was left.

Change: http1.Transport makes its connections as http1.Conn, which keeps the bytes that are read from when a request gets the connection until its response is there, at most 64 KB. The heads in them are read again one by one, each goes through http1.Check, and the framing check moves there from the client of endpoints. A response whose head is not in these bytes, as one that was sent before its request, is refused as well. With this the other clients also learn of a reset that only their writer was told of. Over TLS nothing is kept; only the gateway can be configured so.

--- a/coordination/http1/conn.go
+++ b/coordination/http1/conn.go
@@ -18,6 +18,8 @@
 
 	mu     sync.Mutex // held while writing
 	failed error      // by which a Write has learned that the connection did not end in order
+
+	heads headRecord
 }
 
 // NewConn returns a connection that uses nc, which must support write deadlines.
@@ -60,6 +62,7 @@
 // written after that.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.heads.add(p[:n])
 	if err == io.EOF {
 		err = c.end()
 	}
--- a/coordination/http1/response.go
+++ b/coordination/http1/response.go
@@ -1,7 +1,7 @@
 package http1
 
 import (
-	"fmt"
+	"bytes"
 	"net/http"
 	"strings"
 
@@ -20,8 +20,9 @@
 const MaxHeadBytes = 64 << 10
 
 // Check returns nil if a response that net/http has read, final or interim, is valid, and
-// otherwise an ErrInvalid.
-func Check(resp *http.Response) error {
+// otherwise an ErrInvalid. head holds the bytes that its head was read from, as net/http removes
+// some fields; without them, only what the response shows is checked.
+func Check(resp *http.Response, head []byte) error {
 	if resp.ProtoMajor != 1 {
 		return ErrInvalid.New("version %.20q", resp.Proto)
 	}
@@ -40,7 +41,32 @@
 			return ErrInvalid.New("field name %.60q", name)
 		}
 	}
-	return nil
+	return checkFraming(resp, head)
+}
+
+// checkFraming returns an error if the fields of a head contradict each other about where the
+// body ends: a length beside chunks, which RFC 9112 treats as an error, or chunks in HTTP/1.0,
+// which net/http would return as a part of the body. net/http removes these fields from the
+// header of the response.
+func checkFraming(resp *http.Response, head []byte) error {
+	switch {
+	case len(resp.TransferEncoding) > 0 && hasField(head, "Content-Length"):
+		return ErrInvalid.New("a length beside a transfer encoding")
+	case !resp.ProtoAtLeast(1, 1) && hasField(head, "Transfer-Encoding"):
+		return ErrInvalid.New("a transfer encoding in %s", resp.Proto)
+	default:
+		return nil
+	}
+}
+
+// hasField reports whether a head has a field.
+func hasField(head []byte, name string) bool {
+	for line := range bytes.SplitSeq(head, []byte("\n")) {
+		if field, _, ok := bytes.Cut(line, []byte(":")); ok && strings.EqualFold(string(field), name) {
+			return true
+		}
+	}
+	return false
 }
 
 // validStatus reports whether the status code at the start of s has three digits and is in one
@@ -56,23 +82,3 @@
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
 
 func asksForProtocol(r *http.Request) bool { return r != nil && r.Header.Get("Upgrade") != "" }
-
-// transport is a transport whose responses are valid.
-type transport struct{ base http.RoundTripper }
-
-// Transport returns a transport that uses base and fails with an ErrInvalid if a response is
-// not valid. The server may have carried out the request.
-func Transport(base http.RoundTripper) http.RoundTripper { return transport{base} }
-
-// RoundTrip implements http.RoundTripper.
-func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.base.RoundTrip(r)
-	if err != nil {
-		return nil, err
-	}
-	if err := Check(resp); err != nil {
-		_ = resp.Body.Close()
-		return nil, fmt.Errorf("response of %s: %w", r.URL.Host, err)
-	}
-	return resp, nil
-}
--- a/standin/raw/heads.go
+++ b/standin/raw/heads.go
@@ -1,6 +1,9 @@
 package raw
 
-import "strings"
+import (
+	"fmt"
+	"strings"
+)
 
 // Statuses returns status codes, with a reason, that HTTP does not have, or that cannot be
 // those of a response to a request which asks for no other protocol.
@@ -66,6 +69,27 @@
 	}
 }
 
+// Misread returns responses with a body in which a client that is not strict finds something
+// else than what was sent: their fields tell in two ways where the body ends, or an interim
+// head has a body, or a field name that is none. fields are lines of the head.
+func Misread(fields, body string) []string {
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	final := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
+	const early = "HTTP/1.1 103 Early Hints\r\n"
+	return []string{
+		"HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
+		"HTTP/1.0 200 OK\r\n" + fields + fmt.Sprintf("Transfer-Encoding: chunked\r\nContent-Length: %d\r\n\r\n", len(chunks)) + chunks,
+		"HTTP/1.0 200 OK\r\n" + fields + fmt.Sprintf("transfer-encoding:chunked\r\nContent-Length: %d\r\n\r\n", len(body)) + body,
+		"HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n" + chunks,
+		"HTTP/1.1 200 OK\r\n" + fields + "content-length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		early + "Content-Length: 500\r\n\r\n" + final,
+		early + "Transfer-Encoding: chunked\r\n\r\n" + final,
+		early + "Content-Length : 500\r\n\r\n" + final,
+		"HTTP/1.1 100 \x01\r\n\r\n" + final,
+		"HTTP/9.1 100 Continue\r\n\r\n" + final,
+	}
+}
+
 // isTokenByte reports whether a byte may be in a token by RFC 9110, section 5.6.2.
 func isTokenByte(c byte) bool {
 	return '0' <= c && c <= '9' || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
--- a/wisteriarouter/engine/broken_head_test.go
+++ b/wisteriarouter/engine/broken_head_test.go
@@ -51,3 +51,11 @@
 		}
 	}
 }
+
+// Guards against the body of an interim response, or one whose fields contradict each other, that
+// proves what an engine has done.
+func TestMisreadResponseOfEngineProvesNothing(t *testing.T) {
+	for _, text := range raw.Misread("X-Outcome: not-run\r\n", "{}") {
+		checkProvesNothing(t, text)
+	}
+}
--- a/wisteriarouter/peer/broken_head_test.go
+++ b/wisteriarouter/peer/broken_head_test.go
@@ -17,15 +17,26 @@
 func TestBrokenFieldNameOfRouterProvesNothing(t *testing.T) {
 	for _, line := range raw.FieldLines() {
 		for _, status := range []string{"502 Bad Gateway", "101 Switching Protocols"} {
-			s, closeServer, err := raw.Listen(func(*http.Request) string {
-				return "HTTP/1.1 " + status + "\r\n" + line + "\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
-			})
-			assert.NilError(t, err)
-			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-			_, resp, err := websocket.Dial(ctx, "ws://"+s.Address()+TunnelPath, &websocket.DialOptions{HTTPClient: newClient(time.Second)})
-			assert.Check(t, err != nil && resp == nil, "%q: %v", line, err)
-			cancel()
-			closeServer()
+			checkProvesNothing(t, "HTTP/1.1 "+status+"\r\n"+line+"\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n")
 		}
 	}
 }
+
+// checkProvesNothing checks that a text is not taken for the response of a router.
+func checkProvesNothing(t *testing.T, text string) {
+	s, closeServer, err := raw.Listen(func(*http.Request) string { return text })
+	assert.NilError(t, err)
+	defer closeServer()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, resp, err := websocket.Dial(ctx, "ws://"+s.Address()+TunnelPath, &websocket.DialOptions{HTTPClient: newClient(time.Second)})
+	assert.Check(t, err != nil && resp == nil, "%q: %v", text, err)
+}
+
+// Guards against the body of an interim response, or a response whose fields contradict each
+// other, that proves that an endpoint is dead.
+func TestMisreadResponseOfRouterProvesNothing(t *testing.T) {
+	for _, text := range raw.Misread("", "no") {
+		checkProvesNothing(t, text)
+	}
+}
--- a/wisteriarouter/platform/broken_head_test.go
+++ b/wisteriarouter/platform/broken_head_test.go
@@ -44,3 +44,11 @@
 		checkProvesNothing(t, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s\r\nContent-Length: %d\r\n\r\n%s", line, len(body), body))
 	}
 }
+
+// Guards against the body of an interim response, or one whose fields contradict each other, that
+// proves what the service has done.
+func TestMisreadResponseOfServiceProvesNothing(t *testing.T) {
+	for _, text := range raw.Misread("", `{"header":{"revision":"7"},"succeeded":true,"instances":[]}`) {
+		checkProvesNothing(t, text)
+	}
+}
--- a/wisteriarouter/service/broken_head_test.go
+++ b/wisteriarouter/service/broken_head_test.go
@@ -52,3 +52,15 @@
 		assert.Check(t, err != nil, "%q: %q", fields, reply.Answer.Body)
 	}
 }
+
+// Guards against the body of an interim response, or one whose fields contradict each other, that
+// counts as the answer of an action.
+func TestMisreadResponseIsNoAnswer(t *testing.T) {
+	for _, text := range raw.Misread("X-Outcome: ran\r\n", "forged") {
+		for _, once := range []bool{false, true} {
+			reply, got, err := callRaw(t, text, once)
+			assert.Check(t, err != nil, "%q: %+v", text, reply)
+			assert.Check(t, got == outcome.Unknown, "%q: %v", text, got)
+		}
+	}
+}
--- a/wisteriarouter/service/client.go
+++ b/wisteriarouter/service/client.go
@@ -69,7 +69,6 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: opts.DialTimeout}).DialContext
 	}
-	dial = http1.Dial(dial)
 	pooled := &http.Transport{
 		DialContext:         dial,
 		DisableCompression:  true,
--- a/wisteriarouter/upstream/conn.go
+++ b/wisteriarouter/upstream/conn.go
@@ -105,10 +105,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := http1.Check(resp); err != nil {
-			return nil, err
-		}
-		if err := checkFraming(resp, c.head.recorded(c.r)); err != nil {
+		if err := http1.Check(resp, c.head.recorded(c.r)); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
--- a/wisteriarouter/upstream/head.go
+++ b/wisteriarouter/upstream/head.go
@@ -2,12 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"math"
 	"net"
-	"net/http"
-	"strings"
 	"time"
 
 	"wisteriaspool/coordination/http1"
@@ -73,28 +70,3 @@
 
 // recorded returns the bytes of the head that was read with r since startRecording.
 func (l *headLimiter) recorded(r *bufio.Reader) []byte { return l.record[:len(l.record)-r.Buffered()] }
-
-// checkFraming returns an error if the fields of a head contradict each other about where the
-// body ends: a length beside chunks, which RFC 9112 treats as an error, or chunks in HTTP/1.0,
-// which net/http would return as a part of the body. net/http removes these fields from the
-// header of the response.
-func checkFraming(resp *http.Response, head []byte) error {
-	switch {
-	case len(resp.TransferEncoding) > 0 && hasField(head, "Content-Length"):
-		return http1.ErrInvalid.New("a length beside a transfer encoding")
-	case !resp.ProtoAtLeast(1, 1) && hasField(head, "Transfer-Encoding"):
-		return http1.ErrInvalid.New("a transfer encoding in %s", resp.Proto)
-	default:
-		return nil
-	}
-}
-
-// hasField reports whether a head has a field.
-func hasField(head []byte, name string) bool {
-	for line := range bytes.SplitSeq(head, []byte("\n")) {
-		if field, _, ok := bytes.Cut(line, []byte(":")); ok && strings.EqualFold(string(field), name) {
-			return true
-		}
-	}
-	return false
-}
