The operator's command checks the responses of routers

What operators would see: "accepted" for a change that no router accepted. A faulty peer, or what stands between, sends a head with a blank in a field name, an interim head with a body, or fields that contradict each other about the end of the body, and wisteriactl takes what follows for the router's answer.

Cause: it reads with net/http alone. The clients of the router use http1.Transport, which refuses these; now so does the command, with the same limit for heads (64 KB, was 10 MB). The outcome of a write is then reported as unknown, with the change id to repeat it by.

--- a/standin/raw/heads.go
+++ b/standin/raw/heads.go
@@ -69,9 +69,9 @@
 	}
 }
 
-// Misread returns responses with a body in which a client that is not strict finds something
-// else than what was sent: their fields tell in two ways where the body ends, or an interim
-// head has a body, or a field name that is none. fields are lines of the head.
+// Misread returns responses that a client which is not strict reads in another way than they were
+// sent: the fields contradict each other about where the body ends, or an interim head has a body
+// or is not valid. fields are lines of the final head.
 func Misread(fields, body string) []string {
 	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 	final := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
--- a/wisteriactl/client.go
+++ b/wisteriactl/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/http1"
 	"wisteriaspool/coordination/kv"
 	"wisteriaspool/coordination/settings"
 )
@@ -66,9 +67,10 @@
 }
 
 func newClient(routers string) (*client, error) {
-	c := &client{http: &http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
-	}}}
+	c := &client{http: &http.Client{Transport: http1.Transport(&http.Transport{
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxResponseHeaderBytes: http1.MaxHeadBytes,
+	})}}
 	for _, r := range strings.Split(routers, ",") {
 		u, err := url.Parse(strings.TrimSpace(r))
 		if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
--- a/wisteriactl/main_test.go
+++ b/wisteriactl/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
+
+	"wisteriaspool/standin/raw"
 )
 
 const (
@@ -242,6 +245,24 @@
 	}
 }
 
+// Guards against a broken response that is reported as an accepted change.
+func TestBrokenResponseIsReportedUnknown(t *testing.T) {
+	texts := raw.Misread("", acceptedJSON)
+	for _, status := range raw.Statuses() {
+		texts = append(texts, fmt.Sprintf("HTTP/1.1 %s\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", status, len(acceptedJSON), acceptedJSON))
+	}
+	for _, line := range raw.FieldLines() {
+		texts = append(texts, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s\r\nContent-Length: %d\r\n\r\n%s", line, len(acceptedJSON), acceptedJSON))
+	}
+	for _, text := range texts {
+		s, closeServer, err := raw.Listen(func(*http.Request) string { return text })
+		assert.NilError(t, err)
+		code, out := runCommand(t, appendArgs(putArgs, "-router", "http://"+s.Address())...)
+		assert.Check(t, code == exitUnknown, "%q: %d %s", text, code, out)
+		closeServer()
+	}
+}
+
 // The first settings of a team have no base: the base revision is 0.
 func TestFirstSettings(t *testing.T) {
 	f, url := startRouter(t, map[string]cannedResponse{"GET settings/solco": {404, noTeamJSON}, "PUT settings/solco": okResponse(acceptedJSON)})
