Test that a response sent before its request is not its answer

What callers could see before: the answer of nobody's request. A peer that writes a second response behind the first one has it taken for the answer to the next request, if that one gets the connection before net/http has looked at the rest.

Endpoints of the relay are not concerned: their client closes a connection on which bytes follow a response.

--- a/coordination/http1/transport_test.go
+++ b/coordination/http1/transport_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -53,7 +54,7 @@
 	t.Cleanup(func() { _ = l.Close() })
 	s := &server{listener: l, answers: answers}
 	go s.run()
-	base := &http.Transport{}
+	base := &http.Transport{MaxConnsPerHost: 1}
 	t.Cleanup(base.CloseIdleConnections)
 	client := &http.Client{Transport: http1.Transport(base)}
 	return s, func() (string, error) {
@@ -100,3 +101,20 @@
 		assert.Check(t, cmp.ErrorContains(err, "http1.invalid"), "%q", broken)
 	}
 }
+
+// Guards against a response that was sent before its request and is taken for its answer.
+func TestResponseToNoRequestIsNone(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+	const unasked = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nforged"
+	_, get := startServer(t, answer+unasked)
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for range 500 {
+				body, err := get()
+				assert.Check(t, err != nil || body == "hello", "%q", body)
+			}
+		})
+	}
+	wg.Wait()
+}
