The record of a response's heads belongs to its request

What would have been seen: valid responses without a body refused with "head, unexpected EOF", to callers of plain services, engines, the store, the gateway and other routers that share connections.

Cause: net/http gives a connection to the next request before it delivers a response without a body. That request started the connection's record anew, and the first one then took and ended it.

Change: each request has a record of its own. The connection adds to the latest one, and ending an older one leaves it alone. All heads of a response have been read before the connection is given on.

--- a/coordination/http1/conn.go
+++ b/coordination/http1/conn.go
@@ -19,7 +19,8 @@
 	mu     sync.Mutex // held while writing
 	failed error      // by which a Write has learned that the connection did not end in order
 
-	heads headRecord
+	recordMu sync.Mutex // guards the record and its bytes
+	record   *record    // nil while nothing is to be kept
 }
 
 // NewConn returns a connection that uses nc, which must support write deadlines.
@@ -62,7 +63,7 @@
 // written after that.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.heads.add(p[:n])
+	c.keep(p[:n])
 	if err == io.EOF {
 		err = c.end()
 	}
--- a/coordination/http1/transport.go
+++ b/coordination/http1/transport.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync"
 )
 
 // transport is a transport whose responses are valid.
@@ -29,16 +28,17 @@
 // RoundTrip implements http.RoundTripper.
 func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn *Conn
+	var rec *record
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		// base may send a request again on another connection.
 		if conn, _ = info.Conn.(*Conn); conn != nil {
-			conn.heads.start()
+			rec = conn.startRecord()
 		}
 	}}
 	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	var heads []byte
 	if conn != nil {
-		heads = conn.heads.stop()
+		heads = conn.endRecord(rec)
 	}
 	if err != nil {
 		return nil, err
@@ -75,34 +75,33 @@
 	}
 }
 
-// headRecord keeps what is read of the heads of a response. It is safe for concurrent use.
-type headRecord struct {
-	mu      sync.Mutex
-	started bool
-	bytes   []byte
-}
+// record holds what was read of a connection for one request, up to MaxHeadBytes.
+type record struct{ bytes []byte }
 
-// start is called before the request is written.
-func (h *headRecord) start() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.started, h.bytes = true, nil
+// startRecord returns a record of what is read from now on, until the next one is started.
+func (c *Conn) startRecord() *record {
+	c.recordMu.Lock()
+	defer c.recordMu.Unlock()
+	c.record = new(record)
+	return c.record
 }
 
-// add adds bytes that were read, up to MaxHeadBytes in all.
-func (h *headRecord) add(p []byte) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.started {
-		h.bytes = append(h.bytes, p[:min(len(p), MaxHeadBytes-len(h.bytes))]...)
+// keep adds bytes that were read to the record.
+func (c *Conn) keep(p []byte) {
+	c.recordMu.Lock()
+	defer c.recordMu.Unlock()
+	if r := c.record; r != nil {
+		r.bytes = append(r.bytes, p[:min(len(p), MaxHeadBytes-len(r.bytes))]...)
 	}
 }
 
-// stop returns what was read since start.
-func (h *headRecord) stop() []byte {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	b := h.bytes
-	h.started, h.bytes = false, nil
-	return b
+// endRecord returns what a record holds. After a response without a body, the next request may
+// have started its own already.
+func (c *Conn) endRecord(r *record) []byte {
+	c.recordMu.Lock()
+	defer c.recordMu.Unlock()
+	if c.record == r {
+		c.record = nil
+	}
+	return r.bytes
 }
--- a/coordination/http1/transport_test.go
+++ b/coordination/http1/transport_test.go
@@ -118,3 +118,19 @@
 	}
 	wg.Wait()
 }
+
+// Guards against a valid response without a body that is refused because the next request has the
+// connection before its caller has looked at the response.
+func TestResponsesWithoutBodyToSeveralCallers(t *testing.T) {
+	_, get := startServer(t, "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 500 {
+				_, err := get()
+				assert.Check(t, err)
+			}
+		})
+	}
+	wg.Wait()
+}
