--- a/wisteriarouter/relay/broken_head_test.go
+++ b/wisteriarouter/relay/broken_head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/samber/lo"
 	"gotest.tools/v3/assert"
 
+	"wisteriaspool/coordination/route"
 	"wisteriaspool/standin/raw"
 )
 
@@ -124,3 +126,56 @@
 		return "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + signedHead(r, "200 OK") + "Content-Length: 6\r\n\r\nforged"
 	})
 }
+
+// brokenResponses returns responses to r whose heads are none.
+func brokenResponses(r *http.Request) []string {
+	_, fields, _ := strings.Cut(signedHead(r, "200 OK"), "\r\n")
+	texts := raw.Misread(fields, "forged")
+	for _, status := range raw.Statuses() {
+		texts = append(texts, signedHead(r, status)+"Content-Length: 6\r\n\r\nforged")
+	}
+	return append(texts, signedHead(r, "200 OK")+"Bad Name: x\r\nContent-Length: 6\r\n\r\nforged")
+}
+
+// Guards against a broken head that reaches a caller in place of a failure which another endpoint
+// has answered, as the second attempt or as the first.
+func TestBrokenHeadBesideFailureIsNoResponse(t *testing.T) {
+	for kind, r := range kinds {
+		if !r.Idempotent() {
+			continue
+		}
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			for _, brokenFirst := range []bool{false, true} {
+				testBrokenHeadBesideFailure(t, r, brokenFirst)
+			}
+		})
+	}
+}
+
+func testBrokenHeadBesideFailure(t *testing.T, r route.Route, brokenFirst bool) {
+	var current, all atomic.Int64 // the index of the response to send, and their number
+	failing := startRawEndpoint(t, func(r *http.Request, _ int) (string, connEnd) {
+		return signedHead(r, "500 Internal Server Error") + "Content-Length: 6\r\n\r\nfailed", keepOpen
+	})
+	broken := startRawEndpoint(t, func(r *http.Request, _ int) (string, connEnd) {
+		texts := brokenResponses(r)
+		all.Store(int64(len(texts)))
+		return texts[current.Load()], endInOrder
+	})
+	endpoints := []*rawEndpoint{failing, broken}
+	if brokenFirst {
+		slices.Reverse(endpoints)
+	}
+	url := startRouter(t, r, endpoints...)
+	for n := int64(0); n == 0 || n < all.Load(); n++ {
+		current.Store(n)
+		resp, body, err := callRouter(t, http.MethodPost, url, "a")
+		assert.NilError(t, err)
+		whole := resp.StatusCode == http.StatusInternalServerError && body == "failed"
+		own := resp.StatusCode == http.StatusBadGateway && resp.Header.Get("X-Server-Signature") == ""
+		assert.Check(t, whole || own, "response %d, first %v: %d %q", n, brokenFirst, resp.StatusCode, body)
+		assert.Equal(t, broken.runs.Load(), int32(n+1))
+	}
+	assert.Assert(t, all.Load() > 0 && failing.runs.Load() > 0)
+}
