Log and count what an endpoint shows at the end of an undelimited response

The logs said that such a response was cut and undelimited, not on what evidence: a refused connection, a reset or the caller could not be told apart.

Event 800 gets the field ending, and the metric wisteria_relay_undelimited_responses_total counts the same.

--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -19,7 +19,7 @@
 // attempt sends the request to one endpoint and forwards its response.
 func (x *exchange) attempt(ctx context.Context, p Placement) attemptResult {
 	id := coordination.Attempt(strconv.Itoa(x.evidence.Attempts()))
-	x.status, x.undelimited, x.reply, x.stream.partial, x.stream.answering = 0, false, platform.Response{}, 0, false
+	x.status, x.undelimited, x.ending, x.reply, x.stream.partial, x.stream.answering = 0, false, notUndelimited, platform.Response{}, 0, false
 	x.sentAt, x.repliedAt, x.gaps, x.pace = time.Time{}, time.Time{}, eventGaps{}, 0
 	x.evidence.Begin(id)
 	ctx, stop := x.watchFirstByte(ctx, p)
@@ -273,11 +273,34 @@
 	if !resp.Undelimited {
 		return false
 	}
-	if x.processGone() {
-		return true
-	}
+	x.ending = accepting
 	// The kernel may close the connections of a process before its listener.
-	return coordination.Sleep(x.watch.ctx, exitTime) && x.processGone()
+	if x.processGone() || coordination.Sleep(x.watch.ctx, exitTime) && x.processGone() {
+		x.ending = refusing
+	}
+	x.server.Metrics.undelimited(x)
+	return x.ending == refusing
+}
+
+// ending is what a router saw of an endpoint at the end of its undelimited response.
+type ending int
+
+const (
+	notUndelimited ending = iota
+	accepting             // it accepts connections, or nothing is known of it
+	refusing              // it refuses connections
+)
+
+// String returns the name of e used in logs and metrics.
+func (e ending) String() string {
+	switch e {
+	case accepting:
+		return "accepting"
+	case refusing:
+		return "refusing"
+	default:
+		return ""
+	}
 }
 
 // exitTime is within which time the kernel closes all sockets of a process that ends.
@@ -364,6 +387,7 @@
 		event.F("pause-ms", x.stream.longestPause.Milliseconds()),
 		event.F("last-event", x.stream.lastEventID),
 		event.F("undelimited", x.undelimited),
+		event.F("ending", x.ending.String()),
 		event.F("partial-bytes", x.stream.partial),
 		event.F("leaving", x.reply.Leaving),
 		event.F("rejection-limit", x.reply.RejectionLimit),
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -50,6 +50,7 @@
 	gaps          eventGaps         // between the events of the last response
 	pace          capacity.Pace     // measured in the last attempt; zero if it is not known
 	undelimited   bool              // the last response had neither a length nor chunks
+	ending        ending            // what the endpoint showed at the end of such a response
 	liveness      liveness          // of the last attempt's endpoint
 	stream        stream
 	failure       *failure              // failure response that was not forwarded; nil if there is none
--- a/wisteriarouter/relay/metrics.go
+++ b/wisteriarouter/relay/metrics.go
@@ -19,6 +19,7 @@
 	refusals         *prometheus.CounterVec
 	sends            *prometheus.CounterVec
 	tokens           *prometheus.CounterVec
+	endings          *prometheus.CounterVec
 	memoryRefusals   prometheus.Counter
 }
 
@@ -48,8 +49,9 @@
 		sends:            counter("sends_total", "Attempts by what the endpoint is expected to have cached of the prompt: warm, fetched from another endpoint, or cold.", "pool", "cache"),
 		tokens:           counter("shared_tokens_total", "Tokens of the shared parts of prompts, by the same; those that are cold are read again.", "pool", "cache"),
 	}
+	m.endings = counter("undelimited_responses_total", "Responses without a length or chunks that ended in order, by what their endpoint showed then: accepting connections or refusing them.", "pool", "endpoint")
 	m.memoryRefusals = prometheus.NewCounter(prometheus.CounterOpts{Name: "wisteria_relay_memory_refusals_total", Help: "Requests refused since those of their client account held too much memory."})
-	r.MustRegister(m.memoryRefusals, m.requests, m.placeSeconds, m.firstByteSeconds, m.pauseSeconds, m.retries, m.refusals, m.sends, m.tokens)
+	r.MustRegister(m.memoryRefusals, m.requests, m.placeSeconds, m.firstByteSeconds, m.pauseSeconds, m.retries, m.refusals, m.sends, m.tokens, m.endings)
 	return m
 }
 
@@ -80,6 +82,13 @@
 	}
 }
 
+// undelimited counts an undelimited response by how it ended.
+func (m *Metrics) undelimited(x *exchange) {
+	if m != nil {
+		m.endings.WithLabelValues(string(x.pool), x.ending.String()).Inc()
+	}
+}
+
 func (m *Metrics) refusedForMemory() {
 	if m != nil {
 		m.memoryRefusals.Inc()
