A response that outlives the listener of its endpoint is complete

Cause: after such a response the router connects to the endpoint, and takes a refused connection for a process that was killed in the middle. A process that shuts down closes its listener before its last responses end.

http1.Watcher looks while the responses go on: it connects to an endpoint that leaves, is not listed any more or has refused a connection, every 0.25 s, sends nothing and holds the last connection. After the end the response is complete if that connection is still open 0.3 s later, or if the endpoint refused connections for 0.3 s while the reader waited for more, unless other connections ended at the same moment. Requests of pools that send undelimited responses are watched from their beginning, since a response may come as a whole. Plain services use the same.

--- a/standin/replica/listener.go
+++ b/standin/replica/listener.go
@@ -71,6 +71,10 @@
 	return took
 }
 
+// StopListening closes the listener, as a process does that shuts down. Open connections are
+// served on.
+func (r *Replica) StopListening() { _ = r.listener.Close() }
+
 type inspectedConn struct {
 	*net.TCPConn
 	replica *Replica
--- a/wisteriarouter/relay/attempt.go
+++ b/wisteriarouter/relay/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wisteriaspool/coordination"
+	"wisteriaspool/coordination/http1"
 	"wisteriaspool/platform"
 	"wisteriaspool/wisteriarouter/event"
 	"wisteriaspool/wisteriarouter/upstream"
@@ -19,7 +20,7 @@
 // attempt sends the request to one endpoint and forwards its response.
 func (x *exchange) attempt(ctx context.Context, p Placement) attemptResult {
 	id := coordination.Attempt(strconv.Itoa(x.evidence.Attempts()))
-	x.status, x.undelimited, x.ending, x.reply, x.stream.partial, x.stream.answering = 0, false, notUndelimited, platform.Response{}, 0, false
+	x.status, x.undelimited, x.ending, x.reply, x.stream.partial, x.stream.answering = 0, false, 0, platform.Response{}, 0, false
 	x.sentAt, x.repliedAt, x.gaps, x.pace = time.Time{}, time.Time{}, eventGaps{}, 0
 	x.evidence.Begin(id)
 	ctx, stop := x.watchFirstByte(ctx, p)
@@ -167,6 +168,7 @@
 		Heard: func(via coordination.Instance, status int, h http.Header) {
 			x.heard(p, via, platform.DecodeResponse(status, h))
 		},
+		Leaving: func() bool { return !x.server.Placer.Serving(p.Endpoint, p.Incarnation) },
 		Matches: x.matches,
 	}
 }
@@ -267,45 +269,21 @@
 // endedByDeath reports whether an undelimited response has probably ended because the
 // endpoint's process has: the kernel closes the connections of a process in order, so
 // that the response looks complete. A router that is cut off from the endpoint does not see
-// the refusal itself, but another one confirms it. A leaving endpoint serves until its
-// process ends, with what still runs there.
+// the refusal itself, but another one confirms it. An endpoint that shuts down refuses
+// connections before its last responses end, which only what was seen meanwhile can tell.
 func (x *exchange) endedByDeath(resp *upstream.Response) bool {
 	if !resp.Undelimited {
 		return false
 	}
-	x.ending = accepting
+	x.ending = http1.Accepting
 	// The kernel may close the connections of a process before its listener.
-	if x.processGone() || coordination.Sleep(x.watch.ctx, exitTime) && x.processGone() {
-		x.ending = refusing
+	if x.processGone() || coordination.Sleep(x.watch.ctx, http1.ExitTime) && x.processGone() {
+		x.ending = resp.Body.Ending(x.watch.ctx)
 	}
 	x.server.Metrics.undelimited(x)
-	return x.ending == refusing
+	return !x.ending.Complete()
 }
 
-// ending is what a router saw of an endpoint at the end of its undelimited response.
-type ending int
-
-const (
-	notUndelimited ending = iota
-	accepting             // it accepts connections, or nothing is known of it
-	refusing              // it refuses connections
-)
-
-// String returns the name of e used in logs and metrics.
-func (e ending) String() string {
-	switch e {
-	case accepting:
-		return "accepting"
-	case refusing:
-		return "refusing"
-	default:
-		return ""
-	}
-}
-
-// exitTime is within which time the kernel closes all sockets of a process that ends.
-const exitTime = 50 * time.Millisecond
-
 // processGone reports whether the endpoint's process has probably ended: connections are
 // refused, also if no other router confirms that this one is not cut off. Nothing else shows
 // that the response is complete.
--- a/wisteriarouter/relay/exchange.go
+++ b/wisteriarouter/relay/exchange.go
@@ -13,6 +13,7 @@
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/capacity"
+	"wisteriaspool/coordination/http1"
 	"wisteriaspool/coordination/memory"
 	"wisteriaspool/coordination/outcome"
 	"wisteriaspool/coordination/route"
@@ -50,7 +51,7 @@
 	gaps          eventGaps         // between the events of the last response
 	pace          capacity.Pace     // measured in the last attempt; zero if it is not known
 	undelimited   bool              // the last response had neither a length nor chunks
-	ending        ending            // what the endpoint showed at the end of such a response
+	ending        http1.Ending      // of the last such response; 0 if there is none
 	liveness      liveness          // of the last attempt's endpoint
 	stream        stream
 	failure       *failure              // failure response that was not forwarded; nil if there is none
--- a/wisteriarouter/relay/metrics.go
+++ b/wisteriarouter/relay/metrics.go
@@ -49,7 +49,7 @@
 		sends:            counter("sends_total", "Attempts by what the endpoint is expected to have cached of the prompt: warm, fetched from another endpoint, or cold.", "pool", "cache"),
 		tokens:           counter("shared_tokens_total", "Tokens of the shared parts of prompts, by the same; those that are cold are read again.", "pool", "cache"),
 	}
-	m.endings = counter("undelimited_responses_total", "Responses without a length or chunks that ended in order, by what their endpoint showed then: accepting connections or refusing them.", "pool", "endpoint")
+	m.endings = counter("undelimited_responses_total", "Responses without a length or chunks that ended in order, by what was seen of their endpoint: accepting connections; refusing them while another connection is open (another-open), since before the end (stopped-before), the same with other responses that ended at that moment (ended-together), or refusing. The last two count as cut.", "pool", "ending")
 	m.memoryRefusals = prometheus.NewCounter(prometheus.CounterOpts{Name: "wisteria_relay_memory_refusals_total", Help: "Requests refused since those of their client account held too much memory."})
 	r.MustRegister(m.memoryRefusals, m.requests, m.placeSeconds, m.firstByteSeconds, m.pauseSeconds, m.retries, m.refusals, m.sends, m.tokens, m.endings)
 	return m
--- a/wisteriarouter/relay/stray_refusal_test.go
+++ b/wisteriarouter/relay/stray_refusal_test.go
@@ -128,13 +128,18 @@
 // startRouter starts a server with one route that passes requests on to the endpoints in
 // order, and returns its URL.
 func startRouter(t *testing.T, r route.Route, endpoints ...*rawEndpoint) string {
-	sender, cleanup := upstream.NewClient(upstream.Config{})
-	t.Cleanup(cleanup)
 	p := &listPlacer{}
 	for _, e := range endpoints {
 		p.addresses = append(p.addresses, e.address())
 	}
-	r.Host, r.Prefix, r.Public, r.Attempts = "example.com", "/", true, len(endpoints)
+	return startRouterAt(t, r, p)
+}
+
+// startRouterAt is startRouter for the endpoints of a placer.
+func startRouterAt(t *testing.T, r route.Route, p *listPlacer) string {
+	sender, cleanup := upstream.NewClient(upstream.Config{})
+	t.Cleanup(cleanup)
+	r.Host, r.Prefix, r.Public, r.Attempts = "example.com", "/", true, len(p.addresses)
 	r.Shares = []route.Share{{Pool: "p", Weight: 1}}
 	known := make(chan struct{})
 	close(known)
--- a/wisteriarouter/relay/stream.go
+++ b/wisteriarouter/relay/stream.go
@@ -127,6 +127,9 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
+			if resp.Undelimited {
+				_ = flush() // it takes time to find out whether the response is complete
+			}
 			return x.streamEnd(resp)
 		case err != nil:
 			_ = flush() // an aborted response loses what was not sent
--- a/wisteriarouter/relay/withheld_test.go
+++ b/wisteriarouter/relay/withheld_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -25,6 +26,7 @@
 type listPlacer struct {
 	fullPlacer
 	addresses []string // of the endpoints e0, e1, ...
+	mu        sync.Mutex
 	left      []coordination.Endpoint
 	// firstByteLimit is after how long a response is overdue; zero for never.
 	firstByteLimit time.Duration
@@ -40,6 +42,8 @@
 }
 
 func (p *listPlacer) Serving(id coordination.Endpoint, _ coordination.Incarnation) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return !slices.Contains(p.left, id)
 }
 
@@ -48,6 +52,8 @@
 }
 
 func (p *listPlacer) Leaving(id coordination.Endpoint, _ coordination.Incarnation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.left = append(p.left, id)
 }
 
--- a/wisteriarouter/service/client.go
+++ b/wisteriarouter/service/client.go
@@ -54,6 +54,7 @@
 	singleUse        *http.Client // one connection for each call, for non-idempotent actions
 	pooled           *http.Client
 	dial             http1.DialFunc
+	watcher          http1.Watcher
 	maxResponseBytes int64
 }
 
@@ -93,6 +94,8 @@
 		dial:             dial,
 		maxResponseBytes: opts.MaxResponseBytes,
 	}
+	c.watcher.Dial = func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }
+	c.watcher.Refused = isRefused
 	return c, pooled.CloseIdleConnections
 }
 
@@ -136,48 +139,71 @@
 	if call.NonIdempotent {
 		client = c.singleUse
 	}
+	watched := c.watcher.Watch(call.Address, call.Address, mayLeave)
+	defer func() { watched.Release() }()
+	watched.BeginRead()
 	res, err := client.Do(req)
 	if err != nil {
+		watched.End()
 		// No effect if a connection was obtained: see newRequest.
 		e.NothingSent(call.Attempt)
 		return Reply{}, fmt.Errorf("service: %w", err)
 	}
 	defer res.Body.Close()
+	if isUndelimited(res) {
+		watched = c.watcher.WatchUndelimited(watched, call.Address, call.Address, mayLeave)
+		watched.BeginRead()
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, c.maxResponseBytes+1))
+	if err != nil || isUndelimited(res) {
+		watched.End()
+	}
 	if err != nil || int64(len(body)) > c.maxResponseBytes {
 		return Reply{}, errors.Join(ErrTruncated, err)
 	}
-	if c.endedByDeath(ctx, call.Address, res) {
+	if isUndelimited(res) && c.endedByDeath(ctx, watched, call.Address, res) {
 		return Reply{}, fmt.Errorf("%w: the service has ended", ErrTruncated)
 	}
 	recordOutcome(e, call.Attempt, res)
 	return newReply(res, body), nil
 }
 
-// endedByDeath reports whether a response with neither a length nor chunks has probably
-// ended because the process of the service has, whose connections the kernel closes in
-// order. A service that shuts down refuses connections before its last responses end.
-func (c *Client) endedByDeath(ctx context.Context, address string, res *http.Response) bool {
-	if res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Header.Get(headerState) == stateLeaving {
+// isUndelimited reports whether a response has neither a length nor chunks.
+func isUndelimited(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
+}
+
+// mayLeave reports that a service may shut down at any time: nothing tells its clients before.
+func mayLeave() bool { return true }
+
+// endedByDeath reports whether an undelimited response has probably ended because the process of
+// the service has, whose connections the kernel closes in order. A service that shuts down
+// refuses connections before its last responses end. If nothing else is known, its word counts
+// that it does.
+func (c *Client) endedByDeath(ctx context.Context, watched *http1.WatchedRequest, address string, res *http.Response) bool {
+	// The kernel may close the connections of a process before its listener.
+	if !c.refuses(ctx, address) && (!coordination.Sleep(ctx, http1.ExitTime) || !c.refuses(ctx, address)) {
 		return false
 	}
-	// The kernel may close the connections of a process before its listener.
-	return c.refuses(ctx, address) || coordination.Sleep(ctx, exitTime) && c.refuses(ctx, address)
+	ending := watched.Ending(ctx)
+	if ending == http1.Refusing && res.Header.Get(headerState) == stateLeaving {
+		return false
+	}
+	return !ending.Complete()
 }
 
-// exitTime is within which time the kernel closes all sockets of a process that ends.
-const exitTime = 50 * time.Millisecond
-
 // refuses reports whether a service refuses connections.
 func (c *Client) refuses(ctx context.Context, address string) bool {
 	conn, err := c.dial(ctx, "tcp", address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return isRefused(err)
 	}
 	_ = conn.Close()
 	return false
 }
 
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // newRequest returns the HTTP request of a call. Once the transport has a
 // connection for it, the request counts as written, since a later failure does
 // not tell how much of it was sent.
--- /dev/null
+++ b/wisteriarouter/service/outlived_listener_test.go
@@ -0,0 +1,85 @@
+package service_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/wisteriarouter/service"
+)
+
+// Guards against a complete undelimited response that counts as truncated since the service, which shuts down, has closed its listener before.
+func TestUndelimitedResponseThatOutlivesListenerOfService(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name  string
+		exits bool // right after the response
+		cut   bool // by the end of the process
+		calls int
+		want  outcome.Outcome
+	}{
+		{"serves on", false, false, 1, outcome.Ran},
+		{"exits", true, false, 1, outcome.Ran},
+		{"is killed", true, true, 3, outcome.Unknown},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			stop := make(chan struct{}) // closed when the service begins to shut down
+			var srv *httptest.Server
+			srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				body, err := io.ReadAll(r.Body) // unread bytes would reset the connection
+				assert.Check(t, err)
+				conn, _, err := http.NewResponseController(w).Hijack()
+				assert.Check(t, err)
+				defer func() { _ = conn.Close() }()
+				const head = "HTTP/1.1 200 OK\r\n\r\n"
+				if string(body) == "first" {
+					_, _ = io.WriteString(conn, head+"boo")
+					return
+				}
+				_, _ = io.WriteString(conn, head+"b")
+				<-stop
+				time.Sleep(1200 * time.Millisecond)
+				if !test.cut {
+					_, _ = io.WriteString(conn, "oo")
+					_ = conn.Close()
+				}
+				if test.exits {
+					srv.CloseClientConnections()
+				}
+			}))
+			defer srv.Close()
+			c, cleanup := service.NewClient(service.Options{})
+			defer cleanup()
+			call := func(id string) (service.Reply, outcome.Outcome) {
+				var e outcome.Evidence
+				reply, _ := c.Do(t.Context(), &e, service.Call{Attempt: "a", Address: address(srv.URL), Action: "book", NonIdempotent: true, Body: []byte(id)})
+				return reply, e.Outcome()
+			}
+			_, first := call("first")
+			assert.Equal(t, first, outcome.Ran)
+			time.AfterFunc(700*time.Millisecond, func() {
+				_ = srv.Listener.Close()
+				close(stop)
+			})
+			outcomes := make(chan outcome.Outcome, test.calls)
+			for range test.calls {
+				go func() {
+					reply, got := call("next")
+					if got == outcome.Ran {
+						assert.Check(t, string(reply.Answer.Body) == "boo")
+					}
+					outcomes <- got
+				}()
+			}
+			for range test.calls {
+				assert.Check(t, <-outcomes == test.want, test.name)
+			}
+		})
+	}
+}
--- a/wisteriarouter/upstream/conn.go
+++ b/wisteriarouter/upstream/conn.go
@@ -56,12 +56,14 @@
 // the endpoint notices at once.
 func (c *conn) abort() { _ = c.nc.Close() }
 
-// exchange writes a request and reads the headers of its response.
-func (c *conn) exchange(r *Request) (*Response, error) {
+// exchange writes a request and reads the headers of its response. watched may be nil.
+func (c *conn) exchange(r *Request, watched *http1.WatchedRequest) (*Response, error) {
 	c.served++
 	if err := c.write(r); err != nil {
 		return nil, ErrBroken.Wrap(err, "write to endpoint %s", c.address)
 	}
+	watched.BeginRead()
+	defer watched.EndRead()
 	for n := range maxMismatchedResponses + 1 {
 		resp, err := c.readHead(r)
 		if err != nil {
@@ -89,12 +91,17 @@
 		Status:      resp.StatusCode,
 		Header:      resp.Header,
 		Length:      resp.ContentLength,
-		Undelimited: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead,
+		Undelimited: isUndelimited(resp),
 		Body:        &Body{conn: c, resp: resp},
 		Reused:      c.served > 1,
 	}
 }
 
+// isUndelimited reports whether a response ends where its connection is closed.
+func isUndelimited(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
+}
+
 // readHead reads the headers of the final response, after any interim (1xx) ones.
 func (c *conn) readHead(r *Request) (*http.Response, error) {
 	c.head.begin()
--- a/wisteriarouter/upstream/upstream.go
+++ b/wisteriarouter/upstream/upstream.go
@@ -17,6 +17,7 @@
 
 	"wisteriaspool/coordination"
 	"wisteriaspool/coordination/detour"
+	"wisteriaspool/coordination/http1"
 )
 
 // Errors is the namespace of this package's errors.
@@ -88,6 +89,9 @@
 	// Heard, if set, is called with the status and headers of each response that
 	// arrives, also of one that belongs to another request.
 	Heard func(via coordination.Instance, status int, h http.Header)
+	// Leaving, if set, reports whether the endpoint may be shutting down. Connections are made
+	// to it then while its response may be undelimited, to tell its end from that of its process.
+	Leaving func() bool
 	// Matches reports whether a response belongs to this request; nil accepts all.
 	// Some endpoints answer a request twice, and the second response then arrives
 	// in place of the response to the next request.
@@ -103,6 +107,8 @@
 	First bool
 }
 
+func (r *Request) leaving() bool { return r.Leaving != nil && r.Leaving() }
+
 func (r *Request) sent() {
 	if r.Sent != nil {
 		r.Sent()
@@ -182,6 +188,7 @@
 	idle       pool
 	idleLimits idleLimits
 	active     activeConns
+	watcher    http1.Watcher
 }
 
 // NewClient returns a client, and a function that closes its idle connections.
@@ -189,6 +196,7 @@
 	c := &Client{cfg: cfg.withDefaults()}
 	c.idle.conns = make(map[string][]*conn)
 	c.active.heardAt = make(map[*conn]time.Time)
+	c.watcher.Dial, c.watcher.Refused = c.dialUnused, refused
 	ctx, cancel := context.WithCancel(context.Background())
 	go c.run(ctx)
 	return c, func() {
@@ -242,9 +250,11 @@
 	stop := context.AfterFunc(ctx, cn.abort)
 	sent := time.Now()
 	c.active.add(cn, sent)
-	resp, err := cn.exchange(r)
+	watched := c.watcher.Watch(r.Group, address, r.leaving)
+	resp, err := cn.exchange(r, watched)
 	if err != nil {
 		stop()
+		endWatch(watched, err)
 		cn.abort()
 		c.active.remove(cn)
 		c.idleLimits.recordFailure(r.Group, cn, sent, time.Now())
@@ -253,7 +263,10 @@
 	if resp.Reused {
 		c.idleLimits.recordSuccess(r.Group, sent.Sub(cn.idleSince))
 	}
-	resp.Body.stop = stop
+	if resp.Undelimited {
+		watched = c.watcher.WatchUndelimited(watched, r.Group, address, r.leaving)
+	}
+	resp.Body.stop, resp.Body.watched = stop, watched
 	return resp, nil
 }
 
@@ -341,17 +354,26 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+	nc, err := c.dialUnused(ctx, address)
+	if err != nil {
+		if refused(err) {
+			c.watcher.RecordRefusal(address)
+		}
+		return nil, ErrDial.Wrap(err, "endpoint %s", address)
+	}
+	return newConn(c, address, nc), nil
+}
+
+// dialUnused makes a connection on which no request need be sent.
+func (c *Client) dialUnused(ctx context.Context, address string) (net.Conn, error) {
 	start := time.Now()
-	dialCtx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
 	defer cancel()
-	nc, err := c.cfg.Dial(dialCtx, "tcp", address)
+	nc, err := c.cfg.Dial(ctx, "tcp", address)
 	if c.cfg.OnDial != nil {
 		c.cfg.OnDial(address, err, time.Since(start))
 	}
-	if err != nil {
-		return nil, ErrDial.Wrap(err, "endpoint %s", address)
-	}
-	return newConn(c, address, nc), nil
+	return nc, err
 }
 
 // Body is the body of a response.
@@ -360,6 +382,8 @@
 	resp *http.Response
 	stop func() bool // detaches the connection from the request's context
 	done bool
+	// watched is nil for a response that cannot be undelimited.
+	watched *http1.WatchedRequest
 }
 
 // Read implements io.Reader. It returns io.EOF after a complete body and ErrBroken
@@ -368,12 +392,15 @@
 	if b.done {
 		return 0, io.EOF
 	}
+	b.watched.BeginRead()
 	n, err := b.resp.Body.Read(p)
+	b.watched.EndRead()
 	b.conn.client.active.heard(b.conn, time.Now())
 	switch {
 	case err == io.EOF:
 		b.finish()
 	case err != nil:
+		endWatch(b.watched, err)
 		b.Close()
 		err = ErrBroken.Wrap(err, "endpoint %s", b.conn.address)
 	}
@@ -388,6 +415,11 @@
 func (b *Body) finish() {
 	b.done = true
 	b.conn.client.active.remove(b.conn)
+	if isUndelimited(b.resp) {
+		b.watched.End()
+	} else {
+		b.watched.Release()
+	}
 	if b.stop() {
 		b.conn.release(b.resp)
 	}
@@ -396,6 +428,7 @@
 // Close ends the response. It closes the connection unless the body was read to its
 // end.
 func (b *Body) Close() {
+	b.watched.Release()
 	if b.done {
 		return
 	}
