Routers that start know that API keys have been in use

Cause: that keys may be sent was remembered by the process (route.Table.KeysInUse).

Routers now record it in the platform's store under api-keys-in-use, without a lease, and again if a restored store has lost it. A router that starts also learns it from another one, since the store may be away or refuse writes; until that has answered, for half a second at most, a state without accounts is not served unless the record is there.

TestRelayStartedWithoutAccountsNeverPassesOnKeys: 9 of 9 arrangements fail before (8 by a key that reaches an endpoint, one since nothing is recorded), 9 of 9 pass now.

--- a/coordination/mirror/feed.go
+++ b/coordination/mirror/feed.go
@@ -38,6 +38,11 @@
 	// OnHintFailure, if set, is called with a router to which a hint could not
 	// be sent, or from which the change it announced could not be fetched.
 	OnHintFailure func(id coordination.Instance, err error)
+	// Marks, if set, returns what routers that start have to learn from this one, as it
+	// holds for good and may not be in the store. It may be called before Start.
+	Marks func() []string
+	// OnMarks, if set, is called with the marks of another router, before Started.
+	OnMarks func(marks []string)
 }
 
 // Feed keeps a mirror up to date from the store and from the other routers, and
--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -43,6 +43,8 @@
 	AgeMs uint32 `cbor:"4,keyasint,omitempty"`
 	// Era is set while the update is in a message.
 	Era messageEra `cbor:"5,keyasint,omitempty"`
+	// Marks is set in answers to calls on [TopicRetained]: see FeedConfig.
+	Marks []string `cbor:"6,keyasint,omitempty"`
 	// BehindMs is how many milliseconds ago the first router learned from the
 	// store of the oldest of the items. It is zero if the update comes from the
 	// store or is Full.
--- a/coordination/mirror/retained.go
+++ b/coordination/mirror/retained.go
@@ -96,6 +96,9 @@
 		return nil, ErrMalformed.New("no mirror of %q", req.Prefix)
 	}
 	u := Update{Items: f.cfg.Mirror.Retained()}
+	if f.cfg.Marks != nil {
+		u.Marks = f.cfg.Marks()
+	}
 	select {
 	case <-f.started:
 		u.AsOf = f.cfg.Mirror.AsOf()
--- a/coordination/mirror/start.go
+++ b/coordination/mirror/start.go
@@ -23,8 +23,8 @@
 	startPause = 10 * time.Millisecond
 )
 
-// starter asks another router for what it knew before a restore of the store: the store, from
-// which a router that starts reads, may have lost it.
+// starter asks another router for what it knew before a restore of the store, and for its marks:
+// the store, from which a router that starts reads, may have lost them, or never had them.
 type starter struct {
 	feed     *Feed
 	answered map[coordination.Instance]bool // have just started as well
@@ -65,6 +65,9 @@
 		return false
 	}
 	u, err := decodeReply(b, 0)
+	if err == nil && cfg.OnMarks != nil {
+		cfg.OnMarks(u.Marks)
+	}
 	if err != nil || u.AsOf.Number() == 0 {
 		s.answered[id] = true
 		return false
--- a/standin/hub/hub.go
+++ b/standin/hub/hub.go
@@ -53,6 +53,8 @@
 	// Refuse, if set, reports whether calls from a remote address fail with
 	// status 503.
 	Refuse func(remote string) bool
+	// RefuseWrites makes calls that write fail with status 503.
+	RefuseWrites bool
 }
 
 // Store is the simulated key-value store. It is an http.Handler.
@@ -210,7 +212,7 @@
 	switch {
 	case f.Hang:
 		<-r.Context().Done()
-	case f.Outage, f.Refuse != nil && f.Refuse(r.RemoteAddr):
+	case f.Outage, f.Refuse != nil && f.Refuse(r.RemoteAddr), f.RefuseWrites && r.Method == http.MethodPost:
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		s.serveCall(w, r)
--- a/wisteriarouter/daemon/relay.go
+++ b/wisteriarouter/daemon/relay.go
@@ -34,6 +34,7 @@
 	do.Provide(i, newConvictions)
 	do.Provide(i, newVersionHistory)
 	do.Provide(i, newOrigins)
+	do.Provide(i, newKeyUse)
 	do.Provide(i, newDesiredState)
 	do.Provide(i, newRelayPlacer)
 	do.Provide(i, newPoolRetries)
--- a/wisteriarouter/daemon/relay_desired.go
+++ b/wisteriarouter/daemon/relay_desired.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,8 +29,15 @@
 	callLog     *mirror.CallLog
 	evacuations *evacuations
 	relay       atomic.Pointer[config.Relay]
+	keys        *keyUse
 	ready       chan struct{}   // closed with the first desired state
 	asked       <-chan struct{} // closed when other routers have been asked for a later one
+
+	mu sync.Mutex // held while a table is put in force
+	// latest is the newest table, which is not in force yet if it has no client accounts and
+	// other routers have not been asked whether earlier ones had.
+	latest   *route.Table
+	hasAsked bool
 }
 
 func newDesiredState(i do.Injector) (*desiredState, error) {
@@ -37,6 +46,7 @@
 		placer:  do.MustInvoke[*placer](i),
 		history: do.MustInvoke[*versionHistory](i),
 		callLog: do.MustInvoke[*mirror.CallLog](i),
+		keys:    do.MustInvoke[*keyUse](i),
 		ready:   make(chan struct{}),
 	}
 	d.evacuations = newEvacuations(d.placer, d.log)
@@ -50,11 +60,32 @@
 	do.MustInvoke[*convictionStores](i)
 	do.MustInvoke[*origins](i).writer.OnMalformed(malformedBatchLogger{d.log}.logBatch) // with the versions of pools
 	m.Observe(d.applyChanges)
+	d.keys.observe(d.update)
 	m.Observe(newBehindMetric(do.MustInvoke[*prometheus.Registry](i)))
 	d.asked = startFeed(i)
+	ctx, cancel := context.WithCancel(context.Background())
+	go d.run(ctx)
+	onStop(i, cancel)
 	return d, nil
 }
 
+// run puts a table in force that waits for the answers of other routers.
+func (d *desiredState) run(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-d.asked:
+	}
+	d.recordAsked()
+	d.update()
+}
+
+func (d *desiredState) recordAsked() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hasAsked = true
+}
+
 // Table implements relay.DesiredState.
 func (d *desiredState) Table() *route.Table { return d.table.Load() }
 
@@ -82,32 +113,67 @@
 		d.log.Emit(event.SettingsInvalid, event.F("revision", item.Revision.Number()), event.F("error", err.Error()))
 		return
 	}
-	old := d.table.Load()
+	old := d.newest()
 	if old != nil && s.Version <= old.Version {
 		d.log.Emit(event.SettingsInvalid, event.F("revision", item.Revision.Number()), event.F("version", s.Version), event.F("in-force", old.Version))
 		return
 	}
 	table := route.NewTable(s)
-	table.KeysInUse = table.KeysInUse || old != nil && old.KeysInUse
 	d.history.applyRoutes(old, table)
-	d.table.Store(table)
+	d.setNewest(table)
 	d.placer.applyBounds(s, d.relay.Load())
+	if s.Accounts != nil {
+		d.keys.record()
+	}
+	d.update()
 	d.log.Emit(event.SettingsApplied,
 		event.F("version", s.Version),
 		event.F("revision", item.Revision.Number()),
 		event.F("routes", len(s.Routes)),
+		event.F("keys-in-use", d.keys.known()),
 		event.F("from", sourceName(n.From)),
 		event.F("behind-ms", n.Behind.Milliseconds()),
 		event.F("unconfirmed-ms", n.Unconfirmed.Milliseconds()),
 	)
 	if old == nil {
-		d.placer.update()
-		close(d.ready)
 		return
 	}
 	d.logLate(s.Version, n)
 }
 
+// newest returns the newest table, which may not be in force yet, or nil if there is none.
+func (d *desiredState) newest() *route.Table {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.latest
+}
+
+func (d *desiredState) setNewest(t *route.Table) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.latest = t
+}
+
+// update puts the latest table in force, unless it is not known yet whether callers may send
+// API keys.
+func (d *desiredState) update() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	inUse := d.keys.known()
+	if d.latest == nil || !inUse && !d.hasAsked {
+		return
+	}
+	if d.latest.KeysInUse != inUse {
+		table := *d.latest
+		table.KeysInUse = inUse
+		d.latest = &table
+	}
+	if d.table.Swap(d.latest) == nil {
+		d.placer.update()
+		close(d.ready)
+	}
+}
+
 // lateThreshold is the delay after the first router from which a change is
 // logged as late: a quarter of the 2 s within which it has to be in force.
 const lateThreshold = 500 * time.Millisecond
@@ -137,7 +203,7 @@
 // configure applies reloaded settings of this router.
 func (d *desiredState) configure(cfg config.Relay) {
 	d.relay.Store(&cfg)
-	if t := d.table.Load(); t != nil {
+	if t := d.newest(); t != nil {
 		d.placer.applyBounds(t.State, &cfg)
 	}
 }
--- a/wisteriarouter/daemon/relay_store.go
+++ b/wisteriarouter/daemon/relay_store.go
@@ -43,6 +43,7 @@
 // newFeed creates the feed of the mirror, which answers other routers until it is started.
 func newFeed(i do.Injector) (*mirror.Feed, error) {
 	node := do.MustInvoke[*peer.Node](i)
+	keys := do.MustInvoke[*keyUse](i)
 	f := mirror.NewFeed(mirror.FeedConfig{
 		Self:          node.Self().Instance,
 		Prefix:        platform.WatchPrefix,
@@ -55,6 +56,8 @@
 		CallLog:       do.MustInvoke[*mirror.CallLog](i),
 		Alone:         len(configOf(i).Peers.Seeds) == 0,
 		OnHintFailure: hintFailureLogger{logOf(i)}.logFailure,
+		Marks:         keys.marks,
+		OnMarks:       keys.applyMarks,
 	})
 	node.Handle(mirror.Topic, f.Handle)
 	node.Handle(mirror.TopicHint, func(_ context.Context, from coordination.Instance, payload []byte) ([]byte, error) {
--- a/wisteriarouter/event/catalogue.go
+++ b/wisteriarouter/event/catalogue.go
@@ -17,7 +17,7 @@
 
 // Events of settings.
 var (
-	SettingsApplied  = Kind{200, "settings-applied", logrus.InfoLevel, "A team's settings revision, or a version of the desired state, is in force on this router. For a desired state it gives the source (the store or a router), how long ago the first router received it from the store (behind-ms), and for how long no router had received anything from the store (unconfirmed-ms)."}
+	SettingsApplied  = Kind{200, "settings-applied", logrus.InfoLevel, "A team's settings revision, or a version of the desired state, is in force on this router. For a desired state it gives the source (the store or a router), how long ago the first router received it from the store (behind-ms), and for how long no router had received anything from the store (unconfirmed-ms); keys-in-use tells whether it or an earlier one had client accounts, as far as this router knows."}
 	SettingsInvalid  = Kind{201, "settings-invalid", logrus.WarnLevel, "The platform holds a value that this router rejects; the last valid one stays in force. Write a valid change."}
 	SettingsRejected = Kind{202, "settings-rejected", logrus.WarnLevel, "An operator's change was rejected; the outcome says whether it conflicted, was invalid or could not be written."}
 	SettingsChanged  = Kind{203, "settings-changed", logrus.InfoLevel, "An operator's change was accepted through this router."}
@@ -83,6 +83,7 @@
 	StreamsLoaded       = Kind{532, "streams-loaded", logrus.InfoLevel, "As it started, or as no router knew a stream, this router read from the platform's store at which versions of the software streams began; gives their number and the status. If it could not, it refuses streams that no router knows meanwhile."}
 	StreamsMalformed    = Kind{534, "streams-malformed", logrus.WarnLevel, "A batch of streams in the platform's store cannot be decoded; gives its key, its revision and the reason. Its streams are refused when their callers take them up, unless a router knows them. Look for another writer, or for a router of another version."}
 	EndpointEarlier     = Kind{533, "endpoint-earlier", logrus.WarnLevel, "An endpoint's entry has stayed although it is of an earlier incarnation than was known; it holds now, and what was known of the later one is forgotten. Look for another writer."}
+	KeysRecorded        = Kind{535, "keys-recorded", logrus.InfoLevel, "It was written to the platform's store that the desired state has, or had, client accounts, so that routers which start later never pass on the Authorization header of callers, also if it has none any more. The status is conflict if another router had written it. Gives the error if it could not be written; the router tries again."}
 	EndpointCapacity    = Kind{529, "endpoint-capacity", logrus.InfoLevel, "The measured speed of an endpoint that this router counts has moved away from the mean of its pool, or back to it, or the number of concurrent requests that it handles well has changed; gives its pace and the pool's mean in percent, that limit, and the slots. At most one line a second for each endpoint. If one endpoint stays slow, check its machine."}
 	EndpointDetour      = Kind{519, "endpoint-detour", logrus.WarnLevel, "This router cannot connect to an endpoint, or not as fast as another router that has connected for it; requests go through other routers for some seconds. If this names many endpoints, check the links of this router."}
 )
@@ -129,7 +130,7 @@
 		PlatformLost, PlatformBack, WatchOverdue, StoreRestored, CallRejected, CallsFailing,
 		PeerConnected, PeerDisconnected, PeerMalformed, PeerRefused, MemberChanged, RumorShed, PeerBusy, PeerAway, PeerBack, HintFailed, CatchUpFailed, OriginNotKept,
 		EndpointLeaving, EndpointLost, StreamResumed, StreamContinued, StreamMalformed, CancelFailed,
-		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour, ConvictionStored, RecordsMissed, ConvictionNotStored, MixedVersions, PartConvicted, PartExempt, PartCleared, SuspectCleared, EndpointNotReturned, EndpointCapacity, VersionsRecorded, StreamsNotWritten, StreamsLoaded, EndpointEarlier, StreamsMalformed,
+		RequestRefused, RequestSuspected, RequestConvicted, RetryBudgetSpent, CallerGone, EndpointHeld, EndpointMalformed, ChatPlaced, ChatAttempt, EndpointOutlier, ZoneEvacuated, ZoneRestored, EndpointDetour, ConvictionStored, RecordsMissed, ConvictionNotStored, MixedVersions, PartConvicted, PartExempt, PartCleared, SuspectCleared, EndpointNotReturned, EndpointCapacity, VersionsRecorded, StreamsNotWritten, StreamsLoaded, EndpointEarlier, StreamsMalformed, KeysRecorded,
 		ActionUnknown, ActionRefused, ActionUnfinished, RecordLost, RecordUnsettled,
 		OrderGiven,
 		RelayAttempt, RelayAttemptLost, RelayRefused, RelayCut, RelayCallerGone, RelayBudgetSpent, RelayPlaced, RelayOverdue, RelayCrash, RelayTakenUp,
