Ends of responses that began together do not show a killed process

Other ends count only if their requests began more than 0.1 s apart from this one. The looks are 0.15 s apart, and a refusal of 0.05 s is enough at an endpoint that is known to leave; without that it takes 0.3 s as before, since the end of a killed connection may be late. Plain services are now looked at only once the placer knows that they leave: the looks would else go on for as long as calls do.

The tests of killed endpoints send their requests apart, as requests that begin together prove nothing any more; the new case of TestEndingOfUndelimitedResponse holds that.

--- a/coordination/http1/ending.go
+++ b/coordination/http1/ending.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,7 +23,8 @@
 	AnotherOpen
 	// StoppedBefore means that it refuses connections, and did so before while the response went on.
 	StoppedBefore
-	// EndedTogether means the same, but other responses of the server ended at that moment.
+	// EndedTogether means the same, but other responses of the server ended at that moment that
+	// had not begun together with this one.
 	EndedTogether
 	// Refusing means that it refuses connections, and that nothing else is known of it.
 	Refusing
@@ -56,9 +58,12 @@
 	// settleTime is within which time the end of a connection arrives here, also if its packet
 	// was lost and is sent again after 0.2 s.
 	settleTime = 300 * time.Millisecond
-	// lookInterval is the time between two connections to a server whose listener may be
-	// closed while its responses go on.
-	lookInterval = 250 * time.Millisecond
+	// leavingSettleTime is the same for a server that is known to leave, whose process hardly
+	// ends at the moment at which it refuses connections.
+	leavingSettleTime = ExitTime
+	// lookInterval is the time between two connections to a server whose listener may be closed
+	// while its responses go on.
+	lookInterval = 150 * time.Millisecond
 	// endingPoll is the time between two looks at connections that are open.
 	endingPoll = 10 * time.Millisecond
 	// endsKept is for how long the ends of other responses are remembered.
@@ -132,7 +137,7 @@
 		go s.run(ctx)
 	}
 	s.held++
-	r := &WatchedRequest{server: s, leaves: leaves}
+	r := &WatchedRequest{server: s, leaves: leaves, beganAt: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running[r] = true
@@ -171,6 +176,8 @@
 	server *watchedServer
 	leaves func() bool
 
+	beganAt time.Time
+
 	// guarded by server.mu
 	reading  bool // its reader waits for bytes
 	outlived bool // the server refused connections while it went on
@@ -178,6 +185,9 @@
 	released bool
 }
 
+// requestEnd is the end of the connection of a request.
+type requestEnd struct{ beganAt, endedAt time.Time }
+
 // watchedServer is a server with requests that are watched.
 type watchedServer struct {
 	watcher *Watcher
@@ -187,7 +197,7 @@
 
 	mu        sync.Mutex
 	running   map[*WatchedRequest]bool // requests that have not ended
-	ends      []time.Time              // of other requests, at which the server closed the connection
+	ends      []requestEnd             // of connections that the server has closed
 	refusedAt time.Time                // since when the server refuses connections; zero if it does not
 	witness   *witness                 // nil if there is none
 	closed    bool
@@ -223,12 +233,12 @@
 	delete(s.running, r)
 	r.endedAt = now
 	kept := s.ends[:0]
-	for _, at := range s.ends {
-		if now.Sub(at) <= endsKept {
-			kept = append(kept, at)
+	for _, e := range s.ends {
+		if now.Sub(e.endedAt) <= endsKept {
+			kept = append(kept, e)
 		}
 	}
-	s.ends = append(kept, now)
+	s.ends = append(kept, requestEnd{r.beganAt, now})
 }
 
 // Release ends the watch over the request. It may be called more than once.
@@ -265,7 +275,7 @@
 		return Refusing
 	}
 	coordination.Sleep(ctx, ExitTime-time.Since(r.endedAt))
-	if r.server.endsAround(r.endedAt) > 1 {
+	if r.server.endedWith(r) {
 		return EndedTogether
 	}
 	return StoppedBefore
@@ -284,16 +294,14 @@
 	return len(s.running) > 0 || s.witness.open()
 }
 
-// endsAround returns how many responses ended at the moment of t.
-func (s *watchedServer) endsAround(t time.Time) (n int) {
+// endedWith reports whether other requests ended at the same moment as r. Those that began
+// together with it as well may have taken equally long.
+func (s *watchedServer) endedWith(r *WatchedRequest) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, at := range s.ends {
-		if at.Sub(t).Abs() <= ExitTime {
-			n++
-		}
-	}
-	return n
+	return slices.ContainsFunc(s.ends, func(e requestEnd) bool {
+		return e.endedAt.Sub(r.endedAt).Abs() <= ExitTime && e.beganAt.Sub(r.beganAt).Abs() > 2*ExitTime
+	})
 }
 
 func (s *watchedServer) run(ctx context.Context) {
@@ -308,8 +316,8 @@
 func (s *watchedServer) pause() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if refusing := time.Since(s.refusedAt); !s.refusedAt.IsZero() && refusing < settleTime {
-		return settleTime - refusing
+	if refusing := time.Since(s.refusedAt); !s.refusedAt.IsZero() && refusing < leavingSettleTime {
+		return leavingSettleTime - refusing
 	}
 	return lookInterval
 }
@@ -348,7 +356,7 @@
 }
 
 // recordRefusal records that the server refuses connections. A request whose reader still waits
-// when it has done so for settleTime outlives the listener: the end of its connection would have
+// when it has done so for some time outlives the listener: the end of its connection would have
 // arrived. A reader that waits for its caller instead may have such an end before it.
 func (s *watchedServer) recordRefusal(now time.Time) {
 	s.mu.Lock()
@@ -356,11 +364,11 @@
 	if s.refusedAt.IsZero() {
 		s.refusedAt = now
 	}
-	if now.Sub(s.refusedAt) < settleTime {
-		return
-	}
+	refusing := now.Sub(s.refusedAt)
 	for r := range s.running {
-		r.outlived = r.outlived || r.reading
+		if r.reading && (refusing >= settleTime || refusing >= leavingSettleTime && r.leaves()) {
+			r.outlived = true
+		}
 	}
 }
 
--- a/coordination/http1/ending_test.go
+++ b/coordination/http1/ending_test.go
@@ -110,8 +110,8 @@
 		open      int
 	}{
 		{"serves", no, false, 0, 0, 0},
-		{"leaves", yes, false, 30, 40, 1},
-		{"leaves, stops listening after a second", yes, true, 4, 6, 1},
+		{"leaves", yes, false, 60, 70, 1},
+		{"leaves, stops listening after a second", yes, true, 7, 9, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -150,28 +150,32 @@
 		stops   time.Duration // before the end; 0 for a listener that is closed with it
 		exits   bool          // right behind the response
 		reading bool
-		others  int // responses that end with it
+		others  int           // responses that end with it
+		apart   time.Duration // by which these began earlier
 		want    http1.Ending
 	}{
-		{"process lives on", time.Second, false, true, 0, http1.AnotherOpen},
-		{"process lives on, listener closed a moment before", 10 * time.Millisecond, false, true, 0, http1.AnotherOpen},
-		{"process exits", time.Second, true, true, 0, http1.StoppedBefore},
-		{"process exits, reader waited for its caller", time.Second, true, false, 0, http1.Refusing},
-		{"process exits, listener closed a moment before", 10 * time.Millisecond, true, true, 0, http1.Refusing},
-		{"process is killed with its listener", 0, true, true, 0, http1.Refusing},
-		{"process is killed with its listener and other responses", 0, true, true, 3, http1.Refusing},
-		{"process is killed after its listener was closed", time.Second, true, true, 3, http1.EndedTogether},
+		{"process lives on", time.Second, false, true, 0, 0, http1.AnotherOpen},
+		{"process lives on, listener closed a moment before", 10 * time.Millisecond, false, true, 0, 0, http1.AnotherOpen},
+		{"process exits", time.Second, true, true, 0, 0, http1.StoppedBefore},
+		{"process exits, reader waited for its caller", time.Second, true, false, 0, 0, http1.Refusing},
+		{"process exits, listener closed a moment before", 10 * time.Millisecond, true, true, 0, 0, http1.Refusing},
+		{"process is killed with its listener", 0, true, true, 0, 0, http1.Refusing},
+		{"process is killed with its listener and other responses", 0, true, true, 3, time.Second, http1.Refusing},
+		{"process is killed after its listener was closed", time.Second, true, true, 3, time.Second, http1.EndedTogether},
+		{"process exits behind responses that began and ended together", time.Second, true, true, 3, 0, http1.StoppedBefore},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				p := &watchedPeer{}
 				w := newWatcher(p)
 				assert.Assert(t, w.Watch("group", "address", yes) == nil)
-				first := w.WatchUndelimited(nil, "group", "address", yes)
-				all := []*http1.WatchedRequest{first}
+				var all []*http1.WatchedRequest
 				for range test.others {
-					all = append(all, w.Watch("group", "address", yes))
+					all = append(all, w.WatchUndelimited(nil, "group", "address", yes))
 				}
+				time.Sleep(test.apart)
+				first := w.WatchUndelimited(nil, "group", "address", yes)
+				all = append(all, first)
 				for _, r := range all {
 					r.BeginRead()
 				}
--- a/wisteriarouter/daemon/placer.go
+++ b/wisteriarouter/daemon/placer.go
@@ -451,6 +451,12 @@
 	}, true
 }
 
+// Serving implements service.Placer and relay.Placer.
+func (p *placer) Serving(id coordination.Endpoint, n coordination.Incarnation) bool {
+	_, ok := p.directory.Find(id)
+	return ok && !p.directory.HasLeft(id, n)
+}
+
 // Leaving implements caller.Placer.
 func (p *placer) Leaving(id coordination.Endpoint, n coordination.Incarnation) {
 	p.directory.RecordLeaving(id, n)
--- a/wisteriarouter/daemon/relay_placer.go
+++ b/wisteriarouter/daemon/relay_placer.go
@@ -205,12 +205,6 @@
 	return req
 }
 
-// Serving implements relay.Placer.
-func (p *relayPlacer) Serving(id coordination.Endpoint, n coordination.Incarnation) bool {
-	_, ok := p.directory.Find(id)
-	return ok && !p.directory.HasLeft(id, n)
-}
-
 // HasVersion implements relay.Placer.
 func (p *relayPlacer) HasVersion(pool coordination.Pool, v coordination.SoftwareVersion) bool {
 	return lo.SomeBy(p.directory.Pool(pool), func(k endpoint.Info) bool { return k.Version == v && !k.Leaving() })
--- a/wisteriarouter/relay/outlived_listener_test.go
+++ b/wisteriarouter/relay/outlived_listener_test.go
@@ -127,6 +127,9 @@
 	err    error
 }
 
+// apart is the time between two requests to an endpoint that shuts down.
+const apart = 150 * time.Millisecond
+
 // askStopping sends requests side by side through one router to an endpoint that shuts down.
 func (l leavingCut) askStopping(t *testing.T, e *stoppingEndpoint, n int) []received {
 	t.Helper()
@@ -137,11 +140,12 @@
 	_, body, err := callRouter(t, http.MethodPost, url, firstAttempt)
 	assert.NilError(t, err)
 	assert.Equal(t, body, e.part)
-	// The platform tells the router that the endpoint leaves some time after the requests have begun.
-	time.AfterFunc(300*time.Millisecond, func() { placer.Leaving("e0", 0) })
 	answers := make([]received, n)
 	var wg sync.WaitGroup
 	for i := range answers {
+		if i > 0 {
+			time.Sleep(apart)
+		}
 		wg.Go(func() {
 			resp, body, err := callRouter(t, http.MethodPost, url, fmt.Sprintf("a%d", i))
 			answers[i] = received{body: body, err: err}
@@ -150,6 +154,8 @@
 			}
 		})
 	}
+	// The platform tells the router that the endpoint leaves.
+	time.AfterFunc(apart, func() { placer.Leaving("e0", 0) })
 	wg.Wait()
 	return answers
 }
--- a/wisteriarouter/service/client.go
+++ b/wisteriarouter/service/client.go
@@ -117,8 +117,13 @@
 	ContentType   string // Content-Type of the body
 	Body          []byte
 	NonIdempotent bool // must not be sent twice
+	// Leaving, if set, reports whether the endpoint is known to be shutting down. Connections are
+	// made to it then, to tell the end of its response from that of its process.
+	Leaving func() bool
 }
 
+func (c Call) leaving() bool { return c.Leaving != nil && c.Leaving() }
+
 // Reply is the response of an endpoint.
 type Reply struct {
 	Answer     execution.Answer
@@ -139,7 +144,7 @@
 	if call.NonIdempotent {
 		client = c.singleUse
 	}
-	watched := c.watcher.Watch(call.Address, call.Address, mayLeave)
+	watched := c.watcher.Watch(call.Address, call.Address, call.leaving)
 	defer func() { watched.Release() }()
 	watched.BeginRead()
 	res, err := client.Do(req)
@@ -151,7 +156,7 @@
 	}
 	defer res.Body.Close()
 	if isUndelimited(res) {
-		watched = c.watcher.WatchUndelimited(watched, call.Address, call.Address, mayLeave)
+		watched = c.watcher.WatchUndelimited(watched, call.Address, call.Address, call.leaving)
 		watched.BeginRead()
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, c.maxResponseBytes+1))
@@ -173,9 +178,6 @@
 	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
 }
 
-// mayLeave reports that a service may shut down at any time: nothing tells its clients before.
-func mayLeave() bool { return true }
-
 // endedByDeath reports whether an undelimited response has probably ended because the process of
 // the service has, whose connections the kernel closes in order. A service that shuts down
 // refuses connections before its last responses end. If nothing else is known, its word counts
--- a/wisteriarouter/service/outlived_listener_test.go
+++ b/wisteriarouter/service/outlived_listener_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +31,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			stop := make(chan struct{}) // closed when the service begins to shut down
+			leaves := new(atomic.Bool)  // the router knows that it does
 			var srv *httptest.Server
 			srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				body, err := io.ReadAll(r.Body) // unread bytes would reset the connection
@@ -58,17 +60,19 @@
 			defer cleanup()
 			call := func(id string) (service.Reply, outcome.Outcome) {
 				var e outcome.Evidence
-				reply, _ := c.Do(t.Context(), &e, service.Call{Attempt: "a", Address: address(srv.URL), Action: "book", NonIdempotent: true, Body: []byte(id)})
+				reply, _ := c.Do(t.Context(), &e, service.Call{Attempt: "a", Address: address(srv.URL), Action: "book", NonIdempotent: true, Body: []byte(id), Leaving: leaves.Load})
 				return reply, e.Outcome()
 			}
 			_, first := call("first")
 			assert.Equal(t, first, outcome.Ran)
-			time.AfterFunc(700*time.Millisecond, func() {
+			time.AfterFunc(600*time.Millisecond, func() { leaves.Store(true) })
+			time.AfterFunc(1200*time.Millisecond, func() {
 				_ = srv.Listener.Close()
 				close(stop)
 			})
 			outcomes := make(chan outcome.Outcome, test.calls)
-			for range test.calls {
+			for n := range test.calls {
+				time.Sleep(time.Duration(n) * 150 * time.Millisecond)
 				go func() {
 					reply, got := call("next")
 					if got == outcome.Ran {
--- a/wisteriarouter/service/path_test.go
+++ b/wisteriarouter/service/path_test.go
@@ -131,6 +131,8 @@
 	return caller.Placement{Address: s.addresses[s.intN(len(s.addresses))], Release: func() {}}, nil
 }
 
+func (s *cluster) Serving(coordination.Endpoint, coordination.Incarnation) bool { return true }
+
 func (s *cluster) Leaving(coordination.Endpoint, coordination.Incarnation) {}
 
 func (s *cluster) Pause(coordination.Endpoint, coordination.Incarnation, time.Duration) {}
--- a/wisteriarouter/service/runner.go
+++ b/wisteriarouter/service/runner.go
@@ -32,6 +32,9 @@
 	// Place returns a placement for an attempt, or the refusal to send to the
 	// caller.
 	Place(ctx context.Context, r caller.PlacementRequest) (caller.Placement, *outcome.Refusal)
+	// Serving reports whether an incarnation of an endpoint is listed and not known to be
+	// leaving.
+	Serving(e coordination.Endpoint, n coordination.Incarnation) bool
 	// Leaving records that an endpoint has reported that it is stopping.
 	Leaving(e coordination.Endpoint, n coordination.Incarnation)
 	// Pause records that an endpoint wants no requests for a time.
--- a/wisteriarouter/service/runner_test.go
+++ b/wisteriarouter/service/runner_test.go
@@ -75,6 +75,8 @@
 	return caller.Placement{}, &outcome.Refusal{Code: outcome.Overloaded, Outcome: outcome.NotRun, RetryAfter: time.Second}
 }
 
+func (d *orderService) Serving(coordination.Endpoint, coordination.Incarnation) bool { return true }
+
 func (d *orderService) Leaving(e coordination.Endpoint, _ coordination.Incarnation) {
 	d.left = append(d.left, e)
 }
--- a/wisteriarouter/service/sender.go
+++ b/wisteriarouter/service/sender.go
@@ -99,7 +99,9 @@
 	ctx, cancel := context.WithTimeout(ctx, s.plan.Timeout)
 	defer cancel()
 	s.attempt = coordination.Attempt(uuid.NewString())
+	place := s.placement
 	reply, err := s.runner.Client.Do(ctx, &s.evidence, Call{
+		Leaving:       func() bool { return !s.runner.Placer.Serving(place.Endpoint, place.Incarnation) },
 		Attempt:       s.attempt,
 		Address:       s.placement.Address,
 		Action:        s.action.Action,
