A response whose caller is slow does not show that its endpoint lives

A reader that waits for its caller has not read the end of its connection. Such a request counted as an open connection to an endpoint that was killed, so that the other responses there would have looked complete.

The new case of TestEndingOfUndelimitedResponse, killed beside responses to slow callers, failed before (another-open in place of refusing). Plain services: a call that its own deadline ends is no end of the service's process either.

--- a/coordination/http1/ending.go
+++ b/coordination/http1/ending.go
@@ -18,10 +18,11 @@
 const (
 	// Accepting means that the server accepts connections, or that nothing is known of it.
 	Accepting Ending = iota + 1
-	// AnotherOpen means that it refuses connections, but that others that it has accepted stay open, so that
-	// its process still runs.
+	// AnotherOpen means that it refuses connections, but that another one which it has accepted
+	// stays open, so that its process still runs.
 	AnotherOpen
-	// StoppedBefore means that it refuses connections, and did so before while the response went on.
+	// StoppedBefore means that it refuses connections, and did so before while the response
+	// went on.
 	StoppedBefore
 	// EndedTogether means the same, but other responses of the server ended at that moment that
 	// had not begun together with this one.
@@ -287,11 +288,17 @@
 	return r.outlived
 }
 
-// hasOpen reports whether a connection to the server is open.
+// hasOpen reports whether a connection to the server is open. That of a request counts only while
+// its reader waits, since the end of others may not have been read yet.
 func (s *watchedServer) hasOpen() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.running) > 0 || s.witness.open()
+	for r := range s.running {
+		if r.reading {
+			return true
+		}
+	}
+	return s.witness.open()
 }
 
 // endedWith reports whether other requests ended at the same moment as r. Those that began
--- a/coordination/http1/ending_test.go
+++ b/coordination/http1/ending_test.go
@@ -152,17 +152,19 @@
 		reading bool
 		others  int           // responses that end with it
 		apart   time.Duration // by which these began earlier
+		waiting int           // responses whose readers wait for their callers, so that their ends are not read
 		want    http1.Ending
 	}{
-		{"process lives on", time.Second, false, true, 0, 0, http1.AnotherOpen},
-		{"process lives on, listener closed a moment before", 10 * time.Millisecond, false, true, 0, 0, http1.AnotherOpen},
-		{"process exits", time.Second, true, true, 0, 0, http1.StoppedBefore},
-		{"process exits, reader waited for its caller", time.Second, true, false, 0, 0, http1.Refusing},
-		{"process exits, listener closed a moment before", 10 * time.Millisecond, true, true, 0, 0, http1.Refusing},
-		{"process is killed with its listener", 0, true, true, 0, 0, http1.Refusing},
-		{"process is killed with its listener and other responses", 0, true, true, 3, time.Second, http1.Refusing},
-		{"process is killed after its listener was closed", time.Second, true, true, 3, time.Second, http1.EndedTogether},
-		{"process exits behind responses that began and ended together", time.Second, true, true, 3, 0, http1.StoppedBefore},
+		{"process lives on", time.Second, false, true, 0, 0, 0, http1.AnotherOpen},
+		{"process lives on, listener closed a moment before", 10 * time.Millisecond, false, true, 0, 0, 0, http1.AnotherOpen},
+		{"process exits", time.Second, true, true, 0, 0, 0, http1.StoppedBefore},
+		{"process exits, reader waited for its caller", time.Second, true, false, 0, 0, 0, http1.Refusing},
+		{"process exits, listener closed a moment before", 10 * time.Millisecond, true, true, 0, 0, 0, http1.Refusing},
+		{"process is killed with its listener", 0, true, true, 0, 0, 0, http1.Refusing},
+		{"process is killed with its listener and other responses", 0, true, true, 3, time.Second, 0, http1.Refusing},
+		{"process is killed beside responses to slow callers", 0, true, true, 0, 0, 3, http1.Refusing},
+		{"process is killed after its listener was closed", time.Second, true, true, 3, time.Second, 0, http1.EndedTogether},
+		{"process exits behind responses that began and ended together", time.Second, true, true, 3, 0, 0, http1.StoppedBefore},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -179,6 +181,9 @@
 				for _, r := range all {
 					r.BeginRead()
 				}
+				for range test.waiting {
+					defer w.Watch("group", "address", yes).Release()
+				}
 				if !test.reading {
 					first.EndRead()
 				}
--- a/wisteriarouter/service/client.go
+++ b/wisteriarouter/service/client.go
@@ -149,7 +149,9 @@
 	watched.BeginRead()
 	res, err := client.Do(req)
 	if err != nil {
-		watched.End()
+		if ctx.Err() == nil {
+			watched.End()
+		}
 		// No effect if a connection was obtained: see newRequest.
 		e.NothingSent(call.Attempt)
 		return Reply{}, fmt.Errorf("service: %w", err)
@@ -160,7 +162,7 @@
 		watched.BeginRead()
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, c.maxResponseBytes+1))
-	if err != nil || isUndelimited(res) {
+	if err != nil && ctx.Err() == nil || err == nil && isUndelimited(res) {
 		watched.End()
 	}
 	if err != nil || int64(len(body)) > c.maxResponseBytes {
