The record of keys is written with more delay

All routers find at one moment that it is missing, and 100 ms are hardly longer than the news of a write takes.

--- a/wisteriarouter/daemon/relay_keys.go
+++ b/wisteriarouter/daemon/relay_keys.go
@@ -39,7 +39,7 @@
 const (
 	// keyUseSpread is the range of the random delay before the record is written. All routers
 	// find at one moment that it is missing; few then write it.
-	keyUseSpread = 100 * time.Millisecond
+	keyUseSpread = 500 * time.Millisecond
 	// keyUseInterval is how often a router looks whether the store has the record.
 	keyUseInterval = 5 * time.Second
 )
