Only the responses of endpoints that leave may outlive a listener

A killed process whose connections end late, as their packets are lost or a partition heals, refuses connections while its responses seem to go on; they would then have looked complete, also at an endpoint that does not leave.

Responses of endpoints that are not known to leave are judged as before the watch existed. With that, the longer time for a refusal without a known leaving is gone.

New cases of TestEndingOfUndelimitedResponse: not known to leave, out of reach meanwhile.

--- a/coordination/http1/ending.go
+++ b/coordination/http1/ending.go
@@ -59,9 +59,6 @@
 	// settleTime is within which time the end of a connection arrives here, also if its packet
 	// was lost and is sent again after 0.2 s.
 	settleTime = 300 * time.Millisecond
-	// leavingSettleTime is the same for a server that is known to leave, whose process hardly
-	// ends at the moment at which it refuses connections.
-	leavingSettleTime = ExitTime
 	// lookInterval is the time between two connections to a server whose listener may be closed
 	// while its responses go on.
 	lookInterval = 150 * time.Millisecond
@@ -82,6 +79,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Refused reports whether the error of Dial says that the server refuses connections.
 	Refused func(err error) bool
+	// OutOfReach reports whether it says nothing of the server, as packets may be lost.
+	OutOfReach func(err error) bool
 
 	mu      sync.Mutex
 	servers map[string]*watchedServer // with requests that were not released
@@ -94,7 +93,7 @@
 // Watch begins to watch the server of a request that is about to be sent. group names servers
 // that are alike; nil is returned unless one of them has sent an undelimited response lately.
 // leaves reports whether the server may be shutting down; connections are made to it only then,
-// or once it has refused one. The request must be released.
+// and only then its response may outlive its listener. The request must be released.
 func (w *Watcher) Watch(group, address string, leaves func() bool) *WatchedRequest {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -145,16 +144,6 @@
 	return r
 }
 
-// RecordRefusal records that a server that may be watched has refused a connection.
-func (w *Watcher) RecordRefusal(address string) {
-	w.mu.Lock()
-	s := w.servers[address]
-	w.mu.Unlock()
-	if s != nil {
-		s.recordRefusal(time.Now())
-	}
-}
-
 // release forgets a server for which no request is held.
 func (w *Watcher) release(s *watchedServer) {
 	w.mu.Lock()
@@ -201,7 +190,10 @@
 	ends      []requestEnd             // of connections that the server has closed
 	refusedAt time.Time                // since when the server refuses connections; zero if it does not
 	witness   *witness                 // nil if there is none
-	closed    bool
+	// unreachable reports that a connection has failed without having been refused, and that
+	// none was made since. The ends of other connections may arrive late then.
+	unreachable bool
+	closed      bool
 }
 
 // BeginRead is called before the response is read, and EndRead after it.
@@ -261,7 +253,7 @@
 // Ending returns what is known of an undelimited response after End, if its server refuses
 // connections now. If ctx ends, it decides by what is known by then.
 func (r *WatchedRequest) Ending(ctx context.Context) Ending {
-	if r == nil {
+	if r == nil || !r.leaves() {
 		return Refusing
 	}
 	for r.server.hasOpen() {
@@ -293,6 +285,9 @@
 func (s *watchedServer) hasOpen() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.unreachable {
+		return false
+	}
 	for r := range s.running {
 		if r.reading {
 			return true
@@ -323,8 +318,8 @@
 func (s *watchedServer) pause() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if refusing := time.Since(s.refusedAt); !s.refusedAt.IsZero() && refusing < leavingSettleTime {
-		return leavingSettleTime - refusing
+	if refusing := time.Since(s.refusedAt); !s.refusedAt.IsZero() && refusing < ExitTime {
+		return ExitTime - refusing
 	}
 	return lookInterval
 }
@@ -335,7 +330,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for r := range s.running {
-		if !r.outlived && (!s.refusedAt.IsZero() || r.leaves()) {
+		if !r.outlived && r.leaves() {
 			return true
 		}
 	}
@@ -345,37 +340,35 @@
 // look connects to the server.
 func (s *watchedServer) look(ctx context.Context) {
 	conn, err := s.watcher.Dial(ctx, s.address)
-	if err != nil {
-		if s.watcher.Refused(err) {
-			s.recordRefusal(time.Now())
-		}
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
+	switch {
+	case s.closed && err == nil:
 		_ = conn.Close()
-		return
+	case s.closed:
+	case err == nil:
+		s.refusedAt, s.unreachable = time.Time{}, false
+		s.witness.close()
+		s.witness = newWitness(conn)
+	case s.watcher.Refused(err):
+		s.recordRefusal(time.Now())
+	case s.watcher.OutOfReach(err):
+		s.refusedAt, s.unreachable = time.Time{}, true
 	}
-	s.refusedAt = time.Time{}
-	s.witness.close()
-	s.witness = newWitness(conn)
 }
 
 // recordRefusal records that the server refuses connections. A request whose reader still waits
-// when it has done so for some time outlives the listener: the end of its connection would have
-// arrived. A reader that waits for its caller instead may have such an end before it.
+// ExitTime later outlives the listener: the end of its connection would have arrived. A reader
+// that waits for its caller instead may have such an end before it. The caller holds s.mu.
 func (s *watchedServer) recordRefusal(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.refusedAt.IsZero() {
 		s.refusedAt = now
 	}
-	refusing := now.Sub(s.refusedAt)
+	if s.unreachable || now.Sub(s.refusedAt) < ExitTime {
+		return
+	}
 	for r := range s.running {
-		if r.reading && (refusing >= settleTime || refusing >= leavingSettleTime && r.leaves()) {
-			r.outlived = true
-		}
+		r.outlived = r.outlived || r.reading
 	}
 }
 
--- a/coordination/http1/ending_test.go
+++ b/coordination/http1/ending_test.go
@@ -48,6 +48,7 @@
 type watchedPeer struct {
 	mu      sync.Mutex
 	refuses bool
+	silent  bool // connections fail without being refused
 	conns   []*idleConn
 	dials   int
 }
@@ -56,7 +57,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dials++
-	if p.refuses {
+	switch {
+	case p.silent:
+		return nil, context.DeadlineExceeded
+	case p.refuses:
 		return nil, errRefused
 	}
 	c := &idleConn{closed: make(chan struct{})}
@@ -71,6 +75,13 @@
 	p.refuses = true
 }
 
+// setSilent sets whether connections to the server fail without being refused.
+func (p *watchedPeer) setSilent(silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = silent
+}
+
 // end ends the process of the server.
 func (p *watchedPeer) end() {
 	p.stopListening()
@@ -94,7 +105,8 @@
 }
 
 func newWatcher(p *watchedPeer) *http1.Watcher {
-	return &http1.Watcher{Dial: p.dial, Refused: func(err error) bool { return errors.Is(err, errRefused) }}
+	refused := func(err error) bool { return errors.Is(err, errRefused) }
+	return &http1.Watcher{Dial: p.dial, Refused: refused, OutOfReach: func(err error) bool { return !refused(err) }}
 }
 
 func yes() bool { return true }
@@ -148,35 +160,41 @@
 	for _, test := range []struct {
 		name    string
 		stops   time.Duration // before the end; 0 for a listener that is closed with it
-		exits   bool          // right behind the response
-		reading bool
+		livesOn bool          // the process does not end right behind the response
+		blocked bool          // the reader waits for its caller
 		others  int           // responses that end with it
 		apart   time.Duration // by which these began earlier
 		waiting int           // responses whose readers wait for their callers, so that their ends are not read
+		unknown bool          // that the server leaves
+		cutOff  bool          // from the server, for a time before the listener is closed
 		want    http1.Ending
 	}{
-		{"process lives on", time.Second, false, true, 0, 0, 0, http1.AnotherOpen},
-		{"process lives on, listener closed a moment before", 10 * time.Millisecond, false, true, 0, 0, 0, http1.AnotherOpen},
-		{"process exits", time.Second, true, true, 0, 0, 0, http1.StoppedBefore},
-		{"process exits, reader waited for its caller", time.Second, true, false, 0, 0, 0, http1.Refusing},
-		{"process exits, listener closed a moment before", 10 * time.Millisecond, true, true, 0, 0, 0, http1.Refusing},
-		{"process is killed with its listener", 0, true, true, 0, 0, 0, http1.Refusing},
-		{"process is killed with its listener and other responses", 0, true, true, 3, time.Second, 0, http1.Refusing},
-		{"process is killed beside responses to slow callers", 0, true, true, 0, 0, 3, http1.Refusing},
-		{"process is killed after its listener was closed", time.Second, true, true, 3, time.Second, 0, http1.EndedTogether},
-		{"process exits behind responses that began and ended together", time.Second, true, true, 3, 0, 0, http1.StoppedBefore},
+		{name: "process lives on", stops: time.Second, livesOn: true, want: http1.AnotherOpen},
+		{name: "process lives on, listener closed a moment before", stops: 10 * time.Millisecond, livesOn: true, want: http1.AnotherOpen},
+		{name: "process exits", stops: time.Second, want: http1.StoppedBefore},
+		{name: "process exits, reader waited for its caller", stops: time.Second, blocked: true, want: http1.Refusing},
+		{name: "process exits, listener closed a moment before", stops: 10 * time.Millisecond, want: http1.Refusing},
+		{name: "process exits, not known to leave", stops: time.Second, unknown: true, want: http1.Refusing},
+		{name: "process ends while it is out of reach", stops: time.Second, cutOff: true, want: http1.Refusing},
+		{name: "process is out of reach and lives on", stops: time.Second, cutOff: true, livesOn: true, want: http1.Refusing},
+		{name: "process is killed with its listener", want: http1.Refusing},
+		{name: "process is killed with its listener and other responses", others: 3, apart: time.Second, want: http1.Refusing},
+		{name: "process is killed beside responses to slow callers", waiting: 3, want: http1.Refusing},
+		{name: "process is killed after its listener was closed", stops: time.Second, others: 3, apart: time.Second, want: http1.EndedTogether},
+		{name: "process exits behind responses that began and ended together", stops: time.Second, others: 3, want: http1.StoppedBefore},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				p := &watchedPeer{}
 				w := newWatcher(p)
 				assert.Assert(t, w.Watch("group", "address", yes) == nil)
+				leaves := func() bool { return !test.unknown }
 				var all []*http1.WatchedRequest
 				for range test.others {
-					all = append(all, w.WatchUndelimited(nil, "group", "address", yes))
+					all = append(all, w.WatchUndelimited(nil, "group", "address", leaves))
 				}
 				time.Sleep(test.apart)
-				first := w.WatchUndelimited(nil, "group", "address", yes)
+				first := w.WatchUndelimited(nil, "group", "address", leaves)
 				all = append(all, first)
 				for _, r := range all {
 					r.BeginRead()
@@ -184,10 +202,15 @@
 				for range test.waiting {
 					defer w.Watch("group", "address", yes).Release()
 				}
-				if !test.reading {
+				if test.blocked {
 					first.EndRead()
 				}
 				time.Sleep(2 * time.Second)
+				if test.cutOff {
+					p.setSilent(true)
+					time.Sleep(time.Second)
+					p.setSilent(false)
+				}
 				if test.stops > 0 {
 					p.stopListening()
 					time.Sleep(test.stops)
@@ -196,7 +219,7 @@
 					r.End()
 				}
 				p.stopListening()
-				if test.exits {
+				if !test.livesOn {
 					p.end()
 				}
 				assert.Equal(t, first.Ending(t.Context()).String(), test.want.String())
--- a/wisteriarouter/service/client.go
+++ b/wisteriarouter/service/client.go
@@ -96,6 +96,7 @@
 	}
 	c.watcher.Dial = func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }
 	c.watcher.Refused = isRefused
+	c.watcher.OutOfReach = func(err error) bool { return !isRefused(err) }
 	return c, pooled.CloseIdleConnections
 }
 
--- a/wisteriarouter/upstream/ending.go
+++ b/wisteriarouter/upstream/ending.go
@@ -20,6 +20,6 @@
 	watched.Release()
 }
 
-// refused reports whether a dial has failed since the endpoint refuses connections, as far as
-// this router or another one can tell.
-func refused(err error) bool { return Refused(err) || Unreachable(err) }
+// outOfReach reports whether the error of a dial says nothing of the endpoint: it has not
+// refused the connection, and no other router has found that it cannot connect either.
+func outOfReach(err error) bool { return !Refused(err) && !Unreachable(err) }
--- a/wisteriarouter/upstream/upstream.go
+++ b/wisteriarouter/upstream/upstream.go
@@ -196,7 +196,7 @@
 	c := &Client{cfg: cfg.withDefaults()}
 	c.idle.conns = make(map[string][]*conn)
 	c.active.heardAt = make(map[*conn]time.Time)
-	c.watcher.Dial, c.watcher.Refused = c.dialUnused, refused
+	c.watcher.Dial, c.watcher.Refused, c.watcher.OutOfReach = c.dialUnused, Refused, outOfReach
 	ctx, cancel := context.WithCancel(context.Background())
 	go c.run(ctx)
 	return c, func() {
@@ -356,9 +356,6 @@
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	nc, err := c.dialUnused(ctx, address)
 	if err != nil {
-		if refused(err) {
-			c.watcher.RecordRefusal(address)
-		}
 		return nil, ErrDial.Wrap(err, "endpoint %s", address)
 	}
 	return newConn(c, address, nc), nil
