Tests of endpoints that close their listeners have addresses of their own

The port of a listener that a test has closed is soon that of another one; a router that resumes a stream where no other endpoint is left asks the same address again, if it accepts connections. TestUndelimitedResponsesOfEndpointKilledAfterItsListenerClosed, which ran beside it, sends three such requests.

Its endpoints, and the services of the test for plain services, listen at addresses of package loopback now, as the tests of the daemon do.

--- a/wisteriarouter/relay/outlived_listener_test.go
+++ b/wisteriarouter/relay/outlived_listener_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"wisteriaspool/coordination/route"
+	"wisteriaspool/standin/loopback"
 )
 
 // stoppingEndpoint is an endpoint that shuts down while it responds: it closes its listener, and
@@ -40,7 +41,8 @@
 )
 
 func (e *stoppingEndpoint) start(t *testing.T) *stoppingEndpoint {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// No other test gets the address once the listener is closed.
+	l, err := net.Listen("tcp", loopback.Address())
 	assert.NilError(t, err)
 	e.listener, e.conns = l, make(map[net.Conn]bool)
 	t.Cleanup(e.kill)
--- a/wisteriarouter/service/outlived_listener_test.go
+++ b/wisteriarouter/service/outlived_listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"wisteriaspool/coordination/outcome"
+	"wisteriaspool/standin/loopback"
 	"wisteriaspool/wisteriarouter/service"
 )
 
@@ -33,7 +35,7 @@
 			stop := make(chan struct{}) // closed when the service begins to shut down
 			leaves := new(atomic.Bool)  // the router knows that it does
 			var srv *httptest.Server
-			srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			srv = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				body, err := io.ReadAll(r.Body) // unread bytes would reset the connection
 				assert.Check(t, err)
 				conn, _, err := http.NewResponseController(w).Hijack()
@@ -55,6 +57,12 @@
 					srv.CloseClientConnections()
 				}
 			}))
+			// No other test gets the address once the listener is closed.
+			_ = srv.Listener.Close()
+			var err error
+			srv.Listener, err = net.Listen("tcp", loopback.Address())
+			assert.NilError(t, err)
+			srv.Start()
 			defer srv.Close()
 			c, cleanup := service.NewClient(service.Options{})
 			defer cleanup()
